--- /dev/null
+++ b/cmd/pistachioroadd/main.go
@@ -0,0 +1,6 @@
+// Command placeholder is replaced by the thin path.
+package main
+
+import _ "runtime/cgo"
+
+func main() {}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,134 @@
+// Package engine is the system's view of a model engine: generation, KV cache,
+// load reports, cache events and orders.
+package engine
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+)
+
+// PieceTokens is how many prompt tokens one piece of the KV cache holds.
+const PieceTokens = 2000
+
+// Role says which work an engine takes.
+type Role string
+
+// The roles of an engine.
+const (
+	RoleMixed   Role = "mixed"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// Ticket names a KV cache that an engine has exported.
+type Ticket struct {
+	ID     string `json:"id"`
+	Source string `json:"source"`
+	Tokens int    `json:"tokens"`
+}
+
+// Request is one generation.
+type Request struct {
+	ID        string `json:"id"`
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	// Priority orders the engine's own queue; lower runs first.
+	Priority int `json:"priority"`
+	// ResumeFrom is how many output tokens, spelt out in ResumeText, the
+	// caller already has.
+	ResumeFrom int     `json:"resume_from,omitempty"`
+	ResumeText string  `json:"resume_text,omitempty"`
+	KV         *Ticket `json:"kv,omitempty"`
+	// PrefillOnly asks for a Ticket in place of an answer.
+	PrefillOnly bool `json:"prefill_only,omitempty"`
+}
+
+// Piece is a run of output tokens.
+type Piece struct {
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
+}
+
+// Finish ends a whole generation.
+type Finish struct {
+	// Reason is "stop" or "length".
+	Reason       string  `json:"reason"`
+	PromptTokens int     `json:"prompt_tokens"`
+	CachedTokens int     `json:"cached_tokens"`
+	OutputTokens int     `json:"output_tokens"`
+	KV           *Ticket `json:"kv,omitempty"`
+}
+
+// Order asks an engine to become what its fields say. Loading takes seconds.
+type Order struct {
+	// Generation is the fencing token: an engine that checks it refuses an
+	// order below the highest that it has taken.
+	Generation uint64   `json:"generation"`
+	Role       Role     `json:"role"`
+	Model      string   `json:"model"`
+	Adapters   []string `json:"adapters,omitempty"`
+	Weights    string   `json:"weights"`
+}
+
+// State is what an engine says of itself.
+type State struct {
+	// Incarnation changes when the engine restarts.
+	Incarnation string `json:"incarnation"`
+	// Applied is the last order that took effect; Changing says that another
+	// is on its way.
+	Applied  Order `json:"applied"`
+	Changing bool  `json:"changing"`
+	Ready    bool  `json:"ready"`
+}
+
+// Load is an engine's own report; it lags.
+type Load struct {
+	Running       int     `json:"running"`
+	Queued        int     `json:"queued"`
+	Slots         int     `json:"slots"`
+	QueuedTokens  int     `json:"queued_tokens"`
+	RunningTokens int     `json:"running_tokens"`
+	PiecesUsed    int     `json:"pieces_used"`
+	Pieces        int     `json:"pieces"`
+	PrefillRate   float64 `json:"prefill_rate"`
+	DecodeRate    float64 `json:"decode_rate"`
+}
+
+// CacheEvent says that prompt pieces were stored or evicted. Sequence numbers
+// rise by one; a gap means that events were lost.
+type CacheEvent struct {
+	Sequence uint64   `json:"sequence"`
+	Stored   []uint64 `json:"stored,omitempty"`
+	Evicted  []uint64 `json:"evicted,omitempty"`
+}
+
+// The errors of an Engine.
+var (
+	// ErrNotSent says that the engine was not reached: nothing ran.
+	ErrNotSent = eris.New("engine not reached")
+	// ErrRefused says that the engine turned the request or order down.
+	ErrRefused = eris.New("engine refused")
+	// ErrFenced says that the engine has taken a higher generation.
+	ErrFenced = eris.New("engine has taken a newer order")
+	// ErrBroken says that the engine stopped part-way.
+	ErrBroken = eris.New("engine broke off")
+)
+
+// Engine is one model engine.
+type Engine interface {
+	// Generate runs r and calls emit for each piece, in order. It returns
+	// ErrNotSent, ErrRefused or ErrBroken, or the error of emit.
+	Generate(ctx context.Context, r Request, emit func(Piece) error) (Finish, error)
+	// Cancel stops a generation; one that is unknown is no error.
+	Cancel(ctx context.Context, id string) error
+	// Order returns once the engine has taken the order, not once it is ready:
+	// ErrNotSent, ErrRefused, ErrFenced, or ErrBroken when nothing is known.
+	Order(ctx context.Context, o Order) error
+	State(ctx context.Context) (State, error)
+	Load(ctx context.Context) (Load, error)
+	// CacheEvents returns the events after the sequence number given.
+	CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error)
+}
