--- /dev/null
+++ b/internal/decide/admit/admit.go
@@ -0,0 +1,362 @@
+// Package admit decides at an entry which requests are let in.
+//
+// It answers three patterns of load. A burst or lasting saturation: without
+// it every request joins a queue that is longer than its deadline, engines
+// spend their time on answers that come too late, and goodput falls to nearly
+// nothing while all are busy; a request that cannot meet its deadline is
+// therefore refused at once, with a Retry-After worked out from the drain
+// rate. A few callers who take most of the load: without it everybody waits
+// behind them; under saturation each caller is held to its weighted max-min
+// share, in token cost and not in requests, because one long prompt costs as
+// much as a hundred lookups.
+package admit
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// DefaultSaturation is the queue wait from which callers are held to their
+	// shares. Half of the 0.9 s that a first token may take: sooner would turn
+	// work away that fits, later would spend the whole allowance on waiting.
+	DefaultSaturation = 450 * time.Millisecond
+	// DefaultWindow is the time constant of a caller's rate. Shorter than the
+	// swings of the mix (minutes), longer than the gaps between the requests
+	// of one active caller (seconds).
+	DefaultWindow = 5 * time.Second
+	// DefaultAccounts bounds the accounts tracked: the letter's 9,600.
+	DefaultAccounts = 9_600
+	// DefaultRemoteTTL is how long a gossiped usage counts without renewal:
+	// a few gossip rounds of a second.
+	DefaultRemoteTTL = 5 * time.Second
+	// DefaultRemoteEntries and DefaultRemoteAccounts bound what gossip may
+	// make this entry remember.
+	DefaultRemoteEntries  = 512
+	DefaultRemoteAccounts = 32
+
+	// levelPeriod bounds how often the fair share is worked out anew; it costs
+	// time in the order of the accounts.
+	levelPeriod = 200 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	// retryJitter spreads Retry-After upwards, so that those refused together
+	// do not come back together.
+	retryJitter = 0.5
+)
+
+// Config sets an Admitter. The zero value of a field means its default.
+type Config struct {
+	// Rand spreads Retry-After; nil means no spread.
+	Rand       *rand.Rand
+	Saturation time.Duration
+	Window     time.Duration
+	// Accounts bounds the accounts tracked; what is beyond shares one.
+	Accounts       int
+	RemoteTTL      time.Duration
+	RemoteEntries  int
+	RemoteAccounts int
+	// Terms holds the accounts that differ from the default of weight 1 and
+	// no limit.
+	Terms map[string]Terms
+}
+
+// Terms is what an operator grants one account.
+type Terms struct {
+	// Weight scales the account's share; 0 means 1.
+	Weight float64
+	// Limit, in cost tokens a second over all entries, holds also without
+	// saturation; 0 means none.
+	Limit float64
+}
+
+// Request is what admission needs to know of a request.
+type Request struct {
+	Caller string
+	// CostTokens is the work in prefill-token equivalents.
+	CostTokens int
+	// Deadline is the time that remains.
+	Deadline time.Duration
+	// RunTime is how long the work takes once started; 0 if not known.
+	RunTime time.Duration
+	Class   int
+	Service string
+}
+
+// Picture is what the entry believes about the backend servers of the service.
+type Picture struct {
+	// QueueWait is the expected wait of a request that queues behind all.
+	QueueWait time.Duration
+	// DrainRate is the measured cost tokens a second that the fleet finishes
+	// when it is busy.
+	DrainRate float64
+	// Part is this entry's part of the load, in (0, 1]; 0 means 1.
+	Part float64
+	// Closed says that no backend server admits this service now.
+	Closed bool
+}
+
+// Reason says why a request was refused.
+type Reason uint8
+
+// The reasons.
+const (
+	// Admitted is no refusal.
+	Admitted Reason = iota
+	// PastDeadline: the work cannot be finished in time.
+	PastDeadline
+	// OverShare: the fleet is saturated and the caller is above its share.
+	OverShare
+	// OverLimit: the account is above the limit that operators set.
+	OverLimit
+	// NoCapacity: no backend server admits the service.
+	NoCapacity
+)
+
+func (r Reason) String() string {
+	switch r {
+	case Admitted:
+		return "admitted"
+	case PastDeadline:
+		return "cannot meet the deadline"
+	case OverShare:
+		return "caller above its share of a saturated fleet"
+	case OverLimit:
+		return "caller above its limit"
+	default:
+		return "no backend server admits this service"
+	}
+}
+
+// Decision is the answer to one request.
+type Decision struct {
+	Admit bool
+	// RetryAfter is set on a refusal.
+	RetryAfter time.Duration
+	Reason     Reason
+}
+
+// Usage is the work of one account at one entry, as gossiped.
+type Usage struct {
+	Caller string
+	// Rate is in cost tokens offered per second.
+	Rate float64
+}
+
+// Admitter decides for one entry. Its methods are for one goroutine.
+type Admitter struct {
+	cfg      Config
+	accounts map[string]*account
+	remote   *remote
+	// level is the fair share per unit of weight, in tokens a second.
+	level   float64
+	leveled time.Time
+}
+
+// account sums decay with the window; sum divided by window is a rate.
+type account struct {
+	offered, admitted float64
+	outstanding       float64
+	at                time.Time
+}
+
+// New returns an Admitter.
+func New(cfg Config) *Admitter {
+	cfg.Saturation = cmp.Or(cfg.Saturation, DefaultSaturation)
+	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
+	cfg.Accounts = cmp.Or(cfg.Accounts, DefaultAccounts)
+	cfg.RemoteTTL = cmp.Or(cfg.RemoteTTL, DefaultRemoteTTL)
+	cfg.RemoteEntries = cmp.Or(cfg.RemoteEntries, DefaultRemoteEntries)
+	cfg.RemoteAccounts = cmp.Or(cfg.RemoteAccounts, DefaultRemoteAccounts)
+	return &Admitter{
+		cfg:      cfg,
+		accounts: make(map[string]*account),
+		remote:   newRemote(cfg),
+		level:    math.Inf(1),
+	}
+}
+
+// SetTerms replaces the accounts' terms, after a change of configuration.
+func (a *Admitter) SetTerms(terms map[string]Terms) { a.cfg.Terms = terms }
+
+// Decide admits or refuses r. An admitted request must be followed by
+// Finished, whatever its outcome.
+func (a *Admitter) Decide(now time.Time, r Request, p Picture) Decision {
+	acc := a.account(now, r.Caller)
+	cost := float64(max(1, r.CostTokens))
+	acc.offered += cost
+	a.relevel(now, p)
+	if d := a.refusal(now, acc, r, p); d.Reason != Admitted {
+		return d
+	}
+	acc.admitted += cost
+	acc.outstanding += cost
+	return Decision{Admit: true}
+}
+
+// Finished tells that an admitted request has ended, in any way.
+func (a *Admitter) Finished(now time.Time, caller string, costTokens int) {
+	acc := a.account(now, caller)
+	acc.outstanding = max(0, acc.outstanding-float64(max(1, costTokens)))
+}
+
+func (a *Admitter) refusal(now time.Time, acc *account, r Request, p Picture) Decision {
+	if p.Closed {
+		return a.refuse(NoCapacity, p.QueueWait)
+	}
+	rate := a.rate(acc.admitted) + a.remote.rate(now, r.Caller)
+	if limit := a.cfg.Terms[r.Caller].Limit; limit > 0 && rate > limit {
+		return a.refuse(OverLimit, a.decayTo(rate, limit))
+	}
+	share := a.level * a.weight(r.Caller)
+	wait := p.QueueWait
+	if rate > share {
+		if p.QueueWait > a.cfg.Saturation {
+			return a.refuse(OverShare, a.decayTo(rate, share))
+		}
+	} else {
+		wait = min(wait, a.ownWait(acc, r, p))
+	}
+	if late := wait + r.RunTime - r.Deadline; late > 0 {
+		return a.refuse(PastDeadline, late)
+	}
+	return Decision{}
+}
+
+// ownWait is the wait of a caller under its share: fair queueing serves it in
+// turn with the other callers that have work outstanding, however much the
+// heavy ones have queued.
+func (a *Admitter) ownWait(acc *account, r Request, p Picture) time.Duration {
+	if p.DrainRate <= 0 {
+		return p.QueueWait
+	}
+	weight := a.weight(r.Caller)
+	guaranteed := min(a.level, p.DrainRate) * weight
+	seconds := (acc.outstanding + float64(r.CostTokens)) / guaranteed
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+func (a *Admitter) refuse(reason Reason, after time.Duration) Decision {
+	after = min(max(after, minRetryAfter), maxRetryAfter)
+	if a.cfg.Rand != nil {
+		after += time.Duration(retryJitter * a.cfg.Rand.Float64() * float64(after))
+	}
+	return Decision{RetryAfter: after, Reason: reason}
+}
+
+// decayTo is how long a rate takes to decay to the target.
+func (a *Admitter) decayTo(rate, target float64) time.Duration {
+	if target <= 0 {
+		return maxRetryAfter
+	}
+	return time.Duration(math.Log(rate/target) * float64(a.cfg.Window))
+}
+
+func (a *Admitter) weight(caller string) float64 {
+	if w := a.cfg.Terms[caller].Weight; w > 0 {
+		return w
+	}
+	return 1
+}
+
+func (a *Admitter) rate(sum float64) float64 { return sum / a.cfg.Window.Seconds() }
+
+// relevel works out the max-min fair share: the level at which the callers'
+// offered rates, each cut at level x weight, add up to the drain rate.
+func (a *Admitter) relevel(now time.Time, p Picture) {
+	if now.Sub(a.leveled) < levelPeriod {
+		return
+	}
+	a.leveled = now
+	a.remote.expire(now)
+	demands := a.demands(now)
+	slices.SortFunc(demands, func(x, y demand) int {
+		return cmp.Compare(x.rate/x.weight, y.rate/y.weight)
+	})
+	left := p.DrainRate
+	weights := 0.0
+	for _, d := range demands {
+		weights += d.weight
+	}
+	a.level = math.Inf(1)
+	for _, d := range demands {
+		level := left / weights
+		if d.rate/d.weight > level {
+			a.level = level
+			return
+		}
+		left -= d.rate
+		weights -= d.weight
+	}
+}
+
+type demand struct{ rate, weight float64 }
+
+func (a *Admitter) demands(now time.Time) []demand {
+	demands := make([]demand, 0, len(a.accounts))
+	for caller, acc := range a.accounts {
+		acc.decay(now, a.cfg.Window)
+		if acc.offered < 1 && acc.outstanding == 0 {
+			delete(a.accounts, caller)
+			continue
+		}
+		rate := a.rate(acc.offered) + a.remote.rate(now, caller)
+		demands = append(demands, demand{rate: rate, weight: a.weight(caller)})
+	}
+	for caller, rate := range a.remote.totals {
+		if _, ok := a.accounts[caller]; !ok {
+			demands = append(demands, demand{rate: rate, weight: a.weight(caller)})
+		}
+	}
+	return demands
+}
+
+// HeaviestAccounts returns the n accounts that offer most here, heaviest first.
+func (a *Admitter) HeaviestAccounts(now time.Time, n int) []Usage {
+	usages := make([]Usage, 0, len(a.accounts))
+	for caller, acc := range a.accounts {
+		acc.decay(now, a.cfg.Window)
+		usages = append(usages, Usage{Caller: caller, Rate: a.rate(acc.offered)})
+	}
+	slices.SortFunc(usages, func(x, y Usage) int {
+		return cmp.Or(cmp.Compare(y.Rate, x.Rate), cmp.Compare(x.Caller, y.Caller))
+	})
+	return usages[:min(n, len(usages))]
+}
+
+// MergeRemote replaces what is known of another entry's heaviest accounts.
+func (a *Admitter) MergeRemote(now time.Time, entry string, usages []Usage) {
+	a.remote.merge(now, entry, usages)
+}
+
+// overflow is the account that callers share once the table is full.
+const overflow = ""
+
+func (a *Admitter) account(now time.Time, caller string) *account {
+	acc, ok := a.accounts[caller]
+	if !ok && len(a.accounts) >= a.cfg.Accounts {
+		caller = overflow
+		acc, ok = a.accounts[caller]
+	}
+	if !ok {
+		acc = &account{at: now}
+		a.accounts[caller] = acc
+	}
+	acc.decay(now, a.cfg.Window)
+	return acc
+}
+
+func (acc *account) decay(now time.Time, window time.Duration) {
+	dt := now.Sub(acc.at)
+	if dt <= 0 {
+		return
+	}
+	acc.at = now
+	keep := math.Exp(-dt.Seconds() / window.Seconds())
+	acc.offered *= keep
+	acc.admitted *= keep
+}
--- /dev/null
+++ b/internal/decide/shift/shift.go
@@ -0,0 +1,270 @@
+// Package shift decides which engine changes its role, and when. It is the
+// planner's decision.
+//
+// It answers a prompt-to-output mix that swings within minutes and back. With
+// fixed roles one side is short while the other idles, which one notices by
+// goodput at half of what the same engines reach for another mix. A planner
+// that follows each swing loses more: a change takes an engine away for
+// seconds, the swing is over before the change has paid, and it is undone at
+// the same price.
+//
+// So the cheap lever comes first: decode engines take short prefills, which
+// costs no change. What it does not cover is treated as ski rental. The goodput
+// lost to the imbalance adds up, and one engine changes once the sum exceeds
+// the cost of its change times a factor that says how operators weigh
+// changes; the sum shrinks again while the present roles do better. Against a
+// planner that knows the future, the loss is then bounded by a small multiple
+// of that planner's, whatever the swings. A dwell time and a bound on changes
+// in flight keep a wrong picture from taking a role away.
+package shift
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Role says which work an engine takes.
+type Role string
+
+// The roles.
+const (
+	Mixed   Role = "mixed"
+	Prefill Role = "prefill"
+	Decode  Role = "decode"
+)
+
+const (
+	// DefaultChangeTime is how long a role change takes an engine away.
+	DefaultChangeTime = 8 * time.Second
+	// DefaultRoleChangeCost is the factor on the goodput lost by a change.
+	// 1 is the rule of ski rental: having lost as much as it costs.
+	DefaultRoleChangeCost = 1.0
+	// DefaultDwell is how long an engine keeps a role at least.
+	DefaultDwell = 30 * time.Second
+	// DefaultMaxInFlight bounds the changes at any time.
+	DefaultMaxInFlight = 1
+	// DefaultHeadroom is by how much of its capacity a role is wanted larger
+	// than its demand: queues grow without bound as load nears capacity.
+	DefaultHeadroom = 0.1
+	// DefaultSpillPrompt is the longest prompt, in tokens, that a decode
+	// engine prefills: one KV piece, a pause between tokens of its streams
+	// that they hardly notice.
+	DefaultSpillPrompt = 2_000
+	// DefaultSpillShare is the most of its time that a decode engine spends
+	// on such prefills.
+	DefaultSpillShare = 0.3
+	// maxStep bounds the time that one step accounts for: after a pause or an
+	// outage of the store nothing is known about the time between.
+	maxStep = 5 * time.Second
+)
+
+// Config sets a Planner. The zero value of a field means its default.
+type Config struct {
+	// RoleChangeCost scales the cost of a change: low where goodput weighs
+	// more, high where changes weigh more.
+	RoleChangeCost float64
+	ChangeTime     time.Duration
+	Dwell          time.Duration
+	MaxInFlight    int
+	Headroom       float64
+	// LeastPerRole engines stay in each role.
+	LeastPerRole int
+	SpillPrompt  int
+	SpillShare   float64
+}
+
+// Engine is one engine as the planner sees it.
+type Engine struct {
+	Name string
+	Role Role
+	// Movable engines may change: up, not drained and not held by an exception
+	// of the operators.
+	Movable bool
+	// Changing engines are on their way to Role.
+	Changing bool
+	// Since is when the role was last set.
+	Since time.Time
+	// QueuedTokens breaks ties: the idlest engine changes.
+	QueuedTokens int
+}
+
+// Demand is the work offered to one model, also what was refused for lack of
+// room, as rates.
+type Demand struct {
+	// PrefillTokens a second are uncached prompt tokens; ShortPrefillTokens of
+	// them belong to prompts short enough to spill.
+	PrefillTokens      float64
+	ShortPrefillTokens float64
+	// DecodeTokens a second are output tokens.
+	DecodeTokens float64
+	// PrefillBacklog and DecodeBacklog are tokens that wait now.
+	PrefillBacklog, DecodeBacklog float64
+}
+
+// Capacity is what one engine does in a second when it does nothing else.
+type Capacity struct {
+	PrefillTokens float64
+	DecodeTokens  float64
+}
+
+// Fleet is the input of one step: the engines of one model.
+type Fleet struct {
+	Engines  []Engine
+	Demand   Demand
+	Capacity Capacity
+}
+
+// Change is one engine's new role.
+type Change struct {
+	Name     string
+	From, To Role
+	Why      string
+}
+
+// Spill tells decode engines to take prefills.
+type Spill struct {
+	// MaxPromptTokens is the longest such prompt; 0 means none.
+	MaxPromptTokens int
+	// Share of its time is the most that a decode engine spends on them.
+	Share float64
+}
+
+// Decision is the outcome of one step.
+type Decision struct {
+	Changes []Change
+	Spill   Spill
+}
+
+// Planner holds the loss summed up for each direction. Its methods are for one
+// goroutine.
+type Planner struct {
+	cfg  Config
+	at   time.Time
+	loss map[Role]float64
+}
+
+// New returns a Planner.
+func New(cfg Config) *Planner {
+	cfg.RoleChangeCost = cmp.Or(cfg.RoleChangeCost, DefaultRoleChangeCost)
+	cfg.ChangeTime = cmp.Or(cfg.ChangeTime, DefaultChangeTime)
+	cfg.Dwell = cmp.Or(cfg.Dwell, DefaultDwell)
+	cfg.MaxInFlight = cmp.Or(cfg.MaxInFlight, DefaultMaxInFlight)
+	cfg.Headroom = cmp.Or(cfg.Headroom, DefaultHeadroom)
+	cfg.LeastPerRole = cmp.Or(cfg.LeastPerRole, 1)
+	cfg.SpillPrompt = cmp.Or(cfg.SpillPrompt, DefaultSpillPrompt)
+	cfg.SpillShare = cmp.Or(cfg.SpillShare, DefaultSpillShare)
+	return &Planner{cfg: cfg, loss: make(map[Role]float64)}
+}
+
+// Step takes in the fleet as it is now and returns what to change. Without
+// fresh reports the caller does not step: a frozen plan sums up no loss.
+func (p *Planner) Step(now time.Time, f Fleet) Decision {
+	dt := p.elapsed(now)
+	c := count(f.Engines)
+	d := Decision{Spill: p.spill(c, f)}
+	for _, to := range []Role{Prefill, Decode} {
+		gain := p.gain(c, f, to)
+		p.loss[to] = max(0, p.loss[to]+gain*dt.Seconds())
+	}
+	for _, to := range []Role{Prefill, Decode} {
+		if change, ok := p.change(now, c, f, to); ok {
+			d.Changes = append(d.Changes, change)
+			p.loss = make(map[Role]float64)
+			break
+		}
+	}
+	return d
+}
+
+// Loss returns the engine-seconds of goodput summed up for a change to the
+// role, for the state dump.
+func (p *Planner) Loss(to Role) float64 { return p.loss[to] }
+
+func (p *Planner) elapsed(now time.Time) time.Duration {
+	dt := now.Sub(p.at)
+	if p.at.IsZero() || dt < 0 {
+		dt = 0
+	}
+	p.at = now
+	return min(dt, maxStep)
+}
+
+// counts are engines per role; those that change count at their new role.
+type counts struct {
+	prefill, decode, mixed, changing int
+}
+
+func count(engines []Engine) counts {
+	var c counts
+	for _, e := range engines {
+		switch e.Role {
+		case Prefill:
+			c.prefill++
+		case Decode:
+			c.decode++
+		default:
+			c.mixed++
+		}
+		if e.Changing {
+			c.changing++
+		}
+	}
+	return c
+}
+
+func (p *Planner) change(now time.Time, c counts, f Fleet, to Role) (Change, bool) {
+	price := p.cfg.RoleChangeCost * p.cfg.ChangeTime.Seconds()
+	if p.loss[to] < price || c.changing >= p.cfg.MaxInFlight {
+		return Change{}, false
+	}
+	from := opposite(to)
+	if c.of(from) <= p.cfg.LeastPerRole {
+		return Change{}, false
+	}
+	e, ok := p.candidate(now, f.Engines, from)
+	if !ok {
+		return Change{}, false
+	}
+	return Change{Name: e.Name, From: from, To: to, Why: why(to, p.loss[to], price)}, true
+}
+
+func (p *Planner) candidate(now time.Time, engines []Engine, from Role) (Engine, bool) {
+	var ready []Engine
+	for _, e := range engines {
+		if e.Role == from && e.Movable && !e.Changing && now.Sub(e.Since) >= p.cfg.Dwell {
+			ready = append(ready, e)
+		}
+	}
+	if len(ready) == 0 {
+		return Engine{}, false
+	}
+	return slices.MinFunc(ready, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(a.QueuedTokens, b.QueuedTokens), cmp.Compare(a.Name, b.Name))
+	}), true
+}
+
+func opposite(r Role) Role {
+	if r == Prefill {
+		return Decode
+	}
+	return Prefill
+}
+
+func (c counts) of(r Role) int {
+	if r == Prefill {
+		return c.prefill
+	}
+	return c.decode
+}
+
+func (c counts) moved(to Role) counts {
+	if to == Prefill {
+		c.prefill++
+		c.decode--
+	} else {
+		c.prefill--
+		c.decode++
+	}
+	return c
+}
