Platform client and settled updates

Cause: every part needs the object API and the VM list, and an update whose reply is lost must not be taken for one that failed.

Client: strict classes of outcome (not sent only when no connection carried the update, or the platform says 412, 429 or 503), a share of the call rate, equal reads merged, a circuit that refuses calls at once in an outage. Write: a state machine that follows one update until its outcome is certain; Update runs it with retries.

--- /dev/null
+++ b/internal/platform/circuit.go
@@ -0,0 +1,107 @@
+package platform
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// The thresholds of the circuit.
+const (
+	// failuresToOpen is how many calls in a row must fail before calls are
+	// refused at once. One or two lost connections are not an outage.
+	failuresToOpen = 3
+	// firstPause and longestPause bound the time between two attempts during
+	// an outage.
+	firstPause   = 200 * time.Millisecond
+	longestPause = 3 * time.Second
+)
+
+// Backoff gives the pauses between attempts: each twice the one before, up to
+// a bound, and each shortened by a random part, so that processes that failed
+// together do not come back together.
+type Backoff struct {
+	First   time.Duration
+	Longest time.Duration
+
+	attempt int
+}
+
+// Next returns the next pause, between half and all of its full length.
+func (b *Backoff) Next(random *rand.Rand) time.Duration {
+	full := b.Longest
+	if shifted := b.First << b.attempt; shifted > 0 && shifted < b.Longest {
+		full = shifted
+		b.attempt++
+	}
+	return full/2 + time.Duration(random.Int64N(int64(full/2)+1))
+}
+
+// Reset begins again with the first pause.
+func (b *Backoff) Reset() { b.attempt = 0 }
+
+// circuit refuses calls while the platform is down, but for one attempt per
+// pause.
+type circuit struct {
+	random  *rand.Rand
+	backoff Backoff
+
+	failures   int
+	probing    bool
+	retryAt    time.Time
+	up         bool
+	since      time.Time
+	lastAnswer time.Time
+}
+
+func newCircuit(now time.Time, random *rand.Rand) *circuit {
+	return &circuit{
+		random:  random,
+		backoff: Backoff{First: firstPause, Longest: longestPause},
+		up:      true,
+		since:   now,
+	}
+}
+
+// allow reports whether a call may be made now.
+func (c *circuit) allow(now time.Time) bool {
+	if c.failures < failuresToOpen {
+		return true
+	}
+	if c.probing || now.Before(c.retryAt) {
+		return false
+	}
+	c.probing = true
+	return true
+}
+
+// abandoned takes back a call that told nothing about the platform.
+func (c *circuit) abandoned() { c.probing = false }
+
+func (c *circuit) succeeded(now time.Time) {
+	c.probing = false
+	c.failures = 0
+	c.backoff.Reset()
+	c.lastAnswer = now
+	c.setUp(now, true)
+}
+
+func (c *circuit) failed(now time.Time) {
+	c.probing = false
+	c.failures++
+	if c.failures < failuresToOpen {
+		return
+	}
+	c.retryAt = now.Add(c.backoff.Next(c.random))
+	c.setUp(now, false)
+}
+
+func (c *circuit) setUp(now time.Time, up bool) {
+	if c.up != up {
+		c.up = up
+		c.since = now
+	}
+}
+
+func (c *circuit) health() Health {
+	return Health{Up: c.up, Since: c.since, LastAnswer: c.lastAnswer, RetryAt: c.retryAt}
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,178 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/platform"
+)
+
+func TestPlatform(t *testing.T) {
+	invariant.PanicOnBreach()
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "platform")
+}
+
+// serve starts an object API that answers by handler, and a Client of it.
+func serve(handler http.HandlerFunc, config platform.ClientConfig) *platform.Client {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	config.Address = strings.TrimPrefix(server.URL, "http://")
+	config.Random = rand.New(rand.NewPCG(1, 1))
+	client := platform.NewClient(config)
+	DeferCleanup(client.Close)
+	return client
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("ETag", `"7"`)
+		w.WriteHeader(code)
+	}
+}
+
+// loseReply takes the request and closes the connection.
+func loseReply(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+var _ = Describe("Client.Put", func() {
+	ctx := context.Background()
+
+	DescribeTable("tells apart what is certain and what is not",
+		func(handler http.HandlerFunc, want error) {
+			_, err := serve(handler, platform.ClientConfig{}).Put(ctx, "a/b", 3, []byte("x"))
+			Expect(errors.Is(err, want)).To(BeTrue(), "got %v", err)
+		},
+		Entry("another version", status(http.StatusPreconditionFailed), platform.ErrConflict),
+		Entry("over the rate", status(http.StatusTooManyRequests), platform.ErrNotSent),
+		Entry("outage", status(http.StatusServiceUnavailable), platform.ErrNotSent),
+		Entry("gateway timeout", status(http.StatusGatewayTimeout), platform.ErrUnknown),
+		Entry("internal error", status(http.StatusInternalServerError), platform.ErrUnknown),
+		Entry("redirect", status(http.StatusTemporaryRedirect), platform.ErrUnknown),
+		Entry("lost reply", http.HandlerFunc(loseReply), platform.ErrUnknown),
+	)
+
+	It("is not sent when nobody listens", func() {
+		client := platform.NewClient(platform.ClientConfig{Address: "127.0.0.1:1"})
+		_, err := client.Put(ctx, "a", 0, []byte("x"))
+		Expect(errors.Is(err, platform.ErrNotSent)).To(BeTrue(), "got %v", err)
+	})
+
+	It("sends the version and returns the new one", func() {
+		client := serve(func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.URL.Path).To(Equal("/objects/claims/holds/3"))
+			Expect(r.Header.Get("If-Match")).To(Equal(`"6"`))
+			status(http.StatusOK)(w, r)
+		}, platform.ClientConfig{})
+		Expect(client.Put(ctx, "claims/holds/3", 6, []byte("x"))).To(Equal(uint64(7)))
+	})
+})
+
+var _ = Describe("Client.Get", func() {
+	ctx := context.Background()
+
+	It("has version 0 for an object that does not exist", func() {
+		client := serve(http.NotFound, platform.ClientConfig{})
+		o, err := client.Get(ctx, "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Version).To(BeZero())
+	})
+
+	// Many duties of a process read the same object when it starts. Each of
+	// them counts against the rate that all processes share, and a process
+	// over its share reads nothing for a while.
+	It("shares one call among equal reads", func() {
+		var calls atomic.Int32
+		arrived := make(chan struct{}, 1)
+		release := make(chan struct{})
+		client := serve(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			arrived <- struct{}{}
+			<-release
+			status(http.StatusOK)(w, r)
+		}, platform.ClientConfig{})
+		var readers sync.WaitGroup
+		read := func() {
+			defer GinkgoRecover()
+			o, err := client.Get(ctx, "a")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(o.Version).To(Equal(uint64(7)))
+		}
+		readers.Go(read)
+		<-arrived
+		for range 4 {
+			readers.Go(read)
+		}
+		// The four have joined once the shared call counts them; there is no
+		// sign of it from outside, so the test only gives them the chance.
+		time.Sleep(20 * time.Millisecond)
+		close(release)
+		readers.Wait()
+		Expect(calls.Load()).To(BeNumerically("<", 5))
+	})
+})
+
+var _ = Describe("Client in an outage", func() {
+	// The platform is down and every process goes on asking. Without a pause
+	// the calls pile up in each process, callers wait for them in vain, and at
+	// the end of the outage they all arrive together.
+	It("refuses calls at once and tries one again after a pause", func() {
+		var calls atomic.Int32
+		var down atomic.Bool
+		down.Store(true)
+		now := time.Unix(1000, 0)
+		client := serve(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			if down.Load() {
+				status(http.StatusServiceUnavailable)(w, r)
+				return
+			}
+			status(http.StatusOK)(w, r)
+		}, platform.ClientConfig{CallsPerSecond: 1000, Now: func() time.Time { return now }})
+		put := func() error {
+			_, err := client.Put(context.Background(), "a", 0, []byte("x"))
+			return err
+		}
+		for range 100 {
+			Expect(errors.Is(put(), platform.ErrNotSent)).To(BeTrue())
+		}
+		Expect(calls.Load()).To(BeEquivalentTo(3))
+		Expect(client.Health().Up).To(BeFalse())
+
+		down.Store(false)
+		now = client.Health().RetryAt
+		Expect(put()).To(Succeed())
+		Expect(client.Health().Up).To(BeTrue())
+	})
+
+	It("keeps within its share of the call rate", func() {
+		var calls atomic.Int32
+		client := serve(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			status(http.StatusOK)(w, r)
+		}, platform.ClientConfig{CallsPerSecond: 1})
+		ctx, cancel := context.WithCancel(context.Background())
+		_, err := client.Put(ctx, "a", 0, []byte("x"))
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		_, err = client.Put(ctx, "a", 7, []byte("x"))
+		Expect(errors.Is(err, platform.ErrNotSent)).To(BeTrue())
+		Expect(calls.Load()).To(BeEquivalentTo(1))
+	})
+})
--- /dev/null
+++ b/internal/platform/write_test.go
@@ -0,0 +1,240 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+	"pgregory.net/rapid"
+
+	"pistachioroad.dev/pistachioroad/internal/platform"
+)
+
+// fate is what happens to one call of the fake store.
+type fate uint8
+
+const (
+	fine fate = iota
+	// replyLost updates take effect at once, late ones when land is called.
+	replyLost
+	late
+	refused
+)
+
+// fakeStore holds one object. It is driven by one goroutine.
+type fakeStore struct {
+	object  platform.Object
+	fates   func() fate
+	delayed []platform.Object
+	applied []string
+}
+
+func (s *fakeStore) Get(context.Context, string) (platform.Object, error) {
+	if s.fates() == refused {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.object, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, name string, version uint64, value []byte) (uint64, error) {
+	update := platform.Object{Name: name, Version: version, Value: value}
+	switch s.fates() {
+	case refused:
+		return 0, eris.Wrap(platform.ErrNotSent, "outage")
+	case late:
+		s.delayed = append(s.delayed, update)
+		return 0, eris.Wrap(platform.ErrUnknown, "reply lost")
+	case replyLost:
+		s.apply(update)
+		return 0, eris.Wrap(platform.ErrUnknown, "reply lost")
+	default:
+		return s.apply(update)
+	}
+}
+
+func (s *fakeStore) Watch(context.Context, string, uint64) (platform.Object, error) {
+	return platform.Object{}, platform.ErrUnavailable
+}
+
+func (s *fakeStore) apply(update platform.Object) (uint64, error) {
+	if update.Version != s.object.Version {
+		return 0, platform.ErrConflict
+	}
+	s.object = update
+	s.object.Version++
+	s.applied = append(s.applied, string(update.Value))
+	return s.object.Version, nil
+}
+
+// land lets the n-th delayed update take effect.
+func (s *fakeStore) land(n int) {
+	update := s.delayed[n]
+	s.delayed = append(s.delayed[:n], s.delayed[n+1:]...)
+	_, _ = s.apply(update)
+}
+
+func inOrder(fates ...fate) func() fate {
+	return func() fate {
+		if len(fates) == 0 {
+			return fine
+		}
+		next := fates[0]
+		fates = fates[1:]
+		return next
+	}
+}
+
+func appendID(base platform.Object, id string) ([]byte, error) {
+	return []byte(string(base.Value) + " " + id), nil
+}
+
+var _ = Describe("Update", func() {
+	ctx := context.Background()
+
+	// The store takes the update and its reply is lost. A writer who started
+	// over would make the same change twice.
+	It("finds its own update after a lost reply", func() {
+		store := &fakeStore{fates: inOrder(fine, replyLost)}
+		o, outcome, err := platform.Update(ctx, store, "a", appendID)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome).To(Equal(platform.Applied))
+		Expect(o.Version).To(Equal(uint64(1)))
+		Expect(store.applied).To(HaveLen(1))
+	})
+
+	// The reply is lost and the update is still on its way when the writer
+	// looks. A writer who took its absence for a failure would tell its
+	// operator so, and the change would come into force afterwards.
+	It("leaves no update on its way that can still take effect", func() {
+		store := &fakeStore{fates: inOrder(fine, late)}
+		o, outcome, err := platform.Update(ctx, store, "a", appendID)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome).To(Equal(platform.Applied))
+		store.land(0)
+		Expect(store.object).To(Equal(o))
+	})
+
+	// The delayed update takes effect just after the writer has looked for it,
+	// so that its second update meets a conflict: with itself.
+	It("does not take a conflict with its own late update for a failure", func() {
+		store := &fakeStore{}
+		w := platform.NewWrite("a", 0, []byte("<1>"), "<1>")
+		store.fates = inOrder(late)
+		call(store, w)
+		call(store, w)
+		store.land(0)
+		call(store, w)
+		call(store, w)
+		Expect(w.Next()).To(Equal(platform.CallNone))
+		Expect(w.Outcome()).To(Equal(platform.Applied))
+	})
+
+	It("says that another writer's update took its place", func() {
+		store := &fakeStore{}
+		store.fates = func() fate {
+			if len(store.delayed) > 0 {
+				store.object = platform.Object{Version: 9, Value: []byte("other")}
+				return fine
+			}
+			return late
+		}
+		_, outcome, err := platform.Update(ctx, store, "a", appendID)
+		Expect(outcome).To(Equal(platform.Superseded))
+		Expect(errors.Is(err, platform.ErrUnknown)).To(BeTrue())
+	})
+
+	It("reports an outage as not applied", func() {
+		store := &fakeStore{fates: inOrder(fine, refused)}
+		_, outcome, err := platform.Update(ctx, store, "a", appendID)
+		Expect(outcome).To(Equal(platform.NotApplied))
+		Expect(errors.Is(err, platform.ErrNotSent)).To(BeTrue())
+	})
+
+	It("does not conclude anything when it must give up", func() {
+		giveUp, cancel := context.WithCancel(ctx)
+		store := &fakeStore{}
+		store.fates = func() fate {
+			if len(store.delayed) > 0 {
+				cancel()
+				return refused
+			}
+			return late
+		}
+		store.fates = inOrderThen(store.fates, fine)
+		_, outcome, err := platform.Update(giveUp, store, "a", appendID)
+		Expect(outcome).To(Equal(platform.StillUnknown))
+		Expect(errors.Is(err, platform.ErrUnknown)).To(BeTrue())
+	})
+})
+
+// inOrderThen returns the first fates and then those of rest.
+func inOrderThen(rest func() fate, first ...fate) func() fate {
+	return func() fate {
+		if len(first) > 0 {
+			next := first[0]
+			first = first[1:]
+			return next
+		}
+		return rest()
+	}
+}
+
+// Writers race over one object while replies get lost and updates take effect
+// late, in any order. A writer who concludes too early is seen here by an
+// update in force that was reported as not applied, or the other way round.
+func TestWriteOutcomesAreTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &fakeStore{fates: func() fate {
+			return rapid.SampledFrom([]fate{fine, late, replyLost, late, refused}).Draw(t, "fate")
+		}}
+		writers := make([]*platform.Write, 2)
+		concluded := map[string]platform.Outcome{}
+		next := 0
+		step := func(n int) {
+			w := writers[n]
+			if w == nil || w.Next() == platform.CallNone {
+				next++
+				id := fmt.Sprintf("<%d>", next)
+				value := []byte(string(store.object.Value) + id)
+				writers[n] = platform.NewWrite("a", store.object.Version, value, id)
+				return
+			}
+			call(store, w)
+			if w.Next() == platform.CallNone {
+				concluded[w.ID] = w.Outcome()
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"step": func(t *rapid.T) { step(rapid.IntRange(0, 1).Draw(t, "writer")) },
+			"land": func(t *rapid.T) {
+				if len(store.delayed) > 0 {
+					store.land(rapid.IntRange(0, len(store.delayed)-1).Draw(t, "late"))
+				}
+			},
+		})
+		for len(store.delayed) > 0 {
+			store.land(0)
+		}
+		inForce := string(store.object.Value)
+		for id, outcome := range concluded {
+			// Values only grow here, so what was applied shows for ever.
+			applied := strings.Contains(inForce, id)
+			if applied != (outcome == platform.Applied) {
+				t.Fatalf("%s was reported %s, in force: %v", id, outcome, applied)
+			}
+		}
+	})
+}
+
+func call(store *fakeStore, w *platform.Write) {
+	if w.Next() == platform.CallGet {
+		w.GetDone(store.Get(context.Background(), w.Name))
+		return
+	}
+	w.PutDone(store.Put(context.Background(), w.Name, w.Base, w.Value))
+}
