--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -84,7 +84,9 @@
 	Ready    bool  `json:"ready"`
 }
 
-// Load is an engine's own report; it lags.
+// Load is an engine's own report; it lags. PrefillRate and DecodeRate are the
+// tokens a second, over the whole batch, that it reaches when it does nothing
+// else.
 type Load struct {
 	Running       int     `json:"running"`
 	Queued        int     `json:"queued"`
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -13,6 +13,10 @@
 	Region string `json:"region"`
 	// WriteID is random per write; a writer whose reply was lost looks for it.
 	WriteID string `json:"write_id"`
+	// Floor is at least the highest generation of any row ever removed. New
+	// rows begin above it, so that generations rise even for a backend server
+	// that left and came back.
+	Floor uint64 `json:"floor,omitempty"`
 	// Engines is keyed by the name of the backend server.
 	Engines map[string]Engine `json:"engines"`
 	// Slots is keyed by the name of the plain service.
@@ -28,8 +32,6 @@
 	Model      string      `json:"model"`
 	Adapters   []string    `json:"adapters,omitempty"`
 	Weights    string      `json:"weights"`
-	// Drained engines get no work until an operator takes it back.
-	Drained bool `json:"drained,omitempty"`
 	// Reason is why the row last changed, for people.
 	Reason string `json:"reason"`
 }
--- a/test/standin/modelengine/modelengine.go
+++ b/test/standin/modelengine/modelengine.go
@@ -397,7 +397,7 @@
 		PiecesUsed:  s.cache.order.Len(),
 		Pieces:      s.config.Pieces,
 		PrefillRate: s.config.PrefillRate,
-		DecodeRate:  float64(time.Second) / float64(s.config.TokenInterval),
+		DecodeRate:  s.fullDecodeRate(),
 	}
 	for _, g := range s.running {
 		load.QueuedTokens += g.prompt
@@ -406,6 +406,13 @@
 	return load
 }
 
+// fullDecodeRate is the tokens a second of a full batch.
+func (s *Server) fullDecodeRate() float64 {
+	slots := float64(s.config.Slots)
+	perStream := float64(time.Second) / float64(s.config.TokenInterval)
+	return slots * perStream / (1 + s.config.BatchSlowdown*(slots-1))
+}
+
 func (s *Server) getEvents(w http.ResponseWriter, r *http.Request) {
 	var after uint64
 	_, _ = fmt.Sscan(r.URL.Query().Get("after"), &after)
