settings: all errors of a file at once, each with its line

Cause: the library's strict mode stops at the first error, took a bare number for a duration in nanoseconds, and knew nothing of addresses, names, ranges or roles. An operator mending a file learnt of one error a start.

Ruled out: decoding first and checking after; one unreadable value then hides all other errors. The file is walked once, each value read by the library or reported, and what depends on a value already reported is not reported again. A value of 0 that the file gives now stays 0; before, it became the default.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,12 +1,13 @@
 // Package settings reads the settings file of one process.
+//
+// A file is checked as a whole: the error lists everything that is wrong with
+// it, each with its line, what was found and what was expected.
 package settings
 
 import (
-	"bytes"
 	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/rotisserie/eris"
 )
 
@@ -84,14 +85,17 @@
 
 // Service is one plain service.
 type Service struct {
-	// Deadline is the time a call has when its caller names none.
+	// Deadline is the time a call has when its caller names none; 0: that of
+	// the fleet configuration.
 	Deadline time.Duration `yaml:"deadline"`
-	// Class is interactive, normal or batch.
+	// Class is interactive, normal or batch; empty: that of the fleet
+	// configuration.
 	Class string `yaml:"class"`
 	// KeyRequired refuses calls that may not be repeated and carry no
 	// Idempotency-Key.
 	KeyRequired bool `yaml:"key_required"`
-	// Slots is how many key slots the service has; it never changes.
+	// Slots is how many key slots the service has; it never changes. 0: the
+	// service takes no idempotency keys.
 	Slots int `yaml:"slots"`
 }
 
@@ -138,28 +142,41 @@
 	OrderTimeout time.Duration `yaml:"order_timeout"`
 }
 
-// Load reads, completes and checks the file.
+// Load reads, completes and checks the file. An error in its content is a
+// Problems.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, eris.Wrap(err, "read settings")
 	}
-	s, err := Parse(data)
-	return s, eris.Wrap(err, path)
+	return parse(path, data)
 }
 
-// Parse reads settings from YAML. Keys that are not known are errors.
+// Parse is Load for the content of a file.
 func Parse(data []byte) (Settings, error) {
+	return parse("settings", data)
+}
+
+func parse(file string, data []byte) (Settings, error) {
 	s := defaults()
-	err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&s)
-	if err != nil {
-		return Settings{}, eris.Wrap(err, "settings")
+	r := newReader(file)
+	r.read(data, &s)
+	if !r.has("entry") {
+		s.Entry = nil
+	}
+	if !r.has("sidecar") {
+		s.Sidecar = nil
+	}
+	if r.whole {
+		check(s, r)
+	}
+	if len(r.problems) > 0 {
+		return Settings{}, r.sorted()
 	}
-	s.complete()
 	return s, nil
 }
 
-// defaults returns the settings that a file leaves out.
+// defaults returns the settings that a file may leave out, for both roles.
 func defaults() Settings {
 	return Settings{
 		Log: Log{Format: "json", Level: "info"},
@@ -167,41 +184,29 @@
 			CallsPerSecond: 20,
 			VMListInterval: time.Second,
 		},
+		Entry: &Entry{
+			BalancerLag:     2 * time.Second,
+			ShutdownTimeout: 60 * time.Second,
+			Limits: Limits{
+				BodyBytes:     4 << 20,
+				HeaderBytes:   16 << 10,
+				Connections:   4096,
+				HeaderTimeout: 5 * time.Second,
+				BodyTimeout:   10 * time.Second,
+				IdleTimeout:   60 * time.Second,
+				MaxDeadline:   10 * time.Minute,
+				InFlight:      2048,
+			},
+		},
+		Sidecar: &Sidecar{
+			BackendServer: BackendServer{
+				Slots:        16,
+				OrderTimeout: 10 * time.Second,
+			},
+			QueueLength:     256,
+			ResultBytes:     8 << 20,
+			ResumeWait:      3 * time.Second,
+			ShutdownTimeout: 60 * time.Second,
+		},
 	}
 }
-
-// complete fills in the part of the process's role.
-func (s *Settings) complete() {
-	if e := s.Entry; e != nil {
-		e.BalancerLag = orElse(e.BalancerLag, 2*time.Second)
-		e.ShutdownTimeout = orElse(e.ShutdownTimeout, 60*time.Second)
-		e.Limits.complete()
-	}
-	if c := s.Sidecar; c != nil {
-		c.QueueLength = orElse(c.QueueLength, 256)
-		c.ResultBytes = orElse(c.ResultBytes, 8<<20)
-		c.ResumeWait = orElse(c.ResumeWait, 3*time.Second)
-		c.ShutdownTimeout = orElse(c.ShutdownTimeout, 60*time.Second)
-		c.BackendServer.Slots = orElse(c.BackendServer.Slots, 16)
-		c.BackendServer.OrderTimeout = orElse(c.BackendServer.OrderTimeout, 10*time.Second)
-	}
-}
-
-func (l *Limits) complete() {
-	l.BodyBytes = orElse(l.BodyBytes, 4<<20)
-	l.HeaderBytes = orElse(l.HeaderBytes, 16<<10)
-	l.Connections = orElse(l.Connections, 4096)
-	l.HeaderTimeout = orElse(l.HeaderTimeout, 5*time.Second)
-	l.BodyTimeout = orElse(l.BodyTimeout, 10*time.Second)
-	l.IdleTimeout = orElse(l.IdleTimeout, 60*time.Second)
-	l.MaxDeadline = orElse(l.MaxDeadline, 10*time.Minute)
-	l.InFlight = orElse(l.InFlight, 2048)
-}
-
-func orElse[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
