--- /dev/null
+++ b/test/fleet/calls.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
+
+	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
+	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	"pistachioroad.dev/pistachioroad/test/standin/plainservice"
+)
+
+// Answer is what a caller gets.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Body    string
+	Verdict string
+}
+
+// URL returns the callers' address of an entry.
+func (f *Fleet) URL(entry string) string {
+	return "http://" + f.address(f.ips[entry], portCallers)
+}
+
+// OperatorAddress returns the operators' address of a VM.
+func (f *Fleet) OperatorAddress(vm string) string { return f.address(f.ips[vm], portOperators) }
+
+// TokenFile returns the path of the operator token.
+func (f *Fleet) TokenFile() string { return f.tokenFile() }
+
+// Do sends a request and reads the whole answer. The error is one of the
+// transfer: the answer was cut, or there was none.
+func Do(ctx context.Context, method, url string, header http.Header, body any) (Answer, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return Answer{}, eris.Wrap(err, "body")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return Answer{}, eris.Wrap(err, "request")
+	}
+	req.Header = lo.Ternary(header != nil, header, http.Header{})
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Answer{}, eris.Wrap(err, "send")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return Answer{
+		Status:  resp.StatusCode,
+		Header:  resp.Header,
+		Body:    string(text),
+		Verdict: resp.Header.Get("Pistachioroad-Verdict"),
+	}, eris.Wrap(err, "read")
+}
+
+// Completion is the body of POST /v1/completions.
+type Completion struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream,omitempty"`
+}
+
+// completionAnswer is the part of an answer, or of one event, that is read.
+type completionAnswer struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+// CompletionText returns the text of a plain or streamed completion, and
+// whether the answer says that it is whole.
+func CompletionText(a Answer) (string, bool) {
+	if !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		var c completionAnswer
+		if json.Unmarshal([]byte(a.Body), &c) != nil || len(c.Choices) == 0 {
+			return "", false
+		}
+		return c.Choices[0].Text, true
+	}
+	var text strings.Builder
+	for line := range strings.Lines(a.Body) {
+		event, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if event == "[DONE]" {
+			return text.String(), true
+		}
+		var c completionAnswer
+		if json.Unmarshal([]byte(event), &c) == nil && len(c.Choices) > 0 {
+			text.WriteString(c.Choices[0].Text)
+		}
+	}
+	return text.String(), false
+}
+
+// PublishVMs makes the platform's VM list that of the fleet.
+func (f *Fleet) PublishVMs(ctx context.Context) error {
+	return f.post(ctx, f.platformDirect()+"/standin/vms", f.VMs)
+}
+
+// SetPlatformFaults switches faults of the platform on or off.
+func (f *Fleet) SetPlatformFaults(ctx context.Context, faults objectapi.Faults) error {
+	return f.post(ctx, f.platformDirect()+"/standin/faults", faults)
+}
+
+// PlatformCalls returns the platform's count of calls.
+func (f *Fleet) PlatformCalls(ctx context.Context) (objectapi.Calls, error) {
+	return get[objectapi.Calls](ctx, f.platformDirect()+"/standin/calls")
+}
+
+// EngineRecord returns what the engine beside a sidecar has recorded.
+func (f *Fleet) EngineRecord(ctx context.Context, vm string) (modelengine.Record, error) {
+	return get[modelengine.Record](ctx, f.BackendURL(vm)+"/standin/record")
+}
+
+// ServiceRecord returns what the plain service beside a sidecar has recorded.
+func (f *Fleet) ServiceRecord(ctx context.Context, vm string) (plainservice.Record, error) {
+	return get[plainservice.Record](ctx, f.BackendURL(vm)+"/standin/runs")
+}
+
+// SetServiceFaults switches faults of a plain service on or off.
+func (f *Fleet) SetServiceFaults(ctx context.Context, vm string, faults plainservice.Faults) error {
+	return f.post(ctx, f.BackendURL(vm)+"/standin/faults", faults)
+}
+
+// BackendURL returns the address of the backend server itself.
+func (f *Fleet) BackendURL(vm string) string {
+	return "http://" + f.address(f.ips[vm], portBackend)
+}
+
+func (f *Fleet) platformDirect() string {
+	return "http://" + f.address(f.ips[platformName], portPlatform)
+}
+
+func (f *Fleet) post(ctx context.Context, url string, body any) error {
+	answer, err := Do(ctx, http.MethodPost, url, nil, body)
+	if err != nil {
+		return err
+	}
+	if answer.Status >= http.StatusBadRequest {
+		return eris.Errorf("%s: %d %s", url, answer.Status, answer.Body)
+	}
+	return nil
+}
+
+func get[T any](ctx context.Context, url string) (T, error) {
+	var value T
+	answer, err := Do(ctx, http.MethodGet, url, nil, nil)
+	if err != nil {
+		return value, err
+	}
+	return value, eris.Wrap(json.Unmarshal([]byte(answer.Body), &value), url)
+}
