--- a/internal/fleetconfig/fleetconfig.go
+++ b/internal/fleetconfig/fleetconfig.go
@@ -89,6 +89,11 @@
 	At     time.Time `json:"at"`
 	Author string    `json:"author"`
 	What   string    `json:"what"`
+	// EditID is the operator's id of the edit, WriteID that of the write that
+	// brought it. Whoever lost the reply finds the edit by them, also after
+	// others have edited on top of it.
+	EditID  string `json:"edit_id"`
+	WriteID string `json:"write_id"`
 }
 
 // Config is the whole object.
