--- /dev/null
+++ b/test/loadplay/entry.go
@@ -0,0 +1,422 @@
+package loadplay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/admit"
+	"pistachioroad.dev/pistachioroad/internal/decide/outlier"
+	"pistachioroad.dev/pistachioroad/internal/decide/retry"
+	"pistachioroad.dev/pistachioroad/internal/decide/route"
+	"pistachioroad.dev/pistachioroad/internal/decide/shift"
+)
+
+// typicalOutput is the part of the tokens asked for that answers take.
+const typicalOutput = 0.75
+
+// entry is one entry: what it decides with, and what it knows of the servers.
+type entry struct {
+	play       *play
+	name       string
+	dataCentre string
+	rng        *rand.Rand
+	admit      *admit.Admitter
+	prefills   *route.Picture
+	decodes    *route.Picture
+	index      *route.PrefixIndex
+	profile    route.Profile
+	budget     *retry.Budget
+	meter      *shift.Meter
+	outliers   map[route.Role]*outlier.Detector
+	known      map[string]view
+}
+
+// view is a server as the entry knows it.
+type view struct {
+	role      shift.Role
+	admitting bool
+}
+
+// call is one request at its entry.
+type call struct {
+	req      Request
+	cost     int
+	deadline time.Time
+	excluded []string
+	attempts int
+	job      *job
+	first    time.Time
+	// work of all attempts, in engine-seconds.
+	work  float64
+	ended bool
+}
+
+func newEntry(p *play, i int) *entry {
+	d := p.deployment
+	rng := rand.New(rand.NewPCG(p.rng.Uint64(), uint64(i)))
+	e := &entry{
+		play:       p,
+		name:       fmt.Sprintf("entry-%d", i),
+		dataCentre: d.DataCentres[i%len(d.DataCentres)],
+		rng:        rng,
+		admit:      admit.New(admit.Config{Rand: rng}),
+		prefills:   route.NewPicture(),
+		decodes:    route.NewPicture(),
+		index:      route.NewPrefixIndex(0),
+		profile:    route.DefaultProfile(),
+		budget:     retry.New(retry.Config{}),
+		meter:      shift.NewMeter(0),
+		outliers:   make(map[route.Role]*outlier.Detector),
+		known:      make(map[string]view),
+	}
+	if p.policy.Route != nil {
+		e.profile = p.policy.Route()
+	}
+	for _, role := range []route.Role{"", route.Prefill, route.Decode} {
+		e.outliers[role] = outlier.New(outlier.Config{})
+	}
+	for _, s := range p.servers {
+		e.known[s.name] = view{role: s.role, admitting: true}
+	}
+	return e
+}
+
+func (e *entry) report(measured time.Time, s *server, l route.Load) {
+	e.prefills.Report(measured, s.name, l)
+	e.decodes.Report(measured, s.name, l)
+}
+
+func (e *entry) cacheEvent(s *server, stored, evicted []uint64, lost bool) {
+	if lost {
+		e.index.Gap(e.play.now, s.name)
+		return
+	}
+	e.index.Stored(e.play.now, s.name, stored)
+	e.index.Evicted(s.name, evicted)
+}
+
+func (e *entry) learn(s *server, role shift.Role, admitting bool) {
+	if e.known[s.name].role != role {
+		for _, d := range e.outliers {
+			d.Forget(s.name)
+		}
+	}
+	e.known[s.name] = view{role: role, admitting: admitting}
+}
+
+// arrive is a caller's request: route it, then admit or refuse it.
+func (e *entry) arrive(r Request) {
+	now := e.play.now
+	c := &call{req: r, deadline: now.Add(r.Budget)}
+	d, ok := e.pick(c, prefillRole(r))
+	expected, drain := e.expect(c, d)
+	c.cost = e.cost(r, d)
+	if r.Service == Drafts {
+		e.meter.Add(now, uncached(r, d.CachedPieces), int(typicalOutput*float64(r.MaxOutput)))
+	}
+	if e.play.policy.Admission {
+		a := e.admit.Decide(now, admit.Request{
+			Caller:     r.Caller + "/" + r.Service,
+			CostTokens: c.cost,
+			Deadline:   r.Budget,
+			RunTime:    expected.run,
+			Class:      r.Class,
+			Service:    r.Service,
+		}, admit.Picture{QueueWait: expected.wait, DrainRate: drain, Closed: !ok})
+		if !a.Admit {
+			e.play.result.refuse(c, a.Reason)
+			return
+		}
+	} else if !ok {
+		e.play.result.refuse(c, admit.NoCapacity)
+		return
+	}
+	e.play.after(r.Budget, func() { e.deadline(c) })
+	e.send(c, d)
+}
+
+func prefillRole(r Request) route.Role {
+	if r.Service == Lookups {
+		return ""
+	}
+	return route.Prefill
+}
+
+func uncached(r Request, cachedPieces int) int {
+	return max(1, r.Prompt-pieceTokens*cachedPieces)
+}
+
+func (e *entry) cost(r Request, d pickedServer) int {
+	if r.Service == Lookups {
+		return 1
+	}
+	return uncached(r, d.CachedPieces) + int(typicalOutput*float64(r.MaxOutput)*outputCost)
+}
+
+// expectation is what admission is told.
+type expectation struct{ wait, run time.Duration }
+
+// expect works out wait, run time and the drain rate for a call.
+func (e *entry) expect(c *call, d pickedServer) (expectation, float64) {
+	if c.req.Service == Lookups {
+		return expectation{wait: d.Wait, run: plainTime}, float64(e.play.deployment.Plains) * plainSlots / plainTime.Seconds()
+	}
+	now := e.play.now
+	decode, _ := e.pick(c, route.Decode)
+	prefill := seconds(float64(uncached(c.req, d.CachedPieces)) / prefillRate)
+	run := prefill + time.Duration(typicalOutput*float64(c.req.MaxOutput)*float64(stepBase+20*stepStream))
+	demand := e.meter.Demand(now)
+	prefills, decodes := e.counts()
+	drain := admit.DrainRate(prefills*prefillRate, decodes*decodeRate, demand.PrefillTokens, demand.DecodeTokens, outputCost)
+	return expectation{wait: d.Wait + decode.Wait, run: run}, drain
+}
+
+func (e *entry) counts() (prefills, decodes float64) {
+	for _, s := range e.play.servers {
+		v := e.known[s.name]
+		switch {
+		case s.plain || !v.admitting:
+		case v.role == shift.Prefill:
+			prefills++
+		default:
+			decodes++
+		}
+	}
+	return prefills, decodes
+}
+
+// pickedServer is a decision with what it was based on.
+type pickedServer struct {
+	route.Decision
+	CachedPieces int
+}
+
+func (e *entry) pick(c *call, role route.Role) (pickedServer, bool) {
+	now := e.play.now
+	r := route.Request{
+		Service:      c.req.Service,
+		PromptTokens: c.req.Prompt,
+		OutputTokens: c.req.MaxOutput,
+		Pieces:       c.req.Pieces,
+		DataCentre:   e.dataCentre,
+		Role:         role,
+		Excluded:     c.excluded,
+	}
+	cached := map[string]int{}
+	if role == route.Prefill {
+		cached = e.index.Cached(now, c.req.Pieces)
+	}
+	d, ok := e.profile.Pick(e.rng, r, e.candidates(role, cached))
+	return pickedServer{Decision: d, CachedPieces: cached[d.Name]}, ok
+}
+
+func (e *entry) candidates(role route.Role, cached map[string]int) []route.Candidate {
+	now := e.play.now
+	picture := e.prefills
+	if role == route.Decode {
+		picture = e.decodes
+	}
+	candidates := make([]route.Candidate, 0, len(e.play.servers))
+	for _, s := range e.play.servers {
+		v := e.known[s.name]
+		load, _, _ := picture.Load(now, s.name)
+		c := route.Candidate{
+			Name:         s.name,
+			DataCentre:   s.dataCentre,
+			Service:      Drafts,
+			Role:         route.Role(v.role),
+			Admitting:    v.admitting,
+			Load:         load,
+			CachedPieces: cached[s.name],
+			Weight:       e.outliers[role].Weight(now, s.name),
+		}
+		if s.plain {
+			c.Service = Lookups
+		}
+		if v.role == shift.Decode && e.play.spill.Share > 0 {
+			c.SpillPrompt = e.play.spill.MaxPromptTokens
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// send starts an attempt.
+func (e *entry) send(c *call, d pickedServer) {
+	p := e.play
+	p.serial++
+	c.attempts++
+	j := &job{
+		id:       fmt.Sprintf("%d", p.serial),
+		req:      c.req,
+		entry:    e,
+		call:     c,
+		prefill:  p.byName[d.Name],
+		expected: d.Expected,
+		sent:     p.now,
+	}
+	c.job = j
+	p.jobs[j.id] = j
+	tokens := uncached(c.req, d.CachedPieces)
+	if j.prefill.plain {
+		tokens = 1
+	}
+	e.prefills.Sent(p.now, d.Name, j.id, tokens)
+	e.index.Sent(p.now, d.Name, c.req.Pieces)
+	p.after(time.Millisecond, func() { p.pushPrefill(j) })
+}
+
+// prefilled moves a job on to its decode engine.
+func (e *entry) prefilled(j *job) {
+	now := e.play.now
+	e.prefills.Done(now, j.prefill.name, j.id)
+	e.outliers[route.Prefill].Observe(now, j.prefill.name, outlier.Observation{
+		Took:     now.Sub(j.sent),
+		Expected: max(j.expected, minExpected),
+	})
+	e.chooseDecode(j)
+}
+
+// minExpected keeps a tick's rounding from looking like slowness.
+const minExpected = 100 * time.Millisecond
+
+// chooseDecode picks a decode engine for a prefilled job or a moving stream and
+// transfers its KV cache.
+func (e *entry) chooseDecode(j *job) {
+	p := e.play
+	if j.done {
+		return
+	}
+	d, ok := e.pick(j.call, route.Decode)
+	if !ok {
+		p.after(retryDecode, func() { e.chooseDecode(j) })
+		return
+	}
+	j.decode = p.byName[d.Name]
+	e.decodes.Sent(p.now, d.Name, j.id, 1)
+	p.after(time.Millisecond+time.Duration(j.pieces())*transferPiece, func() { p.pushDecode(j) })
+}
+
+// retryDecode is how soon a job without a decode engine looks again.
+const retryDecode = 50 * time.Millisecond
+
+func (e *entry) firstToken(j *job) {
+	e.decodes.Done(e.play.now, j.decode.name, j.id)
+	j.begun = e.play.now
+	if j.call.first.IsZero() {
+		j.call.first = e.play.now
+	}
+}
+
+// finished is the end of a whole answer; one past its deadline was cancelled
+// before.
+func (e *entry) finished(j *job) {
+	now := e.play.now
+	if j.req.Service == Lookups {
+		j.call.first = now
+		e.prefills.Done(now, j.prefill.name, j.id)
+		e.outliers[""].Observe(now, j.prefill.name, outlier.Observation{Took: now.Sub(j.sent), Expected: plainTime})
+	} else {
+		e.outliers[route.Decode].Observe(now, j.decode.name, outlier.Observation{
+			Took:     now.Sub(j.begun),
+			Expected: time.Duration(j.req.Output) * stepBase,
+		})
+	}
+	e.budget.Succeeded(now, j.call.cost)
+	e.end(j.call, outcomeGood)
+}
+
+// refused is a sidecar's refusal: the job has not run.
+func (e *entry) refused(j *job) {
+	e.forget(j)
+	e.again(j, true)
+}
+
+// broken is an attempt that broke off part-way.
+func (e *entry) broken(j *job) {
+	e.forget(j)
+	e.outliers[route.Prefill].Observe(e.play.now, j.prefill.name, outlier.Observation{Failed: true})
+	e.again(j, false)
+}
+
+// again sends a failed call elsewhere, if the budget allows it. Drafts are
+// idempotent.
+func (e *entry) again(j *job, notRun bool) {
+	c := j.call
+	if c.ended {
+		return
+	}
+	c.excluded = append(c.excluded, j.prefill.name)
+	allowed := e.budget.Allow(e.play.now, retry.Attempt{
+		NotRun:     notRun,
+		Idempotent: true,
+		CostTokens: c.cost,
+		Remaining:  c.deadline.Sub(e.play.now),
+	})
+	d, ok := e.pick(c, prefillRole(c.req))
+	if !allowed || !ok {
+		e.end(c, outcomeFailed)
+		return
+	}
+	e.play.result.retried += c.cost
+	e.send(c, d)
+}
+
+// handedBack is a job that waited at a server which now changes: it goes on
+// elsewhere, at no cost to the retry budget, because nothing failed.
+func (e *entry) handedBack(j *job) {
+	if j.done {
+		return
+	}
+	if j.decode != nil {
+		e.chooseDecode(j)
+		return
+	}
+	e.forget(j)
+	d, ok := e.pick(j.call, prefillRole(j.req))
+	if !ok {
+		e.end(j.call, outcomeFailed)
+		return
+	}
+	e.send(j.call, d)
+}
+
+// lost is a job that a sidecar took out of its queue.
+func (e *entry) lost(j *job, o outcome) {
+	e.end(j.call, o)
+}
+
+// deadline cancels what has not finished.
+func (e *entry) deadline(c *call) {
+	if !c.ended {
+		e.end(c, outcomeLate)
+	}
+}
+
+// forget ends an attempt.
+func (e *entry) forget(j *job) {
+	if j.done {
+		return
+	}
+	j.done = true
+	e.play.drop(j)
+	delete(e.play.jobs, j.id)
+	e.prefills.Done(e.play.now, j.prefill.name, j.id)
+	if j.decode != nil {
+		e.decodes.Done(e.play.now, j.decode.name, j.id)
+	}
+	j.call.work += j.work
+}
+
+func (e *entry) end(c *call, o outcome) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	e.forget(c.job)
+	if e.play.policy.Admission {
+		e.admit.Finished(e.play.now, c.req.Caller+"/"+c.req.Service, c.cost)
+	}
+	e.play.result.end(c, o)
+}
