settings: 0, empty and null mean the default again

Programs that write settings from the struct, as the process harness does, write 0 and null for what they do not set, and every such file was refused.

Model names may now be anything without spaces, as callers send them.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -14,11 +14,16 @@
 // serviceModels is the service name of the model engines.
 const serviceModels = "models"
 
-// maxName is the length of the longest name of a VM, data centre or service.
-const maxName = 63
+// The lengths of the longest names: that of a VM, data centre or service, and
+// that of a model.
+const (
+	maxName      = 63
+	maxModelName = 128
+)
 
 var (
-	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+	modelPattern = regexp.MustCompile(`^\S+$`)
 
 	formats = []string{"json", "text"}
 	levels  = []string{"debug", "info", "warn", "error"}
@@ -121,7 +126,9 @@
 	}
 	for i, model := range e.Models {
 		path := fmt.Sprintf("entry.models[%d]", i)
-		r.name(path, model)
+		if len(model) > maxModelName || !modelPattern.MatchString(model) {
+			r.reject(path, orNothing(model), "a model name without spaces, at most 128 characters")
+		}
 		if slices.Index(e.Models, model) < i {
 			r.reject(path, quote(model), "each model once")
 		}
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -73,7 +73,7 @@
 func (r *reader) value(node ast.Node, path string, target reflect.Value) {
 	switch target.Kind() {
 	case reflect.Pointer:
-		r.value(node, path, target.Elem())
+		r.section(node, path, target)
 	case reflect.Struct:
 		r.structure(node, path, target)
 	case reflect.Map:
@@ -85,6 +85,15 @@
 	}
 }
 
+// section reads a section that may be left out, which null does too.
+func (r *reader) section(node ast.Node, path string, target reflect.Value) {
+	if node.Type() == ast.NullType {
+		delete(r.lines, path)
+		return
+	}
+	r.value(node, path, target.Elem())
+}
+
 func (r *reader) structure(node ast.Node, path string, target reflect.Value) {
 	entries, ok := r.entries(node, path)
 	if !ok {
@@ -123,6 +132,9 @@
 }
 
 func (r *reader) list(node ast.Node, path string, target reflect.Value) {
+	if node.Type() == ast.NullType {
+		return
+	}
 	sequence, ok := node.(*ast.SequenceNode)
 	if !ok {
 		r.add(path, line(node), found(node), foundList)
@@ -137,9 +149,18 @@
 	target.Set(list)
 }
 
-// scalar reads one value. The library's decoder would take a bare number for a
-// duration, in nanoseconds, and a number for a text.
+// scalar reads one value; 0 and an empty text leave the default in place. The
+// library's decoder would take a bare number for a duration, in nanoseconds,
+// and a number for a text.
 func (r *reader) scalar(node ast.Node, path string, target reflect.Value) {
+	value := reflect.New(target.Type()).Elem()
+	r.scalarInto(node, path, value)
+	if !value.IsZero() {
+		target.Set(value)
+	}
+}
+
+func (r *reader) scalarInto(node ast.Node, path string, target reflect.Value) {
 	if target.Type() == reflect.TypeFor[time.Duration]() {
 		r.duration(node, path, target)
 		return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,7 +1,8 @@
 // Package settings reads the settings file of one process.
 //
 // A file is checked as a whole: the error lists everything that is wrong with
-// it, each with its line, what was found and what was expected.
+// it, each with its line, what was found and what was expected. A number or
+// duration of 0, an empty text and a key left out all mean the default.
 package settings
 
 import (
