entry: the path from a caller to a backend server, and the daemon's main

POST /v1/completions and /v1/chat/completions (plain and SSE), /services/{service}/..., admission and routing by internal/decide, one link per sidecar, and the state machine of a request, which the daemon drives.

Ruled out: huma for the callers' routes. Its streaming cannot abort a transfer and its error body is global to the process; its schema validation is used on its own, under net/http.

The membership is a poll of the VM list until the member duty lands.

--- /dev/null
+++ b/internal/entry/api/parse.go
@@ -0,0 +1,222 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"pistachioroad.dev/pistachioroad/internal/verdict"
+)
+
+const (
+	maxKeyLength     = 255
+	maxAccountLength = 128
+	// maxErrors bounds the faults of a body that are listed.
+	maxErrors = 5
+)
+
+// completionRequest is the body of POST /v1/completions.
+type completionRequest struct {
+	Model         string         `json:"model" minLength:"1" maxLength:"256"`
+	Prompt        string         `json:"prompt" minLength:"1"`
+	MaxTokens     *int           `json:"max_tokens,omitempty" minimum:"1" maximum:"131072"`
+	Stream        bool           `json:"stream,omitempty"`
+	StreamOptions *streamOptions `json:"stream_options,omitempty"`
+	User          string         `json:"user,omitempty" maxLength:"256"`
+	N             *int           `json:"n,omitempty" minimum:"1" maximum:"1"`
+}
+
+// chatRequest is the body of POST /v1/chat/completions.
+type chatRequest struct {
+	Model               string         `json:"model" minLength:"1" maxLength:"256"`
+	Messages            []message      `json:"messages" minItems:"1" maxItems:"4096" nullable:"false"`
+	MaxTokens           *int           `json:"max_tokens,omitempty" minimum:"1" maximum:"131072"`
+	MaxCompletionTokens *int           `json:"max_completion_tokens,omitempty" minimum:"1" maximum:"131072"`
+	Stream              bool           `json:"stream,omitempty"`
+	StreamOptions       *streamOptions `json:"stream_options,omitempty"`
+	User                string         `json:"user,omitempty" maxLength:"256"`
+	N                   *int           `json:"n,omitempty" minimum:"1" maximum:"1"`
+}
+
+type message struct {
+	Role    string `json:"role" enum:"system,developer,user,assistant,tool"`
+	Content string `json:"content"`
+	Name    string `json:"name,omitempty" maxLength:"256"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage,omitempty"`
+}
+
+// prompt spells the conversation out for the model.
+func (c chatRequest) prompt() string {
+	text := strings.Builder{}
+	for _, m := range c.Messages {
+		text.WriteString(m.Role)
+		text.WriteString(": ")
+		text.WriteString(m.Content)
+		text.WriteString("\n")
+	}
+	text.WriteString("assistant: ")
+	return text.String()
+}
+
+// validator checks a body against the schema of T: unknown and missing fields,
+// types, lengths and ranges.
+type validator[T any] struct {
+	registry huma.Registry
+	schema   *huma.Schema
+}
+
+func newValidator[T any]() *validator[T] {
+	registry := huma.NewMapRegistry("#/schemas/", huma.DefaultSchemaNamer)
+	return &validator[T]{
+		registry: registry,
+		schema:   huma.SchemaFromType(registry, reflect.TypeFor[T]()),
+	}
+}
+
+// parse returns the T in data.
+//
+// Fields that are not known are refused: an option that is silently left out
+// gives an answer that its caller did not ask for.
+func (v *validator[T]) parse(data []byte) (T, *verdict.Error) {
+	var parsed T
+	var generic any
+	if err := decodeOnly(data, &generic); err != nil {
+		return parsed, badRequest("body is not JSON: " + err.Error())
+	}
+	result := huma.ValidateResult{}
+	huma.Validate(v.registry, v.schema, huma.NewPathBuffer(nil, 0), huma.ModeWriteToServer, generic, &result)
+	if len(result.Errors) > 0 {
+		return parsed, badRequest(listErrors(result.Errors))
+	}
+	if err := decodeOnly(data, &parsed); err != nil {
+		return parsed, badRequest("body: " + err.Error())
+	}
+	return parsed, nil
+}
+
+// decodeOnly decodes data, which must hold one value and nothing after it.
+func decodeOnly(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return errors.New("there is more after the first value")
+	}
+	return nil
+}
+
+func listErrors(faults []error) string {
+	texts := []string{}
+	for _, fault := range faults[:min(len(faults), maxErrors)] {
+		texts = append(texts, faultText(fault))
+	}
+	return strings.Join(texts, "; ")
+}
+
+// faultText leaves out the value at fault: that can be the whole prompt.
+func faultText(fault error) string {
+	var detail *huma.ErrorDetail
+	if errors.As(fault, &detail) {
+		return detail.Message + " (" + detail.Location + ")"
+	}
+	return fault.Error()
+}
+
+// parseTimeout returns the caller's time for the request, at most limit;
+// fallback without the header.
+func parseTimeout(header http.Header, fallback, limit time.Duration) (time.Duration, *verdict.Error) {
+	text := header.Get(TimeoutHeader)
+	if text == "" {
+		return min(fallback, limit), nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil {
+		var s float64
+		s, err = strconv.ParseFloat(text, 64)
+		// The comparison is also false for NaN.
+		if err == nil && !(math.Abs(s) <= limit.Seconds()) {
+			s = math.Copysign(limit.Seconds(), s)
+		}
+		timeout = time.Duration(s * float64(time.Second))
+	}
+	if err != nil || timeout <= 0 {
+		return 0, badRequest(TimeoutHeader + ": want a duration above 0 like 1.5s, or seconds")
+	}
+	return min(timeout, limit), nil
+}
+
+// parseKey returns the idempotency key, "" without the header.
+func parseKey(header http.Header) (string, *verdict.Error) {
+	values := header.Values(KeyHeader)
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyLength || !printable(values[0]) {
+		return "", badRequest(KeyHeader + ": want one value of 1 to 255 printable ASCII characters")
+	}
+	return values[0], nil
+}
+
+// parseAccount returns the caller's account: the header that the balancer
+// sets, or else the caller's address.
+func parseAccount(r *http.Request) (string, *verdict.Error) {
+	account := r.Header.Get(AccountHeader)
+	if account == "" {
+		host, _, err := net.SplitHostPort(r.RemoteAddr)
+		if err != nil {
+			return r.RemoteAddr, nil
+		}
+		return host, nil
+	}
+	if len(account) > maxAccountLength || !printable(account) {
+		return "", badRequest(AccountHeader + ": want 1 to 128 printable ASCII characters")
+	}
+	return account, nil
+}
+
+func printable(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// readBody reads the whole body within the limits of size and time.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, *verdict.Error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(timeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		// net/http goes on reading, to see when the caller leaves.
+		_ = controller.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, verdict.New(verdict.NotRun, verdict.CodeTooLarge,
+			"body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, verdict.New(verdict.NotRun, verdict.CodeSlowBody,
+			"body did not arrive within "+timeout.String())
+	default:
+		return nil, badRequest("body: " + err.Error())
+	}
+}
--- /dev/null
+++ b/internal/entry/api/services.go
@@ -0,0 +1,207 @@
+package api
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"pistachioroad.dev/pistachioroad/internal/entry/call"
+	"pistachioroad.dev/pistachioroad/internal/entry/serve"
+	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
+	"pistachioroad.dev/pistachioroad/internal/wire"
+)
+
+const servicesPath = "/services/"
+
+// service serves a call of a plain service.
+func (a *API) service(w http.ResponseWriter, r *http.Request, id uuid.UUID) {
+	name := r.PathValue("service")
+	service, ok := a.settings.Services[name]
+	if !ok {
+		refuse(w, id, verdict.New(verdict.NotRun, verdict.CodeUnknownTarget, "no such service: "+name))
+		return
+	}
+	body, err := a.readBody(w, r)
+	if err != nil {
+		refuse(w, id, err)
+		return
+	}
+	request, err := a.callRequest(r, id, name, service, body)
+	if err != nil {
+		refuse(w, id, err)
+		return
+	}
+	a.doer.Do(r.Context(), request, &callSink{w: w, id: id.String()})
+}
+
+func (a *API) callRequest(r *http.Request, id uuid.UUID, name string, service settings.Service, body []byte) (*serve.Request, *verdict.Error) {
+	account, err := parseAccount(r)
+	if err != nil {
+		return nil, err
+	}
+	values := a.values(name, "")
+	fallback := service.Deadline
+	if fallback <= 0 {
+		fallback = deadlineOf(values)
+	}
+	timeout, err := parseTimeout(r.Header, fallback, a.settings.Limits.MaxDeadline)
+	if err != nil {
+		return nil, err
+	}
+	idempotent := safeMethod(r.Method) || (values.Idempotent != nil && *values.Idempotent)
+	key, err := keyFor(r.Header, service, idempotent)
+	if err != nil {
+		return nil, err
+	}
+	target := callPath(r)
+	return &serve.Request{
+		ID:         id,
+		Caller:     account,
+		Service:    name,
+		Deadline:   time.Now().Add(timeout),
+		Class:      classOf(service.Class),
+		Idempotent: idempotent,
+		Key:        key,
+		BodyDigest: callDigest(r.Method, target, body),
+		Call: &wire.Call{
+			Method:  r.Method,
+			Path:    target,
+			Headers: wireHeaders(r.Header),
+			Body:    body,
+		},
+	}, nil
+}
+
+// keyFor returns the idempotency key of a call that may not be repeated.
+func keyFor(header http.Header, service settings.Service, idempotent bool) (string, *verdict.Error) {
+	key, err := parseKey(header)
+	if err != nil || idempotent {
+		return "", err
+	}
+	if key == "" && service.KeyRequired {
+		return "", badRequest("this call may not be repeated and needs an " + KeyHeader)
+	}
+	if key != "" && service.Slots <= 0 {
+		return "", badRequest("this service keeps no idempotency keys")
+	}
+	return key, nil
+}
+
+// safeMethod reports whether HTTP defines the method as free of effects.
+func safeMethod(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// callPath is the path and query as the service sees them: what follows
+// /services/{service}.
+func callPath(r *http.Request) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), servicesPath)
+	path = path[strings.IndexByte(path, '/'):]
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+func callDigest(method, path string, body []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(method + " " + path + "\n")
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
+
+// hopByHop are the headers that belong to one connection only.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+}
+
+// ownPrefix begins the headers between callers and the entry.
+const ownPrefix = "Pistachioroad-"
+
+// wireHeaders returns the headers that go on to the service.
+func wireHeaders(header http.Header) []*wire.Header {
+	dropped := connectionHeaders(header)
+	headers := []*wire.Header{}
+	for name, values := range header {
+		if hopByHop[name] || dropped[name] || strings.HasPrefix(name, ownPrefix) {
+			continue
+		}
+		for _, v := range values {
+			headers = append(headers, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return headers
+}
+
+// connectionHeaders are those that the Connection header declares hop-by-hop.
+func connectionHeaders(header http.Header) map[string]bool {
+	dropped := map[string]bool{}
+	for _, value := range header.Values("Connection") {
+		for _, name := range strings.Split(value, ",") {
+			dropped[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return dropped
+}
+
+// callSink answers once the service's answer is whole.
+type callSink struct {
+	w    http.ResponseWriter
+	id   string
+	body []byte
+}
+
+// Deliver implements serve.Sink.
+func (s *callSink) Deliver(data []byte, _ uint32) error {
+	s.body = append(s.body, data...)
+	return nil
+}
+
+// Finish implements serve.Sink.
+func (s *callSink) Finish(f call.Finish) {
+	header := s.w.Header()
+	closing := header.Get("Connection")
+	for _, h := range f.Final.GetHeaders() {
+		name := textproto.CanonicalMIMEHeaderKey(h.GetName())
+		if !hopByHop[name] && !strings.HasPrefix(name, ownPrefix) {
+			header.Add(name, h.GetValue())
+		}
+	}
+	if closing != "" {
+		header.Set("Connection", closing)
+	}
+	header.Set(verdict.Header, verdict.Ran.String())
+	if f.Final.GetReplayed() {
+		header.Set(ReplayedHeader, "true")
+	}
+	// A transfer that breaks is then shorter than it says.
+	header.Set("Content-Length", strconv.Itoa(len(s.body)))
+	s.w.WriteHeader(statusFrom(f.Final.GetStatus()))
+	_, _ = s.w.Write(s.body)
+}
+
+// statusFrom guards against a status that net/http cannot write.
+func statusFrom(status uint32) int {
+	if status < http.StatusOK || status > 999 {
+		return http.StatusBadGateway
+	}
+	return int(status)
+}
+
+// Fail implements serve.Sink.
+func (s *callSink) Fail(err *verdict.Error) { writeError(s.w, s.id, err) }
--- /dev/null
+++ b/internal/entry/links/subset.go
@@ -0,0 +1,71 @@
+package links
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"pistachioroad.dev/pistachioroad/internal/platform"
+)
+
+// subset chooses the backend servers that get a standing link: for each
+// service the configured number, in the own data centre first, then in the
+// own region, then anywhere.
+//
+// A full mesh of 350 entries and 600 sidecars spends more on heartbeats than a
+// node may use for control. Rendezvous hashing by the entry's name spreads the
+// entries evenly over the sidecars, and a VM that comes or goes changes no
+// other choice.
+func subset(backends []platform.VM, config Config) map[string]bool {
+	chosen := map[string]bool{}
+	for _, group := range byService(backends) {
+		left := config.Links
+		if left <= 0 {
+			left = len(group)
+		}
+		for _, tier := range tiers(group, config) {
+			left -= choose(chosen, tier, config.Self.GetProcess(), left)
+		}
+	}
+	return chosen
+}
+
+func byService(backends []platform.VM) map[string][]platform.VM {
+	groups := map[string][]platform.VM{}
+	for _, vm := range backends {
+		groups[vm.Service] = append(groups[vm.Service], vm)
+	}
+	return groups
+}
+
+// tiers splits a group by distance, the nearest first.
+func tiers(group []platform.VM, config Config) [3][]string {
+	var tiers [3][]string
+	for _, vm := range group {
+		switch {
+		case vm.DataCentre == config.DataCentre:
+			tiers[0] = append(tiers[0], vm.Name)
+		case vm.Region == config.Region:
+			tiers[1] = append(tiers[1], vm.Name)
+		default:
+			tiers[2] = append(tiers[2], vm.Name)
+		}
+	}
+	return tiers
+}
+
+// choose adds up to n names and returns how many it added.
+func choose(chosen map[string]bool, names []string, key string, n int) int {
+	if n >= len(names) {
+		for _, name := range names {
+			chosen[name] = true
+		}
+		return len(names)
+	}
+	r := rendezvous.New(names, xxhash.Sum64String)
+	for range n {
+		name := r.Lookup(key)
+		chosen[name] = true
+		r.Remove(name)
+	}
+	return max(n, 0)
+}
--- /dev/null
+++ b/internal/entry/router/router.go
@@ -0,0 +1,261 @@
+// Package router is the duty of an entry that admits requests and picks their
+// backend servers. It feeds the decisions of internal/decide with load
+// reports, cache events, and what this entry itself has sent.
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pistachioroad.dev/pistachioroad/internal/entry/call"
+	"pistachioroad.dev/pistachioroad/internal/entry/links"
+	"pistachioroad.dev/pistachioroad/internal/entry/view"
+	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/internal/ring"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
+	"pistachioroad.dev/pistachioroad/internal/wire"
+)
+
+const (
+	inboxSize   = 1024
+	reportsSize = 1024
+	// refreshInterval is how often the router takes a new view of the fleet.
+	refreshInterval = 250 * time.Millisecond
+	// busyRetryAfter is what a request is told when the router's inbox is full.
+	busyRetryAfter = time.Second
+	// replyTimeout is how long a request waits for a decision. A decision takes
+	// microseconds; its reply is lost only when the duty panicked over it.
+	replyTimeout = 2 * time.Second
+)
+
+// Request is what the router needs to know of a request.
+type Request struct {
+	ID      string
+	Caller  string
+	Service string
+	// Model and Adapter are empty for a plain service.
+	Model, Adapter string
+	// PromptTokens and OutputTokens are estimates; 1 and 0 for a call of a
+	// plain service.
+	PromptTokens, OutputTokens int
+	// Pieces is the hash chain of the prompt.
+	Pieces     []uint64
+	Deadline   time.Time
+	Class      int
+	Idempotent bool
+	// Keyed requests may run only at the owner of their key slot.
+	Keyed bool
+	// KeyHash chooses the slot.
+	KeyHash uint64
+
+	// cost is what admission has charged; only the duty uses it.
+	cost int
+}
+
+// Outcome is how one attempt went.
+type Outcome struct {
+	// Took is the time to the first piece of the answer.
+	Took time.Duration
+	// Refused says that the backend server did not take the attempt.
+	Refused bool
+	// Failed says that the backend server is to blame.
+	Failed bool
+}
+
+// Router is the duty. Its methods other than Serve may be called from any
+// goroutine.
+type Router struct {
+	inbox   *ring.Ring[message]
+	reports *ring.Ring[links.Report]
+	state   *state
+}
+
+// Config sets a Router.
+type Config struct {
+	// DataCentre is where this entry is.
+	DataCentre string
+	Views      view.Source
+	Explain    *explain.Log
+	// Seed of the random choices.
+	Seed uint64
+	// Now is time.Now but in tests.
+	Now func() time.Time
+}
+
+// New returns a Router.
+func New(config Config) *Router {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Router{
+		inbox:   ring.New[message]("router", inboxSize, ring.Reject),
+		reports: ring.New[links.Report]("router.reports", reportsSize, ring.DropOldest),
+		state:   newState(config),
+	}
+}
+
+// Reports takes the reports of links.
+func (r *Router) Reports() *ring.Ring[links.Report] { return r.reports }
+
+// String names the duty.
+func (r *Router) String() string { return "router" }
+
+// Serve decides until ctx ends.
+func (r *Router) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	now := r.state.config.Now
+	// After a panic the state may be inconsistent. What is lost with it comes
+	// again with the reports of the next second.
+	r.state = newState(r.state.config)
+	r.state.refresh(now())
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case report := <-r.reports.C():
+			r.state.report(now(), report)
+		case m := <-r.inbox.C():
+			m.apply(now(), r.state)
+		case <-ticker.C:
+			r.state.refresh(now())
+		}
+	}
+}
+
+// message is something that the router is asked or told.
+type message interface {
+	apply(now time.Time, s *state)
+}
+
+type admitMessage struct {
+	request *Request
+	reply   chan<- *verdict.Error
+}
+
+func (m admitMessage) apply(now time.Time, s *state) { m.reply <- s.admit(now, m.request) }
+
+type routeMessage struct {
+	request *Request
+	route   call.Route
+	reply   chan<- call.Event
+}
+
+func (m routeMessage) apply(now time.Time, s *state) { m.reply <- s.route(now, m.request, m.route) }
+
+type attemptedMessage struct {
+	request *Request
+	server  string
+	outcome Outcome
+}
+
+func (m attemptedMessage) apply(now time.Time, s *state) {
+	s.attempted(now, m.request, m.server, m.outcome)
+}
+
+type refusedMessage struct {
+	server string
+	load   *wire.Load
+}
+
+func (m refusedMessage) apply(now time.Time, s *state) { s.load(now, m.server, m.load) }
+
+type endedMessage struct {
+	request   *Request
+	succeeded bool
+}
+
+func (m endedMessage) apply(now time.Time, s *state) { s.ended(now, m.request, m.succeeded) }
+
+type dumpMessage struct{ reply chan<- Dump }
+
+func (m dumpMessage) apply(now time.Time, s *state) { m.reply <- s.dump(now) }
+
+// Admit lets the request in, or returns why not. An admitted request must be
+// followed by Ended.
+func (r *Router) Admit(ctx context.Context, request *Request) *verdict.Error {
+	reply := make(chan *verdict.Error, 1)
+	if !r.inbox.Put(admitMessage{request: request, reply: reply}) {
+		return busy()
+	}
+	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	defer cancel()
+	select {
+	case err := <-reply:
+		return err
+	case <-ctx.Done():
+		return noDecision(ctx)
+	}
+}
+
+// noDecision tells a caller that went away from a fault of the duty.
+func noDecision(ctx context.Context) *verdict.Error {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return verdict.Refused(verdict.CodeInternal, "no decision about the request", busyRetryAfter)
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeCancelled, "the caller went away")
+}
+
+// Route picks the backend server of an attempt. It returns call.Routed or
+// call.Unroutable.
+func (r *Router) Route(ctx context.Context, request *Request, route call.Route) call.Event {
+	reply := make(chan call.Event, 1)
+	if !r.inbox.Put(routeMessage{request: request, route: route, reply: reply}) {
+		return call.Unroutable{Attempt: route.Attempt, Err: busy()}
+	}
+	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	defer cancel()
+	select {
+	case event := <-reply:
+		return event
+	case <-ctx.Done():
+		return call.Unroutable{Attempt: route.Attempt, Err: noDecision(ctx)}
+	}
+}
+
+func busy() *verdict.Error {
+	return verdict.Refused(verdict.CodeOverloaded, "the entry is overloaded", busyRetryAfter)
+}
+
+// Attempted tells that an attempt at server no longer waits: it began to
+// answer, was refused or failed.
+func (r *Router) Attempted(request *Request, server string, outcome Outcome) {
+	r.tell(attemptedMessage{request: request, server: server, outcome: outcome})
+}
+
+// Refused passes on the fresh load that came with a refusal.
+func (r *Router) Refused(server string, load *wire.Load) {
+	r.tell(refusedMessage{server: server, load: load})
+}
+
+// Ended tells that an admitted request ended, and whether its caller got a
+// whole answer.
+func (r *Router) Ended(request *Request, succeeded bool) {
+	r.tell(endedMessage{request: request, succeeded: succeeded})
+}
+
+// tellTimeout bounds the wait for room in the inbox. What is lost by it
+// corrects itself: pictures expire and accounts decay.
+const tellTimeout = time.Second
+
+func (r *Router) tell(m message) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	_ = r.inbox.PutWait(ctx, m)
+}
+
+// Dump returns the state of the duty, as a Dump.
+func (r *Router) Dump(ctx context.Context) any {
+	reply := make(chan Dump, 1)
+	if err := r.inbox.PutWait(ctx, dumpMessage{reply: reply}); err != nil {
+		return eris.ToString(err, false)
+	}
+	select {
+	case d := <-reply:
+		return d
+	case <-ctx.Done():
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/entry/serve/request.go
@@ -0,0 +1,107 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/route"
+	"pistachioroad.dev/pistachioroad/internal/entry/call"
+	"pistachioroad.dev/pistachioroad/internal/entry/router"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
+	"pistachioroad.dev/pistachioroad/internal/wire"
+)
+
+// Request is one request of a caller. Either Generate or Call is set.
+type Request struct {
+	ID uuid.UUID
+	// Caller is the account that pays for the request.
+	Caller   string
+	Service  string
+	Deadline time.Time
+	Class    wire.Class
+	// Idempotent requests may be repeated.
+	Idempotent bool
+	// Key is the idempotency key, if any; BodyDigest tells two requests under
+	// one key apart.
+	Key        string
+	BodyDigest uint64
+	Generate   *wire.Generate
+	Call       *wire.Call
+}
+
+// Sink takes the answer. Its methods are called by one goroutine.
+type Sink interface {
+	// Deliver takes the next piece of the answer. An error says that the
+	// caller is gone.
+	Deliver(data []byte, tokens uint32) error
+	// Finish says that what was delivered is the whole answer.
+	Finish(f call.Finish)
+	// Fail says that there will be no whole answer.
+	Fail(err *verdict.Error)
+}
+
+func (r *Request) spec() call.Spec {
+	return call.Spec{
+		ID:         r.ID,
+		Deadline:   r.Deadline,
+		Idempotent: r.Idempotent,
+		Resumable:  r.Generate != nil,
+		Keyed:      r.Key != "",
+	}
+}
+
+// routing returns what the router needs to know.
+func (r *Request) routing() *router.Request {
+	routing := &router.Request{
+		ID:           r.ID.String(),
+		Caller:       r.Caller,
+		Service:      r.Service,
+		PromptTokens: 1,
+		Deadline:     r.Deadline,
+		Class:        int(r.Class),
+		Idempotent:   r.Idempotent || r.Generate != nil,
+		Keyed:        r.Key != "",
+		KeyHash:      xxhash.Sum64String(r.Key),
+	}
+	if g := r.Generate; g != nil {
+		routing.Model = g.GetModel()
+		routing.Adapter = g.GetAdapter()
+		routing.PromptTokens = int(g.GetPromptTokens())
+		routing.OutputTokens = int(g.GetMaxTokens())
+		routing.Pieces = route.Pieces(g.GetPrompt())
+	}
+	return routing
+}
+
+// start returns the Start frame of an attempt.
+func (r *Request) start(e call.SendStart) *wire.Start {
+	start := &wire.Start{
+		RequestId:      r.ID[:],
+		Attempt:        e.Attempt,
+		BudgetUs:       e.Budget.Microseconds(),
+		Class:          r.Class,
+		Caller:         r.Caller,
+		Service:        r.Service,
+		Idempotent:     r.Idempotent || r.Generate != nil,
+		IdempotencyKey: r.Key,
+		BodyDigest:     r.BodyDigest,
+	}
+	if r.Call != nil {
+		start.Work = &wire.Start_Call{Call: r.Call}
+		return start
+	}
+	start.Work = &wire.Start_Generate{Generate: &wire.Generate{
+		Model:        r.Generate.GetModel(),
+		Adapter:      r.Generate.GetAdapter(),
+		Prompt:       r.Generate.GetPrompt(),
+		PromptTokens: r.Generate.GetPromptTokens(),
+		MaxTokens:    r.Generate.GetMaxTokens(),
+		ResumeFrom:   e.ResumeFrom,
+		ResumeText:   e.ResumeText,
+		Kv:           e.KV,
+		PrefillOnly:  e.PrefillOnly,
+	}}
+	return start
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -81,6 +81,9 @@
 	return wire.NewConn(stream), nil
 }
 
+// Streams returns how many streams are open.
+func (s *Session) Streams() int { return s.mux.NumStreams() }
+
 // Done is closed when the connection has ended.
 func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
 
