--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,71 @@
+// Package examples_test checks that the worked examples are accepted.
+package examples_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+	"pistachioroad.dev/pistachioroad/internal/settings"
+)
+
+func TestExamples(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "examples")
+}
+
+// site reads one example: the settings by file name and the configuration.
+func site(name string) (map[string]settings.Settings, fleetconfig.Config) {
+	GinkgoHelper()
+	files, err := filepath.Glob(filepath.Join(name, "*.yaml"))
+	Expect(err).NotTo(HaveOccurred())
+	all := map[string]settings.Settings{}
+	for _, file := range files {
+		all[filepath.Base(file)], err = settings.Load(file)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	data, err := os.ReadFile(filepath.Join(name, "fleetconfig.json"))
+	Expect(err).NotTo(HaveOccurred())
+	config, err := fleetconfig.Parse(data)
+	Expect(err).NotTo(HaveOccurred())
+	return all, config
+}
+
+var _ = Describe("The examples", func() {
+	It("are accepted and differ where the two sites do", func() {
+		hanbit, hanbitConfig := site("hanbit")
+		authority, authorityConfig := site("authority")
+		Expect(hanbit).To(HaveLen(4))
+		Expect(authority).To(HaveLen(4))
+
+		Expect(hanbit["entry.yaml"].Entry.Services).To(And(HaveKey("holds"), HaveKey("calendar")))
+		Expect(authority["entry.yaml"].Entry.Services).To(And(HaveKey("registry"), HaveKey("lookups")))
+		Expect(hanbit["sidecar-engine.yaml"].Sidecar.BackendServer.ChecksFencingToken).To(BeFalse())
+		Expect(authority["sidecar-engine.yaml"].Sidecar.BackendServer.ChecksFencingToken).To(BeTrue())
+
+		now := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+		models := fleetconfig.Scope{Service: "models"}
+		Expect(*hanbitConfig.For(models, now).RoleChangeCost).
+			To(BeNumerically("<", *authorityConfig.For(models, now).RoleChangeCost))
+	})
+
+	It("have a sidecar for each service of the entry, and of the same region", func() {
+		for _, name := range []string{"hanbit", "authority"} {
+			all, _ := site(name)
+			entry := all["entry.yaml"]
+			for file, s := range all {
+				Expect(s.Process.Region).To(Equal(entry.Process.Region), file)
+			}
+			for service := range entry.Entry.Services {
+				file := "sidecar-" + service + ".yaml"
+				Expect(all).To(HaveKey(file))
+				Expect(all[file].Sidecar.BackendServer.Service).To(Equal(service))
+			}
+		}
+	})
+})
