decide: tests that play load; the queue keeps a lane's debt while it is idle

Short work that came one by one starved a long prompt: an emptied lane was forgotten and began anew at the present virtual time, so it never fell behind the long lane. Lanes are now fixed and go on from their own pass; all debts are cleared once nothing waits.

--- a/internal/decide/queue/order.go
+++ b/internal/decide/queue/order.go
@@ -3,25 +3,47 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
-// add puts e into its lane. A lane or caller that was idle starts at the
-// present virtual time: idling earns no credit, or a caller back from a break
-// would hold up all others.
+func newLanes(cfg Config) []lane {
+	lanes := make([]lane, 0, 2*len(cfg.ClassWeights))
+	for _, w := range cfg.ClassWeights {
+		lanes = append(lanes, lane{weight: w * (1 - cfg.LongShare)}, lane{weight: w * cfg.LongShare})
+	}
+	return lanes
+}
+
+func (q *Queue) laneOf(i Item) *lane {
+	class := min(max(0, i.Class), len(q.cfg.ClassWeights)-1)
+	at := 2 * class
+	if i.PromptTokens-i.CachedTokens >= q.cfg.Long {
+		at++
+	}
+	return &q.lanes[at]
+}
+
+// add puts e into its lane. A lane or caller that was idle goes on from the
+// present virtual time or from its own, whichever is later: idling earns no
+// credit, or a caller back from a break would hold up all others; and going
+// idle clears no debt, or short work that comes one by one would starve what
+// is long.
 func (q *Queue) add(e *entry) {
-	l, ok := q.lanes[e.lane]
-	if !ok {
-		l = &lane{weight: q.laneWeight(e.lane), pass: q.pass}
-		q.lanes[e.lane] = l
+	l := e.lane
+	if len(l.entries) == 0 {
+		l.pass = max(l.pass, q.pass)
 	}
 	l.entries = append(l.entries, e)
 	c, ok := q.callers[e.Caller]
 	if !ok {
-		c = &caller{served: q.served}
+		c = &caller{}
 		q.callers[e.Caller] = c
 	}
+	if c.items == 0 {
+		c.served = max(c.served, q.served)
+	}
 	c.items++
 	c.queued += e.cost
 	q.byID[e.ID] = e
@@ -29,50 +51,37 @@
 }
 
 func (q *Queue) remove(e *entry) {
-	l := q.lanes[e.lane]
-	l.entries = slices.DeleteFunc(l.entries, func(x *entry) bool { return x == e })
-	if len(l.entries) == 0 {
-		delete(q.lanes, e.lane)
-	}
+	e.lane.entries = slices.DeleteFunc(e.lane.entries, func(x *entry) bool { return x == e })
 	c := q.callers[e.Caller]
 	c.items--
 	c.queued -= e.cost
-	if c.items == 0 && c.served <= q.served {
-		delete(q.callers, e.Caller)
-	}
 	delete(q.byID, e.ID)
 	q.tokens -= max(0, e.PromptTokens-e.CachedTokens)
 	if q.held == e.ID {
 		q.held = ""
 	}
-}
-
-func (q *Queue) laneWeight(k laneKey) float64 {
-	weights := q.cfg.ClassWeights
-	w := weights[min(k.class, len(weights)-1)]
-	if k.long {
-		return w * q.cfg.LongShare
+	if len(q.byID) == 0 {
+		q.reset()
 	}
-	return w * (1 - q.cfg.LongShare)
 }
 
-func (q *Queue) laneKeys() []laneKey {
-	return slices.SortedFunc(maps.Keys(q.lanes), func(a, b laneKey) int {
-		if a.class != b.class || a.long == b.long {
-			return cmp.Compare(a.class, b.class)
-		}
-		if a.long {
-			return 1
-		}
-		return -1
-	})
+// reset forgets all debts once nothing waits: nobody was kept waiting by what
+// was served while there was room for all.
+func (q *Queue) reset() {
+	clear(q.callers)
+	q.served, q.pass = 0, 0
+	for i := range q.lanes {
+		q.lanes[i].pass = 0
+	}
 }
 
-// lanesByPass returns the lanes, the one most behind its share first.
+// lanesByPass returns the lanes with work, the one most behind its share first.
 func (q *Queue) lanesByPass() []*lane {
 	var lanes []*lane
-	for _, key := range q.laneKeys() {
-		lanes = append(lanes, q.lanes[key])
+	for i := range q.lanes {
+		if len(q.lanes[i].entries) > 0 {
+			lanes = append(lanes, &q.lanes[i])
+		}
 	}
 	slices.SortStableFunc(lanes, func(a, b *lane) int { return cmp.Compare(a.pass, b.pass) })
 	return lanes
@@ -144,20 +153,11 @@
 // advance moves the virtual times up to the least of what waits, and forgets
 // idle callers that are no longer ahead.
 func (q *Queue) advance() {
-	first := true
-	for _, l := range q.lanes {
-		if first || l.pass < q.pass {
-			q.pass = l.pass
-		}
-		first = false
-	}
-	first = true
-	for _, c := range q.callers {
-		if c.items > 0 && (first || c.served < q.served) {
-			q.served = c.served
-			first = false
-		}
+	if len(q.byID) == 0 {
+		return
 	}
+	q.pass = q.leastPass()
+	q.served = q.leastWaiting()
 	for name, c := range q.callers {
 		if c.items == 0 && (c.served <= q.served || len(q.callers) > 2*q.cfg.Items) {
 			delete(q.callers, name)
@@ -165,6 +165,26 @@
 	}
 }
 
+func (q *Queue) leastPass() float64 {
+	least := math.Inf(1)
+	for _, l := range q.lanes {
+		if len(l.entries) > 0 {
+			least = min(least, l.pass)
+		}
+	}
+	return least
+}
+
+func (q *Queue) leastWaiting() float64 {
+	least := math.Inf(1)
+	for _, c := range q.callers {
+		if c.items > 0 {
+			least = min(least, c.served)
+		}
+	}
+	return least
+}
+
 // displace makes place for e at the cost of the caller that holds most of the
 // queue, if that is more than e's caller would hold. Otherwise one caller that
 // fills the queue would have everyone else refused.
@@ -184,8 +204,8 @@
 		return false
 	}
 	var last *entry
-	for _, key := range q.laneKeys() {
-		for _, x := range q.lanes[key].entries {
+	for _, l := range q.lanes {
+		for _, x := range l.entries {
 			if x.Caller == heaviest && (last == nil || earlier(last, x)) {
 				last = x
 			}
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -109,8 +109,9 @@
 // Queue holds the items that wait at one sidecar. Its methods are for one
 // goroutine.
 type Queue struct {
-	cfg     Config
-	lanes   map[laneKey]*lane
+	cfg Config
+	// lanes are two for each class, short and long, in that order.
+	lanes   []lane
 	byID    map[string]*entry
 	callers map[string]*caller
 	// served is the virtual time: the service of the least served caller
@@ -127,11 +128,6 @@
 	serial uint64
 }
 
-type laneKey struct {
-	class int
-	long  bool
-}
-
 type lane struct {
 	entries []*entry
 	pass    float64
@@ -140,7 +136,7 @@
 
 type entry struct {
 	Item
-	lane   laneKey
+	lane   *lane
 	cost   float64
 	serial uint64
 }
@@ -164,7 +160,7 @@
 	}
 	return &Queue{
 		cfg:     cfg,
-		lanes:   make(map[laneKey]*lane),
+		lanes:   newLanes(cfg),
 		byID:    make(map[string]*entry),
 		callers: make(map[string]*caller),
 	}
@@ -221,8 +217,8 @@
 	removed := q.displaced
 	q.displaced = nil
 	var late []*entry
-	for _, key := range q.laneKeys() {
-		for _, e := range q.lanes[key].entries {
+	for _, l := range q.lanes {
+		for _, e := range l.entries {
 			if hopeless(now, e.Item) {
 				late = append(late, e)
 			}
@@ -276,7 +272,7 @@
 	q.serial++
 	return &entry{
 		Item:   i,
-		lane:   laneKey{class: max(0, i.Class), long: i.PromptTokens-i.CachedTokens >= q.cfg.Long},
+		lane:   q.laneOf(i),
 		cost:   float64(Cost(i.PromptTokens, i.CachedTokens, i.OutputTokens)) / cmp.Or(i.Weight, 1),
 		serial: q.serial,
 	}
--- /dev/null
+++ b/internal/decide/retry/retry_test.go
@@ -0,0 +1,71 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/retry"
+)
+
+func TestRetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retry")
+}
+
+var start = time.Unix(1_000_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+var _ = Describe("Budget", func() {
+	// A backend server breaks off while it registers a lot. Sent again, the
+	// lot is registered twice and two bars stand under one seal.
+	It("never repeats what may have run and is not idempotent", func() {
+		b := retry.New(retry.Config{})
+		b.Succeeded(start, 1_000_000)
+		Expect(b.Allow(start, retry.Attempt{CostTokens: 1, Remaining: time.Minute})).To(BeFalse())
+		Expect(b.Allow(start, retry.Attempt{NotRun: true, CostTokens: 1, Remaining: time.Minute})).To(BeTrue())
+		Expect(b.Allow(start, retry.Attempt{Idempotent: true, CostTokens: 1, Remaining: time.Minute})).To(BeTrue())
+	})
+
+	// A rack fails and half of all attempts with it. Were each sent again
+	// until it succeeds, the other half of the fleet would carry twice its
+	// load, and callers there would wait as well.
+	It("keeps retries under a tenth of the work in a storm", func() {
+		b := retry.New(retry.Config{})
+		work, retried := 0, 0
+		for i := range 60_000 {
+			now := at(time.Duration(i) * time.Millisecond)
+			work += 1_000
+			if i%2 == 0 {
+				b.Succeeded(now, 1_000)
+				continue
+			}
+			if b.Allow(now, retry.Attempt{NotRun: true, CostTokens: 1_000, Remaining: time.Minute}) {
+				retried += 1_000
+			}
+		}
+		Expect(float64(retried) / float64(work)).To(BeNumerically("<", 0.1))
+		Expect(retried).To(BeNumerically(">", 0))
+	})
+
+	It("stops soon after the successes have stopped", func() {
+		b := retry.New(retry.Config{})
+		b.Succeeded(start, 10_000_000)
+		allowed := 0
+		for i := range 3_600 {
+			if b.Allow(at(10*time.Minute+time.Duration(i)*time.Second), retry.Attempt{NotRun: true, CostTokens: 4_000, Remaining: time.Minute}) {
+				allowed++
+			}
+		}
+		Expect(allowed).To(BeNumerically("<=", 2*3_600/10), "the floor of 4,000 tokens in ten seconds")
+	})
+
+	It("leaves an attempt alone that would be too late", func() {
+		b := retry.New(retry.Config{})
+		a := retry.Attempt{NotRun: true, CostTokens: 1, Remaining: time.Second, RunTime: 2 * time.Second}
+		Expect(b.Allow(start, a)).To(BeFalse())
+	})
+})
