operator: edits, status, dumps and explanations of the fleet

Cause: operators work through any entry, race one another, and meet a store that is down or loses replies.

An edit carries the version that it was made on and an id of its own. It ends as applied, conflict (with what it would have set beside what is set now, and the edits made since), refused, unknown, or store_unavailable; the last is said only when certainly nothing was written. The same edit sent again is found by its id and not made twice.

Ruled out: refusing names that the VM list does not have, for the list lags and a VM may be on its way; the answer carries a warning. Following redirects of other processes, which would carry the token elsewhere.

--- a/internal/fleetconfig/change.go
+++ b/internal/fleetconfig/change.go
@@ -17,6 +17,8 @@
 	// EditID is random per edit and WriteID per write.
 	EditID  string
 	WriteID string
+	// BaseVersion is the version of the object that is edited.
+	BaseVersion uint64
 }
 
 // Change is one change of the configuration. Exactly one field is set.
@@ -215,11 +217,12 @@
 func (e *editor) note(what string) {
 	const maxLine = MaxReason + 4*MaxName
 	e.config.History = append(e.config.History, Edit{
-		At:      e.by.At,
-		Author:  e.by.Author,
-		What:    strings.ToValidUTF8(what[:min(len(what), maxLine)], ""),
-		EditID:  e.by.EditID,
-		WriteID: e.by.WriteID,
+		At:          e.by.At,
+		Author:      e.by.Author,
+		What:        strings.ToValidUTF8(what[:min(len(what), maxLine)], ""),
+		EditID:      e.by.EditID,
+		WriteID:     e.by.WriteID,
+		BaseVersion: e.by.BaseVersion,
 	})
 }
 
@@ -229,6 +232,13 @@
 	return slices.ContainsFunc(c.History, func(e Edit) bool { return e.EditID == editID })
 }
 
+// Since returns the lines of the history that were made on version or a later
+// one, and whether the history reaches back that far.
+func (c Config) Since(version uint64) (lines []Edit, whole bool) {
+	lines = lo.Filter(c.History, func(e Edit, _ int) bool { return e.BaseVersion >= version })
+	return lines, len(c.History) < MaxHistory || len(lines) < len(c.History)
+}
+
 func (c Config) clone() Config {
 	c.Exceptions = slices.Clone(c.Exceptions)
 	c.History = slices.Clone(c.History)
--- a/internal/fleetconfig/fleetconfig.go
+++ b/internal/fleetconfig/fleetconfig.go
@@ -94,6 +94,8 @@
 	// others have edited on top of it.
 	EditID  string `json:"edit_id"`
 	WriteID string `json:"write_id"`
+	// BaseVersion is the version of the object that the edit was made on.
+	BaseVersion uint64 `json:"base_version"`
 }
 
 // Config is the whole object.
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -139,6 +139,26 @@
 	)
 })
 
+var _ = Describe("Compare", func() {
+	It("shows what each kind of change would set beside how it stands", func() {
+		c := apply(fleetconfig.Config{}, "e1",
+			fleetconfig.Change{SetDefaults: ptr(values("role_change_cost=5"))},
+			fleetconfig.Change{Drain: &fleetconfig.Drain{BackendServer: "m1", Reason: "new GPU"}})
+		Expect(fleetconfig.Compare(c, []fleetconfig.Change{
+			{SetDefaults: ptr(values("role_change_cost=9", "class=batch"))},
+			{UnsetDefaults: []string{"role_change_cost"}},
+			{Undrain: "m1"},
+			{RemoveException: "x1"},
+		})).To(Equal([]fleetconfig.Difference{
+			{Key: "class", Yours: "batch", Current: "normal (built in)"},
+			{Key: "role_change_cost", Yours: "9", Current: "5"},
+			{Key: "role_change_cost", Yours: "20 (built in)", Current: "5"},
+			{Key: "exceptions for backend_server=m1", Yours: "removed", Current: "xe1 drained=true (kim: new GPU)"},
+			{Key: "exception x1", Yours: "removed", Current: "none"},
+		}))
+	})
+})
+
 var _ = Describe("Parse", func() {
 	It("reads back what Encode wrote", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -25,8 +25,11 @@
 
 // Peer is another process and the address of its operator API.
 type Peer struct {
-	Name    string
-	Address string
+	Name       string
+	Address    string
+	DataCentre string
+	// Service is empty for an entry.
+	Service string
 }
 
 // Status is one entry's picture of the fleet.
@@ -110,6 +113,10 @@
 // registerFleet adds what only an entry serves.
 func (s *Server) registerFleet(api huma.API) {
 	huma.Get(api, "/fleet/status", s.status, summary("The fleet as this entry sees it"))
+	huma.Get(api, "/fleet/config", s.getConfig, summary("The fleet configuration and its version"))
+	huma.Get(api, "/fleet/dump/{process}", s.dumpPeer, summary("State of another process"))
+	huma.Get(api, "/fleet/explain", s.explainFleet, summary("Decisions of all processes about one subject"))
+	huma.Post(api, "/fleet/edits", s.edit, summary("Edit the fleet configuration"), editOperation)
 }
 
 type statusOutput struct{ Body Status }
--- /dev/null
+++ b/internal/operator/fleet_test.go
@@ -0,0 +1,284 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+	"pistachioroad.dev/pistachioroad/internal/operator"
+	"pistachioroad.dev/pistachioroad/internal/platform"
+)
+
+// fakeStore holds one object. Its faults are switched by the tests.
+type fakeStore struct {
+	mu     sync.Mutex
+	object platform.Object
+	// down refuses every call; deaf lets a write take effect and goes down.
+	down, deaf bool
+}
+
+func (s *fakeStore) Get(context.Context, string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Object{}, eris.Wrap(platform.ErrUnavailable, "connection refused")
+	}
+	return s.object, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, name string, version uint64, value []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, platform.ErrNotSent
+	}
+	if version != s.object.Version {
+		return 0, platform.ErrConflict
+	}
+	s.object = platform.Object{Name: name, Version: version + 1, Value: value}
+	if s.deaf {
+		s.down = true
+		return 0, platform.ErrUnknown
+	}
+	return s.object.Version, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, _ string, _ uint64) (platform.Object, error) {
+	<-ctx.Done()
+	return platform.Object{}, platform.ErrUnavailable
+}
+
+func (s *fakeStore) set(down, deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.deaf = down, deaf
+}
+
+// fakeFleet is what the entry under test knows.
+type fakeFleet struct {
+	mu    sync.Mutex
+	held  platform.Object
+	peers []operator.Peer
+}
+
+func (f *fakeFleet) Status(context.Context) (operator.Status, error) {
+	return operator.Status{Entry: "e1", Store: operator.StoreStatus{Healthy: true}}, nil
+}
+
+func (f *fakeFleet) Peers(context.Context) ([]operator.Peer, error) { return f.peers, nil }
+
+func (f *fakeFleet) Config() platform.Object {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held
+}
+
+func (f *fakeFleet) Accept(o platform.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = o
+}
+
+func post(url string, body any) (int, operator.EditResult) {
+	GinkgoHelper()
+	data, err := json.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPost, url+"/fleet/edits", bytes.NewReader(data))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	var result operator.EditResult
+	Expect(json.NewDecoder(response.Body).Decode(&result)).To(Succeed())
+	return response.StatusCode, result
+}
+
+func getJSON(url string, answer any) int {
+	GinkgoHelper()
+	status, body := get(url, testToken)
+	Expect(json.Unmarshal([]byte(body), answer)).To(Succeed(), body)
+	return status
+}
+
+func setCost(editID, author string, base uint64, cost float64) operator.EditRequest {
+	return operator.EditRequest{
+		EditID: editID, Author: author, BaseVersion: base,
+		Changes: []fleetconfig.Change{{SetDefaults: &fleetconfig.Values{RoleChangeCost: &cost}}},
+	}
+}
+
+var _ = Describe("Edits of the fleet configuration", func() {
+	var (
+		store *fakeStore
+		fleet *fakeFleet
+		url   string
+	)
+
+	BeforeEach(func() {
+		store = &fakeStore{}
+		fleet = &fakeFleet{peers: []operator.Peer{{Name: "gangnam-m1", DataCentre: "gangnam", Service: "models"}}}
+		server, err := operator.NewServer(
+			operator.Config{TokenFile: tokenFile(), EditTimeout: 200 * time.Millisecond},
+			operator.Sources{Process: "e1", Fleet: fleet, Store: store})
+		Expect(err).NotTo(HaveOccurred())
+		web := httptest.NewServer(server.Handler())
+		DeferCleanup(web.Close)
+		url = web.URL
+	})
+
+	It("put a value in force at once and note it", func() {
+		status, result := post(url, setCost("edit-0001", "kim", 0, 5))
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(result.Outcome).To(Equal(operator.EditApplied))
+		Expect(fleet.Config().Version).To(BeEquivalentTo(1))
+		var view operator.ConfigView
+		Expect(getJSON(url+"/fleet/config", &view)).To(Equal(http.StatusOK))
+		Expect(view.Source).To(Equal(operator.SourceStore))
+		Expect(view.Config.Defaults.String()).To(Equal("role_change_cost=5"))
+		Expect(view.Config.History).To(HaveLen(1))
+		Expect(view.Config.History[0].Author).To(Equal("kim"))
+	})
+
+	// Two operators read version 1 and set the same default. Without the
+	// version the second would undo the first and neither would know.
+	It("let one of two racing operators win and show the other both values", func() {
+		post(url, setCost("edit-0001", "kim", 0, 5))
+		requests := []operator.EditRequest{setCost("edit-0002", "lee", 1, 9), setCost("edit-0003", "kim", 1, 30)}
+		results := make([]operator.EditResult, len(requests))
+		var wg sync.WaitGroup
+		for i, r := range requests {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				_, results[i] = post(url, r)
+			})
+		}
+		wg.Wait()
+		winner, loser := 0, 1
+		if results[0].Outcome != operator.EditApplied {
+			winner, loser = 1, 0
+		}
+		Expect(results[winner].Outcome).To(Equal(operator.EditApplied))
+		Expect(results[loser].Outcome).To(Equal(operator.EditConflict))
+		Expect(results[loser].Version).To(BeEquivalentTo(2))
+		Expect(results[loser].Differences).To(Equal([]fleetconfig.Difference{{
+			Key:     "role_change_cost",
+			Yours:   requests[loser].Changes[0].SetDefaults.Text("role_change_cost"),
+			Current: requests[winner].Changes[0].SetDefaults.Text("role_change_cost"),
+		}}))
+		Expect(results[loser].Since).To(HaveLen(1))
+		Expect(results[loser].Since[0].Author).To(Equal(requests[winner].Author))
+	})
+
+	// The store takes the edit, and then its reply and every later call are
+	// lost. An operator who is told "failed" repeats the edit on top of
+	// somebody else's.
+	It("say that the outcome is unknown, and find the edit when asked again", func() {
+		store.set(false, true)
+		status, result := post(url, setCost("edit-0001", "kim", 0, 5))
+		Expect(status).To(Equal(http.StatusGatewayTimeout))
+		Expect(result.Outcome).To(Equal(operator.EditUnknown))
+		Expect(result.Message).To(ContainSubstring("edit-0001"))
+		store.set(false, false)
+		_, result = post(url, setCost("edit-0001", "kim", 0, 5))
+		Expect(result.Outcome).To(Equal(operator.EditApplied))
+		Expect(result.Version).To(BeEquivalentTo(1))
+	})
+
+	// The store is down for an hour. The last configuration stays in force and
+	// can be read; an edit fails at once and says that nothing was changed.
+	It("fail clearly while the store is down", func() {
+		post(url, setCost("edit-0001", "kim", 0, 5))
+		store.set(true, false)
+		status, result := post(url, setCost("edit-0002", "kim", 1, 9))
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(result.Outcome).To(Equal(operator.EditStoreUnavailable))
+		Expect(result.Message).To(ContainSubstring("nothing was changed"))
+		var view operator.ConfigView
+		getJSON(url+"/fleet/config", &view)
+		Expect(view.Source).To(Equal(operator.SourceInForce))
+		Expect(view.Version).To(BeEquivalentTo(1))
+	})
+
+	It("refuse what is not allowed and say why", func() {
+		status, result := post(url, setCost("edit-0001", "kim", 0, -1))
+		Expect(status).To(Equal(http.StatusUnprocessableEntity))
+		Expect(result.Outcome).To(Equal(operator.EditRefused))
+		Expect(result.Message).To(ContainSubstring("role_change_cost is -1, expected 0 to 3600"))
+		status, _ = post(url, map[string]any{"edit_id": "edit-0001", "author": "kim", "unknown": 1})
+		Expect(status).To(Equal(http.StatusUnprocessableEntity))
+	})
+
+	It("warn about a backend server that the fleet does not have", func() {
+		drain := func(id string, base uint64, name string) operator.EditRequest {
+			return operator.EditRequest{EditID: id, Author: "kim", BaseVersion: base, Changes: []fleetconfig.Change{
+				{Drain: &fleetconfig.Drain{BackendServer: name, Reason: "new disk"}},
+			}}
+		}
+		_, result := post(url, drain("edit-0001", 0, "gangnam-m1"))
+		Expect(result.Warnings).To(BeEmpty())
+		_, result = post(url, drain("edit-0002", 1, "gangnam-m7"))
+		Expect(result.Outcome).To(Equal(operator.EditApplied))
+		Expect(result.Warnings).To(ConsistOf("the VM list has no backend server gangnam-m7"))
+	})
+})
+
+var _ = Describe("Questions to other processes", func() {
+	// One process is gone and another hangs on to its connection. The rest of
+	// the answer must still come, and say who is missing.
+	It("merge the answers of those that answer and name the others", func() {
+		log := explain.New(8)
+		log.Add(time.Unix(2, 0), "r1", "started", "a slot was free")
+		sidecar := serve(operator.Sources{Process: "m1", Explain: log, Duties: map[string]operator.DumpFunc{
+			"queue": func(context.Context) any { return []int{1} },
+		}})
+		broken := httptest.NewServer(http.NotFoundHandler())
+		DeferCleanup(broken.Close)
+		own := explain.New(8)
+		own.Add(time.Unix(1, 0), "r1", "sent to m1", "least expected wait")
+		fleet := &fakeFleet{peers: []operator.Peer{
+			{Name: "m1", Address: strings.TrimPrefix(sidecar, "http://")},
+			{Name: "m2", Address: strings.TrimPrefix(broken.URL, "http://")},
+			{Name: "m3", Address: "127.0.0.1:1"},
+		}}
+		url := serve(operator.Sources{Process: "e1", Explain: own, Fleet: fleet, Store: &fakeStore{}})
+
+		var found operator.FleetExplanation
+		getJSON(url+"/fleet/explain?subject=r1", &found)
+		Expect(found.Asked).To(Equal(4))
+		Expect(found.Records).To(HaveLen(2))
+		Expect(found.Records[0].Process).To(Equal("e1"))
+		Expect(found.Records[1].Decision).To(Equal("started"))
+		Expect(found.Silent).To(HaveLen(2))
+		Expect(found.Silent[0].Process).To(Equal("m2"))
+
+		var dump operator.Dump
+		Expect(getJSON(url+"/fleet/dump/m1", &dump)).To(Equal(http.StatusOK))
+		Expect(dump.Duties["queue"].State).To(MatchJSON(`[1]`))
+		for path, want := range map[string]int{"m2": http.StatusBadGateway, "m9": http.StatusNotFound} {
+			status, _ := get(url+"/fleet/dump/"+path, testToken)
+			Expect(status).To(Equal(want))
+		}
+	})
+})
+
+var _ = Describe("A sidecar", func() {
+	It("serves no part of the fleet's API", func() {
+		url := serve(operator.Sources{Ready: func() error { return errors.New("starting") }})
+		status, _ := get(url+"/fleet/config", testToken)
+		Expect(status).To(Equal(http.StatusNotFound))
+	})
+})
--- /dev/null
+++ b/internal/operator/peers.go
@@ -0,0 +1,185 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
+	"golang.org/x/sync/errgroup"
+
+	"pistachioroad.dev/pistachioroad/internal/explain"
+)
+
+// The limits of asking other processes.
+const (
+	peerTimeout = 5 * time.Second
+	// peersAtOnce bounds the connections of one question to the whole fleet.
+	peersAtOnce   = 32
+	maxDumpBytes  = 4 << 20
+	maxExplainLog = 1 << 20
+	// maxMerged bounds the records of a merged answer; the newest stay.
+	maxMerged = 2000
+)
+
+// FleetRecord is a decision and the process that took it.
+type FleetRecord struct {
+	Process string `json:"process"`
+	explain.Record
+}
+
+// SilentPeer is a process that did not answer.
+type SilentPeer struct {
+	Process string `json:"process"`
+	Error   string `json:"error"`
+}
+
+// FleetExplanation is what all processes decided about a subject.
+type FleetExplanation struct {
+	Subject string `json:"subject"`
+	// Records are ordered by the clocks of their processes, which differ a
+	// little between VMs.
+	Records []FleetRecord `json:"records"`
+	// Asked counts the processes asked, this one included.
+	Asked  int          `json:"asked"`
+	Silent []SilentPeer `json:"silent"`
+}
+
+// peerClient asks operator APIs of other processes with the same token.
+type peerClient struct {
+	http  *http.Client
+	token string
+}
+
+func newPeerClient(token string) *peerClient {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}
+	return &peerClient{
+		http: &http.Client{
+			Transport: transport,
+			Timeout:   peerTimeout,
+			// A redirect would carry the token to another address.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		token: token,
+	}
+}
+
+// get reads at most limit bytes of JSON into answer.
+func (c *peerClient) get(ctx context.Context, p Peer, path string, limit int64, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+path, nil)
+	if err != nil {
+		return eris.Wrap(err, p.Name)
+	}
+	request.Header.Set("Authorization", bearerPrefix+c.token)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return eris.Wrap(err, p.Name)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("%s answered %s", p.Name, response.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return eris.Wrap(err, p.Name)
+	}
+	if int64(len(data)) > limit {
+		return eris.Errorf("the answer of %s is larger than %d bytes", p.Name, limit)
+	}
+	return eris.Wrap(json.Unmarshal(data, answer), p.Name)
+}
+
+type dumpInput struct {
+	Process string `path:"process" doc:"Name of a process, which is that of its VM"`
+}
+
+func (s *Server) dumpPeer(ctx context.Context, in *dumpInput) (*dumpOutput, error) {
+	if in.Process == s.sources.Process {
+		return s.dump(ctx, nil)
+	}
+	peers, err := s.sources.Fleet.Peers(ctx)
+	if err != nil {
+		return nil, huma.Error503ServiceUnavailable("the VM list is not available", err)
+	}
+	peer, known := lo.Find(peers, func(p Peer) bool { return p.Name == in.Process })
+	if !known {
+		return nil, huma.Error404NotFound("no process " + in.Process)
+	}
+	var dump Dump
+	if err := s.peers.get(ctx, peer, "/dump", maxDumpBytes, &dump); err != nil {
+		return nil, huma.Error502BadGateway("the process did not answer", err)
+	}
+	return &dumpOutput{Body: dump}, nil
+}
+
+type explainFleetInput struct {
+	Subject string `query:"subject" required:"true" minLength:"1" maxLength:"256"`
+}
+
+type explainFleetOutput struct{ Body FleetExplanation }
+
+func (s *Server) explainFleet(ctx context.Context, in *explainFleetInput) (*explainFleetOutput, error) {
+	peers, err := s.sources.Fleet.Peers(ctx)
+	if err != nil {
+		return nil, huma.Error503ServiceUnavailable("the VM list is not available", err)
+	}
+	peers = lo.Filter(peers, func(p Peer, _ int) bool { return p.Name != s.sources.Process })
+	answers := s.askAll(ctx, peers, in.Subject)
+	merged := merge(in.Subject, append(answers, peerAnswer{explanation: s.explanation(in.Subject)}))
+	return &explainFleetOutput{Body: merged}, nil
+}
+
+type peerAnswer struct {
+	peer        Peer
+	explanation Explanation
+	err         error
+}
+
+// askAll returns one answer for each peer, within peerTimeout for all.
+func (s *Server) askAll(ctx context.Context, peers []Peer, subject string) []peerAnswer {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	path := "/explain?subject=" + url.QueryEscape(subject)
+	answers := make([]peerAnswer, len(peers))
+	var group errgroup.Group
+	group.SetLimit(peersAtOnce)
+	for i, peer := range peers {
+		group.Go(func() error {
+			answers[i].peer = peer
+			answers[i].err = s.peers.get(ctx, peer, path, maxExplainLog, &answers[i].explanation)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return answers
+}
+
+func merge(subject string, answers []peerAnswer) FleetExplanation {
+	merged := FleetExplanation{
+		Subject: subject,
+		Records: []FleetRecord{},
+		Asked:   len(answers),
+		Silent:  []SilentPeer{},
+	}
+	for _, a := range answers {
+		if a.err != nil {
+			merged.Silent = append(merged.Silent, SilentPeer{Process: a.peer.Name, Error: a.err.Error()})
+			continue
+		}
+		for _, r := range a.explanation.Records {
+			merged.Records = append(merged.Records, FleetRecord{Process: a.explanation.Process, Record: r})
+		}
+	}
+	slices.SortStableFunc(merged.Records, func(a, b FleetRecord) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Process, b.Process))
+	})
+	merged.Records = merged.Records[max(0, len(merged.Records)-maxMerged):]
+	return merged
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -29,6 +29,8 @@
 	shutdownTimeout = 2 * time.Second
 	maxHeaderBytes  = 16 << 10
 	minTokenLength  = 16
+
+	defaultEditTimeout = 10 * time.Second
 )
 
 // Config says where the API listens and which token it asks for.
@@ -37,6 +39,10 @@
 	Address string
 	// TokenFile holds the bearer token, at least 16 characters.
 	TokenFile string
+	// EditTimeout is how long an edit of unknown outcome is followed; 0: 10 s,
+	// which is longer than a short disturbance of the store and shorter than
+	// an operator's patience.
+	EditTimeout time.Duration
 }
 
 // Sources are what the API shows. Every function may be called from any
@@ -63,6 +69,7 @@
 	token   string
 	sources Sources
 	dumper  *dumper
+	peers   *peerClient
 	handler http.Handler
 }
 
@@ -72,6 +79,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if config.EditTimeout == 0 {
+		config.EditTimeout = defaultEditTimeout
+	}
 	if sources.Metrics == nil {
 		sources.Metrics = metrics.DefaultRegistry
 	}
@@ -83,6 +93,7 @@
 		token:   token,
 		sources: sources,
 		dumper:  newDumper(sources.Duties),
+		peers:   newPeerClient(token),
 	}
 	s.handler = s.routes()
 	return s, nil
