Member: one picture of the fleet, watchers, gossip between entries

Cause: 350 entries and 600 sidecars cannot all watch the store, and a change of configuration must be in force everywhere within 4 s and never revert.

State is the machine (versions are told, objects pulled, so that each crosses once to each entry); Member runs it, reads the VM list, watches from two entries a data centre and links entries to each other.

In virtual time, 8 seeds, 40 entries in 2 regions and 6 data centres: a change is in force at all of them within 1 s, within 1 s in the half that learns of it during a partition of the regions, and within 4 s of its end at all.

go-rendezvous' Remove loses the index of the node that it moves and panics later; the choice is made among the rest anew in place of it.

Not shown: without the successor in the order of names the random links alone were connected in every case tried.

--- /dev/null
+++ b/internal/member/choice.go
@@ -0,0 +1,95 @@
+package member
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+	"github.com/samber/lo"
+
+	"pistachioroad.dev/pistachioroad/internal/platform"
+)
+
+const (
+	// WatchersPerDataCentre is how many entries of a data centre watch the
+	// store. One would leave its data centre behind when it is paused.
+	WatchersPerDataCentre = 2
+	// fullMesh is the largest number of entries that all link to one another.
+	fullMesh = 8
+	// Above it, each entry dials this many peers of its own data centre, of
+	// the rest of its region and of each other region, and the one that
+	// follows it in the order of names, which alone makes the graph connected.
+	peersOwnDataCentre = 2
+	peersOwnRegion     = 2
+	peersOtherRegion   = 1
+)
+
+// Watchers returns the entries that watch the store for a data centre.
+// Rendezvous hashing keeps the choice when others come and go.
+func Watchers(vms []platform.VM, dataCentre string) []string {
+	entries := lo.Filter(vms, func(vm platform.VM, _ int) bool {
+		return vm.Kind == platform.VMEntry && !vm.Leaving && vm.DataCentre == dataCentre
+	})
+	return choose(names(entries), "watch/"+dataCentre, WatchersPerDataCentre)
+}
+
+// Peers returns the entries that the entry self dials.
+func Peers(vms []platform.VM, self string) []platform.VM {
+	entries := lo.Filter(vms, func(vm platform.VM, _ int) bool {
+		return vm.Kind == platform.VMEntry && (!vm.Leaving || vm.Name == self)
+	})
+	slices.SortFunc(entries, byName)
+	own, at, listed := lo.FindIndexOf(entries, func(vm platform.VM) bool { return vm.Name == self })
+	if !listed {
+		return nil
+	}
+	if len(entries) <= fullMesh {
+		return entries[at+1:]
+	}
+	others := slices.Delete(slices.Clone(entries), at, at+1)
+	chosen := append([]string{entries[(at+1)%len(entries)].Name}, choosePeers(others, own)...)
+	return lo.Filter(others, func(vm platform.VM, _ int) bool { return slices.Contains(chosen, vm.Name) })
+}
+
+func choosePeers(others []platform.VM, own platform.VM) []string {
+	regions := lo.GroupBy(others, func(vm platform.VM) string { return vm.Region })
+	near, far := lo.FilterReject(regions[own.Region], func(vm platform.VM, _ int) bool {
+		return vm.DataCentre == own.DataCentre
+	})
+	chosen := choose(names(near), own.Name, peersOwnDataCentre)
+	chosen = append(chosen, choose(names(far), own.Name, peersOwnRegion)...)
+	for region, vms := range regions {
+		if region != own.Region {
+			chosen = append(chosen, choose(names(vms), own.Name, peersOtherRegion)...)
+		}
+	}
+	return chosen
+}
+
+// choose returns up to count nodes with the highest hashes for key. The library
+// loses track of its nodes when one is removed, so each choice is made among
+// the rest anew.
+func choose(nodes []string, key string, count int) []string {
+	chosen := []string{}
+	for len(nodes) > 0 && len(chosen) < count {
+		next := rendezvous.New(nodes, xxhash.Sum64String).Lookup(key)
+		chosen = append(chosen, next)
+		nodes = lo.Without(nodes, next)
+	}
+	return chosen
+}
+
+func names(vms []platform.VM) []string {
+	return lo.Map(vms, func(vm platform.VM, _ int) string { return vm.Name })
+}
+
+func byName(a, b platform.VM) int {
+	switch {
+	case a.Name < b.Name:
+		return -1
+	case a.Name > b.Name:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,167 @@
+package member_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/thejerf/suture/v4"
+
+	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/member"
+	"pistachioroad.dev/pistachioroad/internal/platform"
+)
+
+func TestMember(t *testing.T) {
+	invariant.PanicOnBreach()
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "member")
+}
+
+// fakePlatform holds objects and the VM list in memory.
+type fakePlatform struct {
+	mu      sync.Mutex
+	down    bool
+	vms     []platform.VM
+	objects map[string]platform.Object
+	changed chan struct{}
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+}
+
+func (p *fakePlatform) set(name string, version uint64, value string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects[name] = platform.Object{Name: name, Version: version, Value: []byte(value)}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *fakePlatform) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+func (p *fakePlatform) look(name string) (platform.Object, <-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return platform.Object{Name: name}, nil, platform.ErrUnavailable
+	}
+	o := p.objects[name]
+	o.Name = name
+	return o, p.changed, nil
+}
+
+func (p *fakePlatform) Get(_ context.Context, name string) (platform.Object, error) {
+	o, _, err := p.look(name)
+	return o, err
+}
+
+func (p *fakePlatform) Put(context.Context, string, uint64, []byte) (uint64, error) {
+	return 0, platform.ErrNotSent
+}
+
+func (p *fakePlatform) Watch(ctx context.Context, name string, after uint64) (platform.Object, error) {
+	for {
+		o, changed, err := p.look(name)
+		if err != nil || o.Version > after {
+			return o, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return o, platform.ErrUnavailable
+		}
+	}
+}
+
+func (p *fakePlatform) VMs(context.Context) ([]platform.VM, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return nil, errors.New("down")
+	}
+	return p.vms, nil
+}
+
+func entryVM(n int) platform.VM {
+	return platform.VM{
+		Name: fmt.Sprintf("entry-%03d", n), Kind: platform.VMEntry, Region: "seoul", DataCentre: "gangnam",
+	}
+}
+
+// start runs entries of one data centre on loopback.
+func start(p *fakePlatform, count int) []*member.Member {
+	ctx, cancel := context.WithCancel(context.Background())
+	supervisor := suture.NewSimple("test")
+	members := []*member.Member{}
+	for n := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		vm := entryVM(n)
+		vm.LinkAddress = listener.Addr().String()
+		p.vms = append(p.vms, vm)
+		m := member.New(member.Config{
+			Process: vm.Name, Region: vm.Region, DataCentre: vm.DataCentre,
+			Entry: true, Peers: listener, ListInterval: 50 * time.Millisecond,
+		}, p, p)
+		for _, s := range m.Services() {
+			supervisor.Add(s)
+		}
+		members = append(members, m)
+	}
+	ended := supervisor.ServeBackground(ctx)
+	DeferCleanup(func() {
+		cancel()
+		<-ended
+	})
+	return members
+}
+
+var _ = Describe("Member", func() {
+	// An operator's change reaches the store. Entries that do not watch it
+	// must hear of it from those that do, or half of the callers go on under
+	// the old configuration.
+	It("brings a change into force at every entry", func() {
+		p := newFakePlatform()
+		p.set("fleetconfig", 1, `{"write_id":"a"}`)
+		members := start(p, 5)
+		inForce := func(version uint64) func() int {
+			return func() int {
+				count := 0
+				for _, m := range members {
+					if m.Snapshot().ConfigVersion >= version {
+						count++
+					}
+				}
+				return count
+			}
+		}
+		Eventually(inForce(1), 10*time.Second).Should(Equal(5))
+		p.set("fleetconfig", 2, `{"write_id":"b"}`)
+		Eventually(inForce(2), 10*time.Second).Should(Equal(5))
+	})
+
+	// The store and the VM list are down when a change was made by an operator
+	// at one entry just before. The others must get it all the same.
+	It("spreads an offered object while the platform is down", func() {
+		p := newFakePlatform()
+		members := start(p, 4)
+		Eventually(func() bool { return members[3].Snapshot().Ready }, 10*time.Second).Should(BeTrue())
+		p.setDown(true)
+		members[0].Offer(platform.Object{Name: "fleetconfig", Version: 7, Value: []byte(`{}`)})
+		Eventually(func() uint64 { return members[3].Snapshot().ConfigVersion }, 10*time.Second).
+			Should(Equal(uint64(7)))
+		Expect(members[3].Snapshot().VMs).To(HaveLen(4))
+	})
+})
--- a/internal/member/objects.go
+++ b/internal/member/objects.go
@@ -1,8 +1,9 @@
-// Package member keeps a process's picture of the fleet: the VM list and the
-// objects that all processes hold in common.
 package member
 
 import (
+	"maps"
+	"slices"
+
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/wire"
@@ -21,11 +22,14 @@
 // versions keeps it from that.
 type Objects struct {
 	held map[string]platform.Object
+	// wanted are the only names held; empty: all.
+	wanted []string
 }
 
-// NewObjects returns an Objects that holds nothing.
-func NewObjects() *Objects {
-	return &Objects{held: map[string]platform.Object{}}
+// NewObjects returns an Objects that holds nothing yet, and only ever objects
+// of the names given; without names, any.
+func NewObjects(wanted ...string) *Objects {
+	return &Objects{held: map[string]platform.Object{}, wanted: wanted}
 }
 
 // Offer takes o if its version is above the one held, and reports whether it
@@ -35,7 +39,7 @@
 	if o.Version <= before.Version {
 		return false
 	}
-	if !known && len(s.held) >= maxObjects {
+	if !known && (len(s.held) >= maxObjects || !s.wants(o.Name)) {
 		return false
 	}
 	s.held[o.Name] = o
@@ -44,6 +48,15 @@
 	return true
 }
 
+func (s *Objects) wants(name string) bool {
+	return len(s.wanted) == 0 || slices.Contains(s.wanted, name)
+}
+
+// clone returns an Objects that changes apart from s.
+func (s *Objects) clone() *Objects {
+	return &Objects{held: maps.Clone(s.held), wanted: s.wanted}
+}
+
 // Get returns the object held, with version 0 if there is none.
 func (s *Objects) Get(name string) platform.Object {
 	o, ok := s.held[name]
@@ -53,20 +66,31 @@
 	return o
 }
 
-// Versions returns the version held of each object.
+// Versions returns the version held of each object, 0 for a wanted one that is
+// not held yet.
 func (s *Objects) Versions() *wire.Versions {
-	versions := make(map[string]uint64, len(s.held))
+	versions := make(map[string]uint64, len(s.held)+len(s.wanted))
+	for _, name := range s.wanted {
+		versions[name] = 0
+	}
 	for name, o := range s.held {
 		versions[name] = o.Version
 	}
 	return &wire.Versions{Versions: versions}
 }
 
-// Newer returns the objects held at a higher version than the peer's.
+// Newer returns the objects held at a higher version than the peer's, in order
+// of their names. A peer that lists names gets only those: the plan of one
+// region is of no use in another.
 func (s *Objects) Newer(peer *wire.Versions) []*wire.Object {
 	newer := []*wire.Object{}
-	for name, o := range s.held {
-		if o.Version > peer.GetVersions()[name] {
+	for _, name := range slices.Sorted(maps.Keys(s.held)) {
+		o := s.held[name]
+		version, listed := peer.GetVersions()[name]
+		if !listed && len(peer.GetVersions()) > 0 {
+			continue
+		}
+		if o.Version > version {
 			newer = append(newer, &wire.Object{Name: name, Version: o.Version, Value: o.Value})
 		}
 	}
--- /dev/null
+++ b/internal/member/state_test.go
@@ -0,0 +1,320 @@
+package member_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"pistachioroad.dev/pistachioroad/internal/member"
+	"pistachioroad.dev/pistachioroad/internal/platform"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func config(version uint64) platform.Object {
+	value := fmt.Sprintf(`{"write_id":"w%d"}`, version)
+	return platform.Object{Name: "fleetconfig", Version: version, Value: []byte(value)}
+}
+
+func planObject(version uint64) platform.Object {
+	return platform.Object{Name: "plan/seoul", Version: version, Value: []byte(`{"region":"seoul"}`)}
+}
+
+var _ = Describe("State", func() {
+	// The platform's list answers with nothing during an outage. Taking it for
+	// an empty fleet would refuse every caller.
+	It("keeps the last list when the list is empty or fails", func() {
+		s := member.NewState("seoul", epoch)
+		s.Step(epoch, member.Listed{VMs: []platform.VM{entryVM(1)}})
+		later := epoch.Add(time.Minute)
+		s.Step(later, member.Listed{})
+		s.Step(later, member.Listed{Err: errors.New("down")})
+		Expect(s.Snapshot().VMs).To(HaveLen(1))
+		Expect(s.Snapshot().ListAge(later)).To(Equal(time.Minute))
+	})
+
+	// A relay that was cut off sends what it held before. Callers would be
+	// served under a configuration that an operator has replaced.
+	It("never goes back to what a stale relay sends", func() {
+		s := member.NewState("seoul", epoch)
+		s.Step(epoch, member.StoreRead{Object: config(9)})
+		s.Step(epoch, member.Offered{Peer: 1, Object: config(8)})
+		Expect(s.Snapshot().ConfigVersion).To(Equal(uint64(9)))
+		Expect(s.Snapshot().Config.WriteID).To(Equal("w9"))
+	})
+
+	// A process starts during an outage of the store, and the first peer that
+	// it hears has been cut off for a while. Serving at once would bring back
+	// a replaced configuration for its callers.
+	It("is not ready on the word of one stale peer", func() {
+		s := member.NewState("seoul", epoch)
+		s.Step(epoch, member.Offered{Object: config(3)})
+		s.Step(epoch, member.PeerVersions{Process: "a", Versions: map[string]uint64{"fleetconfig": 3}})
+		Expect(s.Snapshot().Ready).To(BeFalse())
+		s.Step(epoch, member.PeerVersions{Process: "b", Versions: map[string]uint64{"fleetconfig": 5}})
+		Expect(s.Snapshot().Ready).To(BeFalse())
+		s.Step(epoch, member.Offered{Object: config(5)})
+		Expect(s.Snapshot().Ready).To(BeTrue())
+		Expect(s.Snapshot().Confirmed).To(BeTrue())
+	})
+
+	It("becomes ready without confirmation when nobody answers", func() {
+		s := member.NewState("seoul", epoch)
+		s.Step(epoch.Add(4*time.Second), member.Tick{})
+		Expect(s.Snapshot().Ready).To(BeFalse())
+		s.Step(epoch.Add(5*time.Second), member.Tick{})
+		Expect(s.Snapshot().Ready).To(BeTrue())
+		Expect(s.Snapshot().Confirmed).To(BeFalse())
+	})
+
+	It("is ready as soon as the store has answered for all objects", func() {
+		s := member.NewState("seoul", epoch)
+		s.Step(epoch, member.StoreRead{Object: config(1)})
+		Expect(s.Snapshot().Ready).To(BeFalse())
+		s.Step(epoch, member.StoreRead{Object: platform.Object{Name: "plan/seoul"}})
+		Expect(s.Snapshot().Confirmed).To(BeTrue())
+	})
+
+	// A newer release writes an object that this one cannot read. Dropping the
+	// configuration in force would serve callers under none.
+	It("leaves the configuration in force when a newer one cannot be read", func() {
+		s := member.NewState("seoul", epoch)
+		s.Step(epoch, member.StoreRead{Object: config(1)})
+		s.Step(epoch, member.StoreRead{Object: platform.Object{Name: "fleetconfig", Version: 2, Value: []byte("{")}})
+		Expect(s.Snapshot().ConfigVersion).To(Equal(uint64(1)))
+		Expect(s.Snapshot().Versions().GetVersions()).To(HaveKeyWithValue("fleetconfig", uint64(2)))
+	})
+})
+
+var _ = Describe("Watchers and Peers", func() {
+	fleet := func(count int) []platform.VM {
+		return lo.Times(count, func(n int) platform.VM {
+			vm := entryVM(n)
+			vm.DataCentre = fmt.Sprintf("dc-%d", n%6)
+			vm.Region = fmt.Sprintf("region-%d", n%2)
+			return vm
+		})
+	}
+
+	It("has two watchers in each data centre and replaces one that leaves", func() {
+		vms := fleet(30)
+		before := member.Watchers(vms, "dc-1")
+		Expect(before).To(HaveLen(2))
+		for n := range vms {
+			vms[n].Leaving = vms[n].Name == before[0]
+		}
+		after := member.Watchers(vms, "dc-1")
+		Expect(after).To(HaveLen(2))
+		Expect(after).To(ContainElement(before[1]))
+		Expect(after).NotTo(ContainElement(before[0]))
+	})
+
+	DescribeTable("connects all entries by few links", func(count, most int) {
+		vms := fleet(count)
+		links := map[string][]string{}
+		for _, vm := range vms {
+			peers := member.Peers(vms, vm.Name)
+			Expect(len(peers)).To(BeNumerically("<=", most))
+			for _, p := range peers {
+				links[vm.Name] = append(links[vm.Name], p.Name)
+				links[p.Name] = append(links[p.Name], vm.Name)
+			}
+		}
+		reached := map[string]bool{vms[0].Name: true}
+		for next := []string{vms[0].Name}; len(next) > 0; next = next[1:] {
+			for _, name := range links[next[0]] {
+				if !reached[name] {
+					reached[name] = true
+					next = append(next, name)
+				}
+			}
+		}
+		Expect(reached).To(HaveLen(count))
+	},
+		Entry("today", 4, 3),
+		Entry("the largest full mesh", 8, 7),
+		Entry("more", 30, 6),
+		Entry("the target", 350, 6),
+	)
+})
+
+// net is a network of States in virtual time.
+type network struct {
+	t      *testing.T
+	random *rand.Rand
+	now    time.Time
+	states []*member.State
+	links  [][2]int
+	cut    func(a, b int) bool
+	// cutFor counts the seconds that a link has been cut.
+	cutFor map[int]int
+	frames []frameUnderWay
+	bytes  map[string]int
+}
+
+type frameUnderWay struct {
+	link int
+	to   int
+	ev   member.Event
+	at   time.Time
+}
+
+func newNetwork(t *testing.T, seed uint64, vms []platform.VM) *network {
+	n := &network{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
+		cut: func(int, int) bool { return false }, cutFor: map[int]int{}, bytes: map[string]int{},
+	}
+	index := map[string]int{}
+	for i, vm := range vms {
+		index[vm.Name] = i
+		n.states = append(n.states, member.NewState("seoul", epoch))
+	}
+	for i, vm := range vms {
+		for _, peer := range member.Peers(vms, vm.Name) {
+			n.links = append(n.links, [2]int{i, index[peer.Name]})
+		}
+	}
+	for id, l := range n.links {
+		for _, end := range l {
+			n.step(end, member.PeerUp{Peer: member.PeerID(id + 1), Process: "p"})
+		}
+	}
+	return n
+}
+
+func (n *network) step(at int, ev member.Event) {
+	for _, e := range n.states[at].Step(n.now, ev) {
+		if send, ok := e.(member.Send); ok {
+			n.carry(at, send)
+		}
+	}
+}
+
+// redial closes the links that are silent for 5 s and opens those that can be
+// opened, once a second, as Member does.
+func (n *network) redial() {
+	const silentAfter = 5
+	for id, l := range n.links {
+		peer := member.PeerID(id + 1)
+		switch {
+		case n.cut(l[0], l[1]):
+			n.cutFor[id]++
+			if n.cutFor[id] == silentAfter {
+				n.step(l[0], member.PeerDown{Peer: peer})
+				n.step(l[1], member.PeerDown{Peer: peer})
+			}
+		case n.cutFor[id] >= silentAfter:
+			n.cutFor[id] = 0
+			n.step(l[0], member.PeerUp{Peer: peer, Process: "p"})
+			n.step(l[1], member.PeerUp{Peer: peer, Process: "p"})
+		default:
+			n.cutFor[id] = 0
+		}
+	}
+}
+
+// carry puts a frame on its way, unless the link is cut.
+func (n *network) carry(from int, send member.Send) {
+	l := n.links[send.Peer-1]
+	to := l[0] + l[1] - from
+	if n.cut(from, to) {
+		return
+	}
+	f := frameUnderWay{
+		link: int(send.Peer), to: to,
+		at: n.now.Add(time.Duration(1+n.random.IntN(20)) * time.Millisecond),
+	}
+	switch {
+	case send.Frame.GetVersions() != nil:
+		f.ev = member.PeerVersions{
+			Peer: send.Peer, Process: fmt.Sprint(from), Versions: send.Frame.GetVersions().GetVersions(),
+		}
+		n.bytes["versions"]++
+	case send.Frame.GetObject() != nil:
+		o := send.Frame.GetObject()
+		f.ev = member.Offered{Peer: send.Peer, Object: platform.Object{
+			Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue(),
+		}}
+		n.bytes["objects"]++
+	}
+	n.frames = append(n.frames, f)
+}
+
+// run lets virtual time pass.
+func (n *network) run(d time.Duration) {
+	const tick = 5 * time.Millisecond
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(tick) {
+		under := n.frames
+		n.frames = nil
+		for _, f := range under {
+			if f.at.After(n.now) {
+				n.frames = append(n.frames, f)
+				continue
+			}
+			n.step(f.to, f.ev)
+		}
+		for i := range n.states {
+			n.step(i, member.Tick{})
+		}
+		if n.now.Sub(epoch)%time.Second == 0 {
+			n.redial()
+		}
+	}
+}
+
+func (n *network) holding(version uint64) int {
+	return lo.CountBy(n.states, func(s *member.State) bool { return s.Snapshot().ConfigVersion == version })
+}
+
+// A change is accepted at one entry while links are cut, healed and cut again.
+// Wherever it does not arrive, callers go on under the old configuration.
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	vms := lo.Times(40, func(i int) platform.VM {
+		vm := entryVM(i)
+		vm.DataCentre = fmt.Sprintf("dc-%d", i%6)
+		vm.Region = fmt.Sprintf("region-%d", i%2)
+		return vm
+	})
+	for seed := range uint64(8) {
+		n := newNetwork(t, seed, vms)
+		n.step(0, member.StoreRead{Object: config(1)})
+		n.run(time.Second)
+		if got := n.holding(1); got != len(vms) {
+			t.Fatalf("seed %d: %d of %d entries hold the change after 1 s", seed, got, len(vms))
+		}
+
+		// The two regions lose each other, and only one learns of a change.
+		n.cut = func(a, b int) bool { return a%2 != b%2 }
+		n.run(10 * time.Second)
+		n.step(1, member.StoreRead{Object: config(2)})
+		n.run(time.Second)
+		if got := n.holding(2); got != len(vms)/2 {
+			t.Fatalf("seed %d: %d entries hold the change in its region", seed, got)
+		}
+		n.cut = func(int, int) bool { return false }
+		n.run(4 * time.Second)
+		if got := n.holding(2); got != len(vms) {
+			t.Fatalf("seed %d: %d of %d entries hold the change 4 s after the partition", seed, got, len(vms))
+		}
+	}
+}
+
+// Each entry has several peers that have a new plan. If each of them sent it,
+// the plan of a large fleet would cross every link, and control traffic would
+// pass its budget at each change.
+func TestObjectCrossesOnceToEachEntry(t *testing.T) {
+	vms := lo.Times(60, entryVM)
+	n := newNetwork(t, 1, vms)
+	n.run(time.Second)
+	n.step(0, member.StoreRead{Object: planObject(1)})
+	n.run(4 * time.Second)
+	if got := n.bytes["objects"]; got > len(vms)+len(vms)/10 {
+		t.Fatalf("%d copies sent to %d entries", got, len(vms)-1)
+	}
+}
