--- /dev/null
+++ b/test/cmd/bench/main.go
@@ -0,0 +1,66 @@
+// Command bench measures what the way through an entry and a sidecar adds to
+// that straight to the engine, both in one run, and what the processes cost.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pistachioroad.dev/pistachioroad/test/fleet"
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder of the programs")
+	rate := flag.Float64("rate", 200, "requests a second")
+	block := flag.Duration("block", 3*time.Second, "length of a block; direct and through take turns")
+	blocks := flag.Int("blocks", 6, "blocks of each kind")
+	seed := flag.Uint64("seed", 1, "seed of the arrivals")
+	flag.Parse()
+	if err := run(*bin, *rate, *block, *blocks, *seed); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", eris.ToString(err, false))
+		os.Exit(1)
+	}
+}
+
+func run(bin string, rate float64, block time.Duration, blocks int, seed uint64) error {
+	if err := latency(bin, rate, block, blocks, seed); err != nil {
+		return err
+	}
+	return idle(bin)
+}
+
+// oneEngine is a fleet whose engine answers fast enough for the added time to
+// show.
+func oneEngine(bin, dir string) fleet.Options {
+	return fleet.Options{
+		Bin:     bin,
+		Dir:     dir,
+		Entries: 1,
+		Engines: []fleet.Engine{{
+			Role: "mixed", Model: "draft", Fencing: true,
+			Args: []string{"-slots", "256", "-prefill-rate", "10000000"},
+		}},
+	}
+}
+
+// withFleet runs f on a fleet of its own.
+func withFleet(o fleet.Options, f func(context.Context, *fleet.Fleet) error) error {
+	ctx := context.Background()
+	dir, err := os.MkdirTemp("", "pistachioroad-bench-")
+	if err != nil {
+		return eris.Wrap(err, "folder")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	o.Dir = dir
+	fl, err := fleet.Start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer fl.Stop()
+	return f(ctx, fl)
+}
--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,6 +29,8 @@
 	listener net.Listener
 	target   string
 
+	toServer, toClient atomic.Int64
+
 	mu    sync.Mutex
 	mode  Mode
 	conns map[*conn]struct{}
@@ -127,8 +130,8 @@
 	p.mu.Unlock()
 
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(c, server, client, func(m Mode) bool { return m.DropToServer }) })
-	both.Go(func() { p.copy(c, client, server, func(m Mode) bool { return m.DropToClient }) })
+	both.Go(func() { p.copy(c, server, client, &p.toServer, func(m Mode) bool { return m.DropToServer }) })
+	both.Go(func() { p.copy(c, client, server, &p.toClient, func(m Mode) bool { return m.DropToClient }) })
 	both.Wait()
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -137,7 +140,7 @@
 
 // copy forwards one direction until either end closes. Bytes once lost are
 // never made up for, so the direction stays silent from then on.
-func (p *Proxy) copy(c *conn, to, from net.Conn, dropped func(Mode) bool) {
+func (p *Proxy) copy(c *conn, to, from net.Conn, count *atomic.Int64, dropped func(Mode) bool) {
 	defer c.close()
 	buffer := make([]byte, bufferBytes)
 	lost := false
@@ -146,6 +149,7 @@
 		if err != nil {
 			return
 		}
+		count.Add(int64(n))
 		p.mu.Lock()
 		mode, silent := p.mode, c.silent
 		p.mu.Unlock()
@@ -165,5 +169,10 @@
 	_ = c.server.Close()
 }
 
+// Bytes returns how many bytes each end has sent.
+func (p *Proxy) Bytes() (toServer, toClient int64) {
+	return p.toServer.Load(), p.toClient.Load()
+}
+
 // Address returns the IP number and port that the proxy listens on.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
