--- a/internal/entry/call/attempt.go
+++ b/internal/entry/call/attempt.go
@@ -194,8 +194,12 @@
 		m.decodeNow(now, nil, "no prefill at "+m.cur.server+": "+err.Message)
 		return
 	}
+	if m.expiring {
+		m.failDeadline()
+		return
+	}
 	notRun := m.cur.verdict == verdict.NotRun
-	if m.expiring || len(m.past)+1 >= MaxAttempts || (!notRun && !m.spec.Idempotent) {
+	if len(m.past)+1 >= MaxAttempts || (!notRun && !m.spec.Idempotent) {
 		m.fail(err)
 		return
 	}
--- a/internal/entry/call/call.go
+++ b/internal/entry/call/call.go
@@ -39,6 +39,8 @@
 	// that still runs.
 	PollMin = 50 * time.Millisecond
 	PollMax = time.Second
+	// DefaultRetryAfter is told where nothing names a better time.
+	DefaultRetryAfter = time.Second
 )
 
 // Spec is what the machine needs to know of a request.
@@ -375,15 +377,39 @@
 func (m *Machine) fail(err *verdict.Error) {
 	told := *err
 	told.Verdict = verdict.Worst(told.Verdict, m.Verdict())
-	if told.Verdict != verdict.NotRun && !m.spec.Idempotent && !m.spec.Keyed {
-		told.RetryAfter = 0
-	}
+	told.RetryAfter = m.retryAfter(told)
 	m.checkVerdict(told.Verdict)
 	m.explain("failed", told.Error())
 	m.emit(Fail{Err: &told})
 	m.phase = ended
 }
 
+// retryAfter tells when asking again makes sense, 0 if it does not: the same
+// call would run twice, or fail in the same way.
+func (m *Machine) retryAfter(told verdict.Error) time.Duration {
+	repeatable := told.Verdict == verdict.NotRun || m.spec.Idempotent || m.spec.Keyed
+	switch {
+	case !repeatable || told.Verdict == verdict.Ran && !m.spec.Idempotent:
+		return 0
+	case told.RetryAfter > 0:
+		return told.RetryAfter
+	case isTemporary(told.Code):
+		return DefaultRetryAfter
+	default:
+		return 0
+	}
+}
+
+func isTemporary(code verdict.Code) bool {
+	switch code {
+	case verdict.CodeOverloaded, verdict.CodeNoBackend, verdict.CodeDraining, verdict.CodeStore,
+		verdict.CodeBackend, verdict.CodeBroken, verdict.CodeUnknownResult, verdict.CodeKeyInUse:
+		return true
+	default:
+		return false
+	}
+}
+
 // checkVerdict asserts that "not run" is told only when no attempt may have
 // run.
 func (m *Machine) checkVerdict(told verdict.Verdict) {
