pistachioroad: the operators' tool

Cause: operators change intent by one program, race one another, and meet entries that die between taking an edit and answering.

Subcommands: status, defaults get|set, exception add|list|remove, drain, undrain, config history, dump, explain. Exit statuses 0 to 5 tell failed, usage, conflict, unknown and store unavailable apart.

Printing reasons and names as they come: a terminal would obey escape sequences in them, so control characters are replaced.

--- a/cmd/pistachioroad/main.go
+++ b/cmd/pistachioroad/main.go
@@ -1,6 +1,76 @@
-// Command placeholder is replaced by the thin path.
+// Command pistachioroad is the tool of the operators. It talks to the operator
+// API of an entry: defaults, exceptions, drains, status, dumps and
+// explanations.
+//
+//	pistachioroad -entry 10.20.1.10:7002 -token-file token status
+//
+// Its exit statuses are 0 (done), 1 (failed, nothing was changed), 2 (wrong
+// command line), 3 (another edit came first), 4 (the outcome of the edit is
+// unknown) and 5 (the platform's store cannot be reached, nothing was changed).
 package main
 
-import _ "runtime/cgo"
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	_ "runtime/cgo" // links the C library in, as on all VMs
+	"syscall"
 
-func main() {}
+	"github.com/rotisserie/eris"
+)
+
+// exitStatus is how the program ends.
+type exitStatus int
+
+const (
+	exitOK               exitStatus = 0
+	exitFailed           exitStatus = 1
+	exitUsage            exitStatus = 2
+	exitConflict         exitStatus = 3
+	exitUnknown          exitStatus = 4
+	exitStoreUnavailable exitStatus = 5
+)
+
+// exitError ends the program with a status. Its message may be empty when all
+// has been said.
+type exitError struct {
+	status  exitStatus
+	message string
+}
+
+func (e *exitError) Error() string { return e.message }
+
+func usageError(format string, args ...any) error {
+	return &exitError{status: exitUsage, message: fmt.Sprintf(format, args...)}
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(int(status))
+}
+
+// run executes one command line.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) exitStatus {
+	a := &app{stdout: stdout, stderr: stderr}
+	err := a.run(ctx, args)
+	var exit *exitError
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case !errors.As(err, &exit):
+		exit = &exitError{status: exitFailed, message: eris.ToString(err, false)}
+	}
+	if exit.message != "" {
+		fmt.Fprintln(stderr, "pistachioroad: "+printable(exit.message))
+	}
+	if exit.status == exitUsage {
+		fmt.Fprintln(stderr, "Run pistachioroad -h for help.")
+	}
+	return exit.status
+}
