explain: requests do not push out what is known of engines

Cause: one ring for all records. At a few hundred requests a second an engine's change was forgotten within a minute, which is just what an operator asks about the next morning.

Ruled out: a ring per subject with no common bound, whose memory grows with the number of requests.

--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,81 @@
+package explain_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"pistachioroad.dev/pistachioroad/internal/explain"
+)
+
+func TestExplain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "explain")
+}
+
+var start = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
+
+// request returns the id of a request.
+func request(n int) string {
+	return uuid.NewSHA1(uuid.NameSpaceOID, []byte(fmt.Sprint(n))).String()
+}
+
+var _ = Describe("Log", func() {
+	It("returns the records of one subject and of all, the oldest first", func() {
+		log := explain.New(8)
+		log.Add(start, "m1", "prefill", "decode engines idle")
+		log.Add(start.Add(time.Second), request(1), "sent to m1", "least wait")
+		log.Add(start.Add(2*time.Second), "m1", "decode", "prefill engines idle")
+		Expect(log.About("m1")).To(HaveLen(2))
+		Expect(log.About("m1")[1].Decision).To(Equal("decode"))
+		Expect(log.About("")).To(HaveLen(3))
+		Expect(log.About("")[1].Subject).To(Equal(request(1)))
+		Expect(log.About("m2")).To(BeEmpty())
+	})
+
+	// An engine changed its role at night and thousands of requests followed.
+	// In the morning the operator asks why, and the record must be there.
+	It("does not forget an engine over many requests", func() {
+		log := explain.New(64)
+		log.Add(start, "m1", "prefill", "decode engines idle")
+		for i := range 1000 {
+			log.Add(start, request(i), "sent to m1", "least wait")
+		}
+		Expect(log.About("m1")).To(HaveLen(1))
+		Expect(log.About(request(0))).To(BeEmpty())
+		Expect(log.About(request(999))).To(HaveLen(1))
+	})
+
+	// One engine's plan flaps and writes a record each second. The others'
+	// few records must not go for it.
+	It("does not forget a quiet engine over a noisy one", func() {
+		log := explain.New(64)
+		log.Add(start, "quiet", "prefill", "decode engines idle")
+		for i := range 20_000 {
+			log.Add(start.Add(time.Duration(i)), "noisy", fmt.Sprint(i), "flapping")
+		}
+		Expect(log.About("quiet")).To(HaveLen(1))
+		noisy := log.About("noisy")
+		Expect(noisy).To(HaveLen(64))
+		Expect(noisy[63].Decision).To(Equal("19999"))
+	})
+
+	It("keeps the newest records within its size", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const size = 70
+			log := explain.New(size)
+			adds := rapid.SliceOfN(rapid.IntRange(0, 4), 1, 300).Draw(t, "subjects")
+			for i, n := range adds {
+				log.Add(start.Add(time.Duration(i)), request(n), fmt.Sprint(i), "")
+			}
+			last := log.About(request(adds[len(adds)-1]))
+			Expect(last[len(last)-1].Decision).To(Equal(fmt.Sprint(len(adds) - 1)))
+			Expect(len(log.About(""))).To(BeNumerically("<=", size))
+		})
+	})
+})
