--- a/cmd/pistachioroad/main_test.go
+++ b/cmd/pistachioroad/main_test.go
@@ -143,6 +143,8 @@
 	})
 
 	It("adds, lists and removes exceptions, and keeps the history", func() {
+		_, empty := d.run("-json", "exception", "list")
+		Expect(empty).To(MatchJSON("[]"))
 		status, output := d.run("exception", "add", "-service", "holds", "deadline=3s", "-reason", "fair week", "-expires", "72h")
 		Expect(status).To(Equal(exitOK), output)
 		_, output = d.run("exception", "list")
--- a/cmd/pistachioroad/show.go
+++ b/cmd/pistachioroad/show.go
@@ -132,7 +132,7 @@
 		return err
 	}
 	if a.options.json {
-		return printJSON(a.stdout, view.Config.Exceptions)
+		return printJSON(a.stdout, orEmpty(view.Config.Exceptions))
 	}
 	fmt.Fprintf(a.stdout, "version %d, %d of at most %d exceptions\n",
 		view.Version, len(view.Config.Exceptions), fleetconfig.MaxExceptions)
@@ -158,7 +158,7 @@
 		return err
 	}
 	if a.options.json {
-		return printJSON(a.stdout, view.Config.History)
+		return printJSON(a.stdout, orEmpty(view.Config.History))
 	}
 	fmt.Fprintf(a.stdout, "version %d\n", view.Version)
 	t := newTable(a.stdout)
--- a/cmd/pistachioroad/table.go
+++ b/cmd/pistachioroad/table.go
@@ -59,3 +59,6 @@
 	}
 	return text
 }
+
+// orEmpty keeps a list without elements from becoming null in JSON.
+func orEmpty[T any](list []T) []T { return append([]T{}, list...) }
