operator: racing operators on a faulty store, seeded

Cause: the tests so far met one fault at a time. Here replies are lost, writes take effect late, the store goes down part-way, and three operators edit on versions that are out of date; whatever each was told must be so in the end.

--- /dev/null
+++ b/internal/operator/random_test.go
@@ -0,0 +1,168 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/operator"
+	"pistachioroad.dev/pistachioroad/internal/platform"
+)
+
+// faultyStore loses replies, writes late and is down for a while, by chance.
+type faultyStore struct {
+	random *rand.Rand
+	object platform.Object
+	// late are writes that have been sent and not taken effect yet.
+	late []func()
+	// down is how many further calls are refused.
+	down int
+}
+
+func (s *faultyStore) Get(context.Context, string) (platform.Object, error) {
+	if s.disturbed() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.object, nil
+}
+
+func (s *faultyStore) Put(_ context.Context, name string, version uint64, value []byte) (uint64, error) {
+	if s.disturbed() {
+		return 0, platform.ErrNotSent
+	}
+	write := func() {
+		if s.object.Version == version {
+			s.object = platform.Object{Name: name, Version: version + 1, Value: value}
+		}
+	}
+	switch s.random.IntN(8) {
+	case 0:
+		write()
+		return 0, platform.ErrUnknown
+	case 1:
+		s.late = append(s.late, write)
+		return 0, platform.ErrUnknown
+	case 2:
+		return 0, platform.ErrUnknown
+	}
+	if s.object.Version != version {
+		return 0, platform.ErrConflict
+	}
+	write()
+	return s.object.Version, nil
+}
+
+func (s *faultyStore) Watch(context.Context, string, uint64) (platform.Object, error) {
+	return platform.Object{}, platform.ErrUnavailable
+}
+
+// disturbed lets late writes take effect and reports whether the store is down.
+func (s *faultyStore) disturbed() bool {
+	if s.random.IntN(3) == 0 {
+		s.settle()
+	}
+	if s.random.IntN(24) == 0 {
+		s.down = s.random.IntN(12)
+	}
+	s.down = max(0, s.down-1)
+	return s.down > 0
+}
+
+func (s *faultyStore) settle() {
+	for _, write := range s.late {
+		write()
+	}
+	s.late = nil
+}
+
+// race lets operators edit on versions that they read some edits ago, and
+// returns how often each outcome was told.
+func race(seed uint64) map[operator.EditOutcome]int {
+	GinkgoHelper()
+	const edits, operators = 12, 3
+	random := rand.New(rand.NewPCG(seed, 0))
+	store := &faultyStore{random: random}
+	server, err := operator.NewServer(
+		operator.Config{TokenFile: tokenFile(), EditTimeout: 60 * time.Millisecond},
+		operator.Sources{Process: "e1", Fleet: &fakeFleet{}, Store: store})
+	Expect(err).NotTo(HaveOccurred())
+
+	told := map[string]operator.EditOutcome{}
+	seen := make([]uint64, operators)
+	highest := uint64(0)
+	for i := range edits {
+		who := random.IntN(operators)
+		if random.IntN(3) > 0 {
+			seen[who] = store.object.Version
+		}
+		request := setCost(fmt.Sprintf("edit-%04d", i), fmt.Sprint("operator-", who), seen[who], float64(i))
+		told[request.EditID] = edit(server.Handler(), request).Outcome
+		Expect(store.object.Version).To(BeNumerically(">=", highest))
+		highest = store.object.Version
+	}
+	store.settle()
+
+	config := fleetconfig.Config{}
+	if store.object.Version > 0 {
+		config, err = fleetconfig.Parse(store.object.Value)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	for id, outcome := range told {
+		count := lo.CountBy(config.History, func(e fleetconfig.Edit) bool { return e.EditID == id })
+		switch outcome {
+		case operator.EditApplied:
+			Expect(count).To(Equal(1), "seed %d: %s was told applied", seed, id)
+		case operator.EditUnknown:
+			Expect(count).To(BeNumerically("<=", 1), "seed %d: %s was told unknown", seed, id)
+		default:
+			Expect(count).To(BeZero(), "seed %d: %s was told %s", seed, id, outcome)
+		}
+	}
+	return lo.CountValues(lo.Values(told))
+}
+
+// edit posts without a network.
+func edit(handler http.Handler, r operator.EditRequest) operator.EditResult {
+	GinkgoHelper()
+	data, err := json.Marshal(r)
+	Expect(err).NotTo(HaveOccurred())
+	request := httptest.NewRequest(http.MethodPost, "/fleet/edits", bytes.NewReader(data))
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	var result operator.EditResult
+	Expect(json.Unmarshal(recorder.Body.Bytes(), &result)).To(Succeed())
+	return result
+}
+
+var _ = Describe("Racing operators on a faulty store", func() {
+	// Replies are lost, writes take effect late, the store goes down part-way,
+	// and operators work on versions that are out of date. Whatever an
+	// operator was told about an edit must be true in the end.
+	It("are told nothing that is not so", func() {
+		invariant.PanicOnBreach()
+		outcomes := map[operator.EditOutcome]int{}
+		for seed := range uint64(60) {
+			for outcome, count := range race(seed) {
+				outcomes[outcome] += count
+			}
+		}
+		for _, outcome := range []operator.EditOutcome{
+			operator.EditApplied, operator.EditConflict, operator.EditUnknown, operator.EditStoreUnavailable,
+		} {
+			Expect(outcomes[outcome]).To(BeNumerically(">", 0), "no edit ended as %s", outcome)
+		}
+		GinkgoWriter.Println("outcomes:", outcomes)
+	})
+})
