entry: membership, planner and the fleet's part of the operator API

Cause: the entry polled the VM list only. It now runs the member duties, the planner duty and the fleet API, and pushes an object to its sidecars as soon as it changes here, not with the sidecar's next Versions five heartbeats later.

The state machine of a request learned three things. A stream that still runs behind a silent link is taken over on a new connection, so that its prompt is not read twice. A keyed request waits, bounded, for the next owner of its slot. What a draining backend server hands over needs no retry budget: a planned change must cut no request.

Ruled out: waiting also for the first backend server of a request that has no key. Admission refuses it at once with Retry-After.

--- a/internal/entry/call/attempt.go
+++ b/internal/entry/call/attempt.go
@@ -180,7 +180,7 @@
 func isFinal(err *verdict.Error) bool {
 	switch err.Code {
 	case verdict.CodeBadRequest, verdict.CodeTooLarge, verdict.CodeKeyInUse, verdict.CodeKeyReused,
-		verdict.CodeDeadline, verdict.CodeCancelled:
+		verdict.CodeDeadline, verdict.CodeCancelled, verdict.CodeStore:
 		return true
 	default:
 		return err.Verdict == verdict.Ran
@@ -204,8 +204,23 @@
 		return
 	}
 	m.lastErr = err
-	m.excluded = append(m.excluded, m.cur.server)
 	retries.Inc(1)
 	m.explain("tried again", "attempt at "+m.cur.server+": "+err.Error())
-	m.route(now, &Retry{NotRun: notRun, Sent: m.cur.sent})
+	retry := &Retry{NotRun: notRun, Sent: m.cur.sent, Planned: err.Code == verdict.CodeDraining}
+	if m.spec.Keyed {
+		m.againKeyed(now, err, retry)
+		return
+	}
+	m.excluded = append(m.excluded, m.cur.server)
+	m.route(now, retry)
+}
+
+// againKeyed waits: only the owner of the key slot may run the request, and
+// that is moving, restarting or busy.
+func (m *Machine) againKeyed(now time.Time, err *verdict.Error, retry *Retry) {
+	if !m.mayWait(now) {
+		m.fail(err)
+		return
+	}
+	m.routeLater(now, retry, err.RetryAfter)
 }
--- a/internal/entry/call/call.go
+++ b/internal/entry/call/call.go
@@ -20,7 +20,7 @@
 const (
 	// MaxAttempts bounds the attempts of one request, whatever the retry
 	// budget holds.
-	MaxAttempts = 6
+	MaxAttempts = 8
 	// DefaultMaxAnswer bounds an answer in bytes, which is held until it is
 	// whole, or as the text to resume from.
 	DefaultMaxAnswer = 8 << 20
@@ -39,6 +39,12 @@
 	// that still runs.
 	PollMin = 50 * time.Millisecond
 	PollMax = time.Second
+	// WaitFor bounds the waits of one request for a planned change to finish,
+	// as when a key slot moves to another owner.
+	WaitFor = 5 * time.Second
+	// WaitMin and WaitMax bound one such wait.
+	WaitMin = 50 * time.Millisecond
+	WaitMax = 500 * time.Millisecond
 	// DefaultRetryAfter is told where nothing names a better time.
 	DefaultRetryAfter = time.Second
 )
@@ -75,7 +81,12 @@
 	tokens   uint32
 	expiring bool
 	lastErr  *verdict.Error
-	effects  []Effect
+	// retry is that of the Route which waits; waitUntil is when it is asked
+	// for, waitEnd when waiting ends for good.
+	retry     *Retry
+	waitUntil time.Time
+	waitEnd   time.Time
+	effects   []Effect
 }
 
 type phase uint8
@@ -84,6 +95,8 @@
 	idle phase = iota
 	// routing: a Route is outstanding, no attempt is.
 	routing
+	// waiting: a Route will be asked for at waitUntil.
+	waiting
 	// running: a Start was or is being sent.
 	running
 	// resolving: the outcome of the attempt is unknown.
@@ -134,6 +147,9 @@
 	if m.phase == resolving && m.cur.resolveAt.Before(next) {
 		next = m.cur.resolveAt
 	}
+	if m.phase == waiting && m.waitUntil.Before(next) {
+		next = m.waitUntil
+	}
 	return next
 }
 
@@ -159,7 +175,7 @@
 	case Routed:
 		m.routed(now, e)
 	case Unroutable:
-		m.unroutable(e)
+		m.unroutable(now, e)
 	case CallerGone:
 		m.callerGone()
 	case Timer:
@@ -242,12 +258,37 @@
 // route asks for a backend server for the next attempt.
 func (m *Machine) route(now time.Time, retry *Retry) {
 	m.archive()
+	m.retry = retry
+	m.askRoute(now)
+}
+
+// routeLater does so after a while.
+func (m *Machine) routeLater(now time.Time, retry *Retry, after time.Duration) {
+	m.archive()
+	m.retry = retry
+	m.wait(now, after)
+}
+
+func (m *Machine) wait(now time.Time, after time.Duration) {
+	m.phase = waiting
+	m.waitUntil = now.Add(min(max(after, WaitMin), WaitMax))
+}
+
+// mayWait reports whether the request may go on waiting.
+func (m *Machine) mayWait(now time.Time) bool {
+	if m.waitEnd.IsZero() {
+		m.waitEnd = now.Add(WaitFor)
+	}
+	return now.Before(m.waitEnd)
+}
+
+func (m *Machine) askRoute(now time.Time) {
 	m.phase = routing
 	m.decode = ""
 	m.emit(Route{
 		Attempt:   m.cur.number,
 		Excluded:  append([]string(nil), m.excluded...),
-		Retry:     retry,
+		Retry:     m.retry,
 		Resume:    m.tokens > 0,
 		Remaining: m.spec.Deadline.Sub(now),
 	})
@@ -319,11 +360,15 @@
 	}
 }
 
-func (m *Machine) unroutable(e Unroutable) {
+func (m *Machine) unroutable(now time.Time, e Unroutable) {
 	if m.phase != routing || e.Attempt != m.cur.number {
 		staleEvents.Inc(1)
 		return
 	}
+	if e.RetryIn > 0 && m.mayWait(now) {
+		m.wait(now, e.RetryIn)
+		return
+	}
 	err := e.Err
 	if m.lastErr != nil {
 		m.explain("gave up", err.Message)
@@ -345,8 +390,11 @@
 }
 
 func (m *Machine) timer(now time.Time) {
-	if m.phase == resolving && !now.Before(m.cur.resolveAt) {
+	switch {
+	case m.phase == resolving && !now.Before(m.cur.resolveAt):
 		m.resolveDue(now)
+	case m.phase == waiting && !now.Before(m.waitUntil) && now.Before(m.spec.Deadline):
+		m.askRoute(now)
 	}
 }
 
--- a/internal/entry/call/call_test.go
+++ b/internal/entry/call/call_test.go
@@ -168,6 +168,39 @@
 		Expect(start.ResumeText).To(Equal("x"))
 	})
 
+	// The connection to a busy engine goes silent, a new one works. The draft
+	// goes on where it runs; begun anew elsewhere, its long prompt would be
+	// read twice.
+	It("takes a running stream over on a new connection", func() {
+		f := newFixture(call.Spec{Resumable: true})
+		f.sendTo("a")
+		f.step(call.Chunk{Attempt: 1, Frame: chunk(requestID, 1, 0, "x")})
+		f.step(call.LinkSilent{Attempt: 1})
+		f.resolve(wire.Outcome_OUTCOME_RUNNING, "life-1")
+		start, _ := effectOf[call.SendStart](f)
+		Expect(start.Server).To(Equal("a"))
+		Expect(start.Attempt).To(BeEquivalentTo(2))
+		Expect(start.ResumeFrom).To(BeEquivalentTo(1))
+	})
+
+	// A key slot moves to another owner while a hold for it arrives. The hold
+	// waits for the new owner; refused, the booker would see an error for a
+	// change that operators planned.
+	It("waits for the next owner of a key slot", func() {
+		f := newFixture(call.Spec{Keyed: true})
+		f.sendTo("a")
+		f.step(call.Refusal{Attempt: 1, Frame: &wire.Refusal{
+			RequestId: requestID[:], Attempt: 1, Code: string(verdict.CodeNoBackend), RetryAfterMs: 100,
+		}})
+		Expect(f.effects).NotTo(ContainElement(BeAssignableToTypeOf(call.Route{})))
+		Expect(f.machine.Next()).To(Equal(begin.Add(100 * time.Millisecond)))
+		f.now = f.machine.Next()
+		f.step(call.Timer{})
+		route, ok := effectOf[call.Route](f)
+		Expect(ok).To(BeTrue())
+		Expect(route.Excluded).To(BeEmpty())
+	})
+
 	// The sidecar crashes after it ran a hold and is started again. It has never
 	// heard of the hold, and says so; the booker who believes "not run" places
 	// it a second time.
--- a/internal/entry/call/effect.go
+++ b/internal/entry/call/effect.go
@@ -84,6 +84,9 @@
 	NotRun bool
 	// Sent is false when the attempt never left this process.
 	Sent bool
+	// Planned says that its backend server is draining. A planned change must
+	// cut no request, so no budget may stand in its way.
+	Planned bool
 }
 
 func (Route) isEffect()     {}
--- a/internal/entry/call/event.go
+++ b/internal/entry/call/event.go
@@ -1,6 +1,8 @@
 package call
 
 import (
+	"time"
+
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -26,6 +28,9 @@
 	Unroutable struct {
 		Attempt uint32
 		Err     *verdict.Error
+		// RetryIn is when to ask for a route again, in place of giving up: a
+		// planned change is under way. 0: give up.
+		RetryIn time.Duration
 	}
 
 	// Sent says that the Start frame was handed to a connection to the sidecar
--- a/internal/entry/call/random_test.go
+++ b/internal/entry/call/random_test.go
@@ -129,6 +129,12 @@
 	if len(names) == 0 {
 		return call.Unroutable{Attempt: e.Attempt, Err: verdict.Refused(verdict.CodeNoBackend, "none", 0)}
 	}
+	if seldom(t, 6) {
+		w.seen["route later"]++
+		return call.Unroutable{
+			Attempt: e.Attempt, Err: verdict.Refused(verdict.CodeNoBackend, "changing", 0), RetryIn: time.Second,
+		}
+	}
 	routed := call.Routed{Attempt: e.Attempt, Server: rapid.SampledFrom(names).Draw(t, "server")}
 	if w.spec.Resumable && !e.Resume && rapid.Bool().Draw(t, "split") {
 		routed.Prefill = rapid.SampledFrom(names).Draw(t, "prefill")
@@ -163,10 +169,27 @@
 		}})
 		return
 	}
+	if w.join(s, e) {
+		return
+	}
 	s.runs++
 	s.running[e.Attempt] = e
 }
 
+// join lets a newer attempt of a request that runs take its answer over.
+func (w *world) join(s *sidecar, e call.SendStart) bool {
+	for attempt, running := range s.running {
+		if running.PrefillOnly || e.PrefillOnly {
+			continue
+		}
+		delete(s.running, attempt)
+		s.running[e.Attempt] = e
+		w.seen["taken over"]++
+		return true
+	}
+	return false
+}
+
 // end lets a sidecar finish an attempt and send its frames.
 func (w *world) end(t *rapid.T, s *sidecar) {
 	for attempt, e := range s.running {
@@ -406,7 +429,7 @@
 			"call.Finish", "call.Fail", "call.Resolve", "call.Cancel", "lost", "restart",
 			"call.LinkLost", "call.LinkSilent", "call.Resolution", "call.ResolveFailed", "call.CallerGone",
 			"told not_run", "told may_have_run", "told ran",
-			"kept answer incomplete", "kept answer of another",
+			"route later", "taken over", "kept answer incomplete", "kept answer of another",
 		))
 	})
 })
--- a/internal/entry/call/resolve.go
+++ b/internal/entry/call/resolve.go
@@ -110,7 +110,7 @@
 }
 
 // resolvedRunning waits for a request that still runs. A stream that can be
-// resumed is rather continued elsewhere, unless its link recovered.
+// resumed is taken over on the new connection, unless its link recovered.
 func (m *Machine) resolvedRunning(now time.Time) {
 	if !m.spec.Resumable {
 		m.pollLater(now)
@@ -120,7 +120,20 @@
 		m.phase = running
 		return
 	}
-	m.stayUnknown(now, "the stream was cut off from its backend server")
+	m.takeOver(now)
+}
+
+// takeOver sends the request again to the sidecar that runs it. The sidecar
+// joins the new attempt to the run, from what was delivered; the run itself
+// goes on.
+func (m *Machine) takeOver(now time.Time) {
+	server := m.cur.server
+	if len(m.past)+1 >= MaxAttempts {
+		m.fail(verdict.New(verdict.MayHaveRun, verdict.CodeUnknownResult, "the stream was cut off from its backend server"))
+		return
+	}
+	m.archive()
+	m.send(now, server, nil)
 }
 
 // resolvedRan takes the answer that the sidecar kept.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,7 +21,9 @@
 	"pistachioroad.dev/pistachioroad/internal/entry/router"
 	"pistachioroad.dev/pistachioroad/internal/entry/serve"
 	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/operator"
+	"pistachioroad.dev/pistachioroad/internal/planner"
 	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/wire"
@@ -34,8 +36,12 @@
 	stopTimeout = 5 * time.Second
 )
 
-// errDraining is why a process that is shutting down is not ready.
-var errDraining = eris.New("shutting down")
+// The reasons why a process is not ready.
+var (
+	errDraining = eris.New("shutting down")
+	// errStarting: a fresh process first looks for the highest versions.
+	errStarting = eris.New("looking for the configuration in force")
+)
 
 // Run serves until ctx ends, then finishes the requests in flight and returns
 // nil.
@@ -48,14 +54,22 @@
 	return p.run(ctx)
 }
 
+// incarnation is random per start of the process.
+type incarnation uuid.UUID
+
+func (i incarnation) String() string { return uuid.UUID(i).String() }
+
 // newInjector names how each part is built.
 func newInjector(s settings.Settings) do.Injector {
 	injector := do.New()
 	do.ProvideValue(injector, s)
+	do.ProvideValue(injector, incarnation(uuid.New()))
 	do.ProvideValue(injector, explain.New(explainSize))
 	do.Provide(injector, newSupervisor)
 	do.Provide(injector, newClient)
-	do.Provide(injector, newFleetDuty)
+	do.Provide(injector, newMember)
+	do.Provide(injector, newFleetSource)
+	do.Provide(injector, newPlanner)
 	do.Provide(injector, newRouter)
 	do.Provide(injector, newPool)
 	do.Provide(injector, newServer)
@@ -86,9 +100,37 @@
 	}), nil
 }
 
-func newFleetDuty(i do.Injector) (*fleet, error) {
+func newMember(i do.Injector) (*member.Member, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	client := do.MustInvoke[*platform.Client](i)
+	peers, err := net.Listen("tcp", s.Listen.Links)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for peers")
+	}
+	return member.New(member.Config{
+		Process:      s.Process.Name,
+		Incarnation:  do.MustInvoke[incarnation](i).String(),
+		Region:       s.Process.Region,
+		DataCentre:   s.Process.DataCentre,
+		Entry:        true,
+		Peers:        peers,
+		ListInterval: s.Platform.VMListInterval,
+	}, client, client), nil
+}
+
+func newFleetSource(i do.Injector) (*fleet, error) {
+	m, err := do.Invoke[*member.Member](i)
+	if err != nil {
+		return nil, err
+	}
+	return newFleet(m, do.MustInvoke[settings.Settings](i)), nil
+}
+
+func newPlanner(i do.Injector) (*planner.Duty, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	return newFleet(do.MustInvoke[*platform.Client](i), s.Platform.VMListInterval), nil
+	source := &planning{fleet: do.MustInvoke[*fleet](i), router: do.MustInvoke[*router.Router](i)}
+	client := do.MustInvoke[*platform.Client](i)
+	return planner.NewDuty(s.Process.Name, s.Process.Region, client, source, do.MustInvoke[*explain.Log](i)), nil
 }
 
 func newRouter(i do.Injector) (*router.Router, error) {
@@ -107,7 +149,7 @@
 	config := links.Config{
 		Self: &wire.Hello{
 			Process:     s.Process.Name,
-			Incarnation: uuid.NewString(),
+			Incarnation: do.MustInvoke[incarnation](i).String(),
 			DataCentre:  s.Process.DataCentre,
 		},
 		Region:     s.Process.Region,
@@ -145,10 +187,15 @@
 	settings   settings.Settings
 	supervisor *suture.Supervisor
 	callers    *callers
+	fleet      *fleet
 	draining   atomic.Bool
 }
 
 func newProcess(i do.Injector) (*process, error) {
+	f, err := do.Invoke[*fleet](i)
+	if err != nil {
+		return nil, err
+	}
 	callers, err := do.Invoke[*callers](i)
 	if err != nil {
 		return nil, err
@@ -157,21 +204,31 @@
 		settings:   do.MustInvoke[settings.Settings](i),
 		supervisor: do.MustInvoke[*suture.Supervisor](i),
 		callers:    callers,
+		fleet:      f,
 	}
 	operators, err := p.newOperators(i)
 	if err != nil {
 		return nil, err
 	}
-	p.supervisor.Add(operators)
-	p.supervisor.Add(do.MustInvoke[*fleet](i))
-	p.supervisor.Add(do.MustInvoke[*router.Router](i))
-	p.supervisor.Add(do.MustInvoke[*links.Pool](i))
-	p.supervisor.Add(callers)
+	services := append(f.Services(),
+		operators,
+		do.MustInvoke[*router.Router](i),
+		do.MustInvoke[*links.Pool](i),
+		do.MustInvoke[*planner.Duty](i),
+		callers,
+	)
+	for _, service := range services {
+		p.supervisor.Add(service)
+	}
 	return p, nil
 }
 
 func (p *process) newOperators(i do.Injector) (*operator.Server, error) {
 	listen := p.settings.Listen
+	pool := do.MustInvoke[*links.Pool](i)
+	router := do.MustInvoke[*router.Router](i)
+	duty := do.MustInvoke[*planner.Duty](i)
+	client := do.MustInvoke[*platform.Client](i)
 	return operator.NewServer(
 		operator.Config{Address: listen.Operators, TokenFile: listen.OperatorTokenFile},
 		operator.Sources{
@@ -179,17 +236,23 @@
 			Ready:   p.ready,
 			Explain: do.MustInvoke[*explain.Log](i),
 			Duties: map[string]operator.DumpFunc{
-				"router":  do.MustInvoke[*router.Router](i).Dump,
-				"links":   do.MustInvoke[*links.Pool](i).Dump,
+				"router":  router.Dump,
+				"links":   pool.Dump,
+				"planner": duty.Dump,
 				"callers": p.callers.Dump,
 			},
+			Fleet: &operators{fleet: p.fleet, router: router, pool: pool, client: client, planner: duty},
+			Store: client,
 		},
 	)
 }
 
 func (p *process) ready() error {
-	if p.draining.Load() {
+	switch {
+	case p.draining.Load():
 		return errDraining
+	case !p.fleet.Snapshot().Ready:
+		return errStarting
 	}
 	return nil
 }
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -2,80 +2,121 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 
+	"pistachioroad.dev/pistachioroad/internal/entry/router"
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
 	"pistachioroad.dev/pistachioroad/internal/member"
+	"pistachioroad.dev/pistachioroad/internal/planner"
 	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
-// fleet polls the VM list.
+// fleet gives the duties of this entry what the membership knows, each in the
+// form that it asks for: view.Source and links.Objects.
 type fleet struct {
-	list     platform.VMList
-	interval time.Duration
-	current  atomic.Pointer[view.View]
-
-	mu      sync.Mutex
-	objects *member.Objects
+	*member.Member
+	settings settings.Settings
+	current  atomic.Pointer[adapted]
 }
 
-func newFleet(list platform.VMList, interval time.Duration) *fleet {
-	f := &fleet{list: list, interval: interval, objects: member.NewObjects()}
-	f.current.Store(&view.View{})
-	return f
+// adapted is the View of a Snapshot.
+type adapted struct {
+	snapshot *member.Snapshot
+	view     *view.View
 }
 
-// View implements view.Source.
-func (f *fleet) View() *view.View { return f.current.Load() }
-
-// Serve polls until ctx ends.
-func (f *fleet) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(f.interval)
-	defer ticker.Stop()
-	for {
-		f.poll(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+func newFleet(m *member.Member, s settings.Settings) *fleet {
+	return &fleet{Member: m, settings: s}
 }
 
-// poll keeps the last list when the platform does not answer.
-func (f *fleet) poll(ctx context.Context) {
-	vms, err := f.list.VMs(ctx)
-	if err != nil {
-		log.WithError(err).Warn("VM list not read")
-		return
+// View implements view.Source. It returns the same View until the picture of
+// the fleet changes.
+func (f *fleet) View() *view.View {
+	snapshot := f.Snapshot()
+	if a := f.current.Load(); a != nil && a.snapshot == snapshot {
+		return a.view
+	}
+	v := &view.View{VMs: snapshot.VMs, Config: snapshot.Config}
+	if snapshot.PlanVersion > 0 {
+		v.Plan = &snapshot.Plan
 	}
-	next := *f.current.Load()
-	next.VMs = vms
-	f.current.Store(&next)
+	f.current.Store(&adapted{snapshot: snapshot, view: v})
+	return v
 }
 
 // Versions implements links.Objects.
-func (f *fleet) Versions() *wire.Versions {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.objects.Versions()
-}
+func (f *fleet) Versions() *wire.Versions { return f.Snapshot().Versions() }
 
 // Newer implements links.Objects.
-func (f *fleet) Newer(peer *wire.Versions) []*wire.Object {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.objects.Newer(peer)
+func (f *fleet) Newer(peer *wire.Versions) []*wire.Object { return f.Snapshot().Newer(peer) }
+
+// planning is what the planner goes by. It implements planner.Source.
+type planning struct {
+	*fleet
+	router *router.Router
 }
 
-// Offer implements links.Objects.
-func (f *fleet) Offer(o platform.Object) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.objects.Offer(o)
+// pictureTimeout bounds the wait for the router's reports.
+const pictureTimeout = time.Second
+
+// Picture implements planner.Source.
+func (p *planning) Picture() planner.Picture {
+	ctx, cancel := context.WithTimeout(context.Background(), pictureTimeout)
+	defer cancel()
+	snapshot := p.Snapshot()
+	picture := planner.Picture{
+		VMs:     snapshot.VMs,
+		Config:  snapshot.Config,
+		Plan:    snapshot.Plan,
+		Reports: map[string]planner.LoadReport{},
+		Slots:   map[string]int{},
+	}
+	for name, service := range p.settings.Entry.Services {
+		if service.Slots > 0 {
+			picture.Slots[name] = service.Slots
+		}
+	}
+	// Without reports the planner assigns no roles, but still key slots.
+	loads, _ := p.router.Loads(ctx)
+	for name, l := range loads {
+		if l.Load != nil {
+			picture.Reports[name] = planner.LoadReport{At: l.At, Load: l.Load}
+		}
+	}
+	return picture
+}
+
+// plannerCandidates is how many entries of a region may hold the planner's
+// lease: enough to survive two at once, few enough that reading it costs the
+// store nothing.
+const plannerCandidates = 3
+
+// Candidate implements planner.Source.
+func (p *planning) Candidate() bool {
+	process := p.settings.Process
+	names := []string{}
+	for _, vm := range p.Snapshot().VMs {
+		if vm.Kind == platform.VMEntry && vm.Region == process.Region && !vm.Leaving {
+			names = append(names, vm.Name)
+		}
+	}
+	if len(names) <= plannerCandidates {
+		return slices.Contains(names, process.Name)
+	}
+	r := rendezvous.New(names, xxhash.Sum64String)
+	for range plannerCandidates {
+		name := r.Lookup("planner/" + process.Region)
+		if name == process.Name {
+			return true
+		}
+		r.Remove(name)
+	}
+	return false
 }
--- a/internal/entry/links/link.go
+++ b/internal/entry/links/link.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,10 @@
 	Newer(peer *wire.Versions) []*wire.Object
 	// Offer takes an object that the peer holds.
 	Offer(o platform.Object)
+	// Heard takes the versions in force at a peer.
+	Heard(process string, v *wire.Versions)
+	// Changed returns a channel that is closed when the versions here change.
+	Changed() <-chan struct{}
 }
 
 // Link is the duty that keeps the connection to one sidecar. Serve runs it;
@@ -50,6 +55,7 @@
 	objects Objects
 	reports *ring.Ring[Report]
 	current atomic.Pointer[Conn]
+	peer    atomic.Pointer[Peer]
 
 	// The rest belongs to Serve.
 	inbox    chan inbound
@@ -64,6 +70,12 @@
 	state    State
 }
 
+// Peer is what a sidecar last said of itself. It is never changed.
+type Peer struct {
+	HeardAt  time.Time
+	Versions map[string]uint64
+}
+
 // oldConn is a silent connection beside its successor.
 type oldConn struct {
 	conn    *Conn
@@ -80,12 +92,17 @@
 // NewLink returns the Link to server. It sends self as its Hello and puts what
 // it learns into reports.
 func NewLink(server Server, self *wire.Hello, objects Objects, reports *ring.Ring[Report]) *Link {
-	return &Link{server: server, self: self, objects: objects, reports: reports}
+	l := &Link{server: server, self: self, objects: objects, reports: reports}
+	l.peer.Store(&Peer{})
+	return l
 }
 
 // Conn returns the connection for new work, or nil if there is none.
 func (l *Link) Conn() *Conn { return l.current.Load() }
 
+// Peer returns what the sidecar last said of itself.
+func (l *Link) Peer() Peer { return *l.peer.Load() }
+
 // String names the duty.
 func (l *Link) String() string { return "link to " + l.server.Name }
 
@@ -98,10 +115,14 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	l.dial(ctx)
+	changed := l.objects.Changed()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-changed:
+			changed = l.objects.Changed()
+			l.push()
 		case in := <-l.inbox:
 			l.receive(ctx, time.Now(), in)
 		case result := <-l.dialled:
@@ -143,6 +164,7 @@
 		l.retire(now, before)
 	}
 	l.heard, l.beatAt = now, now
+	l.peer.Store(&Peer{HeardAt: now})
 	go conn.write()
 	go conn.read(ctx, l.inbox)
 	conn.send(l.versions())
@@ -225,6 +247,7 @@
 		return
 	}
 	l.heard = now
+	l.peer.Store(&Peer{HeardAt: now, Versions: l.Peer().Versions})
 	l.handle(in.conn, in.frame)
 }
 
@@ -240,15 +263,40 @@
 	case *wire.Frame_Slots:
 		l.report(Report{Slots: body.Slots})
 	case *wire.Frame_Versions:
-		for _, o := range l.objects.Newer(body.Versions) {
-			conn.send(&wire.Frame{Body: &wire.Frame_Object{Object: o}})
-		}
+		l.peer.Store(&Peer{HeardAt: l.heard, Versions: body.Versions.GetVersions()})
+		l.objects.Heard(l.server.Name, body.Versions)
+		l.push()
 	case *wire.Frame_Object:
 		o := body.Object
 		l.objects.Offer(platform.Object{Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()})
 	}
 }
 
+// push sends the objects that the sidecar lacks. It does not wait for the
+// sidecar's next Versions: a change is to be in force within seconds.
+func (l *Link) push() {
+	conn := l.current.Load()
+	if conn == nil {
+		return
+	}
+	known := maps.Clone(l.Peer().Versions)
+	if known == nil {
+		// It has not said yet what it has; its Versions come after its Hello.
+		return
+	}
+	for _, o := range l.objects.Newer(&wire.Versions{Versions: known}) {
+		conn.send(&wire.Frame{Body: &wire.Frame_Object{Object: o}})
+		known[o.GetName()] = o.GetVersion()
+	}
+	l.pushed(known)
+}
+
+// pushed notes what the sidecar has once the objects arrive. A frame that is
+// lost with its connection is sent again after the Versions on the next.
+func (l *Link) pushed(known map[string]uint64) {
+	l.peer.Store(&Peer{HeardAt: l.heard, Versions: known})
+}
+
 func stateOf(h *wire.Heartbeat) State {
 	if h.GetDraining() {
 		return Draining
--- a/internal/entry/links/pool.go
+++ b/internal/entry/links/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync/atomic"
 	"time"
 
@@ -220,13 +219,14 @@
 	p.published.Store(&published)
 }
 
-// Names returns the backend servers that have a link.
-func (p *Pool) Names() []string {
-	names := []string{}
-	for name := range maps.Keys(*p.published.Load()) {
-		names = append(names, name)
+// Peer returns what the sidecar of a backend server last said of itself; false
+// without a link to it.
+func (p *Pool) Peer(server string) (Peer, bool) {
+	l, ok := (*p.published.Load())[server]
+	if !ok {
+		return Peer{}, false
 	}
-	return names
+	return l.Peer(), true
 }
 
 func serverOf(vm platform.VM) Server {
@@ -245,18 +245,22 @@
 	Connected   bool   `json:"connected"`
 	Silent      bool   `json:"silent"`
 	Incarnation string `json:"incarnation,omitempty"`
+	// HeardAt is when the sidecar last sent a frame.
+	HeardAt time.Time `json:"heard_at"`
+	// Versions are the object versions in force there.
+	Versions map[string]uint64 `json:"versions,omitempty"`
 }
 
 // Dump returns the state of each link.
 func (p *Pool) Dump(context.Context) any {
 	dump := map[string]LinkDump{}
 	for name, l := range *p.published.Load() {
-		conn := l.Conn()
-		if conn == nil {
-			dump[name] = LinkDump{}
-			continue
+		peer := l.Peer()
+		d := LinkDump{HeardAt: peer.HeardAt, Versions: peer.Versions}
+		if conn := l.Conn(); conn != nil {
+			d.Connected, d.Silent, d.Incarnation = true, conn.isSilent(), conn.incarnation
 		}
-		dump[name] = LinkDump{Connected: true, Silent: conn.isSilent(), Incarnation: conn.incarnation}
+		dump[name] = d
 	}
 	return dump
 }
--- a/internal/entry/router/decide.go
+++ b/internal/entry/router/decide.go
@@ -20,6 +20,9 @@
 	// noServerRetryAfter is what a caller is told when no backend server takes
 	// its request: about the time of a change of roles.
 	noServerRetryAfter = 2 * time.Second
+	// changeRetryIn is when a request that waits for a planned change asks for a
+	// route again.
+	changeRetryIn = 100 * time.Millisecond
 	// typicalAnswer is the part of the output limit that an answer uses.
 	typicalAnswer = 0.5
 )
@@ -131,15 +134,15 @@
 // route picks the backend server of an attempt.
 func (s *state) route(now time.Time, r *Request, ask call.Route) call.Event {
 	candidates := s.candidates(now, r)
-	if err := s.allowRetry(now, r, ask, candidates); err != nil {
-		return call.Unroutable{Attempt: ask.Attempt, Err: err}
-	}
 	if r.Keyed {
 		return s.routeKeyed(now, r, ask, candidates)
 	}
-	picked, ok := s.pick(r, ask, candidates)
+	if err := s.allowRetry(now, r, ask, candidates); err != nil {
+		return call.Unroutable{Attempt: ask.Attempt, Err: err}
+	}
+	picked, ok := s.pickAgain(r, ask, candidates)
 	if !ok {
-		return s.unroutable(now, r, ask, "no backend server admits the request")
+		return s.unroutable(now, r, ask, "no backend server admits the request", continues(ask))
 	}
 	first := picked.Server
 	if picked.Prefill != "" {
@@ -150,10 +153,28 @@
 	return call.Routed{Attempt: ask.Attempt, Server: picked.Server, Prefill: picked.Prefill}
 }
 
+// continues reports whether the attempt goes on with one that a change or a
+// fault of its backend server ended.
+func continues(ask call.Route) bool {
+	return ask.Resume || ask.Retry != nil && ask.Retry.Planned
+}
+
+// pickAgain picks. An answer that has begun rather goes back to a backend
+// server that failed it than be broken off.
+func (s *state) pickAgain(r *Request, ask call.Route, candidates []route.Candidate) (picked, bool) {
+	p, ok := s.pick(r, ask, candidates)
+	if ok || !continues(ask) {
+		return p, ok
+	}
+	ask.Excluded = nil
+	return s.pick(r, ask, candidates)
+}
+
 // allowRetry asks the retry budget. An attempt that never left this process
-// has cost no backend server anything and needs none.
+// has cost no backend server anything and needs none, and one that a planned
+// change ended is no failure.
 func (s *state) allowRetry(now time.Time, r *Request, ask call.Route, candidates []route.Candidate) *verdict.Error {
-	if ask.Retry == nil || !ask.Retry.Sent {
+	if ask.Retry == nil || !ask.Retry.Sent || ask.Retry.Planned {
 		return nil
 	}
 	allowed := s.group(r).budget.Allow(now, retry.Attempt{
@@ -234,30 +255,40 @@
 func (s *state) routeKeyed(now time.Time, r *Request, ask call.Route, candidates []route.Candidate) call.Event {
 	slots := s.view.Slots(r.Service)
 	if slots == 0 {
-		return s.unroutable(now, r, ask, "the plan has no key slots for the service yet")
+		return s.unroutable(now, r, ask, "the plan has no key slots for the service yet", false)
 	}
 	slot := int(r.KeyHash % uint64(slots))
 	owner, ok := s.view.Owner(r.Service, slot)
 	if !ok {
-		return s.unroutable(now, r, ask, fmt.Sprintf("key slot %d has no owner", slot))
+		return s.unroutable(now, r, ask, fmt.Sprintf("key slot %d has no owner", slot), true)
 	}
-	if known := s.servers[owner]; known == nil || known.link == links.Draining || known.vm.Leaving {
-		return s.unroutable(now, r, ask, fmt.Sprintf("%s, owner of key slot %d, is leaving", owner, slot))
-	}
-	for _, name := range ask.Excluded {
-		if name == owner {
-			return s.unroutable(now, r, ask, fmt.Sprintf("%s alone may run key slot %d", owner, slot))
-		}
+	if s.isLeaving(owner) {
+		return s.unroutable(now, r, ask, fmt.Sprintf("%s, owner of key slot %d, is leaving", owner, slot), true)
 	}
 	s.sent(now, r, owner, candidates)
 	s.explain(now, r.ID, "routed to "+owner, fmt.Sprintf("owner of key slot %d", slot))
 	return call.Routed{Attempt: ask.Attempt, Server: owner}
 }
 
-func (s *state) unroutable(now time.Time, r *Request, ask call.Route, why string) call.Event {
+// isLeaving reports whether a backend server gets no new work.
+func (s *state) isLeaving(name string) bool {
+	known, ok := s.servers[name]
+	return !ok || known.link == links.Draining || known.vm.Leaving
+}
+
+// unroutable says that there is no backend server; with wait, that a planned
+// change is about to bring one.
+func (s *state) unroutable(now time.Time, r *Request, ask call.Route, why string, wait bool) call.Event {
+	event := call.Unroutable{
+		Attempt: ask.Attempt,
+		Err:     verdict.Refused(verdict.CodeNoBackend, why, noServerRetryAfter),
+	}
+	if wait {
+		event.RetryIn = changeRetryIn
+		why += "; asked again in " + changeRetryIn.String()
+	}
 	s.explain(now, r.ID, "not routed", why)
-	err := verdict.Refused(verdict.CodeNoBackend, why, noServerRetryAfter)
-	return call.Unroutable{Attempt: ask.Attempt, Err: err}
+	return event
 }
 
 // attempted takes the outcome of one attempt.
@@ -310,6 +341,15 @@
 	Age       time.Duration `json:"report_age_ns"`
 }
 
+// loads returns the last report of each backend server that sent one.
+func (s *state) loads() map[string]Load {
+	loads := make(map[string]Load, len(s.servers))
+	for name, known := range s.servers {
+		loads[name] = Load{At: known.loadAt, Load: known.load, Link: known.link, Drained: known.drained}
+	}
+	return loads
+}
+
 func (s *state) dump(now time.Time) Dump {
 	d := Dump{Servers: map[string]ServerDump{}, Pieces: s.prefix.Len(), Groups: len(s.groups)}
 	for name, known := range s.servers {
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -169,6 +169,10 @@
 
 func (m endedMessage) apply(now time.Time, s *state) { s.ended(now, m.request, m.succeeded) }
 
+type loadsMessage struct{ reply chan<- map[string]Load }
+
+func (m loadsMessage) apply(_ time.Time, s *state) { m.reply <- s.loads() }
+
 type dumpMessage struct{ reply chan<- Dump }
 
 func (m dumpMessage) apply(now time.Time, s *state) { m.reply <- s.dump(now) }
@@ -246,16 +250,40 @@
 	_ = r.inbox.PutWait(ctx, m)
 }
 
+// Load is the last report of a backend server and how its link is.
+type Load struct {
+	At      time.Time
+	Load    *wire.Load
+	Link    links.State
+	Drained bool
+}
+
+// Loads returns the last report of each backend server.
+func (r *Router) Loads(ctx context.Context) (map[string]Load, error) {
+	reply := make(chan map[string]Load, 1)
+	return ask(ctx, r, loadsMessage{reply: reply}, reply)
+}
+
 // Dump returns the state of the duty, as a Dump.
 func (r *Router) Dump(ctx context.Context) any {
 	reply := make(chan Dump, 1)
-	if err := r.inbox.PutWait(ctx, dumpMessage{reply: reply}); err != nil {
+	d, err := ask(ctx, r, dumpMessage{reply: reply}, reply)
+	if err != nil {
 		return eris.ToString(err, false)
 	}
+	return d
+}
+
+// ask puts a question and waits for its answer.
+func ask[T any](ctx context.Context, r *Router, question message, reply <-chan T) (T, error) {
+	var none T
+	if err := r.inbox.PutWait(ctx, question); err != nil {
+		return none, eris.Wrap(err, "ask the router")
+	}
 	select {
-	case d := <-reply:
-		return d
+	case answer := <-reply:
+		return answer, nil
 	case <-ctx.Done():
-		return nil
+		return none, eris.Wrap(ctx.Err(), "ask the router")
 	}
 }
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -48,6 +48,8 @@
 	// load is the last report, nil before the first.
 	load  *wire.Load
 	slots *wire.Slots
+	// loadAt is when load came.
+	loadAt time.Time
 	// drained says that operators have taken it out of service.
 	drained bool
 	// lastEvent is the sequence number of the last cache event.
@@ -168,7 +170,7 @@
 	if !ok {
 		return
 	}
-	known.load = load
+	known.load, known.loadAt = load, now
 	s.picture.Report(now, name, loadOf(known))
 }
 
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"pistachioroad.dev/pistachioroad/internal/entry/links"
+	"pistachioroad.dev/pistachioroad/internal/entry/router"
+	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+	"pistachioroad.dev/pistachioroad/internal/member"
+	"pistachioroad.dev/pistachioroad/internal/operator"
+	"pistachioroad.dev/pistachioroad/internal/planner"
+	"pistachioroad.dev/pistachioroad/internal/platform"
+)
+
+// operators is what the operator API shows of the fleet. It implements
+// operator.Fleet.
+type operators struct {
+	fleet   *fleet
+	router  *router.Router
+	pool    *links.Pool
+	client  *platform.Client
+	planner *planner.Duty
+}
+
+// Config implements operator.Fleet.
+func (o *operators) Config() platform.Object {
+	for _, object := range o.fleet.Snapshot().Newer(nil) {
+		if object.GetName() == fleetconfig.ObjectName {
+			return platform.Object{Name: object.GetName(), Version: object.GetVersion(), Value: object.GetValue()}
+		}
+	}
+	return platform.Object{Name: fleetconfig.ObjectName}
+}
+
+// Accept implements operator.Fleet.
+func (o *operators) Accept(object platform.Object) { o.fleet.Offer(object) }
+
+// Peers implements operator.Fleet.
+func (o *operators) Peers(context.Context) ([]operator.Peer, error) {
+	peers := []operator.Peer{}
+	for _, vm := range o.fleet.Snapshot().VMs {
+		if vm.Name == o.fleet.settings.Process.Name {
+			continue
+		}
+		peers = append(peers, operator.Peer{
+			Name:       vm.Name,
+			Address:    vm.OperatorAddress,
+			DataCentre: vm.DataCentre,
+			Service:    vm.Service,
+		})
+	}
+	return peers, nil
+}
+
+// Status implements operator.Fleet.
+func (o *operators) Status(ctx context.Context) (operator.Status, error) {
+	loads, err := o.router.Loads(ctx)
+	if err != nil {
+		return operator.Status{}, eris.Wrap(err, "status")
+	}
+	now := time.Now()
+	snapshot := o.fleet.Snapshot()
+	status := operator.Status{
+		Entry:     o.fleet.settings.Process.Name,
+		At:        now.UTC(),
+		Planner:   o.plannerHolder(ctx),
+		Processes: []operator.ProcessStatus{},
+		Engines:   []operator.EngineStatus{},
+		Changes:   []operator.PendingChange{},
+		Store:     o.store(now),
+		VMListAge: fleetconfig.Duration(snapshot.ListAge(now)),
+	}
+	for _, vm := range snapshot.VMs {
+		status.Processes = append(status.Processes, o.process(now, snapshot, vm, loads[vm.Name]))
+		if vm.Kind != platform.VMBackend || vm.Service != platform.ServiceModels {
+			continue
+		}
+		engine := engineStatus(snapshot, vm, loads[vm.Name])
+		status.Engines = append(status.Engines, engine)
+		if change, pending := pendingChange(snapshot, engine); pending {
+			status.Changes = append(status.Changes, change)
+		}
+	}
+	return status, nil
+}
+
+func (o *operators) plannerHolder(ctx context.Context) string {
+	state, ok := o.planner.Dump(ctx).(*planner.State)
+	if !ok || state == nil {
+		return ""
+	}
+	return state.Holder
+}
+
+func (o *operators) store(now time.Time) operator.StoreStatus {
+	health := o.client.Health()
+	status := operator.StoreStatus{Healthy: health.Up}
+	if !health.LastAnswer.IsZero() {
+		status.LastSuccess = fleetconfig.Duration(now.Sub(health.LastAnswer))
+	}
+	if !health.Up {
+		status.Error = "no answer since " + health.Since.UTC().Format(time.RFC3339)
+	}
+	return status
+}
+
+func (o *operators) process(now time.Time, snapshot *member.Snapshot, vm platform.VM, load router.Load) operator.ProcessStatus {
+	p := operator.ProcessStatus{
+		Name:       vm.Name,
+		Kind:       "sidecar",
+		DataCentre: vm.DataCentre,
+		Service:    vm.Service,
+		State:      operator.ProcessUnlinked,
+	}
+	if vm.Kind == platform.VMEntry {
+		p.Kind = "entry"
+	}
+	if vm.Name == o.fleet.settings.Process.Name {
+		p.State = operator.ProcessUp
+		p.Versions = snapshot.Versions().GetVersions()
+	}
+	if peer, linked := o.pool.Peer(vm.Name); linked {
+		p.State = processState(load.Link)
+		p.Versions = peer.Versions
+		if !peer.HeardAt.IsZero() {
+			p.LastHeard = fleetconfig.Duration(now.Sub(peer.HeardAt))
+		}
+	}
+	if vm.Leaving {
+		p.State = operator.ProcessLeaving
+	}
+	return p
+}
+
+func processState(s links.State) operator.ProcessState {
+	switch s {
+	case links.Up:
+		return operator.ProcessUp
+	case links.Draining:
+		return operator.ProcessDraining
+	default:
+		return operator.ProcessSilent
+	}
+}
+
+func engineStatus(snapshot *member.Snapshot, vm platform.VM, load router.Load) operator.EngineStatus {
+	e := operator.EngineStatus{
+		BackendServer: vm.Name,
+		DataCentre:    vm.DataCentre,
+		Drained:       load.Drained,
+		Admitting:     load.Load.GetAdmitting(),
+		Running:       int(load.Load.GetRunning()),
+		Queued:        int(load.Load.GetQueued()),
+		Actual: operator.EngineState{
+			Generation: load.Load.GetGeneration(),
+			Role:       load.Load.GetRole(),
+		},
+	}
+	if models := load.Load.GetModels(); len(models) > 0 {
+		e.Actual.Model = models[0]
+	}
+	if row, ok := snapshot.Plan.Engines[vm.Name]; ok {
+		e.Wanted = operator.EngineState{
+			Generation: row.Generation,
+			Role:       string(row.Role),
+			Model:      row.Model,
+			Weights:    row.Weights,
+			Adapters:   row.Adapters,
+		}
+	}
+	return e
+}
+
+// pendingChange compares what an engine is to be with what it reports.
+func pendingChange(snapshot *member.Snapshot, e operator.EngineStatus) (operator.PendingChange, bool) {
+	if e.Wanted.Generation <= e.Actual.Generation {
+		return operator.PendingChange{}, false
+	}
+	return operator.PendingChange{
+		BackendServer: e.BackendServer,
+		What:          e.Actual.Role + " " + e.Actual.Model + " -> " + e.Wanted.Role + " " + e.Wanted.Model,
+		Reason:        snapshot.Plan.Engines[e.BackendServer].Reason,
+	}, true
+}
