--- a/internal/operator/peers.go
+++ b/internal/operator/peers.go
@@ -59,7 +59,7 @@
 }
 
 func newPeerClient(token string) *peerClient {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{MaxIdleConns: peersAtOnce, IdleConnTimeout: idleTimeout}
 	return &peerClient{
 		http: &http.Client{
 			Transport: transport,
