status: the work of every backend server, also of plain services

Cause: a trial on a fleet of real processes showed that a drained engine is seen in the table of engines, but a drained backend server of a plain service nowhere. A process may now carry its work; unknown work shows as "-".

--- a/cmd/pistachioroad/main_test.go
+++ b/cmd/pistachioroad/main_test.go
@@ -39,7 +39,12 @@
 	return operator.Status{
 		Entry:     "gangnam-entry-1",
 		Store:     operator.StoreStatus{Healthy: true},
-		Processes: []operator.ProcessStatus{{Name: "m1\x1b[2J", State: operator.ProcessUp, Versions: map[string]uint64{"fleetconfig": 7}}},
+		Processes: []operator.ProcessStatus{{
+			Name:     "m1\x1b[2J",
+			State:    operator.ProcessUp,
+			Versions: map[string]uint64{"fleetconfig": 7},
+			Work:     &operator.WorkStatus{Drained: true, Running: 2},
+		}},
 		Engines:   []operator.EngineStatus{{BackendServer: "m1", Admitting: true, Wanted: operator.EngineState{Generation: 2}}},
 	}, nil
 }
@@ -171,7 +176,7 @@
 	It("shows status, explanations and dumps, without obeying control characters in them", func() {
 		status, output := d.run("status")
 		Expect(status).To(Equal(exitOK))
-		Expect(output).To(And(ContainSubstring("fleetconfig=7"), ContainSubstring("changing"), Not(ContainSubstring("\x1b"))))
+		Expect(output).To(And(ContainSubstring("fleetconfig=7"), ContainSubstring("changing"), ContainSubstring("drained, 2 running"), Not(ContainSubstring("\x1b"))))
 		status, output = d.run("explain", "r1")
 		Expect(status).To(Equal(exitOK))
 		Expect(output).To(And(ContainSubstring("least expected wait"), ContainSubstring("m1 did not answer")))
--- a/cmd/pistachioroad/show.go
+++ b/cmd/pistachioroad/show.go
@@ -184,7 +184,7 @@
 	fmt.Fprintf(a.stdout, "%s at %s\n", dump.Process, timeText(dump.At))
 	for _, name := range slices.Sorted(maps.Keys(dump.Duties)) {
 		duty := dump.Duties[name]
-		fmt.Fprintf(a.stdout, "\n%s: %s %s\n", name, duty.Condition, printable(duty.Detail))
+		fmt.Fprintf(a.stdout, "\n%s\n", strings.TrimSpace(name+": "+duty.Condition+" "+printable(duty.Detail)))
 		if err := a.printState(duty.State); err != nil {
 			return err
 		}
@@ -264,14 +264,27 @@
 func (a *app) printProcesses(processes []operator.ProcessStatus) {
 	fmt.Fprintf(a.stdout, "\n%d processes\n", len(processes))
 	t := newTable(a.stdout)
-	t.row("PROCESS", "KIND", "DATA CENTRE", "SERVICE", "STATE", "HEARD", "VERSIONS IN FORCE")
+	t.row("PROCESS", "KIND", "DATA CENTRE", "SERVICE", "STATE", "WORK", "HEARD", "VERSIONS IN FORCE")
 	for _, p := range processes {
 		t.row(p.Name, p.Kind, p.DataCentre, dash(p.Service), string(p.State),
-			durationText(p.LastHeard), versionsText(p.Versions))
+			workText(p.Work), durationText(p.LastHeard), versionsText(p.Versions))
 	}
 	t.flush()
 }
 
+func workText(w *operator.WorkStatus) string {
+	switch {
+	case w == nil:
+		return "-"
+	case w.Drained:
+		return fmt.Sprintf("drained, %d running", w.Running)
+	case !w.Admitting:
+		return fmt.Sprintf("not admitting, %d running", w.Running)
+	default:
+		return fmt.Sprintf("%d running, %d queued", w.Running, w.Queued)
+	}
+}
+
 func versionsText(versions map[string]uint64) string {
 	parts := lo.Map(slices.Sorted(maps.Keys(versions)), func(name string, _ int) string {
 		return name + "=" + strconv.FormatUint(versions[name], 10)
@@ -291,6 +304,9 @@
 }
 
 func engineText(s operator.EngineState) string {
+	if s.Generation == 0 && s.Role == "" {
+		return "-"
+	}
 	return strings.Join([]string{
 		dash(s.Role), dash(s.Model), dash(s.Weights), fmt.Sprint("gen ", s.Generation),
 	}, " ")
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -71,6 +71,18 @@
 	LastHeard fleetconfig.Duration `json:"last_heard"`
 	// Versions are the object versions in force there, by object name.
 	Versions map[string]uint64 `json:"versions,omitempty"`
+	// Work is that of a backend server; nil if it is not known.
+	Work *WorkStatus `json:"work,omitempty"`
+}
+
+// WorkStatus is the work of a backend server as its sidecar reports it.
+type WorkStatus struct {
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// Admitting says that the sidecar takes new work.
+	Admitting bool `json:"admitting"`
+	// Drained says that an operator took the backend server out of service.
+	Drained bool `json:"drained"`
 }
 
 // EngineState is what an engine is to be, or is.
