--- a/cmd/pistachioroad/main_test.go
+++ b/cmd/pistachioroad/main_test.go
@@ -37,15 +37,15 @@
 
 func (f *entryFleet) Status(context.Context) (operator.Status, error) {
 	return operator.Status{
-		Entry:     "gangnam-entry-1",
-		Store:     operator.StoreStatus{Healthy: true},
+		Entry: "gangnam-entry-1",
+		Store: operator.StoreStatus{Healthy: true},
 		Processes: []operator.ProcessStatus{{
 			Name:     "m1\x1b[2J",
 			State:    operator.ProcessUp,
 			Versions: map[string]uint64{"fleetconfig": 7},
 			Work:     &operator.WorkStatus{Drained: true, Running: 2},
 		}},
-		Engines:   []operator.EngineStatus{{BackendServer: "m1", Admitting: true, Wanted: operator.EngineState{Generation: 2}}},
+		Engines: []operator.EngineStatus{{BackendServer: "m1", Admitting: true, Wanted: operator.EngineState{Generation: 2}}},
 	}, nil
 }
 
