--- a/internal/sidecar/requests/arrive.go
+++ b/internal/sidecar/requests/arrive.go
@@ -22,10 +22,15 @@
 		t.again(now, r, e)
 		return
 	}
+	if t.ledger.hasForgotten(now, e.Age) {
+		// It is too late to start as well, so there is nothing to record.
+		t.refuseFrame(e, verdict.New(verdict.MayHaveRun, verdict.CodeUnknownResult, "the request may have run and been forgotten"))
+		return
+	}
 	if rec, ok := t.ledger.records[k]; ok && t.answered(now, rec, e) {
 		return
 	}
-	r := newRequest(now, k, e)
+	r := t.newRequest(now, k, e)
 	if refusal := t.admission(now, r, e.Age); refusal != nil {
 		t.turnAway(now, r, e, refusal)
 		return
@@ -33,14 +38,13 @@
 	t.admit(now, r, e.Stream)
 }
 
-func newRequest(now time.Time, k key, e Arrived) *request {
-	budget := time.Duration(e.Start.GetBudgetUs()) * time.Microsecond
+func (t *Table) newRequest(now time.Time, k key, e Arrived) *request {
 	return &request{
 		key:       k,
 		start:     e.Start,
 		print:     fingerprint(e.Start),
 		arrivedAt: now,
-		deadline:  now.Add(budget - max(0, e.Age)),
+		deadline:  now.Add(budget(e.Start, t.cfg.MaxRun) - max(0, e.Age)),
 	}
 }
 
@@ -95,6 +99,7 @@
 }
 
 func (t *Table) subscribe(r *request, stream Stream, attempt uint32) {
+	r.attempt = max(r.attempt, attempt)
 	r.stream = &subscriber{stream: stream, attempt: attempt, digest: wire.NewDigest()}
 	t.streams[stream] = r
 }
@@ -143,8 +148,8 @@
 		refuse(verdict.CodeBadRequest, "the request id belongs to another request")
 		return
 	}
-	if r.stream != nil && e.Start.GetAttempt() <= r.stream.attempt {
-		refuse(verdict.CodeUnknownResult, "the request is under way on another stream")
+	if e.Start.GetAttempt() <= r.attempt {
+		refuse(verdict.CodeUnknownResult, "the request is under way for this or a later attempt")
 		return
 	}
 	next, ok := resumePoint(r, e.Start)
@@ -186,6 +191,7 @@
 		if isNew {
 			return false
 		}
+		t.ledger.refuse(now, rec.key, e.Start.GetAttempt())
 		t.refuseFrame(e, verdict.New(verdict.NotRun, verdict.CodeCancelled, "the attempt was answered not run before"))
 		return true
 	}
@@ -284,8 +290,7 @@
 		return
 	}
 	k := key{id: id}
-	if r, ok := t.live[k]; ok {
-		t.resolveLive(now, r, e)
+	if r, ok := t.live[k]; ok && t.resolvedLive(now, r, e) {
 		return
 	}
 	rec, ok := t.ledger.records[k]
@@ -294,7 +299,7 @@
 		t.sendResolution(e, wire.Outcome_OUTCOME_RAN, rec)
 	case ok && rec.verdict == verdict.MayHaveRun:
 		t.sendResolution(e, wire.Outcome_OUTCOME_MAY_HAVE_RUN, nil)
-	case !ok && t.ledger.hasForgotten(now, e.StartAge):
+	case t.ledger.hasForgotten(now, e.StartAge):
 		t.sendResolution(e, wire.Outcome_OUTCOME_MAY_HAVE_RUN, nil)
 	default:
 		t.ledger.refuse(now, k, attemptsAsked(e.Resolve))
@@ -309,16 +314,15 @@
 	return r.GetAttempt()
 }
 
-// resolveLive answers for a request without outcome. One that waits is taken
-// out, so that its entry, which no longer hears this sidecar, can send it
-// elsewhere while there is time.
-func (t *Table) resolveLive(now time.Time, r *request, e ResolveAsked) {
+// resolvedLive answers for a request that runs. One that waits is taken out, so
+// that its entry, which no longer hears this sidecar, can send it elsewhere
+// while there is time; its record answers then.
+func (t *Table) resolvedLive(now time.Time, r *request, e ResolveAsked) bool {
 	if r.phase == running {
 		r.orphanedAt = now
 		t.sendResolution(e, wire.Outcome_OUTCOME_RUNNING, nil)
-		return
+		return true
 	}
 	t.endUnstarted(now, r, verdict.New(verdict.NotRun, verdict.CodeCancelled, "its entry asked for the outcome"))
-	t.ledger.refuse(now, r.key, attemptsAsked(e.Resolve))
-	t.sendResolution(e, wire.Outcome_OUTCOME_NOT_RUN, nil)
+	return false
 }
--- a/internal/sidecar/requests/dump.go
+++ b/internal/sidecar/requests/dump.go
@@ -48,7 +48,7 @@
 	for _, r := range t.inOrder() {
 		d.Requests = append(d.Requests, RequestDump{
 			ID:       r.key.item(),
-			Attempt:  r.start.GetAttempt(),
+			Attempt:  r.attempt,
 			Phase:    r.phase.String(),
 			Left:     r.deadline.Sub(now).Round(time.Millisecond).String(),
 			Orphan:   r.stream == nil,
--- a/internal/sidecar/requests/ledger.go
+++ b/internal/sidecar/requests/ledger.go
@@ -124,7 +124,7 @@
 	if now.After(until) {
 		until = now
 	}
-	attempts := r.start.GetAttempt()
+	attempts := r.attempt
 	if before, ok := l.records[r.key]; ok {
 		attempts = max(attempts, before.attempts)
 		l.drop(before)
--- a/internal/sidecar/requests/request.go
+++ b/internal/sidecar/requests/request.go
@@ -37,9 +37,11 @@
 
 // request is one that has no outcome yet.
 type request struct {
-	key      key
-	serial   uint64
-	start    *wire.Start
+	key    key
+	serial uint64
+	start  *wire.Start
+	// attempt is the latest that was let in or attached.
+	attempt  uint32
 	print    uint64
 	deadline time.Time
 	phase    phase
--- a/internal/sidecar/requests/run.go
+++ b/internal/sidecar/requests/run.go
@@ -132,10 +132,11 @@
 	}
 	t.settle(r, told.Verdict, nil)
 	t.note(r, "ended", told.Error())
-	if r.stream != nil {
-		t.sendRefusal(r.stream.stream, r.key, r.stream.attempt, &told)
-	}
+	stream := r.stream
 	t.retire(now, r, told.Verdict)
+	if stream != nil {
+		t.sendRefusal(stream.stream, r.key, stream.attempt, t.atWorst(r.key, &told))
+	}
 }
 
 // retire records the outcome of r, which ran or was to run.
@@ -145,7 +146,7 @@
 	if v != verdict.NotRun {
 		return t.ledger.close(now, r, v)
 	}
-	t.ledger.refuse(now, r.key, r.start.GetAttempt())
+	t.ledger.refuse(now, r.key, r.attempt)
 	return nil
 }
 
