admit: judge by slack and by the caller's own turn; one admitter per service

And callers above their share were held back from a fixed wait of 450 ms on, also where deadlines left ten seconds.

Now a caller above its share may use a quarter of its slack for waiting, and the share is cut as the queue passes that; a caller under it is judged by its own turn of fair queueing. A slot wait is worked out from the streams ahead instead of a fixed 5 s.

--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -24,6 +24,10 @@
 	// shares. Half of the 0.9 s that a first token may take: sooner would turn
 	// work away that fits, later would spend the whole allowance on waiting.
 	DefaultSaturation = 450 * time.Millisecond
+	// DefaultSlackPart is the part of a request's slack (its deadline less its
+	// run time) that its caller may spend on waiting while above its share.
+	// What is left keeps the queue short enough for callers under theirs.
+	DefaultSlackPart = 0.25
 	// DefaultWindow is the time constant of a caller's rate. Shorter than the
 	// swings of the mix (minutes), longer than the gaps between the requests
 	// of one active caller (seconds).
@@ -38,6 +42,8 @@
 	DefaultRemoteEntries  = 512
 	DefaultRemoteAccounts = 32
 
+	// meanCostWeight is the weight of one request in the mean cost.
+	meanCostWeight = 0.02
 	// levelPeriod bounds how often the fair share is worked out anew; it costs
 	// time in the order of the accounts.
 	levelPeriod = 200 * time.Millisecond
@@ -54,6 +60,7 @@
 	// Rand spreads Retry-After; nil means no spread.
 	Rand       *rand.Rand
 	Saturation time.Duration
+	SlackPart  float64
 	Window     time.Duration
 	// Accounts bounds the accounts tracked; what is beyond shares one.
 	Accounts       int
@@ -147,7 +154,9 @@
 	Rate float64
 }
 
-// Admitter decides for one entry. Its methods are for one goroutine.
+// Admitter decides at one entry for one service or model: shares are shares of
+// the backend servers that the requests have in common. Its methods are for one
+// goroutine.
 type Admitter struct {
 	cfg      Config
 	accounts map[string]*account
@@ -155,6 +164,11 @@
 	// level is the fair share per unit of weight, in tokens a second.
 	level   float64
 	leveled time.Time
+	// turn is the work of one turn of fair queueing: a request's worth, or
+	// less, of each account with work outstanding.
+	turn float64
+	// meanCost smooths the cost of a request.
+	meanCost float64
 }
 
 // account sums decay with the window; sum divided by window is a rate.
@@ -167,6 +181,7 @@
 // New returns an Admitter.
 func New(cfg Config) *Admitter {
 	cfg.Saturation = cmp.Or(cfg.Saturation, DefaultSaturation)
+	cfg.SlackPart = cmp.Or(cfg.SlackPart, DefaultSlackPart)
 	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
 	cfg.Accounts = cmp.Or(cfg.Accounts, DefaultAccounts)
 	cfg.RemoteTTL = cmp.Or(cfg.RemoteTTL, DefaultRemoteTTL)
@@ -189,6 +204,8 @@
 	acc := a.account(now, r.Caller)
 	cost := float64(max(1, r.CostTokens))
 	acc.offered += cost
+	a.meanCost = cmp.Or(a.meanCost, cost)
+	a.meanCost += meanCostWeight * (cost - a.meanCost)
 	a.relevel(now, p)
 	if d := a.refusal(now, acc, r, p); d.Reason != Admitted {
 		return d
@@ -208,17 +225,16 @@
 	if p.Closed {
 		return a.refuse(NoCapacity, p.QueueWait)
 	}
-	rate := a.rate(acc.admitted) + a.remote.rate(now, r.Caller)
+	rate := a.rate(acc.admitted) + a.remote.rate(r.Caller)
 	if limit := a.cfg.Terms[r.Caller].Limit; limit > 0 && rate > limit {
 		return a.refuse(OverLimit, a.decayTo(rate, limit))
 	}
-	share := a.level * a.weight(r.Caller)
+	share := a.share(r, p)
 	wait := p.QueueWait
 	if rate > share {
-		if p.QueueWait > a.cfg.Saturation {
-			return a.refuse(OverShare, a.decayTo(rate, share))
-		}
-	} else {
+		return a.refuse(OverShare, a.decayTo(rate, share))
+	}
+	if rate <= a.level*a.weight(r.Caller) {
 		wait = min(wait, a.ownWait(acc, r, p))
 	}
 	if late := wait + r.RunTime - r.Deadline; late > 0 {
@@ -227,19 +243,35 @@
 	return Decision{}
 }
 
-// ownWait is the wait of a caller under its share: fair queueing serves it in
+// share is the rate up to which a caller is let in: without bound while the
+// queue is short, then its fair share, cut further the longer the queue is. A
+// drain rate that is thought too high would otherwise let the heavy callers
+// fill the queue up to everybody's deadline.
+func (a *Admitter) share(r Request, p Picture) float64 {
+	slack := time.Duration(a.cfg.SlackPart * float64(r.Deadline-r.RunTime))
+	limit := max(a.cfg.Saturation, slack)
+	if p.QueueWait <= limit {
+		return math.Inf(1)
+	}
+	return a.level * a.weight(r.Caller) * float64(limit) / float64(p.QueueWait)
+}
+
+// ownWait is the wait of a caller under its share. Fair queueing serves it in
 // turn with the other callers that have work outstanding, however much the
-// heavy ones have queued.
+// heavy ones have queued: it waits for its own work ahead and one turn.
 func (a *Admitter) ownWait(acc *account, r Request, p Picture) time.Duration {
 	if p.DrainRate <= 0 {
 		return p.QueueWait
 	}
-	weight := a.weight(r.Caller)
-	guaranteed := min(a.level, p.DrainRate) * weight
-	seconds := (acc.outstanding + float64(r.CostTokens)) / guaranteed
-	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+	guaranteed := min(a.level, p.DrainRate) * a.weight(r.Caller)
+	others := a.turn - min(acc.outstanding, a.meanCost)
+	seconds := acc.outstanding/guaranteed + max(0, others)/(p.DrainRate*cmp.Or(p.Part, 1))
+	return time.Duration(min(seconds, maxOwnWait.Seconds()) * float64(time.Second))
 }
 
+// maxOwnWait keeps a drain rate near nothing from overflowing a Duration.
+const maxOwnWait = time.Hour
+
 func (a *Admitter) refuse(reason Reason, after time.Duration) Decision {
 	after = min(max(after, minRetryAfter), maxRetryAfter)
 	if a.cfg.Rand != nil {
@@ -275,7 +307,7 @@
 	a.remote.expire(now)
 	demands := a.demands(now)
 	slices.SortFunc(demands, func(x, y demand) int {
-		return cmp.Compare(x.rate/x.weight, y.rate/y.weight)
+		return cmp.Or(cmp.Compare(x.rate/x.weight, y.rate/y.weight), cmp.Compare(x.rate, y.rate))
 	})
 	left := p.DrainRate
 	weights := 0.0
@@ -298,13 +330,15 @@
 
 func (a *Admitter) demands(now time.Time) []demand {
 	demands := make([]demand, 0, len(a.accounts))
+	a.turn = 0
 	for caller, acc := range a.accounts {
 		acc.decay(now, a.cfg.Window)
 		if acc.offered < 1 && acc.outstanding == 0 {
 			delete(a.accounts, caller)
 			continue
 		}
-		rate := a.rate(acc.offered) + a.remote.rate(now, caller)
+		a.turn += min(acc.outstanding, a.meanCost)
+		rate := a.rate(acc.offered) + a.remote.rate(caller)
 		demands = append(demands, demand{rate: rate, weight: a.weight(caller)})
 	}
 	for caller, rate := range a.remote.totals {
--- a/internal/decide/admit/remote.go
+++ b/internal/decide/admit/remote.go
@@ -61,4 +61,4 @@
 	}
 }
 
-func (r *remote) rate(_ time.Time, caller string) float64 { return r.totals[caller] }
+func (r *remote) rate(caller string) float64 { return r.totals[caller] }
--- a/internal/decide/route/score_wait.go
+++ b/internal/decide/route/score_wait.go
@@ -9,34 +9,44 @@
 // Score implements Scorer.
 func (WaitScorer) Score(r Request, c Candidate) time.Duration {
 	if r.Role == Decode {
-		return slotWait(c.Load)
+		return slotWait(r, c.Load)
 	}
 	return seconds(float64(c.Load.QueuedTokens), prefillRate(c.Load))
 }
 
 const (
-	// defaultPrefillRate stands in until the first report.
+	// defaultPrefillRate and defaultDecodeRate stand in until the first report.
 	defaultPrefillRate = 8_000.0
-	// typicalStream is how long one stream holds a slot, until measured.
-	typicalStream = 5 * time.Second
+	defaultDecodeRate  = 2_000.0
+	// outputPart is the part of the tokens asked for that answers usually take.
+	outputPart = 0.75
+	// batchDelay is what a full batch adds to the first token of one more
+	// stream.
+	batchDelay = 200 * time.Millisecond
 )
 
-// slotWait grows with the batch, which slows each of its streams, and steeply
-// once no slot is free.
-func slotWait(l Load) time.Duration {
+// slotWait grows with the batch, which slows each of its streams, and once no
+// slot is free, by the time until enough streams have ended: those ahead are
+// taken to be as long as the request's own.
+func slotWait(r Request, l Load) time.Duration {
 	if l.Slots <= 0 {
 		return 0
 	}
 	inUse := float64(l.Running+l.Queued) / float64(l.Slots)
-	wait := time.Duration(inUse * float64(batchDelay))
+	wait := time.Duration(min(1, inUse) * float64(batchDelay))
 	if inUse > 1 {
-		wait += time.Duration((inUse - 1) * float64(typicalStream))
+		ahead := (inUse - 1) * float64(l.Slots) * outputPart * float64(r.OutputTokens)
+		wait += seconds(ahead, decodeRate(l))
 	}
 	return wait
 }
 
-// batchDelay is what a full batch adds to the first token of one more stream.
-const batchDelay = 200 * time.Millisecond
+func decodeRate(l Load) float64 {
+	if l.DecodeRate <= 0 {
+		return defaultDecodeRate
+	}
+	return l.DecodeRate
+}
 
 func prefillRate(l Load) float64 {
 	if l.PrefillRate <= 0 {
