Request table: claim answers carry the error of the claims, replays join pieces

The verdict on a key stood twice, here and in internal/claims, and differed for a key in progress; it is now taken from the claims. A kept answer goes out in pieces of up to 32 KiB: a frame a token would overflow a stream's queue.

--- a/internal/sidecar/requests/arrive.go
+++ b/internal/sidecar/requests/arrive.go
@@ -178,7 +178,7 @@
 	}
 	t.note(r, "attached", "a later attempt takes the answer over")
 	t.subscribe(r, e.Stream, e.Start.GetAttempt())
-	for _, c := range r.answer.chunks[next:] {
+	for _, c := range merge(r.answer.chunks[next:]) {
 		t.sendChunk(r, c)
 	}
 }
--- a/internal/sidecar/requests/event.go
+++ b/internal/sidecar/requests/event.go
@@ -47,16 +47,16 @@
 		StartAge time.Duration
 	}
 
-	// ClaimAnswered answers a Claim effect.
+	// ClaimAnswered answers a Claim effect, in one of three ways: Granted, the
+	// claim is committed and the call may run once; Final, with Chunks, is the
+	// kept answer of an earlier request with the key; Err is why the call does
+	// not run here, with the verdict on the key.
 	ClaimAnswered struct {
-		Claim  ClaimID
-		Answer ClaimAnswer
-		// Chunks and Final are the kept answer of a ClaimReplay.
-		Chunks []*wire.Chunk
-		Final  *wire.Final
-		// RetryAfter is when a claim that was not granted may be; 0: the
-		// default.
-		RetryAfter time.Duration
+		Claim   ClaimID
+		Granted bool
+		Chunks  []*wire.Chunk
+		Final   *wire.Final
+		Err     *verdict.Error
 	}
 
 	// Piece is a part of the answer of a run.
@@ -113,25 +113,3 @@
 func (HandOver) isEvent()      {}
 func (EngineReport) isEvent()  {}
 func (Tick) isEvent()          {}
-
-// ClaimAnswer is the outcome of a Claim.
-type ClaimAnswer uint8
-
-// The outcomes of a Claim.
-const (
-	// ClaimGranted: the claim is committed and the call may run once.
-	ClaimGranted ClaimAnswer = iota
-	// ClaimReplay: the call ran, and its answer was kept.
-	ClaimReplay
-	// ClaimInProgress: another request with the key has not ended.
-	ClaimInProgress
-	// ClaimOtherBody: the key was used for another body.
-	ClaimOtherBody
-	// ClaimMayHaveRun: the key was claimed by an owner that is gone and left
-	// no result.
-	ClaimMayHaveRun
-	// ClaimNotOwner: another sidecar owns the key's slot.
-	ClaimNotOwner
-	// ClaimUnavailable: the store did not take the claim, and never will.
-	ClaimUnavailable
-)
--- a/internal/sidecar/requests/send.go
+++ b/internal/sidecar/requests/send.go
@@ -44,12 +44,31 @@
 // replay sends a whole answer that was kept.
 func (t *Table) replay(stream Stream, k key, attempt uint32, chunks []*wire.Chunk, final *wire.Final) {
 	s := &subscriber{stream: stream, attempt: attempt, digest: wire.NewDigest()}
-	for _, c := range chunks {
+	for _, c := range merge(chunks) {
 		t.emit(Send{Stream: stream, Frame: chunkFrame(k, s, c)})
 	}
 	t.sendFinal(s, k, final)
 }
 
+// mergedBytes is the size up to which pieces that were kept go out as one.
+const mergedBytes = 32 << 10
+
+// merge joins the pieces of an answer, for a stream that gets many at once: a
+// frame for each token would fill its queue.
+func merge(chunks []*wire.Chunk) []*wire.Chunk {
+	merged := []*wire.Chunk{}
+	for _, c := range chunks {
+		last := len(merged) - 1
+		if last < 0 || len(merged[last].GetData())+len(c.GetData()) > mergedBytes {
+			merged = append(merged, &wire.Chunk{})
+			last++
+		}
+		merged[last].Data = append(merged[last].Data, c.GetData()...)
+		merged[last].Tokens += c.GetTokens()
+	}
+	return merged
+}
+
 // sendRefusal refuses an attempt, with the load of this moment.
 func (t *Table) sendRefusal(stream Stream, k key, attempt uint32, e *verdict.Error) {
 	t.refuseStream(stream, k.id[:], attempt, e)
