shift: let decode engines prefill up to what the token gap leaves

Cause: the cheap lever stopped at prompts of 2,000 tokens and 30% of a decode engine's time, so long reads never used it and each swing cost role changes. Now prompts of up to 8,000 uncached tokens spill, at up to 60% of the time, and ShareFor cuts that by the batch so that no stream is stretched past 31 ms.

--- a/internal/decide/shift/goodput.go
+++ b/internal/decide/shift/goodput.go
@@ -77,7 +77,7 @@
 	if taken <= 0 {
 		return Spill{}
 	}
-	return Spill{MaxPromptTokens: p.cfg.SpillPrompt, Share: taken / decode}
+	return Spill{MaxPromptTokens: p.cfg.SpillPrompt, Share: p.cfg.SpillShare, TokenGap: p.cfg.TokenGap}
 }
 
 func why(to Role, loss, price float64) string {
--- a/internal/decide/shift/shift.go
+++ b/internal/decide/shift/shift.go
@@ -47,13 +47,15 @@
 	// DefaultHeadroom is by how much of its capacity a role is wanted larger
 	// than its demand: queues grow without bound as load nears capacity.
 	DefaultHeadroom = 0.1
-	// DefaultSpillPrompt is the longest prompt, in tokens, that a decode
-	// engine prefills: one KV piece, a pause between tokens of its streams
-	// that they hardly notice.
-	DefaultSpillPrompt = 2_000
+	// DefaultSpillPrompt is the longest prompt, in uncached tokens, that a
+	// decode engine prefills: at a share of a half it is done in two seconds.
+	DefaultSpillPrompt = 8_000
 	// DefaultSpillShare is the most of its time that a decode engine spends
-	// on such prefills.
-	DefaultSpillShare = 0.3
+	// on such prefills. A small batch leaves that much: see Spill.ShareFor.
+	DefaultSpillShare = 0.6
+	// DefaultTokenGap is the time between tokens that prefills may stretch
+	// the streams of a decode engine to: the 31 ms of the service level.
+	DefaultTokenGap = 31 * time.Millisecond
 	// maxStep bounds the time that one step accounts for: after a pause or an
 	// outage of the store nothing is known about the time between.
 	maxStep = 5 * time.Second
@@ -72,6 +74,7 @@
 	LeastPerRole int
 	SpillPrompt  int
 	SpillShare   float64
+	TokenGap     time.Duration
 }
 
 // Engine is one engine as the planner sees it.
@@ -128,6 +131,18 @@
 	MaxPromptTokens int
 	// Share of its time is the most that a decode engine spends on them.
 	Share float64
+	// TokenGap is the time between tokens that they may stretch streams to.
+	TokenGap time.Duration
+}
+
+// ShareFor returns the share of its time that a decode engine may spend on
+// prefills while one step of its batch takes the given time. Without it, a
+// full batch would be stretched past the service level.
+func (s Spill) ShareFor(step time.Duration) float64 {
+	if s.TokenGap <= 0 {
+		return s.Share
+	}
+	return max(0, min(s.Share, 1-float64(step)/float64(s.TokenGap)))
 }
 
 // Decision is the outcome of one step.
@@ -154,6 +169,7 @@
 	cfg.LeastPerRole = cmp.Or(cfg.LeastPerRole, 1)
 	cfg.SpillPrompt = cmp.Or(cfg.SpillPrompt, DefaultSpillPrompt)
 	cfg.SpillShare = cmp.Or(cfg.SpillShare, DefaultSpillShare)
+	cfg.TokenGap = cmp.Or(cfg.TokenGap, DefaultTokenGap)
 	return &Planner{cfg: cfg, loss: make(map[Role]float64)}
 }
 
