--- /dev/null
+++ b/internal/entry/api/api_test.go
@@ -0,0 +1,327 @@
+package api_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/entry/api"
+	"pistachioroad.dev/pistachioroad/internal/entry/call"
+	"pistachioroad.dev/pistachioroad/internal/entry/serve"
+	"pistachioroad.dev/pistachioroad/internal/entry/view"
+	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
+	"pistachioroad.dev/pistachioroad/internal/wire"
+)
+
+func TestAPI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "api")
+}
+
+// doer answers as its function says and keeps the last request.
+type doer struct {
+	last   atomic.Pointer[serve.Request]
+	answer func(sink serve.Sink)
+}
+
+func (d *doer) Do(_ context.Context, request *serve.Request, sink serve.Sink) {
+	d.last.Store(request)
+	d.answer(sink)
+}
+
+func (d *doer) request() *serve.Request { return d.last.Load() }
+
+type noFleet struct{}
+
+func (noFleet) View() *view.View { return &view.View{} }
+
+const maxDeadline = time.Minute
+
+func testSettings() *settings.Entry {
+	return &settings.Entry{
+		Models: []string{"draft"},
+		Services: map[string]settings.Service{
+			"holds":  {Deadline: 5 * time.Second, KeyRequired: true, Slots: 4},
+			"lookup": {Class: "interactive"},
+		},
+		Limits: settings.Limits{
+			BodyBytes:   4 << 10,
+			BodyTimeout: 200 * time.Millisecond,
+			MaxDeadline: maxDeadline,
+			InFlight:    2,
+		},
+	}
+}
+
+func whole(pieces ...string) func(serve.Sink) {
+	return func(sink serve.Sink) {
+		for _, p := range pieces {
+			if sink.Deliver([]byte(p), 1) != nil {
+				return
+			}
+		}
+		sink.Finish(call.Finish{
+			Final:  &wire.Final{FinishReason: "stop", Status: http.StatusCreated, PromptTokens: 3},
+			Tokens: uint32(len(pieces)),
+		})
+	}
+}
+
+func brokenAfter(piece string) func(serve.Sink) {
+	return func(sink serve.Sink) {
+		_ = sink.Deliver([]byte(piece), 1)
+		sink.Fail(verdict.New(verdict.MayHaveRun, verdict.CodeBroken, "gone"))
+	}
+}
+
+var _ = Describe("API", func() {
+	var (
+		d      *doer
+		a      *api.API
+		server *httptest.Server
+	)
+
+	BeforeEach(func() {
+		d = &doer{answer: whole("a", "b")}
+		a = api.New(testSettings(), d, noFleet{})
+		server = httptest.NewServer(a.Handler())
+		DeferCleanup(server.Close)
+	})
+
+	do := func(method, path string, header http.Header, body string) (*http.Response, string) {
+		GinkgoHelper()
+		req, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		for name, values := range header {
+			req.Header[name] = values
+		}
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		data, _ := io.ReadAll(resp.Body)
+		return resp, string(data)
+	}
+
+	refusal := func(resp *http.Response, body string) string {
+		GinkgoHelper()
+		parsed := struct {
+			Error struct {
+				Verdict   string `json:"verdict"`
+				Code      string `json:"code"`
+				RequestID string `json:"request_id"`
+			} `json:"error"`
+		}{}
+		Expect(json.Unmarshal([]byte(body), &parsed)).To(Succeed(), body)
+		Expect(parsed.Error.Verdict).To(Equal("not_run"))
+		Expect(resp.Header.Get(verdict.Header)).To(Equal("not_run"))
+		Expect(parsed.Error.RequestID).To(Equal(resp.Header.Get(api.RequestIDHeader)))
+		return parsed.Error.Code
+	}
+
+	It("answers a completion once it is whole", func() {
+		resp, body := do(http.MethodPost, "/v1/completions", nil, `{"model":"draft","prompt":"x","max_tokens":2}`)
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(resp.Header.Get(verdict.Header)).To(Equal("ran"))
+		Expect(body).To(ContainSubstring(`"text":"ab"`))
+		Expect(d.request().Generate.GetMaxTokens()).To(BeEquivalentTo(2))
+	})
+
+	It("streams a chat completion and ends it with [DONE]", func() {
+		_, body := do(http.MethodPost, "/v1/chat/completions", nil,
+			`{"model":"draft:formal","messages":[{"role":"user","content":"hi"}],"stream":true}`)
+		Expect(body).To(ContainSubstring(`"delta":{"role":"assistant","content":"a"}`))
+		Expect(body).To(HaveSuffix("data: [DONE]\n\n"))
+		Expect(d.request().Generate.GetAdapter()).To(Equal("formal"))
+	})
+
+	// The engine is lost in the middle of a stream and no other can go on. A
+	// caller that only looks for the end of the transfer would take the first
+	// half of the draft for all of it.
+	It("aborts a stream that cannot be completed", func() {
+		d.answer = brokenAfter("half")
+		req := `{"model":"draft","prompt":"x","stream":true}`
+		resp, err := http.Post(server.URL+"/v1/completions", "application/json", strings.NewReader(req))
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).To(HaveOccurred())
+		Expect(string(body)).To(ContainSubstring("event: error"))
+		Expect(string(body)).To(ContainSubstring(`"verdict":"may_have_run"`))
+		Expect(string(body)).NotTo(ContainSubstring("[DONE]"))
+	})
+
+	// A request that does not stream fails half-way. What was received of its
+	// answer must not reach the caller.
+	It("sends nothing of an answer that is not whole", func() {
+		d.answer = brokenAfter("half")
+		resp, body := do(http.MethodPost, "/v1/completions", nil, `{"model":"draft","prompt":"x"}`)
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(resp.Header.Get(verdict.Header)).To(Equal("may_have_run"))
+		Expect(body).NotTo(ContainSubstring("half"))
+	})
+
+	DescribeTable("refuses what it cannot understand",
+		func(path, body string, header http.Header, status int, code verdict.Code) {
+			resp, answer := do(http.MethodPost, path, header, body)
+			Expect(resp.StatusCode).To(Equal(status), answer)
+			Expect(refusal(resp, answer)).To(Equal(string(code)))
+			Expect(d.request()).To(BeNil())
+		},
+		Entry("no JSON", "/v1/completions", `{"model"`, nil, 400, verdict.CodeBadRequest),
+		Entry("two values", "/v1/completions", `{"model":"draft","prompt":"x"} {}`, nil, 400, verdict.CodeBadRequest),
+		Entry("wrong type", "/v1/completions", `{"model":"draft","prompt":7}`, nil, 400, verdict.CodeBadRequest),
+		Entry("unknown field", "/v1/completions", `{"model":"draft","prompt":"x","temperature":1}`, nil, 400, verdict.CodeBadRequest),
+		Entry("no messages", "/v1/chat/completions", `{"model":"draft","messages":[]}`, nil, 400, verdict.CodeBadRequest),
+		Entry("null messages", "/v1/chat/completions", `{"model":"draft","messages":null}`, nil, 400, verdict.CodeBadRequest),
+		Entry("unknown model", "/v1/completions", `{"model":"other","prompt":"x"}`, nil, 404, verdict.CodeUnknownModel),
+		Entry("unknown service", "/services/other/x", ``, nil, 404, verdict.CodeUnknownTarget),
+		Entry("unknown path", "/v2/completions", ``, nil, 404, verdict.CodeBadRequest),
+		Entry("too large", "/v1/completions", `{"model":"draft","prompt":"`+strings.Repeat("x", 5<<10)+`"}`, nil, 413, verdict.CodeTooLarge),
+		Entry("bad timeout", "/v1/completions", `{"model":"draft","prompt":"x"}`,
+			http.Header{api.TimeoutHeader: {"-1s"}}, 400, verdict.CodeBadRequest),
+		Entry("bad account", "/v1/completions", `{"model":"draft","prompt":"x"}`,
+			http.Header{api.AccountHeader: {strings.Repeat("x", 200)}}, 400, verdict.CodeBadRequest),
+		Entry("no key", "/services/holds/holds", `{}`, nil, 400, verdict.CodeBadRequest),
+		Entry("two keys", "/services/holds/holds", `{}`, http.Header{api.KeyHeader: {"a", "b"}}, 400, verdict.CodeBadRequest),
+		Entry("key for a service that keeps none", "/services/lookup/x", `{}`,
+			http.Header{api.KeyHeader: {"a"}}, 400, verdict.CodeBadRequest),
+	)
+
+	// A caller sends the headers and then only a trickle of its body. Without a
+	// limit each such caller holds a connection and its memory for as long as
+	// it likes.
+	It("gives up on a body that comes too slowly", func() {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write([]byte("POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"))
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		body, _ := io.ReadAll(resp.Body)
+		Expect(resp.StatusCode).To(Equal(http.StatusRequestTimeout))
+		Expect(refusal(resp, string(body))).To(Equal(string(verdict.CodeSlowBody)))
+	})
+
+	It("passes a call on without the headers of the connection", func() {
+		header := http.Header{
+			api.KeyHeader: {"k"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-Kept": {"2"}, api.AccountHeader: {"agency"},
+		}
+		resp, body := do(http.MethodPost, "/services/holds/a%2Fb?q=1", header, `{"x":1}`)
+		Expect(resp.StatusCode).To(Equal(http.StatusCreated))
+		Expect(body).To(Equal("ab"))
+		Expect(d.request().Call.GetPath()).To(Equal("/a%2Fb?q=1"))
+		Expect(d.request().Caller).To(Equal("agency"))
+		Expect(d.request().Key).To(Equal("k"))
+		names := []string{}
+		for _, h := range d.request().Call.GetHeaders() {
+			names = append(names, h.GetName())
+		}
+		Expect(names).To(ContainElement("X-Kept"))
+		for _, dropped := range []string{"X-Hop", "Connection", api.AccountHeader} {
+			Expect(names).NotTo(ContainElement(dropped))
+		}
+	})
+
+	It("takes the deadline from the caller, at most the limit", func() {
+		for text, want := range map[string]time.Duration{"1.5s": 1500 * time.Millisecond, "2": 2 * time.Second, "9h": maxDeadline} {
+			do(http.MethodGet, "/services/lookup/x", http.Header{api.TimeoutHeader: {text}}, "")
+			Expect(time.Until(d.request().Deadline)).To(BeNumerically("~", want, 500*time.Millisecond), text)
+		}
+	})
+
+	// Requests pile up in an entry whose backend servers are slow. It refuses
+	// more than it has room for, at once, before it runs out of memory.
+	It("bounds the requests in flight", func() {
+		release := make(chan struct{})
+		entered := make(chan struct{}, 2)
+		d.answer = func(sink serve.Sink) {
+			entered <- struct{}{}
+			<-release
+			whole("a")(sink)
+		}
+		for range 2 {
+			go func() { _, _ = http.Get(server.URL + "/services/lookup/x") }()
+		}
+		Eventually(entered).Should(HaveLen(2))
+		resp, body := do(http.MethodGet, "/services/lookup/x", nil, "")
+		close(release)
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(refusal(resp, body)).To(Equal(string(verdict.CodeOverloaded)))
+		Expect(resp.Header.Get("Retry-After")).To(Equal("1"))
+	})
+
+	It("asks callers to close their connections while it drains", func() {
+		a.Drain()
+		resp, _ := do(http.MethodGet, "/services/lookup/x", nil, "")
+		Expect(resp.Close).To(BeTrue())
+	})
+})
+
+// FuzzRequest sends what a caller may send. Whatever it is, the API either
+// hands on a request within its limits or refuses with "not run".
+func FuzzRequest(f *testing.F) {
+	f.Add("POST", "/v1/completions", "1.5s", "k", "a", []byte(`{"model":"draft","prompt":"x","max_tokens":3}`))
+	f.Add("POST", "/v1/chat/completions", "2", "", "", []byte(`{"model":"draft","messages":[{"role":"user","content":"x"}]}`))
+	f.Add("POST", "/services/holds/holds", "", "key", "agency", []byte(`{"subject":"x"}`))
+	f.Add("GET", "/services/lookup/a%2Fb?q=%20", "1e400", "\x00", "\xff", []byte{})
+	f.Add("POST", "/v1/completions", "NaN", "", "", []byte(`{"model":"draft","prompt":"x","max_tokens":1e99}`))
+	f.Add("POST", "/v1/chat/completions", "9223372036854775808", "", "", []byte(`{"model":"draft","messages":[null]}`))
+	f.Fuzz(func(t *testing.T, method, path, timeout, key, account string, body []byte) {
+		d := &doer{answer: whole("a")}
+		handler := api.New(testSettings(), d, noFleet{}).Handler()
+		r, err := http.NewRequest(method, "http://x"+path, bytes.NewReader(body))
+		if err != nil || r.URL.Path == "" {
+			t.Skip()
+		}
+		r.RemoteAddr = "127.0.0.1:1"
+		set := func(name, value string) {
+			if value != "" {
+				r.Header.Set(name, value)
+			}
+		}
+		set(api.TimeoutHeader, timeout)
+		set(api.KeyHeader, key)
+		set(api.AccountHeader, account)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		checkOutcome(t, d.request(), w)
+	})
+}
+
+func checkOutcome(t *testing.T, request *serve.Request, w *httptest.ResponseRecorder) {
+	t.Helper()
+	if request == nil {
+		refused := w.Header().Get(verdict.Header) == "not_run" && w.Code >= http.StatusBadRequest
+		redirected := w.Code >= http.StatusMultipleChoices && w.Code < http.StatusBadRequest
+		if !refused && !redirected && w.Body.Len() == 0 {
+			t.Fatalf("neither handed on nor refused: %d %q", w.Code, w.Body)
+		}
+		return
+	}
+	if left := time.Until(request.Deadline); left > maxDeadline {
+		t.Fatalf("deadline in %v", left)
+	}
+	if len(request.Key) > 255 || len(request.Caller) > 128 || request.Caller == "" {
+		t.Fatalf("key of %d, account of %d bytes", len(request.Key), len(request.Caller))
+	}
+	if g := request.Generate; g != nil && (g.GetModel() != "draft" || g.GetMaxTokens() < 1 || g.GetPrompt() == "") {
+		t.Fatalf("handed on %v", g)
+	}
+	if c := request.Call; c != nil && !strings.HasPrefix(c.GetPath(), "/") {
+		t.Fatalf("path %q", c.GetPath())
+	}
+}
