--- a/internal/claims/commit.go
+++ b/internal/claims/commit.go
@@ -43,6 +43,7 @@
 			result := k.result
 			c.Result = &result
 			c.Done = next.Clock
+			c.RequestID = ""
 			next.Claims[name] = c
 		case keyDropped, keyQueued:
 			delete(next.Claims, name)
--- a/internal/claims/record.go
+++ b/internal/claims/record.go
@@ -43,8 +43,10 @@
 	BodyDigest uint64 `json:"body"`
 	// Epoch is that of the owner that claimed it. A claim of an earlier epoch
 	// without a Result may have run.
-	Epoch     uint64 `json:"epoch"`
-	RequestID string `json:"request"`
+	Epoch uint64 `json:"epoch"`
+	// RequestID is that of the request that claimed it; empty once there is a
+	// Result.
+	RequestID string `json:"request,omitempty"`
 	// Done is Record.Clock when the result was recorded.
 	Done   int64   `json:"done_ms,omitempty"`
 	Result *Result `json:"result,omitempty"`
--- a/internal/claims/record_test.go
+++ b/internal/claims/record_test.go
@@ -55,7 +55,7 @@
 			for n := range keys {
 				result := claims.NewResult(201, nil, []byte(`{"hold":"0192d2c1-7d5c-7e60-a5a0-3f1c2b9a8e11"}`))
 				r.Claims[fmt.Sprintf("0192d2c1-7d5c-7e60-a5a0-%012d", n)] = claims.Claim{
-					BodyDigest: 1 << 63, Epoch: 1, RequestID: "0192d2c1-7d5c-7e60-a5a0-3f1c2b9a8e11",
+					BodyDigest: 1 << 63, Epoch: 1,
 					Done: 1_000_000, Result: &result,
 				}
 			}
