The sidecar's duties around the request table

links, requests, control, admission, fleet, orders, reports, claims, member and operator, each a goroutine under one supervisor, joined by bounded rings; a stream, a run and a claim have goroutines of their own for what blocks.

- The body of a request to the backend server holds itself back once its deadline has passed, also after a pause between check and send.
- Load reports the work that arrived, what is loaded and the exact counts.

go test -race ./internal/sidecar/... passes. Real processes: not run yet.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -60,7 +59,7 @@
 
 // Generate implements Engine.
 func (c *Client) Generate(ctx context.Context, r Request, emit func(Piece) error) (Finish, error) {
-	resp, err := c.post(ctx, "/generate", r)
+	resp, err := c.post(ctx, "/generate", r, r.StartBefore)
 	if err != nil {
 		return Finish{}, err
 	}
@@ -101,7 +100,7 @@
 
 // Cancel implements Engine.
 func (c *Client) Cancel(ctx context.Context, id string) error {
-	resp, err := c.post(ctx, "/cancel", map[string]string{"id": id})
+	resp, err := c.post(ctx, "/cancel", cancellation{ID: id}, time.Time{})
 	if err != nil {
 		return err
 	}
@@ -114,7 +113,7 @@
 
 // Order implements Engine.
 func (c *Client) Order(ctx context.Context, o Order) error {
-	resp, err := c.post(ctx, "/orders", o)
+	resp, err := c.post(ctx, "/orders", o, time.Time{})
 	if err != nil {
 		return err
 	}
@@ -143,15 +142,25 @@
 	return get[[]CacheEvent](ctx, c, "/events?after="+strconv.FormatUint(after, 10))
 }
 
-func (c *Client) post(ctx context.Context, path string, body any) (*http.Response, error) {
+// cancellation is the body of a cancel.
+type cancellation struct {
+	ID string `json:"id"`
+}
+
+// post sends body as JSON, unless the time before is over.
+func (c *Client) post(ctx context.Context, path string, body any, before time.Time) (*http.Response, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, NewTimedBody(data, before))
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
+	req.ContentLength = int64(len(data))
+	// With GetBody, net/http sends a POST again if the idle connection that it
+	// picked had been closed and nothing was written; never after that.
+	req.GetBody = func() (io.ReadCloser, error) { return NewTimedBody(data, before), nil }
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -161,10 +170,11 @@
 }
 
 // sendError tells an engine that was not reached from one whose reply was
-// lost. Only a failed dial proves that nothing was sent.
+// lost. Only a failed dial, or a body that was held back, proves that no whole
+// request was sent.
 func sendError(err error) error {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.Is(err, ErrTooLate) || errors.As(err, &op) && op.Op == "dial" {
 		return eris.Wrap(ErrNotSent, err.Error())
 	}
 	return eris.Wrap(ErrBroken, err.Error())
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -44,6 +45,11 @@
 	KV         *Ticket `json:"kv,omitempty"`
 	// PrefillOnly asks for a Ticket in place of an answer.
 	PrefillOnly bool `json:"prefill_only,omitempty"`
+	// TimeoutMS is how long the caller still waits, in milliseconds, when the
+	// request is sent; 0: not told.
+	TimeoutMS int64 `json:"timeout_ms,omitempty"`
+	// StartBefore is when the request must no longer be sent; zero: no limit.
+	StartBefore time.Time `json:"-"`
 }
 
 // Piece is a run of output tokens.
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -17,20 +18,45 @@
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
+const (
+	// maxAnswer bounds the answer of a plain service in bytes.
+	maxAnswer = 4 << 20
+	// answerPiece is the size in bytes of the pieces that it is passed on in.
+	answerPiece = 32 << 10
+	// cancelTimeout bounds the cancellation of a generation.
+	cancelTimeout = 2 * time.Second
+	// refusedRetryAfter is when a backend server that refused may take more.
+	refusedRetryAfter = 500 * time.Millisecond
+)
+
+// Headers of a plain service's request.
+const (
+	headerRequestID = "X-Request-Id"
+	// headerTimeout is how long the caller still waits, in milliseconds.
+	headerTimeout = "X-Request-Timeout-Ms"
+)
+
 // emitFunc takes one piece of an answer.
-type emitFunc func(data []byte, tokens int) error
+type emitFunc func(data []byte, tokens uint32) error
 
 // backend runs work on the backend server. Its errors carry a verdict.
 type backend interface {
-	run(ctx context.Context, start *wire.Start, emit emitFunc) (*wire.Final, error)
+	// run starts nothing once the deadline has passed. When ctx ends it stops
+	// the work and returns.
+	run(ctx context.Context, start *wire.Start, deadline time.Time, emit emitFunc) (*wire.Final, error)
 }
 
+// modelEngine is a backend with a model engine.
 type modelEngine struct{ engine engine.Engine }
 
-func (m modelEngine) run(ctx context.Context, start *wire.Start, emit emitFunc) (*wire.Final, error) {
-	request := engineRequest(start)
-	finish, err := m.engine.Generate(ctx, request, func(p engine.Piece) error {
-		return emit([]byte(p.Text), p.Tokens)
+func (m modelEngine) run(ctx context.Context, start *wire.Start, deadline time.Time, emit emitFunc) (*wire.Final, error) {
+	request := engineRequest(start, deadline)
+	generating, abort := context.WithCancel(context.WithoutCancel(ctx))
+	defer abort()
+	stop := context.AfterFunc(ctx, func() { m.cancel(request.ID, abort) })
+	defer stop()
+	finish, err := m.engine.Generate(generating, request, func(p engine.Piece) error {
+		return emit([]byte(p.Text), uint32(p.Tokens))
 	})
 	if err != nil {
 		return nil, engineError(err)
@@ -44,10 +70,19 @@
 	}, nil
 }
 
-func engineRequest(start *wire.Start) engine.Request {
+// cancel stops a generation by its id first: an engine that does not watch its
+// connections would go on with it.
+func (m modelEngine) cancel(id string, abort context.CancelFunc) {
+	defer abort()
+	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+	defer done()
+	_ = m.engine.Cancel(ctx, id)
+}
+
+func engineRequest(start *wire.Start, deadline time.Time) engine.Request {
 	g := start.GetGenerate()
 	return engine.Request{
-		ID:          requestName(start.GetRequestId()),
+		ID:          engineRequestID(start),
 		Model:       g.GetModel(),
 		Adapter:     g.GetAdapter(),
 		Prompt:      g.GetPrompt(),
@@ -57,7 +92,23 @@
 		ResumeText:  g.GetResumeText(),
 		KV:          engineTicket(g.GetKv()),
 		PrefillOnly: g.GetPrefillOnly(),
+		TimeoutMS:   time.Until(deadline).Milliseconds(),
+		StartBefore: deadline,
+	}
+}
+
+// engineRequestID returns an id that differs between the attempts of a request:
+// an engine that is still ending one attempt must not take the next one for a
+// copy of it.
+func engineRequestID(start *wire.Start) string {
+	id := requestName(start.GetRequestId())
+	if start.GetGenerate().GetPrefillOnly() {
+		id += ".prefill"
+	}
+	if attempt := start.GetAttempt(); attempt > 1 {
+		id += "." + strconv.FormatUint(uint64(attempt), 10)
 	}
+	return id
 }
 
 // requestName returns the id as callers and logs spell it.
@@ -86,75 +137,130 @@
 func engineError(err error) error {
 	switch {
 	case errors.Is(err, engine.ErrNotSent):
-		return verdict.Refused(verdict.CodeBackend, err.Error(), time.Second)
+		return verdict.Refused(verdict.CodeBackend, err.Error(), refusedRetryAfter)
 	case errors.Is(err, engine.ErrRefused):
-		return verdict.Refused(verdict.CodeOverloaded, err.Error(), time.Second)
+		return verdict.Refused(verdict.CodeOverloaded, err.Error(), refusedRetryAfter)
 	default:
 		return verdict.New(verdict.MayHaveRun, verdict.CodeBroken, err.Error())
 	}
 }
 
-// maxAnswer bounds the answer of a plain service in bytes.
-const maxAnswer = 4 << 20
-
+// plainService is a backend with an HTTP service.
 type plainService struct {
 	base string
-	http *http.Client
+	// once sends each request at most once, repeatable may send it again.
+	once       *http.Client
+	repeatable *http.Client
 }
 
-// newPlainService returns a client that sends each request on a connection of
-// its own. On a connection that it uses again, net/http repeats by itself a
-// request with an Idempotency-Key whose reply it lost, and the call would run
-// twice. Redirects are passed on to the caller for the same reason.
-func newPlainService(address string) plainService {
+// newPlainService returns the service at address, an IP number and a port.
+//
+// On a connection that it uses again, net/http repeats by itself a request with
+// an Idempotency-Key whose reply it lost, and the call would run twice. So a
+// call that may not be repeated gets a connection of its own. Redirects are
+// passed on to the caller for the same reason.
+func newPlainService(address string) *plainService {
+	return &plainService{
+		base:       "http://" + address,
+		once:       newServiceClient(true),
+		repeatable: newServiceClient(false),
+	}
+}
+
+func newServiceClient(once bool) *http.Client {
 	dialer := net.Dialer{Timeout: time.Second}
-	return plainService{
-		base: "http://" + address,
-		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:        dialer.DialContext,
-				DisableKeepAlives:  true,
-				DisableCompression: true,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			DisableKeepAlives:   once,
+			MaxIdleConnsPerHost: maxIdleConns,
+			DisableCompression:  true,
 		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-func (p plainService) run(ctx context.Context, start *wire.Start, emit emitFunc) (*wire.Final, error) {
-	call := start.GetCall()
-	req, err := http.NewRequestWithContext(ctx, call.GetMethod(), p.base+call.GetPath(), bytes.NewReader(call.GetBody()))
+// maxIdleConns bounds the connections kept open to a service.
+const maxIdleConns = 64
+
+func (p *plainService) run(ctx context.Context, start *wire.Start, deadline time.Time, emit emitFunc) (*wire.Final, error) {
+	req, err := p.request(ctx, start, deadline)
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, err.Error())
 	}
-	for _, h := range call.GetHeaders() {
-		req.Header.Add(h.GetName(), h.GetValue())
+	client := p.once
+	if start.GetIdempotent() {
+		client = p.repeatable
 	}
-	req.Header.Set("X-Request-Id", requestName(start.GetRequestId()))
-	resp, err := p.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, callError(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err != nil || len(body) > maxAnswer {
-		return nil, verdict.New(verdict.Ran, verdict.CodeBroken, "answer of the service is cut or too large")
-	}
-	if err := emit(body, 0); err != nil {
-		return nil, eris.Wrap(err, "answer")
+	if err := copyAnswer(resp.Body, emit); err != nil {
+		return nil, err
 	}
 	return &wire.Final{Status: uint32(resp.StatusCode), Headers: wireHeaders(resp.Header)}, nil
 }
 
+func (p *plainService) request(ctx context.Context, start *wire.Start, deadline time.Time) (*http.Request, error) {
+	call := start.GetCall()
+	body := engine.NewTimedBody(call.GetBody(), deadline)
+	req, err := http.NewRequestWithContext(ctx, call.GetMethod(), p.base+call.GetPath(), body)
+	if err != nil {
+		return nil, eris.Wrap(err, "call")
+	}
+	req.ContentLength = int64(len(call.GetBody()))
+	if req.ContentLength == 0 {
+		req.Body = http.NoBody
+	}
+	for _, h := range call.GetHeaders() {
+		req.Header.Add(h.GetName(), h.GetValue())
+	}
+	dropHopHeaders(req.Header)
+	req.Header.Set(headerRequestID, requestName(start.GetRequestId()))
+	req.Header.Set(headerTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	return req, nil
+}
+
+// copyAnswer passes the answer on in pieces as it comes.
+func copyAnswer(body io.Reader, emit emitFunc) error {
+	piece := make([]byte, answerPiece)
+	for size := 0; ; {
+		n, err := body.Read(piece)
+		size += n
+		if size > maxAnswer {
+			return verdict.New(verdict.Ran, verdict.CodeBroken, "the answer of the service is too large")
+		}
+		if n > 0 {
+			if err := emit(bytes.Clone(piece[:n]), 0); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return verdict.New(verdict.MayHaveRun, verdict.CodeBroken, "the answer of the service broke off: "+err.Error())
+		}
+	}
+}
+
+// callError returns what is known after a call without an answer. Only a failed
+// dial proves that the service did not get it.
 func callError(err error) error {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return verdict.Refused(verdict.CodeBackend, err.Error(), time.Second)
+	switch {
+	case errors.Is(err, engine.ErrTooLate):
+		return verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, err.Error())
+	case errors.As(err, &op) && op.Op == "dial":
+		return verdict.Refused(verdict.CodeBackend, err.Error(), refusedRetryAfter)
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.CodeUnknownResult, err.Error())
 }
 
 func wireHeaders(h http.Header) []*wire.Header {
+	dropHopHeaders(h)
 	headers := []*wire.Header{}
 	for name, values := range h {
 		for _, v := range values {
@@ -163,3 +269,12 @@
 	}
 	return headers
 }
+
+// dropHopHeaders removes what belongs to one connection only.
+func dropHopHeaders(h http.Header) {
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	} {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/fleet.go
@@ -0,0 +1,117 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"pistachioroad.dev/pistachioroad/internal/claims"
+	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+	"pistachioroad.dev/pistachioroad/internal/member"
+	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/wire"
+)
+
+// fleetTick is how often the configuration is looked at though it has not
+// changed: exceptions expire.
+const fleetTick = time.Second
+
+// fleetDuty hands what changes in the fleet's configuration and plan to the
+// duties that act on it.
+type fleetDuty struct {
+	settings  settings.Settings
+	member    *member.Member
+	admission *admissionDuty
+	claims    *claims.Duty
+	control   *controlDuty
+	orders    *ordersDuty
+	// drained and retention were last handed on; they belong to Serve.
+	drained   drainedSet
+	retention time.Duration
+}
+
+func newFleet(i do.Injector) (*fleetDuty, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	d := &fleetDuty{
+		settings:  s,
+		member:    do.MustInvoke[*member.Member](i),
+		admission: do.MustInvoke[*admissionDuty](i),
+		claims:    do.MustInvoke[*claims.Duty](i),
+		control:   do.MustInvoke[*controlDuty](i),
+	}
+	if isEngine(s) {
+		d.orders = do.MustInvoke[*ordersDuty](i)
+	}
+	return d, nil
+}
+
+// String names the duty.
+func (d *fleetDuty) String() string { return "fleet" }
+
+// Serve hands changes on until ctx ends.
+func (d *fleetDuty) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(fleetTick)
+	defer ticker.Stop()
+	for {
+		changed := d.member.Changed()
+		snapshot := d.member.Snapshot()
+		d.handPlan(ctx, snapshot)
+		d.handConfig(ctx, snapshot)
+		select {
+		case <-changed:
+			d.control.announce(versionsFrame(snapshot))
+		case <-d.claims.Changed():
+			d.control.announce(d.slotsFrame())
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (d *fleetDuty) handPlan(ctx context.Context, s *member.Snapshot) {
+	if s.PlanVersion == 0 {
+		return
+	}
+	if slots, ok := s.Plan.Slots[d.service()]; ok {
+		d.claims.SetPlan(s.PlanVersion, slots.Owners)
+	}
+	if row, ok := s.Plan.Engines[d.settings.Process.Name]; ok && d.orders != nil {
+		d.orders.setRow(ctx, row)
+	}
+}
+
+// handConfig hands on what operators want of this backend server.
+func (d *fleetDuty) handConfig(ctx context.Context, s *member.Snapshot) {
+	row := s.Plan.Engines[d.settings.Process.Name]
+	values := s.Config.For(fleetconfig.Scope{
+		Service:       d.service(),
+		Model:         row.Model,
+		DataCentre:    d.settings.Process.DataCentre,
+		BackendServer: d.settings.Process.Name,
+	}, time.Now())
+	drained := drainedSet{
+		drained: *values.Drained,
+		timeout: time.Duration(*values.DrainTimeout),
+	}
+	if drained != d.drained {
+		d.drained = drained
+		d.admission.tell(ctx, drained)
+	}
+	if retention := time.Duration(*values.ClaimRetention); retention != d.retention {
+		d.retention = retention
+		d.claims.SetRetention(retention)
+	}
+}
+
+func (d *fleetDuty) service() string { return d.settings.Sidecar.BackendServer.Service }
+
+func (d *fleetDuty) slotsFrame() *wire.Frame {
+	slots := &wire.Slots{Service: d.service(), Slots: d.claims.Owned()}
+	return &wire.Frame{Body: &wire.Frame_Slots{Slots: slots}}
+}
+
+func versionsFrame(s *member.Snapshot) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Versions{Versions: s.Versions()}}
+}
--- a/internal/sidecar/requests/effect.go
+++ b/internal/sidecar/requests/effect.go
@@ -33,7 +33,9 @@
 	// Claim asks for the idempotency key of a call; ClaimAnswered answers it.
 	// Nothing runs before it is granted.
 	Claim struct {
-		Claim    ClaimID
+		Claim ClaimID
+		// Request is the id of the request.
+		Request  string
 		Service  string
 		Key      string
 		Digest   uint64
--- a/internal/sidecar/requests/load.go
+++ b/internal/sidecar/requests/load.go
@@ -34,7 +34,13 @@
 		Models:       servedModels(t.engine.State.Applied),
 		Admitting:    t.Admitting() && !t.suspect,
 		Generation:   t.engine.State.Applied.Generation,
-		ServiceMs:    float64(t.meter.service) / float64(time.Millisecond),
+		Weights:      t.engine.State.Applied.Weights,
+		Adapters:     t.engine.State.Applied.Adapters,
+
+		ArrivedPrefillTokens:      uint64(t.meter.arrived.prefill),
+		ArrivedShortPrefillTokens: uint64(t.meter.arrived.shortPrefill),
+		ArrivedOutputTokens:       uint64(t.meter.arrived.output),
+		ServiceMs:                 float64(t.meter.service) / float64(time.Millisecond),
 	}
 	for _, r := range t.runs {
 		load.RunningTokens += uint64(r.outputLeft())
@@ -45,12 +51,11 @@
 	return load
 }
 
-// servedModels lists the model and then its adapters, as a Load has them.
 func servedModels(o engine.Order) []string {
 	if o.Model == "" {
 		return nil
 	}
-	return append([]string{o.Model}, o.Adapters...)
+	return []string{o.Model}
 }
 
 // waiting counts what waits for a claim or a slot.
--- a/internal/sidecar/requests/run.go
+++ b/internal/sidecar/requests/run.go
@@ -100,8 +100,8 @@
 		t.endedBroken(now, r, e.Err)
 		return
 	}
-	t.meterRun(now, r)
 	final := e.Final
+	t.meterRun(now, r, final)
 	t.settle(r, verdict.Ran, final)
 	if r.stream != nil {
 		t.sendFinal(r.stream, r.key, final)
@@ -111,13 +111,14 @@
 	t.ledger.keep(rec, r.answer, final)
 }
 
-func (t *Table) meterRun(now time.Time, r *request) {
+func (t *Table) meterRun(now time.Time, r *request, final *wire.Final) {
 	took := now.Sub(r.startedAt)
 	if r.start.GetCall() != nil {
 		t.meter.served(took)
 		return
 	}
 	t.meter.decoded(int(r.answer.tokens), took)
+	t.meter.cached(final)
 }
 
 // endedBroken takes the end of a run without a whole answer.
@@ -237,6 +238,7 @@
 	t.claims[r.claim] = r
 	t.emit(Claim{
 		Claim:    r.claim,
+		Request:  r.key.name(),
 		Service:  r.start.GetService(),
 		Key:      r.start.GetIdempotencyKey(),
 		Digest:   r.start.GetBodyDigest(),
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,87 +1,258 @@
 // Package sidecar is the process beside a backend server. It is the only path
 // to that backend server, for requests and for orders.
+//
+// Its duties, each a goroutine of its own:
+//
+//	links      takes connections and their streams
+//	requests   owns the request table: what waits, runs and has ended
+//	control    heartbeats, load, cache events and objects to and from entries
+//	orders     brings the model engine to its row of the plan
+//	reports    reads the engine's load and cache events
+//	admission  decides whether requests are let in
+//	fleet      hands the configuration and the plan to the duties
+//	claims     claims idempotency keys in the store
+//	member     holds the fleet's configuration and plan
+//	operator   health, metrics, state dump and decisions
 package sidecar
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
+	"github.com/samber/do/v2"
+	"github.com/thejerf/suture/v4"
 
+	"pistachioroad.dev/pistachioroad/internal/claims"
 	"pistachioroad.dev/pistachioroad/internal/engine"
-	"pistachioroad.dev/pistachioroad/internal/link"
+	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/internal/member"
+	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 )
 
-// Run serves until ctx ends, then drains and returns.
+const (
+	// explainSize is how many decisions are remembered.
+	explainSize = 4096
+	// stopTimeout is how long a duty may take to end.
+	stopTimeout = 5 * time.Second
+)
+
+// started is the origin of this process's clock, which Hello and Heartbeat
+// tell and Start echoes.
+var started = time.Now()
+
+func clock() time.Duration { return time.Since(started) + time.Microsecond }
+
+// incarnation is random per start of the process.
+type incarnation uuid.UUID
+
+func (i incarnation) String() string { return uuid.UUID(i).String() }
+
+// Run serves until ctx ends, then finishes or hands over what runs and returns
+// nil.
 //
 // It binds the address for links before anything else. The kernel keeps that
 // address for a paused process too, so two sidecars never run beside one
 // backend server and give it conflicting orders.
 func Run(ctx context.Context, s settings.Settings) error {
-	links, err := net.Listen("tcp", s.Listen.Links)
+	listener, err := net.Listen("tcp", s.Listen.Links)
 	if err != nil {
 		return eris.Wrap(err, "another sidecar may be running")
 	}
-	defer links.Close()
-	operators, err := net.Listen("tcp", s.Listen.Operators)
+	defer listener.Close()
+	p, err := do.Invoke[*process](newInjector(s, listener))
 	if err != nil {
-		return eris.Wrap(err, "listen for operators")
+		return eris.Wrap(err, "build sidecar")
 	}
-	defer operators.Close()
+	return p.run(ctx)
+}
+
+// newInjector names how each part is built.
+func newInjector(s settings.Settings, listener net.Listener) do.Injector {
+	injector := do.New()
+	do.ProvideValue(injector, s)
+	do.ProvideValue(injector, listener)
+	do.ProvideValue(injector, incarnation(uuid.New()))
+	do.ProvideValue(injector, explain.New(explainSize))
+	do.Provide(injector, newSupervisor)
+	do.Provide(injector, newClient)
+	do.Provide(injector, newMember)
+	do.Provide(injector, newClaims)
+	do.Provide(injector, newEngine)
+	do.Provide(injector, newBackend)
+	do.Provide(injector, newRequests)
+	do.Provide(injector, newControl)
+	do.Provide(injector, newLinks)
+	do.Provide(injector, newAdmission)
+	do.Provide(injector, newOrders)
+	do.Provide(injector, newReports)
+	do.Provide(injector, newFleet)
+	do.Provide(injector, newProcess)
+	return injector
+}
+
+// newSupervisor returns the root of the supervisor tree. A duty that panics is
+// restarted alone.
+func newSupervisor(do.Injector) (*suture.Supervisor, error) {
+	return suture.New("sidecar", suture.Spec{
+		EventHook: logEvent,
+		Timeout:   stopTimeout,
+	}), nil
+}
+
+func logEvent(event suture.Event) {
+	log.WithField("event", event.String()).Warn("supervisor")
+}
+
+func newClient(i do.Injector) (*platform.Client, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	return platform.NewClient(platform.ClientConfig{
+		Address:        s.Platform.Address,
+		CallsPerSecond: s.Platform.CallsPerSecond,
+	}), nil
+}
+
+func newMember(i do.Injector) (*member.Member, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	client := do.MustInvoke[*platform.Client](i)
+	return member.New(member.Config{
+		Process:     s.Process.Name,
+		Incarnation: do.MustInvoke[incarnation](i).String(),
+		Region:      s.Process.Region,
+		DataCentre:  s.Process.DataCentre,
+		NoList:      true,
+	}, client, client), nil
+}
 
-	p := newProcess(s)
-	go serveOperators(operators)
-	go p.acceptLinks(links)
-	log.WithField("links", s.Listen.Links).Info("serving")
+func newClaims(i do.Injector) (*claims.Duty, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	return claims.NewDuty(claims.Config{
+		Service:     s.Sidecar.BackendServer.Service,
+		Owner:       s.Process.Name,
+		Incarnation: do.MustInvoke[incarnation](i).String(),
+	}, do.MustInvoke[*platform.Client](i)), nil
+}
+
+func newEngine(i do.Injector) (engine.Engine, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	return engine.NewClient(s.Sidecar.BackendServer.Address), nil
+}
+
+func newBackend(i do.Injector) (backend, error) {
+	server := do.MustInvoke[settings.Settings](i).Sidecar.BackendServer
+	if server.Service == platform.ServiceModels {
+		return modelEngine{engine: do.MustInvoke[engine.Engine](i)}, nil
+	}
+	return newPlainService(server.Address), nil
+}
 
-	<-ctx.Done()
-	p.draining.Store(true)
-	p.awaitIdle(s.Sidecar.ShutdownTimeout)
-	return nil
+// process is a whole sidecar.
+type process struct {
+	settings   settings.Settings
+	supervisor *suture.Supervisor
+	requests   *requestsDuty
+	control    *controlDuty
+	admission  *admissionDuty
+	claims     *claims.Duty
+	links      *linksDuty
 }
 
-func newProcess(s settings.Settings) *process {
-	server := s.Sidecar.BackendServer
+func newProcess(i do.Injector) (*process, error) {
 	p := &process{
-		settings:    s,
-		incarnation: uuid.NewString(),
-		slots:       make(chan struct{}, server.Slots),
-		waiting:     make(chan struct{}, s.Sidecar.QueueLength),
+		settings:   do.MustInvoke[settings.Settings](i),
+		supervisor: do.MustInvoke[*suture.Supervisor](i),
+		requests:   do.MustInvoke[*requestsDuty](i),
+		control:    do.MustInvoke[*controlDuty](i),
+		admission:  do.MustInvoke[*admissionDuty](i),
+		claims:     do.MustInvoke[*claims.Duty](i),
+		links:      do.MustInvoke[*linksDuty](i),
 	}
-	if server.Service == platform.ServiceModels {
-		p.backend = modelEngine{engine.NewClient(server.Address)}
-	} else {
-		p.backend = newPlainService(server.Address)
+	duties := map[string]operator.DumpFunc{
+		"requests":  p.requests.Dump,
+		"control":   p.control.Dump,
+		"admission": p.admission.Dump,
+		"links":     p.links.Dump,
 	}
-	return p
+	services := append(do.MustInvoke[*member.Member](i).Services(),
+		p.requests, p.control, p.admission, p.claims, p.links, do.MustInvoke[*fleetDuty](i))
+	if isEngine(p.settings) {
+		orders := do.MustInvoke[*ordersDuty](i)
+		reports := do.MustInvoke[*reportsDuty](i)
+		duties["orders"] = orders.Dump
+		duties["reports"] = reports.Dump
+		services = append(services, orders, reports)
+	}
+	operators, err := newOperators(i, duties)
+	if err != nil {
+		return nil, err
+	}
+	for _, service := range append(services, operators) {
+		p.supervisor.Add(service)
+	}
+	return p, nil
 }
 
-func serveOperators(listener net.Listener) {
-	mux := http.NewServeMux()
-	ok := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
-	mux.HandleFunc("GET /healthz", ok)
-	mux.HandleFunc("GET /readyz", ok)
-	server := http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	_ = server.Serve(listener)
+func isEngine(s settings.Settings) bool {
+	return s.Sidecar.BackendServer.Service == platform.ServiceModels
 }
 
-func (p *process) acceptLinks(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		session, err := link.Accept(conn)
-		if err != nil {
-			_ = conn.Close()
-			continue
-		}
-		go p.serveSession(session)
+func newOperators(i do.Injector, duties map[string]operator.DumpFunc) (*operator.Server, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	return operator.NewServer(
+		operator.Config{Address: s.Listen.Operators, TokenFile: s.Listen.OperatorTokenFile},
+		operator.Sources{
+			Process: s.Process.Name,
+			Ready:   do.MustInvoke[*admissionDuty](i).Ready,
+			Explain: do.MustInvoke[*explain.Log](i),
+			Duties:  duties,
+		},
+	)
+}
+
+// run serves until ctx ends. The duties outlive ctx: running requests need
+// them to the end.
+func (p *process) run(ctx context.Context) error {
+	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := p.supervisor.ServeBackground(duties)
+	log.WithField("links", p.settings.Listen.Links).Info("serving")
+	select {
+	case <-ctx.Done():
+	case err := <-ended:
+		return eris.Wrap(err, "supervisor ended")
+	}
+	p.shutDown(duties)
+	stop()
+	err := <-ended
+	if errors.Is(err, context.Canceled) {
+		return nil
 	}
+	return eris.Wrap(err, "stop duties")
 }
+
+// shutDown takes the backend server out of service without cutting a request.
+// Entries are told at once; what waits is refused and goes elsewhere; what runs
+// finishes, or after half of the time is handed over.
+func (p *process) shutDown(ctx context.Context) {
+	timeout := p.settings.Sidecar.ShutdownTimeout
+	log.WithField("timeout", timeout.String()).Info("draining")
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	p.admission.shutDown(timeout / 2)
+	p.requests.awaitIdle(ctx)
+	p.links.awaitSent(ctx)
+	if err := p.claims.Release(ctx); err != nil {
+		log.WithError(err).Warn("key slots not released: their next owner waits for a while")
+	}
+	log.Info("drained")
+}
+
+// newRandom returns a source for the spread of retries.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -65,7 +67,12 @@
 })
 
 func twoPieces(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/generate" {
+	switch r.URL.Path {
+	case "/generate":
+	case "/state":
+		_, _ = w.Write([]byte(`{"incarnation":"1","ready":true,"applied":{"model":"m","role":"mixed"}}`))
+		return
+	default:
 		http.NotFound(w, r)
 		return
 	}
@@ -86,13 +93,33 @@
 		stop()
 		Eventually(stopped, 10*time.Second).Should(Receive(BeNil()))
 	})
-	return dial(s.Listen.Links)
+	session := dial(s.Listen.Links)
+	awaitAdmitting(session)
+	return session
+}
+
+// awaitAdmitting exchanges Hello and waits until the sidecar lets work in.
+func awaitAdmitting(session *link.Session) {
+	GinkgoHelper()
+	conn, err := session.Open()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(conn.Send(&wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Process: "entry-1"}}})).To(Succeed())
+	for {
+		frame, err := conn.Receive()
+		Expect(err).NotTo(HaveOccurred())
+		if frame.GetLoad().GetAdmitting() {
+			return
+		}
+	}
 }
 
 func testSettings(service, backend string) settings.Settings {
 	return settings.Settings{
 		Process: settings.Process{Name: "vm-1", Role: settings.RoleSidecar, Region: "seoul", DataCentre: "gangnam"},
-		Listen:  settings.Listen{Links: freeAddress(), Operators: freeAddress()},
+		Listen: settings.Listen{
+			Links: freeAddress(), Operators: freeAddress(), OperatorTokenFile: tokenFile(),
+		},
+		Platform: settings.Platform{Address: freeAddress(), CallsPerSecond: 20},
 		Sidecar: &settings.Sidecar{
 			BackendServer: settings.BackendServer{
 				Service: service, Address: backend, Slots: 4, OrderTimeout: time.Second,
@@ -105,6 +132,13 @@
 	}
 }
 
+func tokenFile() string {
+	GinkgoHelper()
+	path := filepath.Join(GinkgoT().TempDir(), "token")
+	Expect(os.WriteFile(path, []byte("a token for operators"), 0o600)).To(Succeed())
+	return path
+}
+
 func freeAddress() string {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
