Orders: a fresh sidecar waits out its predecessor's order even if the plan fits

Cause (soak seeds 12, 47 and 79): a sidecar was killed with an order of unknown outcome in flight. Its successor heard first of a stale plan that says just what the engine still was, took that for the end of the matter and admitted requests; the order then landed and cut them.

Ruled out: a newer plan seen (the relay was stale, the row's generation equal to the engine's), fencing (the late order has the higher generation, so an engine that checks takes it as well).

The price is that an engine serves nothing for order_timeout after its sidecar restarts.

The runs now also vary load, slots and deadlines by seed, send late frames (counted), change roles, and let the answer of an order be lost before the order lands: a crowded fleet refused most late frames for lack of room and so proved little about them.

--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -219,13 +219,14 @@
 	return x.readIfDue(now)
 }
 
-// settled reports whether requests may run on the engine as it is.
+// settled reports whether requests may run on the engine as it is. That the
+// engine is what its row says is not enough after a start: the row can be stale,
+// and the newer order of the process before may still land and cut what runs.
+// One's own order has landed when the engine shows it, and no other is in
+// flight.
 func (x *Executor) settled(now time.Time) bool {
-	if x.haveRow && sameWork(x.row.Order(), x.state.Applied) {
-		// Only one order is in flight at a time, and this is its outcome.
-		return true
-	}
-	return !x.wantsOrder() && x.quiet(now)
+	landed := x.ordered > 0 && x.ordered == x.state.Applied.Generation
+	return !x.wantsOrder() && (landed || x.quiet(now))
 }
 
 // quiet reports whether no earlier order can land any more. A state read
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -174,7 +174,7 @@
 	It("orders only once nothing runs any more", func() {
 		b := newBench(true)
 		b.do(orders.RowSeen{Row: row(1, engine.RoleMixed)})
-		b.advanceFor(orderTimeout)
+		b.advanceFor(orderTimeout + startMargin)
 		Expect(b.admits).To(BeTrue())
 
 		b.running = 1
@@ -230,6 +230,25 @@
 		}
 	})
 
+	// The same, but the successor hears of an old plan that says just what the
+	// engine still is. It looks settled, and the order of its predecessor is on
+	// its way all the same.
+	It("does not take a stale row for the end of its predecessor's order", func() {
+		b := newBench(true)
+		b.do(orders.RowSeen{Row: row(1, engine.RoleMixed)})
+		b.advanceFor(orderTimeout + startMargin)
+		b.orderDelay = orderTimeout - step
+		b.do(orders.RowSeen{Row: row(2, engine.RoleDecode)})
+		Expect(b.flights).To(HaveLen(1))
+
+		b.restart()
+		b.do(orders.RowSeen{Row: row(1, engine.RoleMixed)})
+		for range (orderTimeout - 2*step) / step {
+			b.advance()
+			Expect(b.admits).To(BeFalse())
+		}
+	})
+
 	// A relay that was cut off keeps sending an old plan.
 	It("ignores a row below one that it has seen", func() {
 		b := newBench(true)
--- a/test/soak/entry.go
+++ b/test/soak/entry.go
@@ -313,6 +313,7 @@
 			return
 		}
 		answered = true
+		w.Outcomes["resolved "+f.GetResolution().GetOutcome().String()]++
 		r.event(call.Resolution{Attempt: e.Attempt, Frame: f.GetResolution()})
 	}}
 	c.toS(func() { c.sidecar.resolve(asking, sentAt, frame) })
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -6,7 +6,7 @@
 var FaultKinds = []string{
 	"sidecar killed", "sidecar paused", "entry killed", "entry paused", "engine crashed",
 	"connection silent", "connection cut", "store out", "store loses replies", "store writes late",
-	"sidecar leaves", "frames crossed and repeated", "operators race", "stale relay",
+	"sidecar leaves", "late start", "frames crossed and repeated", "operators race", "stale relay",
 	"lost reply", "late write", "order answer lost", "service broke off",
 }
 
@@ -15,7 +15,7 @@
 
 // injectFaults starts faults at random times. They come together and twice.
 func (r *run) injectFaults() {
-	r.after(time.Duration(r.rng.ExpFloat64()*float64(faultEvery)), func() {
+	r.after(time.Duration(r.rng.ExpFloat64()*float64(r.faultEvery)), func() {
 		if r.calm {
 			return
 		}
@@ -36,6 +36,7 @@
 		{"engine crashed", func() { r.engines[r.rng.IntN(len(r.engines))].crash() }},
 		{"connection silent", r.silence},
 		{"connection silent", r.silence},
+		{"connection silent", r.silence},
 		{"connection cut", r.cutConn},
 		{"store out", func() { r.forAWhile(&r.store.outage, 8*time.Second) }},
 		{"store loses replies", func() { r.forAWhile(&r.store.loseReplies, 5*time.Second) }},
@@ -114,7 +115,7 @@
 
 func (r *run) silence() {
 	if c := r.anyConn(); c != nil {
-		c.silence(r.between(500*time.Millisecond, 20*time.Second))
+		c.silence(r.between(500*time.Millisecond, 45*time.Second))
 	}
 }
 
--- a/test/soak/plans.go
+++ b/test/soak/plans.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"time"
 
+	"github.com/samber/lo"
+
+	"pistachioroad.dev/pistachioroad/internal/engine"
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/plan"
 	"pistachioroad.dev/pistachioroad/internal/planner"
@@ -43,6 +46,9 @@
 	}
 	picture := p.picture()
 	next, changes := p.planner.Propose(p.entry.w.now, picture)
+	if p.entry.w.chance(0.2) && !p.entry.w.calm {
+		changes = append(changes, shiftRole(p.entry.w, next)...)
+	}
 	if len(changes) == 0 {
 		return
 	}
@@ -63,6 +69,20 @@
 	})
 }
 
+// shiftRole changes one engine's role, as the role decision would under load.
+func shiftRole(w *world, p plan.Plan) []planner.Change {
+	if len(p.Engines) == 0 {
+		return nil
+	}
+	names := sortedBy(lo.Keys(p.Engines), func(name string) string { return name })
+	name := names[w.rng.IntN(len(names))]
+	row := p.Engines[name]
+	row.Generation++
+	row.Role = lo.Ternary(row.Role == engine.RoleMixed, engine.RoleDecode, engine.RoleMixed)
+	p.Engines[name] = row
+	return []planner.Change{{Subject: name, Decision: "role"}}
+}
+
 // picture is what the entry sees, with the fleet config that it holds.
 func (p *planning) picture() planner.Picture {
 	picture := planner.Picture{
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -19,15 +19,33 @@
 const (
 	// faultTime is how long faults go on, calmTime how long the fleet then has
 	// to repair itself.
-	faultTime = 40 * time.Second
-	calmTime  = 2 * time.Minute
-	// requestEvery is the mean time between two requests.
-	requestEvery = 12 * time.Millisecond
-	// faultEvery is the mean time between two faults.
-	faultEvery = 400 * time.Millisecond
+	faultTime  = 40 * time.Second
+	calmTime   = 2 * time.Minute
 	maxRepeats = 3
 )
 
+// profile is what a seed makes of the load: a crowded fleet refuses most late
+// frames for lack of room, a quiet one starts them.
+type profile struct {
+	// requestEvery and faultEvery are the mean times between two requests and
+	// two faults.
+	requestEvery time.Duration
+	faultEvery   time.Duration
+	// slots is how many requests a backend server runs at once.
+	slots int
+	// longestBudget bounds the deadlines of requests.
+	longestBudget time.Duration
+}
+
+func (w *world) newProfile() profile {
+	return profile{
+		requestEvery:  w.between(10*time.Millisecond, 60*time.Millisecond),
+		faultEvery:    w.between(250*time.Millisecond, 1500*time.Millisecond),
+		slots:         2 + w.rng.IntN(8),
+		longestBudget: w.between(4*time.Second, 60*time.Second),
+	}
+}
+
 // Report is the outcome of one run.
 type Report struct {
 	Seed     uint64         `json:"seed"`
@@ -53,7 +71,6 @@
 	entries  []*entry
 	sidecars []*sidecar
 	engines  []*fakeEngine
-	calm     bool
 }
 
 // Run plays one seed and checks every promise.
@@ -161,11 +178,11 @@
 		return
 	}
 	r.request()
-	r.after(time.Duration(r.rng.ExpFloat64()*float64(requestEvery)), r.offerWork)
+	r.after(time.Duration(r.rng.ExpFloat64()*float64(r.requestEvery)), r.offerWork)
 }
 
 func (r *run) request() {
-	w := work{budget: r.between(300*time.Millisecond, 8*time.Second)}
+	w := work{budget: r.between(300*time.Millisecond, r.longestBudget)}
 	switch kind := r.rng.IntN(10); {
 	case kind < 4:
 		w.generate, w.idempotent = true, true
--- a/test/soak/sidecar.go
+++ b/test/soak/sidecar.go
@@ -8,6 +8,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/claims"
 	"pistachioroad.dev/pistachioroad/internal/engine"
+	"pistachioroad.dev/pistachioroad/internal/link"
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/orders"
 	"pistachioroad.dev/pistachioroad/internal/plan"
@@ -53,7 +54,7 @@
 	s.up = true
 	s.incarnation++
 	s.table = requests.New(requests.Config{
-		Slots:       3,
+		Slots:       s.w.slots,
 		QueueLength: 8,
 		ResultBytes: 64 << 10,
 		ResumeWait:  3 * time.Second,
@@ -123,7 +124,7 @@
 	case requests.Run:
 		// The owner starts the call in a goroutine of its own; the process can
 		// be paused in between.
-		s.w.on(&s.node, 0, func() { s.run(e) })
+		s.w.on(&s.node, s.w.between(0, slowestTrip), func() { s.run(e) })
 	case requests.CancelRun:
 		if cancel := s.cancels[e.Run]; cancel != nil {
 			cancel()
@@ -142,6 +143,9 @@
 	s.next++
 	s.streams[s.next], s.byConn[st] = st, s.next
 	age := s.w.now.Sub(sentAt) + s.w.between(0, 2*slowestTrip)
+	if age > link.SilentAfter {
+		s.w.Faults["late start"]++
+	}
 	s.step(requests.Arrived{Stream: s.next, Start: start, Age: age})
 }
 
@@ -276,22 +280,22 @@
 // sendOrder delivers an order, sometimes late and without an answer. It is on
 // its way even if the sidecar ends meanwhile.
 func (s *sidecar) sendOrder(o engine.Order) {
-	delay := s.w.between(0, slowestTrip)
-	lost := s.w.chance(0.2)
-	if lost {
-		s.w.Faults["order answer lost"]++
-		delay = s.w.between(0, orderTimeout-tickEvery)
-	}
 	sent := s.id()
-	s.w.after(delay, func() {
-		err := s.engine.order(o)
-		if lost {
-			err = engine.ErrBroken
-		}
+	answer := func(err error) {
 		if s.id() == sent {
-			s.w.on(&s.node, slowestTrip, func() { s.order(orders.OrderAnswered{Generation: o.Generation, Err: err}) })
+			s.order(orders.OrderAnswered{Generation: o.Generation, Err: err})
 		}
-	})
+	}
+	if !s.w.chance(0.2) {
+		s.w.after(s.w.between(0, slowestTrip), func() {
+			err := s.engine.order(o)
+			s.w.on(&s.node, s.w.between(0, slowestTrip), func() { answer(err) })
+		})
+		return
+	}
+	s.w.Faults["order answer lost"]++
+	s.w.after(s.w.between(0, orderTimeout-tickEvery), func() { _ = s.engine.order(o) })
+	s.w.on(&s.node, s.w.between(0, time.Second), func() { answer(engine.ErrBroken) })
 }
 
 // offer takes an object from a relay.
@@ -378,10 +382,9 @@
 		return
 	}
 	delete(s.tokens, r.Token)
-	answered := requests.ClaimAnswered{Claim: claim, RetryAfter: r.Answer.RetryAfter, Answer: claimAnswers[r.Answer.Kind]}
+	answered := requests.ClaimAnswered{Claim: claim, Err: r.Answer.Err(), Granted: r.Answer.Kind == claims.Granted}
 	if r.Answer.Kind == claims.Replay {
-		chunk := &wire.Chunk{Data: r.Answer.Result.Body}
-		answered.Chunks = []*wire.Chunk{chunk}
+		answered.Chunks = []*wire.Chunk{{Data: r.Answer.Result.Body}}
 		answered.Final = &wire.Final{Status: uint32(r.Answer.Result.Status), Replayed: true}
 	}
 	if r.Answer.Kind != claims.Granted {
@@ -389,13 +392,3 @@
 	}
 	s.step(answered)
 }
-
-var claimAnswers = map[claims.Kind]requests.ClaimAnswer{
-	claims.Granted:     requests.ClaimGranted,
-	claims.Replay:      requests.ClaimReplay,
-	claims.InProgress:  requests.ClaimInProgress,
-	claims.OtherBody:   requests.ClaimOtherBody,
-	claims.MayHaveRun:  requests.ClaimMayHaveRun,
-	claims.NotOwner:    requests.ClaimNotOwner,
-	claims.Unavailable: requests.ClaimUnavailable,
-}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -24,6 +24,9 @@
 	queue  eventQueue
 	number uint64
 	trace  []string
+	profile
+	// calm begins when the faults end.
+	calm bool
 	// frameFaults switches faults of single frames on.
 	frameFaults bool
 	connsOf     func(*sidecar) []*conn
@@ -41,7 +44,7 @@
 const traceSize = 60
 
 func newWorld(seed uint64) *world {
-	return &world{
+	w := &world{
 		now: time.Unix(1_000_000, 0),
 		rng: rand.New(rand.NewPCG(seed, 0x50a1)),
 
@@ -57,6 +60,8 @@
 			Outcomes: map[string]int{},
 		},
 	}
+	w.profile = w.newProfile()
+	return w
 }
 
 // scheduled is one event to come.
