Soak: answers to Resolve carry the incarnation; end state must match the config

The fake shell left the incarnation out of the Resolution, so every "not run" was discarded as that of another process, and the promise was never put to the test.

--- a/test/soak/link.go
+++ b/test/soak/link.go
@@ -19,8 +19,6 @@
 	closed             bool
 	// silentUntil holds back what is sent until then, as TCP does.
 	silentUntil time.Time
-	// silentSince is when the entry last heard anything.
-	silentSince time.Time
 	toSidecar   time.Time
 	toEntry     time.Time
 	streams     map[uint64]*stream
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime/debug"
 	"strings"
@@ -9,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/samber/lo"
 
+	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/plan"
@@ -229,6 +231,7 @@
 		r.promise(len(s.streams) == 0, "self-repair", "%s leaks %d streams", s.name, len(s.streams))
 		r.promise(len(s.claimed) == 0, "self-repair", "%s leaks %d claims", s.name, len(s.claimed))
 	}
+	r.checkEngines()
 	for _, e := range r.engines {
 		r.promise(len(e.running) == 0, "self-repair", "%s still runs %d", e.name, len(e.running))
 	}
@@ -238,6 +241,19 @@
 	r.checkSlots()
 }
 
+// checkEngines asserts that the accepted configuration is in force.
+func (r *run) checkEngines() {
+	config := fleetconfig.Config{}
+	_ = json.Unmarshal(r.store.objects[fleetconfig.ObjectName].Value, &config)
+	if config.Defaults.Weights == nil {
+		return
+	}
+	for _, e := range r.engines {
+		r.promise(e.state.Applied.Weights == *config.Defaults.Weights, "accepted configuration is in force",
+			"%s has weights %s, not %s", e.name, e.state.Applied.Weights, *config.Defaults.Weights)
+	}
+}
+
 // checkSlots asserts that each key slot is owned again, by one sidecar.
 func (r *run) checkSlots() {
 	for n := range keySlots {
--- a/test/soak/sidecar.go
+++ b/test/soak/sidecar.go
@@ -116,6 +116,9 @@
 	switch e := effect.(type) {
 	case requests.Send:
 		if st := s.streams[e.Stream]; st != nil {
+			if resolution := e.Frame.GetResolution(); resolution != nil {
+				resolution.Incarnation = s.id()
+			}
 			st.send(e.Frame)
 			if e.Last {
 				s.forget(st)
@@ -195,7 +198,7 @@
 		took = s.w.between(time.Second, 6*time.Second)
 	}
 	body := answerTo(r.Start)
-	broken := s.w.chance(0.01)
+	broken := s.w.chance(0.04)
 	s.w.on(&s.node, took, func() {
 		if broken {
 			s.w.Faults["service broke off"]++
