--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -135,9 +135,12 @@
 
 func newRouter(i do.Injector) (*router.Router, error) {
 	s := do.MustInvoke[settings.Settings](i)
+	f := do.MustInvoke[*fleet](i)
 	return router.New(router.Config{
+		Region:     s.Process.Region,
 		DataCentre: s.Process.DataCentre,
-		Views:      do.MustInvoke[*fleet](i),
+		Views:      f,
+		Gossip:     f,
 		Explain:    do.MustInvoke[*explain.Log](i),
 		Seed:       rand.Uint64(),
 	}), nil
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -6,9 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
+	"pistachioroad.dev/pistachioroad/internal/entry/links"
 	"pistachioroad.dev/pistachioroad/internal/entry/router"
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
 	"pistachioroad.dev/pistachioroad/internal/member"
@@ -107,16 +105,6 @@
 			names = append(names, vm.Name)
 		}
 	}
-	if len(names) <= plannerCandidates {
-		return slices.Contains(names, process.Name)
-	}
-	r := rendezvous.New(names, xxhash.Sum64String)
-	for range plannerCandidates {
-		name := r.Lookup("planner/" + process.Region)
-		if name == process.Name {
-			return true
-		}
-		r.Remove(name)
-	}
-	return false
+	candidates := links.Choose(names, "planner/"+process.Region, plannerCandidates)
+	return slices.Contains(candidates, process.Name)
 }
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -13,6 +13,7 @@
 	"pistachioroad.dev/pistachioroad/internal/entry/links"
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
 	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/ring"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
@@ -50,8 +51,10 @@
 	// KeyHash chooses the slot.
 	KeyHash uint64
 
-	// cost is what admission has charged; only the duty uses it.
+	// The rest is the duty's: what admission has charged, and the attempts that
+	// have not begun to answer.
 	cost int
+	sent []sent
 }
 
 // Outcome is how one attempt went.
@@ -74,21 +77,40 @@
 
 // Config sets a Router.
 type Config struct {
-	// DataCentre is where this entry is.
-	DataCentre string
-	Views      view.Source
-	Explain    *explain.Log
+	// Region and DataCentre are where this entry is.
+	Region, DataCentre string
+	Views              view.Source
+	Explain            *explain.Log
+	// Gossip tells other entries of the heaviest accounts; nil: there are none.
+	Gossip Gossip
 	// Seed of the random choices.
 	Seed uint64
 	// Now is time.Now but in tests.
 	Now func() time.Time
 }
 
+// Gossip exchanges the heaviest accounts with other entries.
+type Gossip interface {
+	// Spent tells of this entry's.
+	Spent(accounts *wire.Accounts)
+	// Accounts returns what others tell of theirs.
+	Accounts() <-chan member.PeerAccounts
+}
+
+// noGossip is the Gossip of a lone entry.
+type noGossip struct{}
+
+func (noGossip) Spent(*wire.Accounts)                 {}
+func (noGossip) Accounts() <-chan member.PeerAccounts { return nil }
+
 // New returns a Router.
 func New(config Config) *Router {
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.Gossip == nil {
+		config.Gossip = noGossip{}
+	}
 	return &Router{
 		inbox:   ring.New[message]("router", inboxSize, ring.Reject),
 		reports: ring.New[links.Report]("router.reports", reportsSize, ring.DropOldest),
@@ -106,6 +128,8 @@
 func (r *Router) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
+	gossip := time.NewTicker(gossipWindow)
+	defer gossip.Stop()
 	now := r.state.config.Now
 	// After a panic the state may be inconsistent. What is lost with it comes
 	// again with the reports of the next second.
@@ -121,6 +145,10 @@
 			m.apply(now(), r.state)
 		case <-ticker.C:
 			r.state.refresh(now())
+		case <-gossip.C:
+			r.state.config.Gossip.Spent(r.state.heaviest(now()))
+		case accounts := <-r.state.config.Gossip.Accounts():
+			r.state.merge(now(), accounts)
 		}
 	}
 }
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -2,31 +2,18 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/decide/admit"
-	"pistachioroad.dev/pistachioroad/internal/decide/outlier"
-	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/decide/route"
-	"pistachioroad.dev/pistachioroad/internal/decide/shift"
 	"pistachioroad.dev/pistachioroad/internal/entry/links"
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
-	"pistachioroad.dev/pistachioroad/internal/plan"
 	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
-const (
-	// maxGroups bounds the services and models with a group of their own.
-	maxGroups = 64
-	// configureInterval is how often exceptions are looked at for expiry.
-	configureInterval = 2 * time.Second
-	// plainFloor is how many calls of an idle plain service may be retried
-	// within the hold of the budget; its work is counted in calls.
-	plainFloor = 4
-)
+// configureInterval is how often exceptions are looked at for expiry.
+const configureInterval = 2 * time.Second
 
 // state is what the router knows. It belongs to the goroutine of Serve.
 type state struct {
@@ -34,9 +21,11 @@
 	rng     *rand.Rand
 	view    *view.View
 	servers map[string]*server
-	picture *route.Picture
-	prefix  *route.PrefixIndex
-	groups  map[groupKey]*group
+	// prefills and decodes are the pictures of the two kinds of work; calls of
+	// plain services count as prefills.
+	prefills, decodes *route.Picture
+	prefix            *route.PrefixIndex
+	groups            map[groupKey]*group
 	// configuredAt is when the configuration was last applied.
 	configuredAt time.Time
 }
@@ -45,10 +34,8 @@
 type server struct {
 	vm   platform.VM
 	link links.State
-	// load is the last report, nil before the first.
-	load  *wire.Load
-	slots *wire.Slots
-	// loadAt is when load came.
+	// load is the last report, nil before the first; loadAt is when it came.
+	load   *wire.Load
 	loadAt time.Time
 	// drained says that operators have taken it out of service.
 	drained bool
@@ -56,39 +43,36 @@
 	lastEvent uint64
 }
 
-// groupKey names the backend servers that can stand in for each other.
-type groupKey struct{ service, model string }
-
-// group holds the decisions about one service or model.
-type group struct {
-	admitter *admit.Admitter
-	// share is the retry share of budget.
-	share    float64
-	budget   *retry.Budget
-	outliers *outlier.Detector
-}
-
 func newState(config Config) *state {
 	return &state{
-		config:  config,
-		rng:     rand.New(rand.NewPCG(config.Seed, 0)),
-		view:    &view.View{},
-		servers: map[string]*server{},
-		picture: route.NewPicture(),
-		prefix:  route.NewPrefixIndex(0),
-		groups:  map[groupKey]*group{},
+		config:   config,
+		rng:      rand.New(rand.NewPCG(config.Seed, 0)),
+		view:     &view.View{},
+		servers:  map[string]*server{},
+		prefills: route.NewPicture(),
+		decodes:  route.NewPicture(),
+		prefix:   route.NewPrefixIndex(0),
+		groups:   map[groupKey]*group{},
 	}
 }
 
+func (s *state) picture(role route.Role) *route.Picture {
+	if role == route.Decode {
+		return s.decodes
+	}
+	return s.prefills
+}
+
 // refresh takes a new view of the fleet.
 func (s *state) refresh(now time.Time) {
 	next := s.config.Views.View()
-	if next != s.view {
+	changed := next != s.view
+	if changed {
 		s.adopt(next)
-	} else if now.Sub(s.configuredAt) < configureInterval {
-		return
 	}
-	s.configure(now)
+	if changed || now.Sub(s.configuredAt) >= configureInterval {
+		s.configure(now)
+	}
 }
 
 func (s *state) adopt(next *view.View) {
@@ -96,7 +80,10 @@
 	listed := map[string]bool{}
 	for _, vm := range next.Backends() {
 		listed[vm.Name] = true
-		s.server(vm.Name).vm = vm
+		if _, ok := s.servers[vm.Name]; !ok {
+			s.servers[vm.Name] = &server{}
+		}
+		s.servers[vm.Name].vm = vm
 	}
 	for name := range s.servers {
 		if !listed[name] {
@@ -105,6 +92,18 @@
 	}
 }
 
+func (s *state) forget(name string) {
+	delete(s.servers, name)
+	s.prefills.Forget(name)
+	s.decodes.Forget(name)
+	s.prefix.Forget(name)
+	for _, g := range s.groups {
+		for _, d := range g.outliers {
+			d.Forget(name)
+		}
+	}
+}
+
 // configure applies the fleet configuration. Exceptions expire, so it is done
 // also without a new view.
 func (s *state) configure(now time.Time) {
@@ -118,31 +117,10 @@
 		known.drained = values.Drained != nil && *values.Drained
 	}
 	for key, g := range s.groups {
-		if share := s.retryShare(key, now); share != g.share {
-			g.share = share
-			g.budget = newBudget(key, share)
-		}
-	}
-}
-
-func (s *state) forget(name string) {
-	delete(s.servers, name)
-	s.picture.Forget(name)
-	s.prefix.Forget(name)
-	for _, g := range s.groups {
-		g.outliers.Forget(name)
+		s.configureGroup(key, g, now)
 	}
 }
 
-func (s *state) server(name string) *server {
-	known, ok := s.servers[name]
-	if !ok {
-		known = &server{}
-		s.servers[name] = known
-	}
-	return known
-}
-
 // report takes what a link learned.
 func (s *state) report(now time.Time, r links.Report) {
 	known, ok := s.servers[r.Server]
@@ -159,8 +137,6 @@
 		s.load(now, r.Server, r.Load)
 	case r.Events != nil:
 		s.cacheEvents(now, known, r)
-	case r.Slots != nil:
-		known.slots = r.Slots
 	}
 }
 
@@ -170,8 +146,22 @@
 	if !ok {
 		return
 	}
+	if known.load != nil && known.load.GetRole() != load.GetRole() {
+		s.roleChanged(name)
+	}
 	known.load, known.loadAt = load, now
-	s.picture.Report(now, name, loadOf(known))
+	translated := loadOf(known)
+	s.prefills.Report(now, name, translated)
+	s.decodes.Report(now, name, translated)
+}
+
+// roleChanged forgets how fast a server was: its work is another now.
+func (s *state) roleChanged(name string) {
+	for _, g := range s.groups {
+		for _, d := range g.outliers {
+			d.Forget(name)
+		}
+	}
 }
 
 // cacheEvents takes late reports of what an engine caches. A gap in their
@@ -209,129 +199,9 @@
 
 // callRate is how many calls a second a plain backend server finishes.
 func callRate(l *wire.Load) float64 {
-	const (
-		defaultServiceMS = 5
-		msPerSecond      = 1000
-	)
-	serviceMS := l.GetServiceMs()
-	if serviceMS <= 0 {
-		serviceMS = defaultServiceMS
-	}
-	return float64(max(1, l.GetSlots())) * msPerSecond / serviceMS
-}
-
-func (s *state) group(r *Request) *group {
-	key := groupKey{service: r.Service, model: r.Model}
-	if g, ok := s.groups[key]; ok {
-		return g
-	}
-	if len(s.groups) >= maxGroups {
-		clear(s.groups)
-	}
-	share := s.retryShare(key, s.config.Now())
-	g := &group{
-		admitter: admit.New(admit.Config{Rand: s.rng}),
-		share:    share,
-		budget:   newBudget(key, share),
-		outliers: outlier.New(outlier.Config{}),
-	}
-	s.groups[key] = g
-	return g
-}
-
-func newBudget(key groupKey, share float64) *retry.Budget {
-	config := retry.Config{Share: share}
-	if key.model == "" {
-		config.Floor = plainFloor
-	}
-	return retry.New(config)
-}
-
-func (s *state) retryShare(key groupKey, now time.Time) float64 {
-	values := s.view.Values(key.service, key.model, now)
-	if values.RetryShare == nil {
-		return 0
-	}
-	return *values.RetryShare
-}
-
-// candidates returns the backend servers of the request's service, as the
-// decisions see them.
-func (s *state) candidates(now time.Time, r *Request) []route.Candidate {
-	cached := s.prefix.Cached(now, r.Pieces)
-	g := s.group(r)
-	candidates := make([]route.Candidate, 0, len(s.servers))
-	for name, known := range s.servers {
-		if known.vm.Service != r.Service || known.load == nil {
-			continue
-		}
-		c := s.candidate(now, name, known, r)
-		c.CachedPieces = cached[name]
-		c.Weight = g.outliers.Weight(now, name)
-		candidates = append(candidates, c)
-	}
-	// The order of a map is random; the choice must depend on the seed alone.
-	slices.SortFunc(candidates, func(a, b route.Candidate) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return candidates
-}
-
-func (s *state) candidate(now time.Time, name string, known *server, r *Request) route.Candidate {
-	row, _ := s.view.Row(name)
-	c := route.Candidate{
-		Name:       name,
-		DataCentre: known.vm.DataCentre,
-		Service:    known.vm.Service,
-		Adapters:   row.Adapters,
-		Admitting:  known.load.GetAdmitting() && known.link == links.Up && !known.drained,
-		Leaving:    known.vm.Leaving,
-	}
-	c.Load, _, _ = s.picture.Load(now, name)
-	if r.Service != platform.ServiceModels {
-		return c
-	}
-	c.Role = route.Role(known.load.GetRole())
-	if c.Role == "" {
-		c.Role = route.Mixed
-	}
-	if c.Role == route.Decode {
-		c.SpillPrompt = shift.DefaultSpillPrompt
-	}
-	c.Model = modelOf(known, row, r.Model)
-	return c
-}
-
-// modelOf returns the model that the engine serves now: the request's, if the
-// engine reports it. An engine that reports none serves what the plan says;
-// without a plan it is asked, and refuses what it does not serve.
-func modelOf(known *server, row plan.Engine, model string) string {
-	if slices.Contains(known.load.GetModels(), model) {
-		return model
-	}
-	if len(known.load.GetModels()) > 0 {
-		return known.load.GetModels()[0]
-	}
-	if row.Model == "" {
-		return model
-	}
-	return row.Model
-}
-
-// request translates a Request for the decision of a role.
-func (s *state) request(r *Request, role route.Role, excluded []string) route.Request {
-	return route.Request{
-		Service:      r.Service,
-		Model:        r.Model,
-		Adapter:      r.Adapter,
-		PromptTokens: r.PromptTokens,
-		OutputTokens: r.OutputTokens,
-		Pieces:       r.Pieces,
-		DataCentre:   s.config.DataCentre,
-		Role:         role,
-		Excluded:     excluded,
+	callTime := time.Duration(l.GetServiceMs() * float64(time.Millisecond))
+	if callTime <= 0 {
+		callTime = defaultCallTime
 	}
+	return float64(max(1, l.GetSlots())) / callTime.Seconds()
 }
