--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -145,6 +145,10 @@
 	// RetryAfter is set on a refusal.
 	RetryAfter time.Duration
 	Reason     Reason
+	// Entitled is the part of what the caller offers that is within its share,
+	// in (0, 1]. Demand for a planner is to count by it: roles set for work
+	// that fairness turns away would be wrong for the work that is let in.
+	Entitled float64
 }
 
 // Usage is the work of one account at one entry, as gossiped.
@@ -207,12 +211,19 @@
 	a.meanCost = cmp.Or(a.meanCost, cost)
 	a.meanCost += meanCostWeight * (cost - a.meanCost)
 	a.relevel(now, p)
+	entitled := a.entitled(acc, r.Caller)
 	if d := a.refusal(now, acc, r, p); d.Reason != Admitted {
+		d.Entitled = entitled
 		return d
 	}
 	acc.admitted += cost
 	acc.outstanding += cost
-	return Decision{Admit: true}
+	return Decision{Admit: true, Entitled: entitled}
+}
+
+func (a *Admitter) entitled(acc *account, caller string) float64 {
+	offered := a.rate(acc.offered) + a.remote.rate(caller)
+	return min(1, 2*a.level*a.weight(caller)/max(1, offered))
 }
 
 // Finished tells that an admitted request has ended, in any way.
--- a/internal/decide/shift/goodput.go
+++ b/internal/decide/shift/goodput.go
@@ -7,21 +7,17 @@
 	prefill, short, decode float64
 }
 
-func needOf(f Fleet, headroom float64) need {
+func (p *Planner) needOf(f Fleet) need {
 	if f.Capacity.PrefillTokens <= 0 || f.Capacity.DecodeTokens <= 0 {
 		return need{}
 	}
-	room := 1 + headroom
 	return need{
-		prefill: (f.Demand.PrefillTokens + f.Demand.PrefillBacklog/backlogSeconds) * room / f.Capacity.PrefillTokens,
-		short:   f.Demand.ShortPrefillTokens * room / f.Capacity.PrefillTokens,
-		decode:  (f.Demand.DecodeTokens + f.Demand.DecodeBacklog/backlogSeconds) * room / f.Capacity.DecodeTokens,
+		prefill: f.Demand.PrefillTokens * (1 + p.cfg.PrefillHeadroom) / f.Capacity.PrefillTokens,
+		short:   f.Demand.ShortPrefillTokens * (1 + p.cfg.PrefillHeadroom) / f.Capacity.PrefillTokens,
+		decode:  f.Demand.DecodeTokens * (1 + p.cfg.DecodeHeadroom) / f.Capacity.DecodeTokens,
 	}
 }
 
-// backlogSeconds is the time in which a backlog should be gone.
-const backlogSeconds = 10
-
 // served is the share of the demand that finishes: a request needs both its
 // prefill and its decode, so the scarcer one decides.
 func (p *Planner) served(c counts, n need) float64 {
@@ -58,20 +54,44 @@
 	return max(0, have) / want
 }
 
-// gain is how much more goodput, in engines, one engine moved to the role
-// would bring.
-func (p *Planner) gain(c counts, f Fleet, to Role) float64 {
-	if c.of(opposite(to)) <= p.cfg.LeastPerRole {
-		return 0
-	}
-	n := needOf(f, p.cfg.Headroom)
+// move is a number of engines to change to a role, and the goodput, in engines,
+// that they would bring; it is negative where the present roles do better.
+type move struct {
+	engines int
+	gain    float64
+}
+
+// perEngine is the gain for each engine moved. Sums of it can be compared
+// between moves of different sizes, and with the price of one change.
+func (m move) perEngine() float64 { return m.gain / float64(max(1, m.engines)) }
+
+// enough is the part of the greatest gain that the smallest move has to bring:
+// the last engine of a move costs as much as the first and often brings little.
+const enough = 0.6
+
+// best returns the smallest move to the role that brings nearly as much as any.
+func (p *Planner) best(c counts, n need, to Role) move {
+	var moves []move
+	most := 0.0
 	now := p.served(c, n)
-	then := p.served(c.moved(to), n)
-	return (then - now) * (n.prefill + n.decode)
+	for k := 1; k <= c.of(opposite(to))-p.cfg.LeastPerRole; k++ {
+		gain := (p.served(c.moved(to, k), n) - now) * (n.prefill + n.decode)
+		moves = append(moves, move{engines: k, gain: gain})
+		most = max(most, gain)
+	}
+	for _, m := range moves {
+		if most > 0 && m.gain >= enough*most {
+			return m
+		}
+	}
+	if len(moves) == 0 {
+		return move{}
+	}
+	return move{gain: moves[0].gain}
 }
 
 func (p *Planner) spill(c counts, f Fleet) Spill {
-	n := needOf(f, p.cfg.Headroom)
+	n := p.needOf(f)
 	decode, prefill := p.useMixed(float64(c.mixed), float64(c.decode), float64(c.prefill), n)
 	taken := p.spilled(decode, prefill, n)
 	if taken <= 0 {
--- a/internal/decide/shift/shift.go
+++ b/internal/decide/shift/shift.go
@@ -42,11 +42,17 @@
 	DefaultRoleChangeCost = 1.0
 	// DefaultDwell is how long an engine keeps a role at least.
 	DefaultDwell = 30 * time.Second
-	// DefaultMaxInFlight bounds the changes at any time.
-	DefaultMaxInFlight = 1
-	// DefaultHeadroom is by how much of its capacity a role is wanted larger
-	// than its demand: queues grow without bound as load nears capacity.
-	DefaultHeadroom = 0.1
+	// DefaultMaxInFlight bounds the changes at any time: a quarter of a dozen
+	// engines. One at a time, a mix that moves by three engines is followed
+	// only after a minute and a half, when it may be about to turn.
+	DefaultMaxInFlight = 3
+	// DefaultPrefillHeadroom and DefaultDecodeHeadroom are by how much the
+	// capacity of a role is wanted larger than its demand. Want of prefill is
+	// seen at admission and costs refusals; want of decode comes to light
+	// after the prefill, as answers that are late and work that is lost, and
+	// a batch that is not full does less than its rate. So decode gets more.
+	DefaultPrefillHeadroom = 0.1
+	DefaultDecodeHeadroom  = 0.3
 	// DefaultSpillPrompt is the longest prompt, in uncached tokens, that a
 	// decode engine prefills: at a share of a half it is done in two seconds.
 	DefaultSpillPrompt = 8_000
@@ -69,7 +75,8 @@
 	ChangeTime     time.Duration
 	Dwell          time.Duration
 	MaxInFlight    int
-	Headroom       float64
+	// PrefillHeadroom and DecodeHeadroom are shares of the demand.
+	PrefillHeadroom, DecodeHeadroom float64
 	// LeastPerRole engines stay in each role.
 	LeastPerRole int
 	SpillPrompt  int
@@ -90,6 +97,8 @@
 	Since time.Time
 	// QueuedTokens breaks ties: the idlest engine changes.
 	QueuedTokens int
+	// Speed is the engine's measured rate over that of its peers; 0 means 1.
+	Speed float64
 }
 
 // Demand is the work offered to one model, also what was refused for lack of
@@ -101,7 +110,9 @@
 	ShortPrefillTokens float64
 	// DecodeTokens a second are output tokens.
 	DecodeTokens float64
-	// PrefillBacklog and DecodeBacklog are tokens that wait now.
+	// PrefillBacklog and DecodeBacklog are tokens that wait now, for the state
+	// dump. They do not enter the decision: what waits was offered before and
+	// is in the rates, and counting it twice made roles swing.
 	PrefillBacklog, DecodeBacklog float64
 }
 
@@ -151,7 +162,8 @@
 	Spill   Spill
 }
 
-// Planner holds the loss summed up for each direction. Its methods are for one
+// Planner holds the loss summed up for each direction, in engine-seconds of
+// goodput for each engine that would move. Its methods are for one
 // goroutine.
 type Planner struct {
 	cfg  Config
@@ -165,7 +177,8 @@
 	cfg.ChangeTime = cmp.Or(cfg.ChangeTime, DefaultChangeTime)
 	cfg.Dwell = cmp.Or(cfg.Dwell, DefaultDwell)
 	cfg.MaxInFlight = cmp.Or(cfg.MaxInFlight, DefaultMaxInFlight)
-	cfg.Headroom = cmp.Or(cfg.Headroom, DefaultHeadroom)
+	cfg.PrefillHeadroom = cmp.Or(cfg.PrefillHeadroom, DefaultPrefillHeadroom)
+	cfg.DecodeHeadroom = cmp.Or(cfg.DecodeHeadroom, DefaultDecodeHeadroom)
 	cfg.LeastPerRole = cmp.Or(cfg.LeastPerRole, 1)
 	cfg.SpillPrompt = cmp.Or(cfg.SpillPrompt, DefaultSpillPrompt)
 	cfg.SpillShare = cmp.Or(cfg.SpillShare, DefaultSpillShare)
@@ -179,14 +192,12 @@
 	dt := p.elapsed(now)
 	c := count(f.Engines)
 	d := Decision{Spill: p.spill(c, f)}
+	n := p.needOf(f)
 	for _, to := range []Role{Prefill, Decode} {
-		gain := p.gain(c, f, to)
-		p.loss[to] = max(0, p.loss[to]+gain*dt.Seconds())
-	}
-	for _, to := range []Role{Prefill, Decode} {
-		if change, ok := p.change(now, c, f, to); ok {
-			d.Changes = append(d.Changes, change)
-			p.loss = make(map[Role]float64)
+		m := p.best(c, n, to)
+		p.loss[to] = max(0, p.loss[to]+m.perEngine()*dt.Seconds())
+		if d.Changes = p.changes(now, c, f, to, m); len(d.Changes) > 0 {
+			clear(p.loss)
 			break
 		}
 	}
@@ -229,35 +240,53 @@
 	return c
 }
 
-func (p *Planner) change(now time.Time, c counts, f Fleet, to Role) (Change, bool) {
+// changes returns the move, or as much of it as may be in flight, once the
+// loss has reached its price.
+func (p *Planner) changes(now time.Time, c counts, f Fleet, to Role, m move) []Change {
 	price := p.cfg.RoleChangeCost * p.cfg.ChangeTime.Seconds()
-	if p.loss[to] < price || c.changing >= p.cfg.MaxInFlight {
-		return Change{}, false
+	if m.engines == 0 || p.loss[to] < price {
+		return nil
 	}
 	from := opposite(to)
-	if c.of(from) <= p.cfg.LeastPerRole {
-		return Change{}, false
+	ready := p.candidates(now, f.Engines, from)
+	room := min(m.engines, p.cfg.MaxInFlight-c.changing, c.of(from)-p.cfg.LeastPerRole, len(ready))
+	var changes []Change
+	for _, e := range ready[:max(0, room)] {
+		changes = append(changes, Change{Name: e.Name, From: from, To: to, Why: why(to, p.loss[to], price)})
 	}
-	e, ok := p.candidate(now, f.Engines, from)
-	if !ok {
-		return Change{}, false
-	}
-	return Change{Name: e.Name, From: from, To: to, Why: why(to, p.loss[to], price)}, true
+	return changes
 }
 
-func (p *Planner) candidate(now time.Time, engines []Engine, from Role) (Engine, bool) {
+// candidates returns the engines of the role that may change, idlest first and
+// slow ones last. A slow engine is idle because routing spares it; moved for
+// that, it would look new to its next peers, take a whole batch of streams and
+// make all of them late.
+func (p *Planner) candidates(now time.Time, engines []Engine, from Role) []Engine {
 	var ready []Engine
 	for _, e := range engines {
 		if e.Role == from && e.Movable && !e.Changing && now.Sub(e.Since) >= p.cfg.Dwell {
 			ready = append(ready, e)
 		}
 	}
-	if len(ready) == 0 {
-		return Engine{}, false
+	slices.SortFunc(ready, func(a, b Engine) int {
+		return cmp.Or(slowFirst(b, a), cmp.Compare(a.QueuedTokens, b.QueuedTokens), cmp.Compare(a.Name, b.Name))
+	})
+	return ready
+}
+
+// slowSpeed is the speed below which an engine counts as slow; engines of one
+// kind differ by less.
+const slowSpeed = 0.7
+
+// slowFirst orders slow engines before the others.
+func slowFirst(a, b Engine) int {
+	slow := func(e Engine) int {
+		if cmp.Or(e.Speed, 1) < slowSpeed {
+			return 0
+		}
+		return 1
 	}
-	return slices.MinFunc(ready, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(a.QueuedTokens, b.QueuedTokens), cmp.Compare(a.Name, b.Name))
-	}), true
+	return cmp.Compare(slow(a), slow(b))
 }
 
 func opposite(r Role) Role {
@@ -274,13 +303,11 @@
 	return c.decode
 }
 
-func (c counts) moved(to Role) counts {
-	if to == Prefill {
-		c.prefill++
-		c.decode--
-	} else {
-		c.prefill--
-		c.decode++
+func (c counts) moved(to Role, engines int) counts {
+	if to == Decode {
+		engines = -engines
 	}
+	c.prefill += engines
+	c.decode -= engines
 	return c
 }
--- a/test/loadplay/play.go
+++ b/test/loadplay/play.go
@@ -136,6 +136,11 @@
 		})
 	}
 	p.every(gossipPeriod, p.gossip)
+	p.every(gapPeriod, func() {
+		for _, e := range p.entries {
+			e.watchGaps()
+		}
+	})
 	p.every(planPeriod, p.step)
 	p.every(time.Second, func() { p.result.sample(p) })
 	for _, f := range p.scenario.Faults {
@@ -254,6 +259,7 @@
 			Changing:     s.changing,
 			Since:        s.since,
 			QueuedTokens: s.load().QueuedTokens + 100*len(s.streams),
+			Speed:        s.speed,
 		})
 	}
 	return f
