entry: limit the reading of every answer, and anew for each request

Cause: a caller that stops reading held a handler without limit when its answer did not stream; and the write deadline of a stream stayed in force on its connection, so that the next request there was cut once it had passed. The new spec fails without the reset at the begin of a request.

Also: the budget of a Start is worked out when it is sent, after the wait for a link; counters of admissions by reason, timers of the first piece and of whole answers; a dump of the membership.

--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -23,6 +23,10 @@
 	jsonType = "application/json"
 	// defaultDeadline is the time of a request that nothing else names one for.
 	defaultDeadline = 30 * time.Second
+	// writeTimeout is how long a caller may take to read one piece of an answer,
+	// or one that does not stream. A caller that reads nothing would hold a slot
+	// of an engine.
+	writeTimeout = 15 * time.Second
 	// fullRetryAfter is told when the entry holds too many requests.
 	fullRetryAfter = time.Second
 )
@@ -40,8 +44,11 @@
 
 	completions *validator[completionRequest]
 	chats       *validator[chatRequest]
-	inFlight    atomic.Int64
-	draining    atomic.Bool
+	// writeTimeout is how long a caller may take to read a piece of an answer.
+	writeTimeout time.Duration
+
+	inFlight atomic.Int64
+	draining atomic.Bool
 }
 
 var (
@@ -58,6 +65,8 @@
 		views:       views,
 		completions: newValidator[completionRequest](),
 		chats:       newValidator[chatRequest](),
+
+		writeTimeout: writeTimeout,
 	}
 }
 
@@ -89,6 +98,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := uuid.Must(uuid.NewV7())
 		w.Header().Set(RequestIDHeader, id.String())
+		// The write deadline of an earlier request on the connection stays in
+		// force and would cut this one.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		if a.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -264,6 +264,22 @@
 		Expect(resp.Header.Get("Retry-After")).To(Equal("1"))
 	})
 
+	// A caller keeps its connection and asks again after a pause. The limit on
+	// the time to read the first answer must not cut the second.
+	It("limits each answer of a connection anew", func() {
+		const limit = 100 * time.Millisecond
+		api.SetWriteTimeout(a, limit)
+		body := `{"model":"draft","prompt":"x","stream":true}`
+		for range 2 {
+			resp, answer := do(http.MethodPost, "/v1/completions", nil, body)
+			Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			Expect(answer).To(HaveSuffix("data: [DONE]\n\n"))
+			time.Sleep(2 * limit)
+		}
+		resp, _ := do(http.MethodPost, "/v1/completions", nil, `{`)
+		Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+	})
+
 	It("asks callers to close their connections while it drains", func() {
 		a.Drain()
 		resp, _ := do(http.MethodGet, "/services/lookup/x", nil, "")
--- a/internal/entry/api/completions.go
+++ b/internal/entry/api/completions.go
@@ -138,10 +138,14 @@
 func (a *API) answer(w http.ResponseWriter, r *http.Request, request *serve.Request, g generation) {
 	shape := newShape(request, g)
 	if !g.stream {
-		a.doer.Do(r.Context(), request, &plainSink{w: w, shape: shape, id: request.ID.String()})
+		a.doer.Do(r.Context(), request, &plainSink{
+			w: w, shape: shape, id: request.ID.String(), writeTimeout: a.writeTimeout,
+		})
 		return
 	}
-	sink := &streamSink{w: w, controller: http.NewResponseController(w), shape: shape, id: request.ID.String(), usage: g.usage}
+	sink := &streamSink{
+		w: w, shape: shape, id: request.ID.String(), usage: g.usage, writeTimeout: a.writeTimeout,
+	}
 	a.doer.Do(r.Context(), request, sink)
 	if sink.broken {
 		brokenStreams.Inc(1)
--- /dev/null
+++ b/internal/entry/api/export_test.go
@@ -0,0 +1,6 @@
+package api
+
+import "time"
+
+// SetWriteTimeout shortens how long a caller may take to read.
+func SetWriteTimeout(a *API, d time.Duration) { a.writeTimeout = d }
--- a/internal/entry/api/services.go
+++ b/internal/entry/api/services.go
@@ -37,7 +37,7 @@
 		refuse(w, id, err)
 		return
 	}
-	a.doer.Do(r.Context(), request, &callSink{w: w, id: id.String()})
+	a.doer.Do(r.Context(), request, &callSink{w: w, id: id.String(), writeTimeout: a.writeTimeout})
 }
 
 func (a *API) callRequest(r *http.Request, id uuid.UUID, name string, service settings.Service, body []byte) (*serve.Request, *verdict.Error) {
@@ -164,6 +164,8 @@
 	w    http.ResponseWriter
 	id   string
 	body []byte
+
+	writeTimeout time.Duration
 }
 
 // Deliver implements serve.Sink.
@@ -191,6 +193,7 @@
 	}
 	// A transfer that breaks is then shorter than it says.
 	header.Set("Content-Length", strconv.Itoa(len(s.body)))
+	limitWrite(s.w, s.writeTimeout)
 	s.w.WriteHeader(statusFrom(f.Final.GetStatus()))
 	_, _ = s.w.Write(s.body)
 }
--- a/internal/entry/api/sink.go
+++ b/internal/entry/api/sink.go
@@ -12,9 +12,10 @@
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
-// writeTimeout is how long a caller may take to read one piece. A caller that
-// reads nothing would hold a slot of an engine.
-const writeTimeout = 10 * time.Second
+// limitWrite gives the caller a limited time to read what is written next.
+func limitWrite(w http.ResponseWriter, timeout time.Duration) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
+}
 
 // plainSink answers once the text is whole.
 type plainSink struct {
@@ -22,6 +23,8 @@
 	shape shape
 	id    string
 	text  strings.Builder
+
+	writeTimeout time.Duration
 }
 
 // Deliver implements serve.Sink.
@@ -34,6 +37,7 @@
 func (s *plainSink) Finish(f call.Finish) {
 	s.w.Header().Set("Content-Type", jsonType)
 	s.w.Header().Set(verdict.Header, verdict.Ran.String())
+	limitWrite(s.w, s.writeTimeout)
 	_ = json.NewEncoder(s.w).Encode(s.shape.whole(s.text.String(), f))
 }
 
@@ -42,11 +46,12 @@
 
 // streamSink sends each piece as a server-sent event.
 type streamSink struct {
-	w          http.ResponseWriter
-	controller *http.ResponseController
-	shape      shape
-	id         string
-	usage      bool
+	w     http.ResponseWriter
+	shape shape
+	id    string
+	usage bool
+
+	writeTimeout time.Duration
 
 	begun bool
 	// broken says that the transfer must be aborted.
@@ -90,12 +95,12 @@
 	buffer = append(buffer, "data: "...)
 	buffer = append(buffer, data...)
 	buffer = append(buffer, "\n\n"...)
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	limitWrite(s.w, s.writeTimeout)
 	if _, err := s.w.Write(buffer); err != nil {
 		s.broken = true
 		return eris.Wrap(err, "write event")
 	}
-	return eris.Wrap(s.controller.Flush(), "flush event")
+	return eris.Wrap(http.NewResponseController(s.w).Flush(), "flush event")
 }
 
 // Finish implements serve.Sink.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -239,6 +239,7 @@
 			Ready:   p.ready,
 			Explain: do.MustInvoke[*explain.Log](i),
 			Duties: map[string]operator.DumpFunc{
+				"member":  p.fleet.Dump,
 				"router":  router.Dump,
 				"links":   pool.Dump,
 				"planner": duty.Dump,
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -49,6 +49,27 @@
 	return v
 }
 
+// fleetDump is what the process knows of the fleet, for people.
+type fleetDump struct {
+	VMs       int               `json:"vms"`
+	ListAge   string            `json:"vm_list_age"`
+	Versions  map[string]uint64 `json:"versions"`
+	Ready     bool              `json:"ready"`
+	Confirmed bool              `json:"confirmed"`
+}
+
+// Dump returns what the process knows of the fleet.
+func (f *fleet) Dump(context.Context) any {
+	snapshot := f.Snapshot()
+	return fleetDump{
+		VMs:       len(snapshot.VMs),
+		ListAge:   snapshot.ListAge(time.Now()).Round(time.Millisecond).String(),
+		Versions:  snapshot.Versions().GetVersions(),
+		Ready:     snapshot.Ready,
+		Confirmed: snapshot.Confirmed,
+	}
+}
+
 // Versions implements links.Objects.
 func (f *fleet) Versions() *wire.Versions { return f.Snapshot().Versions() }
 
--- a/internal/entry/router/admit.go
+++ b/internal/entry/router/admit.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"pistachioroad.dev/pistachioroad/internal/decide/admit"
 	"pistachioroad.dev/pistachioroad/internal/decide/route"
 	"pistachioroad.dev/pistachioroad/internal/platform"
@@ -26,6 +28,16 @@
 	defaultCallTime = 5 * time.Millisecond
 )
 
+var (
+	admissions = metrics.GetOrRegisterCounter("router.admitted", nil)
+	refusals   = map[admit.Reason]metrics.Counter{
+		admit.PastDeadline: metrics.GetOrRegisterCounter("router.refused.past_deadline", nil),
+		admit.OverShare:    metrics.GetOrRegisterCounter("router.refused.over_share", nil),
+		admit.OverLimit:    metrics.GetOrRegisterCounter("router.refused.over_limit", nil),
+		admit.NoCapacity:   metrics.GetOrRegisterCounter("router.refused.no_capacity", nil),
+	}
+)
+
 // admit decides whether the request is let in.
 func (s *state) admit(now time.Time, r *Request) *verdict.Error {
 	p, ok := s.pickOne(now, r, firstRole(r), nil)
@@ -58,9 +70,11 @@
 	why := fmt.Sprintf("%s; wait %v, run %v, cost %d", decision.Reason,
 		e.wait.Round(time.Millisecond), e.run.Round(time.Millisecond), r.cost)
 	if decision.Admit {
+		admissions.Inc(1)
 		s.explain(now, r.ID, "admitted", why)
 		return nil
 	}
+	refusals[decision.Reason].Inc(1)
 	s.explain(now, r.ID, "refused", why)
 	return verdict.Refused(codeOf(decision.Reason), decision.Reason.String(), decision.RetryAfter)
 }
--- a/internal/entry/router/route.go
+++ b/internal/entry/router/route.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"pistachioroad.dev/pistachioroad/internal/decide/outlier"
 	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/decide/route"
@@ -23,6 +25,11 @@
 	minExpected = 100 * time.Millisecond
 )
 
+var (
+	spentBudgets = metrics.GetOrRegisterCounter("router.retry_budget_spent", nil)
+	unroutables  = metrics.GetOrRegisterCounter("router.not_routed", nil)
+)
+
 // sent is an attempt as the router sent it.
 type sent struct {
 	server   string
@@ -109,6 +116,7 @@
 	if allowed {
 		return nil
 	}
+	spentBudgets.Inc(1)
 	s.explain(now, r.ID, "not tried again", "the retry budget is spent")
 	return verdict.Refused(verdict.CodeOverloaded, "too many requests fail to try this one again", noServerRetryAfter)
 }
@@ -161,6 +169,7 @@
 		event.RetryIn = changeRetryIn
 		why += "; asked again in " + changeRetryIn.String()
 	}
+	unroutables.Inc(1)
 	s.explain(now, r.ID, "not routed", why)
 	return event
 }
--- a/internal/entry/serve/run.go
+++ b/internal/entry/serve/run.go
@@ -31,6 +31,7 @@
 	// silent is closed when the current attempt's connection goes silent.
 	silent <-chan struct{}
 
+	beganAt   time.Time
 	target    string
 	sentAt    time.Time
 	began     bool
@@ -55,6 +56,7 @@
 		inbox:   make(chan posted, inboxSize),
 		done:    make(chan struct{}),
 		streams: map[uint32]*stream{},
+		beganAt: time.Now(),
 	}
 }
 
@@ -99,6 +101,7 @@
 		return
 	}
 	r.began = true
+	firstPiece.UpdateSince(r.beganAt)
 	r.server.router.Attempted(r.routing, r.target, router.Outcome{Took: time.Since(r.sentAt)})
 }
 
@@ -149,6 +152,7 @@
 	case call.Finish:
 		r.succeeded, r.answered = true, true
 		succeeded.Inc(1)
+		duration.UpdateSince(r.beganAt)
 		r.sink.Finish(e)
 	case call.Fail:
 		r.answered = true
@@ -197,6 +201,8 @@
 		return
 	}
 	start := r.request.start(e)
+	// The wait for a link has taken a part of the budget.
+	start.BudgetUs = time.Until(r.request.Deadline).Microseconds()
 	start.ClockUs = s.conn.PeerClock()
 	s.clock = start.ClockUs
 	if !r.post(posted{event: call.Sent{Attempt: e.Attempt, Incarnation: s.conn.Incarnation()}, stream: s}) {
--- a/internal/entry/serve/serve.go
+++ b/internal/entry/serve/serve.go
@@ -33,8 +33,12 @@
 	requests  = metrics.GetOrRegisterCounter("entry.requests", nil)
 	succeeded = metrics.GetOrRegisterCounter("entry.requests.succeeded", nil)
 	inFlight  = metrics.GetOrRegisterCounter("entry.requests.in_flight", nil)
-	panics    = metrics.GetOrRegisterCounter("entry.requests.panics", nil)
-	failed    = map[verdict.Verdict]metrics.Counter{
+	// firstPiece is the time to the first piece of an attempt's answer, duration
+	// that of whole answers; both from the admission.
+	firstPiece = metrics.GetOrRegisterTimer("entry.requests.first_piece", nil)
+	duration   = metrics.GetOrRegisterTimer("entry.requests.duration", nil)
+	panics     = metrics.GetOrRegisterCounter("entry.requests.panics", nil)
+	failed     = map[verdict.Verdict]metrics.Counter{
 		verdict.NotRun:     metrics.GetOrRegisterCounter("entry.requests.failed.not_run", nil),
 		verdict.MayHaveRun: metrics.GetOrRegisterCounter("entry.requests.failed.may_have_run", nil),
 		verdict.Ran:        metrics.GetOrRegisterCounter("entry.requests.failed.ran", nil),
