fleetconfig: refuse an exception whose value nothing looks up in its scope

Cause: an entry decides on deadline, class, retries and accounts before it knows where a request goes, and the planner on roles for all engines of a model, so these are looked up by service and model. An exception with such a value for one data centre or backend server was accepted, stood in the list, and did nothing.

Ruled out: refusing it on reading too. A stored object with such a value does no harm, and a process that refused it would keep an older version.

The examples leave the deadline of look-ups to the fleet configuration, for one in an entry's settings goes before it.

--- a/cmd/pistachioroad/edit.go
+++ b/cmd/pistachioroad/edit.go
@@ -35,7 +35,7 @@
 		summary: "Add an exception with a scope and a reason",
 		details: "At least one part of a scope is needed; several parts must all match.\n" +
 			"The more specific of two exceptions wins. Keys: " + strings.Join(fleetconfig.Keys(), ", ") + ".",
-		example: `exception add -service holds -reason "fair week" -expires 72h deadline=3s`,
+		example: `exception add -model hanbit-draft -reason "fair week" -expires 72h role_change_cost=2`,
 		flags: func(set *flag.FlagSet, o *options) {
 			editFlags(set, o)
 			reasonFlag(set, o)
--- a/internal/fleetconfig/change.go
+++ b/internal/fleetconfig/change.go
@@ -138,6 +138,9 @@
 	if n.Expires != nil && !n.Expires.After(e.by.At) {
 		return eris.Wrap(ErrChange, "the exception would have expired already")
 	}
+	if err := checkEffect(n); err != nil {
+		return err
+	}
 	added := Exception{
 		ID:      e.newID(),
 		Scope:   n.Scope,
@@ -152,6 +155,28 @@
 	return nil
 }
 
+// keysByService are looked up by service and model only: an entry decides on
+// them before it knows where a request goes, the planner for all engines of a
+// model together.
+var keysByService = []string{
+	"account_tokens_per_second", "change_dwell", "class", "deadline", "idempotent",
+	"max_changes_in_flight", "retry_share", "role_change_cost",
+}
+
+// checkEffect refuses a value that nothing would look up within its scope. It
+// would stand in the list as if it were in force.
+func checkEffect(n NewException) error {
+	if n.Scope.DataCentre == "" && n.Scope.BackendServer == "" {
+		return nil
+	}
+	without := lo.Intersect(keysByService, lo.Keys(n.Values.fields()))
+	if len(without) > 0 {
+		return eris.Wrapf(ErrChange, "%s has no effect for a single data centre or backend server; use the scope of a service or model",
+			strings.Join(without, ", "))
+	}
+	return nil
+}
+
 func (e *editor) removeException(id string) error {
 	kept := lo.Filter(e.config.Exceptions, func(x Exception, _ int) bool { return x.ID != id })
 	if len(kept) == len(e.config.Exceptions) {
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -78,7 +78,7 @@
 
 	It("drains a backend server and takes it back, and leaves other exceptions alone", func() {
 		m1 := fleetconfig.Scope{BackendServer: "gangnam-m1"}
-		c := apply(fleetconfig.Config{}, "e1", addException(m1, "slow disk", "deadline=9s"))
+		c := apply(fleetconfig.Config{}, "e1", addException(m1, "slow disk", "drain_timeout=9s"))
 		c = apply(c, "e2", fleetconfig.Change{Drain: &fleetconfig.Drain{BackendServer: "gangnam-m1", Reason: "new GPU"}})
 		Expect(*c.For(m1, start).Drained).To(BeTrue())
 		c = apply(c, "e3", fleetconfig.Change{Undrain: "gangnam-m1"})
@@ -127,6 +127,7 @@
 		Entry("a long reason", addException(fleetconfig.Scope{Service: "s"}, strings.Repeat("r", 501), "class=batch"), "a reason of"),
 		Entry("an empty scope", addException(fleetconfig.Scope{}, "r", "class=batch"), "change the defaults instead"),
 		Entry("no value", addException(fleetconfig.Scope{Service: "s"}, "r"), "it sets no value"),
+		Entry("a value without effect", addException(fleetconfig.Scope{DataCentre: "mapo"}, "r", "deadline=1s", "drained=true"), "deadline has no effect"),
 		Entry("draining a service", addException(fleetconfig.Scope{Service: "s"}, "r", "drained=true"), "needs the scope"),
 		Entry("draining all", fleetconfig.Change{SetDefaults: &fleetconfig.Values{Drained: ptr(true)}}, "the whole fleet"),
 		Entry("an unknown exception", fleetconfig.Change{RemoveException: "x1"}, "no exception"),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,8 +89,7 @@
 	// Deadline is the time a call has when its caller names none; 0: that of
 	// the fleet configuration.
 	Deadline time.Duration `yaml:"deadline"`
-	// Class is interactive, normal or batch; empty: that of the fleet
-	// configuration.
+	// Class is interactive, normal or batch; empty: normal.
 	Class string `yaml:"class"`
 	// KeyRequired refuses calls that may not be repeated and carry no
 	// Idempotency-Key.
