--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -15,6 +15,8 @@
 // metricPrefix sets the project's metrics apart from those of other programs.
 const metricPrefix = "pistachioroad_"
 
+const secondsPerNanosecond = 1e-9
+
 var quantiles = []float64{0.5, 0.95, 0.99}
 
 // writeMetrics writes the registry in the Prometheus text format, sorted by
@@ -45,10 +47,11 @@
 		writeSample(w, name+"_total", "counter", float64(m.Snapshot().Count()))
 	case metrics.Histogram:
 		s := m.Snapshot()
-		writeSummary(w, name, s.Percentiles(quantiles), s.Sum(), s.Count())
+		writeSummary(w, name, 1, s.Percentiles(quantiles), s.Sum(), s.Count())
 	case metrics.Timer:
+		// go-metrics keeps nanoseconds; the format's unit of time is seconds.
 		s := m.Snapshot()
-		writeSummary(w, name, s.Percentiles(quantiles), s.Sum(), s.Count())
+		writeSummary(w, name+"_seconds", secondsPerNanosecond, s.Percentiles(quantiles), s.Sum(), s.Count())
 	}
 }
 
@@ -56,12 +59,13 @@
 	fmt.Fprintf(w, "# TYPE %s %s\n%s %v\n", name, kind, name, value)
 }
 
-func writeSummary(w io.Writer, name string, values []float64, sum, count int64) {
+// writeSummary writes values and their sum in units of unit.
+func writeSummary(w io.Writer, name string, unit float64, values []float64, sum, count int64) {
 	fmt.Fprintf(w, "# TYPE %s summary\n", name)
 	for i, q := range quantiles {
-		fmt.Fprintf(w, "%s{quantile=\"%v\"} %v\n", name, q, values[i])
+		fmt.Fprintf(w, "%s{quantile=\"%v\"} %v\n", name, q, values[i]*unit)
 	}
-	fmt.Fprintf(w, "%s_sum %d\n%s_count %d\n", name, sum, name, count)
+	fmt.Fprintf(w, "%s_sum %v\n%s_count %d\n", name, float64(sum)*unit, name, count)
 }
 
 // metricName maps the characters that the format does not allow in a name.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -120,11 +120,13 @@
 		registry := metrics.NewRegistry()
 		metrics.GetOrRegisterCounter("ring.router.dropped", registry).Inc(2)
 		metrics.GetOrRegisterHistogram("wait", registry, metrics.NewUniformSample(16)).Update(5)
+		metrics.GetOrRegisterTimer("run", registry).Update(250 * time.Millisecond)
 		url := serve(operator.Sources{Metrics: registry})
 		status, body := get(url+"/metrics", testToken)
 		Expect(status).To(Equal(http.StatusOK))
 		Expect(body).To(ContainSubstring("# TYPE pistachioroad_ring_router_dropped counter\npistachioroad_ring_router_dropped 2\n"))
 		Expect(body).To(ContainSubstring("pistachioroad_wait{quantile=\"0.95\"} 5\n"))
+		Expect(body).To(ContainSubstring("pistachioroad_run_seconds_sum 0.25\n"))
 	})
 })
 
