fleetconfig: lay exceptions over defaults field by field

Cause: an entry looks values up for each request, and each layer went through JSON there and back.

A test sets every key in an exception and finds each in force, so that a field left out of the overlay fails.

--- /dev/null
+++ b/internal/fleetconfig/bench_test.go
@@ -0,0 +1,23 @@
+package fleetconfig_test
+
+import (
+	"testing"
+
+	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+)
+
+// BenchmarkFor measures the look-up that an entry makes for each request.
+func BenchmarkFor(b *testing.B) {
+	batch := "batch"
+	c := fleetconfig.Config{Defaults: fleetconfig.Values{Class: &batch}}
+	for range fleetconfig.MaxExceptions {
+		c.Exceptions = append(c.Exceptions, fleetconfig.Exception{
+			Scope:  fleetconfig.Scope{Service: "calendar"},
+			Values: fleetconfig.Values{Class: &batch},
+		})
+	}
+	c.Exceptions[0].Scope.Service = "holds"
+	for b.Loop() {
+		c.For(fleetconfig.Scope{Service: "holds"}, start)
+	}
+}
--- a/internal/fleetconfig/fleetconfig.go
+++ b/internal/fleetconfig/fleetconfig.go
@@ -175,24 +175,37 @@
 	return e.Expires != nil && !now.Before(*e.Expires)
 }
 
-// overlay returns base with the fields that are set in top. Fields that are
-// not set are left out of top's JSON, so decoding it leaves them alone.
+// overlay returns base with the fields that are set in top. The two share what
+// their fields point to, which nobody changes.
 func overlay(base, top Values) Values {
-	data, err := json.Marshal(top)
-	if err != nil {
-		return base
+	merged := Values{
+		RoleChangeCost:         either(top.RoleChangeCost, base.RoleChangeCost),
+		MaxChangesInFlight:     either(top.MaxChangesInFlight, base.MaxChangesInFlight),
+		ChangeDwell:            either(top.ChangeDwell, base.ChangeDwell),
+		Deadline:               either(top.Deadline, base.Deadline),
+		Class:                  either(top.Class, base.Class),
+		Idempotent:             either(top.Idempotent, base.Idempotent),
+		RetryShare:             either(top.RetryShare, base.RetryShare),
+		AccountTokensPerSecond: either(top.AccountTokensPerSecond, base.AccountTokensPerSecond),
+		ClaimRetention:         either(top.ClaimRetention, base.ClaimRetention),
+		DrainTimeout:           either(top.DrainTimeout, base.DrainTimeout),
+		Weights:                either(top.Weights, base.Weights),
+		Drained:                either(top.Drained, base.Drained),
+		Adapters:               base.Adapters,
 	}
-	// The copy of base shares its pointers; decoding writes through them, so
-	// base is copied by way of JSON first.
-	merged := Values{}
-	for _, layer := range [][]byte{mustJSON(base), data} {
-		if err := json.Unmarshal(layer, &merged); err != nil {
-			return base
-		}
+	if len(top.Adapters) > 0 {
+		merged.Adapters = top.Adapters
 	}
 	return merged
 }
 
+func either[T any](first, second *T) *T {
+	if first != nil {
+		return first
+	}
+	return second
+}
+
 func mustJSON(v Values) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -140,6 +140,28 @@
 	)
 })
 
+var _ = Describe("For", func() {
+	// A field that the overlay of defaults and exceptions leaves out could be
+	// set and shown, and would never be in force.
+	It("puts every field of an exception in force over the defaults", func() {
+		defaults := values("role_change_cost=1", "max_changes_in_flight=1", "change_dwell=1s", "deadline=1s",
+			"class=normal", "idempotent=false", "retry_share=0.01", "account_tokens_per_second=1",
+			"claim_retention=1m", "drain_timeout=1s", "weights=a", "adapters=a", "drained=false")
+		special := values("role_change_cost=2", "max_changes_in_flight=2", "change_dwell=2s", "deadline=2s",
+			"class=batch", "idempotent=true", "retry_share=0.02", "account_tokens_per_second=2",
+			"claim_retention=2m", "drain_timeout=2s", "weights=b", "adapters=b", "drained=true")
+		for _, key := range fleetconfig.Keys() {
+			Expect(special.Text(key)).NotTo(Or(BeEmpty(), Equal(defaults.Text(key))), key)
+		}
+		c := fleetconfig.Config{Defaults: defaults, Exceptions: []fleetconfig.Exception{
+			{Scope: fleetconfig.Scope{BackendServer: "m1"}, Values: special},
+			{Scope: fleetconfig.Scope{Service: "models", DataCentre: "mapo"}, Values: defaults},
+		}}
+		Expect(c.For(fleetconfig.Scope{Service: "models", DataCentre: "mapo", BackendServer: "m1"}, start)).To(Equal(special))
+		Expect(c.For(fleetconfig.Scope{Service: "models", BackendServer: "m2"}, start)).To(Equal(defaults))
+	})
+})
+
 var _ = Describe("Compare", func() {
 	It("shows what each kind of change would set beside how it stands", func() {
 		c := apply(fleetconfig.Config{}, "e1",
