--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -101,7 +101,7 @@
 	}
 	fields := fieldsByKey(target)
 	for _, entry := range entries {
-		key := entry.Key.String()
+		key := keyName(entry)
 		field, known := fields[key]
 		if !known {
 			names := lo.Keys(fields)
@@ -122,7 +122,7 @@
 	}
 	target.Set(reflect.MakeMap(target.Type()))
 	for _, entry := range entries {
-		key := strings.Trim(entry.Key.String(), `"'`)
+		key := keyName(entry)
 		child := join(path, key)
 		r.lines[child] = line(entry.Key)
 		value := reflect.New(target.Type().Elem()).Elem()
@@ -270,6 +270,11 @@
 	return r.problems
 }
 
+// keyName returns the key of an entry, which may be written in quotes.
+func keyName(entry *ast.MappingValueNode) string {
+	return strings.Trim(entry.Key.String(), `"'`)
+}
+
 func fieldsByKey(target reflect.Value) map[string]reflect.Value {
 	fields := map[string]reflect.Value{}
 	for i := range target.NumField() {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -60,6 +60,10 @@
 		Expect(s.Platform.VMListInterval).To(Equal(time.Second))
 	})
 
+	It("takes keys in quotes", func() {
+		Expect(problems("platform:", `"platform":`)).To(BeEmpty())
+	})
+
 	It("reads what a program wrote, with null, 0 and empty for what is not set", func() {
 		want, err := settings.Parse([]byte(sidecarFile))
 		Expect(err).NotTo(HaveOccurred())
