Sidecar: tests of its duties, and what they found

Found by a spec that sends drafts without a pause: streams that were answered counted against the bound until their entry closed them, and new ones were then closed without a word. The bound is now on streams that wait for their last frame. Also mended: the load after the last change came up to a second late; deadlines were seen up to a second late in an idle table; a shutdown could miss what was let in the moment before, so it asks through the requests duty's inbox and goes on refusing for 300 ms.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -37,8 +37,12 @@
 		drained bool
 		timeout time.Duration
 	}
-	// leaving says that the process is shutting down.
-	leaving      struct{ handOverAfter time.Duration }
+	// leaving says that the process is shutting down; done is closed once the
+	// request table has been told.
+	leaving struct {
+		handOverAfter time.Duration
+		done          chan struct{}
+	}
 	admissionAsk struct{ reply chan admissionDump }
 )
 
@@ -135,10 +139,15 @@
 // tell hands over a message that must not be lost.
 func (d *admissionDuty) tell(ctx context.Context, m any) { _ = d.inbox.PutWait(ctx, m) }
 
-// shutDown refuses new work from now on, and hands running work over after the
-// time given.
-func (d *admissionDuty) shutDown(handOverAfter time.Duration) {
-	d.tell(context.Background(), leaving{handOverAfter: handOverAfter})
+// shutDown refuses new work from its return on, and hands running work over
+// after the time given.
+func (d *admissionDuty) shutDown(ctx context.Context, handOverAfter time.Duration) {
+	done := make(chan struct{})
+	d.tell(ctx, leaving{handOverAfter: handOverAfter, done: done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
 
 // Serve decides until ctx ends.
@@ -169,6 +178,7 @@
 	case drainedSet:
 		d.gate.drain(now, m)
 	case leaving:
+		defer close(m.done)
 		d.gate.leaving = true
 		d.gate.handOverAt = now.Add(m.handOverAfter)
 	case engineHandOver:
--- a/internal/sidecar/links.go
+++ b/internal/sidecar/links.go
@@ -22,7 +22,8 @@
 	// maxSessions bounds the connections: each entry of the fleet has one, and
 	// a second beside a silent one.
 	maxSessions = 1024
-	// maxStreams bounds the open streams of all connections.
+	// maxStreams bounds the streams of all connections that wait for their last
+	// frame.
 	maxStreams = 4096
 	// silentTicks is after how many ticks without a frame a connection is
 	// closed. Ticks that a paused process missed do not count: its entries
@@ -46,8 +47,9 @@
 
 	sessions atomic.Int64
 	streams  atomic.Int64
-	writing  atomic.Int64
-	numbers  atomic.Uint64
+	// waiting counts the attempts and questions whose last frame is not sent.
+	waiting atomic.Int64
+	numbers atomic.Uint64
 }
 
 func newLinks(i do.Injector) (*linksDuty, error) {
@@ -120,7 +122,7 @@
 		if err != nil {
 			return
 		}
-		if d.streams.Load() >= maxStreams {
+		if d.waiting.Load() >= maxStreams {
 			_ = conn.Close()
 			continue
 		}
@@ -194,9 +196,9 @@
 		// the entry ask for the outcome, which is recorded then.
 		return
 	}
-	d.writing.Add(1)
+	d.waiting.Add(1)
 	go func() {
-		defer d.writing.Add(-1)
+		defer d.waiting.Add(-1)
 		st.write(s.Done())
 	}()
 	for {
@@ -216,7 +218,7 @@
 func (d *linksDuty) awaitSent(ctx context.Context) {
 	ticker := time.NewTicker(sentPollTime)
 	defer ticker.Stop()
-	for d.writing.Load() > 0 {
+	for d.waiting.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -229,10 +231,10 @@
 type linksDump struct {
 	Sessions int64 `json:"sessions"`
 	Streams  int64 `json:"streams"`
-	Writing  int64 `json:"writing"`
+	Waiting  int64 `json:"waiting"`
 }
 
 // Dump returns the state of the duty.
 func (d *linksDuty) Dump(context.Context) any {
-	return linksDump{Sessions: d.sessions.Load(), Streams: d.streams.Load(), Writing: d.writing.Load()}
+	return linksDump{Sessions: d.sessions.Load(), Streams: d.streams.Load(), Waiting: d.waiting.Load()}
 }
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -43,6 +41,8 @@
 	engineLoad  struct{ load engine.Load }
 	engineState struct{ state engine.State }
 	requestsAsk struct{ reply chan requests.Dump }
+	// liveAsk asks how many requests have no outcome.
+	liveAsk struct{ reply chan int }
 )
 
 // workCount tells how much the backend server runs, as of the admission with
@@ -63,8 +63,6 @@
 	explain *explain.Log
 	control *controlDuty
 	self    incarnation
-	live    atomic.Int64
-	workers sync.WaitGroup
 
 	// The rest belongs to Serve.
 	table     *requests.Table
@@ -76,7 +74,12 @@
 	admission uint64
 	report    requests.EngineReport
 	told      workCount
-	loadAt    time.Time
+	// load is the last one reported, at loadAt; loadDue says that it is no
+	// longer true.
+	loadAt  time.Time
+	loadDue bool
+	// tickAt is when the table sees time pass.
+	tickAt time.Time
 }
 
 func newRequests(i do.Injector) (*requestsDuty, error) {
@@ -147,15 +150,30 @@
 		select {
 		case m := <-d.inbox.C():
 			d.take(time.Now(), m)
-		case now := <-timer.C:
-			d.step(now, requests.Tick{})
-			timer.Reset(d.table.Next(now).Sub(now))
+		case <-timer.C:
+			d.step(time.Now(), requests.Tick{})
+			d.tickAt = time.Time{}
 		case <-ctx.Done():
 			d.stopRuns()
 			d.serving = false
 			return ctx.Err()
 		}
-		d.tell(time.Now())
+		now := time.Now()
+		d.tell(now)
+		d.setTimer(now, timer)
+	}
+}
+
+// setTimer sets the timer to the next tick, if that is sooner than the one it
+// is set to.
+func (d *requestsDuty) setTimer(now time.Time, timer *time.Timer) {
+	next := d.table.Next(now)
+	if report := d.loadAt.Add(loadInterval); d.loadDue && report.Before(next) {
+		next = report
+	}
+	if d.tickAt.IsZero() || next.Before(d.tickAt) {
+		d.tickAt = next
+		timer.Reset(next.Sub(now))
 	}
 }
 
@@ -177,17 +195,25 @@
 		d.step(now, d.report)
 	case requestsAsk:
 		m.reply <- d.table.Dump(now)
+	case liveAsk:
+		m.reply <- d.table.Live()
 	}
 }
 
 func (d *requestsDuty) step(now time.Time, event requests.Event) {
+	d.release(event)
 	d.pending = append(d.pending, d.table.Step(now, event)...)
 	d.carryOut()
+}
+
+// release drops what is held for something that has ended.
+func (d *requestsDuty) release(event requests.Event) {
 	switch e := event.(type) {
 	case requests.StreamEnded:
 		delete(d.streams, e.Stream)
 	case requests.Ended:
-		d.endRun(e.Run)
+		d.cancelRun(e.Run)
+		delete(d.cancels, e.Run)
 	case requests.ClaimAnswered:
 		if !e.Granted {
 			delete(d.claimed, e.Claim)
@@ -211,7 +237,7 @@
 	case requests.Run:
 		ctx, cancel := context.WithCancel(context.Background())
 		d.cancels[e.Run] = cancel
-		d.workers.Go(func() { d.runner.do(ctx, e) })
+		go d.runner.do(ctx, e)
 	case requests.CancelRun:
 		d.cancelRun(e.Run)
 	case requests.Claim:
@@ -245,21 +271,16 @@
 	}
 }
 
-func (d *requestsDuty) endRun(run requests.RunID) {
-	d.cancelRun(run)
-	delete(d.cancels, run)
-}
-
 // claim asks for a key in a goroutine of its own; there are at most as many as
 // the table lets wait.
 func (d *requestsDuty) claim(e requests.Claim) {
 	request := claimRequest(e)
 	d.claimed[e.Claim] = request
-	d.workers.Go(func() {
+	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), e.Deadline)
 		defer cancel()
 		d.mustPost(claimAnswered(e.Claim, d.claims.Claim(ctx, request)))
-	})
+	}()
 }
 
 func (d *requestsDuty) settle(e requests.Settle) {
@@ -268,34 +289,34 @@
 		return
 	}
 	delete(d.claimed, e.Claim)
-	d.workers.Go(func() { settle(d.claims, request, e) })
+	go settle(d.claims, request, e)
 }
 
 // tell reports what has changed to the other duties.
 func (d *requestsDuty) tell(now time.Time) {
-	d.live.Store(int64(d.table.Live()))
 	count := workCount{number: d.admission, admitting: d.table.Admitting(), running: d.table.Running()}
-	changed := count.number != d.told.number || count.admitting != d.told.admitting
+	opened := count.admitting != d.told.admitting
 	if count != d.told {
 		d.told = count
 		d.counts.Put(count)
+		d.loadDue = true
 	}
-	if changed || now.Sub(d.loadAt) >= loadInterval {
-		d.loadAt = now
+	if opened || now.Sub(d.loadAt) >= loadInterval {
+		d.loadAt, d.loadDue = now, false
 		d.control.setLoad(d.table.Load())
 	}
 }
 
-// awaitIdle waits until no request is without outcome.
+// awaitIdle waits until no request is without outcome. The question goes
+// through the inbox: behind a change of the admission, it counts all that was
+// let in before.
 func (d *requestsDuty) awaitIdle(ctx context.Context) {
-	ticker := time.NewTicker(idlePollTime)
-	defer ticker.Stop()
-	for d.live.Load() > 0 {
-		select {
-		case <-ctx.Done():
+	for ctx.Err() == nil {
+		live := ask(ctx, d.inbox, func(reply chan int) any { return liveAsk{reply: reply} })
+		if live == 0 {
 			return
-		case <-ticker.C:
 		}
+		time.Sleep(idlePollTime)
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -42,6 +42,13 @@
 	explainSize = 4096
 	// stopTimeout is how long a duty may take to end.
 	stopTimeout = 5 * time.Second
+	// restartPause is how long a duty that keeps panicking rests. The longer
+	// default of the library would leave callers without answers.
+	restartPause = time.Second
+	// leaveGrace is how long a sidecar that shuts down goes on refusing at
+	// least. What entries sent before they heard of it would otherwise meet a
+	// closed connection, and nobody could tell any more whether it ran.
+	leaveGrace = 300 * time.Millisecond
 )
 
 // started is the origin of this process's clock, which Hello and Heartbeat
@@ -104,6 +111,8 @@
 	return suture.New("sidecar", suture.Spec{
 		EventHook: logEvent,
 		Timeout:   stopTimeout,
+
+		FailureBackoff: restartPause,
 	}), nil
 }
 
@@ -245,7 +254,8 @@
 	log.WithField("timeout", timeout.String()).Info("draining")
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	p.admission.shutDown(timeout / 2)
+	p.admission.shutDown(ctx, timeout/2)
+	time.Sleep(leaveGrace)
 	p.requests.awaitIdle(ctx)
 	p.links.awaitSent(ctx)
 	if err := p.claims.Release(ctx); err != nil {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -2,191 +2,198 @@
 
 import (
 	"context"
-	"net"
+	"encoding/json"
 	"net/http"
-	"net/http/httptest"
-	"os"
-	"path/filepath"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"pistachioroad.dev/pistachioroad/internal/link"
+	"pistachioroad.dev/pistachioroad/internal/engine"
+	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/plan"
 	"pistachioroad.dev/pistachioroad/internal/platform"
-	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
+	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
 )
 
 func TestSidecar(t *testing.T) {
+	invariant.PanicOnBreach()
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "sidecar")
 }
 
 var _ = Describe("Run", func() {
 	It("streams an answer of the engine and proves it whole", func() {
-		backend := httptest.NewServer(http.HandlerFunc(twoPieces))
-		defer backend.Close()
-		session := startSidecar(platform.ServiceModels, backend)
-
-		conn := openStart(session, &wire.Start{
-			RequestId: newID(),
-			BudgetUs:  time.Minute.Microseconds(),
-			Work:      &wire.Start_Generate{Generate: &wire.Generate{Model: "m", MaxTokens: 2}},
-		})
-		text, final := receiveAnswer(conn)
-		Expect(text).To(Equal("ab"))
-		Expect(final.GetFinishReason()).To(Equal("stop"))
+		s := startEngineSidecar()
+		text, final := receiveAnswer(s.link().send(draft("portfolio", 20)))
+		Expect(text).To(Equal(modelengine.Answer("portfolio", 20)))
+		Expect(final.GetFinishReason()).To(Equal("length"))
 	})
 
-	It("runs a call of a plain service once", func() {
-		var runs atomic.Int64
-		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			runs.Add(1)
-			w.WriteHeader(http.StatusCreated)
-			_, _ = w.Write([]byte(r.URL.Path))
-		}))
-		defer backend.Close()
-		session := startSidecar("booking", backend)
-
-		conn := openStart(session, &wire.Start{
-			RequestId: newID(),
-			BudgetUs:  time.Minute.Microseconds(),
-			Work:      &wire.Start_Call{Call: &wire.Call{Method: http.MethodPost, Path: "/holds"}},
-		})
-		text, final := receiveAnswer(conn)
-		Expect(text).To(Equal("/holds"))
+	It("passes the answer of a plain service on", func() {
+		s := startServiceSidecar()
+		text, final := receiveAnswer(s.link().send(hold("seo-yeon")))
+		Expect(text).To(ContainSubstring("seo-yeon"))
 		Expect(final.GetStatus()).To(BeEquivalentTo(http.StatusCreated))
-		Expect(runs.Load()).To(BeEquivalentTo(1))
 	})
-})
 
-func twoPieces(w http.ResponseWriter, r *http.Request) {
-	switch r.URL.Path {
-	case "/generate":
-	case "/state":
-		_, _ = w.Write([]byte(`{"incarnation":"1","ready":true,"applied":{"model":"m","role":"mixed"}}`))
-		return
-	default:
-		http.NotFound(w, r)
-		return
-	}
-	_, _ = w.Write([]byte(`{"piece":{"text":"a","tokens":1}}` + "\n"))
-	_, _ = w.Write([]byte(`{"piece":{"text":"b","tokens":1}}` + "\n"))
-	_, _ = w.Write([]byte(`{"finish":{"reason":"stop","output_tokens":2}}` + "\n"))
-}
+	// An operator starts a second sidecar on the VM, or the platform does while
+	// the first one is paused. Both would order the engine.
+	It("does not run twice on one VM", func() {
+		s := startServiceSidecar()
+		Expect(sidecar.Run(context.Background(), s.settings)).To(MatchError(ContainSubstring("another sidecar")))
+	})
 
-// startSidecar runs a sidecar beside backend until the spec ends and returns a
-// link to it.
-func startSidecar(service string, backend *httptest.Server) *link.Session {
-	GinkgoHelper()
-	s := testSettings(service, strings.TrimPrefix(backend.URL, "http://"))
-	ctx, stop := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- sidecar.Run(ctx, s) }()
-	DeferCleanup(func() {
-		stop()
-		Eventually(stopped, 10*time.Second).Should(Receive(BeNil()))
+	Describe("a link that is lost", func() {
+		// A connection breaks while a hold is placed. The entry asks on another
+		// one; told "not run", it would place a second hold.
+		It("does not lose the result of a call", func() {
+			s := startServiceSidecar()
+			s.slowService(300 * time.Millisecond)
+			first, second := s.link(), s.link()
+			start := hold("seo-yeon")
+			first.send(start)
+			Eventually(s.runs("seo-yeon")).Should(Equal(1))
+			Expect(first.Close()).To(Succeed())
+
+			Expect(second.resolve(start).GetOutcome()).To(Equal(wire.Outcome_OUTCOME_RUNNING))
+			Eventually(func() wire.Outcome { return second.resolve(start).GetOutcome() }).
+				WithTimeout(5 * time.Second).Should(Equal(wire.Outcome_OUTCOME_RAN))
+			kept := second.resolve(start)
+			Expect(kept.GetIncarnation()).To(Equal(second.hello.GetIncarnation()))
+			Expect(kept.GetFinal().GetStatus()).To(BeEquivalentTo(http.StatusCreated))
+			Expect(s.runs("seo-yeon")()).To(Equal(1))
+		})
+
+		// The frame of a hold is still under way when its entry asks on a
+		// second connection and is told "not run".
+		It("does not start what was resolved as not run", func() {
+			s := startServiceSidecar()
+			start := hold("seo-yeon")
+			Expect(s.link().resolve(start).GetOutcome()).To(Equal(wire.Outcome_OUTCOME_NOT_RUN))
+			refusal := receiveRefusal(s.link().send(start))
+			Expect(refusal.GetVerdict()).To(Equal(wire.Verdict_VERDICT_NOT_RUN))
+			Expect(s.runs("seo-yeon")()).To(BeZero())
+		})
 	})
-	session := dial(s.Listen.Links)
-	awaitAdmitting(session)
-	return session
-}
 
-// awaitAdmitting exchanges Hello and waits until the sidecar lets work in.
-func awaitAdmitting(session *link.Session) {
-	GinkgoHelper()
-	conn, err := session.Open()
-	Expect(err).NotTo(HaveOccurred())
-	Expect(conn.Send(&wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Process: "entry-1"}}})).To(Succeed())
-	for {
-		frame, err := conn.Receive()
-		Expect(err).NotTo(HaveOccurred())
-		if frame.GetLoad().GetAdmitting() {
-			return
-		}
-	}
-}
+	// The sidecar is paused with a frame in its socket buffer; the frame's age
+	// shows only against the clock that its entry last heard.
+	It("does not start what spent its time under way", func() {
+		s := startServiceSidecar()
+		l := s.link()
+		start := hold("seo-yeon")
+		start.BudgetUs = time.Millisecond.Microseconds()
+		start.ClockUs = l.hello.GetClockUs()
+		time.Sleep(2 * time.Millisecond)
+		Expect(receiveRefusal(l.send(start)).GetCode()).To(BeEquivalentTo(verdict.CodeDeadline))
+		Expect(s.runs("seo-yeon")()).To(BeZero())
+	})
 
-func testSettings(service, backend string) settings.Settings {
-	return settings.Settings{
-		Process: settings.Process{Name: "vm-1", Role: settings.RoleSidecar, Region: "seoul", DataCentre: "gangnam"},
-		Listen: settings.Listen{
-			Links: freeAddress(), Operators: freeAddress(), OperatorTokenFile: tokenFile(),
-		},
-		Platform: settings.Platform{Address: freeAddress(), CallsPerSecond: 20},
-		Sidecar: &settings.Sidecar{
-			BackendServer: settings.BackendServer{
-				Service: service, Address: backend, Slots: 4, OrderTimeout: time.Second,
-			},
-			QueueLength:     16,
-			ResultBytes:     1 << 20,
-			ResumeWait:      time.Second,
-			ShutdownTimeout: 5 * time.Second,
-		},
-	}
-}
+	// A caller asks for a hold twice under one key, because its first
+	// connection broke.
+	It("runs a call once for its idempotency key", func() {
+		s := startServiceSidecar()
+		l := s.link()
+		l.offer(plan.Plan{Region: "seoul", Slots: map[string]plan.Slots{"booking": {Owners: []string{"vm-1"}}}})
+		l.awaitSlots()
+		first, second := hold("seo-yeon"), hold("seo-yeon")
+		first.IdempotencyKey, second.IdempotencyKey = "k", "k"
+		placed, _ := receiveAnswer(l.send(first))
+		replayed, final := receiveAnswer(l.send(second))
+		Expect(replayed).To(Equal(placed))
+		Expect(final.GetReplayed()).To(BeTrue())
+		Expect(s.runs("seo-yeon")()).To(Equal(1))
+	})
 
-func tokenFile() string {
-	GinkgoHelper()
-	path := filepath.Join(GinkgoT().TempDir(), "token")
-	Expect(os.WriteFile(path, []byte("a token for operators"), 0o600)).To(Succeed())
-	return path
-}
+	// The store is down, and nobody can tell whether the key was used.
+	It("runs nothing for a key that cannot be claimed", func() {
+		s := startServiceSidecar()
+		start := hold("seo-yeon")
+		start.IdempotencyKey = "k"
+		Expect(receiveRefusal(s.link().send(start)).GetVerdict()).To(Equal(wire.Verdict_VERDICT_NOT_RUN))
+		Expect(s.runs("seo-yeon")()).To(BeZero())
+	})
 
-func freeAddress() string {
-	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
-}
+	Describe("an engine", func() {
+		// It crashes in the middle of a draft, and the answer merely stops.
+		It("that breaks off gives no short answer for a whole one", func() {
+			s := startEngineSidecar()
+			conn := s.link().send(draft("portfolio", 10_000))
+			receiveChunk(conn)
+			s.backend.CloseClientConnections()
+			refusal := receiveRefusal(conn)
+			Expect(refusal.GetVerdict()).To(Equal(wire.Verdict_VERDICT_MAY_HAVE_RUN))
+			Expect(refusal.GetCode()).To(BeEquivalentTo(verdict.CodeBroken))
+			receiveAnswer(s.admitted().send(draft("portfolio", 5)))
+		})
 
-func dial(address string) *link.Session {
-	GinkgoHelper()
-	var session *link.Session
-	Eventually(func() (err error) {
-		session, err = link.Dial(context.Background(), address)
-		return err
-	}, 5*time.Second, 10*time.Millisecond).Should(Succeed())
-	DeferCleanup(func() { _ = session.Close() })
-	return session
-}
+		// The plan changes the engine while drafts go on. An order that leaves
+		// too early cuts them, and the engine records that.
+		It("changes without cutting a draft", func() {
+			s := startEngineSidecar()
+			l := s.link()
+			stop := s.keepDrafting()
+			l.offer(plan.Plan{Region: "seoul", Engines: map[string]plan.Engine{
+				"vm-1": {Generation: 1, Role: engine.RoleDecode, Model: "draft", Weights: "1", Reason: "test"},
+			}})
+			Eventually(s.engineRecord).WithTimeout(20 * time.Second).Should(HaveField("Orders", HaveLen(1)))
+			s.admitted()
+			Expect(stop()).To(BeEmpty())
+			Expect(s.engineRecord().Violations).To(BeEmpty())
+		})
+	})
 
-func newID() []byte {
-	id := uuid.Must(uuid.NewV7())
-	return id[:]
-}
+	// A backend server is taken down while a draft is on its way. The booker
+	// sees it end; what comes after goes elsewhere at once.
+	It("finishes what runs when it shuts down", func() {
+		s := startEngineSidecar()
+		l := s.link()
+		running := l.send(draft("portfolio", 200))
+		first := receiveChunk(running)
+		s.stop()
+		l.awaitDraining()
+		refusal := receiveRefusal(l.send(draft("portfolio", 1)))
+		Expect(refusal.GetVerdict()).To(Equal(wire.Verdict_VERDICT_NOT_RUN))
+		Expect(refusal.GetCode()).To(BeEquivalentTo(verdict.CodeDraining))
+		text, _ := receiveAnswer(running, first)
+		Expect(text).To(Equal(modelengine.Answer("portfolio", 200)))
+		Eventually(s.stopped).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+	})
+})
 
-func openStart(session *link.Session, start *wire.Start) *wire.Conn {
-	GinkgoHelper()
-	conn, err := session.Open()
-	Expect(err).NotTo(HaveOccurred())
-	Expect(conn.Send(&wire.Frame{Body: &wire.Frame_Start{Start: start}})).To(Succeed())
-	return conn
-}
+var _ = Describe("Run without a caller", func() {
+	// A hold is being placed when its entry dies and the backend server is
+	// taken down. Cut now, nobody would ever know whether it was placed.
+	It("ends only after a call that may not be repeated", func() {
+		release := make(chan struct{})
+		placing := make(chan struct{}, 1)
+		s := startSidecar("booking", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			placing <- struct{}{}
+			<-release
+		}))
+		l := s.link()
+		l.send(hold("seo-yeon"))
+		Eventually(placing).Should(Receive())
+		Expect(l.Close()).To(Succeed())
+		s.stop()
+		Consistently(s.stopped, time.Second).ShouldNot(Receive())
+		close(release)
+		Eventually(s.stopped).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+	})
+})
 
-// receiveAnswer reads an answer to its end and fails unless it is whole.
-func receiveAnswer(conn *wire.Conn) (string, *wire.Final) {
+// offer hands the sidecar a plan, as an entry does that has a newer one.
+func (l *entryLink) offer(p plan.Plan) {
 	GinkgoHelper()
-	text := strings.Builder{}
-	digest := wire.NewDigest()
-	for {
-		frame, err := conn.Receive()
-		Expect(err).NotTo(HaveOccurred())
-		Expect(frame.GetRefusal()).To(BeNil())
-		if chunk := frame.GetChunk(); chunk != nil {
-			digest.Add(chunk)
-			text.Write(chunk.GetData())
-		}
-		if final := frame.GetFinal(); final != nil {
-			Expect(digest.Matches(final)).To(BeTrue())
-			return text.String(), final
-		}
-	}
+	value, err := json.Marshal(p)
+	Expect(err).NotTo(HaveOccurred())
+	object := platform.Object{Name: plan.ObjectName(p.Region), Version: 7, Value: value}
+	l.control(&wire.Frame{Body: &wire.Frame_Object{Object: &wire.Object{
+		Name: object.Name, Version: object.Version, Value: object.Value,
+	}}})
 }
