--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -160,9 +160,8 @@
 		if known || !ok || len(report.GetModels()) == 0 || report.GetRole() == "" {
 			continue
 		}
-		generation := max(d.plan.Floor, report.GetGeneration()) + 1
 		d.plan.Engines[name] = plan.Engine{
-			Generation: generation,
+			Generation: d.firstGeneration(report),
 			Role:       engine.Role(report.GetRole()),
 			Model:      report.GetModels()[0],
 			Weights:    report.GetWeights(),
@@ -174,6 +173,17 @@
 	}
 }
 
+// firstGeneration returns the generation of a new row. An engine that was never
+// ordered begins at 0 and needs no order; any other begins above all that its
+// name has seen, for one generation must not mean two things.
+func (d *draft) firstGeneration(report *wire.Load) uint64 {
+	seen := max(d.plan.Floor, report.GetGeneration())
+	if seen == 0 {
+		return 0
+	}
+	return seen + 1
+}
+
 // followConfig rolls out weights and adapters that operators set, a bounded
 // part of a role at a time.
 func (pl *Planner) followConfig(d *draft) {
--- /dev/null
+++ b/test/e2e/tool_test.go
@@ -0,0 +1,109 @@
+package e2e_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"pistachioroad.dev/pistachioroad/internal/engine"
+	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+	"pistachioroad.dev/pistachioroad/internal/operator"
+	"pistachioroad.dev/pistachioroad/test/fleet"
+)
+
+// The exit statuses of the operators' tool.
+const (
+	exitDone     = 0
+	exitConflict = 3
+	exitStore    = 5
+)
+
+// tool runs the operators' tool against one entry.
+func tool(f *fleet.Fleet, entry string, args ...string) (string, int) {
+	GinkgoHelper()
+	common := []string{"-entry", f.OperatorAddress(entry), "-token-file", f.TokenFile()}
+	cmd := exec.Command(filepath.Join(bin, "pistachioroad"), append(common, args...)...)
+	cmd.Env = append(os.Environ(), "USER=e2e")
+	output, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return string(output), exit.ExitCode()
+	}
+	Expect(err).NotTo(HaveOccurred())
+	return string(output), exitDone
+}
+
+// mustTool runs the tool and expects it to be done.
+func mustTool(f *fleet.Fleet, entry string, args ...string) string {
+	GinkgoHelper()
+	output, status := tool(f, entry, args...)
+	Expect(status).To(Equal(exitDone), output)
+	return output
+}
+
+func status(f *fleet.Fleet, entry string) operator.Status {
+	GinkgoHelper()
+	var s operator.Status
+	Expect(json.Unmarshal([]byte(mustTool(f, entry, "status", "-json")), &s)).To(Succeed())
+	return s
+}
+
+// versions returns the version of the fleet config in force at each process,
+// as the processes themselves tell the entries that they are linked to.
+func versions(f *fleet.Fleet) map[string]uint64 {
+	GinkgoHelper()
+	found := map[string]uint64{}
+	for _, entry := range f.Entries {
+		for _, p := range status(f, entry).Processes {
+			if p.State == operator.ProcessUp && len(p.Versions) > 0 {
+				found[p.Name] = max(found[p.Name], p.Versions[fleetconfig.ObjectName])
+			}
+		}
+	}
+	return found
+}
+
+// expectInForce waits until all processes hold one version of the fleet config
+// above the one given, and returns it.
+func expectInForce(f *fleet.Fleet, above uint64) uint64 {
+	GinkgoHelper()
+	var version uint64
+	Eventually(func(g Gomega) {
+		held := versions(f)
+		g.Expect(held).To(HaveLen(len(f.VMs)), "%v", held)
+		distinct := lo.Uniq(lo.Values(held))
+		g.Expect(distinct).To(HaveLen(1), "%v", held)
+		g.Expect(distinct[0]).To(BeNumerically(">", above))
+		version = distinct[0]
+	}, soon, "200ms").Should(Succeed())
+	return version
+}
+
+// engineStates returns what each engine says of itself.
+func engineStates(f *fleet.Fleet) []engine.State {
+	return lo.Map(f.Engines, func(name string, _ int) engine.State {
+		answer, err := fleet.Do(context.Background(), http.MethodGet, f.BackendURL(name)+"/state", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		var state engine.State
+		Expect(json.Unmarshal([]byte(answer.Body), &state)).To(Succeed())
+		return state
+	})
+}
+
+// expectWeights waits until every engine serves the weights.
+func expectWeights(f *fleet.Fleet, weights string) {
+	GinkgoHelper()
+	Eventually(func() []string {
+		return lo.Uniq(lo.Map(engineStates(f), func(s engine.State, _ int) string {
+			return lo.Ternary(s.Ready, s.Applied.Weights, "changing")
+		}))
+	}, 2*soon, "200ms").Should(Equal([]string{weights}))
+}
