--- a/internal/claims/duty.go
+++ b/internal/claims/duty.go
@@ -222,6 +222,8 @@
 	case retainEvent:
 		d.config.Retention = ev.retention
 		d.stepAll(ctx, Retain{Retention: ev.retention})
+	case statusEvent:
+		ev.reply <- d.status()
 	case releaseEvent:
 		d.draining = true
 		d.released = append(d.released, ev.done)
--- a/internal/claims/duty_test.go
+++ b/internal/claims/duty_test.go
@@ -86,6 +86,7 @@
 		time.Sleep(time.Second)
 		g.Expect(a.Owned()).To(Equal([]uint32{0, 1}))
 		g.Expect(b.Owned()).To(Equal([]uint32{2}))
+		g.Expect(a.Status(ctx).Slots).To(HaveLen(2))
 
 		key := keyOf(0, 3)
 		g.Expect(a.Claim(ctx, request(key, "r1")).Kind).To(Equal(claims.Granted))
--- a/internal/member/watch.go
+++ b/internal/member/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -70,7 +69,7 @@
 	pauses := platform.Backoff{First: firstRetry, Longest: longestRetry}
 	readAt := time.Now().Add(spread(backstop))
 	for ctx.Err() == nil {
-		if w.chosen() {
+		if w.member.watching() {
 			if w.watch(ctx) {
 				pauses.Reset()
 				continue
@@ -99,12 +98,6 @@
 	}
 }
 
-// chosen reports whether this process is one of the watchers.
-func (w *watcher) chosen() bool {
-	config := w.member.config
-	return slices.Contains(Watchers(w.member.Snapshot().VMs, config.DataCentre), config.Process)
-}
-
 func (w *watcher) read(ctx context.Context) bool {
 	o, err := w.member.store.Get(ctx, w.name)
 	w.member.inbox.Put(StoreRead{Object: o, Err: err})
