--- /dev/null
+++ b/test/cmd/capacity/state.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/claims"
+	"pistachioroad.dev/pistachioroad/internal/decide/admit"
+	"pistachioroad.dev/pistachioroad/internal/decide/route"
+	"pistachioroad.dev/pistachioroad/internal/engine"
+	"pistachioroad.dev/pistachioroad/internal/plan"
+	"pistachioroad.dev/pistachioroad/internal/planner"
+	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/wire"
+)
+
+// The sizes of letter 1 that the state is measured at.
+const (
+	targetAccounts = 9600
+	targetEngines  = 600
+	targetPieces   = 200_000
+)
+
+// state measures what is kept in memory, in this process.
+func state(string) error {
+	accounts()
+	pieces()
+	candidates()
+	planRows()
+	return claimRecords()
+}
+
+// heap returns the live bytes on the heap.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// timed returns the time of one call in microseconds.
+func timed(calls int, f func(int)) float64 {
+	begin := time.Now()
+	for i := range calls {
+		f(i)
+	}
+	return float64(time.Since(begin).Microseconds()) / float64(calls)
+}
+
+func accounts() {
+	now := time.Unix(1000, 0)
+	before := heap()
+	a := admit.New(admit.Config{Rand: rand.New(rand.NewPCG(1, 1)), Accounts: targetAccounts})
+	decide := func(i int) {
+		request := admit.Request{Caller: fmt.Sprintf("account-%d", i%targetAccounts), CostTokens: 500, Deadline: time.Second}
+		a.Decide(now.Add(time.Duration(i)*time.Microsecond), request, admit.Picture{DrainRate: 1e5, QueueWait: time.Second, Part: 1})
+	}
+	first := timed(targetAccounts, decide)
+	row("memory per account", (heap()-before)/targetAccounts, "bytes")
+	row("admission decision, new accounts", first, "us")
+	row("admission decision, 9,600 accounts", timed(4*targetAccounts, decide), "us")
+	row("heaviest 32 of 9,600 accounts", timed(100, func(i int) { a.HeaviestAccounts(now, 32) }), "us")
+	runtime.KeepAlive(a)
+}
+
+func pieces() {
+	now := time.Unix(1000, 0)
+	before := heap()
+	x := route.NewPrefixIndex(targetPieces)
+	for i := range targetPieces {
+		x.Stored(now, fmt.Sprintf("engine-%d", i%targetEngines), []uint64{uint64(i)})
+	}
+	row("memory per cached piece", (heap()-before)/targetPieces, "bytes")
+	prompt := make([]uint64, 32)
+	for i := range prompt {
+		prompt[i] = uint64(i)
+	}
+	row("look-up of a prompt of 32 pieces", timed(10_000, func(int) { x.Cached(now, prompt) }), "us")
+	runtime.KeepAlive(x)
+}
+
+// candidates measures routing over a subset of links and over all engines.
+func candidates() {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, n := range []int{12, 48, targetEngines} {
+		list := make([]route.Candidate, n)
+		for i := range list {
+			list[i] = route.Candidate{
+				Name: fmt.Sprintf("engine-%d", i), Service: platform.ServiceModels, Model: "draft",
+				Role: route.Mixed, Admitting: true, Load: route.Load{PrefillRate: 1e4},
+			}
+		}
+		request := route.Request{Service: platform.ServiceModels, Model: "draft", PromptTokens: 1000, Role: route.Mixed}
+		row(fmt.Sprintf("routing decision over %d candidates", n), timed(5_000, func(int) { route.Pick(rng, request, list) }), "us")
+	}
+}
+
+func planRows() {
+	now := time.Unix(1000, 0)
+	picture := planner.Picture{Reports: map[string]planner.LoadReport{}}
+	for i := range targetEngines / 2 {
+		name := fmt.Sprintf("engine-%d", i)
+		picture.VMs = append(picture.VMs, platform.VM{Name: name, Kind: platform.VMBackend, Region: "seoul", Service: platform.ServiceModels})
+		picture.Reports[name] = planner.LoadReport{At: now, Load: &wire.Load{
+			Role: string(engine.RoleDecode), Models: []string{"draft"}, Weights: "1", Admitting: true, PrefillRate: 1, DecodeRate: 1,
+		}}
+	}
+	p := planner.New("seoul")
+	picture.Plan, _ = p.Propose(now, picture)
+	data, _ := json.Marshal(picture.Plan)
+	row("plan object per row", float64(len(data))/(targetEngines/2), "bytes")
+	row("planning step over 300 rows (one region)", timed(200, func(int) { p.Propose(now, picture) }), "us")
+	row("decoding the plan of 300 rows", timed(200, func(int) {
+		var decoded plan.Plan
+		_ = json.Unmarshal(data, &decoded)
+	}), "us")
+}
+
+func claimRecords() error {
+	const claimsPerSlot = 1000
+	r := claims.Record{WriteID: platform.NewWriteID(), Epoch: 1, Claims: map[string]claims.Claim{}}
+	result := claims.NewResult(201, nil, make([]byte, 120))
+	for i := range claimsPerSlot {
+		key := fmt.Sprintf("seal-%08d", i)
+		r.Claims[key] = claims.Claim{BodyDigest: uint64(i), Epoch: 1, RequestID: platform.NewWriteID(), Done: 1, Result: &result}
+	}
+	data, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	row("claim record per key, result of 120 bytes", float64(len(data))/claimsPerSlot, "bytes")
+	row("encoding a record of 1,000 keys", timed(50, func(int) { _, _ = r.Encode() }), "us")
+	return nil
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -54,7 +54,10 @@
 	Services map[string]int
 	// ServiceArgs are further arguments of the plain services' stand-in.
 	ServiceArgs []string
-	// Proxied puts a fault proxy before each sidecar and before the platform.
+	// SharedBackends lets all backend servers of a service be one process, for
+	// fleets whose sidecars count and whose work does not.
+	SharedBackends bool
+	// Proxied puts a fault proxy before each VM's links and before the platform.
 	Proxied bool
 	// Tune changes settings before they are written.
 	Tune func(*settings.Settings)
@@ -75,6 +78,7 @@
 	subnet  string
 	nextIP  int
 	ips     map[string]string
+	shared  map[string]string
 	started []*Process
 }
 
@@ -92,6 +96,7 @@
 		Proxies:   map[string]*faultproxy.Proxy{},
 		Services:  map[string][]string{},
 		ips:       map[string]string{},
+		shared:    map[string]string{},
 		subnet:    subnet(os.Getpid(), int(fleets.Add(1))),
 	}
 	if err := f.start(ctx); err != nil {
@@ -127,7 +132,9 @@
 		return err
 	}
 	for i := range f.options.Entries {
-		f.addEntry(fmt.Sprintf("entry-%d", i+1))
+		if err := f.addEntry(fmt.Sprintf("entry-%d", i+1)); err != nil {
+			return err
+		}
 	}
 	if err := f.PublishVMs(ctx); err != nil {
 		return err
@@ -190,15 +197,10 @@
 // addBackend starts a backend server and prepares its sidecar.
 func (f *Fleet) addBackend(ctx context.Context, name, service, ready string, fencing bool, args []string) error {
 	ip := f.ip(name)
-	address := f.address(ip, portBackend)
-	backend := f.process(BackendProcess(name), "standin", "http://"+address+ready, append(args, "-address", address)...)
-	if err := f.run(backend); err != nil {
-		return err
-	}
-	if err := backend.WaitReady(ctx); err != nil {
+	address, err := f.startBackend(ctx, name, service, ready, args)
+	if err != nil {
 		return err
 	}
-	links := f.address(ip, portLinks)
 	vm := f.vm(name, ip, platform.VMBackend, service)
 	s := f.settings(vm, ip)
 	s.Sidecar = &settings.Sidecar{BackendServer: settings.BackendServer{
@@ -207,16 +209,27 @@
 		ChecksFencingToken: fencing,
 		OrderTimeout:       2 * time.Second,
 	}}
-	if f.options.Proxied {
-		if err := f.proxy(name, portLinks, links); err != nil {
-			return err
-		}
-		vm.LinkAddress = f.proxyAddress(name)
-	}
 	return f.addDaemon(vm, s)
 }
 
-func (f *Fleet) addEntry(name string) {
+// startBackend starts the backend server of a VM, or returns the address of the
+// one that the VMs of its service share.
+func (f *Fleet) startBackend(ctx context.Context, name, service, ready string, args []string) (string, error) {
+	if address, ok := f.shared[service]; ok {
+		return address, nil
+	}
+	address := f.address(f.ips[name], portBackend)
+	backend := f.process(BackendProcess(name), "standin", "http://"+address+ready, append(args, "-address", address)...)
+	if err := f.run(backend); err != nil {
+		return "", err
+	}
+	if f.options.SharedBackends {
+		f.shared[service] = address
+	}
+	return address, backend.WaitReady(ctx)
+}
+
+func (f *Fleet) addEntry(name string) error {
 	ip := f.ip(name)
 	vm := f.vm(name, ip, platform.VMEntry, "")
 	s := f.settings(vm, ip)
@@ -230,7 +243,7 @@
 		s.Entry.Services[service] = settings.Service{Deadline: 5 * time.Second, Class: "interactive", Slots: 16}
 	}
 	f.Entries = append(f.Entries, name)
-	_ = f.addDaemon(vm, s)
+	return f.addDaemon(vm, s)
 }
 
 func (f *Fleet) models() []string {
@@ -277,6 +290,12 @@
 
 // addDaemon writes the settings of a daemon and prepares its process.
 func (f *Fleet) addDaemon(vm platform.VM, s settings.Settings) error {
+	if f.options.Proxied {
+		if err := f.proxy(vm.Name, portLinks, vm.LinkAddress); err != nil {
+			return err
+		}
+		vm.LinkAddress = f.proxyAddress(vm.Name)
+	}
 	if f.options.Tune != nil {
 		f.options.Tune(&s)
 	}
