entry: specs of the whole process, and of callers that do not read

An entry with an engine, its sidecar and the object API in one process is told to stop while a stream runs: readiness goes false, a request that still comes within the balancer's lag is answered with Connection: close, the stream ends whole, Run returns nil. Taken out on a scratch copy, each failed it: the wait for the balancer's lag, the wait for what is in flight, duties that outlive the signal, Connection: close. The deadline spec passes without the entry's own deadline too, for the sidecar refuses then; the entry's is covered in call.

Three specs for callers that do not read an answer; without the limit all three fail. go test -race ./internal/entry and ./internal/entry/api pass.

--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -216,6 +217,25 @@
 		Expect(refusal(resp, string(body))).To(Equal(string(verdict.CodeSlowBody)))
 	})
 
+	// A caller asks for a large answer and never reads it. Without a limit the
+	// handler and the answer stay for as long as the connection does.
+	DescribeTable("gives up on a caller that does not read", func(path, body string) {
+		api.SetWriteTimeout(a, 100*time.Millisecond)
+		d.answer = whole(strings.Repeat("x", 32<<20))
+		conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s",
+			path, len(body), body)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(d.request, "10s").ShouldNot(BeNil())
+		Eventually(a.InFlight, "10s").Should(BeZero())
+	},
+		Entry("a completion", "/v1/completions", `{"model":"draft","prompt":"x"}`),
+		Entry("a stream", "/v1/completions", `{"model":"draft","prompt":"x","stream":true}`),
+		Entry("a call", "/services/holds/holds", `{}`),
+	)
+
 	It("passes a call on without the headers of the connection", func() {
 		header := http.Header{
 			api.KeyHeader: {"k"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-Kept": {"2"}, api.AccountHeader: {"agency"},
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,213 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/engine"
+	"pistachioroad.dev/pistachioroad/internal/entry"
+	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/sidecar"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
+	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
+	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+)
+
+func TestEntry(t *testing.T) {
+	invariant.PanicOnBreach()
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+const (
+	// soon bounds what happens by itself; it is no claim about speed.
+	soon = 30 * time.Second
+	// balancerLag is long enough for a request to come in within it.
+	balancerLag = 2 * time.Second
+)
+
+// site is an entry with one engine, in this process.
+type site struct {
+	callers, operators string
+	stop               context.CancelFunc
+	stopped            chan error
+}
+
+func startSite() *site {
+	GinkgoHelper()
+	objects := objectapi.New(objectapi.Config{})
+	store := httptest.NewServer(objects.Handler())
+	DeferCleanup(store.Close)
+	token := filepath.Join(GinkgoT().TempDir(), "token")
+	Expect(os.WriteFile(token, []byte("operator-token-of-the-test"), 0o600)).To(Succeed())
+
+	links := startEngine(strings.TrimPrefix(store.URL, "http://"), token)
+	objects.SetVMs([]platform.VM{
+		{Name: "entry-1", Kind: platform.VMEntry, Region: "seoul", DataCentre: "gangnam"},
+		{
+			Name: "engine-1", Kind: platform.VMBackend, Region: "seoul", DataCentre: "gangnam",
+			LinkAddress: links, Service: platform.ServiceModels,
+		},
+	})
+	s := &site{callers: freeAddress(), operators: freeAddress(), stopped: make(chan error, 1)}
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	go func() {
+		s.stopped <- entry.Run(ctx, entrySettings(s, strings.TrimPrefix(store.URL, "http://"), token))
+	}()
+	DeferCleanup(stop)
+	Eventually(func() (int, error) { return s.status("/readyz") }, soon, "20ms").Should(Equal(http.StatusOK))
+	Eventually(func() int {
+		resp, err := http.Post("http://"+s.callers+"/v1/completions", "", strings.NewReader(`{"model":"draft","prompt":"x","max_tokens":1}`))
+		if err != nil {
+			return 0
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}, soon, "20ms").Should(Equal(http.StatusOK))
+	return s
+}
+
+func entrySettings(s *site, store, token string) settings.Settings {
+	return settings.Settings{
+		Process:  settings.Process{Name: "entry-1", Role: settings.RoleEntry, Region: "seoul", DataCentre: "gangnam"},
+		Listen:   settings.Listen{Callers: s.callers, Links: freeAddress(), Operators: s.operators, OperatorTokenFile: token},
+		Platform: settings.Platform{Address: store, CallsPerSecond: 100, VMListInterval: 100 * time.Millisecond},
+		Entry: &settings.Entry{
+			Models: []string{"draft"},
+			Limits: settings.Limits{
+				BodyBytes: 1 << 20, HeaderBytes: 16 << 10, Connections: 64, HeaderTimeout: time.Second,
+				BodyTimeout: time.Second, IdleTimeout: time.Minute, MaxDeadline: time.Minute, InFlight: 64,
+			},
+			BalancerLag:     balancerLag,
+			ShutdownTimeout: soon,
+		},
+	}
+}
+
+// startEngine runs a stand-in engine and its sidecar until the spec ends and
+// returns the address of the sidecar.
+func startEngine(store, token string) string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	config := modelengine.DefaultConfig(listener.Addr().String())
+	config.Order.Model, config.Order.Role = "draft", engine.RoleMixed
+	config.TokenInterval = 10 * time.Millisecond
+	server := &http.Server{Handler: modelengine.New(config).Handler()}
+	go func() { _ = server.Serve(listener) }()
+
+	s := settings.Settings{
+		Process:  settings.Process{Name: "engine-1", Role: settings.RoleSidecar, Region: "seoul", DataCentre: "gangnam"},
+		Listen:   settings.Listen{Links: freeAddress(), Operators: freeAddress(), OperatorTokenFile: token},
+		Platform: settings.Platform{Address: store, CallsPerSecond: 100},
+		Sidecar: &settings.Sidecar{
+			BackendServer: settings.BackendServer{
+				Service: platform.ServiceModels, Address: listener.Addr().String(), Slots: 4, OrderTimeout: 100 * time.Millisecond,
+			},
+			QueueLength: 16, ResultBytes: 1 << 20, ResumeWait: time.Second, ShutdownTimeout: time.Second,
+		},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- sidecar.Run(ctx, s) }()
+	DeferCleanup(func() {
+		stop()
+		Eventually(stopped, soon).Should(Receive(BeNil()))
+		Expect(server.Close()).To(Succeed())
+	})
+	return s.Listen.Links
+}
+
+func freeAddress() string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (s *site) status(path string) (int, error) {
+	resp, err := http.Get("http://" + s.operators + path)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, nil
+}
+
+// complete asks for a streamed completion of so many tokens.
+func (s *site) complete(tokens string, header http.Header) (*http.Response, error) {
+	body := `{"model":"draft","prompt":"x","stream":true,"max_tokens":` + tokens + `}`
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.callers+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	return http.DefaultClient.Do(req)
+}
+
+var _ = Describe("Run", func() {
+	// A VM is replaced while a booker watches a draft being written, and the
+	// balancer sends one more request before it has noticed. Both get their
+	// whole answers.
+	It("finishes what runs, and what the balancer still sends, when it is told to stop", func() {
+		s := startSite()
+		resp, err := s.complete("300", nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		stream := bufio.NewReader(resp.Body)
+		_, err = stream.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+
+		s.stop()
+		Eventually(func() (int, error) { return s.status("/readyz") }, soon, "5ms").
+			Should(Equal(http.StatusServiceUnavailable))
+		late, err := s.complete("3", nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer late.Body.Close()
+		body, err := io.ReadAll(late.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(HaveSuffix("data: [DONE]\n\n"))
+		Expect(late.Close).To(BeTrue(), "the connection is to be closed")
+
+		rest, err := io.ReadAll(stream)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(string(rest), "\ndata: {")).To(BeNumerically(">=", 299))
+		Expect(string(rest)).To(HaveSuffix("data: [DONE]\n\n"))
+		Eventually(s.stopped, soon).Should(Receive(BeNil()))
+	})
+
+	// A draft takes longer than the booker's call. The answer that can no longer
+	// help is given up, and it does not end as if it were whole.
+	It("breaks off an answer that passes its deadline", func() {
+		s := startSite()
+		resp, err := s.complete("300", http.Header{"Pistachioroad-Timeout": {"300ms"}})
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if resp.StatusCode == http.StatusOK {
+			Expect(err).To(HaveOccurred())
+			Expect(string(body)).To(ContainSubstring(`"code":"` + string(verdict.CodeDeadline)))
+		}
+		Expect(string(body)).NotTo(ContainSubstring("[DONE]"))
+		s.stop()
+		Eventually(s.stopped, soon).Should(Receive(BeNil()))
+	})
+})
