Platform and member: shorter pause of the circuit, seeded spreads

Cause: after an outage a refused watch waits for the circuit and then for its own pause; both were up to 3 s, worked out to 7 s for a lone watcher. The circuit now tries each 0.75 to 1.5 s.

--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,7 +75,10 @@
 }
 
 // dialer keeps links to the chosen peers.
-type dialer struct{ member *Member }
+type dialer struct {
+	member *Member
+	random *rand.Rand
+}
 
 // Serve dials until ctx ends.
 func (d *dialer) Serve(ctx context.Context) error {
@@ -117,7 +121,7 @@
 
 // wait takes the links that ended until it is time to look again.
 func (d *dialer) wait(ctx context.Context, ended <-chan string, dialled map[string]context.CancelFunc) bool {
-	timer := time.NewTimer(spread(dialInterval))
+	timer := time.NewTimer(spread(dialInterval, d.random))
 	defer timer.Stop()
 	for {
 		select {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -46,6 +46,8 @@
 	// NoList leaves the VM list unread. Sidecars need none, and hundreds of
 	// them would spend the platform's call rate on it.
 	NoList bool
+	// Random spreads calls in time. Nil: a random seed.
+	Random *rand.Rand
 }
 
 // PeerAccounts is what one peer told of its heaviest accounts.
@@ -97,6 +99,9 @@
 	if config.ListInterval <= 0 {
 		config.ListInterval = defaultListInterval
 	}
+	if config.Random == nil {
+		config.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	m := &Member{
 		config:   config,
 		store:    store,
@@ -116,13 +121,13 @@
 func (m *Member) Services() []suture.Service {
 	services := []suture.Service{m}
 	for _, name := range []string{fleetconfig.ObjectName, plan.ObjectName(m.config.Region)} {
-		services = append(services, &watcher{member: m, name: name})
+		services = append(services, &watcher{member: m, name: name, random: m.newRandom()})
 	}
 	if !m.config.NoList {
-		services = append(services, &lister{member: m})
+		services = append(services, &lister{member: m, random: m.newRandom()})
 	}
 	if m.config.Entry {
-		services = append(services, &dialer{member: m})
+		services = append(services, &dialer{member: m, random: m.newRandom()})
 	}
 	if m.config.Peers != nil {
 		services = append(services, &acceptor{member: m})
@@ -205,11 +210,16 @@
 	close(*m.changed.Swap(&next))
 }
 
+// newRandom returns a source for one duty.
+func (m *Member) newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(m.config.Random.Uint64(), m.config.Random.Uint64()))
+}
+
 // spread returns d lengthened or shortened by up to a quarter, so that
 // processes that started together do not call together.
-func spread(d time.Duration) time.Duration {
+func spread(d time.Duration, random *rand.Rand) time.Duration {
 	const quarter = 4
-	return d - d/quarter + rand.N(d/(quarter/2)+1)
+	return d - d/quarter + time.Duration(random.Int64N(int64(d/(quarter/2))+1))
 }
 
 // sleep waits for d and reports whether ctx still holds.
--- a/internal/member/watch.go
+++ b/internal/member/watch.go
@@ -30,7 +30,10 @@
 )
 
 // lister reads the VM list.
-type lister struct{ member *Member }
+type lister struct {
+	member *Member
+	random *rand.Rand
+}
 
 // Serve reads the list until ctx ends.
 func (l *lister) Serve(ctx context.Context) error {
@@ -45,7 +48,7 @@
 			log.Warn("VM list is empty; the last one is kept")
 		}
 		m.inbox.Put(Listed{VMs: vms, Err: err})
-		if !sleep(ctx, spread(m.config.ListInterval)) {
+		if !sleep(ctx, spread(m.config.ListInterval, l.random)) {
 			return ctx.Err()
 		}
 	}
@@ -56,6 +59,7 @@
 type watcher struct {
 	member *Member
 	name   string
+	random *rand.Rand
 }
 
 // Serve reads and watches until ctx ends.
@@ -65,23 +69,22 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	pauses := platform.Backoff{First: firstRetry, Longest: longestRetry}
-	readAt := time.Now().Add(spread(backstop))
+	readAt := time.Now().Add(spread(backstop, w.random))
 	for ctx.Err() == nil {
 		if w.member.watching() {
 			if w.watch(ctx) {
 				pauses.Reset()
 				continue
 			}
-			sleep(ctx, pauses.Next(random))
+			sleep(ctx, pauses.Next(w.random))
 			continue
 		}
 		if time.Now().After(readAt) {
 			w.read(ctx)
-			readAt = time.Now().Add(spread(backstop))
+			readAt = time.Now().Add(spread(backstop, w.random))
 		}
-		sleep(ctx, spread(roleCheck))
+		sleep(ctx, spread(roleCheck, w.random))
 	}
 	return ctx.Err()
 }
@@ -89,10 +92,9 @@
 // readFirst reads the object until the store has answered or the process has
 // become ready without it.
 func (w *watcher) readFirst(ctx context.Context) {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	pauses := platform.Backoff{First: firstRetry, Longest: longestRetry}
 	for !w.read(ctx) {
-		if w.member.Snapshot().Ready || !sleep(ctx, pauses.Next(random)) {
+		if w.member.Snapshot().Ready || !sleep(ctx, pauses.Next(w.random)) {
 			return
 		}
 	}
--- a/internal/member/watch_test.go
+++ b/internal/member/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -77,6 +78,7 @@
 		p.vms = append(p.vms, vm)
 		members = append(members, member.New(member.Config{
 			Process: vm.Name, Region: vm.Region, DataCentre: vm.DataCentre, Entry: true,
+			Random: rand.New(rand.NewPCG(uint64(n), 1)),
 		}, p, p))
 	}
 	for _, m := range members {
--- a/internal/platform/circuit.go
+++ b/internal/platform/circuit.go
@@ -13,7 +13,7 @@
 	// firstPause and longestPause bound the time between two attempts during
 	// an outage.
 	firstPause   = 200 * time.Millisecond
-	longestPause = 3 * time.Second
+	longestPause = 1500 * time.Millisecond
 )
 
 // Backoff gives the pauses between attempts: each twice the one before, up to
