--- a/test/cmd/bench/idle.go
+++ b/test/cmd/bench/idle.go
@@ -15,10 +15,10 @@
 // idle measures what control costs when there is no work: bytes on one link
 // and processor time and memory of each process.
 func idle(bin string) error {
-	o := oneEngine(bin, "")
+	o := oneEngine(bin)
 	o.Proxied = true
 	o.Services = map[string]int{"holds": 1}
-	return withFleet(o, func(_ context.Context, f *fleet.Fleet) error {
+	return fleet.With(o, func(_ context.Context, f *fleet.Fleet) error {
 		time.Sleep(warmUp)
 		names := []string{"entry-1", "engine-1", "holds-1"}
 		before := map[string]measure.Usage{}
--- a/test/cmd/bench/main.go
+++ b/test/cmd/bench/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -36,10 +35,9 @@
 
 // oneEngine is a fleet whose engine answers fast enough for the added time to
 // show.
-func oneEngine(bin, dir string) fleet.Options {
+func oneEngine(bin string) fleet.Options {
 	return fleet.Options{
 		Bin:     bin,
-		Dir:     dir,
 		Entries: 1,
 		Engines: []fleet.Engine{{
 			Role: "mixed", Model: "draft", Fencing: true,
@@ -47,20 +45,3 @@
 		}},
 	}
 }
-
-// withFleet runs f on a fleet of its own.
-func withFleet(o fleet.Options, f func(context.Context, *fleet.Fleet) error) error {
-	ctx := context.Background()
-	dir, err := os.MkdirTemp("", "pistachioroad-bench-")
-	if err != nil {
-		return eris.Wrap(err, "folder")
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	o.Dir = dir
-	fl, err := fleet.Start(ctx, o)
-	if err != nil {
-		return err
-	}
-	defer fl.Stop()
-	return f(ctx, fl)
-}
--- a/test/cmd/capacity/main.go
+++ b/test/cmd/capacity/main.go
@@ -5,7 +5,6 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -13,8 +12,6 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/rotisserie/eris"
-
-	"pistachioroad.dev/pistachioroad/test/fleet"
 )
 
 func main() {
@@ -47,20 +44,3 @@
 func row(name string, value float64, unit string) {
 	fmt.Printf("%-46s %12.3f %s\n", name, value, unit)
 }
-
-// withFleet runs f on a fleet of its own.
-func withFleet(o fleet.Options, f func(context.Context, *fleet.Fleet) error) error {
-	ctx := context.Background()
-	dir, err := os.MkdirTemp("", "pistachioroad-capacity-")
-	if err != nil {
-		return eris.Wrap(err, "folder")
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	o.Dir = dir
-	fl, err := fleet.Start(ctx, o)
-	if err != nil {
-		return err
-	}
-	defer fl.Stop()
-	return f(ctx, fl)
-}
--- a/test/cmd/capacity/platform.go
+++ b/test/cmd/capacity/platform.go
@@ -29,7 +29,7 @@
 func platformCalls(bin string) error {
 	o := sidecars(bin, platformEntries, platformSidecars)
 	o.Bin = bin
-	return withFleet(o, func(ctx context.Context, f *fleet.Fleet) error {
+	return fleet.With(o, func(ctx context.Context, f *fleet.Fleet) error {
 		time.Sleep(settleTime)
 		if err := callsDuring(ctx, f, "calm", watchTime, func() error { return nil }); err != nil {
 			return err
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -106,6 +106,23 @@
 	return f, nil
 }
 
+// With runs f on a fleet of its own, whose settings and logs go with it.
+func With(o Options, f func(context.Context, *Fleet) error) error {
+	ctx := context.Background()
+	dir, err := os.MkdirTemp("", "pistachioroad-")
+	if err != nil {
+		return eris.Wrap(err, "folder for settings and logs")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	o.Dir = dir
+	fl, err := Start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer fl.Stop()
+	return f(ctx, fl)
+}
+
 func withDefaults(o Options) Options {
 	if o.Region == "" {
 		o.Region = "seoul"
