--- a/internal/claims/ownership.go
+++ b/internal/claims/ownership.go
@@ -56,8 +56,10 @@
 		return false
 	case s.version == 0 || r.Released:
 		return true
-	case r.Owner == s.config.Owner:
-		// An earlier start of this very sidecar, whose port this one holds.
+	case r.Owner == s.config.Owner && !s.hasOwned:
+		// An earlier start of this very sidecar, whose port this one holds. A
+		// process that has owned the slot would meet a later start, on a VM
+		// that replaces its own, and the two would take it from each other.
 		return true
 	default:
 		return now.Sub(s.seenAt) >= s.config.TakeoverAfter ||
@@ -82,6 +84,7 @@
 
 func (s *Slot) acquired() {
 	s.owned = true
+	s.hasOwned = true
 	s.emit(Ownership{Owned: true, Epoch: s.record.Epoch})
 }
 
--- a/internal/claims/slot_test.go
+++ b/internal/claims/slot_test.go
@@ -226,6 +226,24 @@
 		Expect(b.slot.Owned()).To(BeTrue())
 	})
 
+	// A VM is replaced by one of the same name while its sidecar is cut off and
+	// goes on. The two must not take the slot from each other, or nobody is
+	// served.
+	It("leaves the slot to a later start of the same sidecar", func() {
+		w = newWorld(1, "a", "a")
+		former, later := w.owners[0], w.owners[1]
+		w.give(1, former)
+		w.advance(time.Second)
+		later.incarnation++
+		w.step(later, claims.Plan{Version: 1, Owned: true})
+		w.advance(time.Second)
+		Expect(later.slot.Owned()).To(BeTrue())
+		token := w.ask(former, "k", 1)
+		w.advance(5 * time.Second)
+		Expect(kind(token)).To(Equal("not owner"))
+		Expect(former.slot.Owned()).To(BeFalse())
+	})
+
 	It("uses a key again when its call was granted and not started", func() {
 		w.granted = func(o *owner, _ uint64, r claims.Request) {
 			w.afterAt(o, time.Millisecond, func() { w.step(o, claims.NotStarted{Request: r}) })
