--- a/internal/claims/duty_test.go
+++ b/internal/claims/duty_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,3 +152,26 @@
 		g.Expect(a.Release(ctx)).To(Succeed())
 	})
 }
+
+// BenchmarkClaim measures a claim and its result through a Duty, over a store
+// that answers in a millisecond.
+func BenchmarkClaim(b *testing.B) {
+	d := startDuty(b.Context(), newMemoryStore(), "a")
+	d.SetPlan(1, slices.Repeat([]string{"a"}, 16))
+	for len(d.Owned()) < 16 {
+		time.Sleep(time.Millisecond)
+	}
+	var serial atomic.Int64
+	b.SetParallelism(8)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			id := strconv.FormatInt(serial.Add(1), 10)
+			r := request("0192d2c1-7d5c-7e60-a5a0-"+id, id)
+			if a := d.Claim(b.Context(), r); a.Kind != claims.Granted {
+				b.Errorf("%s: %s", a.Kind, a.Reason)
+				return
+			}
+			d.Finished(r, claims.NewResult(201, nil, []byte("held")))
+		}
+	})
+}
