Sidecar: the operators' drain timeout in force, memory of kept answers counted

- drain_timeout was taken once, as built in; a planned change handed drafts over after 30 s whatever operators had set.
It now reaches the order executor by an event of its own (the spec fails without it).
- Answers kept were bounded by their data.
A chunk of one token takes about 160 bytes beside it, so that 8 MiB of data would have been many times that.
- A stream's queue has room for twice the pieces of the largest answer, not for 1024 frames: 24 kB less to allocate for each request.

--- a/internal/orders/event.go
+++ b/internal/orders/event.go
@@ -33,15 +33,19 @@
 // EngineBroke tells that a generation broke off: the engine may have crashed.
 type EngineBroke struct{}
 
+// DrainTimeoutSet changes how long running requests may go on before HandOver.
+type DrainTimeoutSet struct{ Timeout time.Duration }
+
 // Tick lets time pass.
 type Tick struct{}
 
-func (RowSeen) isEvent()       {}
-func (StateRead) isEvent()     {}
-func (OrderAnswered) isEvent() {}
-func (WorkRunning) isEvent()   {}
-func (EngineBroke) isEvent()   {}
-func (Tick) isEvent()          {}
+func (RowSeen) isEvent()         {}
+func (StateRead) isEvent()       {}
+func (OrderAnswered) isEvent()   {}
+func (WorkRunning) isEvent()     {}
+func (EngineBroke) isEvent()     {}
+func (DrainTimeoutSet) isEvent() {}
+func (Tick) isEvent()            {}
 
 // Effect is what an Executor wants done.
 type Effect interface{ isEffect() }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -130,6 +130,8 @@
 		x.running = e.Count
 	case EngineBroke:
 		x.haveState = false
+	case DrainTimeoutSet:
+		x.config.DrainTimeout = e.Timeout
 	}
 	return x.reconcile(now)
 }
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -98,6 +98,7 @@
 	if drained != d.drained {
 		d.drained = drained
 		d.admission.tell(ctx, drained)
+		d.setDrainTimeout(ctx, drained.timeout)
 	}
 	if retention := time.Duration(*values.ClaimRetention); retention != d.retention {
 		d.retention = retention
@@ -105,6 +106,12 @@
 	}
 }
 
+func (d *fleetDuty) setDrainTimeout(ctx context.Context, timeout time.Duration) {
+	if d.orders != nil {
+		d.orders.setDrainTimeout(ctx, timeout)
+	}
+}
+
 func (d *fleetDuty) service() string { return d.settings.Sidecar.BackendServer.Service }
 
 func (d *fleetDuty) slotsFrame() *wire.Frame {
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -71,6 +71,12 @@
 	_ = d.inbox.PutWait(ctx, orders.RowSeen{Row: row})
 }
 
+// setDrainTimeout gives the time that operators leave running requests before
+// a planned change.
+func (d *ordersDuty) setDrainTimeout(ctx context.Context, timeout time.Duration) {
+	_ = d.inbox.PutWait(ctx, orders.DrainTimeoutSet{Timeout: timeout})
+}
+
 // Serve follows the plan until ctx ends. Begun again after a panic, it knows no
 // more than a fresh process: an order may be in flight.
 func (d *ordersDuty) Serve(ctx context.Context) error {
@@ -101,6 +107,9 @@
 	case orders.RowSeen:
 		d.row = m.Row
 		d.step(ctx, m)
+	case orders.DrainTimeoutSet:
+		d.config.DrainTimeout = m.Timeout
+		d.step(ctx, m)
 	case orders.Event:
 		d.step(ctx, m)
 	}
--- a/internal/sidecar/requests/request.go
+++ b/internal/sidecar/requests/request.go
@@ -102,6 +102,7 @@
 // answer is what a run has produced.
 type answer struct {
 	chunks []*wire.Chunk
+	// bytes is the memory that the chunks take.
 	bytes  int
 	tokens uint32
 	// begun says that there were chunks, kept or not.
@@ -110,13 +111,18 @@
 	dropped bool
 }
 
+// chunkOverhead is the memory in bytes of a chunk beside its data. A chunk of
+// one token is mostly that; counted by data alone, the answers kept would take
+// many times their bound.
+const chunkOverhead = 160
+
 func (a *answer) add(data []byte, tokens uint32) *wire.Chunk {
 	c := &wire.Chunk{Sequence: uint32(len(a.chunks)), Data: data, Tokens: tokens}
 	a.tokens += tokens
 	a.begun = true
 	if !a.dropped {
 		a.chunks = append(a.chunks, c)
-		a.bytes += len(data)
+		a.bytes += len(data) + chunkOverhead
 	}
 	return c
 }
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -6,9 +6,11 @@
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
-// streamQueue is how many frames may wait to be sent on a stream. An entry that
-// takes fewer has stalled; its stream ends, and it can ask for the outcome.
-const streamQueue = 1024
+// streamQueue is how many frames may wait to be sent on a stream, beyond what
+// its window holds: twice the pieces of the largest answer of a plain service.
+// An entry that takes fewer has stalled; its stream ends, and it can ask for
+// the outcome.
+const streamQueue = 2 * maxAnswer / answerPiece
 
 // stream is one stream of an attempt or a Resolve. Its frames are sent by a
 // goroutine of its own, because a silent connection blocks the sender and must
