--- a/test/cmd/experiment/plot.go
+++ b/test/cmd/experiment/plot.go
@@ -20,6 +20,8 @@
 	plotHeight = 16 * vg.Centimeter
 	// smooth is over how many seconds goodput is averaged.
 	smooth = 10
+	// legendRoom is how much higher than its lines a panel is.
+	legendRoom = 1.3
 )
 
 var (
@@ -51,7 +53,7 @@
 		if !ok {
 			continue
 		}
-		course := run.Courses[i]
+		course := run.Courses[i][:int(run.Scenario.Length.Seconds())]
 		if row.Policy == loadplay.OursName {
 			if err := addLine(mix, "prefill", blue, course, func(s loadplay.Sample) float64 { return s.NeedPrefill }); err != nil {
 				return nil, err
@@ -112,6 +114,9 @@
 	for i, p := range plots {
 		rows[i] = []*plot.Plot{p}
 	}
+	for _, p := range plots {
+		p.Y.Max *= legendRoom
+	}
 	for i, canvas := range plot.Align(rows, tiles, draw.New(image)) {
 		plots[i].Draw(canvas[0])
 	}
