--- a/internal/sidecar/fixture_test.go
+++ b/internal/sidecar/fixture_test.go
@@ -90,10 +90,12 @@
 	}
 }
 
+const operatorToken = "a token for operators"
+
 func tokenFile() string {
 	GinkgoHelper()
 	path := filepath.Join(GinkgoT().TempDir(), "token")
-	Expect(os.WriteFile(path, []byte("a token for operators"), 0o600)).To(Succeed())
+	Expect(os.WriteFile(path, []byte(operatorToken), 0o600)).To(Succeed())
 	return path
 }
 
@@ -315,7 +317,20 @@
 
 func (f *fixture) get(path string, into any) {
 	GinkgoHelper()
-	resp, err := http.Get(f.backend.URL + path)
+	f.getURL(f.backend.URL+path, into)
+}
+
+func (f *fixture) askOperators(path string, into any) {
+	GinkgoHelper()
+	f.getURL("http://"+f.settings.Listen.Operators+path, into)
+}
+
+func (f *fixture) getURL(url string, into any) {
+	GinkgoHelper()
+	req, err := http.NewRequest(http.MethodGet, url, http.NoBody)
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	resp, err := http.DefaultClient.Do(req)
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	Expect(json.NewDecoder(resp.Body).Decode(into)).To(Succeed())
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -183,13 +183,16 @@
 		claims:     do.MustInvoke[*claims.Duty](i),
 		links:      do.MustInvoke[*linksDuty](i),
 	}
+	m := do.MustInvoke[*member.Member](i)
 	duties := map[string]operator.DumpFunc{
+		"claims":    func(ctx context.Context) any { return p.claims.Status(ctx) },
+		"member":    func(context.Context) any { return m.Status() },
 		"requests":  p.requests.Dump,
 		"control":   p.control.Dump,
 		"admission": p.admission.Dump,
 		"links":     p.links.Dump,
 	}
-	services := append(do.MustInvoke[*member.Member](i).Services(),
+	services := append(m.Services(),
 		p.requests, p.control, p.admission, p.claims, p.links, do.MustInvoke[*fleetDuty](i))
 	if isEngine(p.settings) {
 		orders := do.MustInvoke[*ordersDuty](i)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -7,11 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/engine"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/internal/plan"
 	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
@@ -41,6 +43,21 @@
 		Expect(final.GetStatus()).To(BeEquivalentTo(http.StatusCreated))
 	})
 
+	It("tells operators the state of each duty and what was decided", func() {
+		s := startEngineSidecar()
+		start := draft("portfolio", 1)
+		receiveAnswer(s.link().send(start))
+		dump := operator.Dump{}
+		s.askOperators("/dump", &dump)
+		Expect(dump.Duties).To(HaveLen(8))
+		for name, duty := range dump.Duties {
+			Expect(duty.Condition).To(Equal(operator.DutyOK), name)
+		}
+		told := operator.Explanation{}
+		s.askOperators("/explain?subject="+uuid.UUID(start.GetRequestId()).String(), &told)
+		Expect(told.Records).To(ContainElement(HaveField("Decision", "ran")))
+	})
+
 	// An operator starts a second sidecar on the VM, or the platform does while
 	// the first one is paused. Both would order the engine.
 	It("does not run twice on one VM", func() {
@@ -148,6 +165,23 @@
 		})
 	})
 
+	// The prefill and the decode of a draft run on two engines. The entry passes
+	// a ticket only; the engines move the cache between themselves.
+	It("prefills on one engine and decodes on another", func() {
+		prefill, decode := startEngineSidecar(), startEngineSidecar()
+		start := draft("portfolio", 10)
+		start.GetGenerate().PrefillOnly = true
+		text, final := receiveAnswer(prefill.link().send(start))
+		Expect(text).To(BeEmpty())
+
+		start = draft("portfolio", 10)
+		start.GetGenerate().Kv = final.GetKv()
+		start.GetGenerate().Kv.Source = address(prefill.backend)
+		text, _ = receiveAnswer(decode.link().send(start))
+		Expect(text).To(Equal(modelengine.Answer("portfolio", 10)))
+		Expect(decode.engineRecord().Imports).To(Equal(1))
+	})
+
 	// A backend server is taken down while a draft is on its way. The booker
 	// sees it end; what comes after goes elsewhere at once.
 	It("finishes what runs when it shuts down", func() {
