Sidecar: a failed request is no failed engine; a path is no address

- Any answer other than 200, 409 or 503 counted as a crash of the engine, which closes the admission and refuses all that waits.
One bad prompt, sent again and again, would have taken the engine away from everybody.
Errors that the engine itself reports now end one request: rejected as invalid (not run) or failed (may have run).
Only a connection that breaks makes it suspect.
- A call's path was joined to the service's address unchecked, so that a path such as "@host/" went to another server.
It must begin with a slash.
- Work of the other kind (a call at a model engine) is refused.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -65,7 +65,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return Finish{}, statusError(resp)
+		return Finish{}, generateError(resp)
 	}
 	return readAnswer(resp.Body, emit)
 }
@@ -85,7 +85,7 @@
 		case l.Finish != nil:
 			return *l.Finish, nil
 		case l.Error != "":
-			return Finish{}, eris.Wrap(ErrBroken, l.Error)
+			return Finish{}, eris.Wrap(ErrFailed, l.Error)
 		case l.Piece != nil:
 			if err := emit(*l.Piece); err != nil {
 				return Finish{}, err
@@ -180,6 +180,23 @@
 	return eris.Wrap(ErrBroken, err.Error())
 }
 
+// generateError tells a request that the engine failed from an engine that
+// failed: an error that the engine reports says nothing about other requests.
+func generateError(resp *http.Response) error {
+	switch {
+	case resp.StatusCode == http.StatusConflict,
+		resp.StatusCode == http.StatusTooManyRequests,
+		resp.StatusCode == http.StatusServiceUnavailable:
+		return eris.Wrap(ErrRefused, resp.Status)
+	case resp.StatusCode >= http.StatusInternalServerError:
+		return eris.Wrap(ErrFailed, resp.Status)
+	case resp.StatusCode >= http.StatusBadRequest:
+		return eris.Wrap(ErrInvalid, resp.Status)
+	default:
+		return eris.Wrap(ErrBroken, resp.Status)
+	}
+}
+
 // statusError tells a refusal, after which nothing runs, from any other
 // failure.
 func statusError(resp *http.Response) error {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -121,14 +121,21 @@
 	ErrRefused = eris.New("engine refused")
 	// ErrFenced says that the engine has taken a higher generation.
 	ErrFenced = eris.New("engine has taken a newer order")
-	// ErrBroken says that the engine stopped part-way.
+	// ErrInvalid says that the engine turned the request down for good: nothing
+	// ran, and nothing will.
+	ErrInvalid = eris.New("engine rejected the request")
+	// ErrFailed says that the engine itself reported the failure of one request.
+	// It may have run; the engine goes on.
+	ErrFailed = eris.New("engine failed the request")
+	// ErrBroken says that the engine stopped part-way, without a word.
 	ErrBroken = eris.New("engine broke off")
 )
 
 // Engine is one model engine.
 type Engine interface {
 	// Generate runs r and calls emit for each piece, in order. It returns
-	// ErrNotSent, ErrRefused or ErrBroken, or the error of emit.
+	// ErrNotSent, ErrRefused, ErrInvalid, ErrFailed or ErrBroken, or the error of
+	// emit.
 	Generate(ctx context.Context, r Request, emit func(Piece) error) (Finish, error)
 	// Cancel stops a generation; one that is unknown is no error.
 	Cancel(ctx context.Context, id string) error
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -50,6 +51,9 @@
 type modelEngine struct{ engine engine.Engine }
 
 func (m modelEngine) run(ctx context.Context, start *wire.Start, deadline time.Time, emit emitFunc) (*wire.Final, error) {
+	if start.GetGenerate() == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the backend server is a model engine")
+	}
 	request := engineRequest(start, deadline)
 	generating, abort := context.WithCancel(context.WithoutCancel(ctx))
 	defer abort()
@@ -140,6 +144,10 @@
 		return verdict.Refused(verdict.CodeBackend, err.Error(), refusedRetryAfter)
 	case errors.Is(err, engine.ErrRefused):
 		return verdict.Refused(verdict.CodeOverloaded, err.Error(), refusedRetryAfter)
+	case errors.Is(err, engine.ErrInvalid):
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, err.Error())
+	case errors.Is(err, engine.ErrFailed):
+		return verdict.New(verdict.MayHaveRun, verdict.CodeBackend, err.Error())
 	default:
 		return verdict.New(verdict.MayHaveRun, verdict.CodeBroken, err.Error())
 	}
@@ -205,6 +213,10 @@
 
 func (p *plainService) request(ctx context.Context, start *wire.Start, deadline time.Time) (*http.Request, error) {
 	call := start.GetCall()
+	if !strings.HasPrefix(call.GetPath(), "/") {
+		// The path would run into the address and change it.
+		return nil, eris.Errorf("path %q of the call is not absolute", call.GetPath())
+	}
 	body := engine.NewTimedBody(call.GetBody(), deadline)
 	req, err := http.NewRequestWithContext(ctx, call.GetMethod(), p.base+call.GetPath(), body)
 	if err != nil {
--- a/internal/sidecar/duties_test.go
+++ b/internal/sidecar/duties_test.go
@@ -43,6 +43,15 @@
 		Expect(runs.Load()).To(BeEquivalentTo(2))
 	})
 
+	// A caller's path is made to look like an address. Joined with the
+	// service's own, it would send the call to another server.
+	It("sends nothing to another server", func() {
+		start := &wire.Start{Work: &wire.Start_Call{Call: &wire.Call{Method: "GET", Path: "@127.0.0.1:1/"}}}
+		_, err := newPlainService("127.0.0.1:2").run(context.Background(), start, time.Now().Add(time.Minute), nil)
+		Expect(verdict.Of(err).Code).To(Equal(verdict.CodeBadRequest))
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+	})
+
 	// The service is restarted. Nothing got the call, and its caller may hear
 	// so and ask elsewhere at once.
 	It("knows that a call did not run when nobody took it", func() {
--- a/internal/sidecar/requests/requests.go
+++ b/internal/sidecar/requests/requests.go
@@ -63,8 +63,8 @@
 	Records int
 	// MaxRun is when a run that may not be cancelled is given up for good.
 	MaxRun time.Duration
-	// Engine says that the backend server is a model engine: after a broken
-	// answer nothing starts until Admit.
+	// Engine says that the backend server is a model engine: after a run that
+	// ended with CodeBroken nothing starts until Admit.
 	Engine bool
 }
 
--- a/internal/sidecar/requests/requests_test.go
+++ b/internal/sidecar/requests/requests_test.go
@@ -294,6 +294,18 @@
 			Expect(d.refusal(stream).GetVerdict()).To(Equal(wire.Verdict_VERDICT_MAY_HAVE_RUN))
 		})
 
+		// The engine reports that one draft failed. Its other work must not
+		// stop for that: one bad prompt, sent again and again, would take the
+		// engine away from everybody.
+		It("is not suspected for a failure that it reports", func() {
+			id, waiting := newID(), newID()
+			d.arrive(draft(id))
+			d.arrive(draft(waiting))
+			d.end(id, verdict.New(verdict.MayHaveRun, verdict.CodeBackend, "out of memory"))
+			Expect(d.suspected).To(BeFalse())
+			Expect(d.started(waiting)).To(Equal(1))
+		})
+
 		// The engine says "refused" after it has sent output. Passed on as
 		// "not run" it would contradict what the caller has read.
 		It("has run when it has answered in part", func() {
--- a/internal/sidecar/requests/run.go
+++ b/internal/sidecar/requests/run.go
@@ -127,7 +127,7 @@
 	if told.Verdict == verdict.NotRun && r.answer.begun {
 		told.Verdict = verdict.MayHaveRun
 	}
-	if t.cfg.Engine && told.Verdict != verdict.NotRun && !r.stopping {
+	if t.cfg.Engine && told.Code == verdict.CodeBroken && !r.stopping {
 		t.suspect = true
 		t.emit(Suspect{})
 	}
