Claims: keep each claim as it is written

Cause: a commit encoded every claim of its record again.

Each claim now keeps its encoding, set whenever it changes; sizes are exact in place of bounds.

--- a/internal/claims/commit.go
+++ b/internal/claims/commit.go
@@ -44,7 +44,7 @@
 			c.Result = &result
 			c.Done = next.Clock
 			c.RequestID = ""
-			next.Claims[name] = c
+			next.set(name, c)
 		case keyDropped, keyQueued:
 			delete(next.Claims, name)
 		}
@@ -75,7 +75,7 @@
 		_, before := next.Claims[name]
 		invariant.Check(!before, "a key runs at most once",
 			"%s: key %q is claimed twice, for %s now", s.name(), name, k.request.RequestID)
-		next.Claims[name] = c
+		next.set(name, c)
 		k.state = keyCommitting
 	}
 	s.queue = nil
--- a/internal/claims/record.go
+++ b/internal/claims/record.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -50,6 +51,10 @@
 	// Done is Record.Clock when the result was recorded.
 	Done   int64   `json:"done_ms,omitempty"`
 	Result *Result `json:"result,omitempty"`
+
+	// encoded is the claim as it is written, or nil. Each commit writes all
+	// claims and changes few.
+	encoded []byte
 }
 
 // ParseRecord reads a Record. A record that is not well formed is an error,
@@ -66,14 +71,50 @@
 		if c.Epoch == 0 || c.Epoch > r.Epoch {
 			return Record{}, eris.Errorf("claim %q of epoch %d in epoch %d", key, c.Epoch, r.Epoch)
 		}
+		r.set(key, c)
 	}
 	return r, nil
 }
 
-// Encode returns the Record as ParseRecord reads it.
+// Encode returns the Record as ParseRecord reads it, with its claims in any
+// order.
 func (r Record) Encode() ([]byte, error) {
-	data, err := json.Marshal(r)
-	return data, eris.Wrap(err, "claim record")
+	head := r
+	head.Claims = nil
+	data, err := json.Marshal(head)
+	if err != nil {
+		return nil, eris.Wrap(err, "claim record")
+	}
+	if len(r.Claims) == 0 {
+		return data, nil
+	}
+	out := make([]byte, 0, r.bytes())
+	out = append(out, bytes.TrimSuffix(data, []byte("}"))...)
+	out = append(out, `,"claims":`...)
+	separator := byte('{')
+	for key, c := range r.Claims {
+		if c.encoded == nil {
+			c.encoded = encodeClaim(key, c)
+		}
+		out = append(out, separator)
+		out = append(out, c.encoded...)
+		separator = ','
+	}
+	return append(out, "}}"...), nil
+}
+
+// encodeClaim returns a claim with its key as they stand in a record. Neither
+// holds anything that JSON cannot.
+func encodeClaim(key string, c Claim) []byte {
+	name, _ := json.Marshal(key)
+	value, _ := json.Marshal(c)
+	return slices.Concat(name, []byte(":"), value)
+}
+
+// set puts a claim that is new or has changed into the record.
+func (r Record) set(key string, c Claim) {
+	c.encoded = encodeClaim(key, c)
+	r.Claims[key] = c
 }
 
 // clone returns a Record whose claims can be changed apart from those of r.
@@ -101,6 +142,7 @@
 	claimOverhead  = 128
 	resultOverhead = 192
 	headerOverhead = 16
+	punctuation    = 1
 )
 
 // bytes returns an upper bound of the encoded size.
@@ -113,6 +155,9 @@
 }
 
 func claimBytes(key string, c Claim) int {
+	if c.encoded != nil {
+		return len(c.encoded) + punctuation
+	}
 	total := claimOverhead + jsonBytes(key) + jsonBytes(c.RequestID)
 	if c.Result != nil {
 		total += resultBytes(c.Result)
@@ -170,10 +215,10 @@
 			return
 		}
 		c := r.Claims[key]
-		before := resultBytes(c.Result)
+		total -= claimBytes(key, c)
 		short := c.Result.withoutBody()
 		c.Result = &short
-		r.Claims[key] = c
-		total += resultBytes(c.Result) - before
+		r.set(key, c)
+		total += claimBytes(key, r.Claims[key])
 	}
 }
