--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -240,13 +240,11 @@
 	if limit := a.cfg.Terms[r.Caller].Limit; limit > 0 && rate > limit {
 		return a.refuse(OverLimit, a.decayTo(rate, limit))
 	}
-	share := a.share(r, p)
 	wait := p.QueueWait
-	if rate > share {
-		return a.refuse(OverShare, a.decayTo(rate, share))
-	}
-	if rate <= a.level*a.weight(r.Caller) {
+	if a.underShare(acc, r) {
 		wait = min(wait, a.ownWait(acc, r, p))
+	} else if share := a.share(r, p); rate > share {
+		return a.refuse(OverShare, a.decayTo(rate, share))
 	}
 	if late := wait + r.RunTime - r.Deadline; late > 0 {
 		return a.refuse(PastDeadline, late)
@@ -254,7 +252,15 @@
 	return Decision{}
 }
 
-// share is the rate up to which a caller is let in: without bound while the
+// underShare says that all that the caller has offered before r is within its
+// fair share. Such a caller is never refused for what others offer, and r
+// alone, however long, puts nobody above its share.
+func (a *Admitter) underShare(acc *account, r Request) bool {
+	before := acc.offered - float64(max(1, r.CostTokens))
+	return a.rate(before)+a.remote.rate(r.Caller) <= a.level*a.weight(r.Caller)
+}
+
+// share is the rate up to which a caller above its share is let in: without bound while the
 // queue is short, then its fair share, cut further the longer the queue is. A
 // drain rate that is thought too high would otherwise let the heavy callers
 // fill the queue up to everybody's deadline.
