--- a/internal/sidecar/requests/arrive.go
+++ b/internal/sidecar/requests/arrive.go
@@ -82,36 +82,6 @@
 	t.enqueue(now, r)
 }
 
-func (t *Table) enlist(r *request) {
-	r.serial = t.nextSerial()
-	t.live[r.key] = r
-	t.items[r.key.item()] = r
-	t.ledger.reserved = len(t.live)
-}
-
-// forget removes r from what has no outcome. Its outcome is recorded next.
-func (t *Table) forget(r *request) {
-	t.unsubscribe(r)
-	delete(t.live, r.key)
-	delete(t.items, r.key.item())
-	delete(t.runs, r.run)
-	delete(t.claims, r.claim)
-	t.ledger.reserved = len(t.live)
-}
-
-func (t *Table) subscribe(r *request, stream Stream, attempt uint32) {
-	r.attempt = max(r.attempt, attempt)
-	r.stream = &subscriber{stream: stream, attempt: attempt, digest: wire.NewDigest()}
-	t.streams[stream] = r
-}
-
-func (t *Table) unsubscribe(r *request) {
-	if r.stream != nil {
-		delete(t.streams, r.stream.stream)
-	}
-	r.stream = nil
-}
-
 func (t *Table) enqueue(now time.Time, r *request) {
 	r.phase = queued
 	ok, wait := t.queue.Push(now, queue.Item{
@@ -135,53 +105,12 @@
 	return int(c) - int(wire.Class_CLASS_INTERACTIVE)
 }
 
-// again answers a Start for a request that has no outcome yet. It never runs a
-// second time: the newer attempt takes the answer over.
-//
-// An entry that lost its connection sends the request again, or two requests
-// came under one id. Run twice, they would place a hold twice; joined blindly,
-// one caller would read the other's answer.
-func (t *Table) again(now time.Time, r *request, e Arrived) {
-	refuse := func(code verdict.Code, why string) {
-		t.refuseFrame(e, verdict.New(verdict.MayHaveRun, code, why))
-	}
-	if r.print != fingerprint(e.Start) {
-		refuse(verdict.CodeBadRequest, "the request id belongs to another request")
-		return
-	}
-	if e.Start.GetAttempt() <= r.attempt {
-		refuse(verdict.CodeUnknownResult, "the request is under way for this or a later attempt")
-		return
-	}
-	next, ok := resumePoint(r, e.Start)
-	if !ok || r.stopping || t.ledger.late(now, e.Age) {
-		refuse(verdict.CodeUnknownResult, "the request is under way and cannot be joined")
-		return
-	}
-	t.attach(r, e, next)
-}
-
-// resumePoint returns the chunk of r's answer that a new attempt goes on with.
-func resumePoint(r *request, s *wire.Start) (int, bool) {
-	before := r.start.GetGenerate().GetResumeFrom()
-	from := s.GetGenerate().GetResumeFrom()
-	if from < before {
-		return 0, false
-	}
-	return r.answer.after(int(from - before))
-}
-
-func (t *Table) attach(r *request, e Arrived, next int) {
-	if old := r.stream; old != nil {
-		t.sendRefusal(old.stream, r.key, old.attempt,
-			verdict.New(verdict.MayHaveRun, verdict.CodeUnknownResult, "a later attempt took over"))
-		t.unsubscribe(r)
-	}
-	t.note(r, "attached", "a later attempt takes the answer over")
-	t.subscribe(r, e.Stream, e.Start.GetAttempt())
-	for _, c := range merge(r.answer.chunks[next:]) {
-		t.sendChunk(r, c)
-	}
+// turnAway refuses a Start that was not let in, and remembers that: a second
+// copy of the frame must not start either.
+func (t *Table) turnAway(now time.Time, r *request, e Arrived, refusal *verdict.Error) {
+	t.ledger.refuse(now, r.key, e.Start.GetAttempt())
+	t.note(r, "refused", refusal.Error())
+	t.refuseFrame(e, t.atWorst(r.key, refusal))
 }
 
 // answered answers a Start from the record of its request. It returns false if
@@ -210,120 +139,3 @@
 	t.refuseFrame(e, verdict.New(rec.verdict, verdict.CodeUnknownResult, "the request was started before and its answer was not kept"))
 	return true
 }
-
-// turnAway refuses a Start that was not let in, and remembers that: a second
-// copy of the frame must not start either.
-func (t *Table) turnAway(now time.Time, r *request, e Arrived, refusal *verdict.Error) {
-	t.ledger.refuse(now, r.key, e.Start.GetAttempt())
-	t.note(r, "refused", refusal.Error())
-	t.refuseFrame(e, t.atWorst(r.key, refusal))
-}
-
-// cancelled gives a request up.
-func (t *Table) cancelled(now time.Time, e Cancelled) {
-	if r, ok := t.streams[e.Stream]; ok {
-		t.giveUp(now, r, verdict.CodeCancelled, "the caller gave the request up")
-	}
-}
-
-// giveUp answers at once that r is given up. What waits never starts; a run is
-// stopped if it is idempotent, and otherwise goes to its end.
-func (t *Table) giveUp(now time.Time, r *request, code verdict.Code, why string) {
-	if r.phase != running {
-		t.endUnstarted(now, r, verdict.New(verdict.NotRun, code, why))
-		return
-	}
-	t.note(r, "given up", why)
-	t.dismiss(now, r, verdict.New(verdict.MayHaveRun, code, why))
-	t.stop(r)
-}
-
-// dismiss refuses the stream of a run, which goes on without it.
-func (t *Table) dismiss(now time.Time, r *request, refusal *verdict.Error) {
-	if r.stream != nil {
-		t.sendRefusal(r.stream.stream, r.key, r.stream.attempt, refusal)
-	}
-	t.unsubscribe(r)
-	r.orphanedAt = now
-}
-
-// stop stops an idempotent run.
-func (t *Table) stop(r *request) {
-	if !r.idempotent() || r.stopping {
-		return
-	}
-	t.cancelRun(r)
-}
-
-// cancelRun stops a run. Pieces that still come are dropped, so what was kept
-// is no whole answer any more and must not pass for one.
-func (t *Table) cancelRun(r *request) {
-	r.stopping = true
-	r.answer.drop()
-	t.emit(CancelRun{Run: r.run})
-}
-
-// streamEnded makes an orphan of the request on the stream. What has not
-// started is dropped: its entry asks on another connection and hears so.
-func (t *Table) streamEnded(now time.Time, e StreamEnded) {
-	r, ok := t.streams[e.Stream]
-	if !ok {
-		return
-	}
-	t.unsubscribe(r)
-	r.orphanedAt = now
-	if r.phase != running {
-		t.endUnstarted(now, r, verdict.New(verdict.NotRun, verdict.CodeCancelled, "its stream ended"))
-		return
-	}
-	t.note(r, "orphaned", "its stream ended")
-}
-
-// resolve tells what became of a request, for good.
-//
-// The entry does not know whether its Start arrived. If "never seen" were said
-// of a Start still under way, it would arrive after its caller was told "not
-// run", and run. So the answer is recorded before it is given.
-func (t *Table) resolve(now time.Time, e ResolveAsked) {
-	id, err := uuid.FromBytes(e.Resolve.GetRequestId())
-	if err != nil {
-		t.sendResolution(e, wire.Outcome_OUTCOME_UNKNOWN, nil)
-		return
-	}
-	k := key{id: id}
-	if r, ok := t.live[k]; ok && t.resolvedLive(now, r, e) {
-		return
-	}
-	rec, ok := t.ledger.records[k]
-	switch {
-	case ok && rec.verdict == verdict.Ran:
-		t.sendResolution(e, wire.Outcome_OUTCOME_RAN, rec)
-	case ok && rec.verdict == verdict.MayHaveRun:
-		t.sendResolution(e, wire.Outcome_OUTCOME_MAY_HAVE_RUN, nil)
-	case t.ledger.hasForgotten(now, e.StartAge):
-		t.sendResolution(e, wire.Outcome_OUTCOME_MAY_HAVE_RUN, nil)
-	default:
-		t.ledger.refuse(now, k, attemptsAsked(e.Resolve))
-		t.sendResolution(e, wire.Outcome_OUTCOME_NOT_RUN, nil)
-	}
-}
-
-func attemptsAsked(r *wire.Resolve) uint32 {
-	if r.GetAttempt() == 0 {
-		return allAttempts
-	}
-	return r.GetAttempt()
-}
-
-// resolvedLive answers for a request that runs. One that waits is taken out, so
-// that its entry, which no longer hears this sidecar, can send it elsewhere
-// while there is time; its record answers then.
-func (t *Table) resolvedLive(now time.Time, r *request, e ResolveAsked) bool {
-	if r.phase == running {
-		r.orphanedAt = now
-		t.sendResolution(e, wire.Outcome_OUTCOME_RUNNING, nil)
-		return true
-	}
-	t.endUnstarted(now, r, verdict.New(verdict.NotRun, verdict.CodeCancelled, "its entry asked for the outcome"))
-	return false
-}
