entry: smaller files; a wait of its own for each planned change; why a server gets no work

The reading found that a stream which had once waited for a planned change could not wait for a second one: its time for waiting began at the first and was never given back. The new spec fails without the fix.

"explain ENGINE" now also tells when a link went down or drains, when the VM list says leaving, and when operators take a backend server out or back.

--- a/internal/entry/call/attempt.go
+++ b/internal/entry/call/attempt.go
@@ -69,6 +69,8 @@
 		"request %s: chunk %d in place of %d", m.spec.ID, c.GetSequence(), m.cur.next)
 	m.cur.next++
 	m.cur.digest.Add(c)
+	// The next planned change is another one, with a wait of its own.
+	m.waitEnd = time.Time{}
 	if len(m.text)+len(m.cur.held)+len(c.GetData()) > m.spec.MaxAnswer {
 		m.cancel()
 		m.fail(verdict.New(verdict.MayHaveRun, verdict.CodeBroken, "the answer is too large"))
--- a/internal/entry/call/call.go
+++ b/internal/entry/call/call.go
@@ -12,9 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
-	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
-	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
 const (
@@ -195,7 +193,8 @@
 
 // dispatchAttempt takes the events of the current attempt.
 func (m *Machine) dispatchAttempt(now time.Time, event Event) {
-	if number := attemptOf(event); number != m.cur.number || !m.inFlight() {
+	of, ok := event.(attemptEvent)
+	if !ok || of.attempt() != m.cur.number || !m.inFlight() {
 		staleEvents.Inc(1)
 		return
 	}
@@ -223,30 +222,6 @@
 	}
 }
 
-func attemptOf(event Event) uint32 {
-	switch e := event.(type) {
-	case Sent:
-		return e.Attempt
-	case NotSent:
-		return e.Attempt
-	case Chunk:
-		return e.Attempt
-	case Final:
-		return e.Attempt
-	case Refusal:
-		return e.Attempt
-	case LinkLost:
-		return e.Attempt
-	case LinkSilent:
-		return e.Attempt
-	case Resolution:
-		return e.Attempt
-	case ResolveFailed:
-		return e.Attempt
-	}
-	return 0
-}
-
 func (m *Machine) inFlight() bool { return m.phase == running || m.phase == resolving }
 
 func (m *Machine) emit(e Effect) { m.effects = append(m.effects, e) }
@@ -255,140 +230,6 @@
 	m.emit(Explain{Decision: decision, Why: why})
 }
 
-// route asks for a backend server for the next attempt.
-func (m *Machine) route(now time.Time, retry *Retry) {
-	m.archive()
-	m.retry = retry
-	m.askRoute(now)
-}
-
-// routeLater does so after a while.
-func (m *Machine) routeLater(now time.Time, retry *Retry, after time.Duration) {
-	m.archive()
-	m.retry = retry
-	m.wait(now, after)
-}
-
-func (m *Machine) wait(now time.Time, after time.Duration) {
-	m.phase = waiting
-	m.waitUntil = now.Add(min(max(after, WaitMin), WaitMax))
-}
-
-// mayWait reports whether the request may go on waiting.
-func (m *Machine) mayWait(now time.Time) bool {
-	if m.waitEnd.IsZero() {
-		m.waitEnd = now.Add(WaitFor)
-	}
-	return now.Before(m.waitEnd)
-}
-
-func (m *Machine) askRoute(now time.Time) {
-	m.phase = routing
-	m.decode = ""
-	m.emit(Route{
-		Attempt:   m.cur.number,
-		Excluded:  append([]string(nil), m.excluded...),
-		Retry:     m.retry,
-		Resume:    m.tokens > 0,
-		Remaining: m.spec.Deadline.Sub(now),
-	})
-}
-
-// archive makes way for the next attempt.
-func (m *Machine) archive() {
-	if m.cur.number > 0 {
-		m.past = append(m.past, m.cur.verdict)
-	}
-	m.cur = attempt{number: m.cur.number + 1, digest: wire.NewDigest()}
-}
-
-func (m *Machine) routed(now time.Time, e Routed) {
-	if m.phase != routing || e.Attempt != m.cur.number {
-		staleEvents.Inc(1)
-		return
-	}
-	if e.Prefill == "" {
-		m.send(now, e.Server, nil)
-		return
-	}
-	m.decode = e.Server
-	m.cur.prefill = true
-	m.start(e.Prefill)
-	m.emit(SendStart{
-		Attempt:     m.cur.number,
-		Server:      e.Prefill,
-		Budget:      m.spec.Deadline.Sub(now),
-		PrefillOnly: true,
-	})
-}
-
-// send starts the current attempt at server.
-func (m *Machine) send(now time.Time, server string, kv *wire.KVTicket) {
-	m.start(server)
-	if m.tokens > 0 {
-		resumes.Inc(1)
-		m.explain("resumed", "the answer goes on at "+server)
-	}
-	m.emit(SendStart{
-		Attempt:    m.cur.number,
-		Server:     server,
-		Budget:     m.spec.Deadline.Sub(now),
-		KV:         kv,
-		ResumeFrom: m.tokens,
-		ResumeText: string(m.text),
-	})
-}
-
-// start notes that the attempt may run from here on: an attempt whose fate is
-// not known later must never count as "not run".
-func (m *Machine) start(server string) {
-	m.phase = running
-	m.cur.server = server
-	m.cur.verdict = verdict.MayHaveRun
-	m.checkRepeat()
-}
-
-// checkRepeat asserts that a request which may not be repeated is sent again
-// only after attempts that certainly did not run.
-func (m *Machine) checkRepeat() {
-	if m.spec.Idempotent {
-		return
-	}
-	for _, v := range m.past {
-		invariant.Check(v == verdict.NotRun, "runs at most once",
-			"request %s is sent again after an attempt that %s", m.spec.ID, v)
-	}
-}
-
-func (m *Machine) unroutable(now time.Time, e Unroutable) {
-	if m.phase != routing || e.Attempt != m.cur.number {
-		staleEvents.Inc(1)
-		return
-	}
-	if e.RetryIn > 0 && m.mayWait(now) {
-		m.wait(now, e.RetryIn)
-		return
-	}
-	err := e.Err
-	if m.lastErr != nil {
-		m.explain("gave up", err.Message)
-		err = m.lastErr
-		err.RetryAfter = max(err.RetryAfter, e.Err.RetryAfter)
-	}
-	m.fail(err)
-}
-
-func (m *Machine) callerGone() {
-	if m.inFlight() {
-		m.cancel()
-	}
-	m.fail(verdict.New(verdict.NotRun, verdict.CodeCancelled, "the caller went away"))
-}
-
-func (m *Machine) cancel() {
-	m.emit(Cancel{Attempt: m.cur.number, Server: m.cur.server})
-}
-
 func (m *Machine) timer(now time.Time) {
 	switch {
 	case m.phase == resolving && !now.Before(m.cur.resolveAt):
@@ -397,77 +238,3 @@
 		m.askRoute(now)
 	}
 }
-
-// checkDeadline gives the request up once its time has passed.
-func (m *Machine) checkDeadline(now time.Time) {
-	if now.Before(m.spec.Deadline) {
-		return
-	}
-	if !m.inFlight() {
-		m.failDeadline()
-		return
-	}
-	if !m.expiring {
-		m.expiring = true
-		m.cancel()
-	}
-	if !now.Before(m.spec.Deadline.Add(DeadlineGrace)) {
-		m.failDeadline()
-	}
-}
-
-func (m *Machine) failDeadline() {
-	m.fail(verdict.New(verdict.NotRun, verdict.CodeDeadline, "the deadline of the request has passed"))
-}
-
-// fail ends the request. The caller gets the verdict over all attempts: the
-// last attempt's alone could say "not run" while the first one runs.
-func (m *Machine) fail(err *verdict.Error) {
-	told := *err
-	told.Verdict = verdict.Worst(told.Verdict, m.Verdict())
-	told.RetryAfter = m.retryAfter(told)
-	m.checkVerdict(told.Verdict)
-	m.explain("failed", told.Error())
-	m.emit(Fail{Err: &told})
-	m.phase = ended
-}
-
-// retryAfter tells when asking again makes sense, 0 if it does not: the same
-// call would run twice, or fail in the same way.
-func (m *Machine) retryAfter(told verdict.Error) time.Duration {
-	repeatable := told.Verdict == verdict.NotRun || m.spec.Idempotent || m.spec.Keyed
-	switch {
-	case !repeatable || told.Verdict == verdict.Ran && !m.spec.Idempotent:
-		return 0
-	case told.RetryAfter > 0:
-		return told.RetryAfter
-	case isTemporary(told.Code):
-		return DefaultRetryAfter
-	default:
-		return 0
-	}
-}
-
-func isTemporary(code verdict.Code) bool {
-	switch code {
-	case verdict.CodeOverloaded, verdict.CodeNoBackend, verdict.CodeDraining, verdict.CodeStore,
-		verdict.CodeBackend, verdict.CodeBroken, verdict.CodeUnknownResult, verdict.CodeKeyInUse:
-		return true
-	default:
-		return false
-	}
-}
-
-// checkVerdict asserts that "not run" is told only when no attempt may have
-// run.
-func (m *Machine) checkVerdict(told verdict.Verdict) {
-	if told != verdict.NotRun {
-		return
-	}
-	invariant.Check(m.cur.verdict == verdict.NotRun && m.tokens == 0, "not run is true",
-		"request %s: attempt %d %s", m.spec.ID, m.cur.number, m.cur.verdict)
-	for i, v := range m.past {
-		invariant.Check(v == verdict.NotRun, "not run is true",
-			"request %s: attempt %d %s", m.spec.ID, i+1, v)
-	}
-}
--- a/internal/entry/call/call_test.go
+++ b/internal/entry/call/call_test.go
@@ -201,6 +201,27 @@
 		Expect(route.Excluded).To(BeEmpty())
 	})
 
+	// Two engines in turn change their roles under one long draft. The wait for
+	// the first must not use up that for the second.
+	It("waits anew for each planned change", func() {
+		f := newFixture(call.Spec{Resumable: true})
+		later := func() {
+			f.step(call.Unroutable{
+				Attempt: f.machine.Attempt(), Err: verdict.Refused(verdict.CodeNoBackend, "changing", 0), RetryIn: call.WaitMin,
+			})
+		}
+		later()
+		f.now = f.now.Add(call.WaitFor + time.Second)
+		f.step(call.Timer{})
+		f.sendTo("a")
+		f.step(call.Chunk{Attempt: 1, Frame: chunk(requestID, 1, 0, "x")})
+		f.step(call.Refusal{Attempt: 1, Frame: &wire.Refusal{
+			RequestId: requestID[:], Attempt: 1, Code: string(verdict.CodeDraining),
+		}})
+		later()
+		Expect(f.machine.Ended()).To(BeFalse())
+	})
+
 	// The sidecar crashes after it ran a hold and is started again. It has never
 	// heard of the hold, and says so; the booker who believes "not run" places
 	// it a second time.
--- a/internal/entry/call/effect.go
+++ b/internal/entry/call/effect.go
@@ -33,7 +33,9 @@
 	SendStart struct {
 		Attempt uint32
 		Server  string
-		Budget  time.Duration
+		// Budget is what is left of the deadline now; a driver that sends later
+		// sends less.
+		Budget time.Duration
 		// PrefillOnly asks for a KV ticket in place of an answer.
 		PrefillOnly bool
 		KV          *wire.KVTicket
--- a/internal/entry/call/event.go
+++ b/internal/entry/call/event.go
@@ -98,3 +98,19 @@
 func (ResolveFailed) isEvent() {}
 func (Timer) isEvent()         {}
 func (CallerGone) isEvent()    {}
+
+// attemptEvent is an event of an attempt that is in flight.
+type attemptEvent interface {
+	Event
+	attempt() uint32
+}
+
+func (e Sent) attempt() uint32          { return e.Attempt }
+func (e NotSent) attempt() uint32       { return e.Attempt }
+func (e Chunk) attempt() uint32         { return e.Attempt }
+func (e Final) attempt() uint32         { return e.Attempt }
+func (e Refusal) attempt() uint32       { return e.Attempt }
+func (e LinkLost) attempt() uint32      { return e.Attempt }
+func (e LinkSilent) attempt() uint32    { return e.Attempt }
+func (e Resolution) attempt() uint32    { return e.Attempt }
+func (e ResolveFailed) attempt() uint32 { return e.Attempt }
--- /dev/null
+++ b/internal/entry/links/frames.go
@@ -0,0 +1,96 @@
+package links
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/wire"
+)
+
+func (l *Link) versions() *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Versions{Versions: l.objects.Versions()}}
+}
+
+func (l *Link) receive(ctx context.Context, now time.Time, in inbound) {
+	if in.conn != l.current.Load() {
+		return
+	}
+	if in.frame == nil {
+		l.current.Store(nil)
+		in.conn.close()
+		l.setState(Down)
+		l.dial(ctx)
+		return
+	}
+	l.heard = now
+	l.peer.Store(&Peer{HeardAt: now, Versions: l.Peer().Versions})
+	l.handle(in.conn, in.frame)
+}
+
+func (l *Link) handle(conn *Conn, frame *wire.Frame) {
+	switch body := frame.GetBody().(type) {
+	case *wire.Frame_Heartbeat:
+		conn.heardClock(body.Heartbeat.GetClockUs())
+		l.setState(stateOf(body.Heartbeat))
+	case *wire.Frame_Load:
+		l.report(Report{Load: body.Load})
+	case *wire.Frame_CacheEvents:
+		l.report(Report{Events: body.CacheEvents})
+	case *wire.Frame_Slots:
+		l.report(Report{Slots: body.Slots})
+	case *wire.Frame_Versions:
+		l.peer.Store(&Peer{HeardAt: l.heard, Versions: body.Versions.GetVersions()})
+		l.objects.Heard(l.server.Name, body.Versions)
+		l.push()
+	case *wire.Frame_Object:
+		o := body.Object
+		l.objects.Offer(platform.Object{Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()})
+	}
+}
+
+// push sends the objects that the sidecar lacks. It does not wait for the
+// sidecar's next Versions: a change is to be in force within seconds.
+func (l *Link) push() {
+	conn := l.current.Load()
+	if conn == nil {
+		return
+	}
+	known := maps.Clone(l.Peer().Versions)
+	if known == nil {
+		// It has not said yet what it has; its Versions come after its Hello.
+		return
+	}
+	for _, o := range l.objects.Newer(&wire.Versions{Versions: known}) {
+		conn.send(&wire.Frame{Body: &wire.Frame_Object{Object: o}})
+		known[o.GetName()] = o.GetVersion()
+	}
+	l.pushed(known)
+}
+
+// pushed notes what the sidecar has once the objects arrive. A frame that is
+// lost with its connection is sent again after the Versions on the next.
+func (l *Link) pushed(known map[string]uint64) {
+	l.peer.Store(&Peer{HeardAt: l.heard, Versions: known})
+}
+
+func stateOf(h *wire.Heartbeat) State {
+	if h.GetDraining() {
+		return Draining
+	}
+	return Up
+}
+
+func (l *Link) setState(s State) {
+	if l.state == s {
+		return
+	}
+	l.state = s
+	l.report(Report{})
+}
+
+func (l *Link) report(r Report) {
+	r.Server, r.State = l.server.Name, l.state
+	l.reports.Put(r)
+}
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -68,14 +68,14 @@
 	next := s.config.Views.View()
 	changed := next != s.view
 	if changed {
-		s.adopt(next)
+		s.adopt(now, next)
 	}
 	if changed || now.Sub(s.configuredAt) >= configureInterval {
 		s.configure(now)
 	}
 }
 
-func (s *state) adopt(next *view.View) {
+func (s *state) adopt(now time.Time, next *view.View) {
 	s.view = next
 	listed := map[string]bool{}
 	for _, vm := range next.Backends() {
@@ -83,7 +83,7 @@
 		if _, ok := s.servers[vm.Name]; !ok {
 			s.servers[vm.Name] = &server{}
 		}
-		s.servers[vm.Name].vm = vm
+		s.setVM(now, s.servers[vm.Name], vm)
 	}
 	for name := range s.servers {
 		if !listed[name] {
@@ -92,6 +92,13 @@
 	}
 }
 
+func (s *state) setVM(now time.Time, known *server, vm platform.VM) {
+	if vm.Leaving && !known.vm.Leaving {
+		s.explain(now, vm.Name, "gets no new work", "leaving, by the VM list")
+	}
+	known.vm = vm
+}
+
 func (s *state) forget(name string) {
 	delete(s.servers, name)
 	s.prefills.Forget(name)
@@ -114,13 +121,25 @@
 			DataCentre:    known.vm.DataCentre,
 			BackendServer: name,
 		}, now)
-		known.drained = values.Drained != nil && *values.Drained
+		s.setDrained(now, name, known, values.Drained != nil && *values.Drained)
 	}
 	for key, g := range s.groups {
 		s.configureGroup(key, g, now)
 	}
 }
 
+func (s *state) setDrained(now time.Time, name string, known *server, drained bool) {
+	if known.drained == drained {
+		return
+	}
+	known.drained = drained
+	decision := "taken back into service"
+	if drained {
+		decision = "out of service"
+	}
+	s.explain(now, name, decision, "fleet configuration")
+}
+
 // report takes what a link learned.
 func (s *state) report(now time.Time, r links.Report) {
 	known, ok := s.servers[r.Server]
@@ -131,7 +150,10 @@
 			return
 		}
 	}
-	known.link = r.State
+	if known.link != r.State {
+		s.explain(now, r.Server, "link "+r.State.String(), "was "+known.link.String()+"; only a link that is up gets new work")
+		known.link = r.State
+	}
 	switch {
 	case r.Load != nil:
 		s.load(now, r.Server, r.Load)
