--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,7 @@
 .PHONY: capacity
 capacity: build ## measure the slopes of docs/CAPACITY.md
 	$(BIN)/capacity -bin $(BIN)
+
+.PHONY: recovery
+recovery: build ## measure the time to recover from each kind of fault
+	$(BIN)/recovery -bin $(BIN)
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -21,9 +21,9 @@
 var _ = Describe("A fleet under load", func() {
 	It("answers all when nothing fails", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
-		results := l.end()
+		results := l.End()
 		expectNoneFailed(results)
 		expectPromises(f, results)
 	})
@@ -33,12 +33,12 @@
 	// answers until their deadlines.
 	It("goes around links that have gone silent", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		f.Proxies["holds-1"].SilencePresent()
 		f.Proxies["engine-1"].SilencePresent()
 		expectRecovery(l)
-		expectPromises(f, l.end())
+		expectPromises(f, l.End())
 	})
 
 	// A sidecar is killed with calls before, within and after their run, and
@@ -46,7 +46,7 @@
 	// asks again, and the hold is placed twice.
 	It("tells the truth about holds when their sidecar is killed", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		for _, name := range f.Services["holds"] {
 			Expect(f.SetServiceFaults(context.Background(), name, plainservice.Faults{DelayMS: 30})).To(Succeed())
 		}
@@ -56,7 +56,7 @@
 			Expect(f.Processes[name].Restart()).To(Succeed())
 		}
 		expectRecovery(l)
-		expectPromises(f, l.end())
+		expectPromises(f, l.End())
 	})
 
 	// A sidecar is paused past the deadlines of what it has queued, and wakes
@@ -64,7 +64,7 @@
 	// it did not.
 	It("starts nothing that is past its deadline after a pause", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		f.Processes["holds-1"].Pause()
 		f.Processes["engine-2"].Pause()
@@ -72,7 +72,7 @@
 		f.Processes["holds-1"].Resume()
 		f.Processes["engine-2"].Resume()
 		expectRecovery(l)
-		expectPromises(f, l.end())
+		expectPromises(f, l.End())
 	})
 
 	// An entry dies with holds in flight, and the callers ask another entry
@@ -82,10 +82,10 @@
 		for _, name := range f.Services["holds"] {
 			Expect(f.SetServiceFaults(context.Background(), name, plainservice.Faults{DelayMS: 300})).To(Succeed())
 		}
-		first := make(chan result)
+		first := make(chan fleet.Result)
 		const holds = 8
 		for i := range holds {
-			go func() { first <- placeHold(f.URL("entry-1"), fmt.Sprintf("h%d", i), fmt.Sprintf("k%d", i)) }()
+			go func() { first <- fleet.PlaceHold(f.URL("entry-1"), fmt.Sprintf("h%d", i), fmt.Sprintf("k%d", i)) }()
 		}
 		time.Sleep(150 * time.Millisecond)
 		f.Processes["entry-1"].Kill()
@@ -95,7 +95,7 @@
 		for i := range holds {
 			subject, key := fmt.Sprintf("h%d", i), fmt.Sprintf("k%d", i)
 			Eventually(func() int {
-				return placeHold(f.URL("entry-2"), subject, key).answer.Status
+				return fleet.PlaceHold(f.URL("entry-2"), subject, key).Answer.Status
 			}, soon, "100ms").Should(Equal(http.StatusCreated), subject)
 		}
 		Expect(holdRuns(f)).To(HaveLen(holds))
@@ -107,14 +107,14 @@
 	// short answer that looks whole.
 	It("finishes drafts elsewhere when an engine crashes", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		backend := f.Processes[fleet.BackendProcess("engine-1")]
 		backend.Kill()
 		time.Sleep(faultTime)
 		Expect(backend.Restart()).To(Succeed())
 		expectRecovery(l)
-		results := l.end()
+		results := l.End()
 		expectNoneFailed(results)
 		expectPromises(f, results)
 	})
@@ -123,7 +123,7 @@
 	// then in the other, then slow, then cut.
 	It("lives through partitions of every kind", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		for _, mode := range []faultproxy.Mode{
 			{DropToServer: true},
@@ -139,27 +139,24 @@
 			f.Proxies["holds-2"].Set(faultproxy.Mode{})
 			expectRecovery(l)
 		}
-		expectPromises(f, l.end())
+		expectPromises(f, l.End())
 	})
 
 	// The platform's store is down. Holds cannot be claimed, and callers would
 	// wait for one that never comes; drafts and lookups need no store.
 	It("serves drafts and lookups, and refuses holds at once, while the store is out", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{Outage: true})).To(Succeed())
 		time.Sleep(faultTime)
-		refused := placeHold(f.URL("entry-1"), "during the outage", "during the outage")
-		Expect(refused.answer.Verdict).To(Equal("not_run"), refused.answer.Body)
-		Expect(refused.answer.Header.Get("Retry-After")).NotTo(BeEmpty())
-		for _, kind := range []string{"draft", "stream", "lookup"} {
-			before := l.count(kind)
-			Eventually(func() int { return l.count(kind) }, soon, "50ms").Should(BeNumerically(">", before+5), kind)
-		}
+		refused := fleet.PlaceHold(f.URL("entry-1"), "during the outage", "during the outage")
+		Expect(refused.Answer.Verdict).To(Equal("not_run"), refused.Answer.Body)
+		Expect(refused.Answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+		expectCalls(l, fleet.Draft, fleet.Stream, fleet.LookUp)
 		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{})).To(Succeed())
 		expectRecovery(l)
-		expectPromises(f, l.end())
+		expectPromises(f, l.End())
 	})
 
 	// The store writes claims but its replies are lost, or it writes them late.
@@ -167,13 +164,13 @@
 	// again.
 	DescribeTable("places holds once when the store's replies are lost", func(faults objectapi.Faults) {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		Expect(f.SetPlatformFaults(context.Background(), faults)).To(Succeed())
 		time.Sleep(faultTime)
 		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{})).To(Succeed())
 		expectRecovery(l)
-		expectPromises(f, l.end())
+		expectPromises(f, l.End())
 	},
 		Entry("lost replies", objectapi.Faults{LoseReplies: true}),
 		Entry("late writes", objectapi.Faults{LateWritesMS: 400}),
--- a/test/e2e/planned_test.go
+++ b/test/e2e/planned_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -29,17 +28,11 @@
 
 // expectNothingCut allows for refusals that are certainly not run and say when
 // to come back; every other failure cut a request.
-func expectNothingCut(results []result) {
+func expectNothingCut(results []fleet.Result) {
 	GinkgoHelper()
-	cut := lo.Filter(results, func(r result, _ int) bool {
-		refused := r.cut == nil && r.answer.Verdict == "not_run" && r.answer.Header.Get("Retry-After") != ""
-		return !r.ok() && !refused
-	})
-	shown := lo.Map(lo.Slice(cut, 0, 5), func(r result, _ int) string {
-		return fmt.Sprintf("%s %.40q: %d %s cut=%v", r.kind, r.subject, r.answer.Status, r.answer.Body, r.cut)
-	})
-	Expect(cut).To(BeEmpty(), "%d of %d were cut, such as:\n%s", len(cut), len(results), strings.Join(shown, "\n"))
-	Expect(lo.CountBy(results, func(r result) bool { return r.ok() })).To(BeNumerically(">", len(results)/2))
+	cut := lo.Filter(results, func(r fleet.Result, _ int) bool { return !r.OK() && !r.Refused() })
+	Expect(cut).To(BeEmpty(), "%d of %d were cut, such as:\n%s", len(cut), len(results), someOf(cut))
+	Expect(lo.CountBy(results, fleet.Result.OK)).To(BeNumerically(">", len(results)/2))
 }
 
 var _ = Describe("A planned change", func() {
@@ -47,12 +40,12 @@
 	// at once or without waiting for the streams, they would cut them.
 	It("loads new weights everywhere and cuts nothing", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		mustTool(f, "entry-1", "defaults", "set", "weights=2")
 		expectWeights(f, "2")
 		expectRecovery(l)
-		results := l.end()
+		results := l.End()
 		expectNothingCut(results)
 		expectPromises(f, results)
 	})
@@ -67,13 +60,13 @@
 			}
 		}
 		f := start(o)
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		for _, vm := range f.VMs {
 			restart(f, l, vm.Name)
 			expectRecovery(l)
 		}
-		results := l.end()
+		results := l.End()
 		expectNothingCut(results)
 		expectPromises(f, results)
 	})
@@ -81,14 +74,14 @@
 	// An operator drains an engine and later takes it back.
 	It("drains a backend server, which then gets no work, and takes it back", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		mustTool(f, "entry-2", "drain", "engine-1", "-reason", "new accelerator", "-author", "e2e")
 		expectNoNewWork(f, l, "engine-1")
 		mustTool(f, "entry-1", "undrain", "engine-1", "-author", "e2e")
 		before := engineRuns(f, "engine-1")
 		Eventually(func() int { return engineRuns(f, "engine-1") }, soon, "100ms").Should(BeNumerically(">", before))
-		results := l.end()
+		results := l.End()
 		expectNothingCut(results)
 		expectPromises(f, results)
 	})
@@ -98,7 +91,7 @@
 	// same time.
 	DescribeTable("gives a leaving backend server no new work", func(fault func(*fleet.Fleet)) {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		expectRecovery(l)
 		for i := range f.VMs {
 			if f.VMs[i].Name == "engine-2" {
@@ -108,7 +101,7 @@
 		Expect(f.PublishVMs(context.Background())).To(Succeed())
 		fault(f)
 		expectNoNewWork(f, l, "engine-2")
-		expectPromises(f, l.end())
+		expectPromises(f, l.End())
 	},
 		Entry("by the VM list", func(*fleet.Fleet) {}),
 		Entry("by the VM list and a silent link", func(f *fleet.Fleet) {
@@ -135,18 +128,18 @@
 
 // restart replaces one process as its supervisor would: SIGTERM, and for an
 // entry the balancer follows its readiness.
-func restart(f *fleet.Fleet, l *load, name string) {
+func restart(f *fleet.Fleet, l *fleet.Load, name string) {
 	GinkgoHelper()
 	p := f.Processes[name]
 	p.Terminate()
 	if lo.Contains(f.Entries, name) {
 		time.Sleep(balancerLag / 4)
-		l.balance(lo.Without(f.Entries, name)...)
+		l.Balance(lo.Without(f.Entries, name)...)
 	}
 	Expect(p.Wait(stopTimeout)).To(Equal(exitDone), name)
 	Expect(p.Restart()).To(Succeed())
 	Expect(p.WaitReady(context.Background())).To(Succeed())
-	l.balance(f.Entries...)
+	l.Balance(f.Entries...)
 }
 
 func engineRuns(f *fleet.Fleet, name string) int {
@@ -158,13 +151,13 @@
 
 // expectNoNewWork waits out the time that a change may take, then checks that
 // an engine gets no work while the others go on.
-func expectNoNewWork(f *fleet.Fleet, l *load, name string) {
+func expectNoNewWork(f *fleet.Fleet, l *fleet.Load, name string) {
 	GinkgoHelper()
 	time.Sleep(noNewWorkAfter)
-	before, others := engineRuns(f, name), l.count("draft")
+	before, others := engineRuns(f, name), l.Count(fleet.Draft)
 	time.Sleep(2 * time.Second)
 	Expect(engineRuns(f, name)).To(Equal(before))
-	Expect(l.count("draft")).To(BeNumerically(">", others))
+	Expect(l.Count(fleet.Draft)).To(BeNumerically(">", others))
 }
 
 var _ = Describe("Configuration", func() {
@@ -224,11 +217,11 @@
 	// taken over, and then wakes up believing that it still plans.
 	It("follows one planner though the former one wakes up", func() {
 		f := start(hanbit())
-		l := startLoad(f)
+		l := f.StartLoad()
 		Eventually(func() string { return status(f, "entry-1").Planner }, soon, "100ms").ShouldNot(BeEmpty())
 		former := status(f, "entry-1").Planner
 		other := lo.Without(f.Entries, former)[0]
-		l.balance(other)
+		l.Balance(other)
 		f.Processes[former].Pause()
 		Eventually(func() string { return status(f, other).Planner }, soon, "200ms").Should(Equal(other))
 		mustTool(f, other, "defaults", "set", "weights=2")
@@ -236,6 +229,6 @@
 		expectWeights(f, "2")
 		expectRecovery(l)
 		Eventually(func() string { return status(f, former).Planner }, soon, "200ms").Should(Equal(other))
-		expectPromises(f, l.end())
+		expectPromises(f, l.End())
 	})
 })
