Member: both ends dial, for an entry that starts while the VM list is down

Only the entry of the lower name dialled; when the list went down before that one had read it, it stayed alone, as an entry restarted in an outage would. Ruled out: a fault of the gossip itself, which the runs in virtual time cover.

Now all entries of a full mesh dial one another, and a new test starts an entry with the platform down: it gets the configuration from its peers and is confirmed. It fails when only one side dials.

--- a/internal/member/choice.go
+++ b/internal/member/choice.go
@@ -43,10 +43,12 @@
 	if !listed {
 		return nil
 	}
+	others := slices.Delete(slices.Clone(entries), at, at+1)
 	if len(entries) <= fullMesh {
-		return entries[at+1:]
+		// Both ends dial. An entry that starts while the VM list is down knows
+		// nobody to dial, and would stay alone if the others waited for it.
+		return others
 	}
-	others := slices.Delete(slices.Clone(entries), at, at+1)
 	chosen := append([]string{entries[(at+1)%len(entries)].Name}, choosePeers(others, own)...)
 	return lo.Filter(others, func(vm platform.VM, _ int) bool { return slices.Contains(chosen, vm.Name) })
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -100,32 +101,51 @@
 	}
 }
 
-// start runs entries of one data centre on loopback.
-func start(p *fakePlatform, count int) []*member.Member {
-	ctx, cancel := context.WithCancel(context.Background())
+// add puts a VM into the list.
+func (p *fakePlatform) add(vm platform.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = append(slices.Clone(p.vms), vm)
+}
+
+// runningEntry is an entry on loopback.
+type runningEntry struct {
+	*member.Member
+
+	vm platform.VM
+}
+
+// startOne runs an entry that the VM list does not show yet.
+func startOne(p *fakePlatform, vm platform.VM) runningEntry {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	vm.LinkAddress = listener.Addr().String()
+	m := member.New(member.Config{
+		Process: vm.Name, Region: vm.Region, DataCentre: vm.DataCentre,
+		Entry: true, Peers: listener, ListInterval: 50 * time.Millisecond,
+	}, p, p)
 	supervisor := suture.NewSimple("test")
-	members := []*member.Member{}
-	for n := range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		vm := entryVM(n)
-		vm.LinkAddress = listener.Addr().String()
-		p.vms = append(p.vms, vm)
-		m := member.New(member.Config{
-			Process: vm.Name, Region: vm.Region, DataCentre: vm.DataCentre,
-			Entry: true, Peers: listener, ListInterval: 50 * time.Millisecond,
-		}, p, p)
-		for _, s := range m.Services() {
-			supervisor.Add(s)
-		}
-		members = append(members, m)
+	for _, s := range m.Services() {
+		supervisor.Add(s)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	ended := supervisor.ServeBackground(ctx)
 	DeferCleanup(func() {
 		cancel()
 		<-ended
 	})
-	return members
+	return runningEntry{Member: m, vm: vm}
+}
+
+// start runs entries of one data centre on loopback.
+func start(p *fakePlatform, count int) []runningEntry {
+	entries := []runningEntry{}
+	for n := range count {
+		e := startOne(p, entryVM(n))
+		p.add(e.vm)
+		entries = append(entries, e)
+	}
+	return entries
 }
 
 var _ = Describe("Member", func() {
@@ -157,11 +177,35 @@
 	It("spreads an offered object while the platform is down", func() {
 		p := newFakePlatform()
 		members := start(p, 4)
-		Eventually(func() bool { return members[3].Snapshot().Ready }, 10*time.Second).Should(BeTrue())
+		for _, m := range members {
+			Eventually(func() int { return len(m.Snapshot().VMs) }, 10*time.Second).Should(Equal(4))
+			Eventually(func() bool { return m.Snapshot().Ready }, 10*time.Second).Should(BeTrue())
+		}
 		p.setDown(true)
 		members[0].Offer(platform.Object{Name: "fleetconfig", Version: 7, Value: []byte(`{}`)})
 		Eventually(func() uint64 { return members[3].Snapshot().ConfigVersion }, 10*time.Second).
 			Should(Equal(uint64(7)))
 		Expect(members[3].Snapshot().VMs).To(HaveLen(4))
 	})
+
+	// An entry is restarted while the platform is down, so that it sees neither
+	// the store nor the VM list. The others dial it, or its callers would be
+	// served without any configuration.
+	It("gets the objects from its peers when it starts in an outage", func() {
+		p := newFakePlatform()
+		p.set("fleetconfig", 3, `{"write_id":"a"}`)
+		members := start(p, 4)
+		for _, m := range members {
+			Eventually(func() int { return len(m.Snapshot().VMs) }, 10*time.Second).Should(Equal(4))
+			Eventually(func() uint64 { return m.Snapshot().ConfigVersion }, 10*time.Second).Should(Equal(uint64(3)))
+		}
+		down := newFakePlatform()
+		down.setDown(true)
+		vm := entryVM(0)
+		vm.Name = "entry-0"
+		fresh := startOne(down, vm)
+		p.add(fresh.vm)
+		Eventually(func() uint64 { return fresh.Snapshot().ConfigVersion }, 10*time.Second).Should(Equal(uint64(3)))
+		Eventually(func() bool { return fresh.Snapshot().Confirmed }, 10*time.Second).Should(BeTrue())
+	})
 })
