entry: admission answers the route of the first attempt

Cause: a request waited for the router's duty twice before its Start could be sent, once to be admitted and once to be routed; each wait is a switch to the duty's goroutine and back. One message now does both.

go test -race ./internal/entry/... passes.

--- a/internal/entry/links/link.go
+++ b/internal/entry/links/link.go
@@ -192,7 +192,10 @@
 		return
 	}
 	l.beat(now, conn)
-	if now.Sub(l.heard) >= link.SilentAfter && !now.Before(l.retryAt) {
+	// A connection once marked silent is replaced even if it is heard again:
+	// its requests have been told, and those to come would be told at once.
+	silent := conn.isSilent() || now.Sub(l.heard) >= link.SilentAfter
+	if silent && !now.Before(l.retryAt) {
 		l.goneSilent(ctx, now, conn)
 	}
 }
--- a/internal/entry/links/links_test.go
+++ b/internal/entry/links/links_test.go
@@ -35,6 +35,8 @@
 	listener net.Listener
 	versions atomic.Pointer[wire.Versions]
 	accepted atomic.Int64
+	// paused stops all that the process does; its kernel goes on accepting.
+	paused atomic.Bool
 
 	mu      sync.Mutex
 	silent  map[*link.Session]bool
@@ -77,6 +79,9 @@
 		return
 	}
 	go s.receive(control)
+	for s.paused.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
 	_ = control.Send(&wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Incarnation: "life-1"}}})
 	_ = control.Send(&wire.Frame{Body: &wire.Frame_Versions{Versions: s.versions.Load()}})
 	go s.beat(session, control)
@@ -96,7 +101,7 @@
 		s.mu.Lock()
 		silent := s.silent[session]
 		s.mu.Unlock()
-		if silent {
+		if silent || s.paused.Load() {
 			continue
 		}
 		beat := &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{}}}
@@ -247,6 +252,27 @@
 		Expect(sidecar.accepted.Load()).To(BeEquivalentTo(2))
 	})
 
+	// A sidecar is paused for longer than two heartbeats and wakes up. The
+	// second connection got no Hello meanwhile, and the first one is heard
+	// again. Kept as it is, marked silent, it would send every request to a
+	// Resolve for ever: callers of that sidecar would run into their deadlines.
+	It("replaces a connection that was silent though it is heard again", func() {
+		pool, _ := startPool(views, newObjects(), links.Config{})
+		first, err := pool.Conn(context.Background(), "a")
+		Expect(err).NotTo(HaveOccurred())
+
+		sidecar.paused.Store(true)
+		Eventually(first.Silent(), soon).Should(BeClosed())
+		sidecar.paused.Store(false)
+		Eventually(func() error {
+			second, err := pool.Conn(context.Background(), "a")
+			if err == nil && second == first {
+				return fmt.Errorf("still the connection that was silent")
+			}
+			return err
+		}, soon, 10*time.Millisecond).Should(Succeed())
+	})
+
 	// Operators change a default. A sidecar that heard of it only when it next
 	// tells its versions would run on the old one for seconds.
 	It("pushes a changed object at once", func() {
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -160,10 +160,23 @@
 
 type admitMessage struct {
 	request *Request
-	reply   chan<- *verdict.Error
+	reply   chan<- admission
 }
 
-func (m admitMessage) apply(now time.Time, s *state) { m.reply <- s.admit(now, m.request) }
+// admission is the answer to an admitMessage: the first route or the refusal.
+type admission struct {
+	route   call.Event
+	refusal *verdict.Error
+}
+
+func (m admitMessage) apply(now time.Time, s *state) {
+	if err := s.admit(now, m.request); err != nil {
+		m.reply <- admission{refusal: err}
+		return
+	}
+	first := call.Route{Attempt: 1, Remaining: m.request.Deadline.Sub(now)}
+	m.reply <- admission{route: s.route(now, m.request, first)}
+}
 
 type routeMessage struct {
 	request *Request
@@ -205,20 +218,21 @@
 
 func (m dumpMessage) apply(now time.Time, s *state) { m.reply <- s.dump(now) }
 
-// Admit lets the request in, or returns why not. An admitted request must be
-// followed by Ended.
-func (r *Router) Admit(ctx context.Context, request *Request) *verdict.Error {
-	reply := make(chan *verdict.Error, 1)
+// Admit lets the request in, or returns why not. It answers the Route of the
+// first attempt as well: a request then waits for the duty once. An admitted
+// request must be followed by Ended.
+func (r *Router) Admit(ctx context.Context, request *Request) (call.Event, *verdict.Error) {
+	reply := make(chan admission, 1)
 	if !r.inbox.Put(admitMessage{request: request, reply: reply}) {
-		return busy()
+		return nil, busy()
 	}
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
 	select {
-	case err := <-reply:
-		return err
+	case a := <-reply:
+		return a.route, a.refusal
 	case <-ctx.Done():
-		return noDecision(ctx)
+		return nil, noDecision(ctx)
 	}
 }
 
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -305,15 +305,18 @@
 		Expect(r.inbox.Put(panicMessage{})).To(BeTrue())
 		request := f.draft()
 		request.Deadline = time.Now().Add(time.Minute)
+		var routed call.Event
 		Eventually(func() verdict.Code {
 			r.Reports().Put(links.Report{Server: "a", State: links.Up, Load: &wire.Load{
 				Slots: 8, Models: []string{"draft"}, Admitting: true,
 			}})
-			if err := r.Admit(ctx, request); err != nil {
+			var err *verdict.Error
+			if routed, err = r.Admit(ctx, request); err != nil {
 				return err.Code
 			}
 			return ""
 		}, 20*time.Second, 20*time.Millisecond).Should(BeEmpty())
-		Expect(r.Route(ctx, request, call.Route{Attempt: 1})).To(Equal(call.Routed{Attempt: 1, Server: "a"}))
+		Expect(routed).To(Equal(call.Routed{Attempt: 1, Server: "a"}))
+		Expect(r.Route(ctx, request, call.Route{Attempt: 2})).To(Equal(call.Routed{Attempt: 2, Server: "a"}))
 	})
 })
--- a/internal/entry/serve/run.go
+++ b/internal/entry/serve/run.go
@@ -26,6 +26,8 @@
 	done  chan struct{}
 	// pending holds events that effects gave rise to at once.
 	pending []call.Event
+	// firstRoute answers the first Route.
+	firstRoute call.Event
 	// streams are those of all attempts; the last is the current one's.
 	streams map[uint32]*stream
 	// silent is closed when the current attempt's connection goes silent.
@@ -138,7 +140,7 @@
 func (r *run) apply(ctx context.Context, effect call.Effect) {
 	switch e := effect.(type) {
 	case call.Route:
-		r.pending = append(r.pending, r.server.router.Route(ctx, r.routing, e))
+		r.pending = append(r.pending, r.route(ctx, e))
 	case call.SendStart:
 		r.sendStart(ctx, e)
 	case call.Resolve:
@@ -162,6 +164,15 @@
 	}
 }
 
+// route asks the router, but for the first attempt: admission has answered that.
+func (r *run) route(ctx context.Context, e call.Route) call.Event {
+	if first := r.firstRoute; first != nil {
+		r.firstRoute = nil
+		return first
+	}
+	return r.server.router.Route(ctx, r.routing, e)
+}
+
 func (r *run) sendStart(ctx context.Context, e call.SendStart) {
 	r.target = e.Server
 	r.sentAt = time.Now()
--- a/internal/entry/serve/serve.go
+++ b/internal/entry/serve/serve.go
@@ -52,11 +52,13 @@
 	inFlight.Inc(1)
 	defer inFlight.Dec(1)
 	routing := request.routing()
-	if err := s.router.Admit(ctx, routing); err != nil {
+	first, err := s.router.Admit(ctx, routing)
+	if err != nil {
 		fail(sink, err)
 		return
 	}
 	r := newRun(s, request, routing, sink)
+	r.firstRoute = first
 	defer func() { s.router.Ended(routing, r.succeeded) }()
 	defer r.close()
 	defer r.recoverPanic()
