--- a/test/loadplay/play.go
+++ b/test/loadplay/play.go
@@ -234,18 +234,9 @@
 	for _, e := range p.entries {
 		sum = sum.Plus(e.meter.Demand(p.now))
 	}
-	for _, s := range p.servers {
-		if !s.plain {
-			sum.PrefillBacklog += float64(s.prefillQueue.QueuedTokens())
-			sum.DecodeBacklog += typicalOutput * longRead.outputOf() * float64(s.decodeQueue.Len())
-		}
-	}
 	return sum
 }
 
-// outputOf stands for the output of one queued stream.
-func (k Kind) outputOf() float64 { return float64(k.MaxOutput) }
-
 func (p *play) fleet(seen shift.Demand) shift.Fleet {
 	f := shift.Fleet{
 		Demand:   seen,
--- a/test/loadplay/result.go
+++ b/test/loadplay/result.go
@@ -9,7 +9,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/admit"
-	"pistachioroad.dev/pistachioroad/internal/decide/shift"
 )
 
 // outcome is how an admitted call ended.
@@ -340,5 +339,3 @@
 	}
 	return a / b
 }
-
-var _ planner = (*shift.Planner)(nil)
