links: a connection that was silent is replaced though it is heard again

Cause: a paused sidecar's kernel accepts the second connection, but no Hello comes. When the sidecar wakes up, the first connection is heard again, so that the link dials no more; yet it stays marked silent, and each request on it is sent to Resolve at once and runs into its deadline.

Ruled out: the sidecar (its dump shows it admitting, its slots owned, nothing queued), the claims, the store; the entry's dump shows the link connected, silent, and heard 50 ms ago.

--- a/internal/entry/links/links_test.go
+++ b/internal/entry/links/links_test.go
@@ -35,8 +35,10 @@
 	listener net.Listener
 	versions atomic.Pointer[wire.Versions]
 	accepted atomic.Int64
-	// paused stops all that the process does; its kernel goes on accepting.
-	paused atomic.Bool
+	// paused stops the heartbeats, noHello the answers to new connections,
+	// which the kernel of a paused process goes on accepting.
+	paused  atomic.Bool
+	noHello atomic.Bool
 
 	mu      sync.Mutex
 	silent  map[*link.Session]bool
@@ -79,8 +81,8 @@
 		return
 	}
 	go s.receive(control)
-	for s.paused.Load() {
-		time.Sleep(10 * time.Millisecond)
+	if s.noHello.Load() {
+		return
 	}
 	_ = control.Send(&wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Incarnation: "life-1"}}})
 	_ = control.Send(&wire.Frame{Body: &wire.Frame_Versions{Versions: s.versions.Load()}})
@@ -262,8 +264,16 @@
 		Expect(err).NotTo(HaveOccurred())
 
 		sidecar.paused.Store(true)
+		sidecar.noHello.Store(true)
 		Eventually(first.Silent(), soon).Should(BeClosed())
+		Eventually(sidecar.accepted.Load, soon).Should(BeNumerically(">=", 2))
 		sidecar.paused.Store(false)
+		woken := time.Now()
+		Eventually(func() time.Time {
+			peer, _ := pool.Peer("a")
+			return peer.HeardAt
+		}, soon).Should(BeTemporally(">", woken))
+		sidecar.noHello.Store(false)
 		Eventually(func() error {
 			second, err := pool.Conn(context.Background(), "a")
 			if err == nil && second == first {
