retry: no setting may pass a tenth of the work

The share came from settings unchecked: with 0.5 a storm of failures was retried up to half of its work. It is cut to 0.1; the storm test asks for 0.5 now and still wants less than a tenth. Zero values of all configs are filled in alike.

--- a/internal/decide/outlier/outlier.go
+++ b/internal/decide/outlier/outlier.go
@@ -76,27 +76,13 @@
 
 // New returns a Detector.
 func New(cfg Config) *Detector {
-	if cfg.Ratio <= 0 {
-		cfg.Ratio = DefaultRatio
-	}
-	if cfg.Errors <= 0 {
-		cfg.Errors = DefaultErrors
-	}
-	if cfg.Probe <= 0 {
-		cfg.Probe = DefaultProbe
-	}
-	if cfg.Part <= 0 {
-		cfg.Part = DefaultPart
-	}
-	if cfg.HalfLife <= 0 {
-		cfg.HalfLife = DefaultHalfLife
-	}
-	if cfg.Least <= 0 {
-		cfg.Least = DefaultLeast
-	}
-	if cfg.Servers <= 0 {
-		cfg.Servers = DefaultServers
-	}
+	cfg.Ratio = cmp.Or(cfg.Ratio, DefaultRatio)
+	cfg.Errors = cmp.Or(cfg.Errors, DefaultErrors)
+	cfg.Probe = cmp.Or(cfg.Probe, DefaultProbe)
+	cfg.Part = cmp.Or(cfg.Part, DefaultPart)
+	cfg.HalfLife = cmp.Or(cfg.HalfLife, DefaultHalfLife)
+	cfg.Least = cmp.Or(cfg.Least, DefaultLeast)
+	cfg.Servers = cmp.Or(cfg.Servers, DefaultServers)
 	return &Detector{cfg: cfg, servers: make(map[string]*server)}
 }
 
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -12,7 +12,10 @@
 // in the entry; a sidecar never retries, or the two shares would multiply.
 package retry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// DefaultShare is how much work may be retried for each unit of work that
@@ -20,6 +23,9 @@
 	// a twentieth covers the everyday restarts and refusals and stays well
 	// under the tenth of the work that retries may never pass.
 	DefaultShare = 0.05
+	// MaxShare is the largest share that settings may ask for: retries are
+	// never more than a tenth of the work.
+	MaxShare = 0.1
 	// DefaultHold is how long a success counts. Longer, and the calm before a
 	// storm would pay for the storm.
 	DefaultHold = 10 * time.Second
@@ -31,7 +37,8 @@
 
 // Config sets a Budget. The zero value of a field means its default.
 type Config struct {
-	// Share is retried work per work that succeeded, in (0, 0.1].
+	// Share is retried work per work that succeeded, in (0, MaxShare]; more is
+	// cut to that.
 	Share float64
 	Hold  time.Duration
 	// Floor is in tokens per Hold.
@@ -61,15 +68,9 @@
 
 // New returns a Budget that holds its floor.
 func New(cfg Config) *Budget {
-	if cfg.Share <= 0 {
-		cfg.Share = DefaultShare
-	}
-	if cfg.Hold <= 0 {
-		cfg.Hold = DefaultHold
-	}
-	if cfg.Floor <= 0 {
-		cfg.Floor = DefaultFloor
-	}
+	cfg.Share = min(MaxShare, cmp.Or(cfg.Share, DefaultShare))
+	cfg.Hold = cmp.Or(cfg.Hold, DefaultHold)
+	cfg.Floor = cmp.Or(cfg.Floor, DefaultFloor)
 	return &Budget{cfg: cfg, tokens: cfg.Floor}
 }
 
--- a/internal/decide/retry/retry_test.go
+++ b/internal/decide/retry/retry_test.go
@@ -34,7 +34,7 @@
 	// until it succeeds, the other half of the fleet would carry twice its
 	// load, and callers there would wait as well.
 	It("keeps retries under a tenth of the work in a storm", func() {
-		b := retry.New(retry.Config{})
+		b := retry.New(retry.Config{Share: 0.5}) // More than may be had.
 		work, retried := 0, 0
 		for i := range 60_000 {
 			now := at(time.Duration(i) * time.Millisecond)
