member: a fresh entry gets the VM list from its peers in an outage

Cause: an entry restarted while the platform is out knew no backend server, no peer and no list, and stayed without work for as long as the outage lasted. Objects came from peers that dialled it, the list did not travel.

Ruled out: addresses in the settings (out of date once VMs are replaced), the list in every gossip message.

State spec in virtual time.

--- a/internal/member/event.go
+++ b/internal/member/event.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"time"
+
 	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -41,6 +43,13 @@
 		Peer     PeerID
 		Process  string
 		Versions map[string]uint64
+		// WantsList says that the peer's VM list is missing or old.
+		WantsList bool
+	}
+	// PeerListed is the VM list of a peer; Age is how long ago it was read.
+	PeerListed struct {
+		VMs []platform.VM
+		Age time.Duration
 	}
 	// Spent are this entry's heaviest accounts, to tell its peers.
 	Spent struct{ Accounts *wire.Accounts }
@@ -49,6 +58,7 @@
 )
 
 func (Listed) event()       {}
+func (PeerListed) event()   {}
 func (StoreRead) event()    {}
 func (Offered) event()      {}
 func (PeerUp) event()       {}
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -238,7 +238,15 @@
 func (m *Member) take(id PeerID, process string, f *wire.Frame) {
 	switch body := f.GetBody().(type) {
 	case *wire.Frame_Versions:
-		m.inbox.Put(PeerVersions{Peer: id, Process: process, Versions: body.Versions.GetVersions()})
+		m.inbox.Put(PeerVersions{
+			Peer:      id,
+			Process:   process,
+			Versions:  body.Versions.GetVersions(),
+			WantsList: body.Versions.GetWantsList(),
+		})
+	case *wire.Frame_Vms:
+		vms, age := listFromWire(body.Vms)
+		m.inbox.Put(PeerListed{VMs: vms, Age: age})
 	case *wire.Frame_Object:
 		m.inbox.Put(Offered{Peer: id, Object: platform.Object{
 			Name:    body.Object.GetName(),
--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -31,6 +31,8 @@
 	// peerForgottenAfter is how long a peer may tell nothing before it no longer
 	// counts.
 	peerForgottenAfter = 4 * GossipInterval
+	// listStale is the age from which a VM list is asked of peers.
+	listStale = 10 * time.Second
 	// maxPeers bounds the peers of an entry.
 	maxPeers = 64
 )
@@ -66,6 +68,7 @@
 	asked    map[string]sentObject
 	accounts *wire.Accounts
 	gossipAt time.Time
+	now      time.Time
 
 	effects []Effect
 }
@@ -93,11 +96,13 @@
 
 // Step takes one event and returns what to do.
 func (s *State) Step(now time.Time, ev Event) []Effect {
-	s.effects = nil
+	s.effects, s.now = nil, now
 	before := s.current
 	switch ev := ev.(type) {
 	case Listed:
 		s.listed(now, ev)
+	case PeerListed:
+		s.peerListed(now, ev)
 	case StoreRead:
 		s.storeRead(ev)
 	case Offered:
@@ -134,14 +139,34 @@
 	if ev.Err != nil || len(ev.VMs) == 0 {
 		return
 	}
-	vms := slices.Clone(ev.VMs)
+	s.takeList(now, ev.VMs)
+}
+
+func (s *State) takeList(readAt time.Time, list []platform.VM) {
+	vms := slices.Clone(list)
 	slices.SortFunc(vms, byName)
-	s.current.ListedAt = now
+	s.current.ListedAt = readAt
 	if !slices.Equal(vms, s.current.VMs) {
 		s.current.VMs = vms
 	}
 }
 
+// wantsList reports whether peers are asked for their VM list. An entry that is
+// replaced while the platform is out would otherwise know no backend server for
+// as long as the outage lasts, and entries replaced one by one would all be
+// lost.
+func (s *State) wantsList() bool {
+	return s.current.ListedAt.IsZero() || s.now.Sub(s.current.ListedAt) >= listStale
+}
+
+// peerListed takes a peer's list if it was read later than the one held.
+func (s *State) peerListed(now time.Time, ev PeerListed) {
+	readAt := now.Add(-ev.Age)
+	if len(ev.VMs) > 0 && s.wantsList() && readAt.After(s.current.ListedAt) {
+		s.takeList(readAt, ev.VMs)
+	}
+}
+
 func (s *State) storeRead(ev StoreRead) {
 	if ev.Err != nil {
 		return
@@ -226,6 +251,18 @@
 	if s.askFor(now, ev.Versions) {
 		s.send(ev.Peer, s.versionsFrame())
 	}
+	if ev.WantsList {
+		s.sendList(now, ev.Peer)
+	}
+}
+
+// sendList answers a peer that wants the VM list.
+func (s *State) sendList(now time.Time, id PeerID) {
+	if s.current.ListedAt.IsZero() {
+		return
+	}
+	age := now.Sub(s.current.ListedAt)
+	s.send(id, &wire.Frame{Body: &wire.Frame_Vms{Vms: listToWire(s.current.VMs, age)}})
 }
 
 // wantedOf keeps of the versions those of the objects that are held here.
@@ -311,7 +348,9 @@
 }
 
 func (s *State) versionsFrame() *wire.Frame {
-	return &wire.Frame{Body: &wire.Frame_Versions{Versions: s.objects.Versions()}}
+	versions := s.objects.Versions()
+	versions.WantsList = s.wantsList()
+	return &wire.Frame{Body: &wire.Frame_Versions{Versions: versions}}
 }
 
 func (s *State) send(id PeerID, f *wire.Frame) {
--- a/internal/member/state_test.go
+++ b/internal/member/state_test.go
@@ -13,6 +13,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -39,6 +40,28 @@
 		Expect(s.Snapshot().ListAge(later)).To(Equal(time.Minute))
 	})
 
+	// An entry is replaced while the platform is out. It knows no backend server
+	// and no peer; a peer that knows it dials it. Without the peer's list its
+	// callers would be refused for as long as the outage lasts.
+	It("takes the VM list of a peer while its own is missing or old", func() {
+		fresh, peer := member.NewState("seoul", epoch), member.NewState("seoul", epoch)
+		peer.Step(epoch, member.Listed{VMs: []platform.VM{entryVM(1), entryVM(2)}})
+		now := epoch.Add(4 * time.Second)
+		asked := versionsSent(fresh.Step(now, member.PeerUp{Peer: 1, Process: "peer"}))
+		Expect(asked.GetWantsList()).To(BeTrue())
+
+		answers := peer.Step(now, member.PeerVersions{Peer: 1, Process: "fresh", WantsList: true})
+		list := listSent(answers)
+		Expect(list.GetVms()).To(HaveLen(2))
+		fresh.Step(now, member.PeerListed{VMs: []platform.VM{entryVM(1), entryVM(2)}, Age: time.Duration(list.GetAgeMs()) * time.Millisecond})
+		Expect(fresh.Snapshot().VMs).To(HaveLen(2))
+		Expect(fresh.Snapshot().ListAge(now)).To(Equal(4 * time.Second))
+
+		fresh.Step(now, member.Listed{VMs: []platform.VM{entryVM(3)}})
+		fresh.Step(now, member.PeerListed{VMs: []platform.VM{entryVM(1)}})
+		Expect(fresh.Snapshot().VMs).To(ConsistOf(entryVM(3)))
+	})
+
 	// A relay that was cut off sends what it held before. Callers would be
 	// served under a configuration that an operator has replaced.
 	It("never goes back to what a stale relay sends", func() {
@@ -318,3 +341,19 @@
 		t.Fatalf("%d copies sent to %d entries", got, len(vms)-1)
 	}
 }
+
+// versionsSent and listSent return what a step sends to a peer.
+func versionsSent(effects []member.Effect) *wire.Versions {
+	return sent(effects, (*wire.Frame).GetVersions)
+}
+
+func listSent(effects []member.Effect) *wire.VMs { return sent(effects, (*wire.Frame).GetVms) }
+
+func sent[T any](effects []member.Effect, body func(*wire.Frame) *T) *T {
+	for _, e := range effects {
+		if send, ok := e.(member.Send); ok && body(send.Frame) != nil {
+			return body(send.Frame)
+		}
+	}
+	return nil
+}
--- a/test/e2e/planned_test.go
+++ b/test/e2e/planned_test.go
@@ -213,6 +213,24 @@
 		expectNoViolations(f)
 	})
 
+	// An entry is replaced while the platform is out: neither the VM list nor
+	// the store can be read. Without its peers it would stay useless for as long
+	// as the outage lasts, and entries replaced one by one would all be lost.
+	It("serves from a fresh entry while the platform is out", func() {
+		f := start(hanbit())
+		mustTool(f, "entry-1", "defaults", "set", "retry_share=0.05")
+		version := expectInForce(f, 0)
+		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{Outage: true})).To(Succeed())
+		f.Processes["entry-2"].Kill()
+		Expect(f.Processes["entry-2"].Restart()).To(Succeed())
+		Eventually(func() map[string]uint64 { return versions(f) }, soon, "200ms").Should(
+			And(HaveLen(len(f.VMs)), HaveEach(version)))
+		l := f.StartLoad()
+		l.Balance("entry-2")
+		expectCalls(l, fleet.Draft, fleet.Stream, fleet.LookUp)
+		l.End()
+	})
+
 	// The entry that plans is paused until its lease has lapsed and another has
 	// taken over, and then wakes up believing that it still plans.
 	It("follows one planner though the former one wakes up", func() {
