--- a/internal/entry/links/frames.go
+++ b/internal/entry/links/frames.go
@@ -29,6 +29,8 @@
 	l.handle(in.conn, in.frame)
 }
 
+// handle takes a control frame. Slots are not among them: the plan says who
+// owns a key slot, and a sidecar that does not own it yet refuses.
 func (l *Link) handle(conn *Conn, frame *wire.Frame) {
 	switch body := frame.GetBody().(type) {
 	case *wire.Frame_Heartbeat:
@@ -38,8 +40,6 @@
 		l.report(Report{Load: body.Load})
 	case *wire.Frame_CacheEvents:
 		l.report(Report{Events: body.CacheEvents})
-	case *wire.Frame_Slots:
-		l.report(Report{Slots: body.Slots})
 	case *wire.Frame_Versions:
 		l.peer.Store(&Peer{HeardAt: l.heard, Versions: body.Versions.GetVersions()})
 		l.objects.Heard(l.server.Name, body.Versions)
--- a/internal/entry/links/pool.go
+++ b/internal/entry/links/pool.go
@@ -230,14 +230,7 @@
 }
 
 func serverOf(vm platform.VM) Server {
-	return Server{
-		Name:       vm.Name,
-		Address:    vm.LinkAddress,
-		Service:    vm.Service,
-		Region:     vm.Region,
-		DataCentre: vm.DataCentre,
-		Leaving:    vm.Leaving,
-	}
+	return Server{Name: vm.Name, Address: vm.LinkAddress}
 }
 
 // LinkDump is one link in the dump of a Pool.
--- a/internal/entry/links/server.go
+++ b/internal/entry/links/server.go
@@ -7,22 +7,16 @@
 	// Name is the name of the VM.
 	Name string
 	// Address is where the sidecar takes links.
-	Address    string
-	Service    string
-	Region     string
-	DataCentre string
-	// Leaving servers get no new work.
-	Leaving bool
+	Address string
 }
 
-// Report is what a link learned about its backend server. Exactly one of the
-// pointers is set, or none when only the state of the link changed.
+// Report is what a link learned about its backend server. One of Load and
+// Events is set, or none when only the state of the link changed.
 type Report struct {
 	Server string
 	State  State
 	Load   *wire.Load
 	Events *wire.CacheEvents
-	Slots  *wire.Slots
 }
 
 // State is the state of a link.
