Request table: no "not run" to a question of unknown age after forgetting

A Resolve without a bound on the age of its Start was answered "not run" though the request may have run and been forgotten. It is now "may have run" once any request that ran was forgotten (the spec fails without it). Entries send the bound, so nothing changes for them.

--- a/internal/sidecar/requests/ledger.go
+++ b/internal/sidecar/requests/ledger.go
@@ -103,6 +103,9 @@
 	return !now.Add(-age).After(l.forgotten)
 }
 
+// hasForgottenAny reports whether any request that ran may have been forgotten.
+func (l *ledger) hasForgottenAny() bool { return !l.forgotten.IsZero() }
+
 // refuse records that no attempt up to the one given starts any more.
 func (l *ledger) refuse(now time.Time, k key, attempts uint32) {
 	if r, ok := l.records[k]; ok {
--- a/internal/sidecar/requests/requests_test.go
+++ b/internal/sidecar/requests/requests_test.go
@@ -60,6 +60,7 @@
 			d.pass(time.Hour)
 			d.step(requests.Tick{})
 			Expect(d.resolveAged(id, time.Hour).GetOutcome()).To(Equal(wire.Outcome_OUTCOME_MAY_HAVE_RUN))
+			Expect(d.resolve(id).GetOutcome()).To(Equal(wire.Outcome_OUTCOME_MAY_HAVE_RUN))
 		})
 
 		It("gets its kept answer", func() {
--- a/internal/sidecar/requests/resolve.go
+++ b/internal/sidecar/requests/resolve.go
@@ -30,7 +30,7 @@
 		t.sendResolution(e, wire.Outcome_OUTCOME_RAN, rec)
 	case ok && rec.verdict == verdict.MayHaveRun:
 		t.sendResolution(e, wire.Outcome_OUTCOME_MAY_HAVE_RUN, nil)
-	case t.ledger.hasForgotten(now, e.StartAge):
+	case t.ledger.hasForgotten(now, e.StartAge), t.ledger.hasForgottenAny() && e.StartAge == AgeUnknown:
 		t.sendResolution(e, wire.Outcome_OUTCOME_MAY_HAVE_RUN, nil)
 	default:
 		t.ledger.refuse(now, k, attemptsAsked(e.Resolve))
