--- a/cmd/pistachioroad/edit.go
+++ b/cmd/pistachioroad/edit.go
@@ -23,7 +23,7 @@
 		name: "defaults set", args: "KEY=VALUE...",
 		summary: "Set fleet-wide defaults; KEY= gives a key its built-in value again",
 		details: "Keys: " + strings.Join(fleetconfig.Keys(), ", ") + ".",
-		example: "defaults set role_change_cost=30 retry_share=0.05",
+		example: "defaults set role_change_cost=2 retry_share=0.05",
 		flags:   editFlags,
 		run:     setDefaults,
 	}
--- a/internal/fleetconfig/fleetconfig.go
+++ b/internal/fleetconfig/fleetconfig.go
@@ -36,9 +36,10 @@
 
 // Values are the settings of the fleet. A nil field is not set.
 type Values struct {
-	// RoleChangeCost is the goodput, in seconds of one engine's work, that a
-	// change of role must win back before it is made.
-	RoleChangeCost *float64 `json:"role_change_cost,omitempty" doc:"Seconds of one engine's work that a role change must win back"`
+	// RoleChangeCost is how many times its own cost a change of role must have
+	// lost to the present roles before it is made. The cost of a change is the
+	// work that its engine does not do meanwhile.
+	RoleChangeCost *float64 `json:"role_change_cost,omitempty" doc:"Times its own cost that a role change must be worth; low: goodput first, high: few changes"`
 	// MaxChangesInFlight bounds how many engines change at once.
 	MaxChangesInFlight *int `json:"max_changes_in_flight,omitempty" doc:"Engines that may change at once"`
 	// ChangeDwell is how long an engine keeps a role at least.
@@ -130,8 +131,8 @@
 // fields but Weights and Adapters are set.
 func BuiltIn() Values {
 	return Values{
-		RoleChangeCost:         ptr(20.0),
-		MaxChangesInFlight:     ptr(1),
+		RoleChangeCost:         ptr(1.0),
+		MaxChangesInFlight:     ptr(3),
 		ChangeDwell:            ptr(Duration(30 * time.Second)),
 		Deadline:               ptr(Duration(30 * time.Second)),
 		Class:                  ptr("normal"),
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -175,7 +175,7 @@
 		})).To(Equal([]fleetconfig.Difference{
 			{Key: "class", Yours: "batch", Current: "normal (built in)"},
 			{Key: "role_change_cost", Yours: "9", Current: "5"},
-			{Key: "role_change_cost", Yours: "20 (built in)", Current: "5"},
+			{Key: "role_change_cost", Yours: "1 (built in)", Current: "5"},
 			{Key: "exceptions for backend_server=m1", Yours: "removed", Current: "xe1 drained=true (kim: new GPU)"},
 			{Key: "exception x1", Yours: "removed", Current: "none"},
 		}))
--- a/test/standin/modelengine/modelengine.go
+++ b/test/standin/modelengine/modelengine.go
@@ -145,18 +145,21 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	defer s.forget(req.ID)
 
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	out := stream{encoder: json.NewEncoder(w), flush: http.NewResponseController(w).Flush}
 	_ = out.flush()
 	if err := s.slots.wait(ctx, place); err != nil {
+		s.forget(req.ID)
 		out.fail(err)
 		return
 	}
-	defer s.slots.release()
 	finish, err := s.run(ctx, req, out)
+	// The work has ended before anybody is told: an order that follows the
+	// answer at once finds nothing running.
+	s.forget(req.ID)
+	s.slots.release()
 	if err != nil {
 		out.fail(err)
 		return
