Processors of a process are bounded, two by default

Cause: on a VM with many processors the short hand-overs between goroutines wake other processors all the time.

--- a/cmd/pistachioroadd/main.go
+++ b/cmd/pistachioroadd/main.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	_ "runtime/cgo" // links the C library in, as on all VMs
 	"syscall"
 
@@ -55,9 +56,20 @@
 		return exitOK
 	}
 	setUpLog(s)
+	limitProcessors(s)
 	return serve(s)
 }
 
+// limitProcessors keeps the process to a few processors. Its work is many short
+// hand-overs between goroutines; spread over all processors of a large VM, each
+// one wakes another up, which costs a third more processor time and a longer
+// tail of the first token than the work itself.
+func limitProcessors(s settings.Settings) {
+	if os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(min(runtime.NumCPU(), s.Process.Processors))
+	}
+}
+
 // serve runs the role of the settings until a signal ends it.
 func serve(s settings.Settings) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -65,6 +65,7 @@
 	r.oneOf("process.role", p.Role, roles)
 	r.name("process.region", p.Region)
 	r.name("process.data_centre", p.DataCentre)
+	inRange(r, "process.processors", p.Processors, 1, 256)
 }
 
 func checkListen(s Settings, r *reader) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	Role       string `yaml:"role"`
 	Region     string `yaml:"region"`
 	DataCentre string `yaml:"data_centre"`
+	// Processors bounds the processors that the process uses at once.
+	Processors int `yaml:"processors"`
 }
 
 // Log says what is logged and how.
@@ -179,7 +181,8 @@
 // defaults returns the settings that a file may leave out, for both roles.
 func defaults() Settings {
 	return Settings{
-		Log: Log{Format: "json", Level: "info"},
+		Process: Process{Processors: 2},
+		Log:     Log{Format: "json", Level: "info"},
 		Platform: Platform{
 			CallsPerSecond: 20,
 			VMListInterval: time.Second,
--- a/test/cmd/bench/main.go
+++ b/test/cmd/bench/main.go
@@ -6,10 +6,12 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/test/fleet"
 )
 
@@ -26,6 +28,10 @@
 	}
 }
 
+// engineSlots is more than the load ever has in flight: waiting for a slot is
+// not what is measured.
+const engineSlots = 256
+
 func run(bin string, rate float64, block time.Duration, blocks int, seed uint64) error {
 	if err := latency(bin, rate, block, blocks, seed); err != nil {
 		return err
@@ -39,9 +45,14 @@
 	return fleet.Options{
 		Bin:     bin,
 		Entries: 1,
+		Tune: func(s *settings.Settings) {
+			if s.Sidecar != nil {
+				s.Sidecar.BackendServer.Slots = engineSlots
+			}
+		},
 		Engines: []fleet.Engine{{
 			Role: "mixed", Model: "draft", Fencing: true,
-			Args: []string{"-slots", "256", "-prefill-rate", "10000000"},
+			Args: []string{"-slots", strconv.Itoa(engineSlots), "-prefill-rate", "10000000"},
 		}},
 	}
 }
