Tests: rapid runs play the same seed each time, in one place

Numbers of checks stay as they were.

Entry readiness also asks for the VM list, without which there is no backend server to send work to. The end-to-end specs begin once the first plan of a new fleet is in force: keyed calls that came before were refused, and "answers all when nothing fails" failed once that way on a busy machine.

--- a/internal/decide/queue/queue_test.go
+++ b/internal/decide/queue/queue_test.go
@@ -1,7 +1,9 @@
 package queue_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -12,6 +14,13 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/queue"
 )
 
+// TestMain fixes the seed of the randomised runs; -rapid.seed tries another.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 func TestQueue(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "queue")
--- a/internal/entry/call/call_test.go
+++ b/internal/entry/call/call_test.go
@@ -1,7 +1,7 @@
 package call_test
 
 import (
-	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -13,29 +13,17 @@
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
+	"pistachioroad.dev/pistachioroad/test/seeded"
 )
 
+func TestMain(m *testing.M) { os.Exit(seeded.Run(m, seeded.Rapid{Checks: 3000, Steps: 60})) }
+
 func TestCall(t *testing.T) {
 	invariant.PanicOnBreach()
-	setDefault(t, "rapid.seed", "0", "1")
-	setDefault(t, "rapid.checks", "100", "3000")
-	setDefault(t, "rapid.steps", "30", "60")
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "call")
 }
 
-// setDefault gives a flag of rapid another default, so that CI plays the same
-// runs each time and the command line can still ask for others.
-func setDefault(t *testing.T, name, builtIn, value string) {
-	f := flag.Lookup(name)
-	if f.Value.String() != builtIn {
-		return
-	}
-	if err := f.Value.Set(value); err != nil {
-		t.Fatal(err)
-	}
-}
-
 var (
 	requestID = uuid.MustParse("01890000-0000-7000-8000-000000000001")
 	begin     = time.Unix(1_000, 0)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -255,7 +255,8 @@
 	switch {
 	case p.draining.Load():
 		return errDraining
-	case !p.fleet.Snapshot().Ready:
+	case !p.fleet.Snapshot().Ready, p.fleet.Snapshot().ListedAt.IsZero():
+		// Without the VM list there is no backend server to send work to.
 		return errStarting
 	}
 	return nil
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -11,8 +12,11 @@
 	"pgregory.net/rapid"
 
 	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/test/seeded"
 )
 
+func TestMain(m *testing.M) { os.Exit(seeded.Run(m, seeded.Rapid{})) }
+
 func TestExplain(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "explain")
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -11,8 +12,11 @@
 	"pgregory.net/rapid"
 
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+	"pistachioroad.dev/pistachioroad/test/seeded"
 )
 
+func TestMain(m *testing.M) { os.Exit(seeded.Run(m, seeded.Rapid{})) }
+
 func TestFleetConfig(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "fleetconfig")
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -1,6 +1,7 @@
 package orders_test
 
 import (
+	"os"
 	"testing"
 	"time"
 
@@ -12,8 +13,11 @@
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/orders"
 	"pistachioroad.dev/pistachioroad/internal/plan"
+	"pistachioroad.dev/pistachioroad/test/seeded"
 )
 
+func TestMain(m *testing.M) { os.Exit(seeded.Run(m, seeded.Rapid{})) }
+
 func TestOrders(t *testing.T) {
 	invariant.PanicOnBreach()
 	RegisterFailHandler(Fail)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -17,8 +18,11 @@
 	"pistachioroad.dev/pistachioroad/internal/plan"
 	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/wire"
+	"pistachioroad.dev/pistachioroad/test/seeded"
 )
 
+func TestMain(m *testing.M) { os.Exit(seeded.Run(m, seeded.Rapid{})) }
+
 func TestPlanner(t *testing.T) {
 	invariant.PanicOnBreach()
 	RegisterFailHandler(Fail)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,8 +19,11 @@
 
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/test/seeded"
 )
 
+func TestMain(m *testing.M) { os.Exit(seeded.Run(m, seeded.Rapid{})) }
+
 func TestPlatform(t *testing.T) {
 	invariant.PanicOnBreach()
 	RegisterFailHandler(Fail)
--- a/internal/sidecar/requests/random_test.go
+++ b/internal/sidecar/requests/random_test.go
@@ -1,7 +1,6 @@
 package requests_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -18,17 +17,12 @@
 	"pistachioroad.dev/pistachioroad/internal/sidecar/requests"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
+	"pistachioroad.dev/pistachioroad/test/seeded"
 )
 
-// TestMain fixes the seed, so that every run checks the same; -rapid.seed tries
-// another one.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.steps": "100"} {
-		_ = flag.Set(name, value)
-	}
-	flag.Parse()
 	invariant.PanicOnBreach()
-	os.Exit(m.Run())
+	os.Exit(seeded.Run(m, seeded.Rapid{Checks: 2000, Steps: 100}))
 }
 
 // Frames come twice, late and in any order, processes pause, links and engines
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -98,7 +98,9 @@
 				return fleet.PlaceHold(f.URL("entry-2"), subject, key).Answer.Status
 			}, soon, "100ms").Should(Equal(http.StatusCreated), subject)
 		}
-		Expect(holdRuns(f)).To(HaveLen(holds))
+		for i := range holds {
+			Expect(holdRuns(f)[fmt.Sprintf("h%d", i)]).To(Equal(1))
+		}
 		expectPromises(f, nil)
 	})
 
--- a/test/e2e/suite_test.go
+++ b/test/e2e/suite_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -55,9 +56,25 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(f.Stop)
+	expectServing(f)
 	return f
 }
 
+// expectServing waits until the first plan of a new fleet is in force: before,
+// no sidecar owns a key slot and keyed calls are refused.
+func expectServing(f *fleet.Fleet) {
+	GinkgoHelper()
+	const probes = 32
+	for _, entry := range f.Entries {
+		for i := range probes {
+			probe := fmt.Sprintf("probe-%d", i)
+			Eventually(func() bool {
+				return fleet.PlaceHold(f.URL(entry), probe, probe).OK()
+			}, soon, "50ms").Should(BeTrue(), "%s through %s", probe, entry)
+		}
+	}
+}
+
 func printLogs(dir string) {
 	const tail = 3000
 	paths, _ := filepath.Glob(filepath.Join(dir, "*.log"))
