daemon: what both roles wrote twice stands once

The supervisor tree, the incarnation, the platform's client and the order of a shutdown stood in entry and sidecar alike. One difference was a fault: an entry left the pause of a duty that keeps panicking at the library's 15 s; it is 1 s now, as in the sidecar, so that callers are not left without answers.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,18 +4,17 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 	"github.com/thejerf/suture/v4"
 
+	"pistachioroad.dev/pistachioroad/internal/daemon"
 	"pistachioroad.dev/pistachioroad/internal/entry/api"
 	"pistachioroad.dev/pistachioroad/internal/entry/links"
 	"pistachioroad.dev/pistachioroad/internal/entry/router"
@@ -32,8 +31,6 @@
 const (
 	// explainSize is how many decisions are remembered.
 	explainSize = 8192
-	// stopTimeout is how long a duty may take to end.
-	stopTimeout = 5 * time.Second
 )
 
 // The reasons why a process is not ready.
@@ -54,19 +51,14 @@
 	return p.run(ctx)
 }
 
-// incarnation is random per start of the process.
-type incarnation uuid.UUID
-
-func (i incarnation) String() string { return uuid.UUID(i).String() }
-
 // newInjector names how each part is built.
 func newInjector(s settings.Settings) do.Injector {
 	injector := do.New()
 	do.ProvideValue(injector, s)
-	do.ProvideValue(injector, incarnation(uuid.New()))
+	do.ProvideValue(injector, daemon.NewIncarnation())
 	do.ProvideValue(injector, explain.New(explainSize))
 	do.Provide(injector, newSupervisor)
-	do.Provide(injector, newClient)
+	do.Provide(injector, daemon.NewClient)
 	do.Provide(injector, newMember)
 	do.Provide(injector, newFleetSource)
 	do.Provide(injector, newPlanner)
@@ -79,25 +71,8 @@
 	return injector
 }
 
-// newSupervisor returns the root of the supervisor tree. A duty that panics is
-// restarted alone.
 func newSupervisor(do.Injector) (*suture.Supervisor, error) {
-	return suture.New("entry", suture.Spec{
-		EventHook: logEvent,
-		Timeout:   stopTimeout,
-	}), nil
-}
-
-func logEvent(event suture.Event) {
-	log.WithField("event", event.String()).Warn("supervisor")
-}
-
-func newClient(i do.Injector) (*platform.Client, error) {
-	s := do.MustInvoke[settings.Settings](i)
-	return platform.NewClient(platform.ClientConfig{
-		Address:        s.Platform.Address,
-		CallsPerSecond: s.Platform.CallsPerSecond,
-	}), nil
+	return daemon.NewSupervisor("entry"), nil
 }
 
 func newMember(i do.Injector) (*member.Member, error) {
@@ -109,7 +84,7 @@
 	}
 	return member.New(member.Config{
 		Process:      s.Process.Name,
-		Incarnation:  do.MustInvoke[incarnation](i).String(),
+		Incarnation:  do.MustInvoke[daemon.Incarnation](i).String(),
 		Region:       s.Process.Region,
 		DataCentre:   s.Process.DataCentre,
 		Entry:        true,
@@ -152,7 +127,7 @@
 	config := links.Config{
 		Self: &wire.Hello{
 			Process:     s.Process.Name,
-			Incarnation: do.MustInvoke[incarnation](i).String(),
+			Incarnation: do.MustInvoke[daemon.Incarnation](i).String(),
 			DataCentre:  s.Process.DataCentre,
 		},
 		Region:     s.Process.Region,
@@ -262,25 +237,10 @@
 	return nil
 }
 
-// run serves until ctx ends. The duties outlive ctx: requests in flight need
-// them to the end.
+// run serves until ctx ends.
 func (p *process) run(ctx context.Context) error {
-	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	ended := p.supervisor.ServeBackground(duties)
 	log.WithField("callers", p.settings.Listen.Callers).Info("serving")
-	select {
-	case <-ctx.Done():
-	case err := <-ended:
-		return eris.Wrap(err, "supervisor ended")
-	}
-	p.shutDown()
-	stop()
-	err := <-ended
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return eris.Wrap(err, "stop duties")
+	return daemon.Serve(ctx, p.supervisor, func(context.Context) { p.shutDown() })
 }
 
 // shutDown takes the process out of service without cutting a request: the
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
+	"pistachioroad.dev/pistachioroad/internal/daemon"
 	"pistachioroad.dev/pistachioroad/internal/link"
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/platform"
@@ -79,7 +80,7 @@
 		member: do.MustInvoke[*member.Member](i),
 		hello: &wire.Hello{
 			Process:       s.Process.Name,
-			Incarnation:   do.MustInvoke[incarnation](i).String(),
+			Incarnation:   do.MustInvoke[daemon.Incarnation](i).String(),
 			BackendServer: s.Process.Name,
 			DataCentre:    s.Process.DataCentre,
 		},
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -7,6 +7,7 @@
 	"github.com/samber/do/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/claims"
+	"pistachioroad.dev/pistachioroad/internal/daemon"
 	"pistachioroad.dev/pistachioroad/internal/engine"
 	"pistachioroad.dev/pistachioroad/internal/explain"
 	"pistachioroad.dev/pistachioroad/internal/ring"
@@ -62,7 +63,7 @@
 	runner  *runner
 	explain *explain.Log
 	control *controlDuty
-	self    incarnation
+	self    daemon.Incarnation
 
 	// The rest belongs to Serve.
 	table     *requests.Table
@@ -91,7 +92,7 @@
 		claims:  do.MustInvoke[*claims.Duty](i),
 		explain: do.MustInvoke[*explain.Log](i),
 		control: do.MustInvoke[*controlDuty](i),
-		self:    do.MustInvoke[incarnation](i),
+		self:    do.MustInvoke[daemon.Incarnation](i),
 		table:   requests.New(tableConfig(s), newRandom()),
 		streams: map[requests.Stream]*stream{},
 		cancels: map[requests.RunID]context.CancelFunc{},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,18 +17,17 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 	"github.com/thejerf/suture/v4"
 
 	"pistachioroad.dev/pistachioroad/internal/claims"
+	"pistachioroad.dev/pistachioroad/internal/daemon"
 	"pistachioroad.dev/pistachioroad/internal/engine"
 	"pistachioroad.dev/pistachioroad/internal/explain"
 	"pistachioroad.dev/pistachioroad/internal/link"
@@ -41,15 +40,10 @@
 const (
 	// explainSize is how many decisions are remembered.
 	explainSize = 4096
-	// stopTimeout is how long a duty may take to end.
-	stopTimeout = 5 * time.Second
-	// restartPause is how long a duty that keeps panicking rests. The longer
-	// default of the library would leave callers without answers.
-	restartPause = time.Second
 	// leaveGrace is how long no request must have come before a sidecar that
 	// shuts down ends. What entries sent before they heard of it would meet a
 	// closed connection, and nobody could tell any more whether it ran; on a
-	// busy VM an entry may hear late. It covers two heartbeats.
+	// busy VM an entry may hear late. It covers a heartbeat and its way.
 	leaveGrace = link.HeartbeatInterval + 200*time.Millisecond
 )
 
@@ -59,11 +53,6 @@
 
 func clock() time.Duration { return time.Since(started) + time.Microsecond }
 
-// incarnation is random per start of the process.
-type incarnation uuid.UUID
-
-func (i incarnation) String() string { return uuid.UUID(i).String() }
-
 // Run serves until ctx ends, then finishes or hands over what runs and returns
 // nil.
 //
@@ -88,10 +77,10 @@
 	injector := do.New()
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, listener)
-	do.ProvideValue(injector, incarnation(uuid.New()))
+	do.ProvideValue(injector, daemon.NewIncarnation())
 	do.ProvideValue(injector, explain.New(explainSize))
 	do.Provide(injector, newSupervisor)
-	do.Provide(injector, newClient)
+	do.Provide(injector, daemon.NewClient)
 	do.Provide(injector, newMember)
 	do.Provide(injector, newClaims)
 	do.Provide(injector, newEngine)
@@ -107,27 +96,8 @@
 	return injector
 }
 
-// newSupervisor returns the root of the supervisor tree. A duty that panics is
-// restarted alone.
 func newSupervisor(do.Injector) (*suture.Supervisor, error) {
-	return suture.New("sidecar", suture.Spec{
-		EventHook: logEvent,
-		Timeout:   stopTimeout,
-
-		FailureBackoff: restartPause,
-	}), nil
-}
-
-func logEvent(event suture.Event) {
-	log.WithField("event", event.String()).Warn("supervisor")
-}
-
-func newClient(i do.Injector) (*platform.Client, error) {
-	s := do.MustInvoke[settings.Settings](i)
-	return platform.NewClient(platform.ClientConfig{
-		Address:        s.Platform.Address,
-		CallsPerSecond: s.Platform.CallsPerSecond,
-	}), nil
+	return daemon.NewSupervisor("sidecar"), nil
 }
 
 func newMember(i do.Injector) (*member.Member, error) {
@@ -135,7 +105,7 @@
 	client := do.MustInvoke[*platform.Client](i)
 	return member.New(member.Config{
 		Process:     s.Process.Name,
-		Incarnation: do.MustInvoke[incarnation](i).String(),
+		Incarnation: do.MustInvoke[daemon.Incarnation](i).String(),
 		Region:      s.Process.Region,
 		DataCentre:  s.Process.DataCentre,
 		NoList:      true,
@@ -147,7 +117,7 @@
 	return claims.NewDuty(claims.Config{
 		Service:     s.Sidecar.BackendServer.Service,
 		Owner:       s.Process.Name,
-		Incarnation: do.MustInvoke[incarnation](i).String(),
+		Incarnation: do.MustInvoke[daemon.Incarnation](i).String(),
 	}, do.MustInvoke[*platform.Client](i)), nil
 }
 
@@ -230,25 +200,10 @@
 	)
 }
 
-// run serves until ctx ends. The duties outlive ctx: running requests need
-// them to the end.
+// run serves until ctx ends.
 func (p *process) run(ctx context.Context) error {
-	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	ended := p.supervisor.ServeBackground(duties)
 	log.WithField("links", p.settings.Listen.Links).Info("serving")
-	select {
-	case <-ctx.Done():
-	case err := <-ended:
-		return eris.Wrap(err, "supervisor ended")
-	}
-	p.shutDown(duties)
-	stop()
-	err := <-ended
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return eris.Wrap(err, "stop duties")
+	return daemon.Serve(ctx, p.supervisor, p.shutDown)
 }
 
 // shutDown takes the backend server out of service without cutting a request.
