status: work of every backend server, real weights, changes by content

Cause: an engine adopted as it was found showed as changing for good (its row's generation was compared with that of an order it never got); the work of backend servers and the weights that engines really have were left out; the age of a change was always 0 and is gone until it is known.

--- a/cmd/pistachioroad/main_test.go
+++ b/cmd/pistachioroad/main_test.go
@@ -45,7 +45,7 @@
 			Versions: map[string]uint64{"fleetconfig": 7},
 			Work:     &operator.WorkStatus{Drained: true, Running: 2},
 		}},
-		Engines: []operator.EngineStatus{{BackendServer: "m1", Admitting: true, Wanted: operator.EngineState{Generation: 2}}},
+		Engines: []operator.EngineStatus{{BackendServer: "m1", Admitting: true, Changing: true, Wanted: operator.EngineState{Generation: 2}}},
 	}, nil
 }
 
--- a/cmd/pistachioroad/show.go
+++ b/cmd/pistachioroad/show.go
@@ -316,10 +316,10 @@
 	switch {
 	case e.Drained:
 		return "drained"
+	case e.Changing:
+		return "changing"
 	case !e.Admitting:
 		return "not admitting"
-	case e.Wanted.Generation != e.Actual.Generation:
-		return "changing"
 	default:
 		return "serving"
 	}
@@ -331,9 +331,9 @@
 		return
 	}
 	t := newTable(a.stdout)
-	t.row("ENGINE", "CHANGE", "AGE", "REASON")
+	t.row("ENGINE", "CHANGE", "REASON")
 	for _, c := range changes {
-		t.row(c.BackendServer, c.What, durationText(c.Age), c.Reason)
+		t.row(c.BackendServer, c.What, c.Reason)
 	}
 	t.flush()
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/entry/links"
 	"pistachioroad.dev/pistachioroad/internal/entry/router"
@@ -80,8 +82,8 @@
 		}
 		engine := engineStatus(snapshot, vm, loads[vm.Name])
 		status.Engines = append(status.Engines, engine)
-		if change, pending := pendingChange(snapshot, engine); pending {
-			status.Changes = append(status.Changes, change)
+		if engine.Changing {
+			status.Changes = append(status.Changes, pendingChange(snapshot, engine))
 		}
 	}
 	return status, nil
@@ -132,6 +134,14 @@
 	if vm.Leaving {
 		p.State = operator.ProcessLeaving
 	}
+	if load.Load != nil {
+		p.Work = &operator.WorkStatus{
+			Running:   int(load.Load.GetRunning()),
+			Queued:    int(load.Load.GetQueued()),
+			Admitting: load.Load.GetAdmitting(),
+			Drained:   load.Drained,
+		}
+	}
 	return p
 }
 
@@ -157,6 +167,8 @@
 		Actual: operator.EngineState{
 			Generation: load.Load.GetGeneration(),
 			Role:       load.Load.GetRole(),
+			Weights:    load.Load.GetWeights(),
+			Adapters:   load.Load.GetAdapters(),
 		},
 	}
 	if models := load.Load.GetModels(); len(models) > 0 {
@@ -171,17 +183,27 @@
 			Adapters:   row.Adapters,
 		}
 	}
+	e.Changing = changing(e)
 	return e
 }
 
-// pendingChange compares what an engine is to be with what it reports.
-func pendingChange(snapshot *member.Snapshot, e operator.EngineStatus) (operator.PendingChange, bool) {
-	if e.Wanted.Generation <= e.Actual.Generation {
-		return operator.PendingChange{}, false
-	}
+// changing compares what an engine is to be with what it reports. An engine
+// that was adopted as it was found has a row and was never ordered, so that
+// generations alone would show it as changing for good.
+func changing(e operator.EngineStatus) bool {
+	return e.Wanted.Model != "" && describe(e.Wanted) != describe(e.Actual)
+}
+
+func pendingChange(snapshot *member.Snapshot, e operator.EngineStatus) operator.PendingChange {
 	return operator.PendingChange{
 		BackendServer: e.BackendServer,
-		What:          e.Actual.Role + " " + e.Actual.Model + " -> " + e.Wanted.Role + " " + e.Wanted.Model,
+		What:          describe(e.Actual) + " -> " + describe(e.Wanted),
 		Reason:        snapshot.Plan.Engines[e.BackendServer].Reason,
-	}, true
+	}
+}
+
+// describe returns what an engine does: role, model, weights and adapters.
+func describe(e operator.EngineState) string {
+	parts := append([]string{e.Role, e.Model, e.Weights}, e.Adapters...)
+	return strings.Join(lo.Compact(parts), " ")
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -102,16 +102,17 @@
 	Actual        EngineState `json:"actual"`
 	Drained       bool        `json:"drained"`
 	Admitting     bool        `json:"admitting"`
-	Running       int         `json:"running"`
-	Queued        int         `json:"queued"`
+	// Changing says that the engine is not yet what it is to be.
+	Changing bool `json:"changing"`
+	Running  int  `json:"running"`
+	Queued   int  `json:"queued"`
 }
 
 // PendingChange is a planned change that is not in force yet.
 type PendingChange struct {
-	BackendServer string               `json:"backend_server"`
-	What          string               `json:"what"`
-	Reason        string               `json:"reason"`
-	Age           fleetconfig.Duration `json:"age"`
+	BackendServer string `json:"backend_server"`
+	What          string `json:"what"`
+	Reason        string `json:"reason"`
 }
 
 // StoreStatus is how the platform's store looks from the entry.
