links: versions in force at a sidecar are those that it tells

Cause: after pushing an object the entry noted the sidecar as having it, and status showed that as "versions in force". What was sent is now kept apart and forgotten at the sidecar's next word, so that an object lost on its way is sent again.

--- a/internal/entry/links/frames.go
+++ b/internal/entry/links/frames.go
@@ -41,6 +41,8 @@
 	case *wire.Frame_CacheEvents:
 		l.report(Report{Events: body.CacheEvents})
 	case *wire.Frame_Versions:
+		// What it does not have by now was lost on its way, and is sent again.
+		clear(l.sent)
 		l.peer.Store(&Peer{HeardAt: l.heard, Versions: body.Versions.GetVersions()})
 		l.objects.Heard(l.server.Name, body.Versions)
 		l.push()
@@ -57,22 +59,19 @@
 	if conn == nil {
 		return
 	}
-	known := maps.Clone(l.Peer().Versions)
-	if known == nil {
+	told := l.Peer().Versions
+	if told == nil {
 		// It has not said yet what it has; its Versions come after its Hello.
 		return
 	}
+	known := maps.Clone(told)
+	for name, version := range l.sent {
+		known[name] = max(known[name], version)
+	}
 	for _, o := range l.objects.Newer(&wire.Versions{Versions: known}) {
 		conn.send(&wire.Frame{Body: &wire.Frame_Object{Object: o}})
-		known[o.GetName()] = o.GetVersion()
+		l.sent[o.GetName()] = o.GetVersion()
 	}
-	l.pushed(known)
-}
-
-// pushed notes what the sidecar has once the objects arrive. A frame that is
-// lost with its connection is sent again after the Versions on the next.
-func (l *Link) pushed(known map[string]uint64) {
-	l.peer.Store(&Peer{HeardAt: l.heard, Versions: known})
 }
 
 func stateOf(h *wire.Heartbeat) State {
--- a/internal/entry/links/link.go
+++ b/internal/entry/links/link.go
@@ -67,6 +67,9 @@
 	beatAt   time.Time
 	sequence uint64
 	state    State
+	// sent are the versions sent on the connection since the sidecar last told
+	// its own. What is in force there is only what it tells itself.
+	sent map[string]uint64
 }
 
 // Peer is what a sidecar last said of itself. It is never changed.
@@ -163,6 +166,7 @@
 		l.retire(now, before)
 	}
 	l.heard, l.beatAt = now, now
+	l.sent = map[string]uint64{}
 	l.peer.Store(&Peer{HeardAt: now})
 	go conn.write()
 	go conn.read(ctx, l.inbox)
--- a/test/cmd/capacity/state.go
+++ b/test/cmd/capacity/state.go
@@ -30,6 +30,7 @@
 	pieces()
 	candidates()
 	planRows()
+	vmList()
 	return claimRecords()
 }
 
@@ -119,6 +120,24 @@
 	}), "us")
 }
 
+// vmList measures the list of all VMs as the platform answers it.
+func vmList() {
+	const vms = 350 + targetEngines
+	list := make([]platform.VM, vms)
+	for i := range list {
+		list[i] = platform.VM{
+			Name: fmt.Sprintf("gangnam-draft-%d", i), Kind: platform.VMBackend, Region: "seoul", DataCentre: "gangnam",
+			LinkAddress: "10.20.100.100:7001", OperatorAddress: "10.20.100.100:7002", Service: platform.ServiceModels,
+		}
+	}
+	data, _ := json.Marshal(list)
+	row("VM list per VM, as JSON", float64(len(data))/vms, "bytes")
+	row(fmt.Sprintf("decoding the list of %d VMs", vms), timed(200, func(int) {
+		var decoded []platform.VM
+		_ = json.Unmarshal(data, &decoded)
+	}), "us")
+}
+
 func claimRecords() error {
 	const claimsPerSlot = 1000
 	r := claims.Record{WriteID: platform.NewWriteID(), Epoch: 1, Claims: map[string]claims.Claim{}}
