sidecar: tells its versions once they are in force

Entries then sent the object again and showed the old version until the next fifth heartbeat: "config in force at 60 processes" measured 5.0 s, longest of 5, once status showed what sidecars tell (and not what was pushed to them).

Ruled out: the way of the object (a push at once), the versions told every fifth heartbeat (a safety net only).

The new spec fails without the change.

--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -26,9 +27,10 @@
 	claims    *claims.Duty
 	control   *controlDuty
 	orders    *ordersDuty
-	// drained and retention were last handed on; they belong to Serve.
+	// drained, retention and versions were last handed on; they belong to Serve.
 	drained   drainedSet
 	retention time.Duration
+	versions  map[string]uint64
 }
 
 func newFleet(i do.Injector) (*fleetDuty, error) {
@@ -58,9 +60,9 @@
 		snapshot := d.member.Snapshot()
 		d.handPlan(ctx, snapshot)
 		d.handConfig(ctx, snapshot)
+		d.announceVersions(snapshot)
 		select {
 		case <-changed:
-			d.control.announce(versionsFrame(snapshot))
 		case <-d.claims.Changed():
 			d.control.announce(d.slotsFrame())
 		case <-ticker.C:
@@ -70,6 +72,18 @@
 	}
 }
 
+// announceVersions tells the entries what is in force here, once it is. Told
+// before, or told of the snapshot before, an operator would see a change in
+// force where it is not, or wait for seconds to see one that is.
+func (d *fleetDuty) announceVersions(s *member.Snapshot) {
+	versions := s.Versions().GetVersions()
+	if maps.Equal(versions, d.versions) {
+		return
+	}
+	d.versions = versions
+	d.control.announce(versionsFrame(s))
+}
+
 func (d *fleetDuty) handPlan(ctx context.Context, s *member.Snapshot) {
 	if s.PlanVersion == 0 {
 		return
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -221,6 +221,24 @@
 	})
 })
 
+var _ = Describe("Versions", func() {
+	// Operators edit and look where the change is in force. A sidecar that tells
+	// of the snapshot before its change looks as if it lagged by seconds, and the
+	// entry sends it the object once more.
+	It("are told of a change with the version that is then in force", func() {
+		s := startServiceSidecar()
+		l := s.admitted()
+		l.await(func(frame *wire.Frame) bool { return frame.GetVersions() != nil })
+		l.offer(plan.Plan{Region: "seoul"})
+		told := map[string]uint64{}
+		l.await(func(frame *wire.Frame) bool {
+			told = frame.GetVersions().GetVersions()
+			return told != nil
+		})
+		Expect(told).To(HaveKeyWithValue("plan/seoul", uint64(7)))
+	})
+})
+
 // offer hands the sidecar a plan, as an entry does that has a newer one.
 func (l *entryLink) offer(p plan.Plan) {
 	GinkgoHelper()
