--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -170,6 +170,18 @@
 	}
 }
 
+// killWithOrderInFlight replaces the Executor while the order of row 2 is on its
+// way to an engine that serves row 1.
+func (b *bench) killWithOrderInFlight() {
+	GinkgoHelper()
+	b.do(orders.RowSeen{Row: row(1, engine.RoleMixed)})
+	b.advanceFor(orderTimeout + startMargin)
+	b.orderDelay = orderTimeout - step
+	b.do(orders.RowSeen{Row: row(2, engine.RoleDecode)})
+	Expect(b.flights).To(HaveLen(1))
+	b.restart()
+}
+
 func row(generation uint64, role engine.Role) plan.Engine {
 	return plan.Engine{Generation: generation, Role: role, Model: "draft", Weights: "1", Reason: "test"}
 }
@@ -221,13 +233,7 @@
 	// and cut them.
 	It("admits nothing while an order of its predecessor may land", func() {
 		b := newBench(true)
-		b.do(orders.RowSeen{Row: row(1, engine.RoleMixed)})
-		b.advanceFor(orderTimeout + startMargin)
-		b.orderDelay = orderTimeout - step
-		b.do(orders.RowSeen{Row: row(2, engine.RoleDecode)})
-		Expect(b.flights).To(HaveLen(1))
-
-		b.restart()
+		b.killWithOrderInFlight()
 		for range (orderTimeout - 2*step) / step {
 			b.advance()
 			Expect(b.admits).To(BeFalse())
@@ -239,13 +245,7 @@
 	// its way all the same.
 	It("does not take a stale row for the end of its predecessor's order", func() {
 		b := newBench(true)
-		b.do(orders.RowSeen{Row: row(1, engine.RoleMixed)})
-		b.advanceFor(orderTimeout + startMargin)
-		b.orderDelay = orderTimeout - step
-		b.do(orders.RowSeen{Row: row(2, engine.RoleDecode)})
-		Expect(b.flights).To(HaveLen(1))
-
-		b.restart()
+		b.killWithOrderInFlight()
 		b.do(orders.RowSeen{Row: row(1, engine.RoleMixed)})
 		for range (orderTimeout - 2*step) / step {
 			b.advance()
