call: an answer kept from its beginning is not taken for an attempt's rest

Ruled out: the request table (it joined at the right token and kept the answer it had), a crossed frame (request and attempt are the caller's own). The digest did not help: of an attempt that has received nothing, any beginning fits.

A Resolution now says with which token its answer begins, and one that begins elsewhere than the attempt counts as not kept: the stream is resumed instead.

--- a/internal/entry/call/attempt.go
+++ b/internal/entry/call/attempt.go
@@ -19,6 +19,8 @@
 	lost        bool
 	verdict     verdict.Verdict
 
+	// resumeFrom is the output token that the attempt's answer begins with.
+	resumeFrom uint32
 	// next is the sequence number of the chunk that is due; digest sums up
 	// those before it.
 	next   uint32
--- a/internal/entry/call/call_test.go
+++ b/internal/entry/call/call_test.go
@@ -274,6 +274,30 @@
 		Expect(f.machine.Ended()).To(BeTrue())
 	})
 
+	// A stream loses its link and a second attempt takes the running answer over
+	// in its middle; then that link is lost as well, and the run ends. What the
+	// sidecar kept begins where the run began: the caller would read a draft that
+	// starts again in the middle.
+	It("does not take an answer kept from its beginning for its rest", func() {
+		f := newFixture(call.Spec{Resumable: true})
+		f.sendTo("a")
+		f.step(call.Chunk{Attempt: 1, Frame: chunk(requestID, 1, 0, "one ")})
+		f.step(call.LinkLost{Attempt: 1})
+		f.resolve(wire.Outcome_OUTCOME_RUNNING, "life-1")
+		start, _ := effectOf[call.SendStart](f)
+		Expect(start.ResumeFrom).To(BeEquivalentTo(1))
+		f.step(call.Sent{Attempt: 2, Incarnation: "life-1"})
+		f.step(call.LinkLost{Attempt: 2})
+
+		chunks, final := answer(requestID, 2, "one ", "two ")
+		f.step(call.Resolution{Attempt: 2, Frame: &wire.Resolution{
+			RequestId: requestID[:], Outcome: wire.Outcome_OUTCOME_RAN, Incarnation: "life-1",
+			Chunks: chunks, Final: final, ResumeFrom: 0,
+		}})
+		Expect(f.delivered).To(Equal("one "))
+		Expect(f.machine.Ended()).To(BeFalse())
+	})
+
 	// The first attempt may still run when the second is refused. Told the
 	// verdict of the second alone, the caller would ask again.
 	It("tells the worst verdict of all attempts", func() {
--- a/internal/entry/call/random_test.go
+++ b/internal/entry/call/random_test.go
@@ -236,6 +236,7 @@
 		resolution.Outcome = wire.Outcome_OUTCOME_RAN
 		if rapid.Bool().Draw(t, "kept") {
 			resolution.Chunks, resolution.Final = w.frames(s.ran[e.Attempt])
+			resolution.ResumeFrom = s.ran[e.Attempt].ResumeFrom
 			w.damage(t, resolution)
 		}
 	case hasAttempt(s.broken, e.Attempt):
--- a/internal/entry/call/resolve.go
+++ b/internal/entry/call/resolve.go
@@ -159,9 +159,14 @@
 
 // keptWhole reports whether the kept answer is this request's, whole, and
 // begins with what was received before.
+//
+// An attempt that took a running answer over begins in its middle, while the
+// sidecar keeps the answer from where the run began. Taken for the attempt's
+// own, it would give the caller the beginning once more after what was
+// delivered; one notices a draft that starts again in the middle.
 func (m *Machine) keptWhole(r *wire.Resolution) bool {
 	f := r.GetFinal()
-	if f == nil || !m.own(f.GetRequestId(), f.GetAttempt()) {
+	if f == nil || !m.own(f.GetRequestId(), f.GetAttempt()) || r.GetResumeFrom() != m.cur.resumeFrom {
 		return false
 	}
 	digest := wire.NewDigest()
--- a/internal/entry/call/route.go
+++ b/internal/entry/call/route.go
@@ -78,6 +78,7 @@
 // send starts the current attempt at server.
 func (m *Machine) send(now time.Time, server string, kv *wire.KVTicket) {
 	m.start(server)
+	m.cur.resumeFrom = m.tokens
 	if m.tokens > 0 {
 		resumes.Inc(1)
 		m.explain("resumed", "the answer goes on at "+server)
--- a/internal/sidecar/requests/send.go
+++ b/internal/sidecar/requests/send.go
@@ -103,6 +103,7 @@
 			resolution.Chunks = append(resolution.Chunks, chunkFrame(rec.key, s, c).GetChunk())
 		}
 		resolution.Final = stampFinal(rec.key, s, rec.final)
+		resolution.ResumeFrom = rec.resumeFrom
 	}
 	t.emit(Send{Stream: e.Stream, Frame: &wire.Frame{Body: &wire.Frame_Resolution{Resolution: resolution}}, Last: true})
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,8 +18,8 @@
 }
 
 // seeds are fixed: 12, 47 and 79 once cut requests by the order of a killed
-// sidecar's predecessor.
-var seeds = []uint64{1, 2, 3, 4, 5, 6, 12, 47, 79, 105}
+// sidecar's predecessor, 125 gave a caller the beginning of an answer twice.
+var seeds = []uint64{1, 2, 3, 4, 5, 6, 12, 47, 79, 105, 125}
 
 var _ = Describe("The state machines together", Ordered, func() {
 	batch := soak.NewBatch()
