platform: a watch never probes whether the platform is back

Cause: while the circuit is open one call in each pause finds out whether the platform answers. A watch that took that place waited for a change, was given up after 3 s without having told anything, and another watch took its place; all other calls were refused meanwhile. After an outage an entry that watches could go on telling operators that the store is out.

Ruled out: the outage itself (the stand-in had ended it), the call rate.

--- a/internal/platform/circuit.go
+++ b/internal/platform/circuit.go
@@ -64,7 +64,7 @@
 
 // allow reports whether a call may be made now.
 func (c *circuit) allow(now time.Time) bool {
-	if c.failures < failuresToOpen {
+	if c.closed() {
 		return true
 	}
 	if c.probing || now.Before(c.retryAt) {
@@ -74,6 +74,12 @@
 	return true
 }
 
+// closed reports whether calls pass freely. A watch goes by this: as the one
+// attempt of a pause it would wait for a change, tell nothing when it ends
+// without one, and keep every other call out meanwhile; the platform would look
+// down long after it is back.
+func (c *circuit) closed() bool { return c.failures < failuresToOpen }
+
 // abandoned takes back a call that told nothing about the platform.
 func (c *circuit) abandoned() { c.probing = false }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -176,6 +176,9 @@
 func (c *Client) Watch(ctx context.Context, name string, after uint64) (Object, error) {
 	query := "?watch=" + strconv.FormatUint(after, 10)
 	for {
+		if !c.mayWatch() {
+			return Object{Name: name}, eris.Wrap(ErrNotSent, "the platform is down")
+		}
 		c.metrics.watches.Inc(1)
 		began := c.now()
 		o, err := c.read(ctx, watchTimeout, name, query)
@@ -190,6 +193,13 @@
 	}
 }
 
+// mayWatch reports whether the platform is taken to be up.
+func (c *Client) mayWatch() bool {
+	c.guard.Lock()
+	defer c.guard.Unlock()
+	return c.circuit.closed()
+}
+
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, name string, version uint64, value []byte) (uint64, error) {
 	if len(value) > MaxValue {
