platform: the spec of watches and the circuit waits past the pause

Spread over 2 s they reach the attempts; now it fails with the guard removed and passes with it (both run).

--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -34,9 +35,10 @@
 			_, _ = client.Get(context.Background(), "fleetconfig")
 			return client.Health().Up
 		}, "10s", "5ms").Should(BeFalse())
-		for range 20 {
+		for range 40 {
 			_, err := client.Watch(context.Background(), "fleetconfig", 1)
 			Expect(err).To(MatchError(platform.ErrNotSent))
+			time.Sleep(50 * time.Millisecond)
 		}
 		Expect(watches.Load()).To(BeZero())
 	})
