Gateways tell each other their placements by datagrams

Cause: each of eight gateways saw its own requests only; the same shared parts were read at several engines (9.5 M of 22.6 M tokens read were shared parts read again) and idle engines were taken by all at once. Ruled out: too little reading speed (33% of it is asked for with all parts kept).

--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -16,16 +16,19 @@
 // do not block.
 type Share interface {
 	Placed(service string, id place.JobID, prompt request.Prompt, p place.Plan)
-	ReadDone(service string, id place.JobID)
-	Ended(service string, id place.JobID)
+	ReadDone(id place.JobID)
+	Ended(id place.JobID)
+	// Count returns how many entries there are, this one included.
+	Count() int
 }
 
 // noShare is the Share of an entry that has no others.
 type noShare struct{}
 
 func (noShare) Placed(string, place.JobID, request.Prompt, place.Plan) {}
-func (noShare) ReadDone(string, place.JobID)                           {}
-func (noShare) Ended(string, place.JobID)                              {}
+func (noShare) ReadDone(place.JobID)                                   {}
+func (noShare) Ended(place.JobID)                                      {}
+func (noShare) Count() int                                             { return 1 }
 
 // engines is the load of all model engines, by service.
 type engines struct {
@@ -34,11 +37,8 @@
 	share  Share
 }
 
-func newEngines(s Share) *engines {
-	if s == nil {
-		s = noShare{}
-	}
-	return &engines{fleets: make(map[string]*place.Fleet), share: s}
+func newEngines() *engines {
+	return &engines{fleets: make(map[string]*place.Fleet), share: noShare{}}
 }
 
 // update takes in the servers and services of a new view.
@@ -101,14 +101,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fleet(service).ReadDone(time.Now(), id)
-	e.share.ReadDone(service, id)
+	e.share.ReadDone(id)
 }
 
 func (e *engines) ended(service string, id place.JobID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fleet(service).Ended(time.Now(), id)
-	e.share.Ended(service, id)
+	e.share.Ended(id)
 }
 
 func (e *engines) avoid(service, id string, until time.Time) {
@@ -127,17 +127,21 @@
 }
 
 // RemoteReadDone notes that another entry's prompt has been read.
-func (g *Gateway) RemoteReadDone(service string, id place.JobID) {
+func (g *Gateway) RemoteReadDone(id place.JobID) {
 	g.engines.mu.Lock()
 	defer g.engines.mu.Unlock()
-	g.engines.fleet(service).ReadDone(time.Now(), id)
+	for _, f := range g.engines.fleets {
+		f.ReadDone(time.Now(), id)
+	}
 }
 
 // RemoteEnded notes that another entry's job has ended.
-func (g *Gateway) RemoteEnded(service string, id place.JobID) {
+func (g *Gateway) RemoteEnded(id place.JobID) {
 	g.engines.mu.Lock()
 	defer g.engines.mu.Unlock()
-	g.engines.fleet(service).Ended(time.Now(), id)
+	for _, f := range g.engines.fleets {
+		f.Ended(time.Now(), id)
+	}
 }
 
 // jobID is the id under which entries tell each other of a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,7 +48,8 @@
 	sends map[string]*retry.Sends
 
 	stopping atomic.Bool
-	entries  func() int
+	// entries returns how many entries share the limits of the services.
+	entries func() int
 }
 
 // Config is what a Gateway is made of.
@@ -56,26 +57,30 @@
 	Deployment deployment.Deployment
 	Dialect    Dialect
 	Directory  *directory.Directory
-	// Entries returns how many entries share the limits of the services.
-	Entries func() int
-	// Share tells the other entries what this one placed; nil for none.
-	Share Share
 }
 
 // bodyPart is the part of the process's memory that request bodies may take.
 // The rest is for answers in passing, connections and the runtime.
 const bodyPart = 0.25
 
+// ShareWith tells share what this gateway does at the engines from now on. It is
+// called before the gateway serves. The limits of the services are shared with
+// as many entries as share counts.
+func (g *Gateway) ShareWith(share Share) {
+	g.engines.share = share
+	g.entries = share.Count
+}
+
 // New returns a Gateway.
 func New(c Config) *Gateway {
 	g := &Gateway{
 		dialect:   c.Dialect,
 		transport: direct.New(c.Dialect),
 		directory: c.Directory,
-		engines:   newEngines(c.Share),
+		engines:   newEngines(),
 		plain:     newPlain(),
 		sends:     make(map[string]*retry.Sends),
-		entries:   c.Entries,
+		entries:   func() int { return 1 },
 	}
 	g.deployment.Store(&c.Deployment)
 	g.bodies.limit = int64(bodyPart * float64(c.Deployment.MemoryBytes))
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +21,8 @@
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/gateway"
 	"pistachioroad.dev/pistachioroad/internal/operator"
+	"pistachioroad.dev/pistachioroad/internal/peers"
+	"pistachioroad.dev/pistachioroad/internal/store"
 	"pistachioroad.dev/pistachioroad/platform"
 )
 
@@ -39,18 +42,38 @@
 		"data_centre": d.DataCentre, "callers": d.Callers, "store": d.Store, "memory_bytes": d.MemoryBytes,
 	}).Info("started")
 	dialect := platform.Dialect{}
-	dir := directory.New(platform.NewStore(d.Store), dialect, platform.Kinds)
+	storeClient := platform.NewStore(d.Store)
+	dir := directory.New(storeClient, dialect, platform.Kinds)
 	g := gateway.New(gateway.Config{
 		Deployment: d,
 		Dialect:    dialect,
 		Directory:  dir,
-		Entries:    func() int { return 8 },
 	})
 	dir.OnServers = g.ServersChanged
-	return supervise(ctx, c, g, dir)
+	others, err := peers.New(peers.Config{
+		Name:        d.Name,
+		Incarnation: rand.Uint64(),
+		Address:     net.JoinHostPort(d.IP, strconv.Itoa(d.PeerPort)),
+	}, g)
+	if err != nil {
+		return err
+	}
+	g.ShareWith(others)
+	p := &parts{config: c, gateway: g, directory: dir, peers: others, store: storeClient}
+	return p.supervise(ctx)
+}
+
+// parts are the duties of a process.
+type parts struct {
+	config    Config
+	gateway   *gateway.Gateway
+	directory *directory.Directory
+	peers     *peers.Peers
+	store     store.Store
 }
 
-func supervise(ctx context.Context, c Config, g *gateway.Gateway, dir *directory.Directory) error {
+func (p *parts) supervise(ctx context.Context) error {
+	c, g, dir := p.config, p.gateway, p.directory
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	root := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
@@ -59,6 +82,8 @@
 	root.Add(duty(dir.FollowConfig))
 	root.Add(duty(dir.FollowServers))
 	root.Add(duty(dir.Expire))
+	root.Add(duty(p.peers.Receive))
+	root.Add(duty(func(ctx context.Context) error { return p.peers.Register(ctx, p.store) }))
 	root.Add(duty(func(ctx context.Context) error { return serveReadiness(ctx, c.Deployment, g) }))
 	root.Add(duty(func(ctx context.Context) error { return reload(ctx, c, g) }))
 	if c.MetricsPort > 0 {
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,221 @@
+// Package peers lets the gateways of a deployment tell each other what they do
+// at the model engines.
+//
+// Without it each gateway sees its own requests only: eight of them take the
+// same engine for idle at once, and read a shared part at eight engines that one
+// keeps. They find each other through objects of the store and speak by
+// datagrams, which may be lost: what is told only sharpens a guess.
+package peers
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/wire"
+)
+
+const (
+	// flushAfter collects what happens within it into one datagram. It is well
+	// under the time between two requests that could use it.
+	flushAfter = 2 * time.Millisecond
+	// maxDatagram keeps a datagram within one packet of common networks.
+	maxDatagram = 1_200
+	// maxPending bounds what waits to be told; more than a flush ever holds.
+	maxPending = 256
+)
+
+// Receiver takes in what other gateways tell.
+type Receiver interface {
+	RemotePlaced(service string, id place.JobID, prompt request.Prompt, p place.Plan)
+	RemoteReadDone(id place.JobID)
+	RemoteEnded(id place.JobID)
+}
+
+// Peers speaks with the other gateways.
+type Peers struct {
+	name        string
+	incarnation uint64
+	conn        *net.UDPConn
+	receiver    Receiver
+
+	mu      sync.Mutex
+	others  map[string]netip.AddrPort
+	pending *wire.Share
+	size    int
+	timer   *time.Timer
+
+	sent, received, dropped metrics.Counter
+}
+
+// Config is what Peers is made of.
+type Config struct {
+	// Name is this VM's, Incarnation random per start.
+	Name        string
+	Incarnation uint64
+	// Address is the IP:PORT for datagrams.
+	Address string
+}
+
+// New listens for datagrams.
+func New(c Config, r Receiver) (*Peers, error) {
+	addr, err := netip.ParseAddrPort(c.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "peers")
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, eris.Wrap(err, "peers")
+	}
+	p := &Peers{
+		name:        c.Name,
+		incarnation: c.Incarnation,
+		conn:        conn,
+		receiver:    r,
+		others:      make(map[string]netip.AddrPort),
+		sent:        metrics.GetOrRegisterCounter("peers.datagrams_sent", nil),
+		received:    metrics.GetOrRegisterCounter("peers.datagrams_received", nil),
+		dropped:     metrics.GetOrRegisterCounter("peers.messages_dropped", nil),
+	}
+	return p, nil
+}
+
+// Count returns how many gateways are known, this one included.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.others) + 1
+}
+
+// Set replaces the addresses of the other gateways, by VM.
+func (p *Peers) Set(others map[string]netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(others) != len(p.others) {
+		log.WithField("peers", len(others)).Info("peers changed")
+	}
+	p.others = others
+}
+
+// Placed implements gateway.Share.
+func (p *Peers) Placed(service string, id place.JobID, prompt request.Prompt, plan place.Plan) {
+	m := &wire.Placed{
+		Job:     uint64(id),
+		Service: service,
+		Reader:  plan.Reader,
+		Decoder: plan.Decoder,
+		ReadUs:  uint32(plan.Read.Microseconds()),
+	}
+	for _, part := range prompt.Parts {
+		m.Parts = append(m.Parts, &wire.Part{Id: part.ID, Tokens: uint32(part.Tokens)})
+	}
+	p.tell(proto.Size(m), func(s *wire.Share) { s.Placed = append(s.Placed, m) })
+}
+
+// jobSize is the size of a job's id in a datagram.
+const jobSize = 9
+
+// ReadDone implements gateway.Share.
+func (p *Peers) ReadDone(id place.JobID) {
+	p.tell(jobSize, func(s *wire.Share) { s.ReadDone = append(s.ReadDone, uint64(id)) })
+}
+
+// Ended implements gateway.Share.
+func (p *Peers) Ended(id place.JobID) {
+	p.tell(jobSize, func(s *wire.Share) { s.Ended = append(s.Ended, uint64(id)) })
+}
+
+// tell adds to the next datagram.
+func (p *Peers) tell(size int, add func(*wire.Share)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.others) == 0 {
+		return
+	}
+	if p.pending != nil && p.size+size > maxDatagram {
+		p.flush()
+	}
+	if p.pending == nil {
+		p.pending = &wire.Share{Entry: p.name, Incarnation: p.incarnation}
+		p.size = 0
+		p.timer = time.AfterFunc(flushAfter, p.flushLocked)
+	}
+	add(p.pending)
+	p.size += size
+}
+
+func (p *Peers) flushLocked() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.flush()
+}
+
+// flush sends what waits to all others. Datagrams that cannot be sent count as
+// lost.
+func (p *Peers) flush() {
+	if p.pending == nil {
+		return
+	}
+	p.timer.Stop()
+	data, err := proto.Marshal(p.pending)
+	p.pending = nil
+	if err != nil {
+		p.dropped.Inc(1)
+		return
+	}
+	for _, to := range p.others {
+		if _, err := p.conn.WriteToUDPAddrPort(data, to); err != nil {
+			p.dropped.Inc(1)
+			continue
+		}
+		p.sent.Inc(1)
+	}
+}
+
+// Receive takes in datagrams until ctx ends.
+func (p *Peers) Receive(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return eris.Wrap(err, "peers: receive")
+		}
+		p.received.Inc(1)
+		var s wire.Share
+		if err := proto.Unmarshal(buf[:n], &s); err != nil {
+			p.dropped.Inc(1)
+			continue
+		}
+		p.take(&s)
+	}
+}
+
+func (p *Peers) take(s *wire.Share) {
+	if s.Entry == p.name {
+		return
+	}
+	for _, m := range s.Placed {
+		plan := place.Plan{Reader: m.Reader, Decoder: m.Decoder, Read: time.Duration(m.ReadUs) * time.Microsecond}
+		prompt := request.Prompt{}
+		for _, part := range m.Parts {
+			prompt.Parts = append(prompt.Parts, request.Part{ID: part.Id, Tokens: int(part.Tokens)})
+		}
+		p.receiver.RemotePlaced(m.Service, place.JobID(m.Job), prompt, plan)
+	}
+	for _, id := range s.ReadDone {
+		p.receiver.RemoteReadDone(place.JobID(id))
+	}
+	for _, id := range s.Ended {
+		p.receiver.RemoteEnded(place.JobID(id))
+	}
+}
