Engines are known whichever of configuration and servers is read first

Cause: the engines of a service were taken in when the servers changed only; a process that read the servers before the configuration (most restarted ones) answered 'no engine' until the next change of a server. Also a crash: the writer of a long body used the exchange's connection after the exchange had let go of it.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -161,9 +161,11 @@
 		return nil
 	}
 	x.written = make(chan struct{})
+	// The exchange may end, and let go of its connection, before this does.
+	c := x.conn
 	go func() {
 		defer close(x.written)
-		_, x.writeErr = x.conn.Write(data)
+		_, x.writeErr = c.Write(data)
 	}()
 	return nil
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -41,8 +41,9 @@
 	state *state
 	view  atomic.Pointer[View]
 
-	// OnServers is called after each change of the servers, if set.
-	OnServers func(*View)
+	// OnChange is called after each change of the servers or the configuration,
+	// if set.
+	OnChange func(*View)
 
 	failures metrics.Counter
 }
@@ -219,7 +220,7 @@
 		log.WithFields(log.Fields{
 			"version": t.Version, "revision": o.Revision, "routes": t.Len(), "services": len(t.Services),
 		}).Info("configuration in force")
-		d.publish(false)
+		d.publish(true)
 	}
 }
 
@@ -247,11 +248,11 @@
 	d.publish(true)
 }
 
-// publish makes the state visible. Only a change of the servers is announced.
-func (d *Directory) publish(servers bool) {
+// publish makes the state visible, and announces it if it has changed.
+func (d *Directory) publish(changed bool) {
 	v := d.state.snapshot()
 	d.view.Store(v)
-	if servers && d.OnServers != nil {
-		d.OnServers(v)
+	if changed && d.OnChange != nil {
+		d.OnChange(v)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,8 +90,8 @@
 // Reload takes changed settings.
 func (g *Gateway) Reload(d deployment.Deployment) { g.deployment.Store(&d) }
 
-// ServersChanged takes in the servers of a new view.
-func (g *Gateway) ServersChanged(v *directory.View) {
+// ViewChanged takes in the servers and services of a new view.
+func (g *Gateway) ViewChanged(v *directory.View) {
 	g.engines.update(v)
 	g.transport.Forget(func(id string) bool {
 		s, ok := v.Servers[id]
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -49,7 +49,7 @@
 		Dialect:    dialect,
 		Directory:  dir,
 	})
-	dir.OnServers = g.ServersChanged
+	dir.OnChange = g.ViewChanged
 	others, err := peers.New(peers.Config{
 		Name:        d.Name,
 		Incarnation: rand.Uint64(),
