A call ends when the budget of repeated sends is used up, prefills included

Cause: a refused send over budget was not counted, so its call placed the prompt, had it read and told the others, again and again until its deadline. Ruled out: datagrams of an idle fleet, retries of callers, the closing fault.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// maxSends bounds the sends of one request, refused ones included.
-	maxSends = 4
+	// maxSends bounds the sends of one request, refused ones and those that only
+	// have the prompt read included.
+	maxSends = 6
 	// leastLeft is the time below which a request is not sent any more: the
 	// answer could not come back.
 	leastLeft = 20 * time.Millisecond
@@ -21,8 +22,8 @@
 // send makes one attempt at a server. It returns an answer that comes from a
 // run, or the error of an attempt that gave none.
 func (c *call) send(server backend.Server, o request.Options) (*direct.Reply, *verdict.Error) {
-	if c.sends > 0 && !c.gateway.allowExtra(c.service.Name, time.Now()) {
-		return nil, verdict.New(c.verdict, verdict.CodeOverloaded, "the budget for repeated sends is used up")
+	if c.sends > 0 && !c.spendExtra() {
+		return nil, c.overBudget()
 	}
 	c.sends++
 	o.Server = server
@@ -49,6 +50,20 @@
 	return reply, nil
 }
 
+// spendExtra reports whether one more send is within the service's budget. Once
+// one is not, the call is over: to go on would place and prefill the prompt
+// again and again without ever sending it.
+func (c *call) spendExtra() bool {
+	if !c.gateway.allowExtra(c.service.Name, time.Now()) {
+		c.exhausted = true
+	}
+	return !c.exhausted
+}
+
+func (c *call) overBudget() *verdict.Error {
+	return verdict.Refused(verdict.CodeOverloaded, "the budget for repeated sends is used up", unknownRetry)
+}
+
 // note takes the outcome of an attempt that gave no answer.
 func (c *call) note(server backend.Server, v verdict.Verdict) {
 	c.verdict = verdict.Worst(c.verdict, v)
@@ -86,7 +101,7 @@
 
 // mayRepeat reports whether the request may go to another server now.
 func (c *call) mayRepeat() bool {
-	if c.sends >= maxSends || c.left() < leastLeft || c.ctx.Err() != nil {
+	if c.exhausted || c.sends+c.prefills >= maxSends || c.left() < leastLeft || c.ctx.Err() != nil {
 		return false
 	}
 	if c.verdict == verdict.NotRun {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -69,6 +69,10 @@
 	// verdict is the worst of all sends.
 	verdict verdict.Verdict
 	sends   int
+	// prefills counts the sends that only had the prompt read.
+	prefills int
+	// exhausted says that the service's budget for repeated sends is used up.
+	exhausted bool
 	// ran counts the backend servers that may have run the request.
 	ran int
 	// refusedBy are servers that are not tried again.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -85,6 +85,10 @@
 // run the request, whatever its outcome.
 func (c *call) prefill(reader backend.Server) (string, *verdict.Error) {
 	g := c.gateway
+	if c.prefills > 0 && !c.spendExtra() {
+		return "", c.overBudget()
+	}
+	c.prefills++
 	o := request.Options{Server: reader, Left: c.left(), Stage: request.PrefillOnly, Priority: request.DefaultPriority}
 	reply, err := g.transport.Send(c.ctx, &c.request, o)
 	if err != nil {
