Engines that refuse work are left alone; what was read is generated elsewhere

Ruled out: too few engines (reads waited at none). A refusal to fetch KV cache tells nothing of the engine, and connection failures are one gateway's view, so only refusals and role changes are told to the others.

--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -65,6 +65,9 @@
 	DataCentre string
 	// Exclude names engines that refused or failed the request.
 	Exclude func(id string) bool
+
+	// all includes engines to be avoided.
+	all bool
 }
 
 // Plan says where a request goes.
@@ -128,7 +131,16 @@
 }
 
 // Plan chooses the engines for a job; false if there is none that could run it.
+// Engines to be avoided are used if there are no others: they may have recovered.
 func (f *Fleet) Plan(now time.Time, j Job) (Plan, bool) {
+	if p, ok := f.plan(now, j, false); ok {
+		return p, true
+	}
+	return f.plan(now, j, true)
+}
+
+func (f *Fleet) plan(now time.Time, j Job, all bool) (Plan, bool) {
+	j.all = all
 	var best Plan
 	bestCost := time.Duration(-1)
 	for _, id := range f.order {
@@ -149,7 +161,7 @@
 }
 
 func (e *engine) usable(now time.Time, j Job) bool {
-	if now.Before(e.avoidUntil) {
+	if now.Before(e.avoidUntil) && !j.all {
 		return false
 	}
 	return j.Exclude == nil || !j.Exclude(e.ID)
@@ -204,6 +216,21 @@
 	return transferSetup + t
 }
 
+// OtherDecoder chooses another engine to generate what p.Reader has read; false
+// if there is none.
+func (f *Fleet) OtherDecoder(now time.Time, j Job, p Plan) (Plan, bool) {
+	reader, ok := f.engines[p.Reader]
+	if !ok {
+		return p, false
+	}
+	decoder, _ := f.decoderFor(now, j, reader)
+	if decoder == nil {
+		return p, false
+	}
+	p.Decoder = decoder.ID
+	return p, true
+}
+
 // Placed notes that a job goes where its plan says.
 func (f *Fleet) Placed(now time.Time, id JobID, prompt request.Prompt, p Plan) {
 	f.Ended(now, id)
@@ -247,9 +274,11 @@
 	}
 }
 
-// Avoid keeps an engine out until a moment.
+// Avoid keeps an engine out until a moment. It answers an engine that refuses,
+// fails or changes its role: it has nothing to do, so by its load alone it would
+// be the first choice of every entry, and each request would lose a try there.
 func (f *Fleet) Avoid(id string, until time.Time) {
-	if e, ok := f.engines[id]; ok {
+	if e, ok := f.engines[id]; ok && until.After(e.avoidUntil) {
 		e.avoidUntil = until
 	}
 }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -18,6 +18,8 @@
 	Placed(service string, id place.JobID, prompt request.Prompt, p place.Plan)
 	ReadDone(id place.JobID)
 	Ended(id place.JobID)
+	// Avoid tells that an engine refuses work for a while.
+	Avoid(service, engine string, d time.Duration)
 	// Count returns how many entries there are, this one included.
 	Count() int
 }
@@ -28,6 +30,7 @@
 func (noShare) Placed(string, place.JobID, request.Prompt, place.Plan) {}
 func (noShare) ReadDone(place.JobID)                                   {}
 func (noShare) Ended(place.JobID)                                      {}
+func (noShare) Avoid(string, string, time.Duration)                    {}
 func (noShare) Count() int                                             { return 1 }
 
 // engines is the load of all model engines, by service.
@@ -111,10 +114,25 @@
 	e.share.Ended(id)
 }
 
-func (e *engines) avoid(service, id string, until time.Time) {
+// avoid keeps an engine out that this entry could not reach or that failed it.
+// Others may reach it: a partition is seen from one side.
+func (e *engines) avoid(service, id string, d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.fleet(service).Avoid(id, until)
+	e.fleet(service).Avoid(id, time.Now().Add(d))
+}
+
+// refused keeps an engine out that refuses work, for all entries.
+func (e *engines) refused(service, id string, d time.Duration) {
+	e.avoid(service, id, d)
+	e.share.Avoid(service, id, d)
+}
+
+// otherDecoder moves a job to another engine after its first refused.
+func (e *engines) otherDecoder(now time.Time, service string, j place.Job, p place.Plan) (place.Plan, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fleet(service).OtherDecoder(now, j, p)
 }
 
 // EngineWork returns how many requests an engine has, of all entries.
@@ -151,6 +169,16 @@
 	}
 }
 
+// RemoteAvoid notes that an engine refuses work for a while.
+func (g *Gateway) RemoteAvoid(service, engine string, d time.Duration) {
+	g.engines.avoid(service, engine, d)
+}
+
+// EngineAway keeps an engine out, for all entries, while it changes its role.
+func (g *Gateway) EngineAway(service, engine string, d time.Duration) {
+	g.engines.refused(service, engine, d)
+}
+
 // jobID is the id under which entries tell each other of a request.
 func jobID(requestID string) place.JobID { return place.JobID(xxhash.Sum64String(requestID)) }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -205,6 +205,7 @@
 func (p *placements) Placed(string, place.JobID, request.Prompt, place.Plan) { p.count.Add(1) }
 func (p *placements) ReadDone(place.JobID)                                   {}
 func (p *placements) Ended(place.JobID)                                      {}
+func (p *placements) Avoid(string, string, time.Duration)                    {}
 func (p *placements) Count() int                                             { return 1 }
 
 var _ = Describe("a prompt", func() {
@@ -239,6 +240,20 @@
 		Expect(decoder.Runs()).To(HaveLen(1))
 	})
 
+	// The engine that should generate refuses, after a long prompt has been
+	// read for it. Another one takes what was read; to have it read again would
+	// cost the fleet as much as a second request.
+	It("is not read again when the engine that should generate refuses", func() {
+		other := w.add("llm", runner.New("i-e", "decode"))
+		Eventually(func() int { return len(w.dir.View().Servers) }).Should(Equal(3))
+		decoder.SetFault(runner.Shedding)
+		for _, id := range []string{"r1", "r2", "r3"} {
+			Expect(w.ask(http.MethodPost, "/stream-once/1", id, prompt...).status).To(Equal(http.StatusOK))
+		}
+		Expect(len(reader.Prefills())).To(BeNumerically("<=", 3))
+		Expect(other.Runs()).To(HaveLen(3))
+	})
+
 	// An engine crashes in the middle of an event. The caller must see that the
 	// answer is not whole.
 	It("whose stream may not be resumed ends visibly when the engine breaks off", func() {
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -113,6 +113,7 @@
 		View:    p.directory.View,
 		Rank:    p.peers.Rank,
 		Busy:    p.gateway.EngineWork,
+		Away:    p.gateway.EngineAway,
 		Engines: platform.NewEngines(),
 		Lease: lease.New(p.store, lease.Config{
 			Name:        "orders",
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -37,6 +37,7 @@
 	RemotePlaced(service string, id place.JobID, prompt request.Prompt, p place.Plan)
 	RemoteReadDone(id place.JobID)
 	RemoteEnded(id place.JobID)
+	RemoteAvoid(service, engine string, d time.Duration)
 }
 
 // Peers speaks with the other gateways.
@@ -145,6 +146,12 @@
 	p.tell(jobSize, func(s *wire.Share) { s.Ended = append(s.Ended, uint64(id)) })
 }
 
+// Avoid implements gateway.Share.
+func (p *Peers) Avoid(service, engine string, d time.Duration) {
+	m := &wire.Avoid{Service: service, Engine: engine, ForMs: uint32(d.Milliseconds())}
+	p.tell(proto.Size(m), func(s *wire.Share) { s.Avoid = append(s.Avoid, m) })
+}
+
 // tell adds to the next datagram.
 func (p *Peers) tell(size int, add func(*wire.Share)) {
 	p.mu.Lock()
@@ -223,6 +230,9 @@
 		}
 		p.receiver.RemotePlaced(m.Service, place.JobID(m.Job), prompt, plan)
 	}
+	for _, m := range s.Avoid {
+		p.receiver.RemoteAvoid(m.Service, m.Engine, time.Duration(m.ForMs)*time.Millisecond)
+	}
 	for _, id := range s.ReadDone {
 		p.receiver.RemoteReadDone(place.JobID(id))
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -55,6 +55,8 @@
 	h.ended[id] = true
 }
 
+func (h *heard) RemoteAvoid(string, string, time.Duration) {}
+
 func (h *heard) jobs() (placed, read, ended int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -37,6 +37,9 @@
 	// rest is how long an engine is left alone after an order: it is away for
 	// some seconds, and its entry shows the new role a heartbeat later.
 	rest = 10 * time.Second
+	// showTime is how much longer than its change an engine's entry takes to
+	// show the new role: a heartbeat and the store's way here.
+	showTime = 1500 * time.Millisecond
 )
 
 // Engines gives orders to engines.
@@ -59,7 +62,9 @@
 	Rank func() int
 	// Busy returns the work at an engine; any work at all means that changes
 	// are made one at a time.
-	Busy    func(service, engine string) int
+	Busy func(service, engine string) int
+	// Away is told of an engine that is about to change its role.
+	Away    func(service, engine string, d time.Duration)
 	Engines Engines
 	Lease   Leaser
 }
@@ -193,6 +198,9 @@
 		return false
 	}
 	r.ordered[m.ID] = now
+	if service := view.Table.Services[server.Service]; service.Engine != nil {
+		r.config.Away(server.Service, m.ID, service.Engine.SwitchTime+showTime)
+	}
 	result, err := r.config.Engines.Order(ctx, server, backend.Order{
 		Role: m.Role, Holder: r.config.Holder, Fence: g.Fence, Expect: state.Orders,
 	})
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -103,6 +103,7 @@
 	return reconcile.New(reconcile.Config{
 		Holder: "f-1", View: func() *directory.View { return w.view }, Rank: func() int { return rank },
 		Busy: func(string, string) int { return w.work }, Engines: w, Lease: w,
+		Away: func(string, string, time.Duration) {},
 	})
 }
 
