A fault soak of real gateways, with faults from outside

Real processes on loopback behind proxies; signals, links, store and servers fail by turns and at once; callers and stand-ins check at most once, true refusals, whole own answers, configuration in force, draining and graceful stop.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,10 @@
 soak: ## seeded randomised runs of the state machines in virtual time (SEED=n RUNS=m)
 	$(GO) run ./test/cmd/soak -seed $(SEED) -runs $(RUNS)
 
+.PHONY: soak-processes
+soak-processes: build ## seeded runs of real gateways under faults from outside (SEED=n RUNS=m)
+	$(BIN)/soak-processes -bin $(BIN) -seed $(SEED) -runs $(RUNS)
+
 .PHONY: experiment
 experiment: ## goodput and role changes per scenario and policy (SCENARIO=all SEED=n)
 	$(GO) run ./test/cmd/experiment -scenario $(SCENARIO) -seed $(SEED)
--- /dev/null
+++ b/test/cmd/soak-processes/main.go
@@ -0,0 +1,72 @@
+// Command soak-processes plays seeded runs of real gateways under faults from
+// outside, and exits with 1 if one breaks a promise or if a kind of fault never
+// came.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sync/errgroup"
+
+	"pistachioroad.dev/pistachioroad/test/soakproc"
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "`folder` of the programs")
+	seed := flag.Uint64("seed", 1, "first seed")
+	runs := flag.Int("runs", 8, "how many seeds")
+	jobs := flag.Int("jobs", 4, "how many runs at once")
+	flag.Parse()
+	reports := make([]soakproc.Report, *runs)
+	var group errgroup.Group
+	group.SetLimit(*jobs)
+	for i := range *runs {
+		group.Go(func() error {
+			dir, err := os.MkdirTemp("", "soak-")
+			if err != nil {
+				return err
+			}
+			path, err := filepath.Abs(*bin)
+			if err != nil {
+				return err
+			}
+			reports[i], err = soakproc.Run(*seed+uint64(i), path, dir)
+			if err == nil && len(reports[i].Breaches) == 0 {
+				return os.RemoveAll(dir)
+			}
+			fmt.Printf("seed %d: logs in %s\n", *seed+uint64(i), dir)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		fmt.Println(err)
+		os.Exit(1)
+	}
+	os.Exit(tell(reports))
+}
+
+// tell prints the reports and returns the exit status.
+func tell(reports []soakproc.Report) int {
+	status := 0
+	total := map[string]int{}
+	for _, r := range reports {
+		fmt.Printf("seed %d: answers %v, %d breaches\n", r.Seed, r.Answers, len(r.Breaches))
+		for _, b := range r.Breaches {
+			fmt.Println("  " + b)
+			status = 1
+		}
+		for name, n := range r.Faults {
+			total[name] += n
+		}
+	}
+	for _, name := range soakproc.Kinds() {
+		fmt.Printf("%5d %s\n", total[name], name)
+		if total[name] == 0 {
+			status = 1
+		}
+	}
+	return status
+}
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -31,6 +31,12 @@
 	readyInterval = 20 * time.Millisecond
 )
 
+// NewProcess returns a process that is not started yet: Restart starts it.
+// Ready is the URL of its readiness check; its log goes to dir.
+func NewProcess(name, program, dir, ready string, args ...string) *Process {
+	return &Process{Name: name, program: program, args: args, dir: dir, ready: ready}
+}
+
 // start runs the process; its output goes to a file of its own.
 func (p *Process) start() error {
 	p.log = filepath.Join(p.dir, p.Name+".log")
