A few gateways watch the store for all

Three gateways, spread by a hash of their names, watch each second and tell the others by datagrams; an uncovered gateway lists and watches itself after 1.5 s.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -22,6 +22,9 @@
 	// of the store, and calls are priced: 1.5 s cost 0.064 of worth with 34
 	// gateways.
 	watchWait = 3 * time.Second
+	// sharedWatchWait is the same for a gateway that watches for others: under
+	// coverFor, with time for the answer.
+	sharedWatchWait = time.Second
 	// firstPause and longestPause bound the pause after a failed read. The
 	// longest stays well under the two seconds that a change may take.
 	firstPause   = 100 * time.Millisecond
@@ -44,6 +47,14 @@
 	state *state
 	view  atomic.Pointer[View]
 
+	// Watcher says whether this gateway is one of the few that watch the store
+	// for all; nil means that it watches.
+	Watcher func() bool
+	// OnEntry is told of each change of an entry that a watch saw, if set.
+	OnEntry func(store.Event)
+
+	configWake, serversWake chan struct{}
+
 	// OnChange is called after each change of the servers or the configuration,
 	// if set.
 	OnChange func(*View)
@@ -54,9 +65,13 @@
 // New returns a Directory that knows nothing yet.
 func New(s store.Store, d Decoder, kinds Kinds) *Directory {
 	dir := &Directory{
-		store:    s,
-		kinds:    kinds,
-		state:    newState(d),
+		store: s,
+		kinds: kinds,
+		state: newState(d),
+
+		configWake:  make(chan struct{}, 1),
+		serversWake: make(chan struct{}, 1),
+
 		failures: metrics.GetOrRegisterCounter("directory.store_failures", nil),
 	}
 	dir.view.Store(dir.state.snapshot())
@@ -77,15 +92,22 @@
 			}
 		},
 		confirm: func(now time.Time) { d.state.confirmConfig(now) },
+		wake:    d.configWake,
 	})
 }
 
 // FollowServers keeps the servers up to date until ctx ends.
 func (d *Directory) FollowServers(ctx context.Context) error {
 	return d.follow(ctx, &follower{
-		kind:    d.kinds.Servers,
-		list:    d.serversListed,
-		event:   d.serverEvent,
+		kind: d.kinds.Servers,
+		list: d.serversListed,
+		event: func(now time.Time, e store.Event) {
+			d.serverEvent(now, e)
+			if d.OnEntry != nil {
+				d.OnEntry(e)
+			}
+		},
+		wake:    d.serversWake,
 		confirm: func(now time.Time) { d.state.confirmServers(now) },
 		lost:    func() { d.state.lost() },
 	})
@@ -118,6 +140,8 @@
 	event   func(now time.Time, e store.Event)
 	confirm func(now time.Time)
 	lost    func()
+	// wake asks a covered gateway to list.
+	wake chan struct{}
 
 	pause time.Duration
 	down  bool
@@ -131,6 +155,10 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if err == nil {
+			d.waitCovered(ctx, f)
+			continue
+		}
 		if errors.Is(err, store.ErrCompacted) {
 			continue
 		}
@@ -140,22 +168,41 @@
 	return ctx.Err()
 }
 
+// listAndWatch returns nil once other gateways' watches stand in for its own.
 func (d *Directory) listAndWatch(ctx context.Context, f *follower) error {
-	l, err := d.store.List(ctx, f.kind, store.Linearizable)
+	at, err := d.list(ctx, f)
 	if err != nil {
 		return err
 	}
-	d.answered(f)
-	d.locked(func() { f.list(time.Now(), l) })
-	at := l.At
-	for {
-		batch, err := d.store.Watch(ctx, f.kind, at, watchWait)
+	for !d.covered() {
+		batch, err := d.store.Watch(ctx, f.kind, at, d.watchWait())
 		if err != nil {
 			return err
 		}
 		d.locked(func() { d.takeBatch(f, batch) })
 		at = max(at, batch.At)
 	}
+	return nil
+}
+
+// list takes in all objects of a kind and returns the revision to watch from.
+func (d *Directory) list(ctx context.Context, f *follower) (int64, error) {
+	l, err := d.store.List(ctx, f.kind, store.Linearizable)
+	if err != nil {
+		return 0, err
+	}
+	d.answered(f)
+	d.locked(func() { f.list(time.Now(), l) })
+	return l.At, nil
+}
+
+// watchWait is how long a watch waits. One that stands in for others' confirms
+// more often, so that they notice soon when it cannot any more.
+func (d *Directory) watchWait() time.Duration {
+	if d.Watcher != nil && d.Watcher() {
+		return sharedWatchWait
+	}
+	return watchWait
 }
 
 func (d *Directory) takeBatch(f *follower, b store.Batch) {
@@ -209,6 +256,7 @@
 			d.takeConfig(now, o)
 		}
 	}
+	d.state.confirmConfig(now)
 	d.publish(false)
 }
 
--- /dev/null
+++ b/internal/directory/relay.go
@@ -0,0 +1,128 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"pistachioroad.dev/pistachioroad/internal/store"
+)
+
+const (
+	// coverFor is how old another gateway's confirmation may be to stand in for
+	// a watch of one's own. A gateway that is covered by nobody any more lists
+	// at once, well within the two seconds that a change may take.
+	coverFor = 1500 * time.Millisecond
+	// coverCheck is how often a covered gateway looks whether it still is.
+	coverCheck = 200 * time.Millisecond
+)
+
+// Confirmation says which state of the store is known to be the newest.
+type Confirmation struct {
+	ConfigRevision, ServersRevision int64
+	// Age is how long ago the store confirmed it.
+	Age time.Duration
+}
+
+// Confirmation returns what this gateway has seen by its own watches; false if
+// the store has not confirmed it lately.
+func (d *Directory) Confirmation(now time.Time) (Confirmation, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := d.state.watchedAt()
+	c := Confirmation{
+		ConfigRevision:  d.state.view.TableRevision,
+		ServersRevision: d.state.serversRevision,
+		Age:             now.Sub(at),
+	}
+	return c, !at.IsZero() && c.Age < coverFor
+}
+
+// watchedAt is since when both kinds have been confirmed by own watches.
+func (s *state) watchedAt() time.Time {
+	if s.configWatched.Before(s.serversWatched) {
+		return s.configWatched
+	}
+	return s.serversWatched
+}
+
+// Relayed takes in what another gateway's watches have confirmed.
+//
+// Each watch is a call of the store, and calls are priced and bounded: with a
+// watch of each gateway they grow with the fleet. A few gateways watch; the
+// others believe them as long as a confirmation is fresh, and fetch what is
+// newer than they know.
+func (d *Directory) Relayed(now time.Time, c Confirmation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.state
+	if c.ConfigRevision < s.view.TableRevision || c.ServersRevision < s.serversRevision {
+		// The sender is behind, for one thing because it was suspended and its
+		// clock with it: its age says nothing.
+		return
+	}
+	if c.ConfigRevision > s.view.TableRevision {
+		d.wake(d.configWake)
+	}
+	if c.ServersRevision > s.serversRevision {
+		d.wake(d.serversWake)
+	}
+	at := now.Add(-c.Age)
+	if at.After(s.relayedAt) {
+		s.relayedAt = at
+	}
+	if c.ConfigRevision == s.view.TableRevision && at.After(s.view.TableAt) {
+		s.view.TableAt = at
+	}
+	if c.ServersRevision == s.serversRevision && at.After(s.view.ServersAt) {
+		s.view.ServersAt = at
+	}
+	d.publish(false)
+}
+
+// RelayedEntry takes in a change of an entry that another gateway has seen.
+func (d *Directory) RelayedEntry(now time.Time, e store.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.serverEvent(now, e)
+}
+
+func (d *Directory) wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// covered reports whether another gateway's watches stand in for this one's.
+func (d *Directory) covered() bool {
+	if d.Watcher == nil || d.Watcher() {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.state.relayedAt) < coverFor
+}
+
+// waitCovered waits while this gateway is covered, and lists the kind whenever
+// another gateway knows a newer revision.
+func (d *Directory) waitCovered(ctx context.Context, f *follower) {
+	tick := time.NewTicker(coverCheck)
+	defer tick.Stop()
+	log.WithField("kind", f.kind).Info("store watched by other gateways")
+	for d.covered() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			continue
+		case <-f.wake:
+		}
+		if _, err := d.list(ctx, f); err != nil {
+			// Without this list what is covered is not known here: watch.
+			d.failed(f, err)
+			return
+		}
+	}
+}
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -35,6 +35,13 @@
 	// could be read again.
 	outage     bool
 	returnedAt time.Time
+	// serversRevision is the highest revision of an entry seen.
+	serversRevision int64
+	// configWatched and serversWatched are when own reads last confirmed each.
+	configWatched, serversWatched time.Time
+	// relayedAt is when the store last confirmed, to another gateway, what is
+	// known here.
+	relayedAt time.Time
 	// malformed are the entries that name no server, to log each once.
 	malformed map[string]int64
 }
@@ -71,7 +78,10 @@
 }
 
 // confirmConfig notes that the store has no newer configuration.
-func (s *state) confirmConfig(now time.Time) { s.view.TableAt = now }
+func (s *state) confirmConfig(now time.Time) {
+	s.view.TableAt = now
+	s.configWatched = now
+}
 
 // serverChanged takes in one event. It reports whether the servers changed.
 func (s *state) serverChanged(now time.Time, e store.Event) (bool, error) {
@@ -79,13 +89,18 @@
 	if e.Object.Revision < s.revisions[name] {
 		return false, nil
 	}
-	s.revisions[name] = max(s.revisions[name], e.Object.Revision)
+	s.sawServer(e.Object)
 	if e.Removed {
 		return s.removed(now, name), nil
 	}
 	return s.upsert(e.Object)
 }
 
+func (s *state) sawServer(o store.Object) {
+	s.revisions[o.Name] = max(s.revisions[o.Name], o.Revision)
+	s.serversRevision = max(s.serversRevision, o.Revision)
+}
+
 func (s *state) upsert(o store.Object) (bool, error) {
 	delete(s.absentAt, o.Name)
 	server, err := s.decoder.Server(o)
@@ -134,14 +149,14 @@
 		s.outage = false
 		s.returnedAt = now
 	}
-	s.view.ServersAt = now
+	s.confirmServers(now)
 	there := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		there[o.Name] = true
 		if o.Revision < s.revisions[o.Name] {
 			continue
 		}
-		s.revisions[o.Name] = o.Revision
+		s.sawServer(o)
 		c, err := s.upsert(o)
 		changed = changed || c
 		if err != nil {
@@ -157,7 +172,10 @@
 }
 
 // confirmServers notes that the store has no newer entries than those seen.
-func (s *state) confirmServers(now time.Time) { s.view.ServersAt = now }
+func (s *state) confirmServers(now time.Time) {
+	s.view.ServersAt = now
+	s.serversWatched = now
+}
 
 // lost notes that the store cannot be read.
 func (s *state) lost() { s.outage = true }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
 // Dialect is how callers and backend servers speak.
@@ -87,6 +88,12 @@
 	return g
 }
 
+// Relayed passes what other gateways have seen of the store to the directory.
+func (g *Gateway) Relayed(now time.Time, c directory.Confirmation) { g.directory.Relayed(now, c) }
+
+// RelayedEntry does the same for one change of an entry.
+func (g *Gateway) RelayedEntry(now time.Time, e store.Event) { g.directory.RelayedEntry(now, e) }
+
 // Reload takes changed settings.
 func (g *Gateway) Reload(d deployment.Deployment) { g.deployment.Store(&d) }
 
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -63,6 +63,12 @@
 		return err
 	}
 	g.ShareWith(others)
+	dir.Watcher = others.Watcher
+	dir.OnEntry = func(e store.Event) {
+		if others.Watcher() {
+			others.Entry(e)
+		}
+	}
 	p := &parts{config: c, gateway: g, directory: dir, peers: others, store: storeClient}
 	return p.supervise(ctx)
 }
@@ -88,6 +94,7 @@
 	root.Add(duty(dir.Expire))
 	root.Add(duty(p.peers.Receive))
 	root.Add(duty(p.reconciler().Run))
+	root.Add(duty(p.confirm))
 	root.Add(duty(func(ctx context.Context) error { return p.peers.Register(ctx, p.store) }))
 	root.Add(duty(func(ctx context.Context) error { return serveReadiness(ctx, c.Deployment, g) }))
 	root.Add(duty(func(ctx context.Context) error { return reload(ctx, c, g) }))
@@ -98,6 +105,29 @@
 	return g.Serve(ctx)
 }
 
+// confirmEvery is how often a gateway that watches tells what the store has
+// confirmed: several times within the age that the others believe.
+const confirmEvery = 300 * time.Millisecond
+
+// confirm tells the other gateways what this one's watches have confirmed.
+func (p *parts) confirm(ctx context.Context) error {
+	tick := time.NewTicker(confirmEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-tick.C:
+			if !p.peers.Watcher() {
+				continue
+			}
+			if c, ok := p.directory.Confirmation(now); ok {
+				p.peers.Confirm(c)
+			}
+		}
+	}
+}
+
 // grantTime is how long one grant of the lease for orders lasts: time for the
 // orders of a start, a call of up to 0.8 s each.
 const grantTime = 4 * time.Second
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -15,12 +15,15 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/store"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -38,6 +41,8 @@
 	RemoteReadDone(id place.JobID)
 	RemoteEnded(id place.JobID)
 	RemoteAvoid(service, engine string, d time.Duration)
+	Relayed(now time.Time, c directory.Confirmation)
+	RelayedEntry(now time.Time, e store.Event)
 }
 
 // Peers speaks with the other gateways.
@@ -95,19 +100,28 @@
 	return len(p.others) + 1
 }
 
-// Rank returns this gateway's place among those known, by name.
+// Rank returns this gateway's place among those known. It goes by a hash of the
+// name, so that the first ones are spread over the data centres.
 func (p *Peers) Rank() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	own := xxhash.Sum64String(p.name)
 	rank := 0
 	for name := range p.others {
-		if name < p.name {
+		if xxhash.Sum64String(name) < own {
 			rank++
 		}
 	}
 	return rank
 }
 
+// watchers is how many gateways watch the store for all. With one, each of its
+// failures would make all others watch for a while; three seldom fail at once.
+const watchers = 3
+
+// Watcher reports whether this gateway is one of those that watch.
+func (p *Peers) Watcher() bool { return p.Rank() < watchers }
+
 // Set replaces the addresses of the other gateways, by VM.
 func (p *Peers) Set(others map[string]netip.AddrPort) {
 	p.mu.Lock()
@@ -152,6 +166,23 @@
 	p.tell(proto.Size(m), func(s *wire.Share) { s.Avoid = append(s.Avoid, m) })
 }
 
+// Confirm tells what the store has confirmed to this gateway.
+func (p *Peers) Confirm(c directory.Confirmation) {
+	m := &wire.Confirmation{
+		ConfigRevision: c.ConfigRevision, ServersRevision: c.ServersRevision, AgeMs: uint32(c.Age.Milliseconds()),
+	}
+	p.tell(proto.Size(m), func(s *wire.Share) { s.Confirmation = m })
+}
+
+// Entry tells a change of a backend server's entry. One that does not fit a
+// datagram is left out: the others list when they hear of its revision.
+func (p *Peers) Entry(e store.Event) {
+	m := &wire.Entry{Name: e.Object.Name, Revision: e.Object.Revision, Spec: e.Object.Spec, Removed: e.Removed}
+	if size := proto.Size(m); size < maxDatagram {
+		p.tell(size, func(s *wire.Share) { s.Entries = append(s.Entries, m) })
+	}
+}
+
 // tell adds to the next datagram.
 func (p *Peers) tell(size int, add func(*wire.Share)) {
 	p.mu.Lock()
@@ -230,6 +261,17 @@
 		}
 		p.receiver.RemotePlaced(m.Service, place.JobID(m.Job), prompt, plan)
 	}
+	now := time.Now()
+	for _, m := range s.Entries {
+		p.receiver.RelayedEntry(now, store.Event{
+			Object: store.Object{Name: m.Name, Revision: m.Revision, Spec: m.Spec}, Removed: m.Removed,
+		})
+	}
+	if c := s.Confirmation; c != nil {
+		p.receiver.Relayed(now, directory.Confirmation{
+			ConfigRevision: c.ConfigRevision, ServersRevision: c.ServersRevision, Age: time.Duration(c.AgeMs) * time.Millisecond,
+		})
+	}
 	for _, m := range s.Avoid {
 		p.receiver.RemoteAvoid(m.Service, m.Engine, time.Duration(m.ForMs)*time.Millisecond)
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -12,8 +12,10 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/store"
 	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
@@ -56,6 +58,8 @@
 }
 
 func (h *heard) RemoteAvoid(string, string, time.Duration) {}
+func (h *heard) Relayed(time.Time, directory.Confirmation) {}
+func (h *heard) RelayedEntry(_ time.Time, e store.Event)   {}
 
 func (h *heard) jobs() (placed, read, ended int) {
 	h.mu.Lock()
@@ -63,13 +67,13 @@
 	return len(h.placed), len(h.read), len(h.ended)
 }
 
-func start(name string, store *platform.Store, r peers.Receiver) *peers.Peers {
+func start(name string, client *platform.Store, r peers.Receiver) *peers.Peers {
 	p, err := peers.New(peers.Config{Name: name, Address: "127.0.0.1:0"}, r)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
 	go func() { _ = p.Receive(ctx) }()
-	go func() { _ = p.Register(ctx, store) }()
+	go func() { _ = p.Register(ctx, client) }()
 	return p
 }
 
@@ -77,10 +81,10 @@
 	It("find each other in the store and tell what they place", func() {
 		server := httptest.NewServer(objectstore.New())
 		DeferCleanup(server.CloseClientConnections)
-		store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+		client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 		told := newHeard()
-		a := start("f-1", store, newHeard())
-		b := start("f-2", store, told)
+		a := start("f-1", client, newHeard())
+		b := start("f-2", client, told)
 		Eventually(a.Count).WithTimeout(5 * time.Second).Should(Equal(2))
 		Eventually(b.Count).WithTimeout(5 * time.Second).Should(Equal(2))
 
