--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -292,6 +292,13 @@
 	}
 }
 
+// Keeps notes parts that an engine said it keeps.
+func (f *Fleet) Keeps(id string, parts []request.Part) {
+	if e, ok := f.engines[id]; ok {
+		e.cache.use(parts)
+	}
+}
+
 // Work returns how many requests an engine reads or generates for.
 func (f *Fleet) Work(id string) int {
 	e, ok := f.engines[id]
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -127,6 +127,16 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// All gateways are killed and start again. The engines still keep what they
+	// read; not knowing it, gateways would have all of it read again elsewhere.
+	It("counts on what engines say they keep", func() {
+		f := newFleet(3, 1)
+		f.Keeps("e2", []request.Part{{ID: 7, Tokens: 13_000}})
+		p := plan(f, at(0), place.Job{ID: 1, Prompt: prompt(7, 13_000, 3_000, 1)})
+		Expect(p.Reader).To(Equal("e2"))
+		Expect(p.Kept).To(Equal(13_000))
+	})
+
 	// An engine crashes and starts again under its id. What it kept is gone;
 	// sent there for its cache, prompts would be read whole.
 	It("does not count on the cache of an engine's earlier start", func() {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -9,6 +9,9 @@
 	// Name is the VM's; it is unique in the deployment.
 	Name       string
 	DataCentre string
+	// FirstStart says that the whole system starts for the first time: engines
+	// keep nothing yet.
+	FirstStart bool
 	// IP is the VM's own address.
 	IP string
 	// Callers is where callers' requests arrive, Readiness where the balancer
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -142,6 +142,13 @@
 	return g.engines.fleet(service).Work(id)
 }
 
+// EngineKeeps notes parts of prompts that an engine said it keeps.
+func (g *Gateway) EngineKeeps(service, id string, parts []request.Part) {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	g.engines.fleet(service).Keeps(id, parts)
+}
+
 // The methods below take in what other entries tell.
 
 // RemotePlaced notes a job of another entry.
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -95,6 +96,7 @@
 	root.Add(duty(p.peers.Receive))
 	root.Add(duty(p.reconciler().Run))
 	root.Add(duty(p.confirm))
+	root.Add(duty(p.learn))
 	root.Add(duty(func(ctx context.Context) error { return p.peers.Register(ctx, p.store) }))
 	root.Add(duty(func(ctx context.Context) error { return serveReadiness(ctx, c.Deployment, g) }))
 	root.Add(duty(func(ctx context.Context) error { return reload(ctx, c, g) }))
@@ -128,6 +130,44 @@
 	}
 }
 
+// lookForEngines is how often a new process looks whether engines are known.
+const lookForEngines = 50 * time.Millisecond
+
+// learn asks the engines once what they keep. A process that was restarted
+// knows nothing of that, and would have shared parts read again at engines that
+// do not keep them: after a restart of all processes, demand of reading doubles.
+func (p *parts) learn(ctx context.Context) error {
+	if !p.config.Deployment.FirstStart {
+		for p.directory.View().Table == nil || len(p.directory.View().Servers) == 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(lookForEngines):
+			}
+		}
+		p.askKept(ctx)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (p *parts) askKept(ctx context.Context) {
+	client := platform.NewEngines()
+	view := p.directory.View()
+	for _, s := range view.Servers {
+		if s.Role == backend.NoRole || s.Draining {
+			continue
+		}
+		kept, err := client.Kept(ctx, s)
+		if err != nil {
+			log.WithField("engine", s.ID).WithField("error", err.Error()).Info("what an engine keeps is not known")
+			continue
+		}
+		p.gateway.EngineKeeps(s.Service, s.ID, kept)
+		log.WithField("engine", s.ID).WithField("parts", len(kept)).Info("what an engine keeps is known")
+	}
+}
+
 // grantTime is how long one grant of the lease for orders lasts: time for the
 // orders of a start, a call of up to 0.8 s each.
 const grantTime = 4 * time.Second
