Bounds on heads, slow bodies and callers that do not read

A head over the configuration's limit is refused unrun (431); a body that does not come ends at its deadline (408, not run); a caller that does not read loses its connection a second after its deadline. Specs each; a server hears of a caller that leaves.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -135,6 +135,31 @@
 		Expect(a.Runs()).To(BeEmpty())
 	})
 
+	It("over the limit of heads is refused unrun", func() {
+		got := w.raw("GET /read/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nConnection: close\r\nX-Long: " +
+			strings.Repeat("x", 17_000) + "\r\n\r\n")
+		Expect(got).To(HavePrefix("HTTP/1.1 431"))
+		Expect(runs()).To(BeZero())
+	})
+
+	// A caller sends half of its body and then nothing. It would hold memory and
+	// a connection for good, and a few hundred such callers all of them.
+	It("whose body does not come is ended at its deadline, unrun", func() {
+		got := w.raw("POST /hold/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nDeadline-Ms: 150\r\n" +
+			"Connection: close\r\nContent-Length: 100\r\n\r\nhalf")
+		Expect(got).To(HavePrefix("HTTP/1.1 408"))
+		Expect(runs()).To(BeZero())
+	})
+
+	// A caller leaves while its lookup runs. The server must hear of it, or it
+	// works on for nobody.
+	It("ends at the server when its caller leaves", func() {
+		a.SetFault(runner.Silent)
+		b.SetFault(runner.Silent)
+		Expect(w.raw("POST /hold/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n")).To(BeEmpty())
+		Eventually(func() int { return a.Open() + b.Open() }).Should(BeZero())
+	})
+
 	It("over the limit of bodies is refused unrun", func() {
 		body := strings.Repeat("x", 200_001)
 		head := "POST /hold/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nConnection: close\r\n"
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -28,6 +29,11 @@
 	defaultPatience = 30 * time.Second
 	// bodyChunk is how much of a body of unknown length is accounted for at once.
 	bodyChunk = 64 << 10
+	// fieldOverhead is what separates a field's name and value, and ends it.
+	fieldOverhead = 4
+	// answerSlack is how long after its deadline a caller may still take an
+	// answer.
+	answerSlack = time.Second
 	// defaultBodyLimit holds until a configuration names one.
 	defaultBodyLimit = 4 << 20
 )
@@ -110,7 +116,7 @@
 	}
 	c.request = req
 	c.deadline = c.received.Add(c.patience())
-	if !c.readBody(r) {
+	if !c.headFits(r) || !c.setDeadlines() || !c.readBody(r) {
 		return false
 	}
 	return c.chooseService()
@@ -138,6 +144,35 @@
 	return p
 }
 
+// headFits checks the head against the configuration's limit.
+func (c *call) headFits(r *http.Request) bool {
+	limit := c.view.Table.Limits.HeaderBytes
+	size := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + fieldOverhead
+		}
+	}
+	if limit > 0 && size > limit {
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "head over the limit"))
+		return false
+	}
+	return true
+}
+
+// setDeadlines bounds how long a caller that neither sends nor reads holds
+// memory and a connection here.
+func (c *call) setDeadlines() bool {
+	control := http.NewResponseController(c.writer)
+	read := control.SetReadDeadline(c.deadline)
+	write := control.SetWriteDeadline(c.deadline.Add(answerSlack))
+	if err := errors.Join(read, write); err != nil {
+		c.refuse(http.StatusServiceUnavailable, verdict.Refused(verdict.CodeInternal, err.Error(), unknownRetry))
+		return false
+	}
+	return true
+}
+
 func (c *call) chooseService() bool {
 	name := c.route.Choose(rand.Float64())
 	service, ok := c.view.Table.Services[name]
@@ -161,7 +196,7 @@
 		return false
 	}
 	if r.ContentLength == 0 {
-		return true
+		return c.endRead()
 	}
 	var buf bytes.Buffer
 	if r.ContentLength > 0 {
@@ -173,21 +208,34 @@
 			c.refuse(http.StatusServiceUnavailable, verdict.Refused(verdict.CodeOverloaded, "out of memory for bodies", unknownRetry))
 			return false
 		}
-		n, err := io.CopyN(&buf, reader, bodyChunk)
+		_, err := io.CopyN(&buf, reader, bodyChunk)
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.refuse(http.StatusRequestTimeout, verdict.New(verdict.NotRun, verdict.CodeSlowBody, "the body did not come in time"))
+			return false
+		}
 		if err != nil {
-			c.refuse(http.StatusBadRequest, verdict.New(verdict.NotRun, verdict.CodeSlowBody, "body not read: "+err.Error()))
+			c.refuse(http.StatusBadRequest, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "body not read: "+err.Error()))
 			return false
 		}
-		_ = n
 	}
 	if int64(buf.Len()) > limit {
 		c.refuse(http.StatusRequestEntityTooLarge, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body over the limit"))
 		return false
 	}
 	c.request.Body = buf.Bytes()
+	return c.endRead()
+}
+
+// endRead takes the read deadline off: from now on a read that ends means that
+// the caller has left.
+func (c *call) endRead() bool {
+	if err := http.NewResponseController(c.writer).SetReadDeadline(time.Time{}); err != nil {
+		c.refuse(http.StatusServiceUnavailable, verdict.Refused(verdict.CodeInternal, err.Error(), unknownRetry))
+		return false
+	}
 	return true
 }
 
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -63,6 +63,7 @@
 	prefills []Run
 	handles  map[string]bool
 	next     int
+	open     int
 	orders   int64
 	ordered  []Order
 	born     int64
@@ -103,6 +104,19 @@
 	return append([]Run(nil), r.prefills...)
 }
 
+// Open returns how many requests are being answered.
+func (r *Runner) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open
+}
+
+func (r *Runner) addOpen(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open += n
+}
+
 // Ordered returns the orders that were accepted.
 func (r *Runner) Ordered() []Order {
 	r.mu.Lock()
@@ -265,6 +279,8 @@
 
 // answer answers a run.
 func (r *Runner) answer(w http.ResponseWriter, req *http.Request, run Run, fault Fault) {
+	r.addOpen(1)
+	defer r.addOpen(-1)
 	switch fault {
 	case LosingAnswers:
 		panic(http.ErrAbortHandler)
