--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/direct"
+	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
@@ -25,6 +26,8 @@
 	if c.sends > 0 && !c.spendExtra() {
 		return nil, c.overBudget()
 	}
+	invariant.Check(c.verdict == verdict.NotRun || c.route.Repeatable(), "runs-at-most-once",
+		"request %s of route %s is sent again after %s", c.id, c.route.Name, c.verdict)
 	c.sends++
 	o.Server = server
 	o.Left = c.left()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -179,6 +179,14 @@
 		}
 	})
 
+	It("is seen in a dump of the state with what it rests on", func() {
+		d := w.gateway.Dump(time.Now())
+		Expect(d.Ready).To(BeTrue())
+		Expect(d.ConfigVersion).To(BeEquivalentTo(1))
+		Expect(d.Servers).To(HaveLen(2))
+		Expect(d.BodyBytes).To(BeZero())
+	})
+
 	It("without an id is refused", func() {
 		Expect(w.raw("GET /read/1 HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")).To(HavePrefix("HTTP/1.1 400"))
 	})
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -107,7 +108,7 @@
 		root.Add(duty(p.askNeighbours))
 	}
 	if c.MetricsPort > 0 {
-		root.Add(duty(func(ctx context.Context) error { return serveMetrics(ctx, c) }))
+		root.Add(duty(func(ctx context.Context) error { return serveMetrics(ctx, c, g) }))
 	}
 	root.ServeBackground(duties)
 	return g.Serve(ctx)
@@ -211,9 +212,15 @@
 	return serveHTTP(ctx, d.Readiness, mux)
 }
 
-func serveMetrics(ctx context.Context, c Config) error {
+func serveMetrics(ctx context.Context, c Config, g *gateway.Gateway) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", operator.ServeMetrics)
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(g.Dump(time.Now())); err != nil {
+			log.WithField("error", err.Error()).Info("state not dumped")
+		}
+	})
 	return serveHTTP(ctx, net.JoinHostPort(c.Deployment.IP, strconv.Itoa(c.MetricsPort)), mux)
 }
 
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -13,6 +13,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
+	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -37,6 +38,8 @@
 
 // refuse answers with an error of the gateway's own.
 func (c *call) refuse(status int, e *verdict.Error) {
+	invariant.Check(!promisesNotRun(status) || c.verdict == verdict.NotRun, "not-run-is-true",
+		"request %s is answered %d though it is %s", c.id, status, c.verdict)
 	c.trace.status, c.trace.code, c.trace.message = status, e.Code, e.Message
 	h := c.writer.Header()
 	h.Set("Content-Type", "application/json")
