Bytes of refused bodies are given back

Found by reading: a request refused after a part of its body was held (408, 413, 400) kept that part of the budget for good; after some hundred the process would refuse every body. The spec of a body that does not come fails without the mend.

--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -26,8 +26,8 @@
 type state struct {
 	decoder Decoder
 	view    View
-	// revisions are those of the servers' entries, removed ones included for as
-	// long as an older listing may still name them.
+	// revisions are those of the servers' entries, removed ones included: an
+	// older event of a removed entry must not bring its server back.
 	revisions map[string]int64
 	// absentAt is when a server was found missing after an outage.
 	absentAt map[string]time.Time
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -149,6 +149,7 @@
 			"Connection: close\r\nContent-Length: 100\r\n\r\nhalf")
 		Expect(got).To(HavePrefix("HTTP/1.1 408"))
 		Expect(runs()).To(BeZero())
+		Eventually(func() int64 { return w.gateway.Dump(time.Now()).BodyBytes }).Should(BeZero())
 	})
 
 	// A caller leaves while its lookup runs. The server must hear of it, or it
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -46,10 +46,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.logEnd()
+	defer func() { g.bodies.release(c.bodyHeld) }()
 	if !c.admit(r) {
 		return
 	}
-	defer g.bodies.release(c.bodyHeld)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
