A gateway asks 64 engines at most what they keep

Cause: after a restart of all, each gateway asked every engine: 300 gateways and 1,200 engines make 360,000 calls that delay the engines. Sites of this size ask 12 to 47 engines, as before.

--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -18,6 +18,7 @@
 	"github.com/apex/log"
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
 	"github.com/thejerf/suture/v4"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
@@ -151,13 +152,15 @@
 	return ctx.Err()
 }
 
+// mostAsked bounds the engines that one gateway asks. Each call delays an engine,
+// and after a restart of all processes every gateway asks: with a thousand
+// engines and some hundred gateways the calls would take longer than the caches
+// take to be learned by use.
+const mostAsked = 64
+
 func (p *parts) askKept(ctx context.Context) {
 	client := platform.NewEngines()
-	view := p.directory.View()
-	for _, s := range view.Servers {
-		if s.Role == backend.NoRole || s.Draining {
-			continue
-		}
+	for _, s := range someEngines(p.directory.View().Servers, mostAsked) {
 		kept, err := client.Kept(ctx, s)
 		if err != nil {
 			log.WithField("engine", s.ID).WithField("error", err.Error()).Info("what an engine keeps is not known")
@@ -168,6 +171,15 @@
 	}
 }
 
+// someEngines returns up to most engines that serve, at random.
+func someEngines(servers map[string]backend.Server, most int) []backend.Server {
+	engines := lo.Filter(lo.Values(servers), func(s backend.Server, _ int) bool {
+		return s.Role != backend.NoRole && !s.Draining
+	})
+	rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+	return engines[:min(most, len(engines))]
+}
+
 // grantTime is how long one grant of the lease for orders lasts: time for the
 // orders of a start, a call of up to 0.8 s each.
 const grantTime = 4 * time.Second
