--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -15,6 +15,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -86,7 +87,7 @@
 	return x.readHead()
 }
 
-// Forget closes the idle connections to servers that keep says no to.
+// Forget closes the idle connections to servers that are gone.
 func (t *Transport) Forget(gone func(serverID string) bool) {
 	t.pool.drop(func(key string, _ *conn) bool { return gone(serverOf(key)) })
 }
@@ -123,12 +124,8 @@
 func poolKey(s backend.Server) string { return s.ID + keySeparator + s.Address }
 
 func serverOf(key string) string {
-	for i := range key {
-		if key[i] == keySeparator[0] {
-			return key[:i]
-		}
-	}
-	return key
+	id, _, _ := strings.Cut(key, keySeparator)
+	return id
 }
 
 // exchange is one request and its answer on a connection.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -210,13 +210,14 @@
 	if p.pending == nil {
 		p.pending = &wire.Share{Entry: p.name, Incarnation: p.incarnation}
 		p.size = 0
-		p.timer = time.AfterFunc(flushAfter, p.flushLocked)
+		p.timer = time.AfterFunc(flushAfter, p.flushDue)
 	}
 	add(p.pending)
 	p.size += size
 }
 
-func (p *Peers) flushLocked() {
+// flushDue is flush once its time has come.
+func (p *Peers) flushDue() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.flush()
