Placements end at the latest when their callers leave

Cause: a job of another gateway whose end was lost (datagram, killed gateway) stayed in place.Fleet, and its stream counted at its decoder for good. Reads expired, streams did not; and an end told after an engine's restart lowered the count of the new start. An answer that moved to another decoder stayed counted at the first. Change: placements carry how long the caller waits; overdue jobs are ended once a second. Jobs point at an engine's start instead of its id. Share.incarnation, sent and read by nobody, is gone. Shown by: specs of place, the first fails without the pass over overdue jobs.

--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
 
@@ -42,6 +43,9 @@
 	minimumFresh = 16
 	// readTTL is how much longer than expected a read is believed in.
 	readTTL = 2 * time.Second
+	// forgetEvery spaces the passes over all jobs: a pass over the ten thousand
+	// of the largest deployments takes under a millisecond.
+	forgetEvery = time.Second
 	// firstToken is the time from the end of the read to the first token at the
 	// caller: measured at 36 ms on idle engines.
 	firstToken = 36 * time.Millisecond
@@ -87,6 +91,15 @@
 	Wait, Read, Extra time.Duration
 }
 
+// Placement is a request that goes where its plan says.
+type Placement struct {
+	ID     JobID
+	Prompt request.Prompt
+	Plan   Plan
+	// Left is how long its caller waits at most.
+	Left time.Duration
+}
+
 // Expected is the expected time to the first token.
 func (p Plan) Expected() time.Duration { return p.Wait + p.Read + p.Extra }
 
@@ -101,12 +114,18 @@
 	// perToken is the transfer time of one token's KV cache.
 	perToken time.Duration
 	jobs     map[JobID]*job
+	// forgotten is when jobs were last looked through for overdue ones.
+	forgotten time.Time
 }
 
-// job remembers where a placed request's work is.
+// job remembers where a placed request's work is. It points at engines and not
+// at their ids: the end of a job must not lower the work of a later start.
 type job struct {
-	reader, decoder string
+	// reader and decoder are nil if the engine was not known.
+	reader, decoder *engine
 	reading         bool
+	// until is when its caller leaves.
+	until time.Time
 }
 
 // NewFleet returns a Fleet without engines.
@@ -140,6 +159,7 @@
 // there is none that could run it. Engines to be avoided are used if there are
 // no others: they may have recovered.
 func (f *Fleet) Plan(now time.Time, j Job, u Urgency) (Plan, Admission, bool) {
+	f.forgetOverdue(now)
 	p, ok := f.plan(now, j)
 	if !ok {
 		j.all = true
@@ -261,24 +281,44 @@
 	return p, true
 }
 
-// Placed notes that a job goes where its plan says.
-func (f *Fleet) Placed(now time.Time, id JobID, prompt request.Prompt, p Plan) {
-	f.Ended(now, id)
-	reader, ok := f.engines[p.Reader]
+// Placed notes that a request goes where its plan says.
+func (f *Fleet) Placed(now time.Time, p Placement) {
+	f.Ended(now, p.ID)
+	reader, ok := f.engines[p.Plan.Reader]
 	if !ok {
 		return
 	}
-	reader.add(now, &read{job: id, cost: p.Read, sent: now})
-	reader.cache.use(prompt.Parts)
-	f.jobs[id] = &job{reader: p.Reader, decoder: p.Decoder, reading: true}
-	if d, ok := f.engines[p.Decoder]; ok {
-		d.streams++
-		if p.Split() {
-			d.cache.use(prompt.Parts)
+	reader.add(now, &read{job: p.ID, cost: p.Plan.Read, sent: now})
+	reader.cache.use(p.Prompt.Parts)
+	j := &job{reader: reader, reading: true, until: now.Add(p.Left)}
+	f.jobs[p.ID] = j
+	if d, ok := f.engines[p.Plan.Decoder]; ok {
+		j.generateAt(d)
+		if p.Plan.Split() {
+			d.cache.use(p.Prompt.Parts)
 		}
 	}
 }
 
+// Moved notes that another decoder than the planned one generates for a job.
+func (f *Fleet) Moved(id JobID, decoder string) {
+	if j, ok := f.jobs[id]; ok {
+		j.generateAt(f.engines[decoder])
+	}
+}
+
+// generateAt counts the job's stream at d, or nowhere if d is nil.
+func (j *job) generateAt(d *engine) {
+	if j.decoder != nil {
+		j.decoder.streams--
+		invariant.Check(j.decoder.streams >= 0, "streams_not_negative", "engine %s has %d streams", j.decoder.ID, j.decoder.streams)
+	}
+	if d != nil {
+		d.streams++
+	}
+	j.decoder = d
+}
+
 // ReadDone notes that the prompt of a job has been read.
 func (f *Fleet) ReadDone(now time.Time, id JobID) {
 	j, ok := f.jobs[id]
@@ -286,9 +326,7 @@
 		return
 	}
 	j.reading = false
-	if e, ok := f.engines[j.reader]; ok {
-		e.remove(now, id)
-	}
+	j.reader.remove(now, id)
 }
 
 // Ended notes that a job no longer works anywhere.
@@ -299,8 +337,24 @@
 	}
 	f.ReadDone(now, id)
 	delete(f.jobs, id)
-	if d, ok := f.engines[j.decoder]; ok {
-		d.streams = max(0, d.streams-1)
+	j.generateAt(nil)
+}
+
+// forgetOverdue ends the jobs whose callers must have left. It answers lost ends:
+// the gateway that sent a job was killed, or the datagram about its end did not
+// arrive. Their streams would count at their decoders for good, so that the
+// engines that answer most seem the slowest; one notices by a state dump that
+// shows more work at an engine than it reports. A gateway ends each call at its
+// deadline, so that no job can run for longer.
+func (f *Fleet) forgetOverdue(now time.Time) {
+	if now.Sub(f.forgotten) < forgetEvery {
+		return
+	}
+	f.forgotten = now
+	for id, j := range f.jobs {
+		if now.After(j.until) {
+			f.Ended(now, id)
+		}
 	}
 }
 
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -54,7 +54,7 @@
 func plan(f *place.Fleet, now time.Time, j place.Job) place.Plan {
 	p, _, ok := f.Plan(now, j, patient)
 	Expect(ok).To(BeTrue())
-	f.Placed(now, j.ID, j.Prompt, p)
+	f.Placed(now, place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: time.Minute})
 	return p
 }
 
@@ -179,6 +179,57 @@
 		q, _, _ := f.Plan(at(10_000), place.Job{ID: 2, Prompt: prompt(2, 0, 1_000, 2)}, patient)
 		Expect(q.Wait).To(BeZero())
 	})
+
+	// The datagram that tells the end of an answer is lost, on a bad day one in
+	// twenty. Each would count at its decoder for good: after some minutes the
+	// engines that answer most seem the slowest, and prompts avoid them.
+	It("holds no answer for longer than its caller waits", func() {
+		f := newFleet(1, 1)
+		for i := range 20 {
+			j := place.Job{ID: place.JobID(i + 1), Prompt: prompt(1, 0, 1_000, uint64(i))}
+			p, _, _ := f.Plan(at(i), j, patient)
+			f.Placed(at(i), place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: 5 * time.Second})
+			f.ReadDone(at(i+1), j.ID)
+		}
+		f.Plan(at(4_000), place.Job{ID: 100, Prompt: prompt(2, 0, 1_000, 2)}, patient)
+		Expect(f.Work("e1")).To(Equal(20))
+		f.Plan(at(9_000), place.Job{ID: 100, Prompt: prompt(2, 0, 1_000, 2)}, patient)
+		Expect(f.Work("e1")).To(BeZero())
+	})
+
+	// An engine crashes with an answer running and starts again under its id.
+	// The end of that answer is told late; taken off the new start's answers, the
+	// engine would seem idle while it works.
+	It("keeps the answers of two starts of an engine apart", func() {
+		f := newFleet(0, 1)
+		plan(f, at(0), place.Job{ID: 1, Prompt: prompt(1, 0, 1_000, 1)})
+		f.ReadDone(at(10), 1)
+		again := engines(0, 1)
+		again[0].Incarnation = 2
+		f.SetEngines(again)
+		plan(f, at(20), place.Job{ID: 2, Prompt: prompt(2, 0, 1_000, 2)})
+		f.ReadDone(at(30), 2)
+		f.Ended(at(40), 1)
+		Expect(f.Work("e0")).To(Equal(1))
+	})
+
+	// The decoder that a plan named refuses and another takes the answer. Were
+	// it still counted at the first, the one that generates would seem idle.
+	It("moves with an answer to another decoder", func() {
+		f := newFleet(1, 2)
+		j := place.Job{ID: 1, Prompt: prompt(1, 0, 1_000, 1)}
+		p := plan(f, at(0), j)
+		f.ReadDone(at(10), 1)
+		refused := p.Decoder
+		j.Exclude = func(id string) bool { return id == refused }
+		other, ok := f.OtherDecoder(at(20), j, p)
+		Expect(ok).To(BeTrue())
+		f.Moved(1, other.Decoder)
+		Expect(f.Work(refused)).To(BeZero())
+		Expect(f.Work(other.Decoder)).To(Equal(1))
+		f.Ended(at(30), 1)
+		Expect(f.Work(other.Decoder)).To(BeZero())
+	})
 })
 
 var _ = Describe("admission", func() {
@@ -225,7 +276,7 @@
 				continue
 			}
 			let++
-			f.Placed(now, id, j.Prompt, p)
+			f.Placed(now, place.Placement{ID: id, Prompt: j.Prompt, Plan: p, Left: urgent.Left})
 			ends[id] = running{done: now.Add(p.Expected())}
 			if p.Expected() <= urgent.Objective {
 				inTime++
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -15,7 +15,7 @@
 // Share tells the other entries what this one does at the engines. Its methods
 // do not block.
 type Share interface {
-	Placed(service string, id place.JobID, prompt request.Prompt, p place.Plan)
+	Placed(service string, p place.Placement)
 	ReadDone(id place.JobID)
 	Ended(id place.JobID)
 	// Avoid tells that an engine refuses work for a while.
@@ -27,11 +27,11 @@
 // noShare is the Share of an entry that has no others.
 type noShare struct{}
 
-func (noShare) Placed(string, place.JobID, request.Prompt, place.Plan) {}
-func (noShare) ReadDone(place.JobID)                                   {}
-func (noShare) Ended(place.JobID)                                      {}
-func (noShare) Avoid(string, string, time.Duration)                    {}
-func (noShare) Count() int                                             { return 1 }
+func (noShare) Placed(string, place.Placement)      {}
+func (noShare) ReadDone(place.JobID)                {}
+func (noShare) Ended(place.JobID)                   {}
+func (noShare) Avoid(string, string, time.Duration) {}
+func (noShare) Count() int                          { return 1 }
 
 // engines is the load of all model engines, by service.
 type engines struct {
@@ -94,8 +94,9 @@
 	f := e.fleet(service)
 	p, a, ok := f.Plan(now, j, u)
 	if ok && a.Admit {
-		f.Placed(now, j.ID, j.Prompt, p)
-		e.share.Placed(service, j.ID, j.Prompt, p)
+		placement := place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: u.Left}
+		f.Placed(now, placement)
+		e.share.Placed(service, placement)
 	}
 	return p, a, ok
 }
@@ -132,7 +133,12 @@
 func (e *engines) otherDecoder(now time.Time, service string, j place.Job, p place.Plan) (place.Plan, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.fleet(service).OtherDecoder(now, j, p)
+	f := e.fleet(service)
+	p, ok := f.OtherDecoder(now, j, p)
+	if ok {
+		f.Moved(j.ID, p.Decoder)
+	}
+	return p, ok
 }
 
 // EngineWork returns how many requests an engine has, of all entries.
@@ -152,10 +158,10 @@
 // The methods below take in what other entries tell.
 
 // RemotePlaced notes a job of another entry.
-func (g *Gateway) RemotePlaced(service string, id place.JobID, prompt request.Prompt, p place.Plan) {
+func (g *Gateway) RemotePlaced(service string, p place.Placement) {
 	g.engines.mu.Lock()
 	defer g.engines.mu.Unlock()
-	g.engines.fleet(service).Placed(time.Now(), id, prompt, p)
+	g.engines.fleet(service).Placed(time.Now(), p)
 }
 
 // RemoteReadDone notes that another entry's prompt has been read.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -10,7 +10,6 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
-	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
@@ -236,11 +235,11 @@
 // placements counts what a gateway tells the others.
 type placements struct{ count atomic.Int64 }
 
-func (p *placements) Placed(string, place.JobID, request.Prompt, place.Plan) { p.count.Add(1) }
-func (p *placements) ReadDone(place.JobID)                                   {}
-func (p *placements) Ended(place.JobID)                                      {}
-func (p *placements) Avoid(string, string, time.Duration)                    {}
-func (p *placements) Count() int                                             { return 1 }
+func (p *placements) Placed(string, place.Placement)      { p.count.Add(1) }
+func (p *placements) ReadDone(place.JobID)                {}
+func (p *placements) Ended(place.JobID)                   {}
+func (p *placements) Avoid(string, string, time.Duration) {}
+func (p *placements) Count() int                          { return 1 }
 
 var _ = Describe("a prompt", func() {
 	var (
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -60,9 +60,8 @@
 	})
 	dir.OnChange = g.ViewChanged
 	others, err := peers.New(peers.Config{
-		Name:        d.Name,
-		Incarnation: rand.Uint64(),
-		Address:     net.JoinHostPort(d.IP, strconv.Itoa(d.PeerPort)),
+		Name:    d.Name,
+		Address: net.JoinHostPort(d.IP, strconv.Itoa(d.PeerPort)),
 	}, g)
 	if err != nil {
 		return err
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -38,7 +38,7 @@
 
 // Receiver takes in what other gateways tell.
 type Receiver interface {
-	RemotePlaced(service string, id place.JobID, prompt request.Prompt, p place.Plan)
+	RemotePlaced(service string, p place.Placement)
 	RemoteReadDone(id place.JobID)
 	RemoteEnded(id place.JobID)
 	RemoteAvoid(service, engine string, d time.Duration)
@@ -48,10 +48,9 @@
 
 // Peers speaks with the other gateways.
 type Peers struct {
-	name        string
-	incarnation uint64
-	conn        *net.UDPConn
-	receiver    Receiver
+	name     string
+	conn     *net.UDPConn
+	receiver Receiver
 
 	mu      sync.Mutex
 	others  map[string]netip.AddrPort
@@ -64,9 +63,8 @@
 
 // Config is what Peers is made of.
 type Config struct {
-	// Name is this VM's, Incarnation random per start.
-	Name        string
-	Incarnation uint64
+	// Name is this VM's.
+	Name string
 	// Address is the IP:PORT for datagrams.
 	Address string
 }
@@ -82,14 +80,13 @@
 		return nil, eris.Wrap(err, "peers")
 	}
 	p := &Peers{
-		name:        c.Name,
-		incarnation: c.Incarnation,
-		conn:        conn,
-		receiver:    r,
-		others:      make(map[string]netip.AddrPort),
-		sent:        metrics.GetOrRegisterCounter("peers.datagrams_sent", nil),
-		received:    metrics.GetOrRegisterCounter("peers.datagrams_received", nil),
-		dropped:     metrics.GetOrRegisterCounter("peers.messages_dropped", nil),
+		name:     c.Name,
+		conn:     conn,
+		receiver: r,
+		others:   make(map[string]netip.AddrPort),
+		sent:     metrics.GetOrRegisterCounter("peers.datagrams_sent", nil),
+		received: metrics.GetOrRegisterCounter("peers.datagrams_received", nil),
+		dropped:  metrics.GetOrRegisterCounter("peers.messages_dropped", nil),
 	}
 	return p, nil
 }
@@ -147,15 +144,16 @@
 }
 
 // Placed implements gateway.Share.
-func (p *Peers) Placed(service string, id place.JobID, prompt request.Prompt, plan place.Plan) {
+func (p *Peers) Placed(service string, placed place.Placement) {
 	m := &wire.Placed{
-		Job:     uint64(id),
+		Job:     uint64(placed.ID),
 		Service: service,
-		Reader:  plan.Reader,
-		Decoder: plan.Decoder,
-		ReadUs:  uint32(plan.Read.Microseconds()),
+		Reader:  placed.Plan.Reader,
+		Decoder: placed.Plan.Decoder,
+		ReadUs:  uint32(placed.Plan.Read.Microseconds()),
+		LeftMs:  uint32(max(0, placed.Left.Milliseconds())),
 	}
-	for _, part := range prompt.Parts {
+	for _, part := range placed.Prompt.Parts {
 		m.Parts = append(m.Parts, &wire.Part{Id: part.ID, Tokens: uint32(part.Tokens)})
 	}
 	p.tell(proto.Size(m), func(s *wire.Share) { s.Placed = append(s.Placed, m) })
@@ -208,7 +206,7 @@
 		p.flush()
 	}
 	if p.pending == nil {
-		p.pending = &wire.Share{Entry: p.name, Incarnation: p.incarnation}
+		p.pending = &wire.Share{Entry: p.name}
 		p.size = 0
 		p.timer = time.AfterFunc(flushAfter, p.flushDue)
 	}
@@ -264,17 +262,28 @@
 	}
 }
 
+// placement decodes what another gateway told. The prompt has its parts only:
+// its length shows in the time of the read.
+func placement(m *wire.Placed) place.Placement {
+	placed := place.Placement{
+		ID: place.JobID(m.Job),
+		Plan: place.Plan{
+			Reader: m.Reader, Decoder: m.Decoder, Read: time.Duration(m.ReadUs) * time.Microsecond,
+		},
+		Left: time.Duration(m.LeftMs) * time.Millisecond,
+	}
+	for _, part := range m.Parts {
+		placed.Prompt.Parts = append(placed.Prompt.Parts, request.Part{ID: part.Id, Tokens: int(part.Tokens)})
+	}
+	return placed
+}
+
 func (p *Peers) take(s *wire.Share) {
 	if s.Entry == p.name {
 		return
 	}
 	for _, m := range s.Placed {
-		plan := place.Plan{Reader: m.Reader, Decoder: m.Decoder, Read: time.Duration(m.ReadUs) * time.Microsecond}
-		prompt := request.Prompt{}
-		for _, part := range m.Parts {
-			prompt.Parts = append(prompt.Parts, request.Part{ID: part.Id, Tokens: int(part.Tokens)})
-		}
-		p.receiver.RemotePlaced(m.Service, place.JobID(m.Job), prompt, plan)
+		p.receiver.RemotePlaced(m.Service, placement(m))
 	}
 	now := time.Now()
 	for _, m := range s.Entries {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -28,21 +28,21 @@
 // heard is what a gateway was told.
 type heard struct {
 	mu     sync.Mutex
-	placed map[place.JobID]place.Plan
+	placed map[place.JobID]place.Placement
 	parts  int
 	read   map[place.JobID]bool
 	ended  map[place.JobID]bool
 }
 
 func newHeard() *heard {
-	return &heard{placed: map[place.JobID]place.Plan{}, read: map[place.JobID]bool{}, ended: map[place.JobID]bool{}}
+	return &heard{placed: map[place.JobID]place.Placement{}, read: map[place.JobID]bool{}, ended: map[place.JobID]bool{}}
 }
 
-func (h *heard) RemotePlaced(_ string, id place.JobID, p request.Prompt, plan place.Plan) {
+func (h *heard) RemotePlaced(_ string, p place.Placement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.placed[id] = plan
-	h.parts += len(p.Parts)
+	h.placed[p.ID] = p
+	h.parts += len(p.Prompt.Parts)
 }
 
 func (h *heard) RemoteReadDone(id place.JobID) {
@@ -88,16 +88,19 @@
 		Eventually(a.Count).WithTimeout(5 * time.Second).Should(Equal(2))
 		Eventually(b.Count).WithTimeout(5 * time.Second).Should(Equal(2))
 
-		prompt := request.Prompt{Parts: []request.Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}}}
-		plan := place.Plan{Reader: "i-p", Decoder: "i-d", Read: 30 * time.Millisecond}
+		placed := place.Placement{Left: 5 * time.Second}
+		placed.Prompt.Parts = []request.Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}}
+		placed.Plan = place.Plan{Reader: "i-p", Decoder: "i-d", Read: 30 * time.Millisecond}
 		for id := range place.JobID(100) {
-			a.Placed("llm", id, prompt, plan)
+			placed.ID = id
+			a.Placed("llm", placed)
 			a.ReadDone(id)
 			a.Ended(id)
 		}
 		Eventually(func() int { placed, _, _ := told.jobs(); return placed }).Should(Equal(100))
 		Eventually(func() int { _, _, ended := told.jobs(); return ended }).Should(Equal(100))
-		Expect(told.placed[7]).To(Equal(plan))
+		placed.ID = 7
+		Expect(told.placed[7]).To(Equal(placed))
 		Expect(told.parts).To(Equal(200))
 	})
 })
