--- a/cmd/pistachioroad/main_test.go
+++ b/cmd/pistachioroad/main_test.go
@@ -21,7 +21,8 @@
 	"pistachioroad.dev/pistachioroad/internal/explain"
 	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/internal/platform"
-	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	adapter "pistachioroad.dev/pistachioroad/platform"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
 func TestCommand(t *testing.T) {
@@ -67,7 +68,7 @@
 
 // deployment is a store and an entry's operator API on it.
 type deployment struct {
-	store   *objectapi.Server
+	store   *objectstore.Store
 	handler http.Handler
 	entry   string
 	token   string
@@ -75,14 +76,13 @@
 
 func deploy() *deployment {
 	GinkgoHelper()
-	d := &deployment{store: objectapi.New(objectapi.Config{}), token: filepath.Join(GinkgoT().TempDir(), "token")}
+	d := &deployment{store: objectstore.New(), token: filepath.Join(GinkgoT().TempDir(), "token")}
 	Expect(os.WriteFile(d.token, []byte("0123456789abcdef"), 0o600)).To(Succeed())
-	store := httptest.NewServer(d.store.Handler())
+	store := httptest.NewServer(d.store)
 	DeferCleanup(store.Close)
 	client := platform.NewClient(platform.ClientConfig{
-		Address: strings.TrimPrefix(store.URL, "http://"), CallsPerSecond: 1000,
+		Store: adapter.NewStore(strings.TrimPrefix(store.URL, "http://")), CallsPerSecond: 1000,
 	})
-	DeferCleanup(client.Close)
 	log := explain.New(8)
 	log.Add(time.Unix(1, 0), "r1", "sent to m1", "least expected wait")
 	server, err := operator.NewServer(
@@ -137,7 +137,7 @@
 		status, output := d.run("defaults", "set", "role_change_cost=5", "class=batch")
 		Expect(status).To(Equal(exitOK), output)
 		_, output = d.run("defaults", "get", "role_change_cost", "deadline")
-		Expect(output).To(MatchRegexp(`version 1\nKEY +VALUE\ndeadline +30s \(built in\)\nrole_change_cost +5\n`))
+		Expect(output).To(MatchRegexp(`version 101\nKEY +VALUE\ndeadline +30s \(built in\)\nrole_change_cost +5\n`))
 		status, _ = d.run("defaults", "set", "class=")
 		Expect(status).To(Equal(exitOK))
 		_, output = d.run("-json", "defaults", "get")
@@ -225,7 +225,7 @@
 	It("shows both values to the operator who came second", func() {
 		d.run("defaults", "set", "role_change_cost=5")
 		d.run("defaults", "set", "role_change_cost=9", "-author", "lee")
-		status, output := d.run("defaults", "set", "role_change_cost=30", "-version", "1")
+		status, output := d.run("defaults", "set", "role_change_cost=30", "-version", "101")
 		Expect(status).To(Equal(exitConflict))
 		Expect(output).To(MatchRegexp(`role_change_cost +30 +9`))
 		Expect(output).To(ContainSubstring("lee: set defaults role_change_cost=9"))
@@ -235,7 +235,7 @@
 	// into force when the store is back.
 	It("says that nothing was changed while the store is down", func() {
 		d.run("defaults", "set", "role_change_cost=5")
-		d.store.SetFaults(objectapi.Faults{Outage: true})
+		d.store.SetFaults(objectstore.Faults{Refuse: true})
 		status, output := d.run("defaults", "set", "role_change_cost=9")
 		Expect(status).To(Equal(exitStoreUnavailable))
 		Expect(output).To(ContainSubstring("nothing was changed"))
@@ -247,7 +247,7 @@
 	// The store makes the edit and its reply is lost. An operator who is told
 	// that it failed edits again on top of what is in force already.
 	It("finds an edit whose reply from the store was lost", func() {
-		d.store.SetFaults(objectapi.Faults{LoseReplies: true})
+		d.store.SetFaults(objectstore.Faults{LoseReplies: true})
 		status, output := d.run("defaults", "set", "role_change_cost=5")
 		Expect(status).To(Equal(exitOK), output)
 		_, output = d.run("config", "history")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
+	adapter "pistachioroad.dev/pistachioroad/platform"
 )
 
 const (
@@ -53,7 +54,7 @@
 func NewClient(i do.Injector) (*platform.Client, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	return platform.NewClient(platform.ClientConfig{
-		Address:        s.Platform.Address,
+		Store:          adapter.NewStore(s.Platform.Address),
 		CallsPerSecond: s.Platform.CallsPerSecond,
 	}), nil
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -24,7 +24,7 @@
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
-	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
 func TestEntry(t *testing.T) {
@@ -47,22 +47,29 @@
 	stopped            chan error
 }
 
+// publish adds VMs to the VM list.
+func publish(objects *objectstore.Store, vms ...platform.VM) {
+	for _, vm := range vms {
+		objects.Put(platform.VMsKind, vm.Name, vm)
+	}
+}
+
 func startSite() *site {
 	GinkgoHelper()
-	objects := objectapi.New(objectapi.Config{})
-	store := httptest.NewServer(objects.Handler())
+	objects := objectstore.New()
+	store := httptest.NewServer(objects)
 	DeferCleanup(store.Close)
 	token := filepath.Join(GinkgoT().TempDir(), "token")
 	Expect(os.WriteFile(token, []byte("operator-token-of-the-test"), 0o600)).To(Succeed())
 
 	links := startEngine(strings.TrimPrefix(store.URL, "http://"), token)
-	objects.SetVMs([]platform.VM{
-		{Name: "entry-1", Kind: platform.VMEntry, Region: "seoul", DataCentre: "gangnam"},
-		{
+	publish(objects,
+		platform.VM{Name: "entry-1", Kind: platform.VMEntry, Region: "seoul", DataCentre: "gangnam"},
+		platform.VM{
 			Name: "engine-1", Kind: platform.VMBackend, Region: "seoul", DataCentre: "gangnam",
 			LinkAddress: links, Service: platform.ServiceModels,
 		},
-	})
+	)
 	s := &site{callers: freeAddress(), operators: freeAddress(), stopped: make(chan error, 1)}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -216,7 +216,7 @@
 		w := newWorld()
 		w.configure("1")
 		w.ready(0)
-		w.store.SetFault(objectstore.Refusing)
+		w.store.SetFaults(objectstore.Faults{Refuse: true})
 		Eventually(func() int { return w.ask(http.MethodGet, "/nowhere/", "r1").status }).
 			WithTimeout(10 * time.Second).Should(Equal(http.StatusServiceUnavailable))
 	})
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -102,14 +102,14 @@
 	// The write that takes the lease is done, and its answer is lost. Nobody
 	// would hold the lease until it ran out, though the store names a holder.
 	It("is known to be held when only the answer was lost", func() {
-		w.back.SetFault(objectstore.LosingReplies)
+		w.back.SetFaults(objectstore.Faults{LoseReplies: true})
 		grant, err := w.lease("a", "1").Acquire(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(grant.Left()).To(Equal(valid))
 	})
 
 	It("is not granted while the store refuses", func() {
-		w.back.SetFault(objectstore.Refusing)
+		w.back.SetFaults(objectstore.Faults{Refuse: true})
 		_, err := w.lease("a", "1").Acquire(ctx)
 		Expect(err).To(MatchError(store.ErrRefused))
 	})
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,53 +1,40 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"net/http/httptrace"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
+
+	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
 // The timing of calls.
 const (
-	// callTimeout bounds a call that does not wait. The platform answers in
-	// milliseconds; a call that takes this long sits on a connection that has
-	// gone silent, or the store is down.
-	callTimeout = time.Second
-	// watchTimeout bounds one watch call. The platform ends one by itself
-	// after about 25 s.
-	watchTimeout = 30 * time.Second
-	// shortestWatch is the least time between two watch calls without news.
-	shortestWatch = time.Second
 	// tokenWait is how long a call waits for its share of the call rate. Claims
 	// that wait share the next update, so that waiting costs less than refusing.
 	tokenWait = time.Second
 	// defaultCallsPerSecond is the call rate of a process that sets none.
 	defaultCallsPerSecond = 20
-	// idleConnections bounds the connections kept open to the platform.
-	idleConnections = 8
-	// maxListBytes bounds the VM list as read.
-	maxListBytes = 4 << 20
 )
 
-// ClientConfig says how to reach the platform.
+// VMsKind is the kind of the objects that make up the VM list, one for each VM.
+const VMsKind = "vms"
+
+// ClientConfig is what a Client is made of.
 type ClientConfig struct {
-	// Address is an IP number and a port.
-	Address string
-	// CallsPerSecond is this process's share of the platform's call rate.
+	// Store is the metadata store.
+	Store store.Store
+	// CallsPerSecond is this process's share of the store's call rate.
 	CallsPerSecond float64
 	// Random spreads retries. Nil: a random seed.
 	Random *rand.Rand
@@ -67,17 +54,18 @@
 	RetryAt time.Time `json:"retry_at"`
 }
 
-// Client calls the platform over HTTP. It implements Store and VMList and may
-// be used by any goroutine.
+// Client calls the metadata store within this process's share of its rate, and
+// leaves it alone while it is down. It implements Store and VMList and may be
+// used by any goroutine.
 type Client struct {
-	base  string
-	http  *http.Client
+	store store.Store
 	rate  *rate.Limiter
 	reads singleflight.Group
 	now   func() time.Time
 
 	guard   sync.Mutex
 	circuit *circuit
+	seen    map[string]sighting
 
 	metrics clientMetrics
 }
@@ -120,26 +108,17 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: idleConnections,
-		MaxIdleConns:        idleConnections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}
 	burst := max(1, int(config.CallsPerSecond))
 	return &Client{
-		base:    "http://" + config.Address,
-		http:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		store:   config.Store,
 		rate:    rate.NewLimiter(rate.Limit(config.CallsPerSecond), burst),
 		now:     config.Now,
 		circuit: newCircuit(config.Now(), config.Random),
+		seen:    make(map[string]sighting),
 		metrics: newClientMetrics(),
 	}
 }
 
-// refuseRedirect keeps a call from being made a second time elsewhere.
-func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Health returns what is known about the platform now.
 func (c *Client) Health() Health {
 	c.guard.Lock()
@@ -147,14 +126,11 @@
 	return c.circuit.health()
 }
 
-// Close closes the connections that are not in use.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
 // Get implements Store. Equal reads at the same time share one call.
 func (c *Client) Get(ctx context.Context, name string) (Object, error) {
 	shared := c.reads.DoChan(name, func() (any, error) {
 		c.metrics.gets.Inc(1)
-		return c.read(context.WithoutCancel(ctx), callTimeout, name, "", c.circuit.allow)
+		return c.read(context.WithoutCancel(ctx), name)
 	})
 	select {
 	case r := <-shared:
@@ -170,24 +146,29 @@
 	}
 }
 
-// Watch implements Store. A watch that the platform ended without news is
-// opened again; one that failed returns ErrUnavailable or ErrNotSent, and the
-// watcher waits before the next.
-func (c *Client) Watch(ctx context.Context, name string, after uint64) (Object, error) {
-	query := "?watch=" + strconv.FormatUint(after, 10)
-	for {
-		c.metrics.watches.Inc(1)
-		began := c.now()
-		o, err := c.read(ctx, watchTimeout, name, query, c.circuit.allowWatch)
-		if err != nil || o.Version > after {
-			return o, err
-		}
-		// A platform that does not wait for an object that does not exist yet
-		// would be asked again without end.
-		if !pause(ctx, began.Add(shortestWatch).Sub(c.now())) {
-			return o, eris.Wrap(ErrUnavailable, ctx.Err().Error())
-		}
+// location is where the store has an object.
+type location struct{ kind, name string }
+
+// split returns the location of an object: its kind is what stands before the
+// first slash, so that a watch of one kind does not hear the changes of others.
+func split(name string) location {
+	kind, rest, ok := strings.Cut(name, "/")
+	if !ok {
+		return location{kind: name, name: name}
+	}
+	return location{kind: kind, name: rest}
+}
+
+func decode(name string, o store.Object) Object {
+	return Object{Name: name, Version: uint64(o.Revision), Value: o.Spec}
+}
+
+// unavailable is the error of a read that failed.
+func unavailable(err error) error {
+	if errors.Is(err, ErrNotSent) {
+		return err
 	}
+	return eris.Wrap(ErrUnavailable, err.Error())
 }
 
 // Put implements Store.
@@ -202,31 +183,51 @@
 	// A read that began before this write must not answer one that begins
 	// after it: the writer would look for its own write in an older value.
 	defer c.reads.Forget(name)
-	written, err := c.send(ctx, name, version, value)
+	c.metrics.bytesOut.Inc(int64(len(value)))
+	o, err := c.write(ctx, split(name), version, value)
 	c.record(ctx, err)
 	switch {
-	case errors.Is(err, ErrConflict):
+	case err == nil:
+		return uint64(o.Revision), nil
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
 		c.metrics.conflicts.Inc(1)
-	case errors.Is(err, ErrUnknown):
+		return 0, eris.Wrap(ErrConflict, name)
+	case errors.Is(err, store.ErrRefused):
+		return 0, eris.Wrap(ErrNotSent, err.Error())
+	default:
 		c.metrics.unknown.Inc(1)
+		return 0, eris.Wrap(ErrUnknown, err.Error())
 	}
-	return written, err
 }
 
-// VMs implements VMList.
+func (c *Client) write(ctx context.Context, at location, version uint64, value []byte) (store.Object, error) {
+	if version == 0 {
+		return c.store.Create(ctx, at.kind, at.name, json.RawMessage(value))
+	}
+	return c.store.Update(ctx, at.kind, at.name, int64(version), json.RawMessage(value))
+}
+
+// VMs implements VMList. An entry that cannot be read is left out; the others
+// hold.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	c.metrics.lists.Inc(1)
 	if err := c.admit(ctx, c.circuit.allow); err != nil {
 		return nil, err
 	}
-	body, _, err := c.fetch(ctx, callTimeout, c.base+"/vms", maxListBytes)
+	listing, err := c.store.List(ctx, VMsKind, store.Stale)
 	c.record(ctx, err)
 	if err != nil {
-		return nil, err
+		return nil, unavailable(err)
 	}
 	vms := []VM{}
-	if err := json.Unmarshal(body, &vms); err != nil {
-		return nil, eris.Wrap(ErrUnavailable, "VM list: "+err.Error())
+	for _, o := range listing.Objects {
+		c.metrics.bytesIn.Inc(int64(len(o.Spec)))
+		var vm VM
+		if err := json.Unmarshal(o.Spec, &vm); err != nil {
+			log.WithField("vm", o.Name).WithField("error", err.Error()).Warn("entry of the VM list left out")
+			continue
+		}
+		vms = append(vms, vm)
 	}
 	return vms, nil
 }
@@ -260,133 +261,44 @@
 }
 
 // record tells the circuit how a call ended. A call that its own caller gave
-// up says nothing about the platform.
+// up says nothing about the store.
 func (c *Client) record(ctx context.Context, err error) {
-	if err != nil && !errors.Is(err, ErrConflict) && ctx.Err() != nil {
+	if !answered(err) && ctx.Err() != nil {
 		c.abandon()
 		return
 	}
 	c.guard.Lock()
 	defer c.guard.Unlock()
-	if err == nil || errors.Is(err, ErrConflict) {
+	if answered(err) {
 		c.metrics.answered.Inc(1)
 		c.circuit.succeeded(c.now())
 		return
 	}
 	c.metrics.failed.Inc(1)
 	c.circuit.failed(c.now())
-	// The other idle connections may have gone silent with the one that
-	// failed. Each would cost one more timeout before a new one is opened.
-	c.http.CloseIdleConnections()
 }
 
-func (c *Client) read(ctx context.Context, timeout time.Duration, name, query string, pass func(time.Time) bool) (Object, error) {
+// answered reports whether the store is well: it did what it was asked, or said
+// why it cannot.
+func answered(err error) bool {
+	return err == nil || errors.Is(err, store.ErrConflict) ||
+		errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrCompacted)
+}
+
+func (c *Client) read(ctx context.Context, name string) (Object, error) {
 	o := Object{Name: name}
-	if err := c.admit(ctx, pass); err != nil {
+	if err := c.admit(ctx, c.circuit.allow); err != nil {
 		return o, err
 	}
-	value, etag, err := c.fetch(ctx, timeout, c.base+"/objects/"+name+query, MaxValue)
-	if err == nil && etag != "" {
-		o.Version, err = parseETag(etag)
-		o.Value = value
-	}
+	at := split(name)
+	found, err := c.store.Get(ctx, at.kind, at.name)
 	c.record(ctx, err)
-	return o, err
-}
-
-// fetch reads url. An object that does not exist, and a watch without news,
-// have an empty ETag.
-func (c *Client) fetch(ctx context.Context, timeout time.Duration, url string, limit int64) ([]byte, string, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, "", eris.Wrap(ErrUnavailable, err.Error())
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, "", eris.Wrap(ErrUnavailable, err.Error())
-	}
-	defer func() { _ = response.Body.Close() }()
-	switch response.StatusCode {
-	case http.StatusOK:
-	case http.StatusNotFound, http.StatusNoContent:
-		return nil, "", nil
-	default:
-		return nil, "", eris.Wrap(ErrUnavailable, response.Status)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil {
-		return nil, "", eris.Wrap(ErrUnavailable, err.Error())
-	}
-	if int64(len(body)) > limit {
-		return nil, "", eris.Wrap(ErrUnavailable, "value too large")
-	}
-	c.metrics.bytesIn.Inc(int64(len(body)))
-	return body, response.Header.Get("ETag"), nil
-}
-
-// send writes once and classifies the outcome. Only what certainly never left
-// this process, or what the platform says that it has not written, is
-// ErrNotSent: calling a lost reply "not written" would let the writer start
-// over while its first write is still on the way.
-func (c *Client) send(ctx context.Context, name string, version uint64, value []byte) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	}
-	ctx = httptrace.WithClientTrace(ctx, trace)
-	request, err := newPut(ctx, c.base+"/objects/"+name, version, value)
-	if err != nil {
-		return 0, eris.Wrap(ErrNotSent, err.Error())
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		if connected.Load() {
-			return 0, eris.Wrap(ErrUnknown, err.Error())
-		}
-		return 0, eris.Wrap(ErrNotSent, err.Error())
-	}
-	_ = response.Body.Close()
-	c.metrics.bytesOut.Inc(int64(len(value)))
-	switch response.StatusCode {
-	case http.StatusOK:
-		written, err := parseETag(response.Header.Get("ETag"))
-		if err != nil {
-			return 0, eris.Wrap(ErrUnknown, err.Error())
-		}
-		return written, nil
-	case http.StatusPreconditionFailed:
-		return 0, eris.Wrap(ErrConflict, name)
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return 0, eris.Wrap(ErrNotSent, response.Status)
-	default:
-		return 0, eris.Wrap(ErrUnknown, response.Status)
-	}
-}
-
-func newPut(ctx context.Context, url string, version uint64, value []byte) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(value))
-	if err != nil {
-		return nil, err
-	}
-	// Without GetBody the transport cannot send the value a second time on
-	// another connection, so that each Put is at most one write.
-	request.GetBody = nil
-	if version == 0 {
-		request.Header.Set("If-None-Match", "*")
-	} else {
-		request.Header.Set("If-Match", strconv.Quote(strconv.FormatUint(version, 10)))
-	}
-	return request, nil
-}
-
-func parseETag(etag string) (uint64, error) {
-	version, err := strconv.ParseUint(strings.Trim(etag, `"`), 10, 64)
-	if err != nil || version == 0 {
-		return 0, eris.Wrapf(ErrUnavailable, "ETag %q", etag)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return o, nil
+	case err != nil:
+		return o, unavailable(err)
 	}
-	return version, nil
+	c.metrics.bytesIn.Inc(int64(len(found.Spec)))
+	return decode(name, found), nil
 }
--- a/internal/platform/merge_test.go
+++ b/internal/platform/merge_test.go
@@ -1,9 +1,7 @@
 package platform_test
 
 import (
-	"io"
-	"net/http"
-	"strings"
+	"context"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,26 +9,31 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
-// slowTransport answers each call after a while and counts them.
-type slowTransport struct {
+// slowStore answers each call after a while and counts them. Only what these
+// tests call is there.
+type slowStore struct {
+	store.Store
 	calls    atomic.Int32
 	slowGets time.Duration
 }
 
-func (t *slowTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	t.calls.Add(1)
+func (s *slowStore) answer() (store.Object, error) {
+	s.calls.Add(1)
 	time.Sleep(100 * time.Millisecond)
-	if r.Method == http.MethodGet {
-		time.Sleep(t.slowGets)
-	}
-	return &http.Response{
-		StatusCode: http.StatusOK,
-		Header:     http.Header{"Etag": {`"7"`}},
-		Body:       io.NopCloser(strings.NewReader("x")),
-		Request:    r,
-	}, nil
+	return store.Object{Name: "a", Revision: 7, Spec: []byte(`"x"`)}, nil
+}
+
+func (s *slowStore) Get(context.Context, string, string) (store.Object, error) {
+	o, err := s.answer()
+	time.Sleep(s.slowGets)
+	return o, err
+}
+
+func (s *slowStore) Update(context.Context, string, string, int64, any) (store.Object, error) {
+	return s.answer()
 }
 
 // Many duties of a process read the same object when it starts. Each of them
@@ -38,9 +41,8 @@
 // share reads nothing for a while.
 func TestEqualReadsShareOneCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		transport := &slowTransport{}
-		client := platform.NewClient(platform.ClientConfig{})
-		platform.SetTransport(client, transport)
+		back := &slowStore{}
+		client := platform.NewClient(platform.ClientConfig{Store: back})
 		var readers sync.WaitGroup
 		for range 5 {
 			readers.Go(func() {
@@ -51,7 +53,7 @@
 			})
 		}
 		readers.Wait()
-		if calls := transport.calls.Load(); calls != 1 {
+		if calls := back.calls.Load(); calls != 1 {
 			t.Errorf("%d calls for five equal reads", calls)
 		}
 	})
@@ -61,18 +63,17 @@
 // writer whose reply was lost would look for its write in an older value.
 func TestReadAfterWriteIsItsOwnCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		transport := &slowTransport{slowGets: time.Second / 2}
-		client := platform.NewClient(platform.ClientConfig{})
-		platform.SetTransport(client, transport)
+		back := &slowStore{slowGets: time.Second / 2}
+		client := platform.NewClient(platform.ClientConfig{Store: back})
 		var readers sync.WaitGroup
 		readers.Go(func() { _, _ = client.Get(t.Context(), "a") })
 		synctest.Wait()
-		if _, err := client.Put(t.Context(), "a", 6, []byte("x")); err != nil {
+		if _, err := client.Put(t.Context(), "a", 6, []byte(`"x"`)); err != nil {
 			t.Error(err)
 		}
 		readers.Go(func() { _, _ = client.Get(t.Context(), "a") })
 		readers.Wait()
-		if calls := transport.calls.Load(); calls != 3 {
+		if calls := back.calls.Load(); calls != 3 {
 			t.Errorf("%d calls for a read, a write and a read", calls)
 		}
 	})
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/platform"
+	adapter "pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/seeded"
 )
 
@@ -34,18 +36,16 @@
 func serve(handler http.HandlerFunc, config platform.ClientConfig) *platform.Client {
 	server := httptest.NewServer(handler)
 	DeferCleanup(server.Close)
-	config.Address = strings.TrimPrefix(server.URL, "http://")
+	config.Store = adapter.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	config.Random = rand.New(rand.NewPCG(1, 1))
-	client := platform.NewClient(config)
-	DeferCleanup(client.Close)
-	return client
+	return platform.NewClient(config)
 }
 
 func status(code int) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		w.Header().Set("ETag", `"7"`)
 		w.WriteHeader(code)
+		_, _ = io.WriteString(w, `{"metadata":{"name":"a","revision":7},"spec":"x"}`)
 	}
 }
 
@@ -60,10 +60,11 @@
 
 	DescribeTable("tells apart what is certain and what is not",
 		func(handler http.HandlerFunc, want error) {
-			_, err := serve(handler, platform.ClientConfig{}).Put(ctx, "a/b", 3, []byte("x"))
+			_, err := serve(handler, platform.ClientConfig{}).Put(ctx, "a/b", 3, []byte(`"x"`))
 			Expect(errors.Is(err, want)).To(BeTrue(), "got %v", err)
 		},
-		Entry("another version", status(http.StatusPreconditionFailed), platform.ErrConflict),
+		Entry("another version", status(http.StatusConflict), platform.ErrConflict),
+		Entry("gone", status(http.StatusNotFound), platform.ErrConflict),
 		Entry("over the rate", status(http.StatusTooManyRequests), platform.ErrNotSent),
 		Entry("outage", status(http.StatusServiceUnavailable), platform.ErrNotSent),
 		Entry("gateway timeout", status(http.StatusGatewayTimeout), platform.ErrUnknown),
@@ -73,18 +74,22 @@
 	)
 
 	It("is not sent when nobody listens", func() {
-		client := platform.NewClient(platform.ClientConfig{Address: "127.0.0.1:1"})
-		_, err := client.Put(ctx, "a", 0, []byte("x"))
+		client := platform.NewClient(platform.ClientConfig{Store: adapter.NewStore("127.0.0.1:1")})
+		_, err := client.Put(ctx, "a", 0, []byte(`"x"`))
 		Expect(errors.Is(err, platform.ErrNotSent)).To(BeTrue(), "got %v", err)
 	})
 
 	It("sends the version and returns the new one", func() {
 		client := serve(func(w http.ResponseWriter, r *http.Request) {
-			Expect(r.URL.Path).To(Equal("/objects/claims/holds/3"))
-			Expect(r.Header.Get("If-Match")).To(Equal(`"6"`))
+			Expect(r.Method + " " + r.URL.Path).To(Equal("PUT /-/objects/claims/holds/3"))
+			var sent struct {
+				Metadata struct{ Revision int64 }
+			}
+			Expect(json.NewDecoder(r.Body).Decode(&sent)).To(Succeed())
+			Expect(sent.Metadata.Revision).To(BeEquivalentTo(6))
 			status(http.StatusOK)(w, r)
 		}, platform.ClientConfig{})
-		Expect(client.Put(ctx, "claims/holds/3", 6, []byte("x"))).To(Equal(uint64(7)))
+		Expect(client.Put(ctx, "claims/holds/3", 6, []byte(`"x"`))).To(Equal(uint64(7)))
 	})
 })
 
@@ -117,7 +122,7 @@
 			status(http.StatusOK)(w, r)
 		}, platform.ClientConfig{CallsPerSecond: 1000, Now: func() time.Time { return now }})
 		put := func() error {
-			_, err := client.Put(context.Background(), "a", 0, []byte("x"))
+			_, err := client.Put(context.Background(), "a", 0, []byte(`"x"`))
 			return err
 		}
 		for range 100 {
@@ -139,10 +144,10 @@
 			status(http.StatusOK)(w, r)
 		}, platform.ClientConfig{CallsPerSecond: 1})
 		ctx, cancel := context.WithCancel(context.Background())
-		_, err := client.Put(ctx, "a", 0, []byte("x"))
+		_, err := client.Put(ctx, "a", 0, []byte(`"x"`))
 		Expect(err).NotTo(HaveOccurred())
 		cancel()
-		_, err = client.Put(ctx, "a", 7, []byte("x"))
+		_, err = client.Put(ctx, "a", 7, []byte(`"x"`))
 		Expect(errors.Is(err, platform.ErrNotSent)).To(BeTrue())
 		Expect(calls.Load()).To(BeEquivalentTo(1))
 	})
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -12,6 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/platform"
+	adapter "pistachioroad.dev/pistachioroad/platform"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
 var _ = Describe("Watch", func() {
@@ -29,7 +31,7 @@
 		}))
 		DeferCleanup(server.Close)
 		client := platform.NewClient(platform.ClientConfig{
-			Address: strings.TrimPrefix(server.URL, "http://"), CallsPerSecond: 1000,
+			Store: adapter.NewStore(strings.TrimPrefix(server.URL, "http://")), CallsPerSecond: 1000,
 		})
 		Eventually(func() bool {
 			_, _ = client.Get(context.Background(), "fleetconfig")
@@ -42,4 +44,45 @@
 		}
 		Expect(watches.Load()).To(BeZero())
 	})
+
+	// The store keeps the history of some seconds, and the configuration was
+	// changed last week. A watch from there is refused for good; unless it goes
+	// on from somewhere else, a change is seen by the next full read only.
+	It("sees a change of an object whose own history is gone", func(ctx SpecContext) {
+		store := objectstore.New()
+		server := httptest.NewServer(store)
+		DeferCleanup(server.Close)
+		client := platform.NewClient(platform.ClientConfig{
+			Store: adapter.NewStore(strings.TrimPrefix(server.URL, "http://")), CallsPerSecond: 1000,
+		})
+		last := store.Put("fleetconfig", "fleetconfig", "old")
+		store.Put("other", "a", 1)
+		store.DropHistory()
+		seen := make(chan platform.Object, 1)
+		go func() {
+			defer GinkgoRecover()
+			o, err := client.Watch(ctx, "fleetconfig", uint64(last))
+			Expect(err).NotTo(HaveOccurred())
+			seen <- o
+		}()
+		Eventually(func() int { return store.Calls().Watches }).WithTimeout(5 * time.Second).Should(BeNumerically(">", 1))
+		Consistently(seen, "100ms").ShouldNot(Receive())
+		store.Put("fleetconfig", "fleetconfig", "new")
+		var got platform.Object
+		Eventually(seen).WithTimeout(5 * time.Second).Should(Receive(&got))
+		Expect(got.Value).To(MatchJSON(`"new"`))
+	}, NodeTimeout(20*time.Second))
+
+	It("returns a change that was made before it", func() {
+		store := objectstore.New()
+		server := httptest.NewServer(store)
+		DeferCleanup(server.Close)
+		client := platform.NewClient(platform.ClientConfig{Store: adapter.NewStore(strings.TrimPrefix(server.URL, "http://"))})
+		first := store.Put("plan", "seoul", 1)
+		second := store.Put("plan", "seoul", 2)
+		store.Put("plan", "busan", 3)
+		o, err := client.Watch(context.Background(), "plan/seoul", uint64(first))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o).To(Equal(platform.Object{Name: "plan/seoul", Version: uint64(second), Value: []byte("2")}))
+	})
 })
--- a/internal/sidecar/fixture_test.go
+++ b/internal/sidecar/fixture_test.go
@@ -22,7 +22,7 @@
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
-	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/plainservice"
 )
 
@@ -56,7 +56,7 @@
 	GinkgoHelper()
 	f := &fixture{backend: httptest.NewServer(backend), stopped: make(chan error, 1)}
 	DeferCleanup(f.backend.Close)
-	store := httptest.NewServer(objectapi.New(objectapi.Config{}).Handler())
+	store := httptest.NewServer(objectstore.New())
 	DeferCleanup(store.Close)
 	f.settings = testSettings(service, address(f.backend), address(store))
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,7 +19,8 @@
 	ErrConflict = errors.New("store: revision conflict")
 	// ErrCompacted says that the history a watch asks for is gone: list again.
 	ErrCompacted = errors.New("store: history compacted")
-	// ErrRefused says that the store did nothing and may be asked again.
+	// ErrRefused says that the store did nothing, or was not reached, and may be
+	// asked again.
 	ErrRefused = errors.New("store: refused")
 )
 
--- a/test/cmd/capacity/platform.go
+++ b/test/cmd/capacity/platform.go
@@ -11,7 +11,7 @@
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/test/fleet"
-	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
 const (
@@ -35,13 +35,13 @@
 			return err
 		}
 		err := callsDuring(ctx, f, "outage", outageTime, func() error {
-			return f.SetPlatformFaults(ctx, objectapi.Faults{Outage: true})
+			return f.SetPlatformFaults(ctx, objectstore.Faults{Refuse: true})
 		})
 		if err != nil {
 			return err
 		}
 		err = callsDuring(ctx, f, "return from the outage", watchTime, func() error {
-			return f.SetPlatformFaults(ctx, objectapi.Faults{})
+			return f.SetPlatformFaults(ctx, objectstore.Faults{})
 		})
 		if err != nil {
 			return err
@@ -77,7 +77,7 @@
 		if err != nil {
 			return err
 		}
-		peak = max(peak, total(now)-total(last))
+		peak = max(peak, now.Total()-last.Total())
 		last = now
 	}
 	per := func(after, before int) float64 { return float64(after-before) / d.Seconds() }
@@ -86,13 +86,11 @@
 	row("  writes", per(last.Writes, begin.Writes), "a second")
 	row("  watches begun", per(last.Watches, begin.Watches), "a second")
 	row("  watches waiting", float64(last.Waiting), "")
-	row("  VM list", per(last.VMs, begin.VMs), "a second")
+	row("  VM list", per(last.StaleReads, begin.StaleReads), "a second")
 	row("  most in one second", float64(peak), "")
 	return nil
 }
 
-func total(c objectapi.Calls) int { return c.Reads + c.Writes + c.Watches + c.VMs }
-
 // inForce edits the configuration and waits until every process has it.
 func inForce(ctx context.Context, f *fleet.Fleet) error {
 	longest := time.Duration(0)
--- a/test/cmd/recovery/main.go
+++ b/test/cmd/recovery/main.go
@@ -18,7 +18,7 @@
 
 	"pistachioroad.dev/pistachioroad/test/faultproxy"
 	"pistachioroad.dev/pistachioroad/test/fleet"
-	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
 const (
@@ -62,8 +62,8 @@
 		{name: "link silent for good", begin: silence},
 		{name: "links cut 5 s", begin: mode(faultproxy.Mode{Cut: true}), end: mode(faultproxy.Mode{})},
 		{name: "links one-way 5 s", begin: mode(faultproxy.Mode{DropToClient: true}), end: mode(faultproxy.Mode{})},
-		{name: "store out 5 s", begin: store(objectapi.Faults{Outage: true}), end: store(objectapi.Faults{})},
-		{name: "store loses replies 5 s", begin: store(objectapi.Faults{LoseReplies: true}), end: store(objectapi.Faults{})},
+		{name: "store out 5 s", begin: store(objectstore.Faults{Refuse: true}), end: store(objectstore.Faults{})},
+		{name: "store loses replies 5 s", begin: store(objectstore.Faults{LoseReplies: true}), end: store(objectstore.Faults{})},
 	}
 }
 
@@ -104,7 +104,7 @@
 	}
 }
 
-func store(faults objectapi.Faults) func(context.Context, *fleet.Fleet) error {
+func store(faults objectstore.Faults) func(context.Context, *fleet.Fleet) error {
 	return func(ctx context.Context, f *fleet.Fleet) error { return f.SetPlatformFaults(ctx, faults) }
 }
 
--- a/test/cmd/standin/main.go
+++ b/test/cmd/standin/main.go
@@ -15,7 +15,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/engine"
 	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
-	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/plainservice"
 )
 
@@ -37,7 +37,9 @@
 	var handler http.Handler
 	switch *kind {
 	case "platform":
-		handler = objectapi.New(objectapi.Config{VMLag: *lag}).Handler()
+		store := objectstore.New()
+		store.SetStaleLag(*lag)
+		handler = store.ControlHandler()
 	case "engine":
 		config := modelengine.DefaultConfig(*address)
 		config.Order.Model = *model
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -11,7 +11,7 @@
 
 	"pistachioroad.dev/pistachioroad/test/faultproxy"
 	"pistachioroad.dev/pistachioroad/test/fleet"
-	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/plainservice"
 )
 
@@ -150,13 +150,13 @@
 		f := start(hanbit())
 		l := f.StartLoad()
 		expectRecovery(l)
-		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{Outage: true})).To(Succeed())
+		Expect(f.SetPlatformFaults(context.Background(), objectstore.Faults{Refuse: true})).To(Succeed())
 		time.Sleep(faultTime)
 		refused := fleet.PlaceHold(f.URL("entry-1"), "during the outage", "during the outage")
 		Expect(refused.Answer.Verdict).To(Equal("not_run"), refused.Answer.Body)
 		Expect(refused.Answer.Header.Get("Retry-After")).NotTo(BeEmpty())
 		expectCalls(l, fleet.Draft, fleet.Stream, fleet.LookUp)
-		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{})).To(Succeed())
+		Expect(f.SetPlatformFaults(context.Background(), objectstore.Faults{})).To(Succeed())
 		expectRecovery(l)
 		expectPromises(f, l.End())
 	})
@@ -164,18 +164,18 @@
 	// The store writes claims but its replies are lost, or it writes them late.
 	// A sidecar that took silence for failure would let the key be claimed
 	// again.
-	DescribeTable("places holds once when the store's replies are lost", func(faults objectapi.Faults) {
+	DescribeTable("places holds once when the store's replies are lost", func(faults objectstore.Faults) {
 		f := start(hanbit())
 		l := f.StartLoad()
 		expectRecovery(l)
 		Expect(f.SetPlatformFaults(context.Background(), faults)).To(Succeed())
 		time.Sleep(faultTime)
-		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{})).To(Succeed())
+		Expect(f.SetPlatformFaults(context.Background(), objectstore.Faults{})).To(Succeed())
 		expectRecovery(l)
 		expectPromises(f, l.End())
 	},
-		Entry("lost replies", objectapi.Faults{LoseReplies: true}),
-		Entry("late writes", objectapi.Faults{LateWritesMS: 400}),
-		Entry("slow", objectapi.Faults{DelayMS: 300}),
+		Entry("lost replies", objectstore.Faults{LoseReplies: true}),
+		Entry("late writes", objectstore.Faults{LateWritesMS: 400}),
+		Entry("slow", objectstore.Faults{DelayMS: 300}),
 	)
 })
--- a/test/e2e/planned_test.go
+++ b/test/e2e/planned_test.go
@@ -14,7 +14,7 @@
 	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/test/faultproxy"
 	"pistachioroad.dev/pistachioroad/test/fleet"
-	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
 const (
@@ -109,7 +109,7 @@
 			f.Proxies["engine-2"].SilencePresent()
 		}),
 		Entry("by its own word, with the platform out", func(f *fleet.Fleet) {
-			Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{Outage: true})).To(Succeed())
+			Expect(f.SetPlatformFaults(context.Background(), objectstore.Faults{Refuse: true})).To(Succeed())
 			f.Processes["engine-2"].Terminate()
 		}),
 	)
@@ -194,7 +194,7 @@
 		mustTool(f, "entry-1", "defaults", "set", "weights=2")
 		version := expectInForce(f, 0)
 		expectWeights(f, "2")
-		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{Outage: true})).To(Succeed())
+		Expect(f.SetPlatformFaults(context.Background(), objectstore.Faults{Refuse: true})).To(Succeed())
 		output, exit := tool(f, "entry-1", "defaults", "set", "weights=3")
 		Expect(exit).To(Equal(exitStore), output)
 		for _, name := range []string{"engine-1", "holds-1"} {
@@ -203,7 +203,7 @@
 		}
 		Eventually(func() map[string]uint64 { return versions(f) }, soon, "200ms").Should(
 			And(HaveLen(len(f.VMs)), HaveEach(version)))
-		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{})).To(Succeed())
+		Expect(f.SetPlatformFaults(context.Background(), objectstore.Faults{})).To(Succeed())
 		Eventually(func() int {
 			_, exit := tool(f, "entry-1", "defaults", "set", "weights=3")
 			return exit
@@ -220,7 +220,7 @@
 		f := start(hanbit())
 		mustTool(f, "entry-1", "defaults", "set", "retry_share=0.05")
 		version := expectInForce(f, 0)
-		Expect(f.SetPlatformFaults(context.Background(), objectapi.Faults{Outage: true})).To(Succeed())
+		Expect(f.SetPlatformFaults(context.Background(), objectstore.Faults{Refuse: true})).To(Succeed())
 		f.Processes["entry-2"].Kill()
 		Expect(f.Processes["entry-2"].Restart()).To(Succeed())
 		Eventually(func() map[string]uint64 { return versions(f) }, soon, "200ms").Should(
--- a/test/fleet/calls.go
+++ b/test/fleet/calls.go
@@ -13,8 +13,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
 
+	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
-	"pistachioroad.dev/pistachioroad/test/standin/objectapi"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/plainservice"
 )
 
@@ -114,17 +115,18 @@
 
 // PublishVMs makes the platform's VM list that of the fleet.
 func (f *Fleet) PublishVMs(ctx context.Context) error {
-	return f.post(ctx, f.platformDirect()+"/standin/vms", f.VMs)
+	specs := lo.SliceToMap(f.VMs, func(vm platform.VM) (string, platform.VM) { return vm.Name, vm })
+	return f.post(ctx, f.platformDirect()+"/standin/objects/"+platform.VMsKind, specs)
 }
 
 // SetPlatformFaults switches faults of the platform on or off.
-func (f *Fleet) SetPlatformFaults(ctx context.Context, faults objectapi.Faults) error {
+func (f *Fleet) SetPlatformFaults(ctx context.Context, faults objectstore.Faults) error {
 	return f.post(ctx, f.platformDirect()+"/standin/faults", faults)
 }
 
 // PlatformCalls returns the platform's count of calls.
-func (f *Fleet) PlatformCalls(ctx context.Context) (objectapi.Calls, error) {
-	return get[objectapi.Calls](ctx, f.platformDirect()+"/standin/calls")
+func (f *Fleet) PlatformCalls(ctx context.Context) (objectstore.Calls, error) {
+	return get[objectstore.Calls](ctx, f.platformDirect()+"/standin/calls")
 }
 
 // EngineRecord returns what the engine beside a sidecar has recorded.
--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -59,9 +59,9 @@
 			_ = g.process.Restart()
 		}
 	}},
-	{"store refuses", storeFault(objectstore.Refusing)},
-	{"store silent", storeFault(objectstore.Silent)},
-	{"store loses replies", storeFault(objectstore.LosingReplies)},
+	{"store refuses", storeFault(objectstore.Faults{Refuse: true})},
+	{"store silent", storeFault(objectstore.Faults{Silent: true})},
+	{"store loses replies", storeFault(objectstore.Faults{LoseReplies: true})},
 	{"store drops history", func(w *world, _ *rand.Rand) func() { w.store.DropHistory(); return nothing }},
 	{"one gateway cut from the store", storeLink(faultproxy.Mode{Cut: true})},
 	{"one gateway's store one way", storeLink(faultproxy.Mode{DropToClient: true})},
@@ -92,10 +92,10 @@
 	{"configuration changed", func(w *world, _ *rand.Rand) func() { w.configure(); return nothing }},
 }
 
-func storeFault(f objectstore.Fault) func(*world, *rand.Rand) func() {
+func storeFault(f objectstore.Faults) func(*world, *rand.Rand) func() {
 	return func(w *world, _ *rand.Rand) func() {
-		w.store.SetFault(f)
-		return func() { w.store.SetFault(objectstore.Healthy) }
+		w.store.SetFaults(f)
+		return func() { w.store.SetFaults(objectstore.Faults{}) }
 	}
 }
 
--- a/test/standin/objectstore/objectstore.go
+++ b/test/standin/objectstore/objectstore.go
@@ -4,9 +4,11 @@
 package objectstore
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,20 +17,6 @@
 	"time"
 )
 
-// Fault is how the store misbehaves.
-type Fault uint8
-
-// The faults.
-const (
-	Healthy Fault = iota
-	// Refusing answers 503 and does nothing.
-	Refusing
-	// Silent answers nothing until the caller gives up.
-	Silent
-	// LosingReplies does writes and closes the connection without an answer.
-	LosingReplies
-)
-
 // Metadata describes an object.
 type Metadata struct {
 	Name              string   `json:"name"`
@@ -54,6 +42,10 @@
 	kind string
 	event
 	at int64
+	// when is the time of the change and before what stood there; a zero
+	// Object if nothing did.
+	when   time.Time
+	before Object
 }
 
 // pageSize is how many objects one page of a list holds.
@@ -67,11 +59,12 @@
 	history  []change
 	// forgotten is the revision up to which the history is gone.
 	forgotten int64
-	fault     Fault
-	refused   map[string]bool
+	faults    Faults
+	// staleLag is how far stale lists are behind.
+	staleLag time.Duration
 	// changed is closed at each change.
 	changed chan struct{}
-	calls   int
+	calls   Calls
 }
 
 // New returns an empty store.
@@ -79,19 +72,10 @@
 	return &Store{
 		revision: 100,
 		kinds:    make(map[string]map[string]Object),
-		refused:  make(map[string]bool),
 		changed:  make(chan struct{}),
 	}
 }
 
-// SetFault switches a fault on, or off with Healthy. Watches that wait are cut.
-func (s *Store) SetFault(f Fault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-	s.wake()
-}
-
 // DropHistory forgets all changes so far and cuts the watches.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
@@ -101,13 +85,6 @@
 	s.wake()
 }
 
-// Calls returns how many calls were made.
-func (s *Store) Calls() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
 // Put writes an object as the operator or a backend server would.
 func (s *Store) Put(kind, name string, spec any) int64 {
 	data, err := json.Marshal(spec)
@@ -141,20 +118,24 @@
 }
 
 func (s *Store) write(kind, name string, spec []byte) Object {
-	s.revision++
 	objects := s.kinds[kind]
 	if objects == nil {
 		objects = make(map[string]Object)
 		s.kinds[kind] = objects
 	}
-	o := objects[name]
-	if o.Metadata.Name == "" {
+	o, exists := objects[name]
+	if exists && bytes.Equal(o.Spec, spec) {
+		return o
+	}
+	before := o
+	s.revision++
+	if !exists {
 		o.Metadata = Metadata{Name: name, Created: s.revision}
 	}
 	o.Metadata.Revision = s.revision
 	o.Spec = slices.Clone(spec)
 	objects[name] = o
-	s.note(kind, o, false)
+	s.note(kind, before, o, false)
 	return o
 }
 
@@ -163,14 +144,17 @@
 	if !ok {
 		return
 	}
+	before := o
 	s.revision++
 	o.Metadata.Revision = s.revision
 	delete(s.kinds[kind], name)
-	s.note(kind, o, true)
+	s.note(kind, before, o, true)
 }
 
-func (s *Store) note(kind string, o Object, removed bool) {
-	s.history = append(s.history, change{kind: kind, event: event{Object: o, Removed: removed}, at: s.revision})
+func (s *Store) note(kind string, before, o Object, removed bool) {
+	s.history = append(s.history, change{
+		kind: kind, event: event{Object: o, Removed: removed}, at: s.revision, when: time.Now(), before: before,
+	})
 	s.wake()
 }
 
@@ -182,15 +166,10 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	s.calls++
-	fault := s.fault
+	s.calls.count(r)
+	faults := s.faults
 	s.mu.Unlock()
-	switch {
-	case fault == Silent:
-		<-r.Context().Done()
-		return
-	case fault == Refusing:
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if !faults.admit(w, r) {
 		return
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
@@ -198,8 +177,17 @@
 		s.read(w, r, kind, name)
 		return
 	}
-	status, answer := s.change(r, kind, name)
-	if fault == LosingReplies {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		reply(w, http.StatusBadRequest, nil)
+		return
+	}
+	if faults.LateWritesMS > 0 {
+		time.AfterFunc(milliseconds(faults.LateWritesMS), func() { s.change(r, data, kind, name) })
+		panic(http.ErrAbortHandler)
+	}
+	status, answer := s.change(r, data, kind, name)
+	if faults.LoseReplies {
 		panic(http.ErrAbortHandler)
 	}
 	reply(w, status, answer)
@@ -230,13 +218,36 @@
 		reply(w, http.StatusOK, o)
 		return
 	}
-	items, more := s.page(kind, query.Get("after"))
+	objects := s.kinds[kind]
+	if query.Has("isStale") {
+		objects = s.objectsAt(kind, time.Now().Add(-s.staleLag))
+	}
+	items, more := page(objects, query.Get("after"))
 	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "at": s.revision})
 }
 
-func (s *Store) page(kind, after string) (items []Object, more bool) {
+// objectsAt returns the objects of a kind as they stood at a time, as far as the
+// history goes back.
+func (s *Store) objectsAt(kind string, at time.Time) map[string]Object {
+	objects := maps.Clone(s.kinds[kind])
+	for _, c := range slices.Backward(s.history) {
+		if c.when.Before(at) {
+			break
+		}
+		switch {
+		case c.kind != kind:
+		case c.before.Metadata.Name == "":
+			delete(objects, c.Object.Metadata.Name)
+		default:
+			objects[c.before.Metadata.Name] = c.before
+		}
+	}
+	return objects
+}
+
+func page(objects map[string]Object, after string) (items []Object, more bool) {
 	items = []Object{}
-	for name, o := range s.kinds[kind] {
+	for name, o := range objects {
 		if name > after {
 			items = append(items, o)
 		}
@@ -249,16 +260,17 @@
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	defer s.waits()()
 	from, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
 		events, gone := s.since(kind, from)
-		at, changed, fault := s.revision, s.changed, s.fault
+		at, changed, faults := s.revision, s.changed, s.faults
 		s.mu.Unlock()
 		switch {
-		case fault != Healthy:
+		case faults.cutsWatches():
 			panic(http.ErrAbortHandler)
 		case gone:
 			reply(w, http.StatusGone, nil)
@@ -291,11 +303,7 @@
 }
 
 // change does a write.
-func (s *Store) change(r *http.Request, kind, name string) (int, any) {
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
-		return http.StatusBadRequest, nil
-	}
+func (s *Store) change(r *http.Request, data []byte, kind, name string) (int, any) {
 	var body Object
 	if len(data) > 0 {
 		if err := json.Unmarshal(data, &body); err != nil {
