Confirmations that waited in a socket count as old

Cause: a gateway whose processor is too slow for what it is told, or that stood still, takes in confirmations of the newest configuration seconds after they were sent, and took their age from the time of receipt. Change: a confirmation names the sender's start and clock; one that arrives later than the least delay of that start is older by the difference. Late ones are counted. Also: a pause after each dropped history (a watch refused at once was followed by a list without end), and what is known of gone servers is forgotten (specs fail without both).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -152,10 +152,9 @@
 			d.waitCovered(ctx, f)
 			continue
 		}
-		if errors.Is(err, store.ErrCompacted) {
-			continue
+		if !errors.Is(err, store.ErrCompacted) {
+			d.failed(f, err)
 		}
-		d.failed(f, err)
 		f.rest(ctx)
 	}
 	return ctx.Err()
@@ -172,6 +171,7 @@
 		if err != nil {
 			return err
 		}
+		f.pause = 0
 		d.locked(func() { d.takeBatch(f, batch) })
 		at = max(at, batch.At)
 	}
@@ -214,7 +214,6 @@
 }
 
 func (d *Directory) answered(f *follower) {
-	f.pause = 0
 	if f.down {
 		f.down = false
 		log.WithField("kind", f.kind).Info("store regained")
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -117,6 +117,24 @@
 		Expect(s.snapshot().Service("")).To(BeEmpty())
 	})
 
+	// Servers are replaced under new names, some each hour. What is kept of those
+	// that are gone grows until the process is out of memory; yet an event of
+	// theirs that another gateway tells late must not bring one back.
+	It("forgets servers that are gone, and takes no late event for a new server", func() {
+		for n := range int64(100) {
+			name := strconv.FormatInt(n, 10)
+			_, _ = s.serverChanged(at(0), store.Event{Object: object(name, 2*n+1, "x")})
+			_, _ = s.serverChanged(at(0), store.Event{Object: object(name, 2*n+2, "x"), Removed: true})
+		}
+		s.listed(at(0), listing(300, object("a", 250, "x")))
+		Expect(s.revisions).To(HaveLen(1))
+		changed, _ := s.serverChanged(at(0), store.Event{Object: object("7", 15, "x")})
+		Expect(changed).To(BeFalse())
+		changed, _ = s.serverChanged(at(0), store.Event{Object: object("b", 301, "x")})
+		Expect(changed).To(BeTrue())
+		Expect(names()).To(ConsistOf("a", "b"))
+	})
+
 	It("uses no server whose entry became malformed, and the others", func() {
 		s.listed(at(0), listing(5, object("a", 1, "x"), object("b", 2, "y")))
 		changed, err := s.serverChanged(at(0), store.Event{Object: object("a", 6, "bad")})
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -14,10 +14,12 @@
 // counted is a store with one configuration that counts its reads.
 type counted struct {
 	store.Store
-	mu       sync.Mutex
-	revision int64
-	lists    int
-	watches  int
+	// compacted answers each watch that its history is gone.
+	compacted bool
+	mu        sync.Mutex
+	revision  int64
+	lists     int
+	watches   int
 }
 
 func (c *counted) List(_ context.Context, kind string, _ store.Freshness) (store.Listing, error) {
@@ -33,7 +35,11 @@
 func (c *counted) Watch(ctx context.Context, _ string, after int64, _ time.Duration) (store.Batch, error) {
 	c.mu.Lock()
 	c.watches++
+	compacted := c.compacted
 	c.mu.Unlock()
+	if compacted {
+		return store.Batch{}, store.ErrCompacted
+	}
 	select {
 	case <-ctx.Done():
 		return store.Batch{}, ctx.Err()
@@ -117,3 +123,18 @@
 		Expect(ok).To(BeFalse())
 	})
 })
+
+var _ = Describe("a gateway whose history is dropped again and again", func() {
+	// The store keeps no history for a while. Each watch is refused at once and
+	// followed by a list; without a pause one gateway uses up the call rate of
+	// all, and the others learn nothing.
+	It("pauses between its lists", func() {
+		s := &counted{revision: 5, compacted: true}
+		d := New(s, plainDecoder{}, Kinds{Config: "config", ConfigName: "main", Servers: "servers"})
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go func() { _ = d.FollowConfig(ctx) }()
+		Eventually(func() int { lists, _ := s.reads(); return lists }).Should(BeNumerically(">", 1))
+		Consistently(func() int { lists, _ := s.reads(); return lists }, "500ms").Should(BeNumerically("<", 12))
+	})
+})
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -29,6 +29,9 @@
 	// revisions are those of the servers' entries, removed ones included: an
 	// older event of a removed entry must not bring its server back.
 	revisions map[string]int64
+	// listedAt is the store's revision at the last list. What is not in that
+	// list is older news, so that revisions can forget it.
+	listedAt int64
 	// absentAt is when a server was found missing after an outage.
 	absentAt map[string]time.Time
 	// outage is set while the store cannot be read, and returnedAt is when it
@@ -93,7 +96,7 @@
 // serverChanged takes in one event. It reports whether the servers changed.
 func (s *state) serverChanged(now time.Time, e store.Event) (bool, error) {
 	name := e.Object.Name
-	if e.Object.Revision < s.revisions[name] {
+	if s.isOld(e.Object) {
 		return false, nil
 	}
 	s.sawServer(e.Object)
@@ -103,6 +106,16 @@
 	return s.upsert(e.Object)
 }
 
+// isOld reports whether the entry has changed since, or was gone at the last
+// list.
+func (s *state) isOld(o store.Object) bool {
+	known, ok := s.revisions[o.Name]
+	if !ok {
+		return o.Revision <= s.listedAt
+	}
+	return o.Revision < known
+}
+
 func (s *state) sawServer(o store.Object) {
 	s.revisions[o.Name] = max(s.revisions[o.Name], o.Revision)
 	s.serversRevision = max(s.serversRevision, o.Revision)
@@ -181,9 +194,22 @@
 			changed = s.removed(now, name) || changed
 		}
 	}
+	s.forget(l.At, there)
 	return changed, errs
 }
 
+// forget drops what is known of entries that were gone at a list. Servers come
+// and go under new names for as long as the process runs.
+func (s *state) forget(listedAt int64, there map[string]bool) {
+	if listedAt < s.listedAt {
+		return
+	}
+	s.listedAt = listedAt
+	gone := func(name string, revision int64) bool { return !there[name] && revision <= listedAt }
+	maps.DeleteFunc(s.revisions, gone)
+	maps.DeleteFunc(s.malformed, gone)
+}
+
 // confirmServers notes that the store has no newer entries than those seen.
 func (s *state) confirmServers(now time.Time) {
 	s.view.ServersAt = now
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,7 @@
 // ViewChanged takes in the servers and services of a new view.
 func (g *Gateway) ViewChanged(v *directory.View) {
 	g.engines.update(v)
+	g.plain.forget(v)
 	g.transport.Forget(func(id string) bool {
 		s, ok := v.Servers[id]
 		return !ok || s.Draining
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/direct"
+	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
@@ -48,6 +50,17 @@
 	return s
 }
 
+// forget drops the servers that are gone and work on nothing. Servers come and
+// go under new names for as long as the process runs.
+func (p *plain) forget(v *directory.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.servers, func(id string, s *plainServer) bool {
+		_, there := v.Servers[id]
+		return !there && s.inFlight == 0
+	})
+}
+
 // choose returns the server with the least work, and counts a request there.
 func (p *plain) choose(now time.Time, servers []backend.Server, dataCentre string, exclude map[string]bool) (backend.Server, bool) {
 	p.mu.Lock()
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -61,6 +61,7 @@
 	dir.OnChange = g.ViewChanged
 	others, err := peers.New(peers.Config{
 		Name:    d.Name,
+		Start:   rand.Uint64(),
 		Address: net.JoinHostPort(d.IP, strconv.Itoa(d.PeerPort)),
 	}, g)
 	if err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -21,6 +21,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -32,6 +33,9 @@
 	// flushAfter collects what happens within it into one datagram. It is well
 	// under the time between two requests that could use it.
 	flushAfter = 2 * time.Millisecond
+	// lateDatagram is a delay that is counted: many of them mean that this VM is
+	// too slow for what it is told.
+	lateDatagram = time.Second
 	// maxDatagram keeps a datagram within one packet of common networks.
 	maxDatagram = 1_200
 )
@@ -49,8 +53,11 @@
 // Peers speaks with the other gateways.
 type Peers struct {
 	name     string
+	start    uint64
 	conn     *net.UDPConn
 	receiver Receiver
+	// delays is used by Receive only.
+	delays *delays
 
 	mu      sync.Mutex
 	others  map[string]netip.AddrPort
@@ -58,13 +65,15 @@
 	size    int
 	timer   *time.Timer
 
-	sent, received, dropped metrics.Counter
+	sent, received, dropped, late metrics.Counter
 }
 
 // Config is what Peers is made of.
 type Config struct {
 	// Name is this VM's.
 	Name string
+	// Start is random per start of the process.
+	Start uint64
 	// Address is the IP:PORT for datagrams.
 	Address string
 }
@@ -81,12 +90,15 @@
 	}
 	p := &Peers{
 		name:     c.Name,
+		start:    c.Start,
 		conn:     conn,
 		receiver: r,
+		delays:   newDelays(),
 		others:   make(map[string]netip.AddrPort),
 		sent:     metrics.GetOrRegisterCounter("peers.datagrams_sent", nil),
 		received: metrics.GetOrRegisterCounter("peers.datagrams_received", nil),
 		dropped:  metrics.GetOrRegisterCounter("peers.messages_dropped", nil),
+		late:     metrics.GetOrRegisterCounter("peers.confirmations_late", nil),
 	}
 	return p, nil
 }
@@ -181,7 +193,11 @@
 // Confirm tells what the store has confirmed to this gateway.
 func (p *Peers) Confirm(c directory.Confirmation) {
 	m := &wire.Confirmation{
-		ConfigRevision: c.ConfigRevision, ServersRevision: c.ServersRevision, AgeMs: uint32(c.Age.Milliseconds()),
+		ConfigRevision:  c.ConfigRevision,
+		ServersRevision: c.ServersRevision,
+		AgeMs:           uint32(c.Age.Milliseconds()),
+		Start:           p.start,
+		SentUs:          uint64(boottime.Now().Microseconds()),
 	}
 	p.tell(proto.Size(m), func(s *wire.Share) { s.Confirmation = m })
 }
@@ -278,6 +294,20 @@
 	return placed
 }
 
+// confirmation decodes what another gateway's watches confirmed.
+func (p *Peers) confirmation(m *wire.Confirmation) directory.Confirmation {
+	sent := time.Duration(m.SentUs) * time.Microsecond
+	delay := p.delays.of(m.Start, sent, boottime.Now())
+	if delay > lateDatagram {
+		p.late.Inc(1)
+	}
+	return directory.Confirmation{
+		ConfigRevision:  m.ConfigRevision,
+		ServersRevision: m.ServersRevision,
+		Age:             time.Duration(m.AgeMs)*time.Millisecond + delay,
+	}
+}
+
 func (p *Peers) take(s *wire.Share) {
 	if s.Entry == p.name {
 		return
@@ -292,9 +322,7 @@
 		})
 	}
 	if c := s.Confirmation; c != nil {
-		p.receiver.Relayed(now, directory.Confirmation{
-			ConfigRevision: c.ConfigRevision, ServersRevision: c.ServersRevision, Age: time.Duration(c.AgeMs) * time.Millisecond,
-		})
+		p.receiver.Relayed(now, p.confirmation(c))
 	}
 	for _, m := range s.Avoid {
 		p.receiver.RemoteAvoid(m.Service, m.Engine, time.Duration(m.ForMs)*time.Millisecond)
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -132,6 +133,7 @@
 	if view.Table == nil {
 		return nil
 	}
+	maps.DeleteFunc(r.ordered, func(_ string, at time.Time) bool { return now.Sub(at) >= rest })
 	var all []roles.Move
 	for name, service := range view.Table.Services {
 		if service.Engine == nil {
