A read of the store confirms the time when it was asked

Cause: the answer of a list or watch was taken to be of the time of its receipt. One that waited in its connection while the process stood still said that an older configuration is the newest. Change: a list, and a watch with changes, confirm the time when they were sent; a watch without changes the end of its wait. Gateways that watch for others ask every 0.7 s, so that two watches stay under the age that the others believe.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,9 +23,9 @@
 	// of the store, and calls are priced: 1.5 s cost 0.064 of worth with 34
 	// gateways.
 	watchWait = 3 * time.Second
-	// sharedWatchWait is the same for a gateway that watches for others: under
-	// coverFor, with time for the answer.
-	sharedWatchWait = time.Second
+	// sharedWatchWait is the same for a gateway that watches for others. Two of
+	// them are under coverFor: a change at the end of one confirms its begin.
+	sharedWatchWait = 700 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed read. The
 	// longest stays well under the two seconds that a change may take.
 	firstPause   = 100 * time.Millisecond
@@ -87,12 +87,12 @@
 	return d.follow(ctx, &follower{
 		kind: d.kinds.Config,
 		list: d.configListed,
-		event: func(now time.Time, e store.Event) {
+		event: func(_ time.Time, e store.Event) {
 			if e.Object.Name == d.kinds.ConfigName && !e.Removed {
-				d.takeConfig(now, e.Object)
+				d.takeConfig(e.Object)
 			}
 		},
-		confirm: func(now time.Time) { d.state.confirmConfig(now) },
+		confirm: func(at time.Time) { d.state.confirmConfig(at) },
 		wake:    d.configWake,
 	})
 }
@@ -109,7 +109,7 @@
 			}
 		},
 		wake:    d.serversWake,
-		confirm: func(now time.Time) { d.state.confirmServers(now) },
+		confirm: func(at time.Time) { d.state.confirmServers(at) },
 		lost:    func() { d.state.lost() },
 	})
 }
@@ -128,10 +128,11 @@
 // follower is how one kind of objects is taken in. Its functions are called
 // with the lock held.
 type follower struct {
-	kind    string
-	list    func(now time.Time, l store.Listing)
-	event   func(now time.Time, e store.Event)
-	confirm func(now time.Time)
+	kind  string
+	list  func(now time.Time, l store.Listing)
+	event func(now time.Time, e store.Event)
+	// confirm is told of a time at which nothing was newer than what is known.
+	confirm func(at time.Time)
 	lost    func()
 	// wake asks a covered gateway to list.
 	wake chan struct{}
@@ -167,25 +168,44 @@
 		return err
 	}
 	for !d.covered() {
-		batch, err := d.store.Watch(ctx, f.kind, at, d.watchWait())
+		sent, wait := time.Now(), d.watchWait()
+		batch, err := d.store.Watch(ctx, f.kind, at, wait)
 		if err != nil {
 			return err
 		}
 		f.pause = 0
-		d.locked(func() { d.takeBatch(f, batch) })
+		d.locked(func() { d.takeBatch(f, batch, watchedUntil(sent, time.Now(), wait, batch)) })
 		at = max(at, batch.At)
 	}
 	return nil
 }
 
+// watchedUntil is until when the answer of a watch certainly tells all changes.
+// An answer may have waited in its connection while this process stood still, so
+// that the time of its receipt says nothing: one with changes tells of the time
+// when it was asked, and one without of the end of its wait.
+func watchedUntil(sent, now time.Time, wait time.Duration, b store.Batch) time.Time {
+	if len(b.Events) > 0 {
+		return sent
+	}
+	if end := sent.Add(wait); end.Before(now) {
+		return end
+	}
+	return now
+}
+
 // list takes in all objects of a kind and returns the revision to watch from.
 func (d *Directory) list(ctx context.Context, f *follower) (int64, error) {
+	sent := time.Now()
 	l, err := d.store.List(ctx, f.kind, store.Linearizable)
 	if err != nil {
 		return 0, err
 	}
 	d.answered(f)
-	d.locked(func() { f.list(time.Now(), l) })
+	d.locked(func() {
+		f.confirm(sent)
+		f.list(time.Now(), l)
+	})
 	return l.At, nil
 }
 
@@ -198,12 +218,12 @@
 	return watchWait
 }
 
-func (d *Directory) takeBatch(f *follower, b store.Batch) {
+func (d *Directory) takeBatch(f *follower, b store.Batch, until time.Time) {
 	now := time.Now()
 	for _, e := range b.Events {
 		f.event(now, e)
 	}
-	f.confirm(now)
+	f.confirm(until)
 	d.publish(false)
 }
 
@@ -242,18 +262,17 @@
 	}
 }
 
-func (d *Directory) configListed(now time.Time, l store.Listing) {
+func (d *Directory) configListed(_ time.Time, l store.Listing) {
 	for _, o := range l.Objects {
 		if o.Name == d.kinds.ConfigName {
-			d.takeConfig(now, o)
+			d.takeConfig(o)
 		}
 	}
-	d.state.confirmConfig(now)
 	d.publish(false)
 }
 
-func (d *Directory) takeConfig(now time.Time, o store.Object) {
-	changed, err := d.state.config(now, o)
+func (d *Directory) takeConfig(o store.Object) {
+	changed, err := d.state.config(o)
 	if err != nil {
 		log.WithField("revision", o.Revision).WithField("error", err.Error()).Error("configuration not understood, the one before stays")
 		return
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -37,8 +37,7 @@
 	if d.state.view.Table != nil {
 		return
 	}
-	d.takeConfig(now, s.Config)
-	d.state.view.TableAt = time.Time{}
+	d.takeConfig(s.Config)
 	for _, o := range s.Servers {
 		if _, err := d.state.serverChanged(now, store.Event{Object: o}); err != nil {
 			log.WithField("error", err.Error()).Warn("entry names no server")
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -66,12 +66,8 @@
 }
 
 // config takes in the configuration object. It reports whether it changed.
-func (s *state) config(now time.Time, o store.Object) (bool, error) {
-	if o.Revision < s.view.TableRevision {
-		return false, nil
-	}
-	s.view.TableAt = now
-	if o.Revision == s.view.TableRevision {
+func (s *state) config(o store.Object) (bool, error) {
+	if o.Revision <= s.view.TableRevision {
 		return false, nil
 	}
 	table, err := s.decoder.Config(o)
@@ -87,10 +83,17 @@
 	return true, nil
 }
 
-// confirmConfig notes that the store has no newer configuration.
-func (s *state) confirmConfig(now time.Time) {
-	s.view.TableAt = now
-	s.configWatched = now
+// confirmConfig notes that the store had no newer configuration at a time.
+func (s *state) confirmConfig(at time.Time) {
+	s.view.TableAt = later(s.view.TableAt, at)
+	s.configWatched = later(s.configWatched, at)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // serverChanged takes in one event. It reports whether the servers changed.
@@ -175,7 +178,6 @@
 		s.outage = false
 		s.returnedAt = now
 	}
-	s.confirmServers(now)
 	there := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		there[o.Name] = true
@@ -210,10 +212,11 @@
 	maps.DeleteFunc(s.malformed, gone)
 }
 
-// confirmServers notes that the store has no newer entries than those seen.
-func (s *state) confirmServers(now time.Time) {
-	s.view.ServersAt = now
-	s.serversWatched = now
+// confirmServers notes that the store had no newer entries at a time than those
+// seen.
+func (s *state) confirmServers(at time.Time) {
+	s.view.ServersAt = later(s.view.ServersAt, at)
+	s.serversWatched = later(s.serversWatched, at)
 }
 
 // lost notes that the store cannot be read.
