--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -114,6 +114,8 @@
 	// perToken is the transfer time of one token's KV cache.
 	perToken time.Duration
 	jobs     map[JobID]*job
+	// placed counts the jobs so far.
+	placed int64
 	// forgotten is when jobs were last looked through for overdue ones.
 	forgotten time.Time
 }
@@ -284,6 +286,7 @@
 // Placed notes that a request goes where its plan says.
 func (f *Fleet) Placed(now time.Time, p Placement) {
 	f.Ended(now, p.ID)
+	f.placed++
 	reader, ok := f.engines[p.Plan.Reader]
 	if !ok {
 		return
@@ -374,6 +377,9 @@
 	}
 }
 
+// Requests returns how many placements there were.
+func (f *Fleet) Requests() int64 { return f.placed }
+
 // Work returns how many requests an engine reads or generates for.
 func (f *Fleet) Work(id string) int {
 	e, ok := f.engines[id]
--- /dev/null
+++ b/internal/decide/roles/budget.go
@@ -0,0 +1,28 @@
+package roles
+
+import "pistachioroad.dev/pistachioroad/internal/backend"
+
+const (
+	// freeMoves are the changes of role that need no demand: before the first
+	// requests come, changes disturb nobody. Fleets of some fifty engines need 11
+	// and 15 for the share and gain by it; beyond that a large fleet that few
+	// callers use would pay for changes that no answer gains from.
+	freeMoves = 16
+	// requestsPerMove pay for one change. By the users' sheet a change costs as
+	// much as 4.7 answers, and a fleet that is off its share by a seventh of its
+	// engines loses some percent of them.
+	requestsPerMove = 200
+)
+
+// Afford returns the first of the changes that Decide wants, as many as the
+// requests seen so far pay for, given the number that were made. Engines without
+// which nothing could be generated are always changed.
+//
+// It answers a large fleet with little to do. Its share may be off by hundreds
+// of engines while each request finds an idle one; bringing all of them to the
+// share took half of what a day of three hundred VMs was worth.
+func Afford(engines []Engine, moves []Move, requests int64, made int) []Move {
+	paid := freeMoves + int(requests/requestsPerMove) - made
+	needed := leastDecode - count(engines, backend.Decode)
+	return moves[:min(len(moves), max(0, paid, needed))]
+}
--- a/internal/decide/roles/roles_test.go
+++ b/internal/decide/roles/roles_test.go
@@ -72,3 +72,30 @@
 		Entry("no engine", 0, 0, 0),
 	)
 })
+
+var _ = Describe("Afford", func() {
+	It("lets a fleet of fifty engines have its share before the first request", func() {
+		engines := fleet(16, 34, 4)
+		moves := roles.Decide(engines, 0.4)
+		Expect(moves).To(HaveLen(14))
+		Expect(roles.Afford(engines, moves, 0, 0)).To(Equal(moves))
+	})
+
+	// A thousand engines wait for few callers. Nobody gains from another role,
+	// and each change takes an engine away for seconds.
+	It("lets a large fleet change no further than its requests pay for", func() {
+		engines := fleet(400, 600, 4)
+		moves := roles.Decide(engines, 0.4)
+		Expect(len(roles.Afford(engines, moves, 1_000, 0))).To(BeNumerically("<", 25))
+		Expect(roles.Afford(engines, moves, 1_000, 30)).To(BeEmpty())
+		Expect(roles.Afford(engines, moves, 100_000, 30)).To(Equal(moves))
+	})
+
+	// The last engines that generate are lost in a quiet hour. Prompts cannot be
+	// answered at all, so that no request is counted that would pay for others.
+	It("never leaves a fleet without engines that generate", func() {
+		engines := fleet(20, 0, 4)
+		moves := roles.Decide(engines, 0.4)
+		Expect(roles.Afford(engines, moves, 0, 100)).To(HaveLen(2))
+	})
+})
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -148,6 +148,14 @@
 	return g.engines.fleet(service).Work(id)
 }
 
+// EngineRequests returns how many requests of a service all entries have placed
+// since this one was started.
+func (g *Gateway) EngineRequests(service string) int64 {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	return g.engines.fleet(service).Requests()
+}
+
 // EngineKeeps notes parts of prompts that an engine said it keeps.
 func (g *Gateway) EngineKeeps(service, id string, parts []request.Part) {
 	g.engines.mu.Lock()
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -191,12 +191,13 @@
 func (p *parts) reconciler() *reconcile.Reconciler {
 	d := p.config.Deployment
 	return reconcile.New(reconcile.Config{
-		Holder:  d.Name,
-		View:    p.directory.View,
-		Rank:    p.peers.Rank,
-		Busy:    p.gateway.EngineWork,
-		Away:    p.gateway.EngineAway,
-		Engines: platform.NewEngines(),
+		Holder:   d.Name,
+		View:     p.directory.View,
+		Rank:     p.peers.Rank,
+		Busy:     p.gateway.EngineWork,
+		Requests: p.gateway.EngineRequests,
+		Away:     p.gateway.EngineAway,
+		Engines:  platform.NewEngines(),
 		Lease: lease.New(p.store, lease.Config{
 			Name:        "orders",
 			Holder:      d.Name,
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -65,6 +65,8 @@
 	// Busy returns the work at an engine; any work at all means that changes
 	// are made one at a time.
 	Busy func(service, engine string) int
+	// Requests returns how many requests of a service all gateways have placed.
+	Requests func(service string) int64
 	// Away is told of an engine that is about to change its role.
 	Away    func(service, engine string, d time.Duration)
 	Engines Engines
@@ -78,6 +80,9 @@
 	needed time.Time
 	// ordered is when an engine was last sent an order.
 	ordered map[string]time.Time
+	// made counts the orders of this process that may have been carried out, by
+	// service.
+	made map[string]int
 
 	accepted, rejected, unknown metrics.Counter
 }
@@ -87,6 +92,7 @@
 	return &Reconciler{
 		config:   c,
 		ordered:  make(map[string]time.Time),
+		made:     make(map[string]int),
 		accepted: metrics.GetOrRegisterCounter("reconcile.orders_accepted", nil),
 		rejected: metrics.GetOrRegisterCounter("reconcile.orders_rejected", nil),
 		unknown:  metrics.GetOrRegisterCounter("reconcile.orders_unknown", nil),
@@ -148,7 +154,7 @@
 		if busy && len(moves) > 1 {
 			moves = moves[:1]
 		}
-		all = append(all, moves...)
+		all = append(all, roles.Afford(engines, moves, r.config.Requests(name), r.made[name])...)
 	}
 	return all
 }
@@ -199,6 +205,9 @@
 		Role: m.Role, Holder: r.config.Holder, Fence: g.Fence, Expect: state.Orders,
 	})
 	r.countResult(result)
+	if result != backend.OrderRejected {
+		r.made[server.Service]++
+	}
 	log.WithFields(log.Fields{
 		"engine": m.ID, "role": string(m.Role), "fence": g.Fence, "expect": state.Orders,
 		"result": result.String(), "error": errorText(err),
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -31,7 +31,9 @@
 	view    *directory.View
 	held    bool
 	work    int
-	now     time.Time
+	// requests were placed so far.
+	requests int64
+	now      time.Time
 }
 
 type engine struct {
@@ -103,7 +105,8 @@
 	return reconcile.New(reconcile.Config{
 		Holder: "f-1", View: func() *directory.View { return w.view }, Rank: func() int { return rank },
 		Busy: func(string, string) int { return w.work }, Engines: w, Lease: w,
-		Away: func(string, string, time.Duration) {},
+		Away:     func(string, string, time.Duration) {},
+		Requests: func(string) int64 { return w.requests },
 	})
 }
 
@@ -143,6 +146,24 @@
 		Expect(w.orders()).To(Equal(2))
 	})
 
+	// Three hundred engines start in the wrong roles and few callers come. Each
+	// order takes an engine away for seconds, and no answer is any sooner.
+	It("does not reorder a large fleet that nobody uses, until somebody does", func() {
+		w := newWorld(120, 180)
+		r := w.reconciler(0)
+		for range 30 {
+			w.pass(r, 15*time.Second)
+			w.tell()
+		}
+		Expect(w.orders()).To(BeNumerically("<=", 16))
+		w.requests = 100_000
+		for range 30 {
+			w.pass(r, 15*time.Second)
+			w.tell()
+		}
+		Expect(w.decoding()).To(Equal(120))
+	})
+
 	It("changes busy engines one at a time", func() {
 		w := newWorld(5, 7)
 		w.work = 1
