--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -46,10 +46,13 @@
 func (r *eventReader) fill(size int) {
 	chunk := make([]byte, size)
 	n, err := r.source.Read(chunk)
+	// What was held has no end of an event. To look through it again for each
+	// piece takes seconds of processor for a long event in single bytes.
+	from := max(0, len(r.held)-len(eventEnd)+1)
 	r.held = append(r.held, chunk[:n]...)
 	r.err = err
-	if end := bytes.LastIndex(r.held, eventEnd); end >= 0 {
-		r.ready = end + len(eventEnd)
+	if end := bytes.LastIndex(r.held[from:], eventEnd); end >= 0 {
+		r.ready = from + end + len(eventEnd)
 		r.noteID(r.held[:r.ready])
 	}
 	switch {
