--- a/cmd/pistachioroad/main_test.go
+++ b/cmd/pistachioroad/main_test.go
@@ -20,8 +20,8 @@
 
 	"pistachioroad.dev/pistachioroad/internal/explain"
 	"pistachioroad.dev/pistachioroad/internal/operator"
-	"pistachioroad.dev/pistachioroad/internal/platform"
-	adapter "pistachioroad.dev/pistachioroad/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
+	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
@@ -33,7 +33,7 @@
 // entryFleet is what the entries under test know of the fleet.
 type entryFleet struct {
 	mu   sync.Mutex
-	held platform.Object
+	held sharedstate.Object
 }
 
 func (f *entryFleet) Status(context.Context) (operator.Status, error) {
@@ -54,13 +54,13 @@
 	return []operator.Peer{{Name: "m1", Address: "127.0.0.1:1"}}, nil
 }
 
-func (f *entryFleet) Config() platform.Object {
+func (f *entryFleet) Config() sharedstate.Object {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.held
 }
 
-func (f *entryFleet) Accept(o platform.Object) {
+func (f *entryFleet) Accept(o sharedstate.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.held = o
@@ -80,8 +80,8 @@
 	Expect(os.WriteFile(d.token, []byte("0123456789abcdef"), 0o600)).To(Succeed())
 	store := httptest.NewServer(d.store)
 	DeferCleanup(store.Close)
-	client := platform.NewClient(platform.ClientConfig{
-		Store: adapter.NewStore(strings.TrimPrefix(store.URL, "http://")), CallsPerSecond: 1000,
+	client := sharedstate.NewClient(sharedstate.ClientConfig{
+		Store: platform.NewStore(strings.TrimPrefix(store.URL, "http://")), CallsPerSecond: 1000,
 	})
 	log := explain.New(8)
 	log.Add(time.Unix(1, 0), "r1", "sent to m1", "least expected wait")
--- a/internal/claims/duty.go
+++ b/internal/claims/duty.go
@@ -10,8 +10,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/ring"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 const (
@@ -37,7 +37,7 @@
 // besides the calls of the store, at most one for each slot.
 type Duty struct {
 	config Config
-	store  platform.Store
+	store  sharedstate.Store
 	inbox  *ring.Ring[any]
 	tokens atomic.Uint64
 	owned  atomic.Pointer[[]uint32]
@@ -77,7 +77,7 @@
 )
 
 // NewDuty returns a Duty that owns nothing until SetPlan.
-func NewDuty(config Config, store platform.Store) *Duty {
+func NewDuty(config Config, store sharedstate.Store) *Duty {
 	if config.Random == nil {
 		config.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -319,7 +319,7 @@
 // call makes one call of the store and reports how it ended.
 func (d *Duty) call(ctx context.Context, n int, c Call) {
 	var ev Event
-	if c.Call == platform.CallPut {
+	if c.Call == sharedstate.CallPut {
 		version, err := d.store.Put(ctx, c.Name, c.Version, c.Value)
 		ev = PutDone{Version: version, Err: err}
 	} else {
--- a/internal/claims/duty_test.go
+++ b/internal/claims/duty_test.go
@@ -13,18 +13,18 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/claims"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // memoryStore answers after a millisecond, or not until slow is over.
 type memoryStore struct {
 	mu      sync.Mutex
-	objects map[string]platform.Object
+	objects map[string]sharedstate.Object
 	slow    time.Duration
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{objects: map[string]platform.Object{}, slow: time.Millisecond}
+	return &memoryStore{objects: map[string]sharedstate.Object{}, slow: time.Millisecond}
 }
 
 func (s *memoryStore) delay(d time.Duration) {
@@ -40,7 +40,7 @@
 	time.Sleep(d)
 }
 
-func (s *memoryStore) Get(_ context.Context, name string) (platform.Object, error) {
+func (s *memoryStore) Get(_ context.Context, name string) (sharedstate.Object, error) {
 	s.wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -52,17 +52,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.objects[name].Version != version {
-		return 0, platform.ErrConflict
+		return 0, sharedstate.ErrConflict
 	}
-	s.objects[name] = platform.Object{Name: name, Version: version + 1, Value: value}
+	s.objects[name] = sharedstate.Object{Name: name, Version: version + 1, Value: value}
 	return version + 1, nil
 }
 
-func (s *memoryStore) Watch(context.Context, string, uint64) (platform.Object, error) {
-	return platform.Object{}, platform.ErrUnavailable
+func (s *memoryStore) Watch(context.Context, string, uint64) (sharedstate.Object, error) {
+	return sharedstate.Object{}, sharedstate.ErrUnavailable
 }
 
-func startDuty(ctx context.Context, store platform.Store, owner string) *claims.Duty {
+func startDuty(ctx context.Context, store sharedstate.Store, owner string) *claims.Duty {
 	d := claims.NewDuty(claims.Config{Service: "holds", Owner: owner, Incarnation: owner + "1"}, store)
 	go func() { _ = d.Serve(ctx) }()
 	return d
--- a/internal/claims/event.go
+++ b/internal/claims/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // Event is something that happened to a Slot.
@@ -42,7 +42,7 @@
 	Lost struct{ Request Request }
 	// GetDone and PutDone end the Call effect.
 	GetDone struct {
-		Object platform.Object
+		Object sharedstate.Object
 		Err    error
 	}
 	PutDone struct {
@@ -72,7 +72,7 @@
 type (
 	// Call asks for one call of the store. A slot has one at a time.
 	Call struct {
-		Call platform.Call
+		Call sharedstate.Call
 		Name string
 		// Version and Value are those of a CallPut.
 		Version uint64
--- a/internal/claims/ownership.go
+++ b/internal/claims/ownership.go
@@ -6,7 +6,7 @@
 	"github.com/apex/log"
 
 	"pistachioroad.dev/pistachioroad/internal/invariant"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // seen takes the record of a slot that is wanted and not owned.
@@ -104,11 +104,11 @@
 		log.WithError(err).WithField("object", s.name()).Error("claim record cannot be written")
 		return
 	}
-	invariant.Check(len(value) <= next.bytes() && len(value) <= platform.MaxValue, "claim records are bounded",
+	invariant.Check(len(value) <= next.bytes() && len(value) <= sharedstate.MaxValue, "claim records are bounded",
 		"%s has %d bytes, expected %d", s.name(), len(value), next.bytes())
 	s.purpose = p
 	s.pending = next
-	s.write = platform.NewWrite(s.name(), s.version, value, next.WriteID)
+	s.write = sharedstate.NewWrite(s.name(), s.version, value, next.WriteID)
 }
 
 // clock returns Record.Clock of now. Time without an owner does not count, so
--- a/internal/claims/slot.go
+++ b/internal/claims/slot.go
@@ -7,7 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // The timing and bounds of a Slot.
@@ -100,7 +100,7 @@
 type Slot struct {
 	config SlotConfig
 	random *rand.Rand
-	pauses platform.Backoff
+	pauses sharedstate.Backoff
 
 	plan     Plan
 	draining bool
@@ -133,7 +133,7 @@
 	// owedSince is when the oldest change that is not recorded came up.
 	owedSince time.Time
 
-	write   *platform.Write
+	write   *sharedstate.Write
 	purpose purpose
 	pending Record
 	calling bool
@@ -168,7 +168,7 @@
 	return &Slot{
 		config:  config.complete(),
 		random:  random,
-		pauses:  platform.Backoff{First: firstPause, Longest: longestPause},
+		pauses:  sharedstate.Backoff{First: firstPause, Longest: longestPause},
 		keys:    map[string]*key{},
 		metrics: newSlotMetrics(),
 	}
--- a/internal/claims/slot_test.go
+++ b/internal/claims/slot_test.go
@@ -11,7 +11,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/claims"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -326,7 +326,7 @@
 	// and run their calls again.
 	It("never takes a slot whose record cannot be read", func() {
 		w.restart(a)
-		w.store = platform.Object{Version: 99, Value: []byte(`{"epoch":`)}
+		w.store = sharedstate.Object{Version: 99, Value: []byte(`{"epoch":`)}
 		w.give(2, a)
 		w.advance(5 * time.Minute)
 		Expect(a.slot.Owned()).To(BeFalse())
--- a/internal/claims/store.go
+++ b/internal/claims/store.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/invariant"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // advance makes the next call of the store, if one is due.
@@ -26,10 +26,10 @@
 	s.call(s.write.Next())
 }
 
-func (s *Slot) call(c platform.Call) {
+func (s *Slot) call(c sharedstate.Call) {
 	s.calling = true
 	e := Call{Call: c, Name: s.name()}
-	if c == platform.CallPut {
+	if c == sharedstate.CallPut {
 		e.Version = s.write.Base
 		e.Value = s.write.Value
 	}
@@ -43,7 +43,7 @@
 	case now.Before(s.retryAt):
 		s.emit(Wake{At: s.retryAt})
 	case !s.owned:
-		s.call(platform.CallGet)
+		s.call(sharedstate.CallGet)
 	case len(s.queue) > 0:
 		s.beginCommit(now)
 	case len(s.unsettled) > 0 && (!s.wanted() || !now.Before(s.owedSince.Add(resultLinger))):
@@ -75,7 +75,7 @@
 	}
 	s.write.PutDone(ev.Version, ev.Err)
 	// A conflict while in doubt means that the next look is conclusive.
-	if errors.Is(ev.Err, platform.ErrNotSent) {
+	if errors.Is(ev.Err, sharedstate.ErrNotSent) {
 		s.storeFailed(now)
 	}
 	s.written(now, ev.Err)
@@ -97,15 +97,15 @@
 
 // written takes the outcome of the write under way, if it is certain.
 func (s *Slot) written(now time.Time, err error) {
-	if s.write.Next() != platform.CallNone {
+	if s.write.Next() != sharedstate.CallNone {
 		return
 	}
 	w := s.write
 	s.write = nil
 	switch {
-	case w.Outcome() == platform.Applied:
+	case w.Outcome() == sharedstate.Applied:
 		s.applied(now, w.Object().Version)
-	case w.Outcome() == platform.NotApplied && !errors.Is(err, platform.ErrConflict):
+	case w.Outcome() == sharedstate.NotApplied && !errors.Is(err, sharedstate.ErrConflict):
 		s.notWritten(now)
 	default:
 		s.lostSlot(now)
--- a/internal/claims/world_test.go
+++ b/internal/claims/world_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/claims"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // fate is what happens to one update of the store.
@@ -30,7 +30,7 @@
 	due    []dueEvent
 	serial int
 
-	store  platform.Object
+	store  sharedstate.Object
 	puts   int
 	fate   func() fate
 	owners []*owner
@@ -179,7 +179,7 @@
 	f := w.fate()
 	w.faults[f]++
 	delay := time.Duration(1+w.random.IntN(5)) * time.Millisecond
-	if c.Call == platform.CallGet {
+	if c.Call == sharedstate.CallGet {
 		w.get(o, f, delay)
 		return
 	}
@@ -187,7 +187,7 @@
 	put := func() (uint64, error) { return w.put(c) }
 	switch f {
 	case outage:
-		w.afterAt(o, delay, func() { w.step(o, claims.PutDone{Err: platform.ErrNotSent}) })
+		w.afterAt(o, delay, func() { w.step(o, claims.PutDone{Err: sharedstate.ErrNotSent}) })
 		return
 	case fine:
 		done := claims.PutDone{}
@@ -202,11 +202,11 @@
 	case late:
 		w.after(timeout+time.Duration(w.random.IntN(5000))*time.Millisecond, func() { _, _ = put() })
 	}
-	w.afterAt(o, timeout, func() { w.step(o, claims.PutDone{Err: platform.ErrUnknown}) })
+	w.afterAt(o, timeout, func() { w.step(o, claims.PutDone{Err: sharedstate.ErrUnknown}) })
 }
 
 func (w *world) get(o *owner, f fate, delay time.Duration) {
-	done := claims.GetDone{Err: platform.ErrUnavailable}
+	done := claims.GetDone{Err: sharedstate.ErrUnavailable}
 	reply := o.only(func() { w.step(o, done) })
 	w.after(delay, func() {
 		if f == fine {
@@ -218,9 +218,9 @@
 
 func (w *world) put(c claims.Call) (uint64, error) {
 	if c.Version != w.store.Version {
-		return 0, platform.ErrConflict
+		return 0, sharedstate.ErrConflict
 	}
-	w.store = platform.Object{Name: c.Name, Version: c.Version + 1, Value: c.Value}
+	w.store = sharedstate.Object{Name: c.Name, Version: c.Version + 1, Value: c.Value}
 	return w.store.Version, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,9 +14,9 @@
 	"github.com/samber/do/v2"
 	"github.com/thejerf/suture/v4"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
-	adapter "pistachioroad.dev/pistachioroad/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
+	"pistachioroad.dev/pistachioroad/platform"
 )
 
 const (
@@ -51,10 +51,10 @@
 }
 
 // NewClient provides the platform's client from the settings.
-func NewClient(i do.Injector) (*platform.Client, error) {
+func NewClient(i do.Injector) (*sharedstate.Client, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	return platform.NewClient(platform.ClientConfig{
-		Store:          adapter.NewStore(s.Platform.Address),
+	return sharedstate.NewClient(sharedstate.ClientConfig{
+		Store:          platform.NewStore(s.Platform.Address),
 		CallsPerSecond: s.Platform.CallsPerSecond,
 	}), nil
 }
--- a/internal/entry/api/completions.go
+++ b/internal/entry/api/completions.go
@@ -11,7 +11,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/decide/route"
 	"pistachioroad.dev/pistachioroad/internal/entry/serve"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	values := a.values(platform.ServiceModels, model)
+	values := a.values(sharedstate.ServiceModels, model)
 	timeout, err := parseTimeout(r.Header, deadlineOf(values), a.settings.Limits.MaxDeadline)
 	if err != nil {
 		return nil, err
@@ -117,7 +117,7 @@
 	return &serve.Request{
 		ID:         id,
 		Caller:     account,
-		Service:    platform.ServiceModels,
+		Service:    sharedstate.ServiceModels,
 		Deadline:   time.Now().Add(timeout),
 		Class:      classOf(class),
 		Idempotent: true,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,8 +23,8 @@
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/internal/planner"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -77,7 +77,7 @@
 
 func newMember(i do.Injector) (*member.Member, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	client := do.MustInvoke[*platform.Client](i)
+	client := do.MustInvoke[*sharedstate.Client](i)
 	peers, err := net.Listen("tcp", s.Listen.Links)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
@@ -104,7 +104,7 @@
 func newPlanner(i do.Injector) (*planner.Duty, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	source := &planning{fleet: do.MustInvoke[*fleet](i), router: do.MustInvoke[*router.Router](i)}
-	client := do.MustInvoke[*platform.Client](i)
+	client := do.MustInvoke[*sharedstate.Client](i)
 	return planner.NewDuty(s.Process.Name, s.Process.Region, client, source, do.MustInvoke[*explain.Log](i)), nil
 }
 
@@ -206,7 +206,7 @@
 	pool := do.MustInvoke[*links.Pool](i)
 	router := do.MustInvoke[*router.Router](i)
 	duty := do.MustInvoke[*planner.Duty](i)
-	client := do.MustInvoke[*platform.Client](i)
+	client := do.MustInvoke[*sharedstate.Client](i)
 	return operator.NewServer(
 		operator.Config{Address: listen.Operators, TokenFile: listen.OperatorTokenFile},
 		operator.Sources{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -19,8 +19,8 @@
 	"pistachioroad.dev/pistachioroad/internal/engine"
 	"pistachioroad.dev/pistachioroad/internal/entry"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
@@ -48,9 +48,9 @@
 }
 
 // publish adds VMs to the VM list.
-func publish(objects *objectstore.Store, vms ...platform.VM) {
+func publish(objects *objectstore.Store, vms ...sharedstate.VM) {
 	for _, vm := range vms {
-		objects.Put(platform.VMsKind, vm.Name, vm)
+		objects.Put(sharedstate.VMsKind, vm.Name, vm)
 	}
 }
 
@@ -64,10 +64,10 @@
 
 	links := startEngine(strings.TrimPrefix(store.URL, "http://"), token)
 	publish(objects,
-		platform.VM{Name: "entry-1", Kind: platform.VMEntry, Region: "seoul", DataCentre: "gangnam"},
-		platform.VM{
-			Name: "engine-1", Kind: platform.VMBackend, Region: "seoul", DataCentre: "gangnam",
-			LinkAddress: links, Service: platform.ServiceModels,
+		sharedstate.VM{Name: "entry-1", Kind: sharedstate.VMEntry, Region: "seoul", DataCentre: "gangnam"},
+		sharedstate.VM{
+			Name: "engine-1", Kind: sharedstate.VMBackend, Region: "seoul", DataCentre: "gangnam",
+			LinkAddress: links, Service: sharedstate.ServiceModels,
 		},
 	)
 	s := &site{callers: freeAddress(), operators: freeAddress(), stopped: make(chan error, 1)}
@@ -124,7 +124,7 @@
 		Platform: settings.Platform{Address: store, CallsPerSecond: 100},
 		Sidecar: &settings.Sidecar{
 			BackendServer: settings.BackendServer{
-				Service: platform.ServiceModels, Address: listener.Addr().String(), Slots: 4, OrderTimeout: 100 * time.Millisecond,
+				Service: sharedstate.ServiceModels, Address: listener.Addr().String(), Slots: 4, OrderTimeout: 100 * time.Millisecond,
 			},
 			QueueLength: 16, ResultBytes: 1 << 20, ResumeWait: time.Second, ShutdownTimeout: time.Second,
 		},
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -10,8 +10,8 @@
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/planner"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -122,7 +122,7 @@
 	process := p.settings.Process
 	names := []string{}
 	for _, vm := range p.Snapshot().VMs {
-		if vm.Kind == platform.VMEntry && vm.Region == process.Region && !vm.Leaving {
+		if vm.Kind == sharedstate.VMEntry && vm.Region == process.Region && !vm.Leaving {
 			names = append(names, vm.Name)
 		}
 	}
--- a/internal/entry/links/frames.go
+++ b/internal/entry/links/frames.go
@@ -5,7 +5,7 @@
 	"maps"
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -48,7 +48,7 @@
 		l.push()
 	case *wire.Frame_Object:
 		o := body.Object
-		l.objects.Offer(platform.Object{Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()})
+		l.objects.Offer(sharedstate.Object{Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()})
 	}
 }
 
--- a/internal/entry/links/link.go
+++ b/internal/entry/links/link.go
@@ -13,8 +13,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pistachioroad.dev/pistachioroad/internal/link"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/ring"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -39,7 +39,7 @@
 	// Newer returns the objects that are newer here than at the peer.
 	Newer(peer *wire.Versions) []*wire.Object
 	// Offer takes an object that the peer holds.
-	Offer(o platform.Object)
+	Offer(o sharedstate.Object)
 	// Heard takes the versions in force at a peer.
 	Heard(process string, v *wire.Versions)
 	// Changed returns a channel that is closed when the versions here change.
--- a/internal/entry/links/links_test.go
+++ b/internal/entry/links/links_test.go
@@ -16,8 +16,8 @@
 	"pistachioroad.dev/pistachioroad/internal/entry/links"
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
 	"pistachioroad.dev/pistachioroad/internal/link"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/ring"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -192,14 +192,14 @@
 	return o.changed
 }
 
-func (o *fakeObjects) Offer(platform.Object)        {}
+func (o *fakeObjects) Offer(sharedstate.Object)     {}
 func (o *fakeObjects) Heard(string, *wire.Versions) {}
 
 type fixedView struct{ view atomic.Pointer[view.View] }
 
 func (f *fixedView) View() *view.View { return f.view.Load() }
 
-func (f *fixedView) list(vms ...platform.VM) { f.view.Store(&view.View{VMs: vms}) }
+func (f *fixedView) list(vms ...sharedstate.VM) { f.view.Store(&view.View{VMs: vms}) }
 
 // startPool runs a Pool over the views until the spec ends.
 func startPool(views view.Source, objects links.Objects, config links.Config) (*links.Pool, *ring.Ring[links.Report]) {
@@ -218,8 +218,8 @@
 	return pool, reports
 }
 
-func vmAt(name, address string) platform.VM {
-	return platform.VM{Name: name, Kind: platform.VMBackend, LinkAddress: address, Service: "models"}
+func vmAt(name, address string) sharedstate.VM {
+	return sharedstate.VM{Name: name, Kind: sharedstate.VMBackend, LinkAddress: address, Service: "models"}
 }
 
 var _ = Describe("Pool", func() {
@@ -338,7 +338,7 @@
 var _ = Describe("subset", func() {
 	It("is balanced over the sidecars and prefers the own data centre", func() {
 		const servers, entries, perEntry = 60, 35, 12
-		vms := []platform.VM{}
+		vms := []sharedstate.VM{}
 		for i := range servers {
 			vm := vmAt(fmt.Sprintf("engine-%d", i), "")
 			vm.Region, vm.DataCentre = "r", fmt.Sprintf("dc-%d", i%3)
--- a/internal/entry/links/pool.go
+++ b/internal/entry/links/pool.go
@@ -9,8 +9,8 @@
 	"github.com/thejerf/suture/v4"
 
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/ring"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -229,7 +229,7 @@
 	return l.Peer(), true
 }
 
-func serverOf(vm platform.VM) Server {
+func serverOf(vm sharedstate.VM) Server {
 	return Server{Name: vm.Name, Address: vm.LinkAddress}
 }
 
--- a/internal/entry/links/subset.go
+++ b/internal/entry/links/subset.go
@@ -2,7 +2,7 @@
 
 import (
 	"pistachioroad.dev/pistachioroad/internal/member"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // subset chooses the backend servers that get a standing link: for each
@@ -13,7 +13,7 @@
 // node may use for control. Rendezvous hashing by the entry's name spreads the
 // entries evenly over the sidecars, and a VM that comes or goes changes no
 // other choice.
-func subset(backends []platform.VM, config Config) map[string]bool {
+func subset(backends []sharedstate.VM, config Config) map[string]bool {
 	chosen := map[string]bool{}
 	for _, group := range byService(backends) {
 		left := config.Links
@@ -27,8 +27,8 @@
 	return chosen
 }
 
-func byService(backends []platform.VM) map[string][]platform.VM {
-	groups := map[string][]platform.VM{}
+func byService(backends []sharedstate.VM) map[string][]sharedstate.VM {
+	groups := map[string][]sharedstate.VM{}
 	for _, vm := range backends {
 		groups[vm.Service] = append(groups[vm.Service], vm)
 	}
@@ -36,7 +36,7 @@
 }
 
 // tiers splits a group by distance, the nearest first.
-func tiers(group []platform.VM, config Config) [3][]string {
+func tiers(group []sharedstate.VM, config Config) [3][]string {
 	var tiers [3][]string
 	for _, vm := range group {
 		switch {
--- a/internal/entry/router/admit.go
+++ b/internal/entry/router/admit.go
@@ -8,7 +8,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/decide/admit"
 	"pistachioroad.dev/pistachioroad/internal/decide/route"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -177,7 +177,7 @@
 func (s *state) part() float64 {
 	entries := 0
 	for _, vm := range s.view.VMs {
-		if vm.Kind == platform.VMEntry && !vm.Leaving && vm.Region == s.config.Region {
+		if vm.Kind == sharedstate.VMEntry && !vm.Leaving && vm.Region == s.config.Region {
 			entries++
 		}
 	}
--- a/internal/entry/router/candidates.go
+++ b/internal/entry/router/candidates.go
@@ -9,7 +9,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/shift"
 	"pistachioroad.dev/pistachioroad/internal/entry/links"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // candidates returns the backend servers of the request's service as the
@@ -46,7 +46,7 @@
 		Admitting:  known.load.GetAdmitting() && known.link == links.Up && !known.drained,
 		Leaving:    known.vm.Leaving,
 	}
-	if r.Service != platform.ServiceModels {
+	if r.Service != sharedstate.ServiceModels {
 		return c
 	}
 	c.Role = route.Role(known.load.GetRole())
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -18,7 +18,7 @@
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -35,8 +35,8 @@
 
 func (f *fixedView) View() *view.View { return f.view }
 
-func backend(name, service string) platform.VM {
-	return platform.VM{Name: name, Kind: platform.VMBackend, Region: "seoul", DataCentre: "gangnam", Service: service}
+func backend(name, service string) sharedstate.VM {
+	return sharedstate.VM{Name: name, Kind: sharedstate.VMBackend, Region: "seoul", DataCentre: "gangnam", Service: service}
 }
 
 // fixture drives the router's state in virtual time.
@@ -46,7 +46,7 @@
 	state *state
 }
 
-func newFixture(vms ...platform.VM) *fixture {
+func newFixture(vms ...sharedstate.VM) *fixture {
 	f := &fixture{now: start, views: &fixedView{view: &view.View{VMs: vms}}}
 	f.state = newState(f.config())
 	f.state.refresh(f.now)
@@ -78,7 +78,7 @@
 
 func (f *fixture) draft() *Request {
 	return &Request{
-		ID: "r", Caller: "c", Service: platform.ServiceModels, Model: "draft",
+		ID: "r", Caller: "c", Service: sharedstate.ServiceModels, Model: "draft",
 		PromptTokens: 20_000, OutputTokens: 100, Deadline: f.now.Add(time.Minute), Idempotent: true,
 	}
 }
@@ -98,7 +98,7 @@
 	// work sent after any of them is refused, or cut when the VM goes.
 	DescribeTable("sends nothing to a backend server that is leaving",
 		func(leave func(f *fixture)) {
-			f := newFixture(backend("a", platform.ServiceModels), backend("b", platform.ServiceModels))
+			f := newFixture(backend("a", sharedstate.ServiceModels), backend("b", sharedstate.ServiceModels))
 			f.engine("a", "mixed")
 			f.engine("b", "mixed")
 			leave(f)
@@ -107,12 +107,12 @@
 			}
 		},
 		Entry("the VM list says so", func(f *fixture) {
-			leaving := backend("a", platform.ServiceModels)
+			leaving := backend("a", sharedstate.ServiceModels)
 			leaving.Leaving = true
-			f.change(view.View{VMs: []platform.VM{leaving, backend("b", platform.ServiceModels)}})
+			f.change(view.View{VMs: []sharedstate.VM{leaving, backend("b", sharedstate.ServiceModels)}})
 		}),
 		Entry("it is gone from the VM list", func(f *fixture) {
-			f.change(view.View{VMs: []platform.VM{backend("b", platform.ServiceModels)}})
+			f.change(view.View{VMs: []sharedstate.VM{backend("b", sharedstate.ServiceModels)}})
 		}),
 		Entry("its heartbeat says so", func(f *fixture) {
 			f.state.report(f.now, links.Report{Server: "a", State: links.Draining})
@@ -131,20 +131,20 @@
 	)
 
 	It("picks a prefill and a decode engine together", func() {
-		f := newFixture(backend("p", platform.ServiceModels), backend("d", platform.ServiceModels))
+		f := newFixture(backend("p", sharedstate.ServiceModels), backend("d", sharedstate.ServiceModels))
 		f.engine("p", "prefill")
 		f.engine("d", "decode")
 		Expect(f.route(f.draft(), call.Route{})).To(Equal(call.Routed{Attempt: 1, Server: "d", Prefill: "p"}))
 	})
 
 	It("lets a decode engine read the prompt when there is no prefill engine", func() {
-		f := newFixture(backend("d", platform.ServiceModels))
+		f := newFixture(backend("d", sharedstate.ServiceModels))
 		f.engine("d", "decode")
 		Expect(f.route(f.draft(), call.Route{})).To(Equal(call.Routed{Attempt: 1, Server: "d"}))
 	})
 
 	It("spreads its own requests before the next report comes", func() {
-		f := newFixture(backend("a", platform.ServiceModels), backend("b", platform.ServiceModels))
+		f := newFixture(backend("a", sharedstate.ServiceModels), backend("b", sharedstate.ServiceModels))
 		f.engine("a", "mixed")
 		f.engine("b", "mixed")
 		f.now = f.now.Add(time.Millisecond)
@@ -161,7 +161,7 @@
 	// draft that has begun goes back to it, for the only other way is to break
 	// off in front of the booker.
 	It("continues an answer where it broke off rather than not at all", func() {
-		f := newFixture(backend("a", platform.ServiceModels))
+		f := newFixture(backend("a", sharedstate.ServiceModels))
 		f.engine("a", "mixed")
 		again := call.Route{Excluded: []string{"a"}, Retry: &call.Retry{Sent: true}, Resume: true}
 		Expect(f.route(f.draft(), again)).To(Equal(call.Routed{Attempt: 1, Server: "a"}))
@@ -172,7 +172,7 @@
 	// Every engine breaks what it gets. Each request tried again everywhere
 	// would multiply the load that the engines fail under.
 	It("stop when nothing succeeds any more", func() {
-		f := newFixture(backend("a", platform.ServiceModels), backend("b", platform.ServiceModels))
+		f := newFixture(backend("a", sharedstate.ServiceModels), backend("b", sharedstate.ServiceModels))
 		f.engine("a", "mixed")
 		f.engine("b", "mixed")
 		refused := 0
@@ -191,7 +191,7 @@
 	// An engine changes its role and hands its streams over, more than the
 	// budget for failures holds. None may be cut.
 	It("need no budget after a planned change", func() {
-		f := newFixture(backend("a", platform.ServiceModels), backend("b", platform.ServiceModels))
+		f := newFixture(backend("a", sharedstate.ServiceModels), backend("b", sharedstate.ServiceModels))
 		f.engine("a", "mixed")
 		f.engine("b", "mixed")
 		for range 50 {
@@ -238,12 +238,12 @@
 
 var _ = Describe("Admission", func() {
 	It("refuses what no backend server admits", func() {
-		f := newFixture(backend("a", platform.ServiceModels))
+		f := newFixture(backend("a", sharedstate.ServiceModels))
 		Expect(f.state.admit(f.now, f.draft()).Code).To(Equal(verdict.CodeNoBackend))
 	})
 
 	It("holds each account to the limit that operators set", func() {
-		f := newFixture(backend("a", platform.ServiceModels))
+		f := newFixture(backend("a", sharedstate.ServiceModels))
 		f.engine("a", "mixed")
 		v := *f.views.view
 		limit := 1_000
@@ -261,7 +261,7 @@
 
 	// A caller spreads its work over all entries and looks light at each.
 	It("counts what other entries tell of an account", func() {
-		f := newFixture(backend("a", platform.ServiceModels))
+		f := newFixture(backend("a", sharedstate.ServiceModels))
 		f.engine("a", "mixed")
 		v := *f.views.view
 		limit := 1_000
@@ -270,7 +270,7 @@
 		Expect(f.state.admit(f.now, f.draft())).To(BeNil())
 		told := f.state.heaviest(f.now)
 
-		g := newFixture(backend("a", platform.ServiceModels))
+		g := newFixture(backend("a", sharedstate.ServiceModels))
 		g.engine("a", "mixed")
 		g.change(v)
 		light := g.draft()
@@ -287,7 +287,7 @@
 	// the work. What admission turned away counts as far as its caller was
 	// entitled to it, which the tests of admit show.
 	It("adds up what all entries are offered", func() {
-		f := newFixture(backend("a", platform.ServiceModels))
+		f := newFixture(backend("a", sharedstate.ServiceModels))
 		f.engine("a", "mixed")
 		for range 50 {
 			Expect(f.state.admit(f.now, f.draft())).To(BeNil())
@@ -315,7 +315,7 @@
 	// A fault in a decision brings the duty down. The requests that wait for it
 	// get a verdict, and later ones are served: nobody restarts the process.
 	It("comes back after a panic", func() {
-		f := newFixture(backend("a", platform.ServiceModels))
+		f := newFixture(backend("a", sharedstate.ServiceModels))
 		config := f.config()
 		config.Now = time.Now
 		r := New(config)
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -8,7 +8,7 @@
 	"pistachioroad.dev/pistachioroad/internal/entry/links"
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -34,7 +34,7 @@
 
 // server is one backend server.
 type server struct {
-	vm   platform.VM
+	vm   sharedstate.VM
 	link links.State
 	// load is the last report, nil before the first; loadAt is when it came.
 	load   *wire.Load
@@ -96,7 +96,7 @@
 	}
 }
 
-func (s *state) setVM(now time.Time, known *server, vm platform.VM) {
+func (s *state) setVM(now time.Time, known *server, vm sharedstate.VM) {
 	if vm.Leaving && !known.vm.Leaving {
 		s.explain(now, vm.Name, "gets no new work", "leaving, by the VM list")
 	}
@@ -216,7 +216,7 @@
 		PrefillRate:   l.GetPrefillRate(),
 		DecodeRate:    l.GetDecodeRate(),
 	}
-	if known.vm.Service != platform.ServiceModels {
+	if known.vm.Service != sharedstate.ServiceModels {
 		load.QueuedTokens = load.Queued
 		load.PrefillRate = callRate(l)
 	}
--- a/internal/entry/serve/serve_test.go
+++ b/internal/entry/serve/serve_test.go
@@ -22,7 +22,7 @@
 	"pistachioroad.dev/pistachioroad/internal/explain"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/link"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -129,9 +129,9 @@
 	s.closed.Store(err != nil)
 }
 
-func (s *sidecar) vm() platform.VM {
-	return platform.VM{
-		Name: s.name, Kind: platform.VMBackend, LinkAddress: s.listener.Addr().String(), Service: s.service,
+func (s *sidecar) vm() sharedstate.VM {
+	return sharedstate.VM{
+		Name: s.name, Kind: sharedstate.VMBackend, LinkAddress: s.listener.Addr().String(), Service: s.service,
 	}
 }
 
@@ -195,10 +195,10 @@
 
 func (noObjects) Versions() *wire.Versions            { return &wire.Versions{} }
 func (noObjects) Newer(*wire.Versions) []*wire.Object { return nil }
-func (noObjects) Offer(platform.Object)               {}
+func (noObjects) Offer(sharedstate.Object)            {}
 func (noObjects) Heard(string, *wire.Versions)        {}
 func (noObjects) Changed() <-chan struct{}            { return nil }
-func backends(sidecars []*sidecar) (vms []platform.VM) {
+func backends(sidecars []*sidecar) (vms []sharedstate.VM) {
 	for _, s := range sidecars {
 		vms = append(vms, s.vm())
 	}
@@ -233,7 +233,7 @@
 
 func draft() *serve.Request {
 	return &serve.Request{
-		ID: uuid.Must(uuid.NewV7()), Caller: "c", Service: platform.ServiceModels,
+		ID: uuid.Must(uuid.NewV7()), Caller: "c", Service: sharedstate.ServiceModels,
 		Deadline: time.Now().Add(time.Minute), Idempotent: true,
 		Generate: &wire.Generate{Model: "draft", Prompt: "p", PromptTokens: 1, MaxTokens: 4},
 	}
@@ -250,7 +250,7 @@
 
 var _ = Describe("Server", func() {
 	It("streams an answer and takes its end only when it is whole", func() {
-		a := newSidecar("a", platform.ServiceModels)
+		a := newSidecar("a", sharedstate.ServiceModels)
 		a.start = func(conn *wire.Conn, start *wire.Start) { answer(conn, start, words, true) }
 		caller := newSink()
 		startServer(a).Do(context.Background(), draft(), caller)
@@ -261,7 +261,7 @@
 	// An engine crashes in the middle of a draft and its sidecar ends the
 	// stream. The caller sees one answer, which another engine went on with.
 	It("continues a broken answer at another engine", func() {
-		a, b := newSidecar("a", platform.ServiceModels), newSidecar("b", platform.ServiceModels)
+		a, b := newSidecar("a", sharedstate.ServiceModels), newSidecar("b", sharedstate.ServiceModels)
 		var first atomic.Bool
 		run := func(conn *wire.Conn, start *wire.Start) {
 			if first.CompareAndSwap(false, true) {
@@ -310,7 +310,7 @@
 	// A booker closes the window while a draft is written. Nobody reads the
 	// rest, and the engine's time is for others.
 	It("cancels the work of a caller that went away", func() {
-		a := newSidecar("a", platform.ServiceModels)
+		a := newSidecar("a", sharedstate.ServiceModels)
 		a.start = func(conn *wire.Conn, start *wire.Start) {
 			chunks, _ := frames(start, words[:1])
 			_ = conn.Send(&wire.Frame{Body: &wire.Frame_Chunk{Chunk: chunks[0]}})
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -14,7 +14,7 @@
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/internal/planner"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // operators is what the operator API shows of the fleet. It implements
@@ -23,22 +23,22 @@
 	fleet   *fleet
 	router  *router.Router
 	pool    *links.Pool
-	client  *platform.Client
+	client  *sharedstate.Client
 	planner *planner.Duty
 }
 
 // Config implements operator.Fleet.
-func (o *operators) Config() platform.Object {
+func (o *operators) Config() sharedstate.Object {
 	for _, object := range o.fleet.Snapshot().Newer(nil) {
 		if object.GetName() == fleetconfig.ObjectName {
-			return platform.Object{Name: object.GetName(), Version: object.GetVersion(), Value: object.GetValue()}
+			return sharedstate.Object{Name: object.GetName(), Version: object.GetVersion(), Value: object.GetValue()}
 		}
 	}
-	return platform.Object{Name: fleetconfig.ObjectName}
+	return sharedstate.Object{Name: fleetconfig.ObjectName}
 }
 
 // Accept implements operator.Fleet.
-func (o *operators) Accept(object platform.Object) { o.fleet.Offer(object) }
+func (o *operators) Accept(object sharedstate.Object) { o.fleet.Offer(object) }
 
 // Peers implements operator.Fleet.
 func (o *operators) Peers(context.Context) ([]operator.Peer, error) {
@@ -77,7 +77,7 @@
 	}
 	for _, vm := range snapshot.VMs {
 		status.Processes = append(status.Processes, o.process(now, snapshot, vm, loads[vm.Name]))
-		if vm.Kind != platform.VMBackend || vm.Service != platform.ServiceModels {
+		if vm.Kind != sharedstate.VMBackend || vm.Service != sharedstate.ServiceModels {
 			continue
 		}
 		engine := engineStatus(snapshot, vm, loads[vm.Name])
@@ -109,7 +109,7 @@
 	return status
 }
 
-func (o *operators) process(now time.Time, snapshot *member.Snapshot, vm platform.VM, load router.Load) operator.ProcessStatus {
+func (o *operators) process(now time.Time, snapshot *member.Snapshot, vm sharedstate.VM, load router.Load) operator.ProcessStatus {
 	p := operator.ProcessStatus{
 		Name:       vm.Name,
 		Kind:       "sidecar",
@@ -117,7 +117,7 @@
 		Service:    vm.Service,
 		State:      operator.ProcessUnlinked,
 	}
-	if vm.Kind == platform.VMEntry {
+	if vm.Kind == sharedstate.VMEntry {
 		p.Kind = "entry"
 	}
 	if vm.Name == o.fleet.settings.Process.Name {
@@ -156,7 +156,7 @@
 	}
 }
 
-func engineStatus(snapshot *member.Snapshot, vm platform.VM, load router.Load) operator.EngineStatus {
+func engineStatus(snapshot *member.Snapshot, vm sharedstate.VM, load router.Load) operator.EngineStatus {
 	e := operator.EngineStatus{
 		BackendServer: vm.Name,
 		DataCentre:    vm.DataCentre,
--- a/internal/entry/view/view.go
+++ b/internal/entry/view/view.go
@@ -7,12 +7,12 @@
 
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // View is one picture of the fleet. It is never changed.
 type View struct {
-	VMs    []platform.VM
+	VMs    []sharedstate.VM
 	Config fleetconfig.Config
 	// Plan is nil until one is known.
 	Plan *plan.Plan
@@ -24,10 +24,10 @@
 }
 
 // Backends returns the VMs that run a backend server.
-func (v *View) Backends() []platform.VM {
-	backends := make([]platform.VM, 0, len(v.VMs))
+func (v *View) Backends() []sharedstate.VM {
+	backends := make([]sharedstate.VM, 0, len(v.VMs))
 	for _, vm := range v.VMs {
-		if vm.Kind == platform.VMBackend {
+		if vm.Kind == sharedstate.VMBackend {
 			backends = append(backends, vm)
 		}
 	}
--- a/internal/member/choice.go
+++ b/internal/member/choice.go
@@ -7,7 +7,7 @@
 	"github.com/dgryski/go-rendezvous"
 	"github.com/samber/lo"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 const (
@@ -26,20 +26,20 @@
 
 // Watchers returns the entries that watch the store for a data centre.
 // Rendezvous hashing keeps the choice when others come and go.
-func Watchers(vms []platform.VM, dataCentre string) []string {
-	entries := lo.Filter(vms, func(vm platform.VM, _ int) bool {
-		return vm.Kind == platform.VMEntry && !vm.Leaving && vm.DataCentre == dataCentre
+func Watchers(vms []sharedstate.VM, dataCentre string) []string {
+	entries := lo.Filter(vms, func(vm sharedstate.VM, _ int) bool {
+		return vm.Kind == sharedstate.VMEntry && !vm.Leaving && vm.DataCentre == dataCentre
 	})
 	return Choose(names(entries), "watch/"+dataCentre, WatchersPerDataCentre)
 }
 
 // Peers returns the entries that the entry self dials.
-func Peers(vms []platform.VM, self string) []platform.VM {
-	entries := lo.Filter(vms, func(vm platform.VM, _ int) bool {
-		return vm.Kind == platform.VMEntry && (!vm.Leaving || vm.Name == self)
+func Peers(vms []sharedstate.VM, self string) []sharedstate.VM {
+	entries := lo.Filter(vms, func(vm sharedstate.VM, _ int) bool {
+		return vm.Kind == sharedstate.VMEntry && (!vm.Leaving || vm.Name == self)
 	})
 	slices.SortFunc(entries, byName)
-	own, at, listed := lo.FindIndexOf(entries, func(vm platform.VM) bool { return vm.Name == self })
+	own, at, listed := lo.FindIndexOf(entries, func(vm sharedstate.VM) bool { return vm.Name == self })
 	if !listed {
 		return nil
 	}
@@ -50,12 +50,12 @@
 		return others
 	}
 	chosen := append([]string{entries[(at+1)%len(entries)].Name}, choosePeers(others, own)...)
-	return lo.Filter(others, func(vm platform.VM, _ int) bool { return slices.Contains(chosen, vm.Name) })
+	return lo.Filter(others, func(vm sharedstate.VM, _ int) bool { return slices.Contains(chosen, vm.Name) })
 }
 
-func choosePeers(others []platform.VM, own platform.VM) []string {
-	regions := lo.GroupBy(others, func(vm platform.VM) string { return vm.Region })
-	near, far := lo.FilterReject(regions[own.Region], func(vm platform.VM, _ int) bool {
+func choosePeers(others []sharedstate.VM, own sharedstate.VM) []string {
+	regions := lo.GroupBy(others, func(vm sharedstate.VM) string { return vm.Region })
+	near, far := lo.FilterReject(regions[own.Region], func(vm sharedstate.VM, _ int) bool {
 		return vm.DataCentre == own.DataCentre
 	})
 	chosen := Choose(names(near), own.Name, peersOwnDataCentre)
@@ -81,11 +81,11 @@
 	return chosen
 }
 
-func names(vms []platform.VM) []string {
-	return lo.Map(vms, func(vm platform.VM, _ int) string { return vm.Name })
+func names(vms []sharedstate.VM) []string {
+	return lo.Map(vms, func(vm sharedstate.VM, _ int) string { return vm.Name })
 }
 
-func byName(a, b platform.VM) int {
+func byName(a, b sharedstate.VM) int {
 	switch {
 	case a.Name < b.Name:
 		return -1
--- a/internal/member/event.go
+++ b/internal/member/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -17,19 +17,19 @@
 type (
 	// Listed is the VM list, or the error of reading it.
 	Listed struct {
-		VMs []platform.VM
+		VMs []sharedstate.VM
 		Err error
 	}
 	// StoreRead is an object as the store has it, or the error of reading it.
 	StoreRead struct {
-		Object platform.Object
+		Object sharedstate.Object
 		Err    error
 	}
 	// Offered is an object from another process; Peer is 0 for a link that
 	// belongs to another duty.
 	Offered struct {
 		Peer   PeerID
-		Object platform.Object
+		Object sharedstate.Object
 	}
 	// PeerUp and PeerDown begin and end a connection.
 	PeerUp struct {
@@ -48,7 +48,7 @@
 	}
 	// PeerListed is the VM list of a peer; Age is how long ago it was read.
 	PeerListed struct {
-		VMs []platform.VM
+		VMs []sharedstate.VM
 		Age time.Duration
 	}
 	// Spent are this entry's heaviest accounts, to tell its peers.
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -12,8 +12,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"pistachioroad.dev/pistachioroad/internal/link"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/ring"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -137,7 +137,7 @@
 }
 
 // dial runs one link until it ends.
-func (m *Member) dial(ctx context.Context, vm platform.VM) {
+func (m *Member) dial(ctx context.Context, vm sharedstate.VM) {
 	session, err := link.Dial(ctx, vm.LinkAddress)
 	if err != nil {
 		return
@@ -248,7 +248,7 @@
 		vms, age := listFromWire(body.Vms)
 		m.inbox.Put(PeerListed{VMs: vms, Age: age})
 	case *wire.Frame_Object:
-		m.inbox.Put(Offered{Peer: id, Object: platform.Object{
+		m.inbox.Put(Offered{Peer: id, Object: sharedstate.Object{
 			Name:    body.Object.GetName(),
 			Version: body.Object.GetVersion(),
 			Value:   body.Object.GetValue(),
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -5,7 +5,7 @@
 
 	"github.com/samber/lo"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -17,10 +17,10 @@
 )
 
 // listToWire returns the frame of a VM list of that age.
-func listToWire(vms []platform.VM, age time.Duration) *wire.VMs {
+func listToWire(vms []sharedstate.VM, age time.Duration) *wire.VMs {
 	return &wire.VMs{
 		AgeMs: uint64(max(0, age).Milliseconds()),
-		Vms: lo.Map(vms, func(vm platform.VM, _ int) *wire.VMs_VM {
+		Vms: lo.Map(vms, func(vm sharedstate.VM, _ int) *wire.VMs_VM {
 			return &wire.VMs_VM{
 				Name:            vm.Name,
 				Kind:            string(vm.Kind),
@@ -36,12 +36,12 @@
 }
 
 // listFromWire returns the VM list of a frame and its age.
-func listFromWire(f *wire.VMs) ([]platform.VM, time.Duration) {
+func listFromWire(f *wire.VMs) ([]sharedstate.VM, time.Duration) {
 	listed := f.GetVms()
-	vms := lo.Map(listed[:min(len(listed), maxListed)], func(vm *wire.VMs_VM, _ int) platform.VM {
-		return platform.VM{
+	vms := lo.Map(listed[:min(len(listed), maxListed)], func(vm *wire.VMs_VM, _ int) sharedstate.VM {
+		return sharedstate.VM{
 			Name:            vm.GetName(),
-			Kind:            platform.VMKind(vm.GetKind()),
+			Kind:            sharedstate.VMKind(vm.GetKind()),
 			Region:          vm.GetRegion(),
 			DataCentre:      vm.GetDataCentre(),
 			LinkAddress:     vm.GetLinkAddress(),
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -12,8 +12,8 @@
 
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/ring"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -59,8 +59,8 @@
 // Member keeps a process's picture of the fleet. Its Services run it.
 type Member struct {
 	config   Config
-	store    platform.Store
-	list     platform.VMList
+	store    sharedstate.Store
+	list     sharedstate.VMList
 	inbox    *ring.Ring[Event]
 	accounts *ring.Ring[PeerAccounts]
 	snapshot atomic.Pointer[Snapshot]
@@ -95,7 +95,7 @@
 }
 
 // New returns a Member that knows nothing yet.
-func New(config Config, store platform.Store, list platform.VMList) *Member {
+func New(config Config, store sharedstate.Store, list sharedstate.VMList) *Member {
 	if config.ListInterval <= 0 {
 		config.ListInterval = defaultListInterval
 	}
@@ -143,7 +143,7 @@
 func (m *Member) Changed() <-chan struct{} { return *m.changed.Load() }
 
 // Offer takes an object from a link, or one that this process has just written.
-func (m *Member) Offer(o platform.Object) { m.inbox.Put(Offered{Object: o}) }
+func (m *Member) Offer(o sharedstate.Object) { m.inbox.Put(Offered{Object: o}) }
 
 // Heard takes the versions that another process told over a link. A fresh
 // process waits for some of them.
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -16,7 +16,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/member"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 func TestMember(t *testing.T) {
@@ -29,19 +29,19 @@
 type fakePlatform struct {
 	mu      sync.Mutex
 	down    bool
-	vms     []platform.VM
-	objects map[string]platform.Object
+	vms     []sharedstate.VM
+	objects map[string]sharedstate.Object
 	changed chan struct{}
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	return &fakePlatform{objects: map[string]sharedstate.Object{}, changed: make(chan struct{})}
 }
 
 func (p *fakePlatform) set(name string, version uint64, value string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.objects[name] = platform.Object{Name: name, Version: version, Value: []byte(value)}
+	p.objects[name] = sharedstate.Object{Name: name, Version: version, Value: []byte(value)}
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -52,27 +52,27 @@
 	p.down = down
 }
 
-func (p *fakePlatform) look(name string) (platform.Object, <-chan struct{}, error) {
+func (p *fakePlatform) look(name string) (sharedstate.Object, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
-		return platform.Object{Name: name}, nil, platform.ErrUnavailable
+		return sharedstate.Object{Name: name}, nil, sharedstate.ErrUnavailable
 	}
 	o := p.objects[name]
 	o.Name = name
 	return o, p.changed, nil
 }
 
-func (p *fakePlatform) Get(_ context.Context, name string) (platform.Object, error) {
+func (p *fakePlatform) Get(_ context.Context, name string) (sharedstate.Object, error) {
 	o, _, err := p.look(name)
 	return o, err
 }
 
 func (p *fakePlatform) Put(context.Context, string, uint64, []byte) (uint64, error) {
-	return 0, platform.ErrNotSent
+	return 0, sharedstate.ErrNotSent
 }
 
-func (p *fakePlatform) Watch(ctx context.Context, name string, after uint64) (platform.Object, error) {
+func (p *fakePlatform) Watch(ctx context.Context, name string, after uint64) (sharedstate.Object, error) {
 	for {
 		o, changed, err := p.look(name)
 		if err != nil || o.Version > after {
@@ -81,12 +81,12 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return o, platform.ErrUnavailable
+			return o, sharedstate.ErrUnavailable
 		}
 	}
 }
 
-func (p *fakePlatform) VMs(context.Context) ([]platform.VM, error) {
+func (p *fakePlatform) VMs(context.Context) ([]sharedstate.VM, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
@@ -95,14 +95,14 @@
 	return p.vms, nil
 }
 
-func entryVM(n int) platform.VM {
-	return platform.VM{
-		Name: fmt.Sprintf("entry-%03d", n), Kind: platform.VMEntry, Region: "seoul", DataCentre: "gangnam",
+func entryVM(n int) sharedstate.VM {
+	return sharedstate.VM{
+		Name: fmt.Sprintf("entry-%03d", n), Kind: sharedstate.VMEntry, Region: "seoul", DataCentre: "gangnam",
 	}
 }
 
 // add puts a VM into the list.
-func (p *fakePlatform) add(vm platform.VM) {
+func (p *fakePlatform) add(vm sharedstate.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.vms = append(slices.Clone(p.vms), vm)
@@ -112,11 +112,11 @@
 type runningEntry struct {
 	*member.Member
 
-	vm platform.VM
+	vm sharedstate.VM
 }
 
 // startOne runs an entry that the VM list does not show yet.
-func startOne(p *fakePlatform, vm platform.VM) runningEntry {
+func startOne(p *fakePlatform, vm sharedstate.VM) runningEntry {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	vm.LinkAddress = listener.Addr().String()
@@ -182,7 +182,7 @@
 			Eventually(func() bool { return m.Snapshot().Ready }, 10*time.Second).Should(BeTrue())
 		}
 		p.setDown(true)
-		members[0].Offer(platform.Object{Name: "fleetconfig", Version: 7, Value: []byte(`{}`)})
+		members[0].Offer(sharedstate.Object{Name: "fleetconfig", Version: 7, Value: []byte(`{}`)})
 		Eventually(func() uint64 { return members[3].Snapshot().ConfigVersion }, 10*time.Second).
 			Should(Equal(uint64(7)))
 		Expect(members[3].Snapshot().VMs).To(HaveLen(4))
--- a/internal/member/objects.go
+++ b/internal/member/objects.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"pistachioroad.dev/pistachioroad/internal/invariant"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -21,7 +21,7 @@
 // configuration that an operator has already replaced; comparing store
 // versions keeps it from that.
 type Objects struct {
-	held map[string]platform.Object
+	held map[string]sharedstate.Object
 	// wanted are the only names held; empty: all.
 	wanted []string
 }
@@ -29,12 +29,12 @@
 // NewObjects returns an Objects that holds nothing yet, and only ever objects
 // of the names given; without names, any.
 func NewObjects(wanted ...string) *Objects {
-	return &Objects{held: map[string]platform.Object{}, wanted: wanted}
+	return &Objects{held: map[string]sharedstate.Object{}, wanted: wanted}
 }
 
 // Offer takes o if its version is above the one held, and reports whether it
 // did.
-func (s *Objects) Offer(o platform.Object) bool {
+func (s *Objects) Offer(o sharedstate.Object) bool {
 	before, known := s.held[o.Name]
 	if o.Version <= before.Version {
 		return false
@@ -58,10 +58,10 @@
 }
 
 // Get returns the object held, with version 0 if there is none.
-func (s *Objects) Get(name string) platform.Object {
+func (s *Objects) Get(name string) sharedstate.Object {
 	o, ok := s.held[name]
 	if !ok {
-		return platform.Object{Name: name}
+		return sharedstate.Object{Name: name}
 	}
 	return o
 }
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -5,7 +5,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -13,7 +13,7 @@
 // published.
 type Snapshot struct {
 	// VMs is the last list that was read and not empty, in order of names.
-	VMs []platform.VM
+	VMs []sharedstate.VM
 	// ListedAt is when VMs was last confirmed; zero: never.
 	ListedAt time.Time
 	// Config and Plan are those in force; a version of 0 says that there is
--- a/internal/member/state.go
+++ b/internal/member/state.go
@@ -10,7 +10,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -142,7 +142,7 @@
 	s.takeList(now, ev.VMs)
 }
 
-func (s *State) takeList(readAt time.Time, list []platform.VM) {
+func (s *State) takeList(readAt time.Time, list []sharedstate.VM) {
 	vms := slices.Clone(list)
 	slices.SortFunc(vms, byName)
 	s.current.ListedAt = readAt
@@ -177,8 +177,8 @@
 
 // offered takes an object if it is newer, and tells the peers but for the one
 // that it came from.
-func (s *State) offered(o platform.Object, from PeerID) {
-	if len(o.Value) > platform.MaxValue || !s.objects.Offer(o) {
+func (s *State) offered(o sharedstate.Object, from PeerID) {
+	if len(o.Value) > sharedstate.MaxValue || !s.objects.Offer(o) {
 		return
 	}
 	delete(s.asked, o.Name)
@@ -194,7 +194,7 @@
 // decode puts the content of o into the snapshot. An object that cannot be read
 // leaves the one before in force, and its version is still passed on: a newer
 // release may be able to read it.
-func (s *State) decode(o platform.Object) {
+func (s *State) decode(o sharedstate.Object) {
 	var err error
 	switch o.Name {
 	case fleetconfig.ObjectName:
--- a/internal/member/state_test.go
+++ b/internal/member/state_test.go
@@ -12,19 +12,19 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/member"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
 var epoch = time.Unix(1_000_000, 0)
 
-func config(version uint64) platform.Object {
+func config(version uint64) sharedstate.Object {
 	value := fmt.Sprintf(`{"write_id":"w%d"}`, version)
-	return platform.Object{Name: "fleetconfig", Version: version, Value: []byte(value)}
+	return sharedstate.Object{Name: "fleetconfig", Version: version, Value: []byte(value)}
 }
 
-func planObject(version uint64) platform.Object {
-	return platform.Object{Name: "plan/seoul", Version: version, Value: []byte(`{"region":"seoul"}`)}
+func planObject(version uint64) sharedstate.Object {
+	return sharedstate.Object{Name: "plan/seoul", Version: version, Value: []byte(`{"region":"seoul"}`)}
 }
 
 var _ = Describe("State", func() {
@@ -32,7 +32,7 @@
 	// an empty fleet would refuse every caller.
 	It("keeps the last list when the list is empty or fails", func() {
 		s := member.NewState("seoul", epoch)
-		s.Step(epoch, member.Listed{VMs: []platform.VM{entryVM(1)}})
+		s.Step(epoch, member.Listed{VMs: []sharedstate.VM{entryVM(1)}})
 		later := epoch.Add(time.Minute)
 		s.Step(later, member.Listed{})
 		s.Step(later, member.Listed{Err: errors.New("down")})
@@ -45,7 +45,7 @@
 	// callers would be refused for as long as the outage lasts.
 	It("takes the VM list of a peer while its own is missing or old", func() {
 		fresh, peer := member.NewState("seoul", epoch), member.NewState("seoul", epoch)
-		peer.Step(epoch, member.Listed{VMs: []platform.VM{entryVM(1), entryVM(2)}})
+		peer.Step(epoch, member.Listed{VMs: []sharedstate.VM{entryVM(1), entryVM(2)}})
 		now := epoch.Add(4 * time.Second)
 		asked := versionsSent(fresh.Step(now, member.PeerUp{Peer: 1, Process: "peer"}))
 		Expect(asked.GetWantsList()).To(BeTrue())
@@ -53,12 +53,12 @@
 		answers := peer.Step(now, member.PeerVersions{Peer: 1, Process: "fresh", WantsList: true})
 		list := listSent(answers)
 		Expect(list.GetVms()).To(HaveLen(2))
-		fresh.Step(now, member.PeerListed{VMs: []platform.VM{entryVM(1), entryVM(2)}, Age: time.Duration(list.GetAgeMs()) * time.Millisecond})
+		fresh.Step(now, member.PeerListed{VMs: []sharedstate.VM{entryVM(1), entryVM(2)}, Age: time.Duration(list.GetAgeMs()) * time.Millisecond})
 		Expect(fresh.Snapshot().VMs).To(HaveLen(2))
 		Expect(fresh.Snapshot().ListAge(now)).To(Equal(4 * time.Second))
 
-		fresh.Step(now, member.Listed{VMs: []platform.VM{entryVM(3)}})
-		fresh.Step(now, member.PeerListed{VMs: []platform.VM{entryVM(1)}})
+		fresh.Step(now, member.Listed{VMs: []sharedstate.VM{entryVM(3)}})
+		fresh.Step(now, member.PeerListed{VMs: []sharedstate.VM{entryVM(1)}})
 		Expect(fresh.Snapshot().VMs).To(ConsistOf(entryVM(3)))
 	})
 
@@ -100,7 +100,7 @@
 		s := member.NewState("seoul", epoch)
 		s.Step(epoch, member.StoreRead{Object: config(1)})
 		Expect(s.Snapshot().Ready).To(BeFalse())
-		s.Step(epoch, member.StoreRead{Object: platform.Object{Name: "plan/seoul"}})
+		s.Step(epoch, member.StoreRead{Object: sharedstate.Object{Name: "plan/seoul"}})
 		Expect(s.Snapshot().Confirmed).To(BeTrue())
 	})
 
@@ -109,15 +109,15 @@
 	It("leaves the configuration in force when a newer one cannot be read", func() {
 		s := member.NewState("seoul", epoch)
 		s.Step(epoch, member.StoreRead{Object: config(1)})
-		s.Step(epoch, member.StoreRead{Object: platform.Object{Name: "fleetconfig", Version: 2, Value: []byte("{")}})
+		s.Step(epoch, member.StoreRead{Object: sharedstate.Object{Name: "fleetconfig", Version: 2, Value: []byte("{")}})
 		Expect(s.Snapshot().ConfigVersion).To(Equal(uint64(1)))
 		Expect(s.Snapshot().Versions().GetVersions()).To(HaveKeyWithValue("fleetconfig", uint64(2)))
 	})
 })
 
 var _ = Describe("Watchers and Peers", func() {
-	fleet := func(count int) []platform.VM {
-		return lo.Times(count, func(n int) platform.VM {
+	fleet := func(count int) []sharedstate.VM {
+		return lo.Times(count, func(n int) sharedstate.VM {
 			vm := entryVM(n)
 			vm.DataCentre = fmt.Sprintf("dc-%d", n%6)
 			vm.Region = fmt.Sprintf("region-%d", n%2)
@@ -188,7 +188,7 @@
 	at   time.Time
 }
 
-func newNetwork(t *testing.T, seed uint64, vms []platform.VM) *network {
+func newNetwork(t *testing.T, seed uint64, vms []sharedstate.VM) *network {
 	n := &network{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
 		cut: func(int, int) bool { return false }, cutFor: map[int]int{}, bytes: map[string]int{},
@@ -261,7 +261,7 @@
 		n.bytes["versions"]++
 	case send.Frame.GetObject() != nil:
 		o := send.Frame.GetObject()
-		f.ev = member.Offered{Peer: send.Peer, Object: platform.Object{
+		f.ev = member.Offered{Peer: send.Peer, Object: sharedstate.Object{
 			Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue(),
 		}}
 		n.bytes["objects"]++
@@ -298,7 +298,7 @@
 // A change is accepted at one entry while links are cut, healed and cut again.
 // Wherever it does not arrive, callers go on under the old configuration.
 func TestChangeIsInForceEverywhere(t *testing.T) {
-	vms := lo.Times(40, func(i int) platform.VM {
+	vms := lo.Times(40, func(i int) sharedstate.VM {
 		vm := entryVM(i)
 		vm.DataCentre = fmt.Sprintf("dc-%d", i%6)
 		vm.Region = fmt.Sprintf("region-%d", i%2)
--- a/internal/member/watch.go
+++ b/internal/member/watch.go
@@ -7,7 +7,7 @@
 
 	"github.com/apex/log"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // The timing of reads and watches.
@@ -69,7 +69,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	pauses := platform.Backoff{First: firstRetry, Longest: longestRetry}
+	pauses := sharedstate.Backoff{First: firstRetry, Longest: longestRetry}
 	readAt := time.Now().Add(spread(backstop, w.random))
 	for ctx.Err() == nil {
 		if w.member.watching() {
@@ -92,7 +92,7 @@
 // readFirst reads the object until the store has answered or the process has
 // become ready without it.
 func (w *watcher) readFirst(ctx context.Context) {
-	pauses := platform.Backoff{First: firstRetry, Longest: longestRetry}
+	pauses := sharedstate.Backoff{First: firstRetry, Longest: longestRetry}
 	for !w.read(ctx) {
 		if w.member.Snapshot().Ready || !sleep(ctx, pauses.Next(w.random)) {
 			return
--- a/internal/member/watch_test.go
+++ b/internal/member/watch_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/member"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // countedPlatform counts calls by the tenth of a second, and can let watches go
@@ -32,15 +32,15 @@
 	return p.silent
 }
 
-func (p *countedPlatform) Get(ctx context.Context, name string) (platform.Object, error) {
+func (p *countedPlatform) Get(ctx context.Context, name string) (sharedstate.Object, error) {
 	p.count()
 	return p.fakePlatform.Get(ctx, name)
 }
 
-func (p *countedPlatform) Watch(ctx context.Context, name string, after uint64) (platform.Object, error) {
+func (p *countedPlatform) Watch(ctx context.Context, name string, after uint64) (sharedstate.Object, error) {
 	if p.count() {
 		<-ctx.Done()
-		return platform.Object{Name: name}, platform.ErrUnavailable
+		return sharedstate.Object{Name: name}, sharedstate.ErrUnavailable
 	}
 	return p.fakePlatform.Watch(ctx, name, after)
 }
@@ -151,7 +151,7 @@
 // other entries must not wait for them for ever.
 func TestEntriesThatDoNotWatchReadNowAndThen(t *testing.T) {
 	inBubble(t, func(ctx context.Context, g Gomega, p *countedPlatform) {
-		p.vms = []platform.VM{}
+		p.vms = []sharedstate.VM{}
 		for n := range 3 {
 			p.vms = append(p.vms, entryVM(n))
 		}
--- a/internal/operator/edit.go
+++ b/internal/operator/edit.go
@@ -13,7 +13,7 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 const (
@@ -132,8 +132,8 @@
 	defer cancel()
 	request := in.Body
 	now := time.Now().UTC()
-	object, outcome, err := platform.Update(ctx, s.sources.Store, fleetconfig.ObjectName,
-		func(base platform.Object, writeID string) ([]byte, error) {
+	object, outcome, err := sharedstate.Update(ctx, s.sources.Store, fleetconfig.ObjectName,
+		func(base sharedstate.Object, writeID string) ([]byte, error) {
 			return applyEdit(base, writeID, request, now)
 		})
 	result := resultOf(request, object, outcome, err)
@@ -149,7 +149,7 @@
 }
 
 // applyEdit returns the new value of the object.
-func applyEdit(base platform.Object, writeID string, r EditRequest, now time.Time) ([]byte, error) {
+func applyEdit(base sharedstate.Object, writeID string, r EditRequest, now time.Time) ([]byte, error) {
 	config, err := decodeConfig(base)
 	if err != nil {
 		return nil, err
@@ -176,17 +176,17 @@
 // resultOf turns the end of an update into the operator's answer. The store's
 // errors come in two kinds that must not be mixed up: with one the edit is
 // certainly not in force, with the other nobody knows.
-func resultOf(r EditRequest, object platform.Object, outcome platform.Outcome, err error) EditResult {
+func resultOf(r EditRequest, object sharedstate.Object, outcome sharedstate.Outcome, err error) EditResult {
 	result := EditResult{EditID: r.EditID, Version: object.Version}
 	switch {
-	case outcome == platform.Applied, errors.Is(err, errApplied):
+	case outcome == sharedstate.Applied, errors.Is(err, errApplied):
 		result.Outcome = EditApplied
 		result.Message = fmt.Sprintf("in force as of version %d", object.Version)
-	case outcome == platform.Superseded, errors.Is(err, errConflict), errors.Is(err, platform.ErrConflict):
+	case outcome == sharedstate.Superseded, errors.Is(err, errConflict), errors.Is(err, sharedstate.ErrConflict):
 		return conflict(r, object, outcome)
-	case outcome == platform.StillUnknown:
+	case outcome == sharedstate.StillUnknown:
 		return unknown(r, object)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrNotSent):
+	case errors.Is(err, sharedstate.ErrUnavailable), errors.Is(err, sharedstate.ErrNotSent):
 		result.Outcome = EditStoreUnavailable
 		result.Message = "the platform's store cannot be reached; nothing was changed: " + err.Error()
 	default:
@@ -197,10 +197,10 @@
 }
 
 // conflict shows the operator whose edit came second both values.
-func conflict(r EditRequest, current platform.Object, outcome platform.Outcome) EditResult {
+func conflict(r EditRequest, current sharedstate.Object, outcome sharedstate.Outcome) EditResult {
 	config, err := decodeConfig(current)
 	since, whole := config.Since(r.BaseVersion)
-	if err != nil || (outcome == platform.Superseded && !whole) {
+	if err != nil || (outcome == sharedstate.Superseded && !whole) {
 		return unknown(r, current)
 	}
 	return EditResult{
@@ -214,7 +214,7 @@
 	}
 }
 
-func unknown(r EditRequest, object platform.Object) EditResult {
+func unknown(r EditRequest, object sharedstate.Object) EditResult {
 	return EditResult{
 		Outcome: EditUnknown,
 		EditID:  r.EditID,
@@ -262,7 +262,7 @@
 }
 
 // decodeConfig reads an object; one that does not exist is an empty Config.
-func decodeConfig(o platform.Object) (fleetconfig.Config, error) {
+func decodeConfig(o sharedstate.Object) (fleetconfig.Config, error) {
 	if o.Version == 0 {
 		return fleetconfig.Config{}, nil
 	}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -7,7 +7,7 @@
 	"github.com/danielgtaylor/huma/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // Fleet is what an entry knows of the whole fleet.
@@ -17,10 +17,10 @@
 	// Peers returns the operator addresses of all other known processes.
 	Peers(ctx context.Context) ([]Peer, error)
 	// Config returns the fleet configuration in force at this entry.
-	Config() platform.Object
+	Config() sharedstate.Object
 	// Accept hands a newer fleet configuration to the entry, so that it is in
 	// force here before the watch brings it.
-	Accept(platform.Object)
+	Accept(sharedstate.Object)
 }
 
 // Peer is another process and the address of its operator API.
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -18,22 +18,22 @@
 	"pistachioroad.dev/pistachioroad/internal/explain"
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/operator"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // fakeStore holds one object. Its faults are switched by the tests.
 type fakeStore struct {
 	mu     sync.Mutex
-	object platform.Object
+	object sharedstate.Object
 	// down refuses every call; deaf lets a write take effect and goes down.
 	down, deaf bool
 }
 
-func (s *fakeStore) Get(context.Context, string) (platform.Object, error) {
+func (s *fakeStore) Get(context.Context, string) (sharedstate.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Object{}, eris.Wrap(platform.ErrUnavailable, "connection refused")
+		return sharedstate.Object{}, eris.Wrap(sharedstate.ErrUnavailable, "connection refused")
 	}
 	return s.object, nil
 }
@@ -42,22 +42,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, platform.ErrNotSent
+		return 0, sharedstate.ErrNotSent
 	}
 	if version != s.object.Version {
-		return 0, platform.ErrConflict
+		return 0, sharedstate.ErrConflict
 	}
-	s.object = platform.Object{Name: name, Version: version + 1, Value: value}
+	s.object = sharedstate.Object{Name: name, Version: version + 1, Value: value}
 	if s.deaf {
 		s.down = true
-		return 0, platform.ErrUnknown
+		return 0, sharedstate.ErrUnknown
 	}
 	return s.object.Version, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, _ string, _ uint64) (platform.Object, error) {
+func (s *fakeStore) Watch(ctx context.Context, _ string, _ uint64) (sharedstate.Object, error) {
 	<-ctx.Done()
-	return platform.Object{}, platform.ErrUnavailable
+	return sharedstate.Object{}, sharedstate.ErrUnavailable
 }
 
 func (s *fakeStore) set(down, deaf bool) {
@@ -69,7 +69,7 @@
 // fakeFleet is what the entry under test knows.
 type fakeFleet struct {
 	mu    sync.Mutex
-	held  platform.Object
+	held  sharedstate.Object
 	peers []operator.Peer
 }
 
@@ -79,13 +79,13 @@
 
 func (f *fakeFleet) Peers(context.Context) ([]operator.Peer, error) { return f.peers, nil }
 
-func (f *fakeFleet) Config() platform.Object {
+func (f *fakeFleet) Config() sharedstate.Object {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.held
 }
 
-func (f *fakeFleet) Accept(o platform.Object) {
+func (f *fakeFleet) Accept(o sharedstate.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.held = o
--- a/internal/operator/random_test.go
+++ b/internal/operator/random_test.go
@@ -17,54 +17,54 @@
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/operator"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // faultyStore loses replies, writes late and is down for a while, by chance.
 type faultyStore struct {
 	random *rand.Rand
-	object platform.Object
+	object sharedstate.Object
 	// late are writes that have been sent and not taken effect yet.
 	late []func()
 	// down is how many further calls are refused.
 	down int
 }
 
-func (s *faultyStore) Get(context.Context, string) (platform.Object, error) {
+func (s *faultyStore) Get(context.Context, string) (sharedstate.Object, error) {
 	if s.disturbed() {
-		return platform.Object{}, platform.ErrUnavailable
+		return sharedstate.Object{}, sharedstate.ErrUnavailable
 	}
 	return s.object, nil
 }
 
 func (s *faultyStore) Put(_ context.Context, name string, version uint64, value []byte) (uint64, error) {
 	if s.disturbed() {
-		return 0, platform.ErrNotSent
+		return 0, sharedstate.ErrNotSent
 	}
 	write := func() {
 		if s.object.Version == version {
-			s.object = platform.Object{Name: name, Version: version + 1, Value: value}
+			s.object = sharedstate.Object{Name: name, Version: version + 1, Value: value}
 		}
 	}
 	switch s.random.IntN(8) {
 	case 0:
 		write()
-		return 0, platform.ErrUnknown
+		return 0, sharedstate.ErrUnknown
 	case 1:
 		s.late = append(s.late, write)
-		return 0, platform.ErrUnknown
+		return 0, sharedstate.ErrUnknown
 	case 2:
-		return 0, platform.ErrUnknown
+		return 0, sharedstate.ErrUnknown
 	}
 	if s.object.Version != version {
-		return 0, platform.ErrConflict
+		return 0, sharedstate.ErrConflict
 	}
 	write()
 	return s.object.Version, nil
 }
 
-func (s *faultyStore) Watch(context.Context, string, uint64) (platform.Object, error) {
-	return platform.Object{}, platform.ErrUnavailable
+func (s *faultyStore) Watch(context.Context, string, uint64) (sharedstate.Object, error) {
+	return sharedstate.Object{}, sharedstate.ErrUnavailable
 }
 
 // disturbed lets late writes take effect and reports whether the store is down.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -18,7 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/explain"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // The limits of the operator API. It has a few users, so they are tight.
@@ -60,7 +60,7 @@
 	Explain *explain.Log
 	// Fleet and Store belong to an entry; nil on a sidecar.
 	Fleet Fleet
-	Store platform.Store
+	Store sharedstate.Store
 }
 
 // Server is the operator API as a suture service.
--- a/internal/planner/duty.go
+++ b/internal/planner/duty.go
@@ -13,7 +13,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/explain"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 const (
@@ -32,21 +32,21 @@
 	// region may, for each candidate reads the lease.
 	Candidate() bool
 	// Offer spreads an object that the duty has written.
-	Offer(o platform.Object)
+	Offer(o sharedstate.Object)
 }
 
 // Duty holds the lease when it can and plans while it does. It is a service of
 // the entry's supervisor.
 type Duty struct {
 	region string
-	store  platform.Store
+	store  sharedstate.Store
 	source Source
 	log    *explain.Log
 	clock  func() time.Time
 
 	lease   *lease
 	planner *Planner
-	base    platform.Object
+	base    sharedstate.Object
 	state   atomic.Pointer[State]
 }
 
@@ -61,7 +61,7 @@
 }
 
 // NewDuty returns the duty of the entry called self.
-func NewDuty(self, region string, store platform.Store, source Source, decisions *explain.Log) *Duty {
+func NewDuty(self, region string, store sharedstate.Store, source Source, decisions *explain.Log) *Duty {
 	return &Duty{
 		region: region,
 		store:  store,
@@ -116,7 +116,7 @@
 	}
 	d.lease.observe(d.clock(), o)
 	asked := d.clock()
-	value, ok := d.lease.next(asked, platform.NewWriteID())
+	value, ok := d.lease.next(asked, sharedstate.NewWriteID())
 	if !ok {
 		return nil
 	}
@@ -129,7 +129,7 @@
 		// The next read tells who holds it.
 		return eris.Wrap(err, "write the planner lease")
 	}
-	d.lease.written(asked, platform.Object{Name: leaseName(d.region), Version: version, Value: data}, value)
+	d.lease.written(asked, sharedstate.Object{Name: leaseName(d.region), Version: version, Value: data}, value)
 	return nil
 }
 
@@ -137,7 +137,7 @@
 func (d *Duty) plan(ctx context.Context) error {
 	if d.planner == nil {
 		d.planner = New(d.region)
-		d.base = platform.Object{}
+		d.base = sharedstate.Object{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -174,7 +174,7 @@
 }
 
 func (d *Duty) write(ctx context.Context, next plan.Plan, changes []Change) error {
-	next.WriteID = platform.NewWriteID()
+	next.WriteID = sharedstate.NewWriteID()
 	data, err := json.Marshal(next)
 	if err != nil {
 		return eris.Wrap(err, "plan")
@@ -184,10 +184,10 @@
 		// Whatever became of the update, the object read next is the one to
 		// plan on. A delayed one that lands after that read makes the next
 		// conditional update fail, and the plan is read once more.
-		d.base = platform.Object{}
+		d.base = sharedstate.Object{}
 		return eris.Wrap(err, "write the plan")
 	}
-	d.base = platform.Object{Name: plan.ObjectName(d.region), Version: version, Value: data}
+	d.base = sharedstate.Object{Name: plan.ObjectName(d.region), Version: version, Value: data}
 	d.source.Offer(d.base)
 	for _, c := range changes {
 		d.log.Add(d.clock(), c.Subject, c.Decision, c.Why)
@@ -211,7 +211,7 @@
 	d.state.Store(s)
 }
 
-func decodePlan(o platform.Object, p *plan.Plan) error {
+func decodePlan(o sharedstate.Object, p *plan.Plan) error {
 	*p = plan.Plan{}
 	if o.Version == 0 {
 		return nil
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 const (
@@ -33,7 +33,7 @@
 type lease struct {
 	self string
 
-	seen   platform.Object
+	seen   sharedstate.Object
 	value  leaseValue
 	seenAt time.Time
 	// heldUntil is when this process stops planning unless it renews.
@@ -43,7 +43,7 @@
 func newLease(self string) *lease { return &lease{self: self} }
 
 // observe takes the object as it was read at the time given.
-func (l *lease) observe(now time.Time, o platform.Object) {
+func (l *lease) observe(now time.Time, o sharedstate.Object) {
 	if o.Version == l.seen.Version && !l.seenAt.IsZero() {
 		return
 	}
@@ -77,7 +77,7 @@
 
 // written reports a write that took effect; asked is when it was sent. The
 // term counts from then, for the others may have seen it at once.
-func (l *lease) written(asked time.Time, o platform.Object, v leaseValue) {
+func (l *lease) written(asked time.Time, o sharedstate.Object, v leaseValue) {
 	l.seen, l.value, l.seenAt = o, v, asked
 	l.heldUntil = asked.Add(leaseTerm - renewInterval)
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -18,7 +18,7 @@
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -45,7 +45,7 @@
 
 // Picture is what a Planner goes by. Plan is the one in force.
 type Picture struct {
-	VMs    []platform.VM
+	VMs    []sharedstate.VM
 	Config fleetconfig.Config
 	Plan   plan.Plan
 	// Reports is keyed by the name of the backend server.
@@ -107,7 +107,7 @@
 	plan    plan.Plan
 	changes []Change
 	// engines are the VMs of the region with a model engine, by name.
-	engines map[string]platform.VM
+	engines map[string]sharedstate.VM
 }
 
 func (d *draft) note(subject, decision, why string) {
@@ -121,10 +121,10 @@
 	d.note(name, fmt.Sprintf("generation %d: %s", row.Generation, decision), row.Reason)
 }
 
-func enginesOf(vms []platform.VM, region string) map[string]platform.VM {
-	return lo.KeyBy(lo.Filter(vms, func(vm platform.VM, _ int) bool {
-		return vm.Kind == platform.VMBackend && vm.Region == region && vm.Service == platform.ServiceModels
-	}), func(vm platform.VM) string { return vm.Name })
+func enginesOf(vms []sharedstate.VM, region string) map[string]sharedstate.VM {
+	return lo.KeyBy(lo.Filter(vms, func(vm sharedstate.VM, _ int) bool {
+		return vm.Kind == sharedstate.VMBackend && vm.Region == region && vm.Service == sharedstate.ServiceModels
+	}), func(vm sharedstate.VM) string { return vm.Name })
 }
 
 // forgetGone removes rows of backend servers that left. Their generations stay
@@ -203,7 +203,7 @@
 }
 
 // wanted returns the row with the weights and adapters of the fleet config.
-func (d *draft) wanted(vm platform.VM, row plan.Engine) (plan.Engine, bool) {
+func (d *draft) wanted(vm sharedstate.VM, row plan.Engine) (plan.Engine, bool) {
 	values := d.values(vm, row.Model)
 	wanted := row
 	if values.Weights != nil {
@@ -216,7 +216,7 @@
 	return wanted, differs
 }
 
-func (d *draft) values(vm platform.VM, model string) fleetconfig.Values {
+func (d *draft) values(vm sharedstate.VM, model string) fleetconfig.Values {
 	return d.picture.Config.For(fleetconfig.Scope{
 		Service:       vm.Service,
 		Model:         model,
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -17,7 +17,7 @@
 	"pistachioroad.dev/pistachioroad/internal/engine"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 	"pistachioroad.dev/pistachioroad/test/seeded"
 )
@@ -62,13 +62,13 @@
 }
 
 func (f *fleet) addVM(name, service string) {
-	f.picture.VMs = append(f.picture.VMs, platform.VM{
-		Name: name, Kind: platform.VMBackend, Region: region, DataCentre: "mapo", Service: service,
+	f.picture.VMs = append(f.picture.VMs, sharedstate.VM{
+		Name: name, Kind: sharedstate.VMBackend, Region: region, DataCentre: "mapo", Service: service,
 	})
 }
 
 func (f *fleet) addEngine(name string, role engine.Role) {
-	f.addVM(name, platform.ServiceModels)
+	f.addVM(name, sharedstate.ServiceModels)
 	f.picture.Reports[name] = LoadReport{At: f.now, Load: &wire.Load{
 		Role: string(role), Models: []string{"draft"}, Weights: "1", Admitting: true,
 		PrefillRate: 10_000, DecodeRate: 1_000,
@@ -76,7 +76,7 @@
 }
 
 func (f *fleet) removeVM(name string) {
-	f.picture.VMs = lo.Reject(f.picture.VMs, func(vm platform.VM, _ int) bool { return vm.Name == name })
+	f.picture.VMs = lo.Reject(f.picture.VMs, func(vm sharedstate.VM, _ int) bool { return vm.Name == name })
 }
 
 // step passes time, lets each engine follow its row, and plans for the rates of
@@ -214,7 +214,7 @@
 
 func checkSlots(t *rapid.T, f *fleet, before []string) {
 	after := f.picture.Plan.Slots["holds"].Owners
-	present := lo.Map(f.picture.VMs, func(vm platform.VM, _ int) string { return vm.Name })
+	present := lo.Map(f.picture.VMs, func(vm sharedstate.VM, _ int) string { return vm.Name })
 	moved := 0
 	for slot, owner := range after {
 		if !lo.Contains(present, owner) {
@@ -230,10 +230,10 @@
 }
 
 var _ = Describe("lease", func() {
-	object := func(version uint64, holder string) platform.Object {
+	object := func(version uint64, holder string) sharedstate.Object {
 		data, err := json.Marshal(leaseValue{Holder: holder, Term: 1})
 		Expect(err).NotTo(HaveOccurred())
-		return platform.Object{Name: leaseName(region), Version: version, Value: data}
+		return sharedstate.Object{Name: leaseName(region), Version: version, Value: data}
 	}
 
 	It("is taken only after it stood still for its term", func() {
@@ -255,7 +255,7 @@
 	It("is not held after a pause", func() {
 		now := time.Unix(1000, 0)
 		l := newLease("a")
-		l.observe(now, platform.Object{})
+		l.observe(now, sharedstate.Object{})
 		value, ok := l.next(now, "w")
 		Expect(ok).To(BeTrue())
 		l.written(now, object(1, "a"), value)
--- a/internal/planner/slots.go
+++ b/internal/planner/slots.go
@@ -10,7 +10,7 @@
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // movesPerProposal bounds the slots that move for balance alone. Each move
@@ -19,7 +19,7 @@
 
 // fleetScope is the scope of a model's settings.
 func fleetScope(model string) fleetconfig.Scope {
-	return fleetconfig.Scope{Service: platform.ServiceModels, Model: model}
+	return fleetconfig.Scope{Service: sharedstate.ServiceModels, Model: model}
 }
 
 // assignSlots gives each key slot of each plain service to one of its backend
@@ -44,11 +44,11 @@
 
 // slotCandidates returns the backend servers of a service that stay.
 func (d *draft) slotCandidates(region, service string) []string {
-	staying := lo.Filter(d.picture.VMs, func(vm platform.VM, _ int) bool {
-		return vm.Kind == platform.VMBackend && vm.Region == region && vm.Service == service &&
+	staying := lo.Filter(d.picture.VMs, func(vm sharedstate.VM, _ int) bool {
+		return vm.Kind == sharedstate.VMBackend && vm.Region == region && vm.Service == service &&
 			!vm.Leaving && !lo.FromPtr(d.values(vm, "").Drained)
 	})
-	names := lo.Map(staying, func(vm platform.VM, _ int) string { return vm.Name })
+	names := lo.Map(staying, func(vm sharedstate.VM, _ int) string { return vm.Name })
 	slices.Sort(names)
 	return names
 }
--- a/internal/platform/circuit.go
+++ b/internal/sharedstate/circuit.go
@@ -1,4 +1,4 @@
-package platform
+package sharedstate
 
 import (
 	"math/rand/v2"
--- a/internal/platform/merge_test.go
+++ b/internal/sharedstate/merge_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package sharedstate_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
@@ -42,7 +42,7 @@
 func TestEqualReadsShareOneCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		back := &slowStore{}
-		client := platform.NewClient(platform.ClientConfig{Store: back})
+		client := sharedstate.NewClient(sharedstate.ClientConfig{Store: back})
 		var readers sync.WaitGroup
 		for range 5 {
 			readers.Go(func() {
@@ -64,7 +64,7 @@
 func TestReadAfterWriteIsItsOwnCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		back := &slowStore{slowGets: time.Second / 2}
-		client := platform.NewClient(platform.ClientConfig{Store: back})
+		client := sharedstate.NewClient(sharedstate.ClientConfig{Store: back})
 		var readers sync.WaitGroup
 		readers.Go(func() { _, _ = client.Get(t.Context(), "a") })
 		synctest.Wait()
--- a/internal/platform/platform.go
+++ b/internal/sharedstate/sharedstate.go
@@ -1,6 +1,9 @@
-// Package platform is the system's view of the platform: the object API, which
-// keeps all that must last, and the VM list.
-package platform
+// Package sharedstate is what the processes of the own interface share through
+// the metadata store: named objects that keep all that must last, changed by
+// conditional writes of certain outcome, and the VM list. It calls the store
+// within each process's share of its call rate, and leaves it alone during an
+// outage.
+package sharedstate
 
 import (
 	"context"
--- a/internal/platform/platform_test.go
+++ b/internal/sharedstate/sharedstate_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package sharedstate_test
 
 import (
 	"context"
@@ -19,26 +19,26 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/invariant"
-	"pistachioroad.dev/pistachioroad/internal/platform"
-	adapter "pistachioroad.dev/pistachioroad/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
+	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/seeded"
 )
 
 func TestMain(m *testing.M) { os.Exit(seeded.Run(m, seeded.Rapid{})) }
 
-func TestPlatform(t *testing.T) {
+func TestSharedState(t *testing.T) {
 	invariant.PanicOnBreach()
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "platform")
+	RunSpecs(t, "sharedstate")
 }
 
 // serve starts an object API that answers by handler, and a Client of it.
-func serve(handler http.HandlerFunc, config platform.ClientConfig) *platform.Client {
+func serve(handler http.HandlerFunc, config sharedstate.ClientConfig) *sharedstate.Client {
 	server := httptest.NewServer(handler)
 	DeferCleanup(server.Close)
-	config.Store = adapter.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	config.Store = platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	config.Random = rand.New(rand.NewPCG(1, 1))
-	return platform.NewClient(config)
+	return sharedstate.NewClient(config)
 }
 
 func status(code int) http.HandlerFunc {
@@ -60,23 +60,23 @@
 
 	DescribeTable("tells apart what is certain and what is not",
 		func(handler http.HandlerFunc, want error) {
-			_, err := serve(handler, platform.ClientConfig{}).Put(ctx, "a/b", 3, []byte(`"x"`))
+			_, err := serve(handler, sharedstate.ClientConfig{}).Put(ctx, "a/b", 3, []byte(`"x"`))
 			Expect(errors.Is(err, want)).To(BeTrue(), "got %v", err)
 		},
-		Entry("another version", status(http.StatusConflict), platform.ErrConflict),
-		Entry("gone", status(http.StatusNotFound), platform.ErrConflict),
-		Entry("over the rate", status(http.StatusTooManyRequests), platform.ErrNotSent),
-		Entry("outage", status(http.StatusServiceUnavailable), platform.ErrNotSent),
-		Entry("gateway timeout", status(http.StatusGatewayTimeout), platform.ErrUnknown),
-		Entry("internal error", status(http.StatusInternalServerError), platform.ErrUnknown),
-		Entry("redirect", status(http.StatusTemporaryRedirect), platform.ErrUnknown),
-		Entry("lost reply", http.HandlerFunc(loseReply), platform.ErrUnknown),
+		Entry("another version", status(http.StatusConflict), sharedstate.ErrConflict),
+		Entry("gone", status(http.StatusNotFound), sharedstate.ErrConflict),
+		Entry("over the rate", status(http.StatusTooManyRequests), sharedstate.ErrNotSent),
+		Entry("outage", status(http.StatusServiceUnavailable), sharedstate.ErrNotSent),
+		Entry("gateway timeout", status(http.StatusGatewayTimeout), sharedstate.ErrUnknown),
+		Entry("internal error", status(http.StatusInternalServerError), sharedstate.ErrUnknown),
+		Entry("redirect", status(http.StatusTemporaryRedirect), sharedstate.ErrUnknown),
+		Entry("lost reply", http.HandlerFunc(loseReply), sharedstate.ErrUnknown),
 	)
 
 	It("is not sent when nobody listens", func() {
-		client := platform.NewClient(platform.ClientConfig{Store: adapter.NewStore("127.0.0.1:1")})
+		client := sharedstate.NewClient(sharedstate.ClientConfig{Store: platform.NewStore("127.0.0.1:1")})
 		_, err := client.Put(ctx, "a", 0, []byte(`"x"`))
-		Expect(errors.Is(err, platform.ErrNotSent)).To(BeTrue(), "got %v", err)
+		Expect(errors.Is(err, sharedstate.ErrNotSent)).To(BeTrue(), "got %v", err)
 	})
 
 	It("sends the version and returns the new one", func() {
@@ -88,7 +88,7 @@
 			Expect(json.NewDecoder(r.Body).Decode(&sent)).To(Succeed())
 			Expect(sent.Metadata.Revision).To(BeEquivalentTo(6))
 			status(http.StatusOK)(w, r)
-		}, platform.ClientConfig{})
+		}, sharedstate.ClientConfig{})
 		Expect(client.Put(ctx, "claims/holds/3", 6, []byte(`"x"`))).To(Equal(uint64(7)))
 	})
 })
@@ -97,7 +97,7 @@
 	ctx := context.Background()
 
 	It("has version 0 for an object that does not exist", func() {
-		client := serve(http.NotFound, platform.ClientConfig{})
+		client := serve(http.NotFound, sharedstate.ClientConfig{})
 		o, err := client.Get(ctx, "a")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(o.Version).To(BeZero())
@@ -120,13 +120,13 @@
 				return
 			}
 			status(http.StatusOK)(w, r)
-		}, platform.ClientConfig{CallsPerSecond: 1000, Now: func() time.Time { return now }})
+		}, sharedstate.ClientConfig{CallsPerSecond: 1000, Now: func() time.Time { return now }})
 		put := func() error {
 			_, err := client.Put(context.Background(), "a", 0, []byte(`"x"`))
 			return err
 		}
 		for range 100 {
-			Expect(errors.Is(put(), platform.ErrNotSent)).To(BeTrue())
+			Expect(errors.Is(put(), sharedstate.ErrNotSent)).To(BeTrue())
 		}
 		Expect(calls.Load()).To(BeEquivalentTo(3))
 		Expect(client.Health().Up).To(BeFalse())
@@ -142,13 +142,13 @@
 		client := serve(func(w http.ResponseWriter, r *http.Request) {
 			calls.Add(1)
 			status(http.StatusOK)(w, r)
-		}, platform.ClientConfig{CallsPerSecond: 1})
+		}, sharedstate.ClientConfig{CallsPerSecond: 1})
 		ctx, cancel := context.WithCancel(context.Background())
 		_, err := client.Put(ctx, "a", 0, []byte(`"x"`))
 		Expect(err).NotTo(HaveOccurred())
 		cancel()
 		_, err = client.Put(ctx, "a", 7, []byte(`"x"`))
-		Expect(errors.Is(err, platform.ErrNotSent)).To(BeTrue())
+		Expect(errors.Is(err, sharedstate.ErrNotSent)).To(BeTrue())
 		Expect(calls.Load()).To(BeEquivalentTo(1))
 	})
 })
@@ -170,7 +170,7 @@
 				return
 			}
 			status(http.StatusOK)(w, r)
-		}, platform.ClientConfig{CallsPerSecond: 1000})
+		}, sharedstate.ClientConfig{CallsPerSecond: 1000})
 		DeferCleanup(func() { close(done) })
 		read := func(name string) error {
 			_, err := client.Get(context.Background(), name)
--- a/internal/platform/watch.go
+++ b/internal/sharedstate/watch.go
@@ -1,4 +1,4 @@
-package platform
+package sharedstate
 
 import (
 	"context"
--- a/internal/platform/watch_test.go
+++ b/internal/sharedstate/watch_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package sharedstate_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
-	adapter "pistachioroad.dev/pistachioroad/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
+	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
@@ -30,8 +30,8 @@
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 		}))
 		DeferCleanup(server.Close)
-		client := platform.NewClient(platform.ClientConfig{
-			Store: adapter.NewStore(strings.TrimPrefix(server.URL, "http://")), CallsPerSecond: 1000,
+		client := sharedstate.NewClient(sharedstate.ClientConfig{
+			Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")), CallsPerSecond: 1000,
 		})
 		Eventually(func() bool {
 			_, _ = client.Get(context.Background(), "fleetconfig")
@@ -39,7 +39,7 @@
 		}, "10s", "5ms").Should(BeFalse())
 		for range 40 {
 			_, err := client.Watch(context.Background(), "fleetconfig", 1)
-			Expect(err).To(MatchError(platform.ErrNotSent))
+			Expect(err).To(MatchError(sharedstate.ErrNotSent))
 			time.Sleep(50 * time.Millisecond)
 		}
 		Expect(watches.Load()).To(BeZero())
@@ -52,13 +52,13 @@
 		store := objectstore.New()
 		server := httptest.NewServer(store)
 		DeferCleanup(server.Close)
-		client := platform.NewClient(platform.ClientConfig{
-			Store: adapter.NewStore(strings.TrimPrefix(server.URL, "http://")), CallsPerSecond: 1000,
+		client := sharedstate.NewClient(sharedstate.ClientConfig{
+			Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")), CallsPerSecond: 1000,
 		})
 		last := store.Put("fleetconfig", "fleetconfig", "old")
 		store.Put("other", "a", 1)
 		store.DropHistory()
-		seen := make(chan platform.Object, 1)
+		seen := make(chan sharedstate.Object, 1)
 		go func() {
 			defer GinkgoRecover()
 			o, err := client.Watch(ctx, "fleetconfig", uint64(last))
@@ -68,7 +68,7 @@
 		Eventually(func() int { return store.Calls().Watches }).WithTimeout(5 * time.Second).Should(BeNumerically(">", 1))
 		Consistently(seen, "100ms").ShouldNot(Receive())
 		store.Put("fleetconfig", "fleetconfig", "new")
-		var got platform.Object
+		var got sharedstate.Object
 		Eventually(seen).WithTimeout(5 * time.Second).Should(Receive(&got))
 		Expect(got.Value).To(MatchJSON(`"new"`))
 	}, NodeTimeout(20*time.Second))
@@ -77,12 +77,12 @@
 		store := objectstore.New()
 		server := httptest.NewServer(store)
 		DeferCleanup(server.Close)
-		client := platform.NewClient(platform.ClientConfig{Store: adapter.NewStore(strings.TrimPrefix(server.URL, "http://"))})
+		client := sharedstate.NewClient(sharedstate.ClientConfig{Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"))})
 		first := store.Put("plan", "seoul", 1)
 		second := store.Put("plan", "seoul", 2)
 		store.Put("plan", "busan", 3)
 		o, err := client.Watch(context.Background(), "plan/seoul", uint64(first))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(o).To(Equal(platform.Object{Name: "plan/seoul", Version: uint64(second), Value: []byte("2")}))
+		Expect(o).To(Equal(sharedstate.Object{Name: "plan/seoul", Version: uint64(second), Value: []byte("2")}))
 	})
 })
--- a/internal/platform/write_test.go
+++ b/internal/sharedstate/write_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package sharedstate_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 	"pgregory.net/rapid"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // fate is what happens to one call of the fake store.
@@ -28,42 +28,42 @@
 
 // fakeStore holds one object. It is driven by one goroutine.
 type fakeStore struct {
-	object  platform.Object
+	object  sharedstate.Object
 	fates   func() fate
-	delayed []platform.Object
+	delayed []sharedstate.Object
 	applied []string
 }
 
-func (s *fakeStore) Get(context.Context, string) (platform.Object, error) {
+func (s *fakeStore) Get(context.Context, string) (sharedstate.Object, error) {
 	if s.fates() == refused {
-		return platform.Object{}, platform.ErrUnavailable
+		return sharedstate.Object{}, sharedstate.ErrUnavailable
 	}
 	return s.object, nil
 }
 
 func (s *fakeStore) Put(_ context.Context, name string, version uint64, value []byte) (uint64, error) {
-	update := platform.Object{Name: name, Version: version, Value: value}
+	update := sharedstate.Object{Name: name, Version: version, Value: value}
 	switch s.fates() {
 	case refused:
-		return 0, eris.Wrap(platform.ErrNotSent, "outage")
+		return 0, eris.Wrap(sharedstate.ErrNotSent, "outage")
 	case late:
 		s.delayed = append(s.delayed, update)
-		return 0, eris.Wrap(platform.ErrUnknown, "reply lost")
+		return 0, eris.Wrap(sharedstate.ErrUnknown, "reply lost")
 	case replyLost:
 		s.apply(update)
-		return 0, eris.Wrap(platform.ErrUnknown, "reply lost")
+		return 0, eris.Wrap(sharedstate.ErrUnknown, "reply lost")
 	default:
 		return s.apply(update)
 	}
 }
 
-func (s *fakeStore) Watch(context.Context, string, uint64) (platform.Object, error) {
-	return platform.Object{}, platform.ErrUnavailable
+func (s *fakeStore) Watch(context.Context, string, uint64) (sharedstate.Object, error) {
+	return sharedstate.Object{}, sharedstate.ErrUnavailable
 }
 
-func (s *fakeStore) apply(update platform.Object) (uint64, error) {
+func (s *fakeStore) apply(update sharedstate.Object) (uint64, error) {
 	if update.Version != s.object.Version {
-		return 0, platform.ErrConflict
+		return 0, sharedstate.ErrConflict
 	}
 	s.object = update
 	s.object.Version++
@@ -89,7 +89,7 @@
 	}
 }
 
-func appendID(base platform.Object, id string) ([]byte, error) {
+func appendID(base sharedstate.Object, id string) ([]byte, error) {
 	return []byte(string(base.Value) + " " + id), nil
 }
 
@@ -100,9 +100,9 @@
 	// over would make the same change twice.
 	It("finds its own update after a lost reply", func() {
 		store := &fakeStore{fates: inOrder(fine, replyLost)}
-		o, outcome, err := platform.Update(ctx, store, "a", appendID)
+		o, outcome, err := sharedstate.Update(ctx, store, "a", appendID)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(outcome).To(Equal(platform.Applied))
+		Expect(outcome).To(Equal(sharedstate.Applied))
 		Expect(o.Version).To(Equal(uint64(1)))
 		Expect(store.applied).To(HaveLen(1))
 	})
@@ -112,9 +112,9 @@
 	// operator so, and the change would come into force afterwards.
 	It("leaves no update on its way that can still take effect", func() {
 		store := &fakeStore{fates: inOrder(fine, late)}
-		o, outcome, err := platform.Update(ctx, store, "a", appendID)
+		o, outcome, err := sharedstate.Update(ctx, store, "a", appendID)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(outcome).To(Equal(platform.Applied))
+		Expect(outcome).To(Equal(sharedstate.Applied))
 		store.land(0)
 		Expect(store.object).To(Equal(o))
 	})
@@ -123,36 +123,36 @@
 	// so that its second update meets a conflict: with itself.
 	It("does not take a conflict with its own late update for a failure", func() {
 		store := &fakeStore{}
-		w := platform.NewWrite("a", 0, []byte("<1>"), "<1>")
+		w := sharedstate.NewWrite("a", 0, []byte("<1>"), "<1>")
 		store.fates = inOrder(late)
 		call(store, w)
 		call(store, w)
 		store.land(0)
 		call(store, w)
 		call(store, w)
-		Expect(w.Next()).To(Equal(platform.CallNone))
-		Expect(w.Outcome()).To(Equal(platform.Applied))
+		Expect(w.Next()).To(Equal(sharedstate.CallNone))
+		Expect(w.Outcome()).To(Equal(sharedstate.Applied))
 	})
 
 	It("says that another writer's update took its place", func() {
 		store := &fakeStore{}
 		store.fates = func() fate {
 			if len(store.delayed) > 0 {
-				store.object = platform.Object{Version: 9, Value: []byte("other")}
+				store.object = sharedstate.Object{Version: 9, Value: []byte("other")}
 				return fine
 			}
 			return late
 		}
-		_, outcome, err := platform.Update(ctx, store, "a", appendID)
-		Expect(outcome).To(Equal(platform.Superseded))
-		Expect(errors.Is(err, platform.ErrUnknown)).To(BeTrue())
+		_, outcome, err := sharedstate.Update(ctx, store, "a", appendID)
+		Expect(outcome).To(Equal(sharedstate.Superseded))
+		Expect(errors.Is(err, sharedstate.ErrUnknown)).To(BeTrue())
 	})
 
 	It("reports an outage as not applied", func() {
 		store := &fakeStore{fates: inOrder(fine, refused)}
-		_, outcome, err := platform.Update(ctx, store, "a", appendID)
-		Expect(outcome).To(Equal(platform.NotApplied))
-		Expect(errors.Is(err, platform.ErrNotSent)).To(BeTrue())
+		_, outcome, err := sharedstate.Update(ctx, store, "a", appendID)
+		Expect(outcome).To(Equal(sharedstate.NotApplied))
+		Expect(errors.Is(err, sharedstate.ErrNotSent)).To(BeTrue())
 	})
 
 	It("does not conclude anything when it must give up", func() {
@@ -166,9 +166,9 @@
 			return late
 		}
 		store.fates = inOrderThen(store.fates, fine)
-		_, outcome, err := platform.Update(giveUp, store, "a", appendID)
-		Expect(outcome).To(Equal(platform.StillUnknown))
-		Expect(errors.Is(err, platform.ErrUnknown)).To(BeTrue())
+		_, outcome, err := sharedstate.Update(giveUp, store, "a", appendID)
+		Expect(outcome).To(Equal(sharedstate.StillUnknown))
+		Expect(errors.Is(err, sharedstate.ErrUnknown)).To(BeTrue())
 	})
 })
 
@@ -192,20 +192,20 @@
 		store := &fakeStore{fates: func() fate {
 			return rapid.SampledFrom([]fate{fine, late, replyLost, late, refused}).Draw(t, "fate")
 		}}
-		writers := make([]*platform.Write, 2)
-		concluded := map[string]platform.Outcome{}
+		writers := make([]*sharedstate.Write, 2)
+		concluded := map[string]sharedstate.Outcome{}
 		next := 0
 		step := func(n int) {
 			w := writers[n]
-			if w == nil || w.Next() == platform.CallNone {
+			if w == nil || w.Next() == sharedstate.CallNone {
 				next++
 				id := fmt.Sprintf("<%d>", next)
 				value := []byte(string(store.object.Value) + id)
-				writers[n] = platform.NewWrite("a", store.object.Version, value, id)
+				writers[n] = sharedstate.NewWrite("a", store.object.Version, value, id)
 				return
 			}
 			call(store, w)
-			if w.Next() == platform.CallNone {
+			if w.Next() == sharedstate.CallNone {
 				concluded[w.ID] = w.Outcome()
 			}
 		}
@@ -224,15 +224,15 @@
 		for id, outcome := range concluded {
 			// Values only grow here, so what was applied shows for ever.
 			applied := strings.Contains(inForce, id)
-			if applied != (outcome == platform.Applied) {
+			if applied != (outcome == sharedstate.Applied) {
 				t.Fatalf("%s was reported %s, in force: %v", id, outcome, applied)
 			}
 		}
 	})
 }
 
-func call(store *fakeStore, w *platform.Write) {
-	if w.Next() == platform.CallGet {
+func call(store *fakeStore, w *sharedstate.Write) {
+	if w.Next() == sharedstate.CallGet {
 		w.GetDone(store.Get(context.Background(), w.Name))
 		return
 	}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -14,9 +14,9 @@
 	"pistachioroad.dev/pistachioroad/internal/daemon"
 	"pistachioroad.dev/pistachioroad/internal/link"
 	"pistachioroad.dev/pistachioroad/internal/member"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/ring"
 	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -212,7 +212,7 @@
 		}
 	case *wire.Frame_Object:
 		o := body.Object
-		d.member.Offer(platform.Object{Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()})
+		d.member.Offer(sharedstate.Object{Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()})
 	}
 }
 
--- a/internal/sidecar/fixture_test.go
+++ b/internal/sidecar/fixture_test.go
@@ -17,8 +17,8 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/link"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
@@ -44,7 +44,7 @@
 	GinkgoHelper()
 	config := modelengine.DefaultConfig("")
 	config.ChangeTime = 100 * time.Millisecond
-	return startSidecar(platform.ServiceModels, modelengine.New(config).Handler())
+	return startSidecar(sharedstate.ServiceModels, modelengine.New(config).Handler())
 }
 
 func startServiceSidecar() *fixture {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -33,8 +33,8 @@
 	"pistachioroad.dev/pistachioroad/internal/link"
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/operator"
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 const (
@@ -102,7 +102,7 @@
 
 func newMember(i do.Injector) (*member.Member, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	client := do.MustInvoke[*platform.Client](i)
+	client := do.MustInvoke[*sharedstate.Client](i)
 	return member.New(member.Config{
 		Process:     s.Process.Name,
 		Incarnation: do.MustInvoke[daemon.Incarnation](i).String(),
@@ -118,7 +118,7 @@
 		Service:     s.Sidecar.BackendServer.Service,
 		Owner:       s.Process.Name,
 		Incarnation: do.MustInvoke[daemon.Incarnation](i).String(),
-	}, do.MustInvoke[*platform.Client](i)), nil
+	}, do.MustInvoke[*sharedstate.Client](i)), nil
 }
 
 func newEngine(i do.Injector) (engine.Engine, error) {
@@ -128,7 +128,7 @@
 
 func newBackend(i do.Injector) (backend, error) {
 	server := do.MustInvoke[settings.Settings](i).Sidecar.BackendServer
-	if server.Service == platform.ServiceModels {
+	if server.Service == sharedstate.ServiceModels {
 		return modelEngine{engine: do.MustInvoke[engine.Engine](i)}, nil
 	}
 	return newPlainService(server.Address), nil
@@ -184,7 +184,7 @@
 }
 
 func isEngine(s settings.Settings) bool {
-	return s.Sidecar.BackendServer.Service == platform.ServiceModels
+	return s.Sidecar.BackendServer.Service == sharedstate.ServiceModels
 }
 
 func newOperators(i do.Injector, duties map[string]operator.DumpFunc) (*operator.Server, error) {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -15,7 +15,7 @@
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
@@ -244,7 +244,7 @@
 	GinkgoHelper()
 	value, err := json.Marshal(p)
 	Expect(err).NotTo(HaveOccurred())
-	object := platform.Object{Name: plan.ObjectName(p.Region), Version: 7, Value: value}
+	object := sharedstate.Object{Name: plan.ObjectName(p.Region), Version: 7, Value: value}
 	l.control(&wire.Frame{Body: &wire.Frame_Object{Object: &wire.Object{
 		Name: object.Name, Version: object.Version, Value: object.Value,
 	}}})
--- a/test/cmd/capacity/state.go
+++ b/test/cmd/capacity/state.go
@@ -13,7 +13,7 @@
 	"pistachioroad.dev/pistachioroad/internal/engine"
 	"pistachioroad.dev/pistachioroad/internal/plan"
 	"pistachioroad.dev/pistachioroad/internal/planner"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -90,11 +90,11 @@
 		list := make([]route.Candidate, n)
 		for i := range list {
 			list[i] = route.Candidate{
-				Name: fmt.Sprintf("engine-%d", i), Service: platform.ServiceModels, Model: "draft",
+				Name: fmt.Sprintf("engine-%d", i), Service: sharedstate.ServiceModels, Model: "draft",
 				Role: route.Mixed, Admitting: true, Load: route.Load{PrefillRate: 1e4},
 			}
 		}
-		request := route.Request{Service: platform.ServiceModels, Model: "draft", PromptTokens: 1000, Role: route.Mixed}
+		request := route.Request{Service: sharedstate.ServiceModels, Model: "draft", PromptTokens: 1000, Role: route.Mixed}
 		row(fmt.Sprintf("routing decision over %d candidates", n), timed(5_000, func(int) { route.Pick(rng, request, list) }), "us")
 	}
 }
@@ -104,7 +104,7 @@
 	picture := planner.Picture{Reports: map[string]planner.LoadReport{}}
 	for i := range targetEngines / 2 {
 		name := fmt.Sprintf("engine-%d", i)
-		picture.VMs = append(picture.VMs, platform.VM{Name: name, Kind: platform.VMBackend, Region: "seoul", Service: platform.ServiceModels})
+		picture.VMs = append(picture.VMs, sharedstate.VM{Name: name, Kind: sharedstate.VMBackend, Region: "seoul", Service: sharedstate.ServiceModels})
 		picture.Reports[name] = planner.LoadReport{At: now, Load: &wire.Load{
 			Role: string(engine.RoleDecode), Models: []string{"draft"}, Weights: "1", Admitting: true, PrefillRate: 1, DecodeRate: 1,
 		}}
@@ -123,28 +123,28 @@
 // vmList measures the list of all VMs as the platform answers it.
 func vmList() {
 	const vms = 350 + targetEngines
-	list := make([]platform.VM, vms)
+	list := make([]sharedstate.VM, vms)
 	for i := range list {
-		list[i] = platform.VM{
-			Name: fmt.Sprintf("gangnam-draft-%d", i), Kind: platform.VMBackend, Region: "seoul", DataCentre: "gangnam",
-			LinkAddress: "10.20.100.100:7001", OperatorAddress: "10.20.100.100:7002", Service: platform.ServiceModels,
+		list[i] = sharedstate.VM{
+			Name: fmt.Sprintf("gangnam-draft-%d", i), Kind: sharedstate.VMBackend, Region: "seoul", DataCentre: "gangnam",
+			LinkAddress: "10.20.100.100:7001", OperatorAddress: "10.20.100.100:7002", Service: sharedstate.ServiceModels,
 		}
 	}
 	data, _ := json.Marshal(list)
 	row("VM list per VM, as JSON", float64(len(data))/vms, "bytes")
 	row(fmt.Sprintf("decoding the list of %d VMs", vms), timed(200, func(int) {
-		var decoded []platform.VM
+		var decoded []sharedstate.VM
 		_ = json.Unmarshal(data, &decoded)
 	}), "us")
 }
 
 func claimRecords() error {
 	const claimsPerSlot = 1000
-	r := claims.Record{WriteID: platform.NewWriteID(), Epoch: 1, Claims: map[string]claims.Claim{}}
+	r := claims.Record{WriteID: sharedstate.NewWriteID(), Epoch: 1, Claims: map[string]claims.Claim{}}
 	result := claims.NewResult(201, nil, make([]byte, 120))
 	for i := range claimsPerSlot {
 		key := fmt.Sprintf("seal-%08d", i)
-		r.Claims[key] = claims.Claim{BodyDigest: uint64(i), Epoch: 1, RequestID: platform.NewWriteID(), Done: 1, Result: &result}
+		r.Claims[key] = claims.Claim{BodyDigest: uint64(i), Epoch: 1, RequestID: sharedstate.NewWriteID(), Done: 1, Result: &result}
 	}
 	data, err := r.Encode()
 	if err != nil {
--- a/test/fleet/calls.go
+++ b/test/fleet/calls.go
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/test/standin/modelengine"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/plainservice"
@@ -115,8 +115,8 @@
 
 // PublishVMs makes the platform's VM list that of the fleet.
 func (f *Fleet) PublishVMs(ctx context.Context) error {
-	specs := lo.SliceToMap(f.VMs, func(vm platform.VM) (string, platform.VM) { return vm.Name, vm })
-	return f.post(ctx, f.platformDirect()+"/standin/objects/"+platform.VMsKind, specs)
+	specs := lo.SliceToMap(f.VMs, func(vm sharedstate.VM) (string, sharedstate.VM) { return vm.Name, vm })
+	return f.post(ctx, f.platformDirect()+"/standin/objects/"+sharedstate.VMsKind, specs)
 }
 
 // SetPlatformFaults switches faults of the platform on or off.
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -17,8 +17,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
 	"pistachioroad.dev/pistachioroad/internal/settings"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/test/faultproxy"
 )
 
@@ -69,7 +69,7 @@
 	Processes map[string]*Process
 	// Proxies is keyed by the name of the VM behind; "platform" has its own.
 	Proxies map[string]*faultproxy.Proxy
-	VMs     []platform.VM
+	VMs     []sharedstate.VM
 	Entries []string
 	// Engines and Services have the names of backend servers in order.
 	Engines  []string
@@ -193,7 +193,7 @@
 	for i, e := range f.options.Engines {
 		name := fmt.Sprintf("engine-%d", i+1)
 		args := append([]string{"-kind", "engine", "-model", e.Model, "-role", e.Role, fmt.Sprintf("-fencing=%v", e.Fencing)}, e.Args...)
-		if err := f.addBackend(ctx, name, platform.ServiceModels, "/state", e.Fencing, args); err != nil {
+		if err := f.addBackend(ctx, name, sharedstate.ServiceModels, "/state", e.Fencing, args); err != nil {
 			return err
 		}
 		f.Engines = append(f.Engines, name)
@@ -218,7 +218,7 @@
 	if err != nil {
 		return err
 	}
-	vm := f.vm(name, ip, platform.VMBackend, service)
+	vm := f.vm(name, ip, sharedstate.VMBackend, service)
 	s := f.settings(vm, ip)
 	s.Sidecar = &settings.Sidecar{BackendServer: settings.BackendServer{
 		Service:            service,
@@ -248,7 +248,7 @@
 
 func (f *Fleet) addEntry(name string) error {
 	ip := f.ip(name)
-	vm := f.vm(name, ip, platform.VMEntry, "")
+	vm := f.vm(name, ip, sharedstate.VMEntry, "")
 	s := f.settings(vm, ip)
 	s.Listen.Callers = f.address(ip, portCallers)
 	s.Entry = &settings.Entry{
@@ -272,8 +272,8 @@
 }
 
 // vm returns the line of the VM list for a VM of the fleet.
-func (f *Fleet) vm(name, ip string, kind platform.VMKind, service string) platform.VM {
-	return platform.VM{
+func (f *Fleet) vm(name, ip string, kind sharedstate.VMKind, service string) sharedstate.VM {
+	return sharedstate.VM{
 		Name:            name,
 		Kind:            kind,
 		Region:          f.options.Region,
@@ -284,9 +284,9 @@
 	}
 }
 
-func (f *Fleet) settings(vm platform.VM, ip string) settings.Settings {
+func (f *Fleet) settings(vm sharedstate.VM, ip string) settings.Settings {
 	role := settings.RoleSidecar
-	if vm.Kind == platform.VMEntry {
+	if vm.Kind == sharedstate.VMEntry {
 		role = settings.RoleEntry
 	}
 	return settings.Settings{
@@ -306,7 +306,7 @@
 }
 
 // addDaemon writes the settings of a daemon and prepares its process.
-func (f *Fleet) addDaemon(vm platform.VM, s settings.Settings) error {
+func (f *Fleet) addDaemon(vm sharedstate.VM, s settings.Settings) error {
 	if f.options.Proxied {
 		if err := f.proxy(vm.Name, portLinks, vm.LinkAddress); err != nil {
 			return err
--- a/test/soak/entry.go
+++ b/test/soak/entry.go
@@ -11,7 +11,7 @@
 	"pistachioroad.dev/pistachioroad/internal/entry/call"
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -99,7 +99,7 @@
 }
 
 // offer takes an object from the store or a relay and passes it on.
-func (e *entry) offer(o platform.Object) {
+func (e *entry) offer(o sharedstate.Object) {
 	if !e.objects.Offer(o) {
 		return
 	}
--- a/test/soak/plans.go
+++ b/test/soak/plans.go
@@ -11,7 +11,7 @@
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
 	"pistachioroad.dev/pistachioroad/internal/plan"
 	"pistachioroad.dev/pistachioroad/internal/planner"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -23,7 +23,7 @@
 	entry   *entry
 	store   *store
 	planner *planner.Planner
-	base    platform.Object
+	base    sharedstate.Object
 }
 
 func (p *planning) start() {
@@ -36,7 +36,7 @@
 
 func (p *planning) plan() {
 	if p.base.Name == "" {
-		p.store.get(&p.entry.node, plan.ObjectName(region), func(o platform.Object, err error) {
+		p.store.get(&p.entry.node, plan.ObjectName(region), func(o sharedstate.Object, err error) {
 			if err == nil {
 				p.base = o
 				p.entry.offer(o)
@@ -52,19 +52,19 @@
 	if len(changes) == 0 {
 		return
 	}
-	next.WriteID = platform.NewWriteID()
+	next.WriteID = sharedstate.NewWriteID()
 	data, err := json.Marshal(next)
 	if err != nil {
 		panic(err)
 	}
 	base := p.base
-	p.base = platform.Object{}
+	p.base = sharedstate.Object{}
 	p.store.put(&p.entry.node, base.Name, base.Version, data, func(version uint64, err error) {
 		if err != nil {
 			p.entry.w.Faults["plan write failed"]++
 			return
 		}
-		p.base = platform.Object{Name: base.Name, Version: version, Value: data}
+		p.base = sharedstate.Object{Name: base.Name, Version: version, Value: data}
 		p.entry.offer(p.base)
 	})
 }
@@ -92,9 +92,9 @@
 	_ = json.Unmarshal(p.base.Value, &picture.Plan)
 	_ = json.Unmarshal(p.entry.objects.Get(fleetconfig.ObjectName).Value, &picture.Config)
 	for _, s := range p.entry.sidecars {
-		vm := platform.VM{Name: s.name, Kind: platform.VMBackend, Region: region, Service: serviceHolds}
+		vm := sharedstate.VM{Name: s.name, Kind: sharedstate.VMBackend, Region: region, Service: serviceHolds}
 		if s.engine != nil {
-			vm.Service = platform.ServiceModels
+			vm.Service = sharedstate.ServiceModels
 			applied := s.engine.state.Applied
 			picture.Reports[s.name] = planner.LoadReport{At: p.entry.w.now, Load: &wire.Load{
 				Role: string(applied.Role), Models: []string{applied.Model}, Weights: applied.Weights,
@@ -113,7 +113,7 @@
 	w     *world
 	from  *entry
 	store *store
-	write *platform.Write
+	write *sharedstate.Write
 	what  string
 }
 
@@ -121,13 +121,13 @@
 func newEdit(w *world, from *entry, s *store) {
 	w.Edits++
 	what := fmt.Sprintf("edit %d", w.Edits)
-	s.get(&from.node, fleetconfig.ObjectName, func(o platform.Object, err error) {
+	s.get(&from.node, fleetconfig.ObjectName, func(o sharedstate.Object, err error) {
 		if err != nil {
 			return
 		}
 		config := fleetconfig.Config{}
 		_ = json.Unmarshal(o.Value, &config)
-		id := platform.NewWriteID()
+		id := sharedstate.NewWriteID()
 		weights := fmt.Sprint(w.Edits)
 		config.WriteID = id
 		config.Defaults.Weights = &weights
@@ -137,19 +137,19 @@
 			panic(err)
 		}
 		e := &edit{w: w, from: from, store: s, what: what}
-		e.write = platform.NewWrite(fleetconfig.ObjectName, o.Version, data, id)
+		e.write = sharedstate.NewWrite(fleetconfig.ObjectName, o.Version, data, id)
 		e.next()
 	})
 }
 
 func (e *edit) next() {
 	switch e.write.Next() {
-	case platform.CallGet:
-		e.store.get(&e.from.node, e.write.Name, func(o platform.Object, err error) {
+	case sharedstate.CallGet:
+		e.store.get(&e.from.node, e.write.Name, func(o sharedstate.Object, err error) {
 			e.write.GetDone(o, err)
 			e.w.on(&e.from.node, 100*time.Millisecond, e.next)
 		})
-	case platform.CallPut:
+	case sharedstate.CallPut:
 		e.store.put(&e.from.node, e.write.Name, e.write.Base, e.write.Value, func(version uint64, err error) {
 			e.write.PutDone(version, err)
 			e.w.on(&e.from.node, 100*time.Millisecond, e.next)
@@ -157,7 +157,7 @@
 	default:
 		e.w.edits[e.what] = e.write.Outcome()
 		e.w.Outcomes["edit "+e.write.Outcome().String()]++
-		if e.write.Outcome() == platform.Applied {
+		if e.write.Outcome() == sharedstate.Applied {
 			e.from.offer(e.write.Object())
 		}
 	}
@@ -175,9 +175,9 @@
 	}
 	for what, outcome := range w.edits {
 		switch outcome {
-		case platform.Applied:
+		case sharedstate.Applied:
 			w.promise(kept[what], "accepted configuration never reverts", "%s was applied and is gone", what)
-		case platform.NotApplied:
+		case sharedstate.NotApplied:
 			w.promise(!kept[what], "a refused edit has no effect", "%s was not applied and is there", what)
 		}
 	}
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -15,7 +15,7 @@
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/plan"
 	"pistachioroad.dev/pistachioroad/internal/planner"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 const (
@@ -135,7 +135,7 @@
 func (r *run) relay(e *entry) {
 	r.on(&e.node, r.between(200*time.Millisecond, time.Second), func() {
 		name := lo.Ternary(r.chance(0.5), plan.ObjectName(region), "fleetconfig")
-		r.store.get(&e.node, name, func(o platform.Object, err error) {
+		r.store.get(&e.node, name, func(o sharedstate.Object, err error) {
 			if err == nil && o.Version > 0 {
 				e.offer(o)
 			}
--- a/test/soak/sidecar.go
+++ b/test/soak/sidecar.go
@@ -12,7 +12,7 @@
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/orders"
 	"pistachioroad.dev/pistachioroad/internal/plan"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/sidecar/requests"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
@@ -302,7 +302,7 @@
 }
 
 // offer takes an object from a relay.
-func (s *sidecar) offer(o platform.Object) {
+func (s *sidecar) offer(o sharedstate.Object) {
 	if !s.objects.Offer(o) || o.Name != plan.ObjectName(region) {
 		return
 	}
@@ -368,8 +368,8 @@
 }
 
 func (s *sidecar) storeCall(n int, c claims.Call) {
-	if c.Call == platform.CallGet {
-		s.store.get(&s.node, c.Name, func(o platform.Object, err error) {
+	if c.Call == sharedstate.CallGet {
+		s.store.get(&s.node, c.Name, func(o sharedstate.Object, err error) {
 			s.slot(n, claims.GetDone{Object: o, Err: err})
 		})
 		return
--- a/test/soak/store.go
+++ b/test/soak/store.go
@@ -3,16 +3,16 @@
 import (
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // store is the platform's object API at the other end of a network.
 type store struct {
 	w        *world
-	objects  map[string]platform.Object
+	objects  map[string]sharedstate.Object
 	revision uint64
 	// older are values that a stale relay may still hold.
-	older []platform.Object
+	older []sharedstate.Object
 
 	outage      bool
 	loseReplies bool
@@ -26,16 +26,16 @@
 )
 
 func newStore(w *world) *store {
-	return &store{w: w, objects: map[string]platform.Object{}}
+	return &store{w: w, objects: map[string]sharedstate.Object{}}
 }
 
 func (s *store) trip() time.Duration { return s.w.between(time.Millisecond, 5*time.Millisecond) }
 
 // get reads an object for a node.
-func (s *store) get(n *node, name string, reply func(platform.Object, error)) {
+func (s *store) get(n *node, name string, reply func(sharedstate.Object, error)) {
 	s.w.after(s.trip(), func() {
 		if s.outage {
-			s.w.on(n, s.trip(), func() { reply(platform.Object{}, platform.ErrUnavailable) })
+			s.w.on(n, s.trip(), func() { reply(sharedstate.Object{}, sharedstate.ErrUnavailable) })
 			return
 		}
 		o := s.objects[name]
@@ -50,15 +50,15 @@
 	s.w.after(s.trip(), func() {
 		switch {
 		case s.outage:
-			s.w.on(n, s.trip(), func() { reply(0, platform.ErrNotSent) })
+			s.w.on(n, s.trip(), func() { reply(0, sharedstate.ErrNotSent) })
 		case s.lateWrites && s.w.chance(0.5):
 			s.w.Faults["late write"]++
 			s.w.after(s.w.between(0, latestWrite), func() { s.write(name, version, value) })
-			s.w.on(n, storeTimeout, func() { reply(0, platform.ErrUnknown) })
+			s.w.on(n, storeTimeout, func() { reply(0, sharedstate.ErrUnknown) })
 		case s.loseReplies && s.w.chance(0.5):
 			s.w.Faults["lost reply"]++
 			s.write(name, version, value)
-			s.w.on(n, storeTimeout, func() { reply(0, platform.ErrUnknown) })
+			s.w.on(n, storeTimeout, func() { reply(0, sharedstate.ErrUnknown) })
 		default:
 			written, err := s.write(name, version, value)
 			s.w.on(n, s.trip(), func() { reply(written, err) })
@@ -69,13 +69,13 @@
 func (s *store) write(name string, version uint64, value []byte) (uint64, error) {
 	before := s.objects[name]
 	if before.Version != version {
-		return 0, platform.ErrConflict
+		return 0, sharedstate.ErrConflict
 	}
 	if before.Version > 0 {
 		s.older = append(s.older, before)
 		s.older = s.older[max(0, len(s.older)-keptOlder):]
 	}
 	s.revision++
-	s.objects[name] = platform.Object{Name: name, Version: s.revision, Value: value}
+	s.objects[name] = sharedstate.Object{Name: name, Version: s.revision, Value: value}
 	return s.revision, nil
 }
--- a/test/soak/work.go
+++ b/test/soak/work.go
@@ -11,7 +11,7 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/entry/call"
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/sidecar/requests"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -73,7 +73,7 @@
 		s.Work = &wire.Start_Call{Call: &wire.Call{Method: "POST", Path: "/holds"}}
 		return s
 	}
-	s.Service = platform.ServiceModels
+	s.Service = sharedstate.ServiceModels
 	s.Work = &wire.Start_Generate{Generate: &wire.Generate{
 		Model:        "draft",
 		Prompt:       "prompt",
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -14,7 +14,7 @@
 
 	"github.com/google/uuid"
 
-	"pistachioroad.dev/pistachioroad/internal/platform"
+	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
 // world is the virtual time of one run.
@@ -36,7 +36,7 @@
 	runs    map[uuid.UUID]int
 	keyRuns map[string]int
 	notRun  map[uuid.UUID]bool
-	edits   map[string]platform.Outcome
+	edits   map[string]sharedstate.Outcome
 	Report
 }
 
@@ -52,7 +52,7 @@
 		runs:    map[uuid.UUID]int{},
 		keyRuns: map[string]int{},
 		notRun:  map[uuid.UUID]bool{},
-		edits:   map[string]platform.Outcome{},
+		edits:   map[string]sharedstate.Outcome{},
 		Report: Report{
 			Seed:     seed,
 			Faults:   map[string]int{},
