--- a/internal/decide/roles/budget.go
+++ b/internal/decide/roles/budget.go
@@ -20,7 +20,7 @@
 //
 // It answers a large fleet with little to do. Its share may be off by hundreds
 // of engines while each request finds an idle one; bringing all of them to the
-// share took half of what a day of three hundred VMs was worth.
+// share cost half of what a day with a thousand servers was worth (0.525).
 func Afford(engines []Engine, moves []Move, requests int64, made int) []Move {
 	paid := freeMoves + int(requests/requestsPerMove) - made
 	needed := leastDecode - count(engines, backend.Decode)
