--- a/internal/decide/place/group.go
+++ b/internal/decide/place/group.go
@@ -46,5 +46,12 @@
 	soundEngines
 	// allEngines includes those to be avoided: they may have recovered.
 	allEngines
-	scopes
+)
+
+var (
+	// planScopes are tried one after the other for a plan.
+	planScopes = []scope{ownEngines, soundEngines, allEngines}
+	// decoderScopes are those for another decoder: one that is to be avoided is
+	// no better than the one that refused.
+	decoderScopes = []scope{ownEngines, soundEngines}
 )
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -161,7 +161,7 @@
 // avoided, are used if there are no others.
 func (f *Fleet) Plan(now time.Time, j Job, u Urgency) (Plan, Admission, bool) {
 	f.forgetOverdue(now)
-	for s := range scopes {
+	for _, s := range planScopes {
 		if p, ok := f.plan(now, j, s); ok {
 			return p, admit(p, u), true
 		}
@@ -274,7 +274,7 @@
 	if !ok {
 		return p, false
 	}
-	for s := range allEngines {
+	for _, s := range decoderScopes {
 		decoder, _ := f.decoderFor(j, reader, f.decoders(now, j, s))
 		if decoder != nil {
 			p.Decoder = decoder.ID
