A gateway that nobody confirms to lists, and no empty watch is believed

Cause: since gateways catch up by watches, one that lost its cover went on with a watch of 3 s from its last revision. Trace: logs of all gateways. Version 8 in the store at 1.136 s; the three that watch gave theirs up at 2.12 s and had it at 2.25 s; the other five at 5.3 s. Change: without cover a gateway lists, as before. A catch-up lists too when its watch brings nothing, and goes on from the last change that it got; the configuration, one small object, is always listed. A wake for what has come meanwhile is passed over.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -101,6 +101,7 @@
 			}
 		},
 		confirm: func(at time.Time) { d.state.confirmConfig(at) },
+		lacks:   func() bool { return d.state.configWanted > d.state.view.TableRevision },
 		wake:    d.configWake,
 	})
 }
@@ -118,6 +119,7 @@
 				d.OnEntry(Change{Event: e, After: after})
 			}
 		},
+		lacks:   func() bool { return d.state.serversWanted > d.state.serversKnown },
 		sawAll:  func(at int64) { d.state.sawAll(at) },
 		wake:    d.serversWake,
 		confirm: func(at time.Time) { d.state.confirmServers(at) },
@@ -147,20 +149,21 @@
 	// sawAll, if set, is told of a revision up to which all changes are known.
 	sawAll func(at int64)
 	lost   func()
-	// wake asks a covered gateway to list.
-	wake chan struct{}
+	// lacks reports whether others know a newer change; wake asks a covered
+	// gateway to look.
+	lacks func() bool
+	wake  chan struct{}
 
-	// at is the revision to watch from, as long as listed is set.
-	at     int64
-	listed bool
+	// at is the revision to watch from.
+	at int64
 
 	pause time.Duration
 	down  bool
 }
 
 // follow lists a kind, watches it, and lists again whenever a watch fails: what
-// a broken watch missed is then seen whatever the reason was. A gateway that was
-// covered meanwhile goes on from its last watch.
+// a broken watch missed is then seen whatever the reason was. It lists too when
+// nobody confirms any more: then watches fail, or soon will.
 func (d *Directory) follow(ctx context.Context, f *follower) error {
 	for ctx.Err() == nil {
 		err := d.listAndWatch(ctx, f)
@@ -171,7 +174,6 @@
 			d.waitCovered(ctx, f)
 			continue
 		}
-		f.listed = false
 		if !errors.Is(err, store.ErrCompacted) {
 			d.failed(f, err)
 		}
@@ -182,10 +184,8 @@
 
 // listAndWatch returns nil once other gateways' watches stand in for its own.
 func (d *Directory) listAndWatch(ctx context.Context, f *follower) error {
-	if !f.listed {
-		if err := d.list(ctx, f); err != nil {
-			return err
-		}
+	if err := d.list(ctx, f); err != nil {
+		return err
 	}
 	for !d.covered() {
 		if err := d.watch(ctx, f, d.watchWait()); err != nil {
@@ -230,7 +230,7 @@
 		return err
 	}
 	d.answered(f)
-	f.at, f.listed = l.At, true
+	f.at = l.At
 	d.locked(func() {
 		f.confirm(sent)
 		f.list(time.Now(), l)
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -69,9 +69,11 @@
 		return
 	}
 	if c.ConfigRevision > s.view.TableRevision {
+		s.configWanted = c.ConfigRevision
 		d.wake(d.configWake)
 	}
 	if c.ServersRevision > s.serversKnown {
+		s.serversWanted = c.ServersRevision
 		d.wake(d.serversWake)
 	}
 	at := now.Add(-c.Age)
@@ -139,11 +141,52 @@
 			continue
 		case <-f.wake:
 		}
-		if err := d.watch(ctx, f, catchUpWait); err != nil {
+		if !d.lacks(f) {
+			continue
+		}
+		if err := d.catchUp(ctx, f); err != nil {
 			// Without these changes what is covered is not known here.
-			f.listed = false
 			d.failed(f, err)
 			return
 		}
 	}
 }
+
+// lacks reports whether a change that others know is still not known here.
+func (d *Directory) lacks(f *follower) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return f.lacks()
+}
+
+// lastRevision returns the highest revision among changes.
+func lastRevision(events []store.Event) int64 {
+	last := int64(0)
+	for _, e := range events {
+		last = max(last, e.Object.Revision)
+	}
+	return last
+}
+
+// catchUp takes in what others know and this gateway does not. It goes on from
+// the last change that it got and believes no watch that tells of none: a store
+// that is about to drop its history may keep changes back for a while, and a
+// gateway that took the revision of such an answer for known would never see
+// them. A kind of few objects is listed at once.
+func (d *Directory) catchUp(ctx context.Context, f *follower) error {
+	if f.sawAll == nil {
+		return d.list(ctx, f)
+	}
+	sent := time.Now()
+	batch, err := d.store.Watch(ctx, f.kind, f.at, catchUpWait)
+	if err != nil {
+		return err
+	}
+	if len(batch.Events) == 0 {
+		return d.list(ctx, f)
+	}
+	batch.At = lastRevision(batch.Events)
+	f.at = max(f.at, batch.At)
+	d.locked(func() { d.takeBatch(f, batch, sent) })
+	return nil
+}
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -17,6 +17,8 @@
 type counted struct {
 	store.Store
 	servers []store.Event
+	// muted has watches end without changes, hanging has them not end.
+	muted, hanging bool
 	// compacted answers each watch that its history is gone.
 	compacted bool
 	mu        sync.Mutex
@@ -65,6 +67,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	batch := store.Batch{At: c.revision}
+	if c.muted {
+		return batch
+	}
 	if kind == "config" && c.revision > after {
 		batch.Events = []store.Event{{Object: object("main", c.revision, "1")}}
 	}
@@ -79,8 +84,12 @@
 func (c *counted) Watch(ctx context.Context, kind string, after int64, _ time.Duration) (store.Batch, error) {
 	c.mu.Lock()
 	c.watches++
-	compacted := c.compacted
+	compacted, hanging := c.compacted, c.hanging
 	c.mu.Unlock()
+	if hanging {
+		<-ctx.Done()
+		return store.Batch{}, ctx.Err()
+	}
 	if compacted {
 		return store.Batch{}, store.ErrCompacted
 	}
@@ -101,6 +110,18 @@
 	c.revision = revision
 }
 
+func (c *counted) mute(muted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.muted = muted
+}
+
+func (c *counted) hang(hanging bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hanging = hanging
+}
+
 func (c *counted) reads() (lists, watches int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,6 +156,17 @@
 		Eventually(func() int64 { return d.View().TableRevision }).Should(BeEquivalentTo(9))
 	})
 
+	// The store is about to drop its history: watches hang, without the change
+	// that was made. The gateways that watch for others give theirs up; the others
+	// hear nothing meanwhile and look for themselves. Were that by a watch, they
+	// would hang too, for four seconds, with the old configuration.
+	It("lists once nobody confirms any more, and does not watch first", func() {
+		s.hang(true)
+		s.set(9)
+		d.Relayed(time.Now().Add(-coverFor+100*time.Millisecond), Confirmation{ConfigRevision: 5})
+		Eventually(func() int64 { return d.View().TableRevision }).WithTimeout(2 * time.Second).Should(BeEquivalentTo(9))
+	})
+
 	// All gateways that watch are cut off from the store at once. The others
 	// hear no fresh confirmation any more and must see the next change
 	// themselves, within the time that a configuration may take.
@@ -210,6 +242,22 @@
 		Expect(after).To(Equal(lists))
 	})
 
+	// The store is about to drop its history and keeps changes back for a second:
+	// watches end without them. A gateway that believes such an answer goes on
+	// from a later revision and sends requests to a server that has left.
+	It("believes no watch that keeps changes back", func() {
+		s = &counted{revision: 5}
+		s.change("a", "x")
+		follow()
+		confirm(6)
+		Eventually(d.covered).Should(BeTrue())
+		time.Sleep(50 * time.Millisecond)
+		s.mute(true)
+		lost := s.change("a", "leaving")
+		confirm(lost.Object.Revision)
+		Eventually(func() bool { return d.View().Servers["a"].Draining }).Should(BeTrue())
+	})
+
 	// A deployment of a thousand servers starts, and each of them is a change.
 	// With a copy of all servers for each, small VMs are busy for seconds while
 	// callers come and the configuration changes.
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -47,6 +47,8 @@
 	// serversKnown is the store's revision up to which all changes of entries
 	// are known, and serversChanged one after which there was none up to there.
 	serversKnown, serversChanged int64
+	// configWanted and serversWanted are the newest revisions that others knew.
+	configWanted, serversWanted int64
 	// configWatched and serversWatched are when own reads last confirmed each.
 	configWatched, serversWatched time.Time
 	// relayedAt is when the store last confirmed, to another gateway, what is
@@ -190,6 +192,7 @@
 		s.outage = false
 		s.returnedAt = now
 	}
+	first, gone := s.serversKnown == 0, false
 	there := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		there[o.Name] = true
@@ -205,11 +208,15 @@
 	}
 	for name := range maps.Clone(s.view.Servers) {
 		if !there[name] {
+			gone = true
 			changed = s.removed(now, name) || changed
 		}
 	}
-	// A removal before the list shows in no entry.
-	s.changedAt(l.At)
+	s.changedAt(s.serversRevision)
+	if first || gone {
+		// A removal before the list shows in no entry.
+		s.changedAt(l.At)
+	}
 	s.sawAll(l.At)
 	s.forget(l.At, there)
 	return changed, errs
