A dropped history is no outage of the store for a gateway that catches up

Cause: its watch says that the history is gone, which counted as a lost store: servers missing from the next list were believed for two more seconds.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -179,12 +180,12 @@
 	}
 	sent := time.Now()
 	batch, err := d.store.Watch(ctx, f.kind, f.at, catchUpWait)
+	if errors.Is(err, store.ErrCompacted) || (err == nil && len(batch.Events) == 0) {
+		return d.list(ctx, f)
+	}
 	if err != nil {
 		return err
 	}
-	if len(batch.Events) == 0 {
-		return d.list(ctx, f)
-	}
 	batch.At = lastRevision(batch.Events)
 	f.at = max(f.at, batch.At)
 	d.locked(func() { d.takeBatch(f, batch, sent) })
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -122,6 +122,13 @@
 	c.hanging = hanging
 }
 
+// compact drops the history for good.
+func (c *counted) compact() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.compacted = true
+}
+
 func (c *counted) reads() (lists, watches int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -258,6 +265,23 @@
 		Eventually(func() bool { return d.View().Servers["a"].Draining }).Should(BeTrue())
 	})
 
+	// The store drops its history, and a server has left meanwhile. That is no
+	// outage: taken for one, servers that are missing from the list would be
+	// believed to live for two more seconds, and get requests.
+	It("drops a server that left while the history was dropped", func() {
+		s = &counted{revision: 5}
+		s.change("a", "x")
+		s.change("b", "x")
+		follow()
+		confirm(7)
+		Eventually(d.covered).Should(BeTrue())
+		time.Sleep(50 * time.Millisecond)
+		s.compact()
+		lost := s.change("a", "")
+		confirm(lost.Object.Revision)
+		Eventually(func() int { return len(d.View().Servers) }).Should(Equal(1))
+	})
+
 	// A deployment of a thousand servers starts, and each of them is a change.
 	// With a copy of all servers for each, small VMs are busy for seconds while
 	// callers come and the configuration changes.
