One way to wait between attempts: package pause

sharedstate.pause, member.sleep and the stand-in engine's sleep were the same function, written out five times more in selects of the gateway's process, peers, directory and the sidecar's links; directory had the doubling pauses of sharedstate.Backoff once more. Pauses and their random parts are as before.

--- a/internal/claims/slot.go
+++ b/internal/claims/slot.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
@@ -100,7 +101,7 @@
 type Slot struct {
 	config SlotConfig
 	random *rand.Rand
-	pauses sharedstate.Backoff
+	pauses pause.Backoff
 
 	plan     Plan
 	draining bool
@@ -168,7 +169,7 @@
 	return &Slot{
 		config:  config.complete(),
 		random:  random,
-		pauses:  sharedstate.Backoff{First: firstPause, Longest: longestPause},
+		pauses:  pause.Backoff{First: firstPause, Longest: longestPause},
 		keys:    map[string]*key{},
 		metrics: newSlotMetrics(),
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/periodic"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
@@ -157,14 +158,16 @@
 	// at is the revision to watch from.
 	at int64
 
-	pause time.Duration
-	down  bool
+	pauses pause.Backoff
+	down   bool
 }
 
 // follow lists a kind, watches it, and lists again whenever a watch fails: what
 // a broken watch missed is then seen whatever the reason was. It lists too when
 // nobody confirms any more: then watches fail, or soon will.
 func (d *Directory) follow(ctx context.Context, f *follower) error {
+	f.pauses = pause.Backoff{First: firstPause, Longest: longestPause}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for ctx.Err() == nil {
 		err := d.listAndWatch(ctx, f)
 		if ctx.Err() != nil {
@@ -177,7 +180,7 @@
 		if !errors.Is(err, store.ErrCompacted) {
 			d.failed(f, err)
 		}
-		f.rest(ctx)
+		pause.For(ctx, f.pauses.Next(random))
 	}
 	return ctx.Err()
 }
@@ -202,7 +205,7 @@
 	if err != nil {
 		return err
 	}
-	f.pause = 0
+	f.pauses.Reset()
 	f.at = max(f.at, batch.At)
 	d.locked(func() { d.takeBatch(f, batch, watchedUntil(sent, time.Now(), wait, batch)) })
 	return nil
@@ -283,17 +286,6 @@
 	}
 }
 
-// rest waits before the next read, longer after each failure, and by a random
-// part less, so that processes that failed together do not return together.
-func (f *follower) rest(ctx context.Context) {
-	f.pause = min(longestPause, max(firstPause, 2*f.pause))
-	jittered := f.pause/2 + rand.N(f.pause/2)
-	select {
-	case <-ctx.Done():
-	case <-time.After(jittered):
-	}
-}
-
 func (d *Directory) configListed(_ time.Time, l store.Listing) {
 	for _, o := range l.Objects {
 		if o.Name == d.kinds.ConfigName {
--- a/internal/gateway/process/neighbours.go
+++ b/internal/gateway/process/neighbours.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/pause"
 )
 
 const (
@@ -55,18 +56,16 @@
 // from the store.
 func (p *parts) askNeighbours(ctx context.Context) error {
 	client := &http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	pause := askAfter
+	wait := askAfter
 	for {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, wait) {
 			return ctx.Err()
-		case <-time.After(pause):
 		}
 		if p.directory.View().Table != nil {
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		pause = askEvery
+		wait = askEvery
 		for _, seed := range p.config.Deployment.Seeds {
 			if seed == p.config.Deployment.Neighbours {
 				continue
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -28,6 +28,7 @@
 	"pistachioroad.dev/pistachioroad/internal/gateway"
 	"pistachioroad.dev/pistachioroad/internal/lease"
 	"pistachioroad.dev/pistachioroad/internal/operator"
+	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/periodic"
 	"pistachioroad.dev/pistachioroad/internal/reconcile"
@@ -140,10 +141,8 @@
 func (p *parts) learn(ctx context.Context) error {
 	if !p.config.Deployment.FirstStart {
 		for p.directory.View().Table == nil || len(p.directory.View().Servers) == 0 {
-			select {
-			case <-ctx.Done():
+			if !pause.For(ctx, lookForEngines) {
 				return ctx.Err()
-			case <-time.After(lookForEngines):
 			}
 		}
 		p.askKept(ctx)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -221,15 +221,3 @@
 	const quarter = 4
 	return d - d/quarter + time.Duration(random.Int64N(int64(d/(quarter/2))+1))
 }
-
-// sleep waits for d and reports whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
@@ -38,14 +39,12 @@
 			registered = p.register(ctx, s)
 		}
 		p.look(ctx, s)
-		pause := listEvery
+		wait := listEvery
 		if round < soonUntil {
-			pause = listSoon
+			wait = listSoon
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, wait) {
 			return ctx.Err()
-		case <-time.After(pause):
 		}
 	}
 }
--- a/internal/sharedstate/circuit.go
+++ b/internal/sharedstate/circuit.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/pause"
 )
 
 // The thresholds of the circuit.
@@ -16,34 +18,11 @@
 	longestPause = 1500 * time.Millisecond
 )
 
-// Backoff gives the pauses between attempts: each twice the one before, up to
-// a bound, and each shortened by a random part, so that processes that failed
-// together do not come back together.
-type Backoff struct {
-	First   time.Duration
-	Longest time.Duration
-
-	attempt int
-}
-
-// Next returns the next pause, between half and all of its full length.
-func (b *Backoff) Next(random *rand.Rand) time.Duration {
-	full := b.Longest
-	if shifted := b.First << b.attempt; shifted > 0 && shifted < b.Longest {
-		full = shifted
-		b.attempt++
-	}
-	return full/2 + time.Duration(random.Int64N(int64(full/2)+1))
-}
-
-// Reset begins again with the first pause.
-func (b *Backoff) Reset() { b.attempt = 0 }
-
 // circuit refuses calls while the platform is down, but for one attempt per
 // pause.
 type circuit struct {
 	random  *rand.Rand
-	backoff Backoff
+	backoff pause.Backoff
 
 	failures   int
 	probing    bool
@@ -56,7 +35,7 @@
 func newCircuit(now time.Time, random *rand.Rand) *circuit {
 	return &circuit{
 		random:  random,
-		backoff: Backoff{First: firstPause, Longest: longestPause},
+		backoff: pause.Backoff{First: firstPause, Longest: longestPause},
 		up:      true,
 		since:   now,
 	}
--- a/internal/sharedstate/watch.go
+++ b/internal/sharedstate/watch.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
 
+	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
@@ -36,7 +37,7 @@
 			return o, err
 		}
 		// A store that does not wait would be asked again without end.
-		if !pause(ctx, began.Add(shortestWatch).Sub(c.now())) {
+		if !pause.For(ctx, began.Add(shortestWatch).Sub(c.now())) {
 			return o, eris.Wrap(ErrUnavailable, ctx.Err().Error())
 		}
 	}
--- a/internal/sharedstate/write.go
+++ b/internal/sharedstate/write.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/pause"
 )
 
 // Outcome says what became of a write.
@@ -162,7 +163,7 @@
 // the ids of their recent writes in their value are Applied in that case.
 func Update(ctx context.Context, store Store, name string, mutate Mutate) (Object, Outcome, error) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	pauses := Backoff{First: updateFirstPause, Longest: updateLongestPause}
+	pauses := pause.Backoff{First: updateFirstPause, Longest: updateLongestPause}
 	for range updateAttempts {
 		base, err := store.Get(ctx, name)
 		if err != nil {
@@ -178,7 +179,7 @@
 		if w.outcome != NotApplied || !errors.Is(err, ErrConflict) {
 			return w.object, w.outcome, err
 		}
-		if !pause(ctx, pauses.Next(random)) {
+		if !pause.For(ctx, pauses.Next(random)) {
 			break
 		}
 	}
@@ -186,14 +187,14 @@
 }
 
 // run makes the calls of w until its outcome is certain or ctx ends.
-func (w *Write) run(ctx context.Context, store Store, pauses *Backoff, random *rand.Rand) error {
+func (w *Write) run(ctx context.Context, store Store, pauses *pause.Backoff, random *rand.Rand) error {
 	var last error
 	for w.Next() != CallNone {
 		last = w.call(ctx, store)
 		if last == nil || w.Next() == CallNone || errors.Is(last, ErrConflict) {
 			continue
 		}
-		if !pause(ctx, pauses.Next(random)) {
+		if !pause.For(ctx, pauses.Next(random)) {
 			return eris.Wrap(ErrUnknown, last.Error())
 		}
 	}
@@ -217,15 +218,3 @@
 	w.PutDone(version, err)
 	return err
 }
-
-// pause waits for d and reports whether ctx still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/sidecar/links.go
+++ b/internal/sidecar/links.go
@@ -14,6 +14,7 @@
 	"github.com/samber/do/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/link"
+	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/sidecar/requests"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -219,10 +220,8 @@
 func (d *linksDuty) awaitQuiet(ctx context.Context, quiet time.Duration) {
 	for {
 		before := d.numbers.Load()
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, quiet) {
 			return
-		case <-time.After(quiet):
 		}
 		if d.numbers.Load() == before {
 			return
--- a/test/standin/modelengine/modelengine.go
+++ b/test/standin/modelengine/modelengine.go
@@ -20,6 +20,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/decide/route"
 	"pistachioroad.dev/pistachioroad/internal/engine"
+	"pistachioroad.dev/pistachioroad/internal/pause"
 )
 
 // Config says how the stand-in behaves.
@@ -237,8 +238,8 @@
 		cached = total
 	}
 	seconds := float64(total-cached) / s.config.PrefillRate
-	if err := sleep(ctx, time.Duration(seconds*float64(time.Second))); err != nil {
-		return 0, err
+	if !pause.For(ctx, time.Duration(seconds*float64(time.Second))) {
+		return 0, ctx.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -250,8 +251,8 @@
 	text := Answer(req.Prompt, req.MaxTokens)
 	width := len(text) / max(1, req.MaxTokens)
 	for i := req.ResumeFrom; i < req.MaxTokens; i++ {
-		if err := sleep(ctx, s.tokenInterval()); err != nil {
-			return err
+		if !pause.For(ctx, s.tokenInterval()) {
+			return ctx.Err()
 		}
 		out.send(line{Piece: &engine.Piece{Text: text[i*width : (i+1)*width], Tokens: 1}})
 		s.mu.Lock()
@@ -466,17 +467,6 @@
 	return (len(prompt) + route.BytesPerToken - 1) / route.BytesPerToken
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
