Gateway: the number of entries stands once; plainer signatures

The gateway kept the function that counts entries beside the Share that has it. chooseService always returned true; ReadAll wrote io.ReadAll out. No change of behaviour.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -9,7 +9,6 @@
 package direct
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -285,7 +284,5 @@
 // ReadAll reads a reply's whole body, up to limit bytes.
 func (r *Reply) ReadAll(limit int64) ([]byte, error) {
 	defer r.Body.Close()
-	var buf bytes.Buffer
-	_, err := io.Copy(&buf, io.LimitReader(r.Body, limit))
-	return buf.Bytes(), err
+	return io.ReadAll(io.LimitReader(r.Body, limit))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,8 +48,6 @@
 	sends map[string]*retry.Sends
 
 	stopping atomic.Bool
-	// entries returns how many entries share the limits of the services.
-	entries func() int
 }
 
 // Config is what a Gateway is made of.
@@ -68,7 +66,6 @@
 // as many entries as share counts.
 func (g *Gateway) ShareWith(share Share) {
 	g.engines.share = share
-	g.entries = share.Count
 }
 
 // New returns a Gateway.
@@ -80,7 +77,6 @@
 		engines:   newEngines(),
 		plain:     newPlain(),
 		sends:     make(map[string]*retry.Sends),
-		entries:   func() int { return 1 },
 	}
 	g.deployment.Store(&c.Deployment)
 	g.bodies.limit = int64(bodyPart * float64(c.Deployment.MemoryBytes))
@@ -106,6 +102,9 @@
 	})
 }
 
+// entries returns how many entries share the limits of the services.
+func (g *Gateway) entries() int { return g.engines.share.Count() }
+
 // allowExtra reports whether a service bears one more send beyond the first.
 func (g *Gateway) allowExtra(service string, now time.Time) bool {
 	g.mu.Lock()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -119,7 +119,8 @@
 	if !c.headFits(r) || !c.setDeadlines() || !c.readBody(r) {
 		return false
 	}
-	return c.chooseService()
+	c.chooseService()
+	return true
 }
 
 // unknownRoute answers a request that no route takes. If the store has not
@@ -173,7 +174,7 @@
 	return true
 }
 
-func (c *call) chooseService() bool {
+func (c *call) chooseService() {
 	name := c.route.Choose(rand.Float64())
 	service, ok := c.view.Table.Services[name]
 	if !ok {
@@ -181,7 +182,6 @@
 	}
 	c.service = service
 	c.gateway.countRequest(name, c.received)
-	return true
 }
 
 // readBody reads the body within the configuration's limit and this process's
