--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -61,6 +61,7 @@
 
 	mu     sync.Mutex
 	others map[string]netip.AddrPort
+	rank   int
 	// group is this gateway's, members are the others in it.
 	group    place.Group
 	members  map[string]netip.AddrPort
@@ -111,14 +112,19 @@
 	return len(p.others) + 1
 }
 
-// Rank returns this gateway's place among those known. It goes by a hash of the
-// name, so that the first ones are spread over the data centres.
+// Rank returns this gateway's place among those known.
 func (p *Peers) Rank() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	own := xxhash.Sum64String(p.name)
+	return p.rank
+}
+
+// rankAmong returns a gateway's place among others. It goes by a hash of the
+// name, so that the first ones are spread over the data centres.
+func rankAmong(gateway string, others map[string]netip.AddrPort) int {
+	own := xxhash.Sum64String(gateway)
 	rank := 0
-	for name := range p.others {
+	for name := range others {
 		if xxhash.Sum64String(name) < own {
 			rank++
 		}
@@ -154,6 +160,7 @@
 		log.WithField("peers", len(others)).Info("peers changed")
 	}
 	p.others = others
+	p.rank = rankAmong(p.name, others)
 	p.findMembers()
 }
 
