What is learned of engines shows in logs, metrics and the dump

gateway.expected_off has by how much first tokens were off what was expected; the dump shows reads, rate, latency, slowness and wait of each engine; tests for an engine that falls silent and for the bound on a decoder's own reads.

--- /dev/null
+++ b/internal/decide/place/belief.go
@@ -0,0 +1,37 @@
+package place
+
+import "time"
+
+// Belief is what a Fleet has learned of one engine, for operators.
+type Belief struct {
+	// Reads is how many reads by engines in this role it rests on.
+	Reads int `json:"reads"`
+	// TokensPerMS is how many prompt tokens such an engine of average speed reads
+	// in a millisecond, and LatencyMS what passes beside the reading.
+	TokensPerMS float64 `json:"tokens_per_ms"`
+	LatencyMS   float64 `json:"latency_ms"`
+	// Slowness is how many times as long as the average this engine takes.
+	Slowness float64 `json:"slowness"`
+	// WaitMS is how long a new prompt waits there now.
+	WaitMS float64 `json:"wait_ms"`
+	// Streams is how many answers it generates.
+	Streams int `json:"streams"`
+}
+
+// Belief returns what is believed of an engine; false if it is not known.
+func (f *Fleet) Belief(now time.Time, id string) (Belief, bool) {
+	e, ok := f.engines[id]
+	if !ok {
+		return Belief{}, false
+	}
+	return Belief{
+		Reads:       e.reading.Reads(),
+		TokensPerMS: e.reading.Rate(),
+		LatencyMS:   inMS(e.reading.Latency()),
+		Slowness:    e.speed.Slowness(),
+		WaitMS:      inMS(e.wait(now)),
+		Streams:     e.streams,
+	}, true
+}
+
+func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -154,6 +154,69 @@
 	})
 })
 
+var _ = Describe("Belief", func() {
+	It("tells operators what was learned of an engine", func() {
+		b, ok := taught(1, 1).Belief(at(0), "e0")
+		Expect(ok).To(BeTrue())
+		Expect(b.Reads).To(BeNumerically(">", 50))
+		Expect(b.TokensPerMS).To(BeNumerically("~", 112, 25))
+		Expect(b.LatencyMS).To(BeNumerically("~", 36, 10))
+		Expect(b.Slowness).To(BeNumerically("~", 1, 0.2))
+		Expect(b.WaitMS).To(BeZero())
+		_, ok = taught(1, 1).Belief(at(0), "e9")
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("an engine that falls silent", func() {
+	// An engine stops in the middle of its reads with all connections open. It
+	// looks as busy as the others; each gateway would go on to send it prompts,
+	// and their callers wait until they leave.
+	It("gets nothing more once its longest read is overdue", func() {
+		f := taught(2, 1)
+		exclude := func(engine string) bool { return engine == "e1" }
+		j := place.Job{ID: 1, Prompt: prompt(1, 0, 9_000, 1), Exclude: exclude}
+		p, _, _ := f.Plan(at(0), j, patient)
+		Expect(p.Reader).To(Equal("e0"))
+		f.Placed(at(0), place.Placement{ID: 1, Prompt: j.Prompt, Plan: p, Left: time.Minute})
+		for n := range 20 {
+			p := plan(f, at(500+n), place.Job{ID: place.JobID(10 + n), Prompt: prompt(uint64(n+2), 0, 2_000, uint64(n+2))})
+			Expect(p.Reader).NotTo(Equal("e0"))
+			f.ReadDone(at(500+n), place.JobID(10+n))
+			f.Ended(at(500+n), place.JobID(10+n))
+		}
+	})
+})
+
+var _ = Describe("an engine that generates", func() {
+	// Prompts come faster than the engines that read can take them. Those that
+	// generate help; were they to read all the time, their streams would run at a
+	// quarter of their pace and answers of minutes miss their deadline.
+	It("reads for a bounded part of its time while others only read", func() {
+		f := taught(1, 1)
+		var own time.Duration
+		const seconds = 5
+		for ms := 0; ms < seconds*1_000; ms += 5 {
+			j := place.Job{ID: place.JobID(ms + 1), Prompt: prompt(uint64(ms), 0, 4_000, uint64(ms))}
+			p, _, _ := f.Plan(at(ms), j, patient)
+			f.Placed(at(ms), place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: time.Minute})
+			if !p.Split() {
+				own += p.Read
+			}
+		}
+		Expect(own).To(BeNumerically(">", seconds*time.Second/5))
+		Expect(own).To(BeNumerically("<", seconds*time.Second*6/10))
+	})
+
+	It("reads all prompts where no other engine can", func() {
+		f := taught(0, 2)
+		for n := range 50 {
+			p := plan(f, at(n), place.Job{ID: place.JobID(n + 1), Prompt: prompt(uint64(n), 0, 4_000, uint64(n))})
+			Expect(p.Split()).To(BeFalse())
+		}
+	})
+})
+
 var _ = Describe("groups", func() {
 	It("are one where a few dozen gateways can hear of everything", func() {
 		Expect(place.Groups(20, 12)).To(BeEquivalentTo(1))
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/place"
 )
 
 // Dump is the state of a gateway, for operators.
@@ -25,6 +26,8 @@
 	backend.Server
 	// Work is how many requests of all gateways an engine has.
 	Work int `json:"work"`
+	// Belief is what is learned of a model engine, absent for others.
+	Belief *place.Belief `json:"belief,omitempty"`
 }
 
 // Dump returns the state of the gateway.
@@ -42,7 +45,7 @@
 		d.ConfigVersion = v.Table.Version
 	}
 	for _, s := range v.Servers {
-		d.Servers = append(d.Servers, ServerDump{Server: s, Work: g.EngineWork(s.Service, s.ID)})
+		d.Servers = append(d.Servers, ServerDump{Server: s, Work: g.EngineWork(s.Service, s.ID), Belief: g.engineBelief(now, s)})
 	}
 	return d
 }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -172,6 +172,20 @@
 	return g.engines.fleet(service).Work(id)
 }
 
+// engineBelief is what is learned of a model engine, nil for other servers.
+func (g *Gateway) engineBelief(now time.Time, s backend.Server) *place.Belief {
+	if s.Role == backend.NoRole {
+		return nil
+	}
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	b, ok := g.engines.fleet(s.Service).Belief(now, s.ID)
+	if !ok {
+		return nil
+	}
+	return &b
+}
+
 // EngineRequests returns how many requests of a service all entries have placed
 // since this one was started.
 func (g *Gateway) EngineRequests(service string) int64 {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,10 @@
 	if c.trace.first > 0 {
 		metrics.GetOrRegisterTimer("gateway.first_byte."+kind, nil).Update(c.trace.first)
 	}
+	if expected := c.trace.plan.Expected(); expected > 0 && c.trace.first > 0 {
+		off := c.trace.first - c.trace.placed - expected
+		metrics.GetOrRegisterTimer("gateway.expected_off."+kind, nil).Update(max(off, -off))
+	}
 	if c.sends > 1 {
 		metrics.GetOrRegisterCounter("gateway.repeated_sends", nil).Inc(int64(c.sends - 1))
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -39,7 +39,7 @@
 		if !ok {
 			break
 		}
-		c.trace.plan = plan
+		c.trace.plan, c.trace.placed = plan, now.Sub(c.received)
 		if !admission.Admit {
 			last = verdict.Refused(verdict.CodeOverloaded, "the answer would come too late", admission.RetryAfter)
 			break
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -32,6 +32,8 @@
 	// plan is where the prompt went, prefill how long its reading took there.
 	plan    place.Plan
 	prefill time.Duration
+	// placed is how long after the request came the plan was made.
+	placed  time.Duration
 	bytes   int64
 	aborted bool
 }
@@ -160,7 +162,7 @@
 		p := c.trace.plan
 		fields["reader"], fields["kept"], fields["tokens"] = p.Reader, p.Kept, c.request.Prompt.Tokens
 		fields["expected_ms"], fields["wait_ms"], fields["read_ms"] = p.Expected().Milliseconds(), p.Wait.Milliseconds(), p.Read.Milliseconds()
-		fields["prefill_ms"] = c.trace.prefill.Milliseconds()
+		fields["prefill_ms"], fields["learned"] = c.trace.prefill.Milliseconds(), p.Learned
 	}
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
