A resumable stream goes on elsewhere after a second of silence

Cause: an engine goes dark with its connections open; its streams hang until their callers leave after two seconds.

The test fails without the change (the caller gets a stream that breaks off).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -21,8 +22,9 @@
 )
 
 // send makes one attempt at a server. It returns an answer that comes from a
-// run, or the error of an attempt that gave none.
-func (c *call) send(server backend.Server, o request.Options) (*direct.Reply, *verdict.Error) {
+// run, or the error of an attempt that gave none. The attempt is given up when
+// ctx ends.
+func (c *call) send(ctx context.Context, server backend.Server, o request.Options) (*direct.Reply, *verdict.Error) {
 	if c.sends > 0 && !c.spendExtra() {
 		return nil, c.overBudget()
 	}
@@ -32,7 +34,7 @@
 	o.Server = server
 	o.Left = c.left()
 	c.trace.server = server.ID
-	reply, err := c.gateway.transport.Send(c.ctx, &c.request, o)
+	reply, err := c.gateway.transport.Send(ctx, &c.request, o)
 	if err != nil {
 		e := verdict.Of(err)
 		c.note(server, e.Verdict)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -309,6 +310,22 @@
 		Expect(resumed).To(Equal(len(decoder.Runs())))
 	})
 
+	// An engine falls silent in the middle of a summary, with all connections open.
+	// Its callers would leave after two seconds; they get every event, once.
+	It("whose stream may be resumed goes on elsewhere when its engine falls silent", func() {
+		other := w.add("llm", runner.New("i-e", "decode"))
+		Eventually(func() int { return len(w.dir.View().Servers) }).Should(Equal(3))
+		decoder.SetFault(runner.Stalling)
+		for n := 0; len(decoder.Runs()) == 0 && n < 20; n++ {
+			id := "r" + strconv.Itoa(n)
+			got := w.ask(http.MethodPost, "/stream-again/1", id, prompt...)
+			Expect(got.err).NotTo(HaveOccurred())
+			Expect(got.body).To(Equal(stream(id, 1, 3)))
+		}
+		Expect(decoder.Runs()).To(HaveLen(1))
+		Expect(other.Runs()).NotTo(BeEmpty())
+	})
+
 	// An engine breaks off within a stream, and the next one answers with
 	// something that is no stream. Joined to the first events, the caller would
 	// take both for one answer.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -172,7 +172,14 @@
 func (c *call) generate(decoder backend.Server, o request.Options, id place.JobID) *verdict.Error {
 	g := c.gateway
 	o.ResumeAfter = c.lastEvent
-	reply, err := c.send(decoder, o)
+	ctx, giveUp := context.WithCancel(c.ctx)
+	defer giveUp()
+	silence := &silenceWatch{allowed: streamSilence, giveUp: giveUp}
+	if c.route.Resumable {
+		silence.begin()
+		defer silence.end()
+	}
+	reply, err := c.send(ctx, decoder, o)
 	if err != nil {
 		c.blame(decoder, o, err)
 		return err
@@ -186,7 +193,8 @@
 		c.head(reply)
 		c.started = true
 	}
-	first := &firstByte{Reader: reply.Body, seen: func() { g.engines.firstToken(c.service.Name, id) }}
+	silence.body = reply.Body
+	first := &firstByte{Reader: silence, seen: func() { g.engines.firstToken(c.service.Name, id) }}
 	return c.passStream(decoder, first)
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -133,7 +133,7 @@
 			}
 			break
 		}
-		reply, err := c.send(server, request.Options{Priority: request.DefaultPriority})
+		reply, err := c.send(c.ctx, server, request.Options{Priority: request.DefaultPriority})
 		if err == nil && reply.Status >= http.StatusInternalServerError && c.mayRepeat() {
 			// A failure of a server's own is worth another try where that does
 			// no harm.
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -36,6 +37,9 @@
 	Nonsense
 	// Silent takes the request and never answers.
 	Silent
+	// Stalling falls silent in the middle of a stream's second event, with its
+	// connection open.
+	Stalling
 	// ExtraAnswer sends a second answer after each.
 	ExtraAnswer
 )
@@ -304,7 +308,7 @@
 		return
 	}
 	if strings.Contains(run.Target, "stream") {
-		r.stream(w, run, fault)
+		r.stream(req.Context(), w, run, fault)
 		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(Body(run.ID))))
@@ -328,7 +332,7 @@
 }
 
 // stream answers with events that begin after the one that the caller has.
-func (r *Runner) stream(w http.ResponseWriter, run Run, fault Fault) {
+func (r *Runner) stream(ctx context.Context, w http.ResponseWriter, run Run, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 1
 	if n, err := strconv.Atoi(run.Resumed); err == nil {
@@ -337,9 +341,12 @@
 	flush := w.(http.Flusher).Flush
 	for n := first; n <= r.Events; n++ {
 		event := Event(run.ID, n)
-		if fault == BreakingOff && n == 2 {
+		if (fault == BreakingOff || fault == Stalling) && n == 2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			flush()
+			if fault == Stalling {
+				<-ctx.Done()
+			}
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = io.WriteString(w, event)
