A decoder's allowance for own reads does not fall without bound

Cause: reads as a prefill engine were taken off the allowance too; an engine that generates, is told to read and then to generate again would have read nothing for as long as it had read before.

--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -137,7 +137,7 @@
 		r.before = e.queue.work.Times(left).Plus(r.work)
 	}
 	r.expected = wait + e.cost(r.work) + e.reading.Latency()
-	e.allowance -= e.cost(r.work)
+	e.allowance = max(-mostAllowance, e.allowance-e.cost(r.work))
 	if e.queue.empty() {
 		e.since = now
 	}
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -208,6 +208,39 @@
 		Expect(own).To(BeNumerically("<", seconds*time.Second*6/10))
 	})
 
+	// An engine that generates is told to read for others, and later to generate
+	// again. What it read in between is no reason to leave its reading idle.
+	It("reads its part from the moment on at which it generates again", func() {
+		f := taught(1, 2)
+		as := func(role backend.Role) {
+			list := engines(1, 2)
+			list[1].Role = role
+			f.SetEngines(list)
+		}
+		var id place.JobID
+		read := func(ms int, exclude func(string) bool) place.Plan {
+			id++
+			j := place.Job{ID: id, Prompt: prompt(uint64(id), 0, 4_000, uint64(id)), Exclude: exclude}
+			p, _, _ := f.Plan(at(ms), j, patient)
+			f.Placed(at(ms), place.Placement{ID: id, Prompt: j.Prompt, Plan: p, Left: time.Minute})
+			return p
+		}
+		read(0, nil)
+		as(backend.Prefill)
+		for n := range 200 {
+			read(n, func(engine string) bool { return engine == "e0" })
+			f.Ended(at(n), id)
+		}
+		as(backend.Decode)
+		own := 0
+		for n := range 100 {
+			if p := read(1_000+10*n, nil); p.Reader == "e1" {
+				own++
+			}
+		}
+		Expect(own).To(BeNumerically(">", 5))
+	})
+
 	It("reads all prompts where no other engine can", func() {
 		f := taught(0, 2)
 		for n := range 50 {
