--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -89,14 +89,6 @@
 	return overdue, overdue > time.Duration(overdueAfter*float64(longest))
 }
 
-// readWeight is how much the engine's read time counts beyond itself.
-func (e *engine) readWeight() float64 {
-	if e.Role == backend.Decode {
-		return readWeight + crowdWeight*e.crowd()
-	}
-	return readWeight
-}
-
 // taken is the part of the engine's slots that streams take; 0 if it is not
 // known how many it has.
 func (e *engine) taken() float64 {
@@ -106,15 +98,6 @@
 	return float64(e.streams) / float64(e.Slots)
 }
 
-// crowd is how many streams share the engine's steps for each slot that is free.
-func (e *engine) crowd() float64 {
-	taken := e.taken()
-	return taken / max(1-taken, leastFree)
-}
-
-// leastFree bounds crowd for an engine whose slots are all taken.
-const leastFree = 0.02
-
 // full reports whether a new stream would have to wait for a slot.
 func (e *engine) full() bool { return e.Slots > 0 && e.streams >= e.Slots }
 
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -40,11 +40,6 @@
 	// ones: 2.5 0.510 and 0.714, 4 0.515 and 0.709; only with 4 the longest
 	// answers are served on every day.
 	readWeight = 4
-	// crowdWeight is what is added to it at an engine that generates, for each
-	// stream to a free slot: a read there delays each token of all of them. With
-	// 10 such engines stay idle while callers are refused, with 0 streams pile up
-	// until all slots are taken (0.511 and 0.651 of worth).
-	crowdWeight = 1
 	// takenWeight is how much longer an engine with all slots taken counts to take
 	// for a first token than an idle one. With 20, transfers cross data centres
 	// for a few streams' difference (0.536 of worth in place of 0.638).
@@ -203,7 +198,7 @@
 		if !ok || (e.Role == backend.Decode && readers && !e.maySpendOnReads(now)) {
 			continue
 		}
-		cost := p.Expected() + time.Duration(e.readWeight()*float64(p.Read))
+		cost := p.Expected() + readWeight*p.Read
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = p, cost
 		}
