A silent stream is given up only where it can go on elsewhere

Cause, found by reading: a resumable stream on its last attempt, or at the only engine, was given up after a second of silence, though its engine may come back; and the second counted while the caller did not read. The spec of the pause fails without the change. The spec of the silent engine no longer depends on which of two equal engines is chosen; the stand-in pauses between events only.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -17,22 +17,35 @@
 // Their callers wait for two seconds and leave; one notices by answers of one
 // engine that all break off within a moment, without an error of the engine's.
 type silenceWatch struct {
-	body    io.Reader
-	allowed time.Duration
-	giveUp  context.CancelFunc
+	body io.Reader
 	// timer is nil for a stream that is not watched.
 	timer *time.Timer
 }
 
-func (w *silenceWatch) begin() { w.timer = time.AfterFunc(w.allowed, w.giveUp) }
-
-func (w *silenceWatch) end() { w.timer.Stop() }
+// watchSilence watches the next attempt of a stream if it could go on elsewhere.
+// Where it could not, silence is no reason to end it: the engine may come back.
+func (c *call) watchSilence(giveUp context.CancelFunc) *silenceWatch {
+	others := len(c.gateway.directory.View().Service(c.service.Name)) > len(c.refusedBy)+1
+	if !c.route.Resumable || c.ran+1 >= c.route.Attempts || !others {
+		return &silenceWatch{}
+	}
+	return &silenceWatch{timer: time.AfterFunc(streamSilence, giveUp)}
+}
 
-// Read implements io.Reader.
+// Read implements io.Reader. The time in which the caller takes what was read
+// does not count.
 func (w *silenceWatch) Read(p []byte) (int, error) {
+	if w.timer == nil {
+		return w.body.Read(p)
+	}
+	w.timer.Reset(streamSilence)
 	n, err := w.body.Read(p)
+	w.timer.Stop()
+	return n, err
+}
+
+func (w *silenceWatch) end() {
 	if w.timer != nil {
-		w.timer.Reset(w.allowed)
+		w.timer.Stop()
 	}
-	return n, err
 }
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -351,7 +351,9 @@
 		}
 		_, _ = io.WriteString(w, event)
 		flush()
-		time.Sleep(r.EventGap)
+		if n < r.Events {
+			time.Sleep(r.EventGap)
+		}
 	}
 }
 
