Directory: logs tell how watches end and what other gateways named

A route was denied for three seconds at one gateway after its configuration had been confirmed. The logs could not tell whether the gateway was told of the newer configuration and did not act, or whether its own watch had gone past the change.

Added: lines for a history that was dropped, a watch that ended before its time without changes, a gateway that begins to watch by itself, and a newer configuration that another gateway has named; the age of the configuration and that revision on each request's line; two counters. No change of logic.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -70,7 +70,7 @@
 	// if set.
 	OnChange func(*View)
 
-	failures metrics.Counter
+	failures, dropped, early metrics.Counter
 }
 
 // New returns a Directory that knows nothing yet.
@@ -84,6 +84,8 @@
 		serversWake: make(chan struct{}, 1),
 
 		failures: metrics.GetOrRegisterCounter("directory.store_failures", nil),
+		dropped:  metrics.GetOrRegisterCounter("directory.histories_dropped", nil),
+		early:    metrics.GetOrRegisterCounter("directory.watches_ended_early", nil),
 	}
 	dir.view.Store(dir.state.snapshot())
 	return dir
@@ -103,7 +105,7 @@
 			}
 		},
 		confirm: func(at time.Time) { d.state.confirmConfig(at) },
-		lacks:   func() bool { return d.state.configWanted > d.state.view.TableRevision },
+		lacks:   func() bool { return d.state.view.TableTold > d.state.view.TableRevision },
 		wake:    d.configWake,
 	})
 }
@@ -178,7 +180,10 @@
 			d.waitCovered(ctx, f)
 			continue
 		}
-		if !errors.Is(err, store.ErrCompacted) {
+		if errors.Is(err, store.ErrCompacted) {
+			d.dropped.Inc(1)
+			log.WithField("kind", f.kind).WithField("from", f.at).Info("history dropped, listing")
+		} else {
 			d.failed(f, err)
 		}
 		pause.For(ctx, f.pauses.Next(random))
@@ -191,6 +196,9 @@
 	if err := d.list(ctx, f); err != nil {
 		return err
 	}
+	if !d.covered() {
+		log.WithField("kind", f.kind).WithField("from", f.at).Info("store watched by this gateway")
+	}
 	for !d.covered() {
 		if err := d.watch(ctx, f, d.watchWait()); err != nil {
 			return err
@@ -207,11 +215,24 @@
 		return err
 	}
 	f.pauses.Reset()
+	d.noteEarly(f, batch, time.Since(sent), wait)
 	f.at = max(f.at, batch.At)
 	d.locked(func() { d.takeBatch(f, batch, watchedUntil(sent, time.Now(), wait, batch)) })
 	return nil
 }
 
+// noteEarly logs a watch that ended without changes before its time: the store
+// does so shortly before it drops its history.
+func (d *Directory) noteEarly(f *follower, b store.Batch, took, wait time.Duration) {
+	if len(b.Events) > 0 || took >= wait {
+		return
+	}
+	d.early.Inc(1)
+	log.WithFields(log.Fields{
+		"kind": f.kind, "from": f.at, "at": b.At, "took_ms": took.Milliseconds(), "wait_ms": wait.Milliseconds(),
+	}).Info("watch ended early, without changes")
+}
+
 // watchedUntil is until when the answer of a watch certainly tells all changes.
 // An answer may have waited in its connection while this process stood still, so
 // that the time of its receipt says nothing: one with changes tells of the time
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if c.ConfigRevision > s.view.TableRevision {
-		s.configWanted = c.ConfigRevision
+		d.told(c)
 		d.wake(d.configWake)
 	}
 	if c.ServersRevision > s.serversKnown {
@@ -89,6 +89,18 @@
 	d.publish(false)
 }
 
+// told notes that another gateway knows a newer configuration.
+func (d *Directory) told(c Confirmation) {
+	v := &d.state.view
+	if c.ConfigRevision <= v.TableTold {
+		return
+	}
+	v.TableTold = c.ConfigRevision
+	log.WithFields(log.Fields{
+		"revision": v.TableRevision, "told": v.TableTold, "told_age_ms": c.Age.Milliseconds(),
+	}).Info("another gateway knows a newer configuration")
+}
+
 // Change is a change of an entry that a watch has seen.
 type Change struct {
 	store.Event
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -46,8 +46,8 @@
 	// serversKnown is the store's revision up to which all changes of entries
 	// are known, and serversChanged one after which there was none up to there.
 	serversKnown, serversChanged int64
-	// configWanted and serversWanted are the newest revisions that others knew.
-	configWanted, serversWanted int64
+	// serversWanted is the newest revision of entries that others knew.
+	serversWanted int64
 	// configWatched and serversWatched are when own reads last confirmed each.
 	configWatched, serversWatched time.Time
 	// relayedAt is when the store last confirmed, to another gateway, what is
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -19,6 +19,9 @@
 	Table *routes.Table
 	// TableRevision is the store's revision of Table.
 	TableRevision int64
+	// TableTold is the newest revision of Table that another gateway has named. If
+	// it is higher than TableRevision, Table is out of date.
+	TableTold int64
 	// TableAt and ServersAt are when the store last confirmed each, by the
 	// steady clock.
 	TableAt, ServersAt time.Time
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -155,7 +155,8 @@
 		"total_ms": time.Since(c.received).Milliseconds(), "first_ms": c.trace.first.Milliseconds(), "bytes": c.trace.bytes,
 	}
 	if c.view != nil {
-		fields["config_revision"] = c.view.TableRevision
+		fields["config_revision"], fields["config_told"] = c.view.TableRevision, c.view.TableTold
+		fields["config_age_ms"] = c.received.Sub(c.view.TableAt).Milliseconds()
 		fields["servers_age_ms"] = c.received.Sub(c.view.ServersAt).Milliseconds()
 	}
 	if c.route.Model {
