A test that fails: a change that other gateways name is not read by one that watches

The incident in virtual time: a gateway that no confirmation covers watches the store by itself, the watch hears nothing, and the others name a newer revision. It must know it 100 ms later; the code waits for its own watch, configuration and servers alike.

--- /dev/null
+++ b/internal/directory/told_test.go
@@ -0,0 +1,94 @@
+package directory
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/store"
+)
+
+// holdingBack is a store whose watches hear nothing: it is about to drop its
+// history. Its lists tell everything.
+type holdingBack struct {
+	store.Store
+	mu       sync.Mutex
+	revision int64
+}
+
+func (h *holdingBack) change() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.revision++
+}
+
+func (h *holdingBack) List(_ context.Context, kind string, _ store.Freshness) (store.Listing, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if kind != "config" {
+		return listing(h.revision, object("a", h.revision, "x")), nil
+	}
+	return listing(h.revision, object("main", h.revision, "1")), nil
+}
+
+// Watch ends with its caller's patience, as a call does that is never answered.
+func (h *holdingBack) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) (store.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return store.Batch{}, ctx.Err()
+	case <-time.After(wait + time.Second):
+		return store.Batch{}, context.DeadlineExceeded
+	}
+}
+
+// An operator's change is confirmed by the store, and adds a route. Seven
+// gateways serve the route within 150 ms. One answers "no such route" to all its
+// callers for 3.5 s, though the others have told it ten times that there is a newer
+// configuration than its own.
+func TestChangeThatOthersNameIsReadAtOnce(t *testing.T) {
+	const (
+		untilChange = 100 * time.Millisecond
+		untilTold   = 500 * time.Millisecond
+		untilKnown  = 100 * time.Millisecond
+	)
+	kinds := Kinds{Config: "config", ConfigName: "main", Servers: "servers"}
+	for _, c := range []struct {
+		name   string
+		follow func(*Directory, context.Context) error
+		told   Confirmation
+		knows  func(*View) bool
+	}{
+		{
+			"configuration", (*Directory).FollowConfig,
+			Confirmation{ConfigRevision: 2},
+			func(v *View) bool { return v.TableRevision == 2 },
+		},
+		{
+			"backend servers", (*Directory).FollowServers,
+			Confirmation{ServersRevision: 2},
+			func(v *View) bool { return time.Since(v.ServersAt) < untilTold },
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &holdingBack{revision: 1}
+				d := New(s, plainDecoder{}, kinds)
+				d.Watcher = func() bool { return false }
+				ctx, stop := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer stop()
+				go func() { _ = c.follow(d, ctx) }()
+				time.Sleep(untilChange)
+				s.change()
+				time.Sleep(untilTold)
+				d.Relayed(time.Now(), c.told)
+				time.Sleep(untilKnown)
+				if !c.knows(d.View()) {
+					t.Errorf("a change that another gateway named %v ago is not known", untilKnown)
+				}
+			})
+		})
+	}
+}
