Directory: a watch has 50 ms to bring what others have seen before it is given up

A list of a thousand servers is 300 KB. A watch that works brings the change within milliseconds, as the others have it by the same way; one that does not is given up.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -28,6 +28,9 @@
 	// sharedWatchWait is the same for a gateway that watches for others. Two of
 	// them are under coverFor: a change at the end of one confirms its begin.
 	sharedWatchWait = 700 * time.Millisecond
+	// deafAfter is how long a watch may take to bring a change that others have
+	// seen. They have it by a watch or list of their own, so that it is on its way.
+	deafAfter = 50 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed read. The
 	// longest stays well under the two seconds that a change may take.
 	firstPause   = 100 * time.Millisecond
@@ -207,7 +210,7 @@
 }
 
 // watchUnlessTold takes in what the next watch brings, or gives the watch up and
-// lists as soon as other gateways name a change that is not known here.
+// lists when other gateways name a change that it does not bring.
 //
 // A watch may hear nothing of a change that the store has confirmed: for one
 // thing, the store keeps changes back before it drops its history. A gateway that
@@ -218,18 +221,24 @@
 	defer stop()
 	ended := make(chan error, 1)
 	go func() { ended <- d.watch(watching, f, d.watchWait()) }()
+	var deaf <-chan time.Time
 	for {
 		select {
 		case err := <-ended:
 			return err
 		case <-f.wake:
+			if deaf == nil && d.lacks(f) {
+				deaf = time.After(deafAfter)
+			}
+		case <-deaf:
+			deaf = nil
+			if !d.lacks(f) {
+				continue
+			}
+			stop()
+			<-ended
+			return d.list(ctx, f)
 		}
-		if !d.lacks(f) {
-			continue
-		}
-		stop()
-		<-ended
-		return d.list(ctx, f)
 	}
 }
 
