Directory: a covered gateway lists when the store keeps a change back from its watch

Another place with the cause of the denied route: a gateway that is told of a change of servers asks for it by a watch, and waited 0.9 s for one that hangs. It then counted the store as away, which keeps servers that left for two seconds more. Mend: that watch has 200 ms, and whatever becomes of it, a list follows. TestCoveredGatewayListsIfTheStoreKeepsTheChangeBack failed before on both counts.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -19,6 +18,9 @@
 	// have seen waits: they are there. A list of a thousand servers is 300 KB, and
 	// takes a small VM a good part of a second.
 	catchUpWait = time.Millisecond
+	// catchUpTimeout bounds that watch. The store answers in milliseconds, or keeps
+	// the changes back; a list, which takes longer, tells them all the same.
+	catchUpTimeout = 200 * time.Millisecond
 	// coverCheck is how often a covered gateway looks whether it still is.
 	coverCheck = 200 * time.Millisecond
 )
@@ -180,22 +182,22 @@
 }
 
 // catchUp takes in what others know and this gateway does not. It goes on from
-// the last change that it got and believes no watch that tells of none: a store
-// that is about to drop its history may keep changes back for a while, and a
+// the last change that it got and believes no watch that tells of none or hangs: a
+// store that is about to drop its history may keep changes back for a while, and a
 // gateway that took the revision of such an answer for known would never see
-// them. A kind of few objects is listed at once.
+// them. It lists then. A kind of few objects is listed at once.
 func (d *Directory) catchUp(ctx context.Context, f *follower) error {
 	if f.sawAll == nil {
 		return d.list(ctx, f)
 	}
 	sent := time.Now()
-	batch, err := d.store.Watch(ctx, f.kind, f.at, catchUpWait)
-	if errors.Is(err, store.ErrCompacted) || (err == nil && len(batch.Events) == 0) {
+	watching, stop := context.WithTimeout(ctx, catchUpTimeout)
+	defer stop()
+	batch, err := d.store.Watch(watching, f.kind, f.at, catchUpWait)
+	if err != nil || len(batch.Events) == 0 {
+		log.WithError(err).WithField("kind", f.kind).WithField("from", f.at).Info("change not got by a watch, listing")
 		return d.list(ctx, f)
 	}
-	if err != nil {
-		return err
-	}
 	batch.At = lastRevision(batch.Events)
 	f.at = max(f.at, batch.At)
 	d.locked(func() { d.takeBatch(f, batch, sent) })
--- a/internal/directory/told_test.go
+++ b/internal/directory/told_test.go
@@ -127,3 +127,41 @@
 		}
 	})
 }
+
+// A server leaves while the store keeps changes back from watches. A gateway that
+// relies on the others hears of it and asks the store for just that change; the
+// question hangs, is taken for an outage of the store, and requests go to the server
+// for a second and more.
+func TestCoveredGatewayListsIfTheStoreKeepsTheChangeBack(t *testing.T) {
+	const (
+		untilKnown = 500 * time.Millisecond
+		settling   = 2 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := &holdingBack{revision: 1}
+		d := New(s, plainDecoder{}, Kinds{Config: "config", ConfigName: "main", Servers: "servers"})
+		d.Watcher = func() bool { return false }
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		go func() { _ = d.FollowServers(ctx) }()
+		for range settling / confirmed {
+			d.Relayed(time.Now(), Confirmation{ServersRevision: 1})
+			time.Sleep(confirmed)
+		}
+		s.change()
+		d.Relayed(time.Now(), Confirmation{ServersRevision: 2})
+		time.Sleep(untilKnown)
+		d.locked(func() {
+			if d.state.serversKnown != 2 {
+				t.Errorf("a change that another gateway named %v ago is not known", untilKnown)
+			}
+			if !d.state.returnedAt.IsZero() {
+				t.Error("changes that are kept back are taken for an outage")
+			}
+		})
+	})
+}
+
+// confirmed is how often the tests have other gateways confirm what they know.
+const confirmed = 100 * time.Millisecond
