Directory: pauses of an earlier outage end once other gateways cover this one

Pauses ended only with an own watch that went well, and a covered gateway makes none. TestPausesOfAnEarlierOutageAreForgotten failed before (467 ms).

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -146,6 +146,9 @@
 	tick := time.NewTicker(coverCheck)
 	defer tick.Stop()
 	log.WithField("kind", f.kind).Info("store watched by other gateways")
+	// A covered gateway has no watches whose success would end the pauses of an
+	// earlier outage.
+	f.pauses.Reset()
 	for d.covered() {
 		select {
 		case <-ctx.Done():
--- a/internal/directory/told_test.go
+++ b/internal/directory/told_test.go
@@ -16,6 +16,22 @@
 	store.Store
 	mu       sync.Mutex
 	revision int64
+	// away has it answer no list, dropped has watches end as the history is gone.
+	away, dropped bool
+	listed        []time.Time
+}
+
+func (h *holdingBack) set(away, dropped bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.away, h.dropped = away, dropped
+}
+
+// listTimes returns when the lists were made.
+func (h *holdingBack) listTimes() []time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.listed
 }
 
 func (h *holdingBack) change() {
@@ -27,6 +43,10 @@
 func (h *holdingBack) List(_ context.Context, kind string, _ store.Freshness) (store.Listing, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.away {
+		return store.Listing{}, store.ErrRefused
+	}
+	h.listed = append(h.listed, time.Now())
 	if kind != "config" {
 		return listing(h.revision, object("a", h.revision, "x")), nil
 	}
@@ -35,6 +55,12 @@
 
 // Watch ends with its caller's patience, as a call does that is never answered.
 func (h *holdingBack) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) (store.Batch, error) {
+	h.mu.Lock()
+	dropped := h.dropped
+	h.mu.Unlock()
+	if dropped {
+		return store.Batch{}, store.ErrCompacted
+	}
 	select {
 	case <-ctx.Done():
 		return store.Batch{}, ctx.Err()
@@ -165,3 +191,39 @@
 
 // confirmed is how often the tests have other gateways confirm what they know.
 const confirmed = 100 * time.Millisecond
+
+// The store was away for some seconds, long ago. Since then a gateway has relied on
+// others and made no watch of its own that could end well. When its next one finds
+// the history gone, it still pauses as long as it did at the end of that outage, and
+// a change waits half a second longer than it needs to.
+func TestPausesOfAnEarlierOutageAreForgotten(t *testing.T) {
+	const (
+		outage = 5 * time.Second
+		calm   = 3 * time.Second
+		alone  = 3 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := &holdingBack{revision: 1, away: true}
+		d := New(s, plainDecoder{}, Kinds{Config: "config", ConfigName: "main", Servers: "servers"})
+		d.Watcher = func() bool { return false }
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		go func() { _ = d.FollowConfig(ctx) }()
+		time.Sleep(outage)
+		s.set(false, true)
+		for range calm / confirmed {
+			d.Relayed(time.Now(), Confirmation{ConfigRevision: 1})
+			time.Sleep(confirmed)
+		}
+		before := len(s.listTimes())
+		time.Sleep(alone)
+		lists := s.listTimes()[before:]
+		if len(lists) < 2 {
+			t.Fatalf("%d lists in %v without confirmations", len(lists), alone)
+		}
+		if pause := lists[1].Sub(lists[0]); pause > firstPause {
+			t.Errorf("the first pause after a dropped history took %v, more than %v", pause, firstPause)
+		}
+	})
+}
