Soak of processes: gateways that others watch for, and a store that keeps changes back

Why the soak missed the denied route: its three gateways all watched the store, so that none relied on others, and its store told every change or answered nothing at all. Now five gateways run, the stand-in can keep changes back from watches while lists tell them, and each run ends with changes in such a time: the last one must be served 3 s after.

--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -63,6 +63,10 @@
 	{"store silent", storeFault(objectstore.Faults{Silent: true})},
 	{"store loses replies", storeFault(objectstore.Faults{LoseReplies: true})},
 	{"store drops history", func(w *world, _ *rand.Rand) func() { w.store.DropHistory(); return nothing }},
+	{"store keeps changes back", func(w *world, _ *rand.Rand) func() {
+		w.store.SetFaults(objectstore.Faults{HoldWatches: true})
+		return w.dropHistory
+	}},
 	{"one gateway cut from the store", storeLink(faultproxy.Mode{Cut: true})},
 	{"one gateway's store one way", storeLink(faultproxy.Mode{DropToClient: true})},
 	{"one gateway's store delayed", storeLink(faultproxy.Mode{Delay: 100 * time.Millisecond})},
@@ -99,6 +103,12 @@
 	}
 }
 
+// dropHistory ends the time in which the store keeps changes back.
+func (w *world) dropHistory() {
+	w.store.SetFaults(objectstore.Faults{})
+	w.store.DropHistory()
+}
+
 func storeLink(m faultproxy.Mode) func(*world, *rand.Rand) func() {
 	return func(w *world, r *rand.Rand) func() {
 		p := w.anyGateway(r).store
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
 const (
@@ -112,11 +114,8 @@
 	w.register(drained, "draining")
 	time.Sleep(drainTimeout)
 	before := len(drained.Runs())
+	w.newestServed(l)
 	for _, g := range w.gateways {
-		a := ask(newClient(), g.address, request{method: "GET", target: fmt.Sprintf("/v%d/", w.version), id: l.nextID(), kind: "version"})
-		if a.status != 200 {
-			l.breach("%s does not serve the newest configuration: status %d %v", g.address, a.status, a.err)
-		}
 		old := ask(newClient(), g.address, request{method: "GET", target: fmt.Sprintf("/v%d/", w.version-1), id: l.nextID(), kind: "version"})
 		if old.status != 404 {
 			l.breach("%s still serves the configuration before: status %d", g.address, old.status)
@@ -126,9 +125,41 @@
 	if after := len(drained.Runs()); after > before {
 		l.breach("a draining server got %d requests more", after-before)
 	}
+	w.changeUnheard(l)
 	w.terminateInTurn(l)
 }
 
+// newestServed checks that every gateway serves the newest configuration.
+func (w *world) newestServed(l *ledger) {
+	for _, g := range w.gateways {
+		a := ask(newClient(), g.address, request{method: "GET", target: fmt.Sprintf("/v%d/", w.version), id: l.nextID(), kind: "version"})
+		if a.status != 200 {
+			l.breach("%s does not serve the newest configuration: status %d %v", g.address, a.status, a.err)
+		}
+	}
+}
+
+const (
+	// unheardFor is how long the store keeps changes back before it drops its
+	// history: long enough for each gateway to look for itself meanwhile.
+	unheardFor = 2 * time.Second
+	// unheardEvery is the time between the changes.
+	unheardEvery = 150 * time.Millisecond
+)
+
+// changeUnheard changes the configuration while the store keeps changes back from
+// watches, and checks that the last change is in force in time once it is well.
+func (w *world) changeUnheard(l *ledger) {
+	w.store.SetFaults(objectstore.Faults{HoldWatches: true})
+	for range unheardFor / unheardEvery {
+		time.Sleep(unheardEvery)
+		w.configure()
+	}
+	w.dropHistory()
+	time.Sleep(max(configApply, contact))
+	w.newestServed(l)
+}
+
 // terminateInTurn stops and starts each gateway while callers go on; nothing
 // else is wrong, so no request may be cut.
 func (w *world) terminateInTurn(l *ledger) {
--- a/test/soakproc/world.go
+++ b/test/soakproc/world.go
@@ -36,8 +36,17 @@
 	modelService = "llm"
 )
 
-// drainTimeout is how long after its entry says so a server may get requests.
-const drainTimeout = 2 * time.Second
+const (
+	// drainTimeout is how long after its entry says so a server may get requests.
+	drainTimeout = 2 * time.Second
+	// configApply is how long a confirmed configuration may take to be in force.
+	configApply = 2 * time.Second
+	// contact is how long after a disturbance the bounds hold again.
+	contact = 3 * time.Second
+)
+
+// gatewayCount is more than the three that watch the store for the others.
+const gatewayCount = 5
 
 // gateway is one VM with a gateway.
 type gateway struct {
@@ -81,7 +90,7 @@
 		}
 	}
 	w.configure()
-	for i := range 3 {
+	for i := range gatewayCount {
 		if err := w.addGateway(100+i, bin, dir); err != nil {
 			return w, err
 		}
@@ -185,7 +194,7 @@
 		"portRange": []int{portPeers, portPeers + 10},
 		"limits":    map[string]any{"memoryMb": 206, "maxFds": 2870},
 		"bounds": map[string]any{
-			"drainTimeoutMs": drainTimeout.Milliseconds(), "gracePeriodS": 8, "configApplyMs": 2000, "contactMs": 3000,
+			"drainTimeoutMs": drainTimeout.Milliseconds(), "gracePeriodS": 8, "configApplyMs": configApply.Milliseconds(), "contactMs": contact.Milliseconds(),
 			"retryBudgetRatio": 0.5, "retrySlack": 300, "budgetWindowS": 10, "leaseMs": 1000,
 		},
 		"platformSettings": map[string]any{"address": store},
--- a/test/standin/objectstore/faults.go
+++ b/test/standin/objectstore/faults.go
@@ -15,6 +15,9 @@
 	DelayMS int `json:"delay_ms"`
 	// LoseReplies does writes and closes the connection without an answer.
 	LoseReplies bool `json:"lose_replies"`
+	// HoldWatches has watches hear nothing, and hang for as long again as they
+	// wait, while lists tell everything.
+	HoldWatches bool `json:"hold_watches"`
 	// LateWritesMS closes the connection at once and does the write that much
 	// later, if its condition still holds then.
 	LateWritesMS int `json:"late_writes_ms"`
--- a/test/standin/objectstore/objectstore.go
+++ b/test/standin/objectstore/objectstore.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"cmp"
+	"context"
 	"encoding/json"
 	"io"
 	"maps"
@@ -263,7 +264,7 @@
 	defer s.waits()()
 	from, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
-	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	deadline := time.After(milliseconds(int(wait)))
 	for {
 		s.mu.Lock()
 		events, gone := s.since(kind, from)
@@ -272,6 +273,9 @@
 		switch {
 		case faults.cutsWatches():
 			panic(http.ErrAbortHandler)
+		case faults.HoldWatches:
+			hang(r.Context(), deadline, milliseconds(int(wait)))
+			panic(http.ErrAbortHandler)
 		case gone:
 			reply(w, http.StatusGone, nil)
 			return
@@ -290,6 +294,19 @@
 	}
 }
 
+// hang waits for what is left of a watch and as long again.
+func hang(caller context.Context, deadline <-chan time.Time, wait time.Duration) {
+	select {
+	case <-caller.Done():
+		return
+	case <-deadline:
+	}
+	select {
+	case <-caller.Done():
+	case <-time.After(wait):
+	}
+}
+
 func (s *Store) since(kind string, from int64) (events []event, gone bool) {
 	if from < s.forgotten {
 		return nil, true
