Place: reads of engines that are not known teach also where they waited

Cause: reads that waited for a slot, or for an engine that counts as hanging, teach nothing; where all engines of a role are behind, nothing is ever learned, nobody is refused by what is not known, and the engines stay behind.

The spec failed before (42 of 199 prompts were still let in as if in time).

--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -128,12 +128,23 @@
 }
 
 // done notes the end of a read and learns from it.
+//
+// A read that waited for something else than the engine's speed tells nothing of
+// that, but while nothing is known it is all there is to learn from: otherwise the
+// engines of a role that all hang or are full stay unknown, and as nobody is refused
+// by what is not known, they are sent prompts without bound and stay that way.
 func (e *engine) done(now time.Time, id JobID) {
 	r := e.remove(now, id)
-	if r == nil || r.poisoned || e.full() {
+	if r == nil {
 		return
 	}
 	took := now.Sub(r.sent)
+	if r.poisoned || e.full() {
+		if !e.reading.Known() {
+			e.reading.Learn(r.before, 1, took)
+		}
+		return
+	}
 	e.reading.Learn(r.before, e.speed.Slowness(), took)
 	e.speed.Learn(r.expected, took)
 }
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -425,6 +425,44 @@
 		}
 	})
 
+	// All gateways are restarted, and the engines that generate have work of which
+	// nobody knows any more. The first prompts sent there hang, what comes after
+	// them is late too, and nothing was learned from reads that are late for
+	// another reason than their engine's speed. Unknown, the engines were given any
+	// number of prompts and stayed behind; half of all callers waited until they
+	// left, to the end of the day.
+	It("ends the trust in engines that it does not know once their reads are late", func() {
+		const (
+			first = 500 // ms
+			every = 10  // ms
+			late  = 1_000
+			reads = 400
+		)
+		f := newFleet(0, 2)
+		ask := func(n, ms int) place.Admission {
+			id := place.JobID(n)
+			j := place.Job{ID: id, Prompt: prompt(uint64(id), 0, 9_000, uint64(id))}
+			p, a, ok := f.Plan(at(ms), j, urgent)
+			Expect(ok).To(BeTrue())
+			if a.Admit {
+				f.Placed(at(ms), place.Placement{ID: id, Prompt: j.Prompt, Plan: p, Left: time.Minute})
+			}
+			return a
+		}
+		ask(reads+1, 0)
+		ask(reads+2, 0)
+		expectedInTime := 0
+		for n := range reads {
+			ms := first + every*n
+			if a := ask(n, ms); n > reads/2 && a.Admit && a.Priority == place.OnTimePriority {
+				expectedInTime++
+			}
+			f.ReadDone(at(ms), place.JobID(n-late/every))
+			f.Ended(at(ms), place.JobID(n-late/every))
+		}
+		Expect(expectedInTime).To(BeZero())
+	})
+
 	It("lets in what can be in time, whatever waits elsewhere", func() {
 		_, a, _ := newFleet(2, 2).Plan(at(0), place.Job{ID: 1, Prompt: prompt(1, 0, 5_000, 1)}, urgent)
 		Expect(a.Admit).To(BeTrue())
