Place: short prompts that are late keep their priority

Cause: a note of two hundred tokens that cannot meet its 150 ms any more is let in, for its caller waits 15 s, but with the priority of late prompts. In a burst the engines that read always have something more urgent, so that it is never read, and its caller leaves after two seconds without a first token.

The spec failed before (priority 7).

--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -74,11 +74,22 @@
 		return Admission{Admit: true, Priority: OnTimePriority}
 	}
 	if p.Wait <= part(lateWaitPart, u.Left) && expected <= part(latePart, u.Left) {
-		return Admission{Admit: true, Priority: LatePriority}
+		return Admission{Admit: true, Priority: latePriority(p)}
 	}
 	return Admission{RetryAfter: max(leastRetryAfter, comeBack(expected, u, refusals))}
 }
 
+// latePriority is the priority of a prompt that cannot be in time. A short one does
+// not go behind the others: it costs them next to nothing, and in a burst, in which
+// engines always have something more urgent to read, it would wait until its caller
+// leaves.
+func latePriority(p Plan) int {
+	if p.Short {
+		return OnTimePriority
+	}
+	return LatePriority
+}
+
 // comeBack is when a refused caller may return.
 //
 // While few are refused, a queue is a little too long for a moment, and a caller
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -31,7 +31,9 @@
 	if !ok {
 		return
 	}
-	reader.add(now, &read{job: p.ID, work: predict.WorkOf(p.Prompt.Tokens, p.Plan.Kept), sent: now})
+	work := predict.WorkOf(p.Prompt.Tokens, p.Plan.Kept)
+	f.unread += unreadGain * (work.Tokens - f.unread)
+	reader.add(now, &read{job: p.ID, work: work, sent: now})
 	reader.cache.use(p.Prompt.Parts)
 	j := &job{reader: reader, reading: true, until: now.Add(p.Left)}
 	f.jobs[p.ID] = j
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -43,6 +43,10 @@
 	// for a first token than an idle one. With 20, transfers cross data centres
 	// for a few streams' difference (0.536 of worth in place of 0.638).
 	takenWeight = 1
+	// shortPart is how much of the average is read of a short prompt at most.
+	shortPart = 0.1
+	// unreadGain is the part that each prompt adds to the average: a hundred count.
+	unreadGain = 0.01
 	// readShare is the part of its time for which an engine that generates reads
 	// prompts itself, while others only read. Without the bound its streams run at
 	// a quarter of their pace, and the answers whose prompts others read wait
@@ -76,6 +80,8 @@
 	// Wait and Read make up the expected time to the first token, with Extra
 	// for the way, the transfer and the decoder.
 	Wait, Read, Extra time.Duration
+	// Short says that Reader has little to read of it compared to other prompts.
+	Short bool
 	// Learned says that the expectation rests on enough reads that were seen.
 	Learned bool
 }
@@ -105,6 +111,8 @@
 	// handover is the time from the end of a read to the first token from
 	// another engine, transfer aside, over all engines.
 	handover predict.Average
+	// unread is how many tokens engines read of a prompt on average.
+	unread float64
 	// refusals is the part of the requests that was refused lately.
 	refusals float64
 	// perToken is the transfer time of one token's KV cache.
@@ -229,13 +237,15 @@
 func (f *Fleet) planWith(now time.Time, j Job, reader *engine, decoders decoderChoice) (Plan, bool) {
 	reader.expire(now)
 	kept := reader.cache.leading(j.Prompt.Parts)
+	work := predict.WorkOf(j.Prompt.Tokens, kept)
 	p := Plan{
 		Reader:  reader.ID,
 		Decoder: reader.ID,
 		Kept:    kept,
 		Wait:    reader.wait(now),
-		Read:    reader.cost(predict.WorkOf(j.Prompt.Tokens, kept)),
+		Read:    reader.cost(work),
 		Extra:   reader.reading.Latency(),
+		Short:   work.Tokens <= shortPart*f.unread,
 		Learned: reader.reading.Known(),
 	}
 	if reader.Role != backend.Prefill {
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -477,6 +477,25 @@
 		Expect(a.Priority).To(Equal(place.LatePriority))
 	})
 
+	// In a burst of long prompts every engine has a queue, and notes of two hundred
+	// tokens come too, which cannot be in time any more. Behind all others they are
+	// never read, as long as the burst lasts, and their callers, who would wait
+	// fifteen seconds for the answer but only two for its first token, leave.
+	It("does not put a short prompt behind long ones because it is late", func() {
+		f := taught(0, 1)
+		for n := range 3 {
+			plan(f, at(0), place.Job{ID: place.JobID(n + 1), Prompt: prompt(uint64(n), 0, 6_000, uint64(n))})
+		}
+		caller := place.Urgency{Objective: 100 * time.Millisecond, Left: 15 * time.Second}
+		priority := func(id uint64, tokens int) int {
+			_, a, _ := f.Plan(at(0), place.Job{ID: place.JobID(id), Prompt: prompt(id, 0, tokens, id)}, caller)
+			Expect(a.Admit).To(BeTrue())
+			return a.Priority
+		}
+		Expect(priority(100, 200)).To(Equal(place.OnTimePriority))
+		Expect(priority(101, 6_000)).To(Equal(place.LatePriority))
+	})
+
 	// Three times what the fleet can read comes for ten seconds. Were all let
 	// in, every one would be late from the second second on and for long after;
 	// most must be answered in time, the others told at once when to return.
