--- a/internal/directory/told_test.go
+++ b/internal/directory/told_test.go
@@ -69,6 +69,37 @@
 	}
 }
 
+// kinds are those that the tests' gateways follow.
+var kinds = Kinds{Config: "config", ConfigName: "main", Servers: "servers"}
+
+// follow is one of the duties of a Directory.
+type follow func(*Directory, context.Context) error
+
+// followed runs a check, in virtual time, against a gateway that does not watch for
+// others and follows s.
+func followed(t *testing.T, s store.Store, duty follow, check func(d *Directory)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(s, plainDecoder{}, kinds)
+		d.Watcher = func() bool { return false }
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		go func() { _ = duty(d, ctx) }()
+		check(d)
+	})
+}
+
+// confirmed is how often the tests have other gateways confirm what they know.
+const confirmed = 100 * time.Millisecond
+
+// confirming has other gateways confirm for a time.
+func confirming(d *Directory, c Confirmation, lasting time.Duration) {
+	for range lasting / confirmed {
+		d.Relayed(time.Now(), c)
+		time.Sleep(confirmed)
+	}
+}
+
 // An operator's change is confirmed by the store, and adds a route. Seven
 // gateways serve the route within 150 ms. One answers "no such route" to all its
 // callers for 3.5 s, though the others have told it ten times that there is a newer
@@ -88,10 +119,9 @@
 		untilTold   = 500 * time.Millisecond
 		untilKnown  = 100 * time.Millisecond
 	)
-	kinds := Kinds{Config: "config", ConfigName: "main", Servers: "servers"}
 	for _, c := range []struct {
 		name   string
-		follow func(*Directory, context.Context) error
+		follow follow
 		told   Confirmation
 		knows  func(*View) bool
 	}{
@@ -107,14 +137,8 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := &holdingBack{revision: 1}
-				d := New(s, plainDecoder{}, kinds)
-				d.Watcher = func() bool { return false }
-				ctx, stop := context.WithCancel(t.Context())
-				defer synctest.Wait()
-				defer stop()
-				go func() { _ = c.follow(d, ctx) }()
+			s := &holdingBack{revision: 1}
+			followed(t, s, c.follow, func(d *Directory) {
 				time.Sleep(untilChange)
 				s.change()
 				time.Sleep(untilTold)
@@ -137,14 +161,8 @@
 		bound       = 2 * time.Second
 		untilChange = 100 * time.Millisecond
 	)
-	synctest.Test(t, func(t *testing.T) {
-		s := &holdingBack{revision: 1}
-		d := New(s, plainDecoder{}, Kinds{Config: "config", ConfigName: "main", Servers: "servers"})
-		d.Watcher = func() bool { return false }
-		ctx, stop := context.WithCancel(t.Context())
-		defer synctest.Wait()
-		defer stop()
-		go func() { _ = d.FollowConfig(ctx) }()
+	s := &holdingBack{revision: 1}
+	followed(t, s, (*Directory).FollowConfig, func(d *Directory) {
 		time.Sleep(untilChange)
 		s.change()
 		time.Sleep(bound)
@@ -163,18 +181,9 @@
 		untilKnown = 500 * time.Millisecond
 		settling   = 2 * time.Second
 	)
-	synctest.Test(t, func(t *testing.T) {
-		s := &holdingBack{revision: 1}
-		d := New(s, plainDecoder{}, Kinds{Config: "config", ConfigName: "main", Servers: "servers"})
-		d.Watcher = func() bool { return false }
-		ctx, stop := context.WithCancel(t.Context())
-		defer synctest.Wait()
-		defer stop()
-		go func() { _ = d.FollowServers(ctx) }()
-		for range settling / confirmed {
-			d.Relayed(time.Now(), Confirmation{ServersRevision: 1})
-			time.Sleep(confirmed)
-		}
+	s := &holdingBack{revision: 1}
+	followed(t, s, (*Directory).FollowServers, func(d *Directory) {
+		confirming(d, Confirmation{ServersRevision: 1}, settling)
 		s.change()
 		d.Relayed(time.Now(), Confirmation{ServersRevision: 2})
 		time.Sleep(untilKnown)
@@ -189,9 +198,6 @@
 	})
 }
 
-// confirmed is how often the tests have other gateways confirm what they know.
-const confirmed = 100 * time.Millisecond
-
 // The store was away for some seconds, long ago. Since then a gateway has relied on
 // others and made no watch of its own that could end well. When its next one finds
 // the history gone, it still pauses as long as it did at the end of that outage, and
@@ -202,20 +208,11 @@
 		calm   = 3 * time.Second
 		alone  = 3 * time.Second
 	)
-	synctest.Test(t, func(t *testing.T) {
-		s := &holdingBack{revision: 1, away: true}
-		d := New(s, plainDecoder{}, Kinds{Config: "config", ConfigName: "main", Servers: "servers"})
-		d.Watcher = func() bool { return false }
-		ctx, stop := context.WithCancel(t.Context())
-		defer synctest.Wait()
-		defer stop()
-		go func() { _ = d.FollowConfig(ctx) }()
+	s := &holdingBack{revision: 1, away: true}
+	followed(t, s, (*Directory).FollowConfig, func(d *Directory) {
 		time.Sleep(outage)
 		s.set(false, true)
-		for range calm / confirmed {
-			d.Relayed(time.Now(), Confirmation{ConfigRevision: 1})
-			time.Sleep(confirmed)
-		}
+		confirming(d, Confirmation{ConfigRevision: 1}, calm)
 		before := len(s.listTimes())
 		time.Sleep(alone)
 		lists := s.listTimes()[before:]
