--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -5,15 +5,11 @@
 const (
 	// lateWaitPart is the part of the time left for which a prompt that cannot
 	// be in time any more may wait, some 100 ms. Late prompts that are let in
-	// make those after them late. Measured on both sites' standard days (mean
-	// worth): 0 0.714 and 0.792, 0.03 0.720 and 0.801, 0.08 0.701 and 0.793, 0.14
-	// 0.687 and 0.788; and with a bound on the expected first token in place of
-	// the wait, at half of the time left, 0.661 and 0.786.
+	// make those after them late.
 	lateWaitPart = 0.03
 	// inTimePart is the part of the objective within which a first token must be
 	// expected. In saturation the last one let in is just in time by expectation,
-	// and half of those would be late by chance: 1 0.495 of worth, 0.85 0.510 on
-	// fast engines, 0.712 and 0.714 on slow ones.
+	// and half of those would be late by chance.
 	inTimePart = 0.85
 	// refusalGain is the part of a new outcome that the share of refusals takes
 	// on: the last twenty requests count, a second or less under load.
@@ -35,8 +31,8 @@
 const (
 	// GeneratePriority is for prompts that another engine has read. They need a
 	// step and no reading, but without it they wait at their engine behind the
-	// prompts that it reads itself: measured, two seconds and more on a day with
-	// a third of the engines lost, until nearly all callers of them had left.
+	// prompts that it reads itself, with a third of the engines lost until nearly
+	// all of their callers have left.
 	GeneratePriority = 1
 	// OnTimePriority is for prompts that can meet their objective.
 	OnTimePriority = 4
@@ -95,10 +91,7 @@
 // While few are refused, a queue is a little too long for a moment, and a caller
 // who returns as soon as it is shorter can still be in time. While many are, the
 // burst lasts for seconds: callers who return within it are refused once more,
-// and for good. They are told to come as late as they would. Measured, mean worth
-// of six days each: 0.524 to 0.530 on fast engines, where a third is refused in
-// bursts, and no change on slow ones, where 3 in 100 are; with the late return
-// for all 0.533 and 0.706 to 0.697.
+// and for good. They are told to come as late as they would.
 func comeBack(expected time.Duration, u Urgency, refusals float64) time.Duration {
 	latest := part(maxRetryPart, u.Left)
 	soon := min(expected-max(0, u.Objective), latest)
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -35,13 +35,11 @@
 	// centres, by the platform's protocol.
 	otherDataCentre = 2
 	// readWeight is how much an engine's read time counts beyond what it delays
-	// the request itself: it delays all that come after it. Measured without
-	// processor time, mean worth of six days each on fast engines and on slow
-	// ones: 2.5 0.510 and 0.714, 4 0.515 and 0.709.
+	// the request itself: it delays all that come after it.
 	readWeight = 4
 	// takenWeight is how much longer an engine with all slots taken counts to take
-	// for a first token than an idle one. With 20, transfers cross data centres
-	// for a few streams' difference (0.536 of worth in place of 0.638).
+	// for a first token than an idle one. With much more, transfers cross data
+	// centres for a few streams' difference.
 	takenWeight = 1
 	// shortPart is how much of the average is read of a short prompt at most.
 	shortPart = 0.1
@@ -50,7 +48,7 @@
 	// readShare is the part of its time for which an engine that generates reads
 	// prompts itself, while others only read. Without the bound its streams run at
 	// a quarter of their pace, and the answers whose prompts others read wait
-	// behind its own: 0.487 and 0.678 of worth in place of 0.510 and 0.714.
+	// behind its own.
 	readShare = 0.5
 	// mostAllowance is how much of that time is kept for a burst: some prompts.
 	mostAllowance = 100 * time.Millisecond
--- a/internal/decide/roles/roles.go
+++ b/internal/decide/roles/roles.go
@@ -20,9 +20,7 @@
 )
 
 const (
-	// DefaultDecodeShare is the part of the engines that generate. Measured on
-	// both sites' standard days with twelve engines: 7 decoding 0.546 and 0.693
-	// of worth, 5 0.609 and 0.734, 4 0.610 and 0.717, 3 0.558 and 0.660.
+	// DefaultDecodeShare is the part of the engines that generate.
 	DefaultDecodeShare = 0.4
 	// leastDecode engines generate at least: one may crash.
 	leastDecode = 2
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -290,7 +290,7 @@
 		s.change("a", "x")
 		follow()
 		published, began := 0, time.Now()
-		d.OnChange = func(*View) { published++ }
+		d.locked(func() { d.OnChange = func(*View) { published++ } })
 		for n := range 500 {
 			e := s.change(strconv.Itoa(n), "x")
 			d.RelayedEntry(time.Now(), Change{Event: e, After: e.Object.Revision - 1})
