Place, directory: one function for milliseconds, plainer names

Last reading: inMS stood in place and predict (predict.InMS serves both), the comment on handovers told the rule before the learned one, and deafAfter was a metaphor (watchGrace). No change of behaviour; specs of directory, decide and gateway and scripts/check ran.

--- a/internal/decide/place/belief.go
+++ b/internal/decide/place/belief.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/predict"
+)
 
 // Belief is what a Fleet has learned of one engine, for operators.
 type Belief struct {
@@ -27,11 +31,9 @@
 	return Belief{
 		Reads:       e.reading.Reads(),
 		TokensPerMS: e.reading.Rate(),
-		LatencyMS:   inMS(e.reading.Latency()),
+		LatencyMS:   predict.InMS(e.reading.Latency()),
 		Slowness:    e.speed.Slowness(),
-		WaitMS:      inMS(e.wait(now)),
+		WaitMS:      predict.InMS(e.wait(now)),
 		Streams:     e.streams,
 	}, true
 }
-
-func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/decide/place/decoder.go
+++ b/internal/decide/place/decoder.go
@@ -43,9 +43,9 @@
 }
 
 // handoverTo is how long after the end of a read the first token comes from an
-// engine, transfer aside: what was seen lately, and the prompts that it reads
-// itself, which stand before it. The more of its slots are taken, the longer it
-// counts, so that answers spread.
+// engine, transfer aside: what passes anyway, and what the prompts that it reads
+// itself were seen to add. The more of its slots are taken, the longer it counts,
+// so that answers spread.
 func (f *Fleet) handoverTo(now time.Time, e *engine) time.Duration {
 	spread := 1 + takenWeight*e.taken()
 	return time.Duration(spread*float64(f.handover.Least())) + f.handover.Behind(e.wait(now))
--- a/internal/decide/predict/handover.go
+++ b/internal/decide/predict/handover.go
@@ -18,7 +18,7 @@
 
 // NewHandover returns a Handover that expects least beside the whole backlog.
 func NewHandover(least time.Duration) *Handover {
-	return &Handover{fit: newFit(handoverCoefficients, [coefficients]float64{perHandover: inMS(least), perBacklog: 1})}
+	return &Handover{fit: newFit(handoverCoefficients, [coefficients]float64{perHandover: InMS(least), perBacklog: 1})}
 }
 
 // Least is what passes without a backlog.
@@ -31,8 +31,8 @@
 
 // Learn takes in a handover to an engine with a backlog.
 func (h *Handover) Learn(backlog, took time.Duration) {
-	expected := inMS(h.Least() + h.Behind(backlog))
-	seen := min(inMS(took), mostSurprise*expected+surpriseFloor)
+	expected := InMS(h.Least() + h.Behind(backlog))
+	seen := min(InMS(took), mostSurprise*expected+surpriseFloor)
 	scale := max(expected, seen) + jitter
-	h.fit.add([coefficients]float64{perHandover: 1, perBacklog: inMS(backlog)}, seen, 1/(scale*scale))
+	h.fit.add([coefficients]float64{perHandover: 1, perBacklog: InMS(backlog)}, seen, 1/(scale*scale))
 }
--- a/internal/decide/predict/predict.go
+++ b/internal/decide/predict/predict.go
@@ -123,8 +123,8 @@
 // given slowness (1 is average, 2 takes twice as long), its own included, and
 // the time that it took.
 func (r *Reading) Learn(w Work, slowness float64, took time.Duration) {
-	expected := inMS(r.Latency()) + slowness*inMS(r.Cost(w))
-	seen := inMS(took)
+	expected := InMS(r.Latency()) + slowness*InMS(r.Cost(w))
+	seen := InMS(took)
 	if r.Known() {
 		seen = min(seen, mostSurprise*expected+surpriseFloor)
 	}
@@ -164,7 +164,7 @@
 
 // Learn takes in what a read was expected to take at this engine, and took.
 func (e *Engine) Learn(expected, took time.Duration) {
-	err := math.Log((inMS(took) + jitter) / (inMS(expected) + jitter))
+	err := math.Log((InMS(took) + jitter) / (InMS(expected) + jitter))
 	e.logSlowness += slownessGain * min(max(err, -mostStep), mostStep)
 	e.logSlowness *= 1 - backToAverage
 	bound := math.Log(mostSlowness)
@@ -173,4 +173,5 @@
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+// InMS returns a duration in milliseconds.
+func InMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -21,9 +21,9 @@
 	// end of one confirms its begin. Each watch is a call of the store, and calls
 	// are priced; few gateways watch at a time.
 	watchWait = 700 * time.Millisecond
-	// deafAfter is how long a watch may take to bring a change that others have
+	// watchGrace is how long a watch may still take to bring a change that others have
 	// seen. They have it by a watch or list of their own, so that it is on its way.
-	deafAfter = 50 * time.Millisecond
+	watchGrace = 50 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed read. The
 	// longest stays well under the two seconds that a change may take.
 	firstPause   = 100 * time.Millisecond
@@ -106,17 +106,17 @@
 	defer stop()
 	ended := make(chan error, 1)
 	go func() { ended <- d.watch(watching, f) }()
-	var deaf <-chan time.Time
+	var graceOver <-chan time.Time
 	for {
 		select {
 		case err := <-ended:
 			return err
 		case <-f.wake:
-			if deaf == nil && d.lacks(f) {
-				deaf = time.After(deafAfter)
+			if graceOver == nil && d.lacks(f) {
+				graceOver = time.After(watchGrace)
 			}
-		case <-deaf:
-			deaf = nil
+		case <-graceOver:
+			graceOver = nil
 			if !d.lacks(f) {
 				continue
 			}
