Place: decoders by the pace of their streams, long answers by their chance of a miss

Learned now, from the events that a gateway sees: the time between events by prompts and age of the streams (least squares), each engine's slowness, and how many events a caller's hint of the length means.

A plan adds what the answer costs at a decoder: the chance that it misses its deadline there, and what it adds to that of the others there. A decoder reads for the less of its time the more its answers are at risk. First tokens, and so admission, are expected as before.

--- /dev/null
+++ b/internal/decide/place/answer_test.go
@@ -0,0 +1,178 @@
+package place_test
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/request"
+)
+
+const (
+	tokensPerEvent = 55
+	playStep       = 10 * time.Millisecond
+	playTime       = 90 * time.Second
+	answerDeadline = 15 * time.Second
+)
+
+// note is one answer of a play.
+type note struct {
+	id          place.JobID
+	events      int
+	decoder     string
+	began, last time.Time
+	// made is how much of it there is, in events.
+	made  float64
+	ended bool
+	// whole says that it ended before its deadline.
+	whole bool
+}
+
+// notePlay plays answers of very different lengths on engines of which some
+// generate more slowly: each step takes the longer, the more context an engine has.
+type notePlay struct {
+	fleet    *place.Fleet
+	rng      *rand.Rand
+	slowness map[string]float64
+	running  []*note
+	all      []*note
+}
+
+// between is the time between two events at an engine now.
+func (p *notePlay) between(engine string) time.Duration {
+	context := 0.0
+	for _, n := range p.running {
+		if n.decoder == engine {
+			context += 200 + tokensPerEvent*n.made
+		}
+	}
+	ms := p.slowness[engine] * (30 + 0.24e-3*context)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func (p *notePlay) begin(now time.Time) {
+	n := &note{
+		id:     place.JobID(len(p.all) + 1),
+		events: min(211, max(1, int(60*math.Exp(0.9*p.rng.NormFloat64())))),
+		began:  now,
+		last:   now,
+	}
+	hint := int(float64(n.events*tokensPerEvent) * math.Exp(0.5*p.rng.NormFloat64()))
+	j := place.Job{ID: n.id, Prompt: prompt(uint64(n.id), 0, 200, uint64(n.id)), Length: hint}
+	urgency := place.Urgency{Objective: 150 * time.Millisecond, Left: answerDeadline}
+	plan, _, ok := p.fleet.Plan(now, j, urgency)
+	Expect(ok).To(BeTrue())
+	p.fleet.Placed(now, place.Placement{
+		ID: n.id, Prompt: request.Prompt{Tokens: 200}, Plan: plan, Left: answerDeadline, Length: hint,
+	})
+	p.fleet.ReadDone(now, n.id)
+	n.decoder = plan.Decoder
+	p.running, p.all = append(p.running, n), append(p.all, n)
+	defer func() { n.last = now }()
+	if p.rng.IntN(2) == 0 {
+		return
+	}
+	p.fleet.Answered(hint, n.events)
+}
+
+// pass lets one step of time pass.
+func (p *notePlay) pass(now time.Time) {
+	paces := map[string]time.Duration{}
+	for engine := range p.slowness {
+		paces[engine] = p.between(engine)
+	}
+	for _, n := range p.running {
+		before := int(n.made)
+		n.made += float64(playStep) / float64(paces[n.decoder])
+		if int(n.made) > before {
+			p.fleet.Event(now, n.id, now.Sub(n.last))
+			n.last = now
+		}
+		n.whole = int(n.made) >= n.events
+		n.ended = n.whole || now.Sub(n.began) > answerDeadline
+		if n.ended {
+			p.fleet.Ended(now, n.id)
+		}
+	}
+	p.running = slices.DeleteFunc(p.running, func(n *note) bool { return n.ended })
+}
+
+// play returns which part of the longest tenth and of all answers ended in time.
+func (p *notePlay) play(perSecond float64) (longest, all float64) {
+	for now := start; now.Before(start.Add(playTime)); now = now.Add(playStep) {
+		if p.rng.Float64() < perSecond*playStep.Seconds() {
+			p.begin(now)
+		}
+		p.pass(now)
+	}
+	ended := slices.DeleteFunc(p.all, func(n *note) bool { return !n.ended })
+	slices.SortFunc(ended, func(a, b *note) int { return cmp.Compare(b.events, a.events) })
+	return wholePart(ended[:len(ended)/10]), wholePart(ended)
+}
+
+func wholePart(notes []*note) float64 {
+	whole := 0
+	for _, n := range notes {
+		if n.whole {
+			whole++
+		}
+	}
+	return float64(whole) / float64(len(notes))
+}
+
+var _ = Describe("answers of very different lengths", func() {
+	// Half of the engines that generate take 1.3 times as long. Spread by the number
+	// of streams, the longest answers are cut by their deadlines at the slow ones:
+	// of the longest tenth, half as many end as of all.
+	It("end in time whatever their length, on engines that differ", func() {
+		p := &notePlay{
+			fleet:    newFleet(2, 4),
+			rng:      rand.New(rand.NewPCG(31, 32)),
+			slowness: map[string]float64{"e2": 1, "e3": 1.3, "e4": 1, "e5": 1.3},
+		}
+		longest, all := p.play(25)
+		Expect(all).To(BeNumerically(">", 0.9))
+		Expect(longest).To(BeNumerically(">", 0.75*all))
+	})
+})
+
+var _ = Describe("an engine that generates answers close to their deadlines", func() {
+	// Each prompt that an engine reads delays all of its answers. Where none is
+	// close to its deadline that costs nothing; where many are, they are cut.
+	It("reads for less of its time", func() {
+		own := func(length int) int {
+			f := taught(1, 1)
+			for n := range 200 {
+				f.Answered(100, 1+2*(n%2))
+				id := place.JobID(1<<40 + n)
+				f.Placed(at(0), place.Placement{
+					ID: id, Plan: place.Plan{Reader: "e0", Decoder: "e1"}, Left: time.Minute, Length: length,
+				})
+				f.ReadDone(at(0), id)
+				f.Event(at(0), id, 50*time.Millisecond)
+				if n < 160 {
+					f.Ended(at(0), id)
+				}
+			}
+			reads := 0
+			for ms := 0; ms < 5_000; ms += 5 {
+				j := place.Job{ID: place.JobID(ms + 1), Prompt: prompt(uint64(ms), 0, 4_000, uint64(ms))}
+				p, _, _ := f.Plan(at(ms), j, patient)
+				f.Placed(at(ms), place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: time.Minute})
+				if !p.Split() {
+					reads++
+				}
+			}
+			return reads
+		}
+		const short, closeToMinute = 100, 70_000
+		Expect(own(short)).To(BeNumerically(">", 20))
+		Expect(own(closeToMinute)).To(BeNumerically("<", own(short)/2))
+	})
+})
--- a/internal/decide/place/belief.go
+++ b/internal/decide/place/belief.go
@@ -20,6 +20,10 @@
 	WaitMS float64 `json:"wait_ms"`
 	// Streams is how many answers it generates.
 	Streams int `json:"streams"`
+	// BetweenMS is the expected time between two events of its streams now, and
+	// GenerateSlowness how many times as long as the average it takes for them.
+	BetweenMS        float64 `json:"between_ms"`
+	GenerateSlowness float64 `json:"generate_slowness"`
 }
 
 // Belief returns what is believed of an engine; false if it is not known.
@@ -35,5 +39,8 @@
 		Slowness:    e.speed.Slowness(),
 		WaitMS:      predict.InMS(e.wait(now)),
 		Streams:     e.streams,
+
+		BetweenMS:        predict.InMS(e.between(e.running(now))),
+		GenerateSlowness: e.generating.Slowness(),
 	}, true
 }
--- a/internal/decide/place/decoder.go
+++ b/internal/decide/place/decoder.go
@@ -7,39 +7,51 @@
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
 
-// decoderChoice is the engine with the shortest handover in each data centre. A
-// reader's best decoder is among them, so one pass over the engines serves all
-// readers: a pass for each took most of a gateway's processor at a thousand
-// engines.
-type decoderChoice map[string]*engine
+// decoder is an engine that may generate an answer, with what that costs.
+type decoder struct {
+	*engine
+	// handover is how long after the end of a read the first token comes, transfer
+	// aside, and answer what the rest of the answer costs there.
+	handover, answer time.Duration
+}
+
+// cost is what decoders are compared by, transfer aside.
+func (d decoder) cost() time.Duration { return d.handover + d.answer }
+
+// decoderChoice is the cheapest engine in each data centre. A reader's best decoder
+// is among them, so one pass over the engines serves all readers: a pass for each
+// took most of a gateway's processor at a thousand engines.
+type decoderChoice map[string]decoder
 
 // decoders returns the decoderChoice for a job.
-func (f *Fleet) decoders(now time.Time, j Job, s scope) decoderChoice {
+func (f *Fleet) decoders(now time.Time, j Job, u Urgency, s scope) decoderChoice {
 	choice := make(decoderChoice)
 	for _, id := range f.order {
 		e := f.engines[id]
 		if e.Role == backend.Prefill || !e.usable(now, j, s) {
 			continue
 		}
-		if best, ok := choice[e.DataCentre]; !ok || f.handoverTo(now, e) < f.handoverTo(now, best) {
-			choice[e.DataCentre] = e
+		d := decoder{engine: e, handover: f.handoverTo(now, e), answer: f.answerCost(now, j, u, e)}
+		if best, ok := choice[e.DataCentre]; !ok || d.cost() < best.cost() {
+			choice[e.DataCentre] = d
 		}
 	}
 	return choice
 }
 
-// decoderFor returns the engine that would generate soonest what reader read,
-// and what it adds to the first token; nil if there is none.
-func (f *Fleet) decoderFor(now time.Time, j Job, reader *engine, choice decoderChoice) (*engine, time.Duration) {
-	var best *engine
-	var least time.Duration
-	for _, e := range choice {
-		cost := f.transferTime(j.Prompt, reader, e) + f.handoverTo(now, e)
-		if best == nil || cost < least || (cost == least && e.ID < best.ID) {
-			best, least = e, cost
+// bestFor returns the decoder that costs least for what reader reads, and the time
+// of the transfer; false if there is none.
+func (c decoderChoice) bestFor(f *Fleet, j Job, reader *engine) (decoder, time.Duration, bool) {
+	var best decoder
+	var transfer, least time.Duration
+	for _, d := range c {
+		t := f.transferTime(j.Prompt, reader, d.engine)
+		cost := t + d.cost()
+		if best.engine == nil || cost < least || (cost == least && d.ID < best.ID) {
+			best, transfer, least = d, t, cost
 		}
 	}
-	return best, least
+	return best, transfer, best.engine != nil
 }
 
 // handoverTo is how long after the end of a read the first token comes from an
@@ -62,15 +74,14 @@
 
 // OtherDecoder chooses another engine to generate what p.Reader has read; false
 // if there is none.
-func (f *Fleet) OtherDecoder(now time.Time, j Job, p Plan) (Plan, bool) {
+func (f *Fleet) OtherDecoder(now time.Time, j Job, u Urgency, p Plan) (Plan, bool) {
 	reader, ok := f.engines[p.Reader]
 	if !ok {
 		return p, false
 	}
 	for _, s := range decoderScopes {
-		decoder, _ := f.decoderFor(now, j, reader, f.decoders(now, j, s))
-		if decoder != nil {
-			p.Decoder = decoder.ID
+		if best, _, ok := f.decoders(now, j, u, s).bestFor(f, j, reader); ok {
+			p.Decoder = best.ID
 			return p, true
 		}
 	}
--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -7,6 +7,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
+	"pistachioroad.dev/pistachioroad/internal/invariant"
 )
 
 // Engine is a model engine that may get work.
@@ -40,8 +41,17 @@
 	// of allowedAt.
 	allowance time.Duration
 	allowedAt time.Time
-	// streams counts the requests that it generates tokens for.
+	// streams counts the requests that it generates tokens for, tokens are those of
+	// their prompts, and began is when they began on average.
 	streams int
+	tokens  int
+	began   time.Time
+	// steps is what is believed of the time between two events of a stream,
+	// generating what is believed of this engine's.
+	steps *predict.Steps
+	// risk is what it costs to delay all streams, as a part of the delay.
+	risk       float64
+	generating predict.Engine
 	// avoidUntil keeps an engine out that failed.
 	avoidUntil time.Time
 }
@@ -98,13 +108,51 @@
 	return float64(e.streams) / float64(e.Slots)
 }
 
+// startStream notes that the engine generates for a prompt.
+func (e *engine) startStream(now time.Time, tokens int) {
+	e.streams++
+	e.tokens += tokens
+	if e.streams == 1 {
+		e.began = now
+		return
+	}
+	e.began = e.began.Add(now.Sub(e.began) / time.Duration(e.streams))
+}
+
+// endStream notes the end of a stream that began at a moment.
+func (e *engine) endStream(began time.Time, tokens int) {
+	e.streams--
+	e.tokens -= tokens
+	invariant.Check(e.streams >= 0, "streams_not_negative", "engine %s has %d streams", e.ID, e.streams)
+	if e.streams == 0 {
+		e.risk = 0
+		return
+	}
+	e.began = e.began.Add(e.began.Sub(began) / time.Duration(e.streams))
+}
+
+// running is what the engine generates for.
+func (e *engine) running(now time.Time) predict.Running {
+	return predict.Running{Tokens: float64(e.tokens), Age: time.Duration(e.streams) * max(0, now.Sub(e.began))}
+}
+
+// event learns from the time between two events of a stream.
+func (e *engine) event(now time.Time, gap time.Duration) {
+	r := e.running(now)
+	slowness := e.generating.Slowness()
+	expected := time.Duration(slowness * float64(e.steps.Between(r)))
+	e.steps.Learn(r, slowness, gap)
+	e.generating.Learn(expected, gap)
+}
+
 // full reports whether a new stream would have to wait for a slot.
 func (e *engine) full() bool { return e.Slots > 0 && e.streams >= e.Slots }
 
 // maySpendOnReads reports whether a decoder has time left for reads of its own.
 func (e *engine) maySpendOnReads(now time.Time) bool {
 	passed := now.Sub(e.allowedAt)
-	e.allowance = min(mostAllowance, e.allowance+time.Duration(readShare*float64(passed)))
+	share := readShare / (1 + riskWeight*e.risk)
+	e.allowance = min(mostAllowance, e.allowance+part(share, passed))
 	e.allowedAt = now
 	return e.allowance > 0
 }
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
-	"pistachioroad.dev/pistachioroad/internal/invariant"
 )
 
 // job remembers where a placed request's work is. It points at engines and not
@@ -19,6 +18,13 @@
 	// transfer is what the plan allows for the transfer of KV cache, and backlog
 	// what the decoder had to read itself when the prompt's read ended.
 	transfer, backlog time.Duration
+	// tokens are the prompt's, and began is when its stream was counted at decoder.
+	tokens int
+	began  time.Time
+	// length is what its caller expects of the answer, and risk what it adds to
+	// decoder's.
+	length int
+	risk   float64
 	// until is when its caller leaves.
 	until time.Time
 }
@@ -35,10 +41,10 @@
 	f.unread += unreadGain * (work.Tokens - f.unread)
 	reader.add(now, &read{job: p.ID, work: work, sent: now})
 	reader.cache.use(p.Prompt.Parts)
-	j := &job{reader: reader, reading: true, until: now.Add(p.Left)}
+	j := &job{reader: reader, reading: true, tokens: p.Prompt.Tokens, length: p.Length, until: now.Add(p.Left)}
 	f.jobs[p.ID] = j
 	if d, ok := f.engines[p.Plan.Decoder]; ok {
-		j.generateAt(d)
+		f.generateAt(now, j, d)
 		if p.Plan.Split() {
 			d.cache.use(p.Prompt.Parts)
 			j.transfer = f.transferTime(p.Prompt, reader, d)
@@ -47,25 +53,37 @@
 }
 
 // Moved notes that another decoder than the planned one generates for a job.
-func (f *Fleet) Moved(id JobID, decoder string) {
+func (f *Fleet) Moved(now time.Time, id JobID, decoder string) {
 	if j, ok := f.jobs[id]; ok {
-		j.generateAt(f.engines[decoder])
+		f.generateAt(now, j, f.engines[decoder])
 		j.readAt = time.Time{}
 	}
 }
 
 // generateAt counts the job's stream at d, or nowhere if d is nil.
-func (j *job) generateAt(d *engine) {
+func (f *Fleet) generateAt(now time.Time, j *job, d *engine) {
 	if j.decoder != nil {
-		j.decoder.streams--
-		invariant.Check(j.decoder.streams >= 0, "streams_not_negative", "engine %s has %d streams", j.decoder.ID, j.decoder.streams)
+		j.decoder.risk = max(0, j.decoder.risk-j.risk)
+		j.decoder.endStream(j.began, j.tokens)
 	}
+	j.decoder, j.began, j.risk = d, now, 0
 	if d != nil {
-		d.streams++
+		d.startStream(now, j.tokens)
+		j.risk = f.riskOf(now, d, j.length, j.until.Sub(now))
+		d.risk += j.risk
 	}
-	j.decoder = d
 }
 
+// Event notes the time between two events of a job's stream.
+func (f *Fleet) Event(now time.Time, id JobID, gap time.Duration) {
+	if j, ok := f.jobs[id]; ok && j.decoder != nil {
+		j.decoder.event(now, gap)
+	}
+}
+
+// Answered notes that a whole answer of a number of events has come.
+func (f *Fleet) Answered(hint, events int) { f.lengths.Learn(hint, events) }
+
 // ReadDone notes that the prompt of a job has been read, and learns from it.
 func (f *Fleet) ReadDone(now time.Time, id JobID) {
 	j, ok := f.jobs[id]
@@ -109,7 +127,7 @@
 		j.reader.remove(now, id)
 	}
 	delete(f.jobs, id)
-	j.generateAt(nil)
+	f.generateAt(now, j, nil)
 }
 
 // forgetOverdue ends the jobs whose callers must have left. It answers lost ends:
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -50,6 +50,9 @@
 	// a quarter of their pace, and the answers whose prompts others read wait
 	// behind its own.
 	readShare = 0.5
+	// riskWeight is how much less of its time that is with answers that may miss
+	// their deadlines: each read delays all of them.
+	riskWeight = 4
 	// mostAllowance is how much of that time is kept for a burst: some prompts.
 	mostAllowance = 100 * time.Millisecond
 )
@@ -61,6 +64,9 @@
 type Job struct {
 	ID     JobID
 	Prompt request.Prompt
+	// Length is how many tokens the caller expects of the answer, 0 if it did not
+	// say.
+	Length int
 	// DataCentre is the entry's.
 	DataCentre string
 	// Exclude names engines that refused or failed the request.
@@ -78,6 +84,10 @@
 	// Wait and Read make up the expected time to the first token, with Extra
 	// for the way, the transfer and the decoder.
 	Wait, Read, Extra time.Duration
+	// Answer is what it costs to generate the answer at Decoder, beside the first
+	// token: the chances that it and others there miss their deadlines, as a time.
+	// Admission does not rest on it.
+	Answer time.Duration
 	// Short says that Reader has little to read of it compared to other prompts.
 	Short bool
 	// Learned says that the expectation rests on enough reads that were seen.
@@ -91,6 +101,9 @@
 	Plan   Plan
 	// Left is how long its caller waits at most.
 	Left time.Duration
+	// Length is how many tokens its caller expects of the answer, 0 if it did not
+	// say.
+	Length int
 }
 
 // Expected is the expected time to the first token.
@@ -109,6 +122,10 @@
 	// handover is the time from the end of a read to the first token from
 	// another engine, transfer aside, over all engines.
 	handover *predict.Handover
+	// steps is the time between two events of a stream.
+	steps *predict.Steps
+	// lengths is how many events answers have.
+	lengths predict.Lengths
 	// unread is how many tokens engines read of a prompt on average.
 	unread float64
 	// refusals is the part of the requests that was refused lately.
@@ -131,6 +148,7 @@
 			backend.Prefill: predict.NewReading(1), backend.Decode: predict.NewReading(decodeSlowness),
 		},
 		handover: predict.NewHandover(priorHandover),
+		steps:    predict.NewSteps(),
 	}
 }
 
@@ -148,6 +166,7 @@
 		was, ok := old[e.ID]
 		if !ok || was.Incarnation != e.Incarnation {
 			was = newEngine(e)
+			was.steps = f.steps
 		}
 		was.Engine = e
 		was.reading = f.readingOf(e.Role)
@@ -171,7 +190,7 @@
 func (f *Fleet) Plan(now time.Time, j Job, u Urgency) (Plan, Admission, bool) {
 	f.forgetOverdue(now)
 	for _, s := range planScopes {
-		if p, ok := f.plan(now, j, s); ok {
+		if p, ok := f.plan(now, j, u, s); ok {
 			a := admit(p, u, f.refusals)
 			f.countRefusal(!a.Admit)
 			return p, a, true
@@ -189,21 +208,21 @@
 	f.refusals += refusalGain * (value - f.refusals)
 }
 
-func (f *Fleet) plan(now time.Time, j Job, s scope) (Plan, bool) {
+func (f *Fleet) plan(now time.Time, j Job, u Urgency, s scope) (Plan, bool) {
 	var best Plan
 	bestCost := time.Duration(-1)
-	decoders := f.decoders(now, j, s)
+	decoders := f.decoders(now, j, u, s)
 	readers := f.hasReaders(now, j, s)
 	for _, id := range f.order {
 		e := f.engines[id]
 		if !e.usable(now, j, s) {
 			continue
 		}
-		p, ok := f.planWith(now, j, e, decoders)
+		p, ok := f.planWith(now, j, u, e, decoders)
 		if !ok || (e.Role == backend.Decode && readers && !e.maySpendOnReads(now)) {
 			continue
 		}
-		cost := p.Expected() + readWeight*p.Read
+		cost := p.Expected() + readWeight*p.Read + p.Answer
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = p, cost
 		}
@@ -232,7 +251,7 @@
 }
 
 // planWith is the plan in which reader reads.
-func (f *Fleet) planWith(now time.Time, j Job, reader *engine, decoders decoderChoice) (Plan, bool) {
+func (f *Fleet) planWith(now time.Time, j Job, u Urgency, reader *engine, decoders decoderChoice) (Plan, bool) {
 	reader.expire(now)
 	kept := reader.cache.leading(j.Prompt.Parts)
 	work := predict.WorkOf(j.Prompt.Tokens, kept)
@@ -247,14 +266,16 @@
 		Learned: reader.reading.Known(),
 	}
 	if reader.Role != backend.Prefill {
+		p.Answer = f.answerCost(now, j, u, reader) + reader.delayCost(p.Read)
 		return p, true
 	}
-	decoder, extra := f.decoderFor(now, j, reader, decoders)
-	if decoder == nil {
+	d, transfer, ok := decoders.bestFor(f, j, reader)
+	if !ok {
 		return p, false
 	}
-	p.Decoder = decoder.ID
-	p.Extra += extra
+	p.Decoder = d.ID
+	p.Extra += transfer + d.handover
+	p.Answer = d.answer
 	return p, true
 }
 
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -405,9 +405,9 @@
 		f.ReadDone(at(10), 1)
 		refused := p.Decoder
 		j.Exclude = func(id string) bool { return id == refused }
-		other, ok := f.OtherDecoder(at(20), j, p)
+		other, ok := f.OtherDecoder(at(20), j, patient, p)
 		Expect(ok).To(BeTrue())
-		f.Moved(1, other.Decoder)
+		f.Moved(at(20), 1, other.Decoder)
 		Expect(f.Work(refused)).To(BeZero())
 		Expect(f.Work(other.Decoder)).To(Equal(1))
 		f.Ended(at(30), 1)
--- a/internal/decide/predict/predict.go
+++ b/internal/decide/predict/predict.go
@@ -157,15 +157,27 @@
 type Engine struct {
 	// logSlowness is the logarithm of its slowness.
 	logSlowness float64
+	// variance is that of a single read's relative error, around logSlowness.
+	variance float64
+	reads    int
 }
 
 // Slowness is how many times as long as an average engine it takes.
 func (e *Engine) Slowness() float64 { return math.Exp(e.logSlowness) }
 
+// Doubt is the standard error of Slowness, as a part of it.
+func (e *Engine) Doubt() float64 { return math.Sqrt(e.variance * slownessGain / 2) }
+
+// Known reports whether enough reads were seen to compare the engine with others.
+func (e *Engine) Known() bool { return e.reads >= enoughReads }
+
 // Learn takes in what a read was expected to take at this engine, and took.
 func (e *Engine) Learn(expected, took time.Duration) {
 	err := math.Log((InMS(took) + jitter) / (InMS(expected) + jitter))
-	e.logSlowness += slownessGain * min(max(err, -mostStep), mostStep)
+	err = min(max(err, -mostStep), mostStep)
+	e.reads++
+	e.variance += max(slownessGain, 1/float64(e.reads)) * (err*err - e.variance)
+	e.logSlowness += slownessGain * err
 	e.logSlowness *= 1 - backToAverage
 	bound := math.Log(mostSlowness)
 	e.logSlowness = min(max(e.logSlowness, -bound), bound)
--- /dev/null
+++ b/internal/decide/predict/steps_test.go
@@ -0,0 +1,146 @@
+package predict_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/predict"
+)
+
+// stepSheet is the pace of an engine as it really is.
+type stepSheet struct {
+	perEvent, perContext, perAge float64 // ms; a token; a second of age
+}
+
+// took is the time between two events, with a tenth of chance.
+func (s stepSheet) took(rng *rand.Rand, r predict.Running, slowness float64) time.Duration {
+	ms := s.perEvent + s.perContext*r.Tokens + s.perAge*r.Age.Seconds()
+	ms *= slowness * (1 + 0.1*rng.NormFloat64())
+	return time.Duration(max(0.1, ms) * float64(time.Millisecond))
+}
+
+// someRunning is an engine that is nearly idle, full, or between.
+func someRunning(rng *rand.Rand) predict.Running {
+	return predict.Running{
+		Tokens: rng.Float64() * 300_000,
+		Age:    time.Duration(rng.Float64() * 300 * float64(time.Second)),
+	}
+}
+
+func teachSteps(s *predict.Steps, sheet stepSheet, rng *rand.Rand, events int) {
+	for range events {
+		r := someRunning(rng)
+		s.Learn(r, 1, sheet.took(rng, r, 1))
+	}
+}
+
+// worstStep is the largest part by which Steps are off the sheet.
+func worstStep(s *predict.Steps, sheet stepSheet, rng *rand.Rand) float64 {
+	off := 0.0
+	for range 50 {
+		r := someRunning(rng)
+		real := sheet.perEvent + sheet.perContext*r.Tokens + sheet.perAge*r.Age.Seconds()
+		off = max(off, math.Abs(predict.InMS(s.Between(r))/real-1))
+	}
+	return off
+}
+
+var _ = Describe("Steps", func() {
+	// Engines of one generation take 30 ms an event and twice that when full, those
+	// of another a tenth or ten times as long. Believed to be alike, long answers
+	// are sent where their deadline cuts them.
+	DescribeTable("learns engines of any pace to within 15% in three hundred events",
+		func(sheet stepSheet) {
+			rng := rand.New(rand.NewPCG(21, 22))
+			s := predict.NewSteps()
+			teachSteps(s, sheet, rng, 300)
+			Expect(worstStep(s, sheet, rng)).To(BeNumerically("<", 0.15))
+		},
+		Entry("contexts double it", stepSheet{30, 1e-4, 0.1}),
+		Entry("ten times as fast", stepSheet{3, 1e-5, 0.01}),
+		Entry("ten times as slow", stepSheet{300, 1e-3, 1}),
+		Entry("contexts are all", stepSheet{3, 2e-4, 0.2}),
+		Entry("contexts are nothing", stepSheet{40, 0, 0}),
+	)
+
+	// All engines of a service are replaced by others.
+	It("follows engines that change their pace", func() {
+		rng := rand.New(rand.NewPCG(23, 24))
+		s := predict.NewSteps()
+		teachSteps(s, stepSheet{30, 1e-4, 0.1}, rng, 1_000)
+		teachSteps(s, stepSheet{90, 3e-4, 0.3}, rng, 3_000)
+		Expect(worstStep(s, stepSheet{90, 3e-4, 0.3}, rng)).To(BeNumerically("<", 0.15))
+	})
+
+	// An engine stands still for seconds, and then the next event of each of its
+	// streams comes.
+	It("is not moved by streams that stalled", func() {
+		rng := rand.New(rand.NewPCG(25, 26))
+		s := predict.NewSteps()
+		sheet := stepSheet{30, 1e-4, 0.1}
+		teachSteps(s, sheet, rng, 500)
+		for range 20 {
+			s.Learn(someRunning(rng), 1, 5*time.Second)
+		}
+		Expect(worstStep(s, sheet, rng)).To(BeNumerically("<", 0.15))
+	})
+
+	It("never believes that more contexts take less time", func() {
+		rng := rand.New(rand.NewPCG(27, 28))
+		s := predict.NewSteps()
+		for range 1_000 {
+			s.Learn(someRunning(rng), 1, time.Duration(rng.IntN(int(time.Second))))
+			r := someRunning(rng)
+			Expect(s.Between(r)).To(BeNumerically(">=", 0))
+			Expect(s.Between(r.Plus(r))).To(BeNumerically(">=", s.Between(r)))
+		}
+	})
+})
+
+var _ = Describe("Lengths", func() {
+	// hint is a caller's estimate of an answer, in tokens of which an event holds
+	// many: right at the median, off by half.
+	hint := func(rng *rand.Rand, events, tokensPerEvent int) int {
+		return int(float64(events*tokensPerEvent) * math.Exp(0.5*rng.NormFloat64()))
+	}
+
+	// Callers count tokens and gateways see events. Mistaken for each other, every
+	// answer seems to miss its deadline, or none.
+	DescribeTable("learns how many events a hint means, and how far hints are off",
+		func(tokensPerEvent int) {
+			rng := rand.New(rand.NewPCG(29, 30))
+			var l predict.Lengths
+			for range 300 {
+				events := 20 + rng.IntN(180)
+				l.Learn(hint(rng, events, tokensPerEvent), events)
+			}
+			const between = 50 * time.Millisecond
+			expected := l.Duration(100*tokensPerEvent, between)
+			Expect(expected.Seconds()).To(BeNumerically("~", 5, 0.8))
+			Expect(l.Exceeds(100*tokensPerEvent, between, 5*time.Second)).To(BeNumerically("~", 0.5, 0.15))
+			Expect(l.Exceeds(100*tokensPerEvent, between, 10*time.Second)).To(BeNumerically("~", 0.08, 0.06))
+			Expect(l.Exceeds(100*tokensPerEvent, between, 20*time.Second)).To(BeNumerically("<", 0.02))
+		},
+		Entry("of one token", 1),
+		Entry("of fifty-five tokens", 55),
+	)
+
+	It("says that an answer misses a deadline that has passed", func() {
+		var l predict.Lengths
+		Expect(l.Exceeds(10, time.Millisecond, 0)).To(Equal(1.0))
+		Expect(l.Sensitivity(10, time.Millisecond, 0)).To(BeZero())
+	})
+
+	It("takes nothing from answers without a hint or events", func() {
+		var l predict.Lengths
+		for range 100 {
+			l.Learn(0, 10)
+			l.Learn(10, 0)
+		}
+		Expect(l.Known()).To(BeFalse())
+	})
+})
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -108,7 +108,7 @@
 	j.Group = e.group()
 	p, a, ok := f.Plan(now, j, u)
 	if ok && a.Admit {
-		placement := place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: u.Left}
+		placement := place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: u.Left, Length: j.Length}
 		f.Placed(now, placement)
 		e.share.Placed(service, placement)
 	}
@@ -131,6 +131,20 @@
 	}
 }
 
+// answered notes a whole answer.
+func (e *engines) answered(service string, hint, events int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fleet(service).Answered(hint, events)
+}
+
+// event notes the time between two events of an answer.
+func (e *engines) event(service string, id place.JobID, gap time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fleet(service).Event(time.Now(), id, gap)
+}
+
 func (e *engines) ended(service string, id place.JobID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -153,14 +167,14 @@
 }
 
 // otherDecoder moves a job to another engine after its first refused.
-func (e *engines) otherDecoder(now time.Time, service string, j place.Job, p place.Plan) (place.Plan, bool) {
+func (e *engines) otherDecoder(now time.Time, service string, j place.Job, u place.Urgency, p place.Plan) (place.Plan, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	f := e.fleet(service)
 	j.Group = e.group()
-	p, ok := f.OtherDecoder(now, j, p)
+	p, ok := f.OtherDecoder(now, j, u, p)
 	if ok {
-		f.Moved(j.ID, p.Decoder)
+		f.Moved(now, j.ID, p.Decoder)
 	}
 	return p, ok
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -29,6 +29,7 @@
 	job := place.Job{
 		ID:         jobID(c.request.ID),
 		Prompt:     c.request.Prompt,
+		Length:     c.request.Prompt.Output,
 		DataCentre: g.deployment.Load().DataCentre,
 		Exclude:    func(server string) bool { return c.refusedBy[server] },
 	}
@@ -122,7 +123,7 @@
 		if failed == nil || c.verdict != verdict.NotRun || !c.mayRepeat() {
 			return failed
 		}
-		if plan, ok = g.engines.otherDecoder(time.Now(), c.service.Name, job, plan); !ok {
+		if plan, ok = g.engines.otherDecoder(time.Now(), c.service.Name, job, c.urgency(time.Now()), plan); !ok {
 			return failed
 		}
 	}
@@ -191,8 +192,16 @@
 		c.started = true
 	}
 	silence.body = reply.Body
-	first := &firstByte{Reader: silence, seen: func() { g.engines.firstToken(c.service.Name, id) }}
-	return c.passStream(decoder, first)
+	watch := &streamWatch{
+		Reader: silence,
+		first:  func() { g.engines.firstToken(c.service.Name, id) },
+		next:   func(gap time.Duration) { g.engines.event(c.service.Name, id, gap) },
+	}
+	failed := c.passStream(decoder, watch)
+	if failed == nil && o.ResumeAfter == "" {
+		g.engines.answered(c.service.Name, c.request.Prompt.Output, watch.events)
+	}
+	return failed
 }
 
 // eventStream is the content type of a series of events.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -174,6 +174,7 @@
 		Tokens:  uint32(max(0, placed.Prompt.Tokens)),
 		Kept:    uint32(max(0, placed.Plan.Kept)),
 		LeftMs:  uint32(max(0, placed.Left.Milliseconds())),
+		Length:  uint32(max(0, placed.Length)),
 	}
 	for _, part := range placed.Prompt.Parts {
 		m.Parts = append(m.Parts, &wire.Part{Id: part.ID, Tokens: uint32(part.Tokens)})
@@ -251,6 +252,7 @@
 			Reader: m.Reader, Decoder: m.Decoder, Kept: int(m.Kept),
 		},
 		Left:   time.Duration(m.LeftMs) * time.Millisecond,
+		Length: int(m.Length),
 		Prompt: request.Prompt{Tokens: int(m.Tokens)},
 	}
 	for _, part := range m.Parts {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -101,7 +101,7 @@
 		Eventually(a.Count).WithTimeout(5 * time.Second).Should(Equal(2))
 		Eventually(b.Count).WithTimeout(5 * time.Second).Should(Equal(2))
 
-		placed := place.Placement{Left: 5 * time.Second}
+		placed := place.Placement{Left: 5 * time.Second, Length: 300}
 		placed.Prompt.Parts = []request.Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}}
 		placed.Prompt.Tokens = 150
 		placed.Plan = place.Plan{Reader: "i-p", Decoder: "i-d", Kept: 100}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -37,6 +37,9 @@
 	Model string
 	// Tokens is the length of the prompt, MaxOutput the most tokens of answer.
 	Tokens, MaxOutput int
+	// Output is how many tokens of answer the caller expects, often far off; 0 if
+	// it did not say.
+	Output int
 	// Parts are the prompt's parts in order. The last one belongs to this
 	// request or its session, the others are shared between requests.
 	Parts []Part
