Roles: a repair keeps fast engines generating

A change that brings a fleet back to its share took the least busy engine of the data centre with most of the role. Engines that are surely slower than others of their role, by four standard errors of what is learned of them, read first; surely faster ones generate first.

--- a/internal/decide/roles/roles.go
+++ b/internal/decide/roles/roles.go
@@ -16,6 +16,8 @@
 	"math"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"pistachioroad.dev/pistachioroad/internal/backend"
 )
 
@@ -36,6 +38,8 @@
 	Role       backend.Role
 	// Work is how much it has to do; the least busy one changes first.
 	Work int
+	// Pace is how slow it is.
+	Pace Pace
 }
 
 // Move is one change of role.
@@ -75,34 +79,21 @@
 	return n
 }
 
-// choose takes the engines of a role from the data centre that has most of it.
+// choose takes n engines of a role: those whose speed fits the other role better,
+// and among them the least busy of the data centre that has most of the role.
 func choose(engines []Engine, from, to backend.Role, n int) []Move {
-	left := map[string][]Engine{}
-	for _, e := range engines {
-		if e.Role == from {
-			left[e.DataCentre] = append(left[e.DataCentre], e)
-		}
-	}
-	for _, group := range left {
-		slices.SortFunc(group, func(a, b Engine) int {
-			return cmp.Or(cmp.Compare(a.Work, b.Work), cmp.Compare(a.ID, b.ID))
-		})
-	}
+	left := lo.Filter(engines, func(e Engine, _ int) bool { return e.Role == from })
 	var moves []Move
 	for range n {
-		dataCentre := fullest(left)
-		moves = append(moves, Move{ID: left[dataCentre][0].ID, Role: to})
-		left[dataCentre] = left[dataCentre][1:]
+		have := lo.CountValuesBy(left, func(e Engine) string { return e.DataCentre })
+		next := slices.MinFunc(fitting(left, to), func(a, b Engine) int {
+			return cmp.Or(
+				cmp.Compare(have[b.DataCentre], have[a.DataCentre]), cmp.Compare(a.DataCentre, b.DataCentre),
+				cmp.Compare(a.Work, b.Work), cmp.Compare(a.ID, b.ID),
+			)
+		})
+		moves = append(moves, Move{ID: next.ID, Role: to})
+		left = slices.DeleteFunc(left, func(e Engine) bool { return e.ID == next.ID })
 	}
 	return moves
 }
-
-func fullest(groups map[string][]Engine) string {
-	best := ""
-	for name, group := range groups {
-		if best == "" || len(group) > len(groups[best]) || (len(group) == len(groups[best]) && name < best) {
-			best = name
-		}
-	}
-	return best
-}
--- a/internal/decide/roles/roles_test.go
+++ b/internal/decide/roles/roles_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/roles"
@@ -99,3 +100,44 @@
 		Expect(roles.Afford(engines, moves, 0, 100)).To(HaveLen(2))
 	})
 })
+
+var _ = Describe("Decide, on engines that differ", func() {
+	paced := func(slowness ...float64) []roles.Engine {
+		list := fleet(0, len(slowness), 4)
+		for i, s := range slowness {
+			list[i].Pace = roles.Pace{Slowness: s, Doubt: 0.02}
+		}
+		return list
+	}
+	chosen := func(moves []roles.Move) []string {
+		return lo.Map(moves, func(m roles.Move, _ int) string { return m.ID })
+	}
+
+	// An engine is lost, and one that generates has to read. If the fastest changes,
+	// the longest answers are left to slow ones and miss their deadlines.
+	It("keeps the fast ones generating", func() {
+		engines := paced(1, 1.3, 1, 1, 1.3, 1)
+		Expect(chosen(roles.Decide(engines, 0.7))).To(ConsistOf("e1", "e4"))
+	})
+
+	It("has the fastest ones generate", func() {
+		engines := paced(1.3, 1.3, 1, 1.3, 1, 1.3)
+		for i := range engines {
+			engines[i].Role = backend.Prefill
+		}
+		Expect(chosen(roles.Decide(engines, 0.4))).To(ConsistOf("e2", "e4"))
+	})
+
+	// Two readings of equal engines differ by chance.
+	It("goes by work and place where the difference may be chance", func() {
+		engines := paced(1, 1.05, 1.02, 1, 1.04, 1)
+		for i := range engines {
+			engines[i].Work = 10 - i
+		}
+		Expect(chosen(roles.Decide(engines, 0.8))).To(Equal([]string{"e4"}))
+	})
+
+	It("changes any engine while none is known", func() {
+		Expect(roles.Decide(paced(0, 0, 0, 0, 0, 0), 0.5)).To(HaveLen(3))
+	})
+})
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -8,6 +8,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/decide/roles"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
@@ -186,6 +187,13 @@
 	return g.engines.fleet(service).Work(id)
 }
 
+// EnginePace returns how slow an engine is, compared with the others of its service.
+func (g *Gateway) EnginePace(service, id string) roles.Pace {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	return g.engines.fleet(service).Pace(id)
+}
+
 // engineBelief is what is learned of a model engine, nil for other servers.
 func (g *Gateway) engineBelief(now time.Time, s backend.Server) *place.Belief {
 	if s.Role == backend.NoRole {
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -194,6 +194,7 @@
 		View:     p.directory.View,
 		Rank:     p.peers.Rank,
 		Busy:     p.gateway.EngineWork,
+		Pace:     p.gateway.EnginePace,
 		Requests: p.gateway.EngineRequests,
 		Away:     p.gateway.EngineAway,
 		Engines:  platform.NewEngines(),
--- a/internal/reconcile/model_test.go
+++ b/internal/reconcile/model_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/roles"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/lease"
 	"pistachioroad.dev/pistachioroad/internal/reconcile"
@@ -146,6 +147,7 @@
 			View:     func() *directory.View { return m.seen },
 			Rank:     func() int { return 0 },
 			Busy:     func(string, string) int { return 0 },
+			Pace:     func(string, string) roles.Pace { return roles.Pace{} },
 			Requests: func(string) int64 { return 0 },
 			Away:     func(string, string, time.Duration) {},
 			Engines:  modelEngines{model: m, gateway: n},
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -65,6 +65,8 @@
 	// Busy returns the work at an engine; any work at all means that changes
 	// are made one at a time.
 	Busy func(service, engine string) int
+	// Pace returns how slow an engine is.
+	Pace func(service, engine string) roles.Pace
 	// Requests returns how many requests of a service all gateways have placed.
 	Requests func(service string) int64
 	// Away is told of an engine that is about to change its role.
@@ -166,7 +168,7 @@
 		}
 		work := r.config.Busy(service, s.ID)
 		busy = busy || work > 0
-		list = append(list, roles.Engine{ID: s.ID, DataCentre: s.DataCentre, Role: s.Role, Work: work})
+		list = append(list, roles.Engine{ID: s.ID, DataCentre: s.DataCentre, Role: s.Role, Work: work, Pace: r.config.Pace(service, s.ID)})
 	}
 	return list, busy
 }
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/roles"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/lease"
 	"pistachioroad.dev/pistachioroad/internal/reconcile"
@@ -105,6 +106,7 @@
 	return reconcile.New(reconcile.Config{
 		Holder: "f-1", View: func() *directory.View { return w.view }, Rank: func() int { return rank },
 		Busy: func(string, string) int { return w.work }, Engines: w, Lease: w,
+		Pace:     func(string, string) roles.Pace { return roles.Pace{} },
 		Away:     func(string, string, time.Duration) {},
 		Requests: func(string) int64 { return w.requests },
 	})
