Peers: half as many bytes for each request told

By reader and decoder the difference is alike; by gateway it runs from -8 to 326 ms: 31 of 39 gateways have links of 10 Mbit/s. A request told to 38 others took some 270 bytes to each in three datagrams, 3.7 Mbit/s at 1,700 requests a second.

Jobs and engines are named by 32-bit hashes, parts packed, the sender by its start, and ends of jobs leave with something else: some 125 bytes.

The datagram of a request, its read and its end has 90 bytes at most.

--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -56,6 +56,9 @@
 	avoidUntil time.Time
 }
 
+// EngineHash is the short name of an engine between entries.
+func EngineHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 func newEngine(e Engine) *engine {
 	return &engine{Engine: e, hash: xxhash.Sum64String(e.ID), cache: newCache(e.KVTokens)}
 }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -42,11 +42,16 @@
 type engines struct {
 	mu     sync.Mutex
 	fleets map[string]*place.Fleet
-	share  Share
+	// names are the engines by their hashes.
+	names map[uint32]engineName
+	share Share
 	// count is how many engines there are.
 	count int
 }
 
+// engineName names an engine.
+type engineName struct{ service, id string }
+
 func newEngines() *engines {
 	return &engines{fleets: make(map[string]*place.Fleet), share: noShare{}}
 }
@@ -59,6 +64,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.count = 0
+	e.names = make(map[uint32]engineName)
 	for name, service := range v.Table.Services {
 		if service.Engine == nil {
 			continue
@@ -66,6 +72,7 @@
 		f := e.fleet(name)
 		var list []place.Engine
 		for _, s := range v.Service(name) {
+			e.names[place.EngineHash(s.ID)] = engineName{service: name, id: s.ID}
 			list = append(list, place.Engine{
 				ID: s.ID, DataCentre: s.DataCentre, Role: s.Role,
 				KVTokens: service.Engine.KVTokens, Slots: service.Engine.Slots, Incarnation: s.Incarnation,
@@ -226,6 +233,14 @@
 
 // The methods below take in what other entries tell.
 
+// Engine returns the engine with a hash, and its service.
+func (g *Gateway) Engine(hash uint32) (service, id string, ok bool) {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	name, ok := g.engines.names[hash]
+	return name.service, name.id, ok
+}
+
 // RemotePlaced notes a job of another entry.
 func (g *Gateway) RemotePlaced(service string, p place.Placement) {
 	g.engines.mu.Lock()
--- a/internal/peers/outbox.go
+++ b/internal/peers/outbox.go
@@ -26,6 +26,8 @@
 	pending *wire.Share
 	size    int
 	timer   *time.Timer
+	// due is when the timer ends.
+	due time.Time
 }
 
 // JoinGroup implements gateway.Share.
@@ -56,8 +58,8 @@
 	return p.others
 }
 
-// tell adds to the next datagram for an audience.
-func (p *Peers) tell(to audience, size int, add func(*wire.Share)) {
+// tell adds to the next datagram for an audience, which leaves within a time.
+func (p *Peers) tell(to audience, within time.Duration, size int, add func(*wire.Share)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.addresses(to)) == 0 {
@@ -67,10 +69,16 @@
 	if box.pending != nil && box.size+size > maxDatagram {
 		p.flush(to)
 	}
-	if box.pending == nil {
-		box.pending = &wire.Share{Entry: p.name}
+	due := time.Now().Add(within)
+	switch {
+	case box.pending == nil:
+		box.pending = &wire.Share{Sender: uint32(p.start)}
 		box.size = 0
-		box.timer = time.AfterFunc(flushAfter, func() { p.flushDue(to) })
+		box.due = due
+		box.timer = time.AfterFunc(within, func() { p.flushDue(to) })
+	case due.Before(box.due):
+		box.due = due
+		box.timer.Reset(within)
 	}
 	add(box.pending)
 	box.size += size
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -33,6 +33,9 @@
 	// flushAfter collects what happens within it into one datagram. It is well
 	// under the time between two requests that could use it.
 	flushAfter = 2 * time.Millisecond
+	// endedAfter is the same for ends of jobs: most leave with something else by
+	// then, and a decoder's streams change little meanwhile.
+	endedAfter = 25 * time.Millisecond
 	// lateDatagram is a delay that is counted: many of them mean that this VM is
 	// too slow for what it is told.
 	lateDatagram = time.Second
@@ -42,6 +45,8 @@
 
 // Receiver takes in what other gateways tell.
 type Receiver interface {
+	// Engine returns the engine with a hash, and its service.
+	Engine(hash uint32) (service, id string, ok bool)
 	RemotePlaced(service string, p place.Placement)
 	RemoteReadDone(id place.JobID)
 	RemoteEnded(id place.JobID)
@@ -165,40 +170,46 @@
 }
 
 // Placed implements gateway.Share.
-func (p *Peers) Placed(service string, placed place.Placement) {
+func (p *Peers) Placed(_ string, placed place.Placement) {
 	m := &wire.Placed{
-		Job:     uint64(placed.ID),
-		Service: service,
-		Reader:  placed.Plan.Reader,
-		Decoder: placed.Plan.Decoder,
-		Tokens:  uint32(max(0, placed.Prompt.Tokens)),
-		Kept:    uint32(max(0, placed.Plan.Kept)),
-		LeftMs:  uint32(max(0, placed.Left.Milliseconds())),
-		Length:  uint32(max(0, placed.Length)),
+		Job:    uint32(placed.ID),
+		Reader: place.EngineHash(placed.Plan.Reader),
+		Kept:   uint32(max(0, placed.Plan.Kept)),
+		LeftMs: uint32(max(0, placed.Left.Milliseconds())),
+		Length: uint32(max(0, placed.Length)),
 	}
+	if placed.Plan.Split() {
+		m.Decoder = place.EngineHash(placed.Plan.Decoder)
+	}
+	sum := 0
 	for _, part := range placed.Prompt.Parts {
-		m.Parts = append(m.Parts, &wire.Part{Id: part.ID, Tokens: uint32(part.Tokens)})
+		m.PartIds = append(m.PartIds, part.ID)
+		m.PartTokens = append(m.PartTokens, uint32(part.Tokens))
+		sum += part.Tokens
+	}
+	if sum != placed.Prompt.Tokens {
+		m.Tokens = uint32(max(0, placed.Prompt.Tokens))
 	}
-	p.tell(group, proto.Size(m), func(s *wire.Share) { s.Placed = append(s.Placed, m) })
+	p.tell(group, flushAfter, proto.Size(m), func(s *wire.Share) { s.Placed = append(s.Placed, m) })
 }
 
-// jobSize is the size of a job's id in a datagram.
-const jobSize = 9
+// jobSize is the size of a job in a datagram.
+const jobSize = 4
 
 // ReadDone implements gateway.Share.
 func (p *Peers) ReadDone(id place.JobID) {
-	p.tell(group, jobSize, func(s *wire.Share) { s.ReadDone = append(s.ReadDone, uint64(id)) })
+	p.tell(group, flushAfter, jobSize, func(s *wire.Share) { s.ReadDone = append(s.ReadDone, uint32(id)) })
 }
 
 // Ended implements gateway.Share.
 func (p *Peers) Ended(id place.JobID) {
-	p.tell(group, jobSize, func(s *wire.Share) { s.Ended = append(s.Ended, uint64(id)) })
+	p.tell(group, endedAfter, jobSize, func(s *wire.Share) { s.Ended = append(s.Ended, uint32(id)) })
 }
 
 // Avoid implements gateway.Share.
 func (p *Peers) Avoid(service, engine string, d time.Duration) {
 	m := &wire.Avoid{Service: service, Engine: engine, ForMs: uint32(d.Milliseconds())}
-	p.tell(everyone, proto.Size(m), func(s *wire.Share) { s.Avoid = append(s.Avoid, m) })
+	p.tell(everyone, flushAfter, proto.Size(m), func(s *wire.Share) { s.Avoid = append(s.Avoid, m) })
 }
 
 // Confirm tells what the store has confirmed to this gateway.
@@ -210,7 +221,7 @@
 		Start:           p.start,
 		SentUs:          uint64(boottime.Now().Microseconds()),
 	}
-	p.tell(everyone, proto.Size(m), func(s *wire.Share) { s.Confirmation = m })
+	p.tell(everyone, flushAfter, proto.Size(m), func(s *wire.Share) { s.Confirmation = m })
 }
 
 // Entry tells a change of a backend server's entry. One that does not fit a
@@ -220,7 +231,7 @@
 		Name: c.Object.Name, Revision: c.Object.Revision, Spec: c.Object.Spec, Removed: c.Removed, After: c.After,
 	}
 	if size := proto.Size(m); size < maxDatagram {
-		p.tell(everyone, size, func(s *wire.Share) { s.Entries = append(s.Entries, m) })
+		p.tell(everyone, flushAfter, size, func(s *wire.Share) { s.Entries = append(s.Entries, m) })
 	}
 }
 
@@ -243,22 +254,40 @@
 	}
 }
 
-// placement decodes what another gateway told. The prompt has its parts only:
-// its length shows in the time of the read.
-func placement(m *wire.Placed) place.Placement {
+// takePlaced takes in a placement of another gateway. One at engines that are not
+// known here is dropped: so would be what it adds to their work.
+func (p *Peers) takePlaced(m *wire.Placed) {
+	service, reader, ok := p.receiver.Engine(m.Reader)
+	if !ok {
+		p.dropped.Inc(1)
+		return
+	}
+	decoder := reader
+	if m.Decoder != 0 {
+		_, decoder, _ = p.receiver.Engine(m.Decoder)
+	}
 	placed := place.Placement{
-		ID: place.JobID(m.Job),
-		Plan: place.Plan{
-			Reader: m.Reader, Decoder: m.Decoder, Kept: int(m.Kept),
-		},
+		ID:     place.JobID(m.Job),
+		Plan:   place.Plan{Reader: reader, Decoder: decoder, Kept: int(m.Kept)},
 		Left:   time.Duration(m.LeftMs) * time.Millisecond,
 		Length: int(m.Length),
-		Prompt: request.Prompt{Tokens: int(m.Tokens)},
+		Prompt: prompt(m),
+	}
+	p.receiver.RemotePlaced(service, placed)
+}
+
+func prompt(m *wire.Placed) request.Prompt {
+	decoded := request.Prompt{Tokens: int(m.Tokens)}
+	sum := 0
+	for i := range min(len(m.PartIds), len(m.PartTokens)) {
+		tokens := int(m.PartTokens[i])
+		decoded.Parts = append(decoded.Parts, request.Part{ID: m.PartIds[i], Tokens: tokens})
+		sum += tokens
 	}
-	for _, part := range m.Parts {
-		placed.Prompt.Parts = append(placed.Prompt.Parts, request.Part{ID: part.Id, Tokens: int(part.Tokens)})
+	if decoded.Tokens == 0 {
+		decoded.Tokens = sum
 	}
-	return placed
+	return decoded
 }
 
 // confirmation decodes what another gateway's watches confirmed.
@@ -276,11 +305,11 @@
 }
 
 func (p *Peers) take(s *wire.Share) {
-	if s.Entry == p.name {
+	if s.Sender == uint32(p.start) {
 		return
 	}
 	for _, m := range s.Placed {
-		p.receiver.RemotePlaced(m.Service, placement(m))
+		p.takePlaced(m)
 	}
 	now := time.Now()
 	for _, m := range s.Entries {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
+	"net"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -46,6 +48,15 @@
 	return &heard{placed: map[place.JobID]place.Placement{}, read: map[place.JobID]bool{}, ended: map[place.JobID]bool{}}
 }
 
+func (h *heard) Engine(hash uint32) (service, id string, ok bool) {
+	for _, id := range []string{"i-p", "i-d"} {
+		if place.EngineHash(id) == hash {
+			return "llm", id, true
+		}
+	}
+	return "", "", false
+}
+
 func (h *heard) RemotePlaced(_ string, p place.Placement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -81,7 +92,7 @@
 }
 
 func start(name string, client *platform.Store, r peers.Receiver) *peers.Peers {
-	p, err := peers.New(peers.Config{Name: name, Address: "127.0.0.1:0"}, r)
+	p, err := peers.New(peers.Config{Name: name, Start: rand.Uint64(), Address: "127.0.0.1:0"}, r)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
@@ -118,6 +129,33 @@
 		Expect(told.parts).To(Equal(200))
 	})
 
+	// Each request is told to every other gateway of the group. On VMs with links of
+	// 10 Mbit/s what is told takes the room of callers' requests, and their answers
+	// come a quarter of a second later than those of other VMs.
+	It("tell a request and its end in few bytes", func() {
+		listener, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		p, err := peers.New(peers.Config{Name: "f-1", Start: rand.Uint64(), Address: "127.0.0.1:0"}, newHeard())
+		Expect(err).NotTo(HaveOccurred())
+		p.Set(map[string]netip.AddrPort{"f-2": listener.LocalAddr().(*net.UDPAddr).AddrPort()})
+
+		placed := place.Placement{ID: 1 << 60, Left: 2 * time.Second, Length: 90}
+		placed.Prompt.Parts = []request.Part{{ID: 0x5c1e07a2, Tokens: 2_520}, {ID: 0x91bd3f06, Tokens: 3_780}, {ID: 0xe4402b7d, Tokens: 2_890}}
+		placed.Prompt.Tokens = 9_190
+		placed.Plan = place.Plan{Reader: "i-7f3a91c2aa", Decoder: "i-8f3a91c2aa", Kept: 6_300}
+		p.Placed("llm", placed)
+		p.ReadDone(placed.ID)
+		p.Ended(placed.ID)
+
+		const mostBytes = 90
+		buf := make([]byte, 64<<10)
+		Expect(listener.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		n, err := listener.Read(buf)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(BeNumerically("<=", mostBytes))
+	})
+
 	// Three hundred gateways tell each other of every request: each takes in
 	// megabytes a second, and small VMs have no processor left for callers.
 	It("tell placements to their group only, and refusals to all", func() {
@@ -127,7 +165,7 @@
 		gateways := map[string]*peers.Peers{}
 		for _, name := range names {
 			told[name] = newHeard()
-			p, err := peers.New(peers.Config{Name: name, Address: "127.0.0.1:0"}, told[name])
+			p, err := peers.New(peers.Config{Name: name, Start: rand.Uint64(), Address: "127.0.0.1:0"}, told[name])
 			Expect(err).NotTo(HaveOccurred())
 			ctx, stop := context.WithCancel(context.Background())
 			DeferCleanup(stop)
@@ -138,7 +176,7 @@
 		sender := gateways["f-1"]
 		sender.Set(maps.Clone(addresses))
 		own := sender.JoinGroup(2)
-		sender.Placed("llm", place.Placement{ID: 1})
+		sender.Placed("llm", place.Placement{ID: 1, Plan: place.Plan{Reader: "i-p", Decoder: "i-p"}})
 		sender.Avoid("llm", "i-1", time.Second)
 		members := 0
 		for _, name := range names[1:] {
