Place: what a gateway adds to reads itself counts for admission

A gateway whose link or processor is full let callers in by the engines' load alone and answered them late, while others had room. How much longer its own reads take than expected is learned; it counts as a wait, so that callers are refused who would be late, and find another gateway. It halves each second without a read: one that refuses everybody finds out when its link is free again.

--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -69,7 +69,7 @@
 	if expected <= part(inTimePart, u.Objective) || !p.Learned {
 		return Admission{Admit: true, Priority: OnTimePriority}
 	}
-	if p.Wait <= part(lateWaitPart, u.Left) && expected <= part(latePart, u.Left) {
+	if p.Wait+p.Lag <= part(lateWaitPart, u.Left) && expected <= part(latePart, u.Left) {
 		return Admission{Admit: true, Priority: latePriority(p)}
 	}
 	return Admission{RetryAfter: max(leastRetryAfter, comeBack(expected, u, refusals))}
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -98,6 +98,16 @@
 	}
 }
 
+// OwnReadDone notes that the prompt of a job of this entry has been read.
+func (f *Fleet) OwnReadDone(now time.Time, id JobID) {
+	if j, ok := f.jobs[id]; ok && j.reading {
+		if r := j.reader.queue.find(id); r != nil && j.reader.reading.Known() {
+			f.lag.Learn(now, r.expected, now.Sub(r.sent))
+		}
+	}
+	f.ReadDone(now, id)
+}
+
 // FirstToken notes that the first token of a job has come. It returns true if
 // that also was the first sign that its prompt has been read.
 func (f *Fleet) FirstToken(now time.Time, id JobID) bool {
@@ -106,7 +116,7 @@
 		return false
 	}
 	if j.reading {
-		f.ReadDone(now, id)
+		f.OwnReadDone(now, id)
 		return true
 	}
 	if !j.readAt.IsZero() && j.decoder != nil && j.decoder != j.reader {
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -81,9 +81,9 @@
 	Reader, Decoder string
 	// Kept is what Reader is thought to keep of the prompt, in tokens.
 	Kept int
-	// Wait and Read make up the expected time to the first token, with Extra
-	// for the way, the transfer and the decoder.
-	Wait, Read, Extra time.Duration
+	// Wait and Read make up the expected time to the first token, with Lag for what
+	// this entry adds itself, and Extra for the way, the transfer and the decoder.
+	Wait, Read, Lag, Extra time.Duration
 	// Answer is what it costs to generate the answer at Decoder, beside the first
 	// token: the chances that it and others there miss their deadlines, as a time.
 	// Admission does not rest on it.
@@ -107,7 +107,7 @@
 }
 
 // Expected is the expected time to the first token.
-func (p Plan) Expected() time.Duration { return p.Wait + p.Read + p.Extra }
+func (p Plan) Expected() time.Duration { return p.Wait + p.Read + p.Lag + p.Extra }
 
 // Split reports whether one engine reads and another generates.
 func (p Plan) Split() bool { return p.Reader != p.Decoder }
@@ -126,6 +126,8 @@
 	steps *predict.Steps
 	// lengths is how many events answers have.
 	lengths predict.Lengths
+	// lag is what this entry adds to reads itself.
+	lag predict.Lag
 	// unread is how many tokens engines read of a prompt on average.
 	unread float64
 	// refusals is the part of the requests that was refused lately.
@@ -261,6 +263,7 @@
 		Kept:    kept,
 		Wait:    reader.wait(now),
 		Read:    reader.cost(work),
+		Lag:     f.lag.Now(now),
 		Extra:   reader.reading.Latency(),
 		Short:   work.Tokens <= shortPart*f.unread,
 		Learned: reader.reading.Known(),
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -606,3 +606,45 @@
 		Expect(a.Admit).To(BeFalse())
 	})
 })
+
+var _ = Describe("an entry whose own link is full", func() {
+	// Requests and answers of one entry wait at its link for a quarter of a second.
+	// By the engines alone its callers seem to be in time; they all are late, while
+	// other entries would serve them.
+	It("refuses callers that it would answer late", func() {
+		urgent := place.Urgency{Objective: 500 * time.Millisecond, Left: 5 * time.Second}
+		type end struct {
+			id place.JobID
+			at time.Time
+		}
+		admitted := func(linkWait time.Duration) int {
+			f := taught(4, 4)
+			var ends []end
+			admitted := 0
+			for n := range 200 {
+				now := at(100 * n)
+				for len(ends) > 0 && !ends[0].at.After(now) {
+					f.OwnReadDone(ends[0].at, ends[0].id)
+					f.Ended(ends[0].at, ends[0].id)
+					ends = ends[1:]
+				}
+				j := place.Job{ID: place.JobID(n + 1), Prompt: prompt(uint64(n), 0, 4_000, uint64(n))}
+				p, a, _ := f.Plan(now, j, urgent)
+				f.Placed(now, place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: time.Minute})
+				read := now.Add(readTime(p.Split(), j.Prompt.Tokens))
+				if n%2 == 0 {
+					f.ReadDone(read, j.ID)
+					f.Ended(read, j.ID)
+					continue
+				}
+				ends = append(ends, end{id: j.ID, at: read.Add(linkWait)})
+				if n > 100 && a.Admit {
+					admitted++
+				}
+			}
+			return admitted
+		}
+		Expect(admitted(0)).To(Equal(50))
+		Expect(admitted(900 * time.Millisecond)).To(BeNumerically("<", 25))
+	})
+})
--- a/internal/decide/place/queue.go
+++ b/internal/decide/place/queue.go
@@ -57,6 +57,15 @@
 	}
 }
 
+func (q *queue) find(id JobID) *read {
+	for _, r := range q.reads {
+		if r.job == id {
+			return r
+		}
+	}
+	return nil
+}
+
 func (q *queue) remove(id JobID) *read {
 	for i, r := range q.reads {
 		if r.job != id {
--- /dev/null
+++ b/internal/decide/predict/lag.go
@@ -0,0 +1,43 @@
+package predict
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// lagGain is the part that each value adds to a Lag.
+	lagGain = 0.1
+	// lagHalfLife is how long it takes a Lag to halve while no value comes: an entry
+	// that refuses all callers for its own lag sees no reads that would end it.
+	lagHalfLife = time.Second
+	// mostLag bounds a value.
+	mostLag = time.Second
+)
+
+// Lag is how much longer reads take than expected for one entry, whatever engine
+// reads: what its own link or processor adds.
+type Lag struct {
+	value float64 // ms
+	at    time.Time
+}
+
+// Now is the lag, never negative.
+func (l *Lag) Now(now time.Time) time.Duration {
+	l.fade(now)
+	return milliseconds(max(0, l.value))
+}
+
+// Learn takes in what a read of this entry was expected to take, and took.
+func (l *Lag) Learn(now time.Time, expected, took time.Duration) {
+	l.fade(now)
+	off := min(max(took-expected, -mostLag), mostLag)
+	l.value += lagGain * (InMS(off) - l.value)
+}
+
+func (l *Lag) fade(now time.Time) {
+	if passed := now.Sub(l.at); passed > 0 {
+		l.value *= math.Exp2(-float64(passed) / float64(lagHalfLife))
+		l.at = now
+	}
+}
--- /dev/null
+++ b/internal/decide/predict/lag_test.go
@@ -0,0 +1,43 @@
+package predict_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/predict"
+)
+
+var _ = Describe("Lag", func() {
+	start := time.Unix(1_000, 0)
+
+	It("follows what reads take beyond what is expected", func() {
+		var l predict.Lag
+		now := start
+		for range 60 {
+			now = now.Add(10 * time.Millisecond)
+			l.Learn(now, 100*time.Millisecond, 250*time.Millisecond)
+		}
+		Expect(l.Now(now)).To(BeNumerically("~", 150*time.Millisecond, 20*time.Millisecond))
+	})
+
+	// An entry refuses everybody as its link is full. Nothing is read, so nothing
+	// shows that the link is free again.
+	It("fades while nothing is read", func() {
+		var l predict.Lag
+		for range 60 {
+			l.Learn(start, 0, 800*time.Millisecond)
+		}
+		Expect(l.Now(start.Add(5 * time.Second))).To(BeNumerically("<", 30*time.Millisecond))
+	})
+
+	It("is never negative, and one value hardly moves it", func() {
+		var l predict.Lag
+		l.Learn(start, time.Hour, 0)
+		Expect(l.Now(start)).To(BeZero())
+		var other predict.Lag
+		other.Learn(start, 0, time.Hour)
+		Expect(other.Now(start)).To(BeNumerically("<=", 100*time.Millisecond))
+	})
+})
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -126,7 +126,7 @@
 func (e *engines) readDone(service string, id place.JobID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.fleet(service).ReadDone(time.Now(), id)
+	e.fleet(service).OwnReadDone(time.Now(), id)
 	e.share.ReadDone(id)
 }
 
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -163,6 +163,7 @@
 		p := c.trace.plan
 		fields["reader"], fields["kept"], fields["tokens"] = p.Reader, p.Kept, c.request.Prompt.Tokens
 		fields["expected_ms"], fields["wait_ms"], fields["read_ms"] = p.Expected().Milliseconds(), p.Wait.Milliseconds(), p.Read.Milliseconds()
+		fields["lag_ms"] = p.Lag.Milliseconds()
 		fields["length"], fields["answer_cost_ms"] = c.request.Prompt.Output, p.Answer.Milliseconds()
 		fields["prefill_ms"], fields["learned"] = c.trace.prefill.Milliseconds(), p.Learned
 	}
