Gateway: a request that may have run is not refused as late

Found in the incident of the large fleet: engines were silent for a second, the streams went on elsewhere, and there admission refused them as too late: 30 of them ended in 502 though their callers waited for four more seconds. They are planned like streams that have begun, against their deadline.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -60,8 +60,9 @@
 
 // urgency is what the caller still expects.
 func (c *call) urgency(now time.Time) place.Urgency {
-	if c.started {
-		// To refuse the rest of a stream would waste what was generated.
+	if c.started || c.verdict != verdict.NotRun {
+		// To refuse the rest of a stream would waste what was generated, and a
+		// request that may have run can only be failed, not refused.
 		return place.Urgency{Objective: c.deadline.Sub(now), Left: c.deadline.Sub(now)}
 	}
 	return place.Urgency{
