--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -141,10 +141,11 @@
 		return
 	}
 	if j.reading {
-		// The read failed or was given up; how long it took says nothing, and what
-		// was to be kept is not.
-		j.reader.remove(now, id)
-		j.reader.cache.drop(j.added)
+		// The read failed or was given up; how long it took says nothing. If it did
+		// so before it can have ended, what was to be kept is not.
+		if r := j.reader.remove(now, id); r != nil && now.Sub(r.sent) < r.expected {
+			j.reader.cache.drop(j.added)
+		}
 	}
 	delete(f.jobs, id)
 	f.generateAt(now, j, nil)
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -681,4 +681,17 @@
 		Expect(next.Reader).To(Equal(first.Reader))
 		Expect(next.Kept).To(Equal(13_000))
 	})
+
+	// The answer to a read is lost after the engine made it. The next prompt with the
+	// same part would be read by another engine once more.
+	It("is kept if only its answer was lost", func() {
+		f := taught(1, 1)
+		j := place.Job{ID: 1, Prompt: prompt(7, 13_000, 2_500, 1)}
+		lost := plan(f, at(0), j)
+		f.Ended(at(int(lost.Expected().Milliseconds())+50), j.ID)
+		next, _, ok := f.Plan(at(1_000), place.Job{ID: 2, Prompt: prompt(7, 13_000, 2_500, 2)}, patient)
+		Expect(ok).To(BeTrue())
+		Expect(next.Reader).To(Equal(lost.Reader))
+		Expect(next.Kept).To(Equal(13_000))
+	})
 })
