--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -3,9 +3,8 @@
 import "time"
 
 const (
-	// lateWaitPart is the part of the time left for which a prompt that cannot
-	// be in time any more may wait, some 100 ms. Late prompts that are let in
-	// make those after them late.
+	// lateWaitPart is the part of the time left for which a prompt that cannot be
+	// in time any more may wait: it makes those after it late.
 	lateWaitPart = 0.03
 	// inTimePart is the part of the objective within which a first token must be
 	// expected. In saturation the last one let in is just in time by expectation,
@@ -30,9 +29,8 @@
 // The priorities of prompts at an engine, most urgent first.
 const (
 	// GeneratePriority is for prompts that another engine has read. They need a
-	// step and no reading, but without it they wait at their engine behind the
-	// prompts that it reads itself, with a third of the engines lost until nearly
-	// all of their callers have left.
+	// step and no reading, and must not wait behind the prompts that their engine
+	// reads itself.
 	GeneratePriority = 1
 	// OnTimePriority is for prompts that can meet their objective.
 	OnTimePriority = 4
--- a/internal/decide/place/decoder.go
+++ b/internal/decide/place/decoder.go
@@ -19,8 +19,7 @@
 func (d decoder) cost() time.Duration { return d.handover + d.answer }
 
 // decoderChoice is the cheapest engine in each data centre. A reader's best decoder
-// is among them, so one pass over the engines serves all readers: a pass for each
-// took most of a gateway's processor at a thousand engines.
+// is among them, so that one pass over the engines serves all readers.
 type decoderChoice map[string]decoder
 
 // decoders returns the decoderChoice for a job.
--- a/internal/decide/place/group.go
+++ b/internal/decide/place/group.go
@@ -3,10 +3,9 @@
 import "github.com/cespare/xxhash/v2"
 
 const (
-	// groupGateways is how many gateways a group has at least. A gateway hears
-	// of each placement of its group, 110 bytes each (measured): with 350
-	// gateways in one group and 1,800 requests a second, 198 KB/s, where the users
-	// allow 15 for all control. Deployments of up to twice as many have one group.
+	// groupGateways is how many gateways a group has at least. A gateway hears of
+	// each placement of its group, so that the group bounds what it takes in.
+	// Deployments of up to twice as many have one group.
 	groupGateways = 32
 	// groupEngines is how many engines a group has at least: both roles, several
 	// times each, also where the hash deals unevenly.
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -24,8 +24,7 @@
 	decodeSlowness = 2
 	// readTTL is how much longer than expected a read is believed in.
 	readTTL = 2 * time.Second
-	// forgetEvery spaces the passes over all jobs: a pass over the ten thousand
-	// of the largest deployments takes under a millisecond.
+	// forgetEvery spaces the passes over all jobs.
 	forgetEvery = time.Second
 	// priorHandover is the time from the end of a read to the first token from
 	// another engine, transfer aside, until one was seen: the call, the begin of
@@ -46,9 +45,8 @@
 	// unreadGain is the part that each prompt adds to the average: a hundred count.
 	unreadGain = 0.01
 	// readShare is the part of its time for which an engine that generates reads
-	// prompts itself, while others only read. Without the bound its streams run at
-	// a quarter of their pace, and the answers whose prompts others read wait
-	// behind its own.
+	// prompts itself, while others only read. Without the bound its streams slow
+	// down, and the answers whose prompts others read wait behind its own.
 	readShare = 0.5
 	// riskWeight is how much less of its time that is with answers that may miss
 	// their deadlines: each read delays all of them.
--- a/internal/decide/predict/fit.go
+++ b/internal/decide/predict/fit.go
@@ -13,8 +13,7 @@
 	priorDecay  = 0.9
 	leastPrior  = 1e-4
 	// solveEvery is how many values pass between two solutions once the fit is
-	// settled. Solving takes a microsecond; at thousands of reads a second on a
-	// tenth of a core that is a part of the processor one would see.
+	// settled: solving at each of them takes a visible part of a small VM.
 	solveEvery = 8
 	// settled is the number of values from which on solveEvery holds.
 	settled = 200
--- a/internal/decide/predict/predict.go
+++ b/internal/decide/predict/predict.go
@@ -48,10 +48,8 @@
 }
 
 const (
-	// enoughReads is after how many reads a Reading is known. A refusal rests on
-	// an expectation, so until then nobody is refused as too late; at three
-	// hundred requests a second it takes a tenth of a second. Engines of four
-	// very different kinds were predicted within 15% after 60 reads.
+	// enoughReads is after how many reads a Reading is known. A refusal rests on an
+	// expectation, so that until then nobody is refused as too late.
 	enoughReads = 40
 	// mostSurprise bounds by how many times a read may exceed what was expected
 	// and still count in full: one that waited in a socket for a frozen gateway
@@ -141,7 +139,7 @@
 
 const (
 	// slownessGain is the part of a read's relative error that an engine's
-	// slowness takes on. With errors of a third in single reads it wavers by 3%.
+	// slowness takes on.
 	slownessGain = 0.02
 	// firstReads lowers that part for the first values, which count more.
 	firstReads = 10
--- a/internal/decide/roles/budget.go
+++ b/internal/decide/roles/budget.go
@@ -4,13 +4,11 @@
 
 const (
 	// freeMoves are the changes of role that need no demand: before the first
-	// requests come, changes disturb nobody. Fleets of some fifty engines need 11
-	// and 15 for the share and gain by it; beyond that a large fleet that few
+	// requests come, changes disturb nobody. Beyond them a large fleet that few
 	// callers use would pay for changes that no answer gains from.
 	freeMoves = 16
-	// requestsPerMove pay for one change. By the users' sheet a change costs as
-	// much as 4.7 answers, and a fleet that is off its share by a seventh of its
-	// engines loses some percent of them.
+	// requestsPerMove pay for one change: it costs as much as some answers, and a
+	// fleet that is off its share loses a few in a hundred.
 	requestsPerMove = 200
 )
 
@@ -19,8 +17,8 @@
 // which nothing could be generated are always changed.
 //
 // It answers a large fleet with little to do. Its share may be off by hundreds
-// of engines while each request finds an idle one; bringing all of them to the
-// share cost half of what a day with a thousand servers was worth (0.525).
+// of engines while each request finds an idle one, and no answer gains from
+// bringing all of them to the share.
 func Afford(engines []Engine, moves []Move, requests int64, made int) []Move {
 	paid := freeMoves + int(requests/requestsPerMove) - made
 	needed := leastDecode - count(engines, backend.Decode)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,8 +17,7 @@
 const (
 	expireEvery = 200 * time.Millisecond
 	// publishEvery spaces the Views of changed servers. Each copies and indexes
-	// all servers, and when a deployment starts each server is a change: with a
-	// View for each, a thousand of them took a gateway 2.5 s of processor.
+	// all servers, and when a deployment starts each server is a change.
 	publishEvery = 50 * time.Millisecond
 )
 
