--- a/internal/decide/place/answer.go
+++ b/internal/decide/place/answer.go
@@ -18,7 +18,7 @@
 // time anywhere. Spread by the number of streams, the longest answers of slow or
 // crowded engines are cut by their deadlines.
 func (f *Fleet) answerCost(now time.Time, j Job, u Urgency, e *engine) time.Duration {
-	if j.Length <= 0 || !e.generating.Known() {
+	if j.Length <= 0 || !f.answersKnown() {
 		return 0
 	}
 	added := predict.Running{Tokens: float64(j.Prompt.Tokens)}
@@ -30,6 +30,11 @@
 	return miss + e.delayCost(part(slower, answer))
 }
 
+// answersKnown reports whether enough was seen to compare engines by the answers
+// they generate. An engine of which nothing is known then counts as an average one:
+// if it cost nothing, all entries would crowd it with long answers.
+func (f *Fleet) answersKnown() bool { return f.lengths.Known() && f.steps.Known() }
+
 // delayCost is what it costs to delay all streams of an engine by d.
 func (e *engine) delayCost(d time.Duration) time.Duration { return part(e.risk, d) }
 
@@ -41,7 +46,7 @@
 // riskOf is how much it costs to delay an answer that begins at an engine, as a
 // part of the delay.
 func (f *Fleet) riskOf(now time.Time, e *engine, length int, left time.Duration) float64 {
-	if length <= 0 || !e.generating.Known() {
+	if length <= 0 || !f.answersKnown() {
 		return 0
 	}
 	return missPart * f.lengths.Sensitivity(length, e.between(e.running(now)), left)
--- a/internal/decide/place/answer_test.go
+++ b/internal/decide/place/answer_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
@@ -42,6 +43,10 @@
 	slowness map[string]float64
 	running  []*note
 	all      []*note
+	// now is the play's time, and unseen an engine whose events this entry does not
+	// see.
+	now    time.Time
+	unseen string
 }
 
 // between is the time between two events at an engine now.
@@ -91,7 +96,9 @@
 		before := int(n.made)
 		n.made += float64(playStep) / float64(paces[n.decoder])
 		if int(n.made) > before {
-			p.fleet.Event(now, n.id, now.Sub(n.last))
+			if n.decoder != p.unseen {
+				p.fleet.Event(now, n.id, now.Sub(n.last))
+			}
 			n.last = now
 		}
 		n.whole = int(n.made) >= n.events
@@ -105,13 +112,16 @@
 
 // play returns which part of the longest tenth and of all answers ended in time.
 func (p *notePlay) play(perSecond float64) (longest, all float64) {
-	for now := start; now.Before(start.Add(playTime)); now = now.Add(playStep) {
+	if p.now.IsZero() {
+		p.now = start
+	}
+	for end := p.now.Add(playTime); p.now.Before(end); p.now = p.now.Add(playStep) {
 		if p.rng.Float64() < perSecond*playStep.Seconds() {
-			p.begin(now)
+			p.begin(p.now)
 		}
-		p.pass(now)
+		p.pass(p.now)
 	}
-	ended := slices.DeleteFunc(p.all, func(n *note) bool { return !n.ended })
+	ended := slices.DeleteFunc(slices.Clone(p.all), func(n *note) bool { return !n.ended })
 	slices.SortFunc(ended, func(a, b *note) int { return cmp.Compare(b.events, a.events) })
 	return wholePart(ended[:len(ended)/10]), wholePart(ended)
 }
@@ -176,3 +186,31 @@
 		Expect(own(closeToMinute)).To(BeNumerically("<", own(short)/2))
 	})
 })
+
+var _ = Describe("an engine that has just joined", func() {
+	// One engine joins a busy fleet, and nothing is known of it. Were that worth more
+	// than the pace of the others, every entry would send it all long answers until
+	// it knows better, and they would crowd there.
+	It("gets no more of the long answers than others of its pace", func() {
+		p := &notePlay{
+			fleet:    newFleet(2, 4),
+			rng:      rand.New(rand.NewPCG(33, 34)),
+			slowness: map[string]float64{"e2": 1, "e3": 1, "e4": 1, "e5": 1},
+		}
+		p.play(20)
+		p.fleet.SetEngines(append(engines(2, 4), place.Engine{
+			ID: "new", DataCentre: "z", Role: backend.Decode, KVTokens: 800_000, Slots: 128,
+		}))
+		p.slowness["new"], p.unseen = 1, "new"
+		before := len(p.all)
+		p.play(20)
+		later := p.all[before:]
+		got := 0
+		for _, n := range later {
+			if n.decoder == "new" {
+				got++
+			}
+		}
+		Expect(got).To(BeNumerically("<", len(later)/3))
+	})
+})
