--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -48,10 +48,10 @@
 	began   time.Time
 	// steps is what is believed of the time between two events of a stream,
 	// generating what is believed of this engine's.
-	steps *predict.Steps
-	// risk is what it costs to delay all streams, as a part of the delay.
-	risk       float64
+	steps      *predict.Steps
 	generating predict.Engine
+	// risk is what it costs to delay all streams, as a part of the delay.
+	risk float64
 	// avoidUntil keeps an engine out that failed.
 	avoidUntil time.Time
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -255,7 +255,7 @@
 }
 
 // takePlaced takes in a placement of another gateway. One at engines that are not
-// known here is dropped: so would be what it adds to their work.
+// known here is dropped.
 func (p *Peers) takePlaced(m *wire.Placed) {
 	service, reader, ok := p.receiver.Engine(m.Reader)
 	if !ok {
@@ -276,6 +276,7 @@
 	p.receiver.RemotePlaced(service, placed)
 }
 
+// prompt decodes the prompt of a placement.
 func prompt(m *wire.Placed) request.Prompt {
 	decoded := request.Prompt{Tokens: int(m.Tokens)}
 	sum := 0
