Predict: one step learns a value for reads, steps and handovers

Reading, Steps and Handover each bounded a surprise, weighed it by its relative error and counted what they had seen; the fit did that count already. Behaviour as before.

--- a/internal/decide/predict/fit.go
+++ b/internal/decide/predict/fit.go
@@ -54,6 +54,17 @@
 	}
 }
 
+// learn takes in a value of which another was expected, in milliseconds. Values are
+// weighed by their relative error; a bounded one counts as mostSurprise times what
+// was expected at most.
+func (f *fit) learn(features [coefficients]float64, expected, seen float64, bounded bool) {
+	if bounded {
+		seen = min(seen, mostSurprise*expected+surpriseFloor)
+	}
+	scale := max(expected, seen) + jitter
+	f.add(features, seen, 1/(scale*scale))
+}
+
 // solve finds the coefficients. Those that come out negative are held at zero
 // one after the other, the most negative first, and the others solved again.
 func (f *fit) solve() {
--- a/internal/decide/predict/handover.go
+++ b/internal/decide/predict/handover.go
@@ -32,7 +32,5 @@
 // Learn takes in a handover to an engine with a backlog.
 func (h *Handover) Learn(backlog, took time.Duration) {
 	expected := InMS(h.Least() + h.Behind(backlog))
-	seen := min(InMS(took), mostSurprise*expected+surpriseFloor)
-	scale := max(expected, seen) + jitter
-	h.fit.add([coefficients]float64{perHandover: 1, perBacklog: InMS(backlog)}, seen, 1/(scale*scale))
+	h.fit.learn([coefficients]float64{perHandover: 1, perBacklog: InMS(backlog)}, expected, InMS(took), true)
 }
--- a/internal/decide/predict/predict.go
+++ b/internal/decide/predict/predict.go
@@ -83,8 +83,7 @@
 // and what each prompt, token and pair adds, all in proportion to what waits
 // before them.
 type Reading struct {
-	fit   fit
-	reads int
+	fit fit
 }
 
 // NewReading returns a Reading that has seen nothing, of engines that are
@@ -96,10 +95,10 @@
 }
 
 // Known reports whether enough reads were seen to refuse requests by it.
-func (r *Reading) Known() bool { return r.reads >= enoughReads }
+func (r *Reading) Known() bool { return r.fit.count >= enoughReads }
 
 // Reads returns how many reads were learned from.
-func (r *Reading) Reads() int { return r.reads }
+func (r *Reading) Reads() int { return r.fit.count }
 
 // Cost is how long an engine of average speed is busy with the work.
 func (r *Reading) Cost(w Work) time.Duration {
@@ -122,19 +121,13 @@
 // the time that it took.
 func (r *Reading) Learn(w Work, slowness float64, took time.Duration) {
 	expected := InMS(r.Latency()) + slowness*InMS(r.Cost(w))
-	seen := InMS(took)
-	if r.Known() {
-		seen = min(seen, mostSurprise*expected+surpriseFloor)
-	}
 	features := [coefficients]float64{
 		perLatency: 1,
 		perPrompt:  slowness * w.Prompts,
 		perToken:   slowness * w.Tokens,
 		perPair:    slowness * w.Pairs,
 	}
-	scale := max(expected, seen) + jitter
-	r.fit.add(features, seen, 1/(scale*scale))
-	r.reads++
+	r.fit.learn(features, expected, InMS(took), r.Known())
 }
 
 const (
--- a/internal/decide/predict/steps.go
+++ b/internal/decide/predict/steps.go
@@ -32,8 +32,7 @@
 // engine of average speed: a time that passes anyway, and what the contexts of
 // all its streams add.
 type Steps struct {
-	fit  fit
-	seen int
+	fit fit
 }
 
 // NewSteps returns Steps that have seen nothing.
@@ -46,18 +45,12 @@
 }
 
 // Known reports whether enough events were seen to compare engines by it.
-func (s *Steps) Known() bool { return s.seen >= enoughReads }
+func (s *Steps) Known() bool { return s.fit.count >= enoughReads }
 
 // Learn takes in the time between two events at an engine of a given slowness.
 func (s *Steps) Learn(r Running, slowness float64, took time.Duration) {
 	expected := slowness * InMS(s.Between(r))
-	seen := InMS(took)
-	if s.Known() {
-		seen = min(seen, mostSurprise*expected+surpriseFloor)
-	}
-	scale := max(expected, seen) + jitter
-	s.fit.add(r.features(slowness), seen, 1/(scale*scale))
-	s.seen++
+	s.fit.learn(r.features(slowness), expected, InMS(took), s.Known())
 }
 
 func (r Running) features(slowness float64) [coefficients]float64 {
