Place, gateway: one function for the time between events, for finding a read, one clock

What an engine is expected to take between events stood twice, the search of a queue twice, and a decoder's urgency was reckoned by another moment than its choice.

--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -143,9 +143,8 @@
 func (e *engine) event(now time.Time, gap time.Duration) {
 	r := e.running(now)
 	slowness := e.generating.Slowness()
-	expected := time.Duration(slowness * float64(e.steps.Between(r)))
 	if e.steps.Known() {
-		e.generating.Learn(expected, gap)
+		e.generating.Learn(e.between(r), gap)
 	}
 	e.steps.Learn(r, slowness, gap)
 }
--- a/internal/decide/place/queue.go
+++ b/internal/decide/place/queue.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
@@ -57,25 +58,27 @@
 	}
 }
 
+func (q *queue) index(id JobID) int {
+	return slices.IndexFunc(q.reads, func(r *read) bool { return r.job == id })
+}
+
 func (q *queue) find(id JobID) *read {
-	for _, r := range q.reads {
-		if r.job == id {
-			return r
-		}
+	i := q.index(id)
+	if i < 0 {
+		return nil
 	}
-	return nil
+	return q.reads[i]
 }
 
 func (q *queue) remove(id JobID) *read {
-	for i, r := range q.reads {
-		if r.job != id {
-			continue
-		}
-		q.reads = append(q.reads[:i], q.reads[i+1:]...)
-		q.recount()
-		return r
+	i := q.index(id)
+	if i < 0 {
+		return nil
 	}
-	return nil
+	r := q.reads[i]
+	q.reads = append(q.reads[:i], q.reads[i+1:]...)
+	q.recount()
+	return r
 }
 
 // expire drops reads that are readTTL overdue and reports whether there were any.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -124,7 +124,8 @@
 		if failed == nil || c.verdict != verdict.NotRun || !c.mayRepeat() {
 			return failed
 		}
-		if plan, ok = g.engines.otherDecoder(time.Now(), c.service.Name, job, c.urgency(time.Now()), plan); !ok {
+		now := time.Now()
+		if plan, ok = g.engines.otherDecoder(now, c.service.Name, job, c.urgency(now), plan); !ok {
 			return failed
 		}
 	}
