Place, peers: the hint of an answer's length stands once, with its prompt

Job and Placement carried it beside the prompt that holds it, and Share.Placed a service that nobody read since engines are named by hashes. What is sent and decided is as before; specs keep their assertions.

--- a/internal/decide/place/answer.go
+++ b/internal/decide/place/answer.go
@@ -18,13 +18,13 @@
 // time anywhere. Spread by the number of streams, the longest answers of slow or
 // crowded engines are cut by their deadlines.
 func (f *Fleet) answerCost(now time.Time, j Job, u Urgency, e *engine) time.Duration {
-	if j.Length <= 0 || !f.answersKnown() {
+	if j.Prompt.Output <= 0 || !f.answersKnown() {
 		return 0
 	}
 	added := predict.Running{Tokens: float64(j.Prompt.Tokens)}
 	between := e.between(e.running(now).Plus(added))
-	answer := f.lengths.Duration(j.Length, between)
-	miss := part(missPart*f.lengths.Exceeds(j.Length, between, u.Left), u.Left)
+	answer := f.lengths.Duration(j.Prompt.Output, between)
+	miss := part(missPart*f.lengths.Exceeds(j.Prompt.Output, between, u.Left), u.Left)
 	added.Age = answer / 2
 	slower := float64(e.between(added)-e.between(predict.Running{})) / float64(between)
 	return miss + e.delayCost(part(slower, answer))
--- a/internal/decide/place/answer_test.go
+++ b/internal/decide/place/answer_test.go
@@ -69,12 +69,13 @@
 		last:   now,
 	}
 	hint := int(float64(n.events*tokensPerEvent) * math.Exp(0.5*p.rng.NormFloat64()))
-	j := place.Job{ID: n.id, Prompt: prompt(uint64(n.id), 0, 200, uint64(n.id)), Length: hint}
+	j := place.Job{ID: n.id, Prompt: prompt(uint64(n.id), 0, 200, uint64(n.id))}
+	j.Prompt.Output = hint
 	urgency := place.Urgency{Objective: 150 * time.Millisecond, Left: answerDeadline}
 	plan, _, ok := p.fleet.Plan(now, j, urgency)
 	Expect(ok).To(BeTrue())
 	p.fleet.Placed(now, place.Placement{
-		ID: n.id, Prompt: request.Prompt{Tokens: 200}, Plan: plan, Left: answerDeadline, Length: hint,
+		ID: n.id, Prompt: request.Prompt{Tokens: 200, Output: hint}, Plan: plan, Left: answerDeadline,
 	})
 	p.fleet.ReadDone(now, n.id)
 	n.decoder = plan.Decoder
@@ -162,7 +163,7 @@
 				f.Answered(100, 1+2*(n%2))
 				id := place.JobID(1<<40 + n)
 				f.Placed(at(0), place.Placement{
-					ID: id, Plan: place.Plan{Reader: "e0", Decoder: "e1"}, Left: time.Minute, Length: length,
+					ID: id, Plan: place.Plan{Reader: "e0", Decoder: "e1"}, Left: time.Minute, Prompt: request.Prompt{Output: length},
 				})
 				f.ReadDone(at(0), id)
 				f.Event(at(0), id, 50*time.Millisecond)
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -45,7 +45,7 @@
 	f.unread += unreadGain * (work.Tokens - f.unread)
 	reader.add(now, &read{job: p.ID, work: work, sent: now})
 	added := reader.cache.use(p.Prompt.Parts)
-	j := &job{reader: reader, reading: true, added: added, tokens: p.Prompt.Tokens, length: p.Length, until: now.Add(p.Left)}
+	j := &job{reader: reader, reading: true, added: added, tokens: p.Prompt.Tokens, length: p.Prompt.Output, until: now.Add(p.Left)}
 	f.jobs[p.ID] = j
 	if d, ok := f.engines[p.Plan.Decoder]; ok {
 		f.generateAt(now, j, d)
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -62,9 +62,6 @@
 type Job struct {
 	ID     JobID
 	Prompt request.Prompt
-	// Length is how many tokens the caller expects of the answer, 0 if it did not
-	// say.
-	Length int
 	// DataCentre is the entry's.
 	DataCentre string
 	// Exclude names engines that refused or failed the request.
@@ -99,9 +96,6 @@
 	Plan   Plan
 	// Left is how long its caller waits at most.
 	Left time.Duration
-	// Length is how many tokens its caller expects of the answer, 0 if it did not
-	// say.
-	Length int
 }
 
 // Expected is the expected time to the first token.
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -16,7 +16,7 @@
 // Share tells the other entries what this one does at the engines. Its methods
 // do not block.
 type Share interface {
-	Placed(service string, p place.Placement)
+	Placed(p place.Placement)
 	ReadDone(id place.JobID)
 	Ended(id place.JobID)
 	// Avoid tells that an engine refuses work for a while.
@@ -31,7 +31,7 @@
 // noShare is the Share of an entry that has no others.
 type noShare struct{}
 
-func (noShare) Placed(string, place.Placement)      {}
+func (noShare) Placed(place.Placement)              {}
 func (noShare) ReadDone(place.JobID)                {}
 func (noShare) Ended(place.JobID)                   {}
 func (noShare) Avoid(string, string, time.Duration) {}
@@ -116,9 +116,9 @@
 	j.Group = e.group()
 	p, a, ok := f.Plan(now, j, u)
 	if ok && a.Admit {
-		placement := place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: u.Left, Length: j.Length}
+		placement := place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: u.Left}
 		f.Placed(now, placement)
-		e.share.Placed(service, placement)
+		e.share.Placed(placement)
 	}
 	return p, a, ok
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -250,7 +250,7 @@
 // placements counts what a gateway tells the others.
 type placements struct{ count atomic.Int64 }
 
-func (p *placements) Placed(string, place.Placement)      { p.count.Add(1) }
+func (p *placements) Placed(place.Placement)              { p.count.Add(1) }
 func (p *placements) ReadDone(place.JobID)                {}
 func (p *placements) Ended(place.JobID)                   {}
 func (p *placements) Avoid(string, string, time.Duration) {}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -29,7 +29,6 @@
 	job := place.Job{
 		ID:         jobID(c.request.ID),
 		Prompt:     c.request.Prompt,
-		Length:     c.request.Prompt.Output,
 		DataCentre: g.deployment.Load().DataCentre,
 		Exclude:    func(server string) bool { return c.refusedBy[server] },
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -170,13 +170,13 @@
 }
 
 // Placed implements gateway.Share.
-func (p *Peers) Placed(_ string, placed place.Placement) {
+func (p *Peers) Placed(placed place.Placement) {
 	m := &wire.Placed{
 		Job:    uint32(placed.ID),
 		Reader: place.EngineHash(placed.Plan.Reader),
 		Kept:   uint32(max(0, placed.Plan.Kept)),
 		LeftMs: uint32(max(0, placed.Left.Milliseconds())),
-		Length: uint32(max(0, placed.Length)),
+		Length: uint32(max(0, placed.Prompt.Output)),
 	}
 	if placed.Plan.Split() {
 		m.Decoder = place.EngineHash(placed.Plan.Decoder)
@@ -270,7 +270,6 @@
 		ID:     place.JobID(m.Job),
 		Plan:   place.Plan{Reader: reader, Decoder: decoder, Kept: int(m.Kept)},
 		Left:   time.Duration(m.LeftMs) * time.Millisecond,
-		Length: int(m.Length),
 		Prompt: prompt(m),
 	}
 	p.receiver.RemotePlaced(service, placed)
@@ -278,7 +277,7 @@
 
 // prompt decodes the prompt of a placement.
 func prompt(m *wire.Placed) request.Prompt {
-	decoded := request.Prompt{Tokens: int(m.Tokens)}
+	decoded := request.Prompt{Tokens: int(m.Tokens), Output: int(m.Length)}
 	sum := 0
 	for i := range min(len(m.PartIds), len(m.PartTokens)) {
 		tokens := int(m.PartTokens[i])
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -112,13 +112,14 @@
 		Eventually(a.Count).WithTimeout(5 * time.Second).Should(Equal(2))
 		Eventually(b.Count).WithTimeout(5 * time.Second).Should(Equal(2))
 
-		placed := place.Placement{Left: 5 * time.Second, Length: 300}
+		placed := place.Placement{Left: 5 * time.Second}
+		placed.Prompt.Output = 300
 		placed.Prompt.Parts = []request.Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}}
 		placed.Prompt.Tokens = 150
 		placed.Plan = place.Plan{Reader: "i-p", Decoder: "i-d", Kept: 100}
 		for id := range place.JobID(100) {
 			placed.ID = id
-			a.Placed("llm", placed)
+			a.Placed(placed)
 			a.ReadDone(id)
 			a.Ended(id)
 		}
@@ -140,11 +141,12 @@
 		Expect(err).NotTo(HaveOccurred())
 		p.Set(map[string]netip.AddrPort{"f-2": listener.LocalAddr().(*net.UDPAddr).AddrPort()})
 
-		placed := place.Placement{ID: 1 << 60, Left: 2 * time.Second, Length: 90}
+		placed := place.Placement{ID: 1 << 60, Left: 2 * time.Second}
+		placed.Prompt.Output = 90
 		placed.Prompt.Parts = []request.Part{{ID: 0x5c1e07a2, Tokens: 2_520}, {ID: 0x91bd3f06, Tokens: 3_780}, {ID: 0xe4402b7d, Tokens: 2_890}}
 		placed.Prompt.Tokens = 9_190
 		placed.Plan = place.Plan{Reader: "i-7f3a91c2aa", Decoder: "i-8f3a91c2aa", Kept: 6_300}
-		p.Placed("llm", placed)
+		p.Placed(placed)
 		p.ReadDone(placed.ID)
 		p.Ended(placed.ID)
 
@@ -176,7 +178,7 @@
 		sender := gateways["f-1"]
 		sender.Set(maps.Clone(addresses))
 		own := sender.JoinGroup(2)
-		sender.Placed("llm", place.Placement{ID: 1, Plan: place.Plan{Reader: "i-p", Decoder: "i-p"}})
+		sender.Placed(place.Placement{ID: 1, Plan: place.Plan{Reader: "i-p", Decoder: "i-p"}})
 		sender.Avoid("llm", "i-1", time.Second)
 		members := 0
 		for _, name := range names[1:] {
