Gateway: the line of a prompt says whether its answer was resumed, for how long its caller waits and how many events it got

Whether answers that miss their deadlines had gone on after a break could not be told from the logs.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -198,6 +198,7 @@
 		first:  func() { g.engines.firstToken(c.service.Name, id) },
 		next:   func(gap time.Duration) { g.engines.event(c.service.Name, id, gap) },
 	}
+	defer func() { c.trace.events += watch.events }()
 	failed := c.passStream(decoder, watch)
 	if failed == nil && o.ResumeAfter == "" {
 		g.engines.answered(c.service.Name, c.request.Prompt.Output, watch.events)
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -34,6 +34,8 @@
 	prefill time.Duration
 	// placed is how long after the request came the plan was made.
 	placed  time.Duration
+	// events counts those that were passed on.
+	events  int
 	bytes   int64
 	aborted bool
 }
@@ -166,6 +168,10 @@
 		fields["lag_ms"] = p.Lag.Milliseconds()
 		fields["length"], fields["answer_cost_ms"] = c.request.Prompt.Output, p.Answer.Milliseconds()
 		fields["prefill_ms"], fields["learned"] = c.trace.prefill.Milliseconds(), p.Learned
+		fields["patience_ms"], fields["events"] = c.deadline.Sub(c.received).Milliseconds(), c.trace.events
+		if c.request.LastEventID != "" {
+			fields["resumed_after"] = c.request.LastEventID
+		}
 	}
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
