--- a/internal/decide/place/answer_test.go
+++ b/internal/decide/place/answer_test.go
@@ -24,10 +24,12 @@
 
 // note is one answer of a play.
 type note struct {
-	id          place.JobID
-	events      int
-	decoder     string
-	began, last time.Time
+	id       place.JobID
+	events   int
+	hint     int
+	decoder  string
+	last     time.Time
+	deadline time.Time
 	// made is how much of it there is, in events.
 	made  float64
 	ended bool
@@ -41,8 +43,10 @@
 	fleet    *place.Fleet
 	rng      *rand.Rand
 	slowness map[string]float64
-	running  []*note
-	all      []*note
+	// readMS is what prompts that engines read add to the time between two events.
+	readMS  float64
+	running []*note
+	all     []*note
 	// now is the play's time, and unseen an engine whose events this entry does not
 	// see.
 	now    time.Time
@@ -57,34 +61,42 @@
 			context += 200 + tokensPerEvent*n.made
 		}
 	}
-	ms := p.slowness[engine] * (30 + 0.24e-3*context)
+	ms := p.slowness[engine] * (30 + p.readMS + 0.24e-3*context)
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
 func (p *notePlay) begin(now time.Time) {
 	n := &note{
-		id:     place.JobID(len(p.all) + 1),
-		events: min(211, max(1, int(60*math.Exp(0.9*p.rng.NormFloat64())))),
-		began:  now,
-		last:   now,
+		id:       place.JobID(len(p.all) + 1),
+		events:   min(211, max(1, int(60*math.Exp(0.9*p.rng.NormFloat64())))),
+		deadline: now.Add(answerDeadline),
 	}
-	hint := int(float64(n.events*tokensPerEvent) * math.Exp(0.5*p.rng.NormFloat64()))
+	n.hint = int(float64(n.events*tokensPerEvent) * math.Exp(0.5*p.rng.NormFloat64()))
+	p.all = append(p.all, n)
+	p.run(now, n)
+	if p.rng.IntN(2) == 0 {
+		return
+	}
+	p.fleet.Answered(n.hint, n.events)
+}
+
+// run has the rest of an answer generated, if it is let in.
+func (p *notePlay) run(now time.Time, n *note) {
 	j := place.Job{ID: n.id, Prompt: prompt(uint64(n.id), 0, 200, uint64(n.id))}
-	j.Prompt.Output = hint
-	urgency := place.Urgency{Objective: 150 * time.Millisecond, Left: answerDeadline}
-	plan, _, ok := p.fleet.Plan(now, j, urgency)
+	j.Prompt.Output, j.Prompt.Done = n.hint, int(n.made)
+	urgency := place.Urgency{Objective: 150 * time.Millisecond, Left: n.deadline.Sub(now)}
+	plan, admission, ok := p.fleet.Plan(now, j, urgency)
 	Expect(ok).To(BeTrue())
+	if !admission.Admit {
+		n.ended = true
+		return
+	}
 	p.fleet.Placed(now, place.Placement{
-		ID: n.id, Prompt: request.Prompt{Tokens: 200, Output: hint}, Plan: plan, Left: answerDeadline,
+		ID: n.id, Prompt: request.Prompt{Tokens: 200, Output: n.hint, Done: int(n.made)}, Plan: plan, Left: urgency.Left,
 	})
 	p.fleet.ReadDone(now, n.id)
-	n.decoder = plan.Decoder
-	p.running, p.all = append(p.running, n), append(p.all, n)
-	defer func() { n.last = now }()
-	if p.rng.IntN(2) == 0 {
-		return
-	}
-	p.fleet.Answered(hint, n.events)
+	n.decoder, n.last = plan.Decoder, now
+	p.running = append(p.running, n)
 }
 
 // pass lets one step of time pass.
@@ -103,7 +115,7 @@
 			n.last = now
 		}
 		n.whole = int(n.made) >= n.events
-		n.ended = n.whole || now.Sub(n.began) > answerDeadline
+		n.ended = n.whole || now.After(n.deadline)
 		if n.ended {
 			p.fleet.Ended(now, n.id)
 		}
@@ -116,13 +128,24 @@
 	if p.now.IsZero() {
 		p.now = start
 	}
-	for end := p.now.Add(playTime); p.now.Before(end); p.now = p.now.Add(playStep) {
+	p.playFor(playTime, perSecond)
+	return wholeOf(p.all)
+}
+
+// playFor lets time pass while answers begin.
+func (p *notePlay) playFor(d time.Duration, perSecond float64) {
+	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(playStep) {
 		if p.rng.Float64() < perSecond*playStep.Seconds() {
 			p.begin(p.now)
 		}
 		p.pass(p.now)
 	}
-	ended := slices.DeleteFunc(slices.Clone(p.all), func(n *note) bool { return !n.ended })
+}
+
+// wholeOf returns which part of the longest tenth and of all of the notes that have
+// ended did so before their deadline.
+func wholeOf(notes []*note) (longest, all float64) {
+	ended := slices.DeleteFunc(slices.Clone(notes), func(n *note) bool { return !n.ended })
 	slices.SortFunc(ended, func(a, b *note) int { return cmp.Compare(b.events, a.events) })
 	return wholePart(ended[:len(ended)/10]), wholePart(ended)
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -35,6 +35,7 @@
 	last := verdict.Refused(verdict.CodeNoBackend, "no engine", unknownRetry)
 	for first := true; first || c.mayRepeat(); first = false {
 		now := time.Now()
+		job.Prompt.Done = c.request.Prompt.Done + c.trace.events
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.urgency(now))
 		if !ok {
 			break
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -33,7 +33,7 @@
 	plan    place.Plan
 	prefill time.Duration
 	// placed is how long after the request came the plan was made.
-	placed  time.Duration
+	placed time.Duration
 	// events counts those that were passed on.
 	events  int
 	bytes   int64
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -177,6 +177,7 @@
 		Kept:   uint32(max(0, placed.Plan.Kept)),
 		LeftMs: uint32(max(0, placed.Left.Milliseconds())),
 		Length: uint32(max(0, placed.Prompt.Output)),
+		Done:   uint32(max(0, placed.Prompt.Done)),
 	}
 	if placed.Plan.Split() {
 		m.Decoder = place.EngineHash(placed.Plan.Decoder)
@@ -277,7 +278,7 @@
 
 // prompt decodes the prompt of a placement.
 func prompt(m *wire.Placed) request.Prompt {
-	decoded := request.Prompt{Tokens: int(m.Tokens), Output: int(m.Length)}
+	decoded := request.Prompt{Tokens: int(m.Tokens), Output: int(m.Length), Done: int(m.Done)}
 	sum := 0
 	for i := range min(len(m.PartIds), len(m.PartTokens)) {
 		tokens := int(m.PartTokens[i])
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -113,7 +113,7 @@
 		Eventually(b.Count).WithTimeout(5 * time.Second).Should(Equal(2))
 
 		placed := place.Placement{Left: 5 * time.Second}
-		placed.Prompt.Output = 300
+		placed.Prompt.Output, placed.Prompt.Done = 300, 20
 		placed.Prompt.Parts = []request.Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}}
 		placed.Prompt.Tokens = 150
 		placed.Plan = place.Plan{Reader: "i-p", Decoder: "i-d", Kept: 100}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -40,6 +40,8 @@
 	// Output is how many tokens of answer the caller expects, often far off; 0 if
 	// it did not say.
 	Output int
+	// Done is how many events of the answer the caller has already.
+	Done int
 	// Parts are the prompt's parts in order. The last one belongs to this
 	// request or its session, the others are shared between requests.
 	Parts []Part
