Place: an answer that is resumed counts with what is left of it

Seen: after the loss of all gateways the callers of some 150 answers resume them within a quarter of a second. Each was placed by its whole length and by its prompt alone. An engine reads what was generated once more (107 events are 5,900 tokens, the prompt 200): plans expected 2 ms of reading, first events came after up to 1,200 ms, while engines that only read were idle. Answers with 104 events and two seconds left were let in.

Now the context counts for reading, transfers and the steps of its engine, the chance of a miss is that of the rest given what there is, an answer that is all but sure to miss its deadline is refused at once unless a part of it came from this gateway, and a resumed answer is no longer refused for its first event, which its caller has.

Specs 'an answer that its caller resumes': on the code before, reading and refusal failed.

--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -20,6 +20,8 @@
 	// The rest is for the stream itself: a longer prompt would be read for an
 	// answer that its deadline cuts.
 	latePart = 0.6
+	// hopeless is the chance of a miss from which an answer is not begun.
+	hopeless = 0.97
 	// leastRetryAfter and maxRetryPart bound what a refused caller is told:
 	// callers keep to a third of the time that they have left.
 	leastRetryAfter = 100 * time.Millisecond
@@ -44,6 +46,9 @@
 	// Objective is the time left until the first token is late, Left until the
 	// caller gives up.
 	Objective, Left time.Duration
+	// Committed says that the request may have run, or that its caller has a part of
+	// the answer: it is not refused as one that cannot end in time.
+	Committed bool
 }
 
 // Admission is whether a request is let in.
@@ -63,6 +68,9 @@
 // that is worth nothing; one notices by engines that read at full speed while
 // no answer is in time, and it does not end when the cause does.
 func admit(p Plan, u Urgency, refusals float64) Admission {
+	if p.Miss > hopeless && !u.Committed {
+		return Admission{RetryAfter: part(maxRetryPart, u.Left)}
+	}
 	expected := p.Expected()
 	if expected <= part(inTimePart, u.Objective) || !p.Learned {
 		return Admission{Admit: true, Priority: OnTimePriority}
--- a/internal/decide/place/answer.go
+++ b/internal/decide/place/answer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
+	"pistachioroad.dev/pistachioroad/internal/request"
 )
 
 // missPart is what an answer that misses its deadline costs, as a part of the time
@@ -11,25 +12,35 @@
 const missPart = 0.12
 
 // answerCost is what it costs to generate an answer at an engine: the chance that
-// it misses its deadline there, and the same for the answers that are there and
-// that it delays.
+// it misses its deadline there, which is also returned by itself, and the same for
+// the answers that are there and that it delays.
 //
 // Long answers need the engines whose tokens come fastest, while short ones end in
 // time anywhere. Spread by the number of streams, the longest answers of slow or
 // crowded engines are cut by their deadlines.
-func (f *Fleet) answerCost(now time.Time, j Job, u Urgency, e *engine) time.Duration {
+func (f *Fleet) answerCost(now time.Time, j Job, u Urgency, e *engine) (cost time.Duration, miss float64) {
 	if j.Prompt.Output <= 0 || !f.answersKnown() {
-		return 0
+		return 0, 0
 	}
-	added := predict.Running{Tokens: float64(j.Prompt.Tokens)}
+	added := predict.Running{Tokens: float64(f.context(j.Prompt))}
 	between := e.between(e.running(now).Plus(added))
-	answer := f.lengths.Duration(j.Prompt.Output, between)
-	miss := part(missPart*f.lengths.Exceeds(j.Prompt.Output, between, u.Left), u.Left)
-	added.Age = answer / 2
+	answer := answerOf(j.Prompt)
+	takes := f.lengths.Duration(answer, between)
+	miss = f.lengths.Exceeds(answer, between, u.Left)
+	added.Age = takes / 2
 	slower := float64(e.between(added)-e.between(predict.Running{})) / float64(between)
-	return miss + e.delayCost(part(slower, answer))
+	return part(missPart*miss, u.Left) + e.delayCost(part(slower, takes)), miss
+}
+
+// answerOf is what is known of a prompt's answer.
+func answerOf(p request.Prompt) predict.Answer {
+	return predict.Answer{Hint: p.Output, Done: p.Done}
 }
 
+// context is how many tokens an engine needs before it goes on with an answer: the
+// prompt, and what was generated of the answer elsewhere.
+func (f *Fleet) context(p request.Prompt) int { return p.Tokens + f.lengths.Tokens(p.Done) }
+
 // answersKnown reports whether enough was seen to compare engines by the answers
 // they generate. An engine of which nothing is known then counts as an average one:
 // if it cost nothing, all entries would crowd it with long answers.
@@ -45,9 +56,9 @@
 
 // riskOf is how much it costs to delay an answer that begins at an engine, as a
 // part of the delay.
-func (f *Fleet) riskOf(now time.Time, e *engine, length int, left time.Duration) float64 {
-	if length <= 0 || !f.answersKnown() {
+func (f *Fleet) riskOf(now time.Time, e *engine, answer predict.Answer, left time.Duration) float64 {
+	if answer.Hint <= 0 || !f.answersKnown() {
 		return 0
 	}
-	return missPart * f.lengths.Sensitivity(length, e.between(e.running(now)), left)
+	return missPart * f.lengths.Sensitivity(answer, e.between(e.running(now)), left)
 }
--- a/internal/decide/place/decoder.go
+++ b/internal/decide/place/decoder.go
@@ -13,6 +13,8 @@
 	// handover is how long after the end of a read the first token comes, transfer
 	// aside, and answer what the rest of the answer costs there.
 	handover, answer time.Duration
+	// miss is the chance that the answer misses its deadline there.
+	miss float64
 }
 
 // cost is what decoders are compared by, transfer aside.
@@ -30,7 +32,8 @@
 		if e.Role == backend.Prefill || !e.usable(now, j, s) {
 			continue
 		}
-		d := decoder{engine: e, handover: f.handoverTo(now, e), answer: f.answerCost(now, j, u, e)}
+		d := decoder{engine: e, handover: f.handoverTo(now, e)}
+		d.answer, d.miss = f.answerCost(now, j, u, e)
 		if best, ok := choice[e.DataCentre]; !ok || d.cost() < best.cost() {
 			choice[e.DataCentre] = d
 		}
@@ -64,7 +67,7 @@
 
 // transferTime is how long the KV cache of a prompt takes between two engines.
 func (f *Fleet) transferTime(prompt request.Prompt, from, to *engine) time.Duration {
-	t := time.Duration(prompt.Tokens) * f.perToken
+	t := time.Duration(f.context(prompt)) * f.perToken
 	if from.DataCentre != to.DataCentre {
 		t *= otherDataCentre
 	}
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -22,12 +22,12 @@
 	// transfer is what the plan allows for the transfer of KV cache, and backlog
 	// what the decoder had to read itself when the prompt's read ended.
 	transfer, backlog time.Duration
-	// tokens are the prompt's, and began is when its stream was counted at decoder.
+	// tokens are its context's when it was placed, and began is when its stream was
+	// counted at decoder.
 	tokens int
 	began  time.Time
-	// length is what its caller expects of the answer, and risk what it adds to
-	// decoder's.
-	length int
+	// answer is what is known of the answer, and risk what it adds to decoder's.
+	answer predict.Answer
 	risk   float64
 	// until is when its caller leaves.
 	until time.Time
@@ -41,11 +41,12 @@
 	if !ok {
 		return
 	}
-	work := predict.WorkOf(p.Prompt.Tokens, p.Plan.Kept)
+	context := f.context(p.Prompt)
+	work := predict.WorkOf(context, p.Plan.Kept)
 	f.unread += unreadGain * (work.Tokens - f.unread)
 	reader.add(now, &read{job: p.ID, work: work, sent: now})
 	added := reader.cache.use(p.Prompt.Parts)
-	j := &job{reader: reader, reading: true, added: added, tokens: p.Prompt.Tokens, length: p.Prompt.Output, until: now.Add(p.Left)}
+	j := &job{reader: reader, reading: true, added: added, tokens: context, answer: answerOf(p.Prompt), until: now.Add(p.Left)}
 	f.jobs[p.ID] = j
 	if d, ok := f.engines[p.Plan.Decoder]; ok {
 		f.generateAt(now, j, d)
@@ -76,7 +77,7 @@
 	j.decoder, j.began, j.risk = d, now, 0
 	if d != nil {
 		d.startStream(now, j.tokens)
-		j.risk = f.riskOf(now, d, j.length, j.until.Sub(now))
+		j.risk = f.riskOf(now, d, j.answer, j.until.Sub(now))
 		d.risk += j.risk
 	}
 }
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -83,6 +83,8 @@
 	// token: the chances that it and others there miss their deadlines, as a time.
 	// Admission does not rest on it.
 	Answer time.Duration
+	// Miss is the chance that the answer misses its deadline at Decoder.
+	Miss float64
 	// Short says that Reader has little to read of it compared to other prompts.
 	Short bool
 	// Learned says that the expectation rests on enough reads that were seen.
@@ -248,7 +250,7 @@
 func (f *Fleet) planWith(now time.Time, j Job, u Urgency, reader *engine, decoders decoderChoice) (Plan, bool) {
 	reader.expire(now)
 	kept := reader.cache.leading(j.Prompt.Parts)
-	work := predict.WorkOf(j.Prompt.Tokens, kept)
+	work := predict.WorkOf(f.context(j.Prompt), kept)
 	p := Plan{
 		Reader:  reader.ID,
 		Decoder: reader.ID,
@@ -261,7 +263,8 @@
 		Learned: reader.reading.Known(),
 	}
 	if reader.Role != backend.Prefill {
-		p.Answer = f.answerCost(now, j, u, reader) + reader.delayCost(p.Read)
+		p.Answer, p.Miss = f.answerCost(now, j, u, reader)
+		p.Answer += reader.delayCost(p.Read)
 		return p, true
 	}
 	d, transfer, ok := decoders.bestFor(f, j, reader)
@@ -270,7 +273,7 @@
 	}
 	p.Decoder = d.ID
 	p.Extra += transfer + d.handover
-	p.Answer = d.answer
+	p.Answer, p.Miss = d.answer, d.miss
 	return p, true
 }
 
--- a/internal/decide/place/resumed_test.go
+++ b/internal/decide/place/resumed_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/place"
 )
 
 const (
@@ -59,3 +62,51 @@
 		}
 	}
 }
+
+var _ = Describe("an answer that its caller resumes", func() {
+	// answers knows answers of a hundred events and of 50 ms between two.
+	answers := func() *place.Fleet {
+		f := taught(1, 1)
+		for n := range 200 {
+			f.Answered(100, 90+n%20)
+			id := place.JobID(1<<40 + n)
+			f.Placed(at(0), place.Placement{ID: id, Plan: place.Plan{Reader: "e0", Decoder: "e1"}, Left: time.Minute})
+			f.ReadDone(at(0), id)
+			f.Event(at(0), id, 50*time.Millisecond)
+			f.Ended(at(0), id)
+		}
+		return f
+	}
+	resumed := func(done int) place.Job {
+		j := place.Job{ID: 1, Prompt: prompt(1, 0, 200, 1)}
+		j.Prompt.Output, j.Prompt.Done = 20_000, done
+		return j
+	}
+
+	It("has what was generated read again", func() {
+		f := answers()
+		fresh, _, _ := f.Plan(at(0), resumed(0), patient)
+		again, _, _ := f.Plan(at(0), resumed(10_000), patient)
+		Expect(again.Read).To(BeNumerically(">", 2*fresh.Read))
+	})
+
+	// Begun all the same, it holds a place until its caller leaves, and delays answers
+	// that can end.
+	It("is refused at once if it cannot end before its deadline", func() {
+		f := answers()
+		second := place.Urgency{Objective: time.Second, Left: time.Second}
+		_, a, ok := f.Plan(at(0), resumed(10_000), second)
+		Expect(ok).To(BeTrue())
+		Expect(a.Admit).To(BeFalse())
+		Expect(a.RetryAfter).To(BeNumerically("<=", time.Second/3))
+		_, a, _ = f.Plan(at(0), resumed(10_000), patient)
+		Expect(a.Admit).To(BeTrue())
+	})
+
+	// It may have run, so that its caller can only be told that it failed.
+	It("is not refused once a part of it came from this entry", func() {
+		u := place.Urgency{Objective: time.Second, Left: time.Second, Committed: true}
+		_, a, _ := answers().Plan(at(0), resumed(10_000), u)
+		Expect(a.Admit).To(BeTrue())
+	})
+})
--- a/internal/decide/predict/lengths.go
+++ b/internal/decide/predict/lengths.go
@@ -13,6 +13,8 @@
 	priorSpread = 0.5
 	// leastSpread keeps a chance of error in exact hints.
 	leastSpread = 0.05
+	// leastChance keeps answers far longer than hinted from having no length at all.
+	leastChance = 1e-9
 )
 
 // Lengths is what is believed of how many events an answer has, given the caller's
@@ -39,30 +41,64 @@
 // Known reports whether enough answers were seen.
 func (l *Lengths) Known() bool { return l.seen >= enoughReads }
 
-// Duration is how long an answer takes, by its hint and with the time between two
-// of its events.
-func (l *Lengths) Duration(hint int, between time.Duration) time.Duration {
-	return time.Duration(float64(hint) * math.Exp(l.logEvents) * float64(between))
+// Answer is what is known of one answer before its end.
+type Answer struct {
+	// Hint is how many tokens its caller expects, Done how many events there are.
+	Hint, Done int
 }
 
-// Exceeds is the probability that an answer takes longer than left.
-func (l *Lengths) Exceeds(hint int, between, left time.Duration) float64 {
-	return 0.5 * math.Erfc(-l.deviation(hint, between, left)/math.Sqrt2)
+// Tokens returns how many tokens a number of events hold, 0 while that is not known.
+func (l *Lengths) Tokens(events int) int {
+	if !l.Known() {
+		return 0
+	}
+	return int(float64(events) * math.Exp(-l.logEvents))
 }
 
-// Sensitivity is how much that probability grows with a delay, as a part of left.
-func (l *Lengths) Sensitivity(hint int, between, left time.Duration) float64 {
-	z := l.deviation(hint, between, left)
-	return math.Exp(-z*z/2) / math.Sqrt(2*math.Pi) / l.spread()
+// Duration is how long the rest of an answer takes, with the time between two of
+// its events: the median of the answers that are longer than what is done.
+func (l *Lengths) Duration(a Answer, between time.Duration) time.Duration {
+	z := math.Sqrt2 * math.Erfcinv(l.longer(a, float64(a.Done)))
+	events := float64(a.Hint) * math.Exp(l.logEvents+l.spread()*z)
+	return time.Duration(max(1, events-float64(a.Done)) * float64(between))
+}
+
+// Exceeds is the probability that the rest of an answer takes longer than left.
+func (l *Lengths) Exceeds(a Answer, between, left time.Duration) float64 {
+	if left <= 0 {
+		return 1
+	}
+	return l.longer(a, l.reach(a, between, left)) / l.longer(a, float64(a.Done))
 }
 
-// deviation is by how many standard deviations an answer is expected to take
-// longer than left.
-func (l *Lengths) deviation(hint int, between, left time.Duration) float64 {
+// Sensitivity is how much that probability grows with a delay, as a part of left.
+func (l *Lengths) Sensitivity(a Answer, between, left time.Duration) float64 {
 	if left <= 0 {
-		return math.Inf(1)
+		return 0
 	}
-	return math.Log(float64(l.Duration(hint, between))/float64(left)) / l.spread()
+	reach := l.reach(a, between, left)
+	z := l.deviation(a, reach)
+	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi) / l.spread()
+	return density * (1 - float64(a.Done)/reach) / l.longer(a, float64(a.Done))
+}
+
+// reach is how many events there are of an answer after a time.
+func (l *Lengths) reach(a Answer, between, after time.Duration) float64 {
+	return float64(a.Done) + float64(after)/float64(max(1, between))
+}
+
+// longer is the probability that an answer has more than a number of events.
+func (l *Lengths) longer(a Answer, events float64) float64 {
+	if events <= 0 {
+		return 1
+	}
+	return max(leastChance, 0.5*math.Erfc(l.deviation(a, events)/math.Sqrt2))
+}
+
+// deviation is by how many standard deviations a number of events is more than
+// expected.
+func (l *Lengths) deviation(a Answer, events float64) float64 {
+	return math.Log(events/(float64(a.Hint)*math.Exp(l.logEvents))) / l.spread()
 }
 
 func (l *Lengths) spread() float64 {
--- a/internal/decide/predict/steps_test.go
+++ b/internal/decide/predict/steps_test.go
@@ -119,11 +119,11 @@
 				l.Learn(hint(rng, events, tokensPerEvent), events)
 			}
 			const between = 50 * time.Millisecond
-			expected := l.Duration(100*tokensPerEvent, between)
+			expected := l.Duration(predict.Answer{Hint: 100 * tokensPerEvent}, between)
 			Expect(expected.Seconds()).To(BeNumerically("~", 5, 0.8))
-			Expect(l.Exceeds(100*tokensPerEvent, between, 5*time.Second)).To(BeNumerically("~", 0.5, 0.15))
-			Expect(l.Exceeds(100*tokensPerEvent, between, 10*time.Second)).To(BeNumerically("~", 0.08, 0.06))
-			Expect(l.Exceeds(100*tokensPerEvent, between, 20*time.Second)).To(BeNumerically("<", 0.02))
+			Expect(l.Exceeds(predict.Answer{Hint: 100 * tokensPerEvent}, between, 5*time.Second)).To(BeNumerically("~", 0.5, 0.15))
+			Expect(l.Exceeds(predict.Answer{Hint: 100 * tokensPerEvent}, between, 10*time.Second)).To(BeNumerically("~", 0.08, 0.06))
+			Expect(l.Exceeds(predict.Answer{Hint: 100 * tokensPerEvent}, between, 20*time.Second)).To(BeNumerically("<", 0.02))
 		},
 		Entry("of one token", 1),
 		Entry("of fifty-five tokens", 55),
@@ -131,8 +131,8 @@
 
 	It("says that an answer misses a deadline that has passed", func() {
 		var l predict.Lengths
-		Expect(l.Exceeds(10, time.Millisecond, 0)).To(Equal(1.0))
-		Expect(l.Sensitivity(10, time.Millisecond, 0)).To(BeZero())
+		Expect(l.Exceeds(predict.Answer{Hint: 10}, time.Millisecond, 0)).To(Equal(1.0))
+		Expect(l.Sensitivity(predict.Answer{Hint: 10}, time.Millisecond, 0)).To(BeZero())
 	})
 
 	It("takes nothing from answers without a hint or events", func() {
@@ -144,3 +144,37 @@
 		Expect(l.Known()).To(BeFalse())
 	})
 })
+
+var _ = Describe("the rest of an answer", func() {
+	// taught knows answers of hint events, off by half.
+	taught := func() *predict.Lengths {
+		rng := rand.New(rand.NewPCG(41, 42))
+		var l predict.Lengths
+		for range 300 {
+			events := 20 + rng.IntN(180)
+			l.Learn(int(float64(events)*math.Exp(0.5*rng.NormFloat64())), events)
+		}
+		return &l
+	}
+	const between = 50 * time.Millisecond
+
+	It("is what its length leaves", func() {
+		l := taught()
+		Expect(l.Duration(predict.Answer{Hint: 100, Done: 80}, between)).To(BeNumerically("<", l.Duration(predict.Answer{Hint: 100}, between)/2))
+		half := predict.Answer{Hint: 200, Done: 100}
+		Expect(l.Exceeds(half, between, 12*time.Second)).To(BeNumerically("<", 0.2))
+		Expect(l.Exceeds(half, between, time.Second)).To(BeNumerically(">", 0.8))
+	})
+
+	// An answer longer than its caller expected has an end nevertheless.
+	It("is never nothing, nor without end", func() {
+		l := taught()
+		for done := 0; done < 100_000; done = 2*done + 1 {
+			a := predict.Answer{Hint: 50, Done: done}
+			Expect(l.Duration(a, between)).To(BeNumerically(">=", between))
+			Expect(l.Exceeds(a, between, 5*time.Second)).To(And(BeNumerically(">=", 0), BeNumerically("<=", 1)))
+			Expect(math.IsNaN(l.Sensitivity(a, between, 5*time.Second))).To(BeFalse())
+			Expect(l.Exceeds(a, between, 0)).To(Equal(1.0))
+		}
+	})
+})
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -60,15 +60,17 @@
 
 // urgency is what the caller still expects.
 func (c *call) urgency(now time.Time) place.Urgency {
+	left := c.deadline.Sub(now)
 	if c.started || c.verdict != verdict.NotRun {
 		// To refuse the rest of a stream would waste what was generated, and a
 		// request that may have run can only be failed, not refused.
-		return place.Urgency{Objective: c.deadline.Sub(now), Left: c.deadline.Sub(now)}
+		return place.Urgency{Objective: left, Left: left, Committed: true}
 	}
-	return place.Urgency{
-		Objective: c.received.Add(c.route.Objective).Sub(now),
-		Left:      c.deadline.Sub(now),
+	if c.request.Prompt.Done > 0 {
+		// The caller has the first event, and waits for the last one.
+		return place.Urgency{Objective: left, Left: left}
 	}
+	return place.Urgency{Objective: c.received.Add(c.route.Objective).Sub(now), Left: left}
 }
 
 // runPlan runs the request as planned. It returns nil once it has answered.
