Gateway: what was learned of engines outlives the loss of all gateways

Seen: for seconds after all gateways lost power nothing is known of engines and answers.

The first gateway saves what it has learned in one object of the store every 5 s; a process that starts, but not at the very first start, reads it once (a stale read) and takes over what it knows nothing of itself. Values are checked, and count a fifth of what they did, so that what is seen later corrects them.

Guarded by specs 'what was learned' and 'what was learned of engines' (the functions are new; without restoreLearned the new gateway knows nothing).

--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -126,6 +126,8 @@
 	unread float64
 	// refusals is the part of the requests that was refused lately.
 	refusals float64
+	// restored is what another process has learned of engines.
+	restored map[string]EngineState
 	// perToken is the transfer time of one token's KV cache.
 	perToken time.Duration
 	jobs     map[JobID]*job
@@ -163,6 +165,7 @@
 		if !ok || was.Incarnation != e.Incarnation {
 			was = newEngine(e)
 			was.steps = f.steps
+			f.restoreEngine(was)
 		}
 		was.Engine = e
 		was.reading = f.readingOf(e.Role)
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -231,6 +232,32 @@
 	g.engines.fleet(service).Keeps(id, parts)
 }
 
+// LearnedState returns what was learned of the engines, by service; empty while too
+// little was seen.
+func (g *Gateway) LearnedState() map[string]place.State {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	all := make(map[string]place.State)
+	for name, f := range g.engines.fleets {
+		if s, ok := f.State(); ok {
+			all[name] = s
+		}
+	}
+	return all
+}
+
+// RestoreLearned takes over what an earlier process has learned of the engines. The
+// error says what could not be used.
+func (g *Gateway) RestoreLearned(all map[string]place.State) error {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	var errs []error
+	for name, s := range all {
+		errs = append(errs, g.engines.fleet(name).Restore(s))
+	}
+	return errors.Join(errs...)
+}
+
 // The methods below take in what other entries tell.
 
 // Engine returns the engine with a hash, and its service.
--- /dev/null
+++ b/internal/gateway/process/learned_test.go
@@ -0,0 +1,83 @@
+package process
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/gateway"
+	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/store"
+	"pistachioroad.dev/pistachioroad/platform"
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
+)
+
+var _ = Describe("what was learned of engines", func() {
+	var (
+		objects *objectstore.Store
+		client  *platform.Store
+	)
+	BeforeEach(func() {
+		objects = objectstore.New()
+		server := httptest.NewServer(objects)
+		DeferCleanup(server.CloseClientConnections)
+		client = platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	})
+	newGateway := func() *gateway.Gateway {
+		return gateway.New(gateway.Config{Dialect: platform.Dialect{}, Directory: directory.New(client, platform.Dialect{}, platform.Kinds)})
+	}
+	// learned is what a fleet has learned from a hundred reads.
+	learned := func() map[string]place.State {
+		f := place.NewFleet()
+		f.SetEngines([]place.Engine{{ID: "e", Role: backend.Decode, KVTokens: 1_000_000, Incarnation: 7}})
+		now := time.Unix(1_000_000_000, 0)
+		for n := range 100 {
+			id := place.JobID(n)
+			f.Placed(now, place.Placement{ID: id, Prompt: request.Prompt{Tokens: 1_000}, Plan: place.Plan{Reader: "e", Decoder: "e"}, Left: time.Minute})
+			now = now.Add(50 * time.Millisecond)
+			f.ReadDone(now, id)
+			f.Ended(now, id)
+		}
+		s, ok := f.State()
+		Expect(ok).To(BeTrue())
+		return map[string]place.State{"llm": s}
+	}
+	save := func(s *saver, services map[string]place.State) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		return s.save(ctx, services)
+	}
+
+	// All gateways lose power, and their callers come back together. By what is known
+	// of nothing all of them are let in, and wait behind each other.
+	It("is known to gateways that start after all were lost", func() {
+		Expect(save(&saver{store: client}, learned())).To(Succeed())
+		g := newGateway()
+		Expect(g.LearnedState()).To(BeEmpty())
+		restoreLearned(context.Background(), client, g)
+		Expect(g.LearnedState()).To(HaveKey("llm"))
+	})
+
+	It("is saved again by whichever gateway does it", func() {
+		first, second := &saver{store: client}, &saver{store: client}
+		Expect(save(first, learned())).To(Succeed())
+		Expect(save(second, map[string]place.State{"llm": {Unread: 7}})).To(Succeed())
+		Expect(save(first, learned())).To(MatchError(store.ErrConflict))
+		Expect(save(first, learned())).To(Succeed())
+	})
+
+	It("is not taken over from an object that is not understood", func() {
+		objects.PutRaw(learnedKind, learnedName, []byte(`{"services":{"llm":{"steps":{"normal":[[1]],"right":[1],"count":500}}}}`))
+		objects.PutRaw(learnedKind, "other", []byte(`[]`))
+		g := newGateway()
+		restoreLearned(context.Background(), client, g)
+		Expect(g.LearnedState()).To(BeEmpty())
+	})
+})
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -102,6 +102,8 @@
 	root.Add(duty(p.reconciler().Run))
 	root.Add(duty(p.confirm))
 	root.Add(duty(p.learn))
+	root.Add(duty(p.restoreLearned))
+	root.Add(duty(p.saveLearned))
 	root.Add(duty(func(ctx context.Context) error { return p.peers.Register(ctx, p.store) }))
 	root.Add(duty(func(ctx context.Context) error { return serveReadiness(ctx, c.Deployment, g) }))
 	root.Add(duty(func(ctx context.Context) error { return reload(ctx, c, g) }))
