Gateway: the length of a resumed answer is learned whole

A caller that resumed a stream after event 107 got 104 events, and lengths learned that an answer of 211 has 104: after each loss of gateways all answers seemed shorter than they are. What the caller had counts now, also for streams that went on at another engine, of which nothing was learned.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -326,6 +327,22 @@
 
 	// An engine falls silent in the middle of a summary, with all connections open.
 	// Its callers would leave after two seconds; they get every event, once.
+	// Callers resume streams after breaks. Were the rest of an answer learned as a whole
+	// one, all answers would seem shorter than they are.
+	It("teaches the length of the whole answer when a stream was resumed", func() {
+		w := newWorld()
+		engine := w.add("llm", runner.New("d-1", "decode"))
+		engine.Events, engine.EventGap = 10, 5*time.Millisecond
+		w.configure("1")
+		w.ready(1)
+		for n := range 40 {
+			got := w.ask(http.MethodPost, "/stream-again/x", "r"+strconv.Itoa(n),
+				"Token-Count", "10,100", "Length-Hint", "10", "Last-Event-Id", "8")
+			Expect(got.status).To(Equal(http.StatusOK))
+		}
+		Expect(w.gateway.LearnedState()["llm"].Lengths.LogEvents).To(BeNumerically("~", 0, 0.1))
+	})
+
 	It("whose stream may be resumed goes on elsewhere when its engine falls silent", func() {
 		other := w.add("llm", runner.New("i-e", "decode"))
 		Eventually(func() int { return len(w.dir.View().Servers) }).Should(Equal(3))
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -203,8 +203,9 @@
 	}
 	defer func() { c.trace.events += watch.events }()
 	failed := c.passStream(decoder, watch)
-	if failed == nil && o.ResumeAfter == "" {
-		g.engines.answered(c.service.Name, c.request.Prompt.Output, watch.events)
+	if failed == nil {
+		events := c.request.Prompt.Done + c.trace.events + watch.events
+		g.engines.answered(c.service.Name, c.request.Prompt.Output, events)
 	}
 	return failed
 }
