Roles: more engines generate where answers are long, or many are expected to miss their deadlines

In bursts and after the loss of all gateways the steps of each carry so much context that answers of 200 events take 80 to 155 ms an event where 65 are left, while engines that read are half idle: of the largest tenth 0.33 to 0.40 end in time, of all 0.9.

Cause: the share of engines that generate was one figure for all customers. It was set where answers have 5 to 25 events. Now the share is 0.5 where routes let answers last for forty and more of the pauses they allow, which holds from the start; and by what is learned, the part of the answers, by length, expected to miss their deadlines: above 0.2 one more engine generates, below 0.03 the default holds, between them nothing changes. An order's line has these inputs.

--- a/internal/decide/place/answer_test.go
+++ b/internal/decide/place/answer_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -176,6 +177,25 @@
 	})
 })
 
+var _ = Describe("answers that are expected to miss their deadlines", func() {
+	It("are known, and more the fewer engines generate", func() {
+		part := func(decoders int) float64 {
+			p := &notePlay{fleet: newFleet(2, decoders), rng: rand.New(rand.NewPCG(38, 39)), slowness: map[string]float64{}}
+			for i := range decoders {
+				p.slowness["e"+strconv.Itoa(2+i)] = 1
+			}
+			_, known := p.fleet.Misses(start)
+			Expect(known).To(BeFalse())
+			p.play(25)
+			misses, known := p.fleet.Misses(p.now)
+			Expect(known).To(BeTrue())
+			return misses
+		}
+		Expect(part(8)).To(BeNumerically("<", 0.1))
+		Expect(part(3)).To(BeNumerically(">", 0.2))
+	})
+})
+
 var _ = Describe("an engine that generates answers close to their deadlines", func() {
 	// Each prompt that an engine reads delays all of its answers. Where none is
 	// close to its deadline that costs nothing; where many are, they are cut.
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -50,6 +50,7 @@
 	f.jobs[p.ID] = j
 	if d, ok := f.engines[p.Plan.Decoder]; ok {
 		f.generateAt(now, j, d)
+		f.countMiss(now, d, j.answer, p.Left)
 		if p.Plan.Split() {
 			j.handedOver = p.Prompt.Parts
 			j.transfer = f.transferTime(p.Prompt, reader, d)
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -124,6 +124,8 @@
 	lag predict.Lag
 	// unread is how many tokens engines read of a prompt on average.
 	unread float64
+	// misses is which answers are expected to miss their deadlines.
+	misses misses
 	// refusals is the part of the requests that was refused lately.
 	refusals float64
 	// restored is what another process has learned of engines.
--- a/internal/decide/place/resumed_test.go
+++ b/internal/decide/place/resumed_test.go
@@ -8,7 +8,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/decide/roles"
 )
 
 const (
@@ -40,23 +42,44 @@
 	}
 }
 
+// playLoss plays a burst of answers at eight engines of which four generated, the loss
+// of all gateways, and what follows. It returns which part of the longest tenth and of
+// all of the answers ended before their deadlines.
+func playLoss(seed uint64) (longest, all float64) {
+	var list []roles.Engine
+	for _, e := range engines(4, 4) {
+		list = append(list, roles.Engine{ID: e.ID, DataCentre: e.DataCentre, Role: e.Role})
+	}
+	share := roles.DecodeShare(list, roles.Answers{Longest: int(answerDeadline / (250 * time.Millisecond))})
+	decoders := 4
+	for _, m := range roles.Decide(list, share) {
+		if m.Role == backend.Prefill {
+			decoders--
+		}
+	}
+	p := &notePlay{
+		fleet:    newFleet(8-decoders, decoders),
+		rng:      rand.New(rand.NewPCG(seed, 37)),
+		slowness: map[string]float64{"e4": 1, "e5": 1, "e6": 1.3, "e7": 1},
+		readMS:   10,
+	}
+	if decoders < 4 {
+		delete(p.slowness, "e4")
+	}
+	p.play(usualRate)
+	before := len(p.all) - len(p.running)
+	p.playFor(10*time.Second, burstRate)
+	p.lose()
+	p.playFor(16*time.Second, usualRate)
+	return wholeOf(p.all[before:])
+}
+
 // Guards against answers that are resumed together being cut at all engines: those
 // that cannot end delay the others, and what each has generated counts for nothing.
 func TestResumedAnswersEndInTimeWhateverTheirLength(t *testing.T) {
 	RegisterTestingT(t)
 	for seed := range uint64(5) {
-		p := &notePlay{
-			fleet:    newFleet(5, 3),
-			rng:      rand.New(rand.NewPCG(seed, 37)),
-			slowness: map[string]float64{"e5": 1, "e6": 1.3, "e7": 1},
-			readMS:   10,
-		}
-		p.play(usualRate)
-		before := len(p.all) - len(p.running)
-		p.playFor(10*time.Second, burstRate)
-		p.lose()
-		p.playFor(16*time.Second, usualRate)
-		longest, all := wholeOf(p.all[before:])
+		longest, all := playLoss(seed)
 		if longest < all/2 {
 			t.Errorf("seed %d: of the longest tenth %.2f ended in time, of all %.2f", seed, longest, all)
 		}
--- a/internal/decide/roles/roles.go
+++ b/internal/decide/roles/roles.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	// DefaultDecodeShare is the part of the engines that generate.
+	// DefaultDecodeShare is the part of the engines that generate short answers.
 	DefaultDecodeShare = 0.4
 	// leastDecode engines generate at least: one may crash.
 	leastDecode = 2
--- a/internal/decide/roles/roles_test.go
+++ b/internal/decide/roles/roles_test.go
@@ -141,3 +141,37 @@
 		Expect(roles.Decide(paced(0, 0, 0, 0, 0, 0), 0.5)).To(HaveLen(3))
 	})
 })
+
+var _ = Describe("DecodeShare", func() {
+	share := func(decode int, a roles.Answers) float64 { return roles.DecodeShare(fleet(10-decode, decode, 4), a) }
+
+	// Callers of long answers come as soon as the fleet has started. An engine that
+	// changes its role by then is away for seconds.
+	It("expects long answers where routes let them last", func() {
+		Expect(share(5, roles.Answers{Longest: 59})).To(Equal(0.5))
+		Expect(share(5, roles.Answers{Longest: 20})).To(Equal(roles.DefaultDecodeShare))
+	})
+
+	It("has one more engine generate while many answers are expected to miss their deadlines", func() {
+		Expect(share(4, roles.Answers{Known: true, Misses: 0.3})).To(Equal(0.5))
+		Expect(share(5, roles.Answers{Known: true, Misses: 0.3})).To(Equal(0.5))
+	})
+
+	// A burst of long answers is over. Were the engine told to read at once, and to
+	// generate in the next burst, it would be away for a part of each.
+	It("stays between many misses and few", func() {
+		Expect(share(5, roles.Answers{Known: true, Misses: 0.1})).To(Equal(0.5))
+		Expect(share(4, roles.Answers{Known: true, Misses: 0.1})).To(Equal(0.4))
+		Expect(share(5, roles.Answers{Known: true, Misses: 0.01})).To(Equal(roles.DefaultDecodeShare))
+	})
+
+	// New engines joined in one role while no orders could be given.
+	It("is between the two shares whatever the engines do", func() {
+		for decode := range 11 {
+			for _, misses := range []float64{0, 0.1, 0.5} {
+				Expect(share(decode, roles.Answers{Known: true, Misses: misses})).To(And(BeNumerically(">=", 0.4), BeNumerically("<=", 0.5)))
+			}
+		}
+		Expect(roles.DecodeShare(nil, roles.Answers{})).To(Equal(roles.DefaultDecodeShare))
+	})
+})
--- /dev/null
+++ b/internal/decide/roles/share.go
@@ -0,0 +1,57 @@
+package roles
+
+import (
+	"math"
+
+	"pistachioroad.dev/pistachioroad/internal/backend"
+)
+
+const (
+	// longDecodeShare is the part of the engines that generate long answers.
+	longDecodeShare = 0.5
+	// longAnswer is how many of the longest pauses between two events an answer may
+	// last to count as long before answers were seen.
+	longAnswer = 40
+	// tooManyMisses is the part of misses from which one more engine generates, and
+	// fewMisses that up to which the default share suffices. Between them the share
+	// stays, so that a burst does not change roles to and fro.
+	tooManyMisses = 0.2
+	fewMisses     = 0.03
+)
+
+// Answers is what is known of the answers that engines generate.
+type Answers struct {
+	// Misses is the part of them, by length, that is expected to miss its deadline, if
+	// it is known.
+	Misses float64
+	Known  bool
+	// Longest is how many of the longest pauses between its events an answer may last.
+	Longest int
+}
+
+// DecodeShare returns the part of the engines that should generate.
+//
+// It answers long answers: each holds its engine for hundreds of steps, and the more
+// of them share an engine, the longer its steps take. One notices by the longest
+// answers, which are cut by their deadlines while prompts are read in time.
+func DecodeShare(engines []Engine, a Answers) float64 {
+	n, decode := float64(len(engines)), float64(count(engines, backend.Decode))
+	if n == 0 {
+		return DefaultDecodeShare
+	}
+	if !a.Known {
+		if a.Longest >= longAnswer {
+			return longDecodeShare
+		}
+		return DefaultDecodeShare
+	}
+	if a.Misses < fewMisses {
+		return DefaultDecodeShare
+	}
+	if a.Misses > tooManyMisses {
+		decode++
+	}
+	least := math.Round(DefaultDecodeShare * n)
+	most := math.Round(longDecodeShare * n)
+	return min(max(decode, least), most) / n
+}
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -202,6 +202,14 @@
 	return g.engines.fleet(service).Pace(id)
 }
 
+// EngineMisses returns the part of a service's answers, by length, that is expected to
+// miss its deadline; false while that is not known.
+func (g *Gateway) EngineMisses(service string) (float64, bool) {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	return g.engines.fleet(service).Misses(time.Now())
+}
+
 // engineBelief is what is learned of a model engine, nil for other servers.
 func (g *Gateway) engineBelief(now time.Time, s backend.Server) *place.Belief {
 	if s.Role == backend.NoRole {
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -197,6 +197,7 @@
 		Rank:     p.peers.Rank,
 		Busy:     p.gateway.EngineWork,
 		Pace:     p.gateway.EnginePace,
+		Misses:   p.gateway.EngineMisses,
 		Requests: p.gateway.EngineRequests,
 		Away:     p.gateway.EngineAway,
 		Engines:  platform.NewEngines(),
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -67,6 +67,9 @@
 	Busy func(service, engine string) int
 	// Pace returns how slow an engine is.
 	Pace func(service, engine string) roles.Pace
+	// Misses returns the part of a service's answers, by length, that is expected to
+	// miss its deadline; false while that is not known.
+	Misses func(service string) (float64, bool)
 	// Requests returns how many requests of a service all gateways have placed.
 	Requests func(service string) int64
 	// Away is told of an engine that is about to change its role.
@@ -148,7 +151,7 @@
 			continue
 		}
 		engines, busy := r.engines(view, name)
-		moves := roles.Decide(engines, roles.DefaultDecodeShare)
+		moves := roles.Decide(engines, roles.DecodeShare(engines, r.answers(view, name)))
 		moves = slices.DeleteFunc(moves, func(m roles.Move) bool { return now.Sub(r.ordered[m.ID]) < rest })
 		if busy && r.resting(engines, now) {
 			continue
@@ -161,6 +164,12 @@
 	return all
 }
 
+func (r *Reconciler) answers(view *directory.View, service string) roles.Answers {
+	a := roles.Answers{Longest: view.Table.LongestAnswer(service)}
+	a.Misses, a.Known = r.config.Misses(service)
+	return a
+}
+
 func (r *Reconciler) engines(view *directory.View, service string) (list []roles.Engine, busy bool) {
 	for _, s := range view.Service(service) {
 		if s.Role == backend.NoRole {
@@ -207,12 +216,14 @@
 		Role: m.Role, Holder: r.config.Holder, Fence: g.Fence, Expect: state.Orders,
 	})
 	r.countResult(result)
+	answers := r.answers(view, server.Service)
 	if result != backend.OrderRejected {
 		r.made[server.Service]++
 	}
 	log.WithFields(log.Fields{
 		"engine": m.ID, "role": string(m.Role), "fence": g.Fence, "expect": state.Orders,
 		"result": result.String(), "error": errorText(err),
+		"misses": answers.Misses, "misses_known": answers.Known, "longest_answer": answers.Longest,
 	}).Info("order")
 	return true
 }
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/roles"
@@ -33,8 +34,10 @@
 	held    bool
 	work    int
 	// requests were placed so far.
-	requests int64
-	now      time.Time
+	requests    int64
+	misses      float64
+	missesKnown bool
+	now         time.Time
 }
 
 type engine struct {
@@ -108,6 +111,7 @@
 		Busy: func(string, string) int { return w.work }, Engines: w, Lease: w,
 		Pace:     func(string, string) roles.Pace { return roles.Pace{} },
 		Away:     func(string, string, time.Duration) {},
+		Misses:   func(string) (float64, bool) { return w.misses, w.missesKnown },
 		Requests: func(string) int64 { return w.requests },
 	})
 }
@@ -226,6 +230,26 @@
 	})
 })
 
+var _ = Describe("a fleet whose longest answers are cut by their deadlines", func() {
+	It("has one more engine generate, and keeps it when the burst is over", func() {
+		w := newWorld(6, 4)
+		r := w.reconciler(0)
+		decoders := func() int {
+			return lo.CountBy(w.ids, func(id string) bool { return w.engines[id].state.Role == backend.Decode })
+		}
+		w.misses, w.missesKnown = 0.1, true
+		w.pass(r, 10*time.Second)
+		Expect(decoders()).To(Equal(4))
+		w.misses = 0.4
+		w.pass(r, 10*time.Second)
+		Expect(decoders()).To(Equal(5))
+		w.tell()
+		w.misses = 0.1
+		w.pass(r, time.Minute)
+		Expect(decoders()).To(Equal(5))
+	})
+})
+
 // alone is a store with nobody else.
 type alone struct {
 	store.Store
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -46,6 +46,8 @@
 	// Objective is the time to the first event of a stream, or to the whole
 	// answer, within which an answer is worth most.
 	Objective time.Duration
+	// Pause is the longest time between two events of an answer in time; 0 is unknown.
+	Pause time.Duration
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int
 	// Attempts is how many backend servers one request may be run on.
@@ -133,6 +135,24 @@
 	return t
 }
 
+// LongestAnswer returns how many of the longest pauses between its events an answer
+// of a service's model routes may last.
+func (t *Table) LongestAnswer(service string) int {
+	longest := 0
+	for _, rules := range t.byHost {
+		for _, r := range rules {
+			if r.Model && r.Pause > 0 && r.goesTo(service) {
+				longest = max(longest, int((r.Timeout-r.Objective)/r.Pause))
+			}
+		}
+	}
+	return longest
+}
+
+func (r Route) goesTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // Match returns the route of the host with the longest prefix of the path.
 func (t *Table) Match(host, path string) (Route, bool) {
 	host = strings.ToLower(host)
