Gateway: lines of requests whose server broke off tell which tries belong to one request

Ids are new with each try, so that logs could not tell a request that ends each engine which runs it from engines that end for reasons of their own. The lines now have a fingerprint of method, host, target, caller and body.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,6 +37,9 @@
 	reply, err := c.gateway.transport.Send(ctx, &c.request, o)
 	if err != nil {
 		e := verdict.Of(err)
+		if e.Verdict != verdict.NotRun {
+			c.runBroke()
+		}
 		c.note(server, e.Verdict)
 		return nil, e
 	}
@@ -55,6 +58,14 @@
 	return reply, nil
 }
 
+// runBroke notes that the connection to a server broke while the server may have run
+// the request.
+func (c *call) runBroke() {
+	if c.ctx.Err() == nil {
+		c.trace.broke = true
+	}
+}
+
 // spendExtra reports whether one more send is within the service's budget. Once
 // one is not, the call is over: to go on would place and prefill the prompt
 // again and again without ever sending it.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -225,6 +225,7 @@
 func (c *call) passStream(decoder backend.Server, source io.Reader) *verdict.Error {
 	if !c.route.Resumable {
 		if err := c.pass(source); err != nil {
+			c.runBroke()
 			c.abort("the answer broke off: " + err.Error())
 		}
 		return nil
@@ -235,6 +236,7 @@
 	if err == nil {
 		return nil
 	}
+	c.runBroke()
 	c.exclude(decoder)
 	return verdict.New(verdict.MayHaveRun, verdict.CodeBroken, "the answer broke off: "+err.Error())
 }
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -38,6 +38,8 @@
 	events  int
 	bytes   int64
 	aborted bool
+	// broke says that a server's connection broke while it may have run the request.
+	broke bool
 }
 
 // refuse answers with an error of the gateway's own.
@@ -173,6 +175,9 @@
 			fields["resumed_after"] = c.request.LastEventID
 		}
 	}
+	if c.trace.broke {
+		fields["fingerprint"], fields["caller"] = c.request.Fingerprint().String(), c.request.Caller
+	}
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -17,6 +17,8 @@
 	// Target is the request target as it stood on the request line.
 	Target string
 	Host   string
+	// Caller is the IP number that the request came from.
+	Caller string
 	// Header is what is passed on: without fields of one connection and
 	// without those that only the gateway may set.
 	Header http.Header
