--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -60,6 +60,10 @@
 	// Events is how many events a stream has, EventGap the pause between them.
 	Events   int
 	EventGap time.Duration
+	// Fatal is the body of requests that end the runner once it begins to run them,
+	// and Crash how it ends. Both are set before it serves.
+	Fatal string
+	Crash func()
 
 	mu       sync.Mutex
 	fault    Fault
@@ -227,6 +231,10 @@
 	r.mu.Lock()
 	r.runs = append(r.runs, run)
 	r.mu.Unlock()
+	if r.Fatal != "" && run.Body == r.Fatal {
+		r.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	r.answer(w, req, run, fault)
 }
 
