Gateway: a request under which three servers ended is sent to no other

Callers of the booking desk saw: for ten seconds at a time a tenth to half of their drafts broke off or were refused, as engines ended one after the other. One caller's request ends each engine that begins to run it, and comes again under a new id at any gateway.

Cause: a failure was held against servers only, never against the request, and what one gateway saw of it no other knew.

If the connection to a server breaks while it may have run the request, the gateway looks whether the server ended: its address refuses connections, its entry is gone or another's is there; breaks, resets and leaving servers are no evidence. What ran there is under suspicion, and cleared by a good end. A request under which three servers ended is refused at once, with 503 (it has not run), the code 'quarantined', and as Retry-After the time until the evidence is ten minutes old: a mended server may run it then. A suspect goes to the engine with the fewest answers, and to one at a time. Evidence is a set that merges; it is told to all gateways at once, and again to three at random every half second while it is fresh or tells of two servers. Nothing is hashed while there is no evidence. 2,048 requests at most, of each eight servers.

--- a/internal/decide/place/decoder.go
+++ b/internal/decide/place/decoder.go
@@ -34,6 +34,7 @@
 		}
 		d := decoder{engine: e, handover: f.handoverTo(now, e)}
 		d.answer, d.miss = f.answerCost(now, j, u, e)
+		d.answer += harm(j, e)
 		if best, ok := choice[e.DataCentre]; !ok || d.cost() < best.cost() {
 			choice[e.DataCentre] = d
 		}
@@ -41,6 +42,17 @@
 	return choice
 }
 
+// lostAnswer is what it costs to lose an answer with its engine.
+const lostAnswer = 500 * time.Millisecond
+
+// harm is what it costs if an engine ends under a job.
+func harm(j Job, e *engine) time.Duration {
+	if !j.Suspect {
+		return 0
+	}
+	return time.Duration(e.streams) * lostAnswer
+}
+
 // bestFor returns the decoder that costs least for what reader reads, and the time
 // of the transfer; false if there is none.
 func (c decoderChoice) bestFor(f *Fleet, j Job, reader *engine) (decoder, time.Duration, bool) {
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -68,6 +68,9 @@
 	Exclude func(id string) bool
 	// Group is the entry's.
 	Group Group
+	// Suspect says that an engine has ended under the request: the next one may too,
+	// and all that runs there with it.
+	Suspect bool
 }
 
 // Plan says where a request goes.
@@ -269,7 +272,7 @@
 	}
 	if reader.Role != backend.Prefill {
 		p.Answer, p.Miss = f.answerCost(now, j, u, reader)
-		p.Answer += reader.delayCost(p.Read)
+		p.Answer += reader.delayCost(p.Read) + harm(j, reader)
 		return p, true
 	}
 	d, transfer, ok := decoders.bestFor(f, j, reader)
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -695,3 +695,24 @@
 		Expect(next.Kept).To(Equal(13_000))
 	})
 })
+
+var _ = Describe("a request under which an engine ended", func() {
+	// The next engine may end as well, and break off all that runs there.
+	It("goes to the engine with the fewest answers", func() {
+		f := taught(1, 3)
+		for n := range 10 {
+			f.Placed(at(0), place.Placement{
+				ID: place.JobID(100 + n), Plan: place.Plan{Reader: "e0", Decoder: []string{"e1", "e2"}[n%2]}, Left: time.Minute,
+			})
+			f.ReadDone(at(0), place.JobID(100+n))
+		}
+		j := place.Job{ID: 1, Prompt: prompt(1, 0, 1_000, 1), Suspect: true}
+		f.Keeps("e1", j.Prompt.Parts)
+		p, _, ok := f.Plan(at(10), j, patient)
+		Expect(ok).To(BeTrue())
+		Expect(p.Decoder).To(Equal("e3"))
+		j.Suspect = false
+		p, _, _ = f.Plan(at(10), j, patient)
+		Expect(p.Decoder).To(Equal("e1"))
+	})
+})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		e := verdict.Of(err)
 		if e.Verdict != verdict.NotRun {
-			c.runBroke()
+			c.runBroke(server)
 		}
 		c.note(server, e.Verdict)
 		return nil, e
@@ -58,14 +58,6 @@
 	return reply, nil
 }
 
-// runBroke notes that the connection to a server broke while the server may have run
-// the request.
-func (c *call) runBroke() {
-	if c.ctx.Err() == nil {
-		c.trace.broke = true
-	}
-}
-
 // spendExtra reports whether one more send is within the service's budget. Once
 // one is not, the call is over: to go on would place and prefill the prompt
 // again and again without ever sending it.
@@ -125,6 +117,9 @@
 	if c.exhausted || c.sends+c.prefills >= maxSends || c.left() < leastLeft || c.ctx.Err() != nil {
 		return false
 	}
+	if c.examine() != nil {
+		return false
+	}
 	if c.verdict == verdict.NotRun {
 		return true
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -18,6 +18,7 @@
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/gateway"
 	"pistachioroad.dev/pistachioroad/internal/peers"
+	"pistachioroad.dev/pistachioroad/internal/periodic"
 	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
@@ -44,6 +45,8 @@
 	// ends are when engines ended, starts counts the starts of engines.
 	ends   []time.Time
 	starts int
+	// engines are all starts, in order.
+	engines []*runner.Runner
 }
 
 type gatewayUnderTest struct {
@@ -97,6 +100,8 @@
 	w.mu.Lock()
 	w.starts++
 	r := runner.New("i-"+strconv.Itoa(w.starts), "decode")
+	r.Events, r.EventGap = 3, 20*time.Millisecond
+	w.engines = append(w.engines, r)
 	w.mu.Unlock()
 	server := &http.Server{Handler: r}
 	address = listener.Addr().String()
@@ -137,6 +142,9 @@
 	for _, duty := range []func(context.Context) error{
 		g.dir.FollowConfig, g.dir.FollowServers, g.dir.Expire, p.Receive,
 		func(ctx context.Context) error { return p.Register(ctx, w.client) },
+		func(ctx context.Context) error {
+			return periodic.Run(ctx, 500*time.Millisecond, g.TellEndings)
+		},
 	} {
 		go func() { _ = duty(ctx) }()
 	}
@@ -215,3 +223,94 @@
 		t.Errorf("engines ended %d times more after the third, %d are allowed; %d ends in all", late, mostLateRepeats, w.endsAfter(time.Time{}))
 	}
 }
+
+// until asks until the request is refused as one that ends engines, at most tries times.
+func (w *crashWorld) until(g *gatewayUnderTest, id string, tries int) (refusedAfter int, header http.Header) {
+	for n := range tries {
+		status, header := w.ask(g, fmt.Sprintf("%s-%d", id, n), fatal)
+		retryAfter, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		if status == http.StatusServiceUnavailable && err == nil && retryAfter > time.Minute.Seconds() {
+			return n, header
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.t.Fatalf("not refused in %d tries", tries)
+	return 0, nil
+}
+
+// Guards against a refusal that takes more than the request that is the reason, that
+// promises what is not so, or that other gateways do not know of.
+func TestRequestThatEndsEnginesIsRefusedEverywhereAndNothingElseIs(t *testing.T) {
+	w := newCrashWorld(t, 2, 6)
+	_, header := w.until(w.gateways[0], "a", 20)
+	if got := header.Get("Pistachioroad-Verdict"); got != "not_run" {
+		t.Errorf("verdict %q of a refused request, want not_run", got)
+	}
+	ended := w.endsAfter(time.Time{})
+	if refusedAfter, _ := w.until(w.gateways[1], "b", 5); refusedAfter > 1 {
+		t.Errorf("the other gateway sent it %d times", refusedAfter)
+	}
+	late := w.startGateway(2)
+	w.waitFor("the new gateway knows the engines", func() bool {
+		v := late.dir.View()
+		return v.Table != nil && len(v.Servers) == 6
+	})
+	time.Sleep(contact)
+	w.until(late, "c", 1)
+	if now := w.endsAfter(time.Time{}); now > ended+1 {
+		t.Errorf("%d engines ended after the first refusal", now-ended)
+	}
+	w.waitFor("the engines are back", func() bool { return len(w.gateways[0].dir.View().Servers) == 6 })
+	for n := range 10 {
+		if status, _ := w.ask(w.gateways[n%2], fmt.Sprintf("other-%d", n), fmt.Sprintf("harmless %d", n)); status != http.StatusOK {
+			t.Errorf("another request of the same caller and path got %d", status)
+		}
+	}
+}
+
+// Guards against requests that are refused because they ran where engines ended for
+// reasons of their own.
+func TestRequestsThatRanWhereEnginesEndedAreServedAgain(t *testing.T) {
+	w := newCrashWorld(t, 1, 6)
+	for round := range 4 {
+		var running sync.WaitGroup
+		for n := range 12 {
+			running.Go(func() { w.ask(w.gateways[0], fmt.Sprintf("r%d-%d", round, n), fmt.Sprintf("harmless %d", n)) })
+		}
+		w.mu.Lock()
+		victim := w.engines[round]
+		w.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		victim.Crash()
+		running.Wait()
+	}
+	w.waitFor("the engines are back", func() bool { return len(w.gateways[0].dir.View().Servers) == 6 })
+	for n := range 12 {
+		if status, _ := w.ask(w.gateways[0], fmt.Sprintf("again-%d", n), fmt.Sprintf("harmless %d", n)); status != http.StatusOK {
+			t.Errorf("request %d got %d once all engines were back", n, status)
+		}
+	}
+}
+
+// Guards against servers that break off answers, and do not end, being taken for ended.
+func TestAnswersThatBreakOffAreNoEvidence(t *testing.T) {
+	w := newCrashWorld(t, 1, 5)
+	w.mu.Lock()
+	for _, r := range w.engines {
+		r.SetFault(runner.BreakingOff)
+	}
+	w.mu.Unlock()
+	for n := range 4 {
+		w.ask(w.gateways[0], fmt.Sprintf("r%d", n), "harmless")
+	}
+	time.Sleep(contact)
+	w.mu.Lock()
+	for _, r := range w.engines {
+		r.SetFault(runner.Healthy)
+	}
+	w.mu.Unlock()
+	time.Sleep(2 * contact)
+	if status, _ := w.ask(w.gateways[0], "again", "harmless"); status != http.StatusOK {
+		t.Errorf("got %d from engines that are well again", status)
+	}
+}
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -9,6 +9,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/roles"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -22,6 +23,10 @@
 	Ended(id place.JobID)
 	// Avoid tells that an engine refuses work for a while.
 	Avoid(service, engine string, d time.Duration)
+	// ServerEnded tells all that a server ended under a request, or that it ended well;
+	// ServerEndedAgain tells some of them once more.
+	ServerEnded(e quarantine.Evidence)
+	ServerEndedAgain(e quarantine.Evidence)
 	// Count returns how many entries there are, this one included.
 	Count() int
 	// JoinGroup returns this entry's group among a number of groups. From then
@@ -32,12 +37,14 @@
 // noShare is the Share of an entry that has no others.
 type noShare struct{}
 
-func (noShare) Placed(place.Placement)              {}
-func (noShare) ReadDone(place.JobID)                {}
-func (noShare) Ended(place.JobID)                   {}
-func (noShare) Avoid(string, string, time.Duration) {}
-func (noShare) Count() int                          { return 1 }
-func (noShare) JoinGroup(uint64) place.Group        { return place.Group{} }
+func (noShare) Placed(place.Placement)               {}
+func (noShare) ReadDone(place.JobID)                 {}
+func (noShare) Ended(place.JobID)                    {}
+func (noShare) Avoid(string, string, time.Duration)  {}
+func (noShare) ServerEnded(quarantine.Evidence)      {}
+func (noShare) ServerEndedAgain(quarantine.Evidence) {}
+func (noShare) Count() int                           { return 1 }
+func (noShare) JoinGroup(uint64) place.Group         { return place.Group{} }
 
 // engines is the load of all model engines, by service.
 type engines struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 
 	engines *engines
 	plain   *plain
+	endings *endings
 
 	mu    sync.Mutex
 	sends map[string]*retry.Sends
@@ -66,6 +67,7 @@
 // as many entries as share counts.
 func (g *Gateway) ShareWith(share Share) {
 	g.engines.share = share
+	g.endings.share = share
 }
 
 // New returns a Gateway.
@@ -76,6 +78,7 @@
 		directory: c.Directory,
 		engines:   newEngines(),
 		plain:     newPlain(),
+		endings:   newEndings(),
 		sends:     make(map[string]*retry.Sends),
 	}
 	g.deployment.Store(&c.Deployment)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/routes"
@@ -71,6 +72,10 @@
 	service  routes.Service
 	request  request.Request
 	bodyHeld int64
+	// print is the request's fingerprint, 0 before it is needed, and standing what was
+	// last known of servers that ended under it.
+	print    request.Fingerprint
+	standing quarantine.Standing
 
 	// verdict is the worst of all sends.
 	verdict verdict.Verdict
@@ -264,6 +269,19 @@
 
 // run sends the request on its way by what its service is.
 func (c *call) run() {
+	if refused := c.examine(); refused != nil {
+		c.fail(refused)
+		return
+	}
+	if c.standing.Suspect() {
+		c.runSuspect()
+	} else {
+		c.runAnywhere()
+	}
+	c.clear()
+}
+
+func (c *call) runAnywhere() {
 	if c.route.Model && c.service.Engine != nil {
 		c.runModel()
 		return
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -35,6 +35,7 @@
 	last := verdict.Refused(verdict.CodeNoBackend, "no engine", unknownRetry)
 	for first := true; first || c.mayRepeat(); first = false {
 		now := time.Now()
+		job.Suspect = c.standing.Suspect()
 		job.Prompt.Done = c.request.Prompt.Done + c.trace.events
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.urgency(now))
 		if !ok {
@@ -151,6 +152,9 @@
 	reply, err := g.transport.Send(c.ctx, &c.request, o)
 	if err != nil {
 		g.engines.avoid(c.service.Name, reader.ID, suspectFor)
+		if verdict.Of(err).Verdict != verdict.NotRun {
+			c.runBroke(reader)
+		}
 		return "", c.prefillFailed(reader, err.Error())
 	}
 	body, err := reply.ReadAll(maxPrefilled)
@@ -225,7 +229,7 @@
 func (c *call) passStream(decoder backend.Server, source io.Reader) *verdict.Error {
 	if !c.route.Resumable {
 		if err := c.pass(source); err != nil {
-			c.runBroke()
+			c.runBroke(decoder)
 			c.abort("the answer broke off: " + err.Error())
 		}
 		return nil
@@ -236,7 +240,7 @@
 	if err == nil {
 		return nil
 	}
-	c.runBroke()
+	c.runBroke(decoder)
 	c.exclude(decoder)
 	return verdict.New(verdict.MayHaveRun, verdict.CodeBroken, "the answer broke off: "+err.Error())
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -170,7 +170,7 @@
 	defer c.gateway.plain.done(server.ID, reply, verdict.Ran)
 	c.head(reply)
 	if err := c.pass(reply.Body); err != nil {
-		c.runBroke()
+		c.runBroke(server)
 		c.abort("the answer broke off: " + err.Error())
 	}
 }
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -101,6 +101,7 @@
 	root.Add(duty(p.peers.Receive))
 	root.Add(duty(p.reconciler().Run))
 	root.Add(duty(p.confirm))
+	root.Add(duty(p.tellEndings))
 	root.Add(duty(p.learn))
 	root.Add(duty(p.restoreLearned))
 	root.Add(duty(p.saveLearned))
@@ -134,6 +135,15 @@
 	})
 }
 
+// tellEvery is how often what is known of servers that ended under requests is told
+// again: several times within the time in which gateways must agree on it.
+const tellEvery = 500 * time.Millisecond
+
+// tellEndings makes up for lost datagrams, and for gateways that were not there.
+func (p *parts) tellEndings(ctx context.Context) error {
+	return periodic.Run(ctx, tellEvery, p.gateway.TellEndings)
+}
+
 // lookForEngines is how often a new process looks whether engines are known.
 const lookForEngines = 50 * time.Millisecond
 
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -176,7 +176,7 @@
 		}
 	}
 	if c.trace.broke {
-		fields["fingerprint"], fields["caller"] = c.request.Fingerprint().String(), c.request.Caller
+		fields["fingerprint"], fields["caller"] = c.fingerprint().String(), c.request.Caller
 	}
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
--- a/internal/peers/outbox.go
+++ b/internal/peers/outbox.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
@@ -18,9 +19,14 @@
 	everyone audience = iota
 	// group is those that place on the same engines.
 	group
+	// some are a few of the others, others each time.
+	some
 	audiences
 )
 
+// mostOfSome is how many gateways some are.
+const mostOfSome = 3
+
 // outbox collects messages for one audience into a datagram.
 type outbox struct {
 	pending *wire.Share
@@ -52,10 +58,20 @@
 }
 
 func (p *Peers) addresses(to audience) map[string]netip.AddrPort {
-	if to == group {
+	switch to {
+	case group:
 		return p.members
+	case some:
+		return p.someOthers()
+	default:
+		return p.others
 	}
-	return p.others
+}
+
+// someOthers returns a few of the other gateways, at random.
+func (p *Peers) someOthers() map[string]netip.AddrPort {
+	names := lo.Samples(lo.Keys(p.others), mostOfSome)
+	return lo.PickByKeys(p.others, names)
 }
 
 // tell adds to the next datagram for an audience, which leaves within a time.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -23,6 +23,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/store"
@@ -51,6 +52,7 @@
 	RemoteReadDone(id place.JobID)
 	RemoteEnded(id place.JobID)
 	RemoteAvoid(service, engine string, d time.Duration)
+	RemoteServerEnded(e quarantine.Evidence)
 	Relayed(now time.Time, c directory.Confirmation)
 	RelayedEntry(now time.Time, c directory.Change)
 }
@@ -213,6 +215,30 @@
 	p.tell(everyone, flushAfter, proto.Size(m), func(s *wire.Share) { s.Avoid = append(s.Avoid, m) })
 }
 
+// ServerEnded implements gateway.Share.
+func (p *Peers) ServerEnded(e quarantine.Evidence) { p.tellServerEnded(everyone, e) }
+
+// ServerEndedAgain implements gateway.Share. Each of those that are told tells others,
+// so that all know it after a few rounds.
+func (p *Peers) ServerEndedAgain(e quarantine.Evidence) { p.tellServerEnded(some, e) }
+
+func (p *Peers) tellServerEnded(to audience, e quarantine.Evidence) {
+	m := &wire.ServerEnded{
+		Request: uint64(e.Request), Server: e.Instance.ID, Incarnation: e.Instance.Incarnation,
+		AgeMs: uint32(max(0, time.Since(e.At).Milliseconds())),
+	}
+	p.tell(to, flushAfter, proto.Size(m), func(s *wire.Share) { s.ServersEnded = append(s.ServersEnded, m) })
+}
+
+// serverEnded decodes evidence of another gateway.
+func serverEnded(now time.Time, m *wire.ServerEnded) quarantine.Evidence {
+	return quarantine.Evidence{
+		Request:  request.Fingerprint(m.Request),
+		Instance: quarantine.Instance{ID: m.Server, Incarnation: m.Incarnation},
+		At:       now.Add(-time.Duration(m.AgeMs) * time.Millisecond),
+	}
+}
+
 // Confirm tells what the store has confirmed to this gateway.
 func (p *Peers) Confirm(c directory.Confirmation) {
 	m := &wire.Confirmation{
@@ -327,6 +353,9 @@
 	for _, m := range s.Avoid {
 		p.receiver.RemoteAvoid(m.Service, m.Engine, time.Duration(m.ForMs)*time.Millisecond)
 	}
+	for _, m := range s.ServersEnded {
+		p.receiver.RemoteServerEnded(serverEnded(now, m))
+	}
 	for _, id := range s.ReadDone {
 		p.receiver.RemoteReadDone(place.JobID(id))
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -36,6 +38,8 @@
 	read   map[place.JobID]bool
 	ended  map[place.JobID]bool
 	avoids int
+	// evidence is what was told of servers that ended.
+	evidence []quarantine.Evidence
 }
 
 func (h *heard) avoided() int {
@@ -82,6 +86,12 @@
 	h.avoids++
 }
 
+func (h *heard) RemoteServerEnded(e quarantine.Evidence) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evidence = append(h.evidence, e)
+}
+
 func (h *heard) Relayed(time.Time, directory.Confirmation) {}
 func (h *heard) RelayedEntry(time.Time, directory.Change)  {}
 
@@ -158,6 +168,47 @@
 		Expect(n).To(BeNumerically("<=", mostBytes))
 	})
 
+	// A datagram is lost, or a gateway was not there yet. It is told again by any of the
+	// others until all know it.
+	It("tell that servers ended to all at once, and to some again", func() {
+		told := map[string]*heard{}
+		addresses := map[string]netip.AddrPort{}
+		var sender *peers.Peers
+		for n := range 7 {
+			name := "f-" + strconv.Itoa(n)
+			told[name] = newHeard()
+			p, err := peers.New(peers.Config{Name: name, Start: rand.Uint64(), Address: "127.0.0.1:0"}, told[name])
+			Expect(err).NotTo(HaveOccurred())
+			ctx, stop := context.WithCancel(context.Background())
+			DeferCleanup(stop)
+			go func() { _ = p.Receive(ctx) }()
+			addresses[name] = p.Addresses()[name]
+			sender = p
+		}
+		sender.Set(maps.Clone(addresses))
+		evidence := quarantine.Evidence{
+			Request: 1 << 63, Instance: quarantine.Instance{ID: "i-9a340f44e5", Incarnation: 1776457240515}, At: time.Now().Add(-time.Second),
+		}
+		heardBy := func() (gateways, pieces int) {
+			for _, h := range told {
+				h.mu.Lock()
+				if len(h.evidence) > 0 {
+					gateways++
+					Expect(h.evidence[0].Request).To(Equal(evidence.Request))
+					Expect(h.evidence[0].Instance).To(Equal(evidence.Instance))
+					Expect(h.evidence[0].At).To(BeTemporally("~", evidence.At, 500*time.Millisecond))
+				}
+				pieces += len(h.evidence)
+				h.mu.Unlock()
+			}
+			return gateways, pieces
+		}
+		sender.ServerEnded(evidence)
+		Eventually(func() int { gateways, _ := heardBy(); return gateways }).Should(Equal(6))
+		sender.ServerEndedAgain(evidence)
+		Eventually(func() int { _, pieces := heardBy(); return pieces }).Should(Equal(9))
+	})
+
 	// Three hundred gateways tell each other of every request: each takes in
 	// megabytes a second, and small VMs have no processor left for callers.
 	It("tell placements to their group only, and refusals to all", func() {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -69,6 +69,7 @@
 	CodeUnknownResult Code = "outcome_unknown"
 	CodeBackend       Code = "backend_failed"
 	CodeBroken        Code = "answer_broken"
+	CodeQuarantined   Code = "quarantined"
 	CodeInternal      Code = "internal"
 )
 
