Quarantine: servers that are lost together are no evidence against what ran at all of them

A try counts now only if it began after the end before it, and any good end in between clears the request.

Spec 'is not held against those that were lost together': without the rule it is refused. The record's tries are 0.2 s and more apart.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -6,7 +6,9 @@
 // away one after the other, with all that runs there; one notices by servers that end
 // seconds apart while none is under load. All that ran at a server that ended is under
 // suspicion, and all but one of it wrongly: a request is refused only once several
-// servers have ended under it, and is free of suspicion once it has ended well.
+// servers have ended under it, each under a try that began after the end before, and is
+// free of suspicion once it has ended well. Servers that are lost together are no
+// evidence against what many callers send to all of them.
 //
 // What is known is a set of evidence that merges in any order and however often it is
 // told, so that gateways need no agreement. It is pure code; time is passed in.
@@ -47,7 +49,8 @@
 type Evidence struct {
 	Request  request.Fingerprint
 	Instance Instance
-	At       time.Time
+	// Began is when the request was sent there, At when its end was seen.
+	Began, At time.Time
 }
 
 // endedWell reports whether it clears the request.
@@ -112,8 +115,16 @@
 }
 
 func (r *record) add(e Evidence) bool {
-	known := slices.ContainsFunc(r.ended, func(o Evidence) bool { return o.Instance == e.Instance })
-	if known || !e.At.After(r.clearedAt) || len(r.ended) >= mostInstances {
+	i := slices.IndexFunc(r.ended, func(o Evidence) bool { return o.Instance == e.Instance })
+	switch {
+	case i >= 0:
+		// Of several tries there, the last one to begin counts.
+		if !e.Began.After(r.ended[i].Began) {
+			return false
+		}
+		r.ended[i].Began = e.Began
+		return true
+	case !e.At.After(r.clearedAt) || len(r.ended) >= mostInstances:
 		return false
 	}
 	r.ended = append(r.ended, e)
@@ -133,15 +144,28 @@
 	if len(r.ended) == 0 {
 		return Standing{}
 	}
-	s := Standing{Ended: slices.Clone(r.ended)}
-	if len(r.ended) >= Limit {
+	s := Standing{Ended: r.inSequence()}
+	if len(s.Ended) >= Limit {
 		s.Refuse = true
 		// It is let in again once fewer than Limit count.
-		s.RetryAfter = r.ended[len(r.ended)-Limit].At.Add(keptFor).Sub(now)
+		s.RetryAfter = s.Ended[len(s.Ended)-Limit].At.Add(keptFor).Sub(now)
 	}
 	return s
 }
 
+// inSequence returns the evidence of tries that each began after the end before.
+func (r *record) inSequence() []Evidence {
+	var counted []Evidence
+	var last time.Time
+	for _, e := range r.ended {
+		if e.Began.After(last) {
+			counted = append(counted, e)
+			last = e.At
+		}
+	}
+	return counted
+}
+
 func (r *record) expire(now time.Time) {
 	r.ended = slices.DeleteFunc(r.ended, func(e Evidence) bool { return now.Sub(e.At) >= keptFor })
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,6 +34,7 @@
 	o.Server = server
 	o.Left = c.left()
 	c.trace.server = server.ID
+	c.sentAt = time.Now()
 	reply, err := c.gateway.transport.Send(ctx, &c.request, o)
 	if err != nil {
 		e := verdict.Of(err)
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -48,8 +48,8 @@
 	mu   sync.Mutex
 	list *quarantine.List
 	// pending are the requests whose connections broke at an instance of which it is
-	// not known yet whether it ended.
-	pending map[quarantine.Instance]map[request.Fingerprint]struct{}
+	// not known yet whether it ended, with when they were sent there.
+	pending map[quarantine.Instance]map[request.Fingerprint]time.Time
 	// running are the requests under suspicion that run at a server now.
 	running map[request.Fingerprint]struct{}
 	share   Share
@@ -60,7 +60,7 @@
 func newEndings() *endings {
 	return &endings{
 		list:    quarantine.New(),
-		pending: make(map[quarantine.Instance]map[request.Fingerprint]struct{}),
+		pending: make(map[quarantine.Instance]map[request.Fingerprint]time.Time),
 		running: make(map[request.Fingerprint]struct{}),
 		share:   noShare{},
 		ended:   metrics.GetOrRegisterCounter("gateway.servers_ended_under_requests", nil),
@@ -81,7 +81,7 @@
 
 // broke notes that a request's connection to a server broke. It returns true if it is
 // the first for that start of the server, which then is to be watched.
-func (e *endings) broke(s backend.Server, f request.Fingerprint) bool {
+func (e *endings) broke(s backend.Server, f request.Fingerprint, began time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	requests, ok := e.pending[instanceOf(s)]
@@ -89,11 +89,11 @@
 		if len(e.pending) >= mostPending {
 			return false
 		}
-		requests = make(map[request.Fingerprint]struct{})
+		requests = make(map[request.Fingerprint]time.Time)
 		e.pending[instanceOf(s)] = requests
 	}
-	if len(requests) < mostPendingRequests {
-		requests[f] = struct{}{}
+	if len(requests) < mostPendingRequests && began.After(requests[f]) {
+		requests[f] = began
 	}
 	return !ok
 }
@@ -102,7 +102,8 @@
 func (e *endings) conclude(s backend.Server, at time.Time, ended bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	requests := lo.Keys(e.pending[instanceOf(s)])
+	began := e.pending[instanceOf(s)]
+	requests := lo.Keys(began)
 	delete(e.pending, instanceOf(s))
 	names := lo.Map(requests[:min(mostLogged, len(requests))], func(f request.Fingerprint, _ int) string { return f.String() })
 	line := log.WithFields(log.Fields{
@@ -116,7 +117,7 @@
 	line.Info("server ended under requests")
 	e.ended.Inc(1)
 	for _, f := range requests {
-		e.add(quarantine.Evidence{Request: f, Instance: instanceOf(s), At: at})
+		e.add(quarantine.Evidence{Request: f, Instance: instanceOf(s), Began: began[f], At: at})
 	}
 }
 
@@ -229,7 +230,7 @@
 	if !ok || there.Draining || there.Incarnation != s.Incarnation {
 		return
 	}
-	if c.gateway.endings.broke(s, c.fingerprint()) {
+	if c.gateway.endings.broke(s, c.fingerprint(), c.sentAt) {
 		go c.gateway.watchEnding(s, at)
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -76,6 +76,8 @@
 	// last known of servers that ended under it.
 	print    request.Fingerprint
 	standing quarantine.Standing
+	// sentAt is when it was last sent to a server.
+	sentAt time.Time
 
 	// verdict is the worst of all sends.
 	verdict verdict.Verdict
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -148,6 +148,7 @@
 		return "", c.overBudget()
 	}
 	c.prefills++
+	c.sentAt = time.Now()
 	o := request.Options{Server: reader, Left: c.left(), Stage: request.PrefillOnly, Priority: c.priority}
 	reply, err := g.transport.Send(c.ctx, &c.request, o)
 	if err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -225,17 +225,19 @@
 func (p *Peers) tellServerEnded(to audience, e quarantine.Evidence) {
 	m := &wire.ServerEnded{
 		Request: uint64(e.Request), Server: e.Instance.ID, Incarnation: e.Instance.Incarnation,
-		AgeMs: uint32(max(0, time.Since(e.At).Milliseconds())),
+		AgeMs: uint32(max(0, time.Since(e.At).Milliseconds())), RanMs: uint32(max(0, e.At.Sub(e.Began).Milliseconds())),
 	}
 	p.tell(to, flushAfter, proto.Size(m), func(s *wire.Share) { s.ServersEnded = append(s.ServersEnded, m) })
 }
 
 // serverEnded decodes evidence of another gateway.
 func serverEnded(now time.Time, m *wire.ServerEnded) quarantine.Evidence {
+	at := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
 	return quarantine.Evidence{
 		Request:  request.Fingerprint(m.Request),
 		Instance: quarantine.Instance{ID: m.Server, Incarnation: m.Incarnation},
-		At:       now.Add(-time.Duration(m.AgeMs) * time.Millisecond),
+		Began:    at.Add(-time.Duration(m.RanMs) * time.Millisecond),
+		At:       at,
 	}
 }
 
