Roles: engines go back to reading where answers are short and few are missed

It stays now from 0.1 up, and where routes let answers last it does not fall below one half unless hardly any are missed.

--- a/internal/decide/roles/share.go
+++ b/internal/decide/roles/share.go
@@ -13,9 +13,10 @@
 	// last to count as long before answers were seen.
 	longAnswer = 40
 	// tooManyMisses is the part of misses from which one more engine generates, and
-	// fewMisses that up to which the default share suffices. Between them the share
-	// stays, so that a burst does not change roles to and fro.
+	// someMisses that down to which it goes on to: a burst does not change roles to and
+	// fro. With fewMisses at most, long answers do with the default share.
 	tooManyMisses = 0.2
+	someMisses    = 0.1
 	fewMisses     = 0.03
 )
 
@@ -39,19 +40,16 @@
 	if n == 0 {
 		return DefaultDecodeShare
 	}
-	if !a.Known {
-		if a.Longest >= longAnswer {
-			return longDecodeShare
-		}
-		return DefaultDecodeShare
+	share := DefaultDecodeShare
+	if a.Longest >= longAnswer && (!a.Known || a.Misses > fewMisses) {
+		share = longDecodeShare
 	}
-	if a.Misses < fewMisses {
-		return DefaultDecodeShare
+	if !a.Known || a.Misses < someMisses {
+		return share
 	}
 	if a.Misses > tooManyMisses {
 		decode++
 	}
-	least := math.Round(DefaultDecodeShare * n)
-	most := math.Round(longDecodeShare * n)
+	least, most := math.Round(share*n), math.Round(longDecodeShare*n)
 	return min(max(decode, least), most) / n
 }
