Gateway: what is believed of reads does not outlive its gateway

Only what rests on a gateway's own answers is saved now: the time between their events, their lengths, how slow engines generate. The test TestWhatIsBelievedOfReadsIsNotTakenOver guards it. The belief of a gateway that was cut off is an older fault, traced and left: docs/UNDER-LOAD.md.

--- a/internal/decide/place/resumed_test.go
+++ b/internal/decide/place/resumed_test.go
@@ -133,3 +133,28 @@
 		Expect(a.Admit).To(BeTrue())
 	})
 })
+
+// Guards against the belief of one entry that was cut off from the others, that reads
+// take no time, becoming that of all which start after it.
+func TestWhatIsBelievedOfReadsIsNotTakenOver(t *testing.T) {
+	RegisterTestingT(t)
+	wrong := newFleet(1, 1)
+	for n := range 500 {
+		id := place.JobID(n)
+		wrong.Placed(at(n), place.Placement{
+			ID: id, Prompt: prompt(uint64(n), 0, 5_000, uint64(n)), Plan: place.Plan{Reader: "e0", Decoder: "e1"}, Left: time.Minute,
+		})
+		wrong.ReadDone(at(n), id)
+		wrong.Event(at(n), id, 50*time.Millisecond)
+		wrong.Answered(100, 100)
+		wrong.Ended(at(n), id)
+	}
+	state, ok := wrong.State()
+	Expect(ok).To(BeTrue())
+	before, _, _ := newFleet(1, 1).Plan(at(0), place.Job{ID: 1, Prompt: prompt(1, 0, 5_000, 1)}, patient)
+	f := newFleet(1, 1)
+	Expect(f.Restore(state)).To(Succeed())
+	after, _, _ := f.Plan(at(0), place.Job{ID: 1, Prompt: prompt(1, 0, 5_000, 1)}, patient)
+	Expect(after.Read).To(Equal(before.Read))
+	Expect(after.Learned).To(BeFalse())
+}
--- a/internal/decide/predict/state.go
+++ b/internal/decide/predict/state.go
@@ -78,18 +78,6 @@
 	return true
 }
 
-// State returns what was learned of reads.
-func (r *Reading) State() FitState { return r.fit.state() }
-
-// Restore takes over what an earlier process has learned, unless enough reads were
-// seen since.
-func (r *Reading) Restore(s FitState) error {
-	if r.Known() {
-		return nil
-	}
-	return r.fit.restore(s)
-}
-
 // State returns what was learned of the time between events.
 func (s *Steps) State() FitState { return s.fit.state() }
 
@@ -102,18 +90,6 @@
 	return s.fit.restore(state)
 }
 
-// State returns what was learned of handovers.
-func (h *Handover) State() FitState { return h.fit.state() }
-
-// Restore takes over what an earlier process has learned, unless enough handovers
-// were seen since.
-func (h *Handover) Restore(s FitState) error {
-	if h.fit.count >= enoughReads {
-		return nil
-	}
-	return h.fit.restore(s)
-}
-
 // State returns what was learned of the lengths of answers.
 func (l *Lengths) State() LengthsState {
 	return LengthsState{LogEvents: l.logEvents, Variance: l.variance, Seen: l.seen}
