--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -28,15 +28,12 @@
 	// DefaultSlackPart is the part of a request's slack (its deadline less its
 	// run time) that its caller may spend on waiting while above its share.
 	// What is left keeps the queue short enough for callers under theirs.
-	// Measured with the load player (hanbit, seeds 1 and 2): 0.15 lets in 1%
-	// less goodput, 0.5 no more but four times the late drafts.
 	DefaultSlackPart = 0.25
 	// DefaultWindow is the time constant of a caller's rate. Shorter than the
 	// swings of the mix (minutes), longer than the gaps between the requests
-	// of one active caller (seconds). Measured: 2 s costs 1.5% of the goodput,
-	// 15 s 0.3%.
+	// of one active caller (seconds).
 	DefaultWindow = 5 * time.Second
-	// DefaultAccounts bounds the accounts tracked: the letter's 9,600.
+	// DefaultAccounts bounds the accounts tracked.
 	DefaultAccounts = 9_600
 	// DefaultRemoteTTL is how long a gossiped usage counts without renewal:
 	// a few gossip rounds of a second.
--- a/internal/decide/outlier/outlier.go
+++ b/internal/decide/outlier/outlier.go
@@ -20,7 +20,6 @@
 	// DefaultRatio is how much slower than the median of its peers a backend
 	// server may be before it loses weight. Engines of one kind differ by some
 	// tens of percent with the batch; twice the median does not come from that.
-	// Measured: 1.4 and 4 move goodput beside a slow engine by under 0.5%.
 	DefaultRatio = 2.0
 	// DefaultErrors is the share of failed attempts above the median's from
 	// which a backend server loses weight.
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -29,12 +29,10 @@
 	// prefills in roughly a second.
 	DefaultLong = 8_000
 	// DefaultLongShare is the long lane's share of its class when both wait.
-	// Measured: 0.25 and 0.75 move goodput by 0.1%.
 	DefaultLongShare = 0.5
 	// DefaultQuantum is how much more work, in tokens, a caller may have had
 	// than the least served one and still go by its deadline alone. One long
-	// prompt: finer would undo deadline order among equals. Measured: 1,000 and
-	// 100,000 move goodput by 0.1%.
+	// prompt: finer would undo deadline order among equals.
 	DefaultQuantum = 8_000
 	// DefaultHold is how long an item that does not fit into the free pieces
 	// may be passed by ones that do; then room is kept for it.
--- a/internal/decide/route/pick_two.go
+++ b/internal/decide/route/pick_two.go
@@ -10,7 +10,6 @@
 const (
 	// nearShare and nearFloor say how far above the best a candidate may be
 	// and still count as its equal. Load reports are about that wrong.
-	// Measured with four entries: 0 and 0.3 move goodput by 0.5% and 0.1%.
 	nearShare = 0.1
 	nearFloor = 20 * time.Millisecond
 )
--- a/internal/decide/shift/shift.go
+++ b/internal/decide/shift/shift.go
@@ -59,8 +59,6 @@
 	DefaultSpillPrompt = 8_000
 	// DefaultSpillShare is the most of its time that a decode engine spends
 	// on such prefills. A small batch leaves that much: see Spill.ShareFor.
-	// Measured: 0.3 takes a third more role changes for the same goodput, 0.8
-	// saves few; prompts of 2,000 cost 0.6% of it and 40% more changes.
 	DefaultSpillShare = 0.6
 	// DefaultTokenGap is the time between tokens that prefills may stretch
 	// the streams of a decode engine to: the 31 ms of the service level.
