Soak of processes: a request that ends the engines that run it

Beside all other faults one caller sends it four times a second, to one gateway after the other; an engine that ends refuses connections for 0.4 s and is another start then. Once all gateways were undisturbed for five seconds it may end three more engines.

--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -26,14 +26,15 @@
 
 // Proxy forwards connections from its own address to a target.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
 	toServer, toClient atomic.Int64
 
-	mu    sync.Mutex
-	mode  Mode
-	conns map[*conn]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	mode     Mode
+	conns    map[*conn]struct{}
 }
 
 // conn is one connection through the proxy.
@@ -54,11 +55,28 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "fault proxy")
 	}
-	p := &Proxy{listener: listener, target: target, conns: map[*conn]struct{}{}}
-	go p.accept()
+	p := &Proxy{address: listener.Addr().String(), listener: listener, target: target, conns: map[*conn]struct{}{}}
+	go p.accept(listener)
 	return p, nil
 }
 
+// Down ends all connections and has new ones refused, as the end of the process behind
+// the proxy does.
+func (p *Proxy) Down() { p.Close() }
+
+// Up takes connections again after Down.
+func (p *Proxy) Up() error {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return eris.Wrap(err, "fault proxy")
+	}
+	p.mu.Lock()
+	p.listener = listener
+	p.mu.Unlock()
+	go p.accept(listener)
+	return nil
+}
+
 // Set changes the mode for all connections, present and new.
 func (p *Proxy) Set(m Mode) {
 	p.mu.Lock()
@@ -84,8 +102,8 @@
 
 // Close ends the proxy and all connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
 	p.mu.Lock()
+	_ = p.listener.Close()
 	conns := p.snapshot()
 	p.mu.Unlock()
 	for _, c := range conns {
@@ -101,9 +119,9 @@
 	return conns
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -175,4 +193,4 @@
 }
 
 // Address returns the IP number and port that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
--- a/test/soakproc/callers.go
+++ b/test/soakproc/callers.go
@@ -1,6 +1,7 @@
 package soakproc
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -17,6 +18,8 @@
 // request is what a caller sends.
 type request struct {
 	method, target, id, kind string
+	// body is "b" if it is empty.
+	body string
 }
 
 // outcome is what it got.
@@ -41,7 +44,7 @@
 }
 
 func ask(c *http.Client, address string, r request) outcome {
-	req, err := http.NewRequest(r.method, "http://"+address+r.target, io.NopCloser(strings.NewReader("b")))
+	req, err := http.NewRequest(r.method, "http://"+address+r.target, io.NopCloser(strings.NewReader(cmp.Or(r.body, "b"))))
 	if err != nil {
 		return outcome{err: err}
 	}
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -50,8 +50,10 @@
 	}
 	l := newLedger()
 	stopCallers := w.startCallers(ctx, seed, l)
+	stopFatal := w.startFatal(ctx, l)
 	w.inject(seed, report.Faults)
 	w.calm(ctx, l)
+	stopFatal()
 	stopCallers()
 	l.judge(w)
 	report.Breaches = l.breaches
@@ -109,6 +111,8 @@
 		}
 	}
 	time.Sleep(settled)
+	well := time.Now()
+	defer func() { w.judgeEnds(well, l) }()
 	w.configure()
 	drained := w.servers[len(w.servers)-1]
 	w.register(drained, "draining")
--- a/test/soakproc/world.go
+++ b/test/soakproc/world.go
@@ -75,6 +75,7 @@
 	servers  []*server
 	version  int64
 	closers  []func()
+	ends     ends
 }
 
 // start builds the world of a seed. The addresses are its own within 127/8.
@@ -115,6 +116,9 @@
 		s.service = plainService
 	}
 	s.EventGap = 2 * time.Millisecond
+	if role == "decode" {
+		w.mayEnd(s)
+	}
 	backend := net.JoinHostPort(w.ip(host), strconv.Itoa(portBackend))
 	if err := w.serve(backend, s.Runner); err != nil {
 		return err
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -91,6 +91,15 @@
 	return &Runner{ID: id, Phase: phase, Events: 3, handles: make(map[string]bool), born: time.Now().UnixMilli()}
 }
 
+// Restart has the runner know nothing of before, as another start under its id.
+func (r *Runner) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born = time.Now().UnixMilli()
+	r.orders = 0
+	r.handles = make(map[string]bool)
+}
+
 // SetFault switches a fault on, or off with Healthy.
 func (r *Runner) SetFault(f Fault) {
 	r.mu.Lock()
