--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -20,7 +20,7 @@
 	// The rest is for the stream itself: a longer prompt would be read for an
 	// answer that its deadline cuts.
 	latePart = 0.6
-	// hopeless is the chance of a miss from which an answer is not begun.
+	// hopeless is the chance of missing the deadline above which an answer is refused.
 	hopeless = 0.97
 	// leastRetryAfter and maxRetryPart bound what a refused caller is told:
 	// callers keep to a third of the time that they have left.
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -41,12 +41,12 @@
 	if !ok {
 		return
 	}
-	context := f.context(p.Prompt)
-	work := predict.WorkOf(context, p.Plan.Kept)
+	tokens := f.context(p.Prompt)
+	work := predict.WorkOf(tokens, p.Plan.Kept)
 	f.unread += unreadGain * (work.Tokens - f.unread)
 	reader.add(now, &read{job: p.ID, work: work, sent: now})
 	added := reader.cache.use(p.Prompt.Parts)
-	j := &job{reader: reader, reading: true, added: added, tokens: context, answer: answerOf(p.Prompt), until: now.Add(p.Left)}
+	j := &job{reader: reader, reading: true, added: added, tokens: tokens, answer: answerOf(p.Prompt), until: now.Add(p.Left)}
 	f.jobs[p.ID] = j
 	if d, ok := f.engines[p.Plan.Decoder]; ok {
 		f.generateAt(now, j, d)
--- a/internal/decide/roles/share.go
+++ b/internal/decide/roles/share.go
@@ -12,9 +12,9 @@
 	// longAnswer is how many of the longest pauses between two events an answer may
 	// last to count as long before answers were seen.
 	longAnswer = 40
-	// tooManyMisses is the part of misses from which one more engine generates, and
-	// someMisses that down to which it goes on to: a burst does not change roles to and
-	// fro. With fewMisses at most, long answers do with the default share.
+	// tooManyMisses is the part of misses above which one more engine generates. It
+	// goes on until the part falls below someMisses, so that a burst does not change
+	// roles to and fro. Below fewMisses the default share suffices for long answers.
 	tooManyMisses = 0.2
 	someMisses    = 0.1
 	fewMisses     = 0.03
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -237,10 +237,10 @@
 
 // fingerprint returns the request's. It is worked out once, and only if it is needed.
 func (c *call) fingerprint() request.Fingerprint {
-	if c.print == 0 {
-		c.print = c.request.Fingerprint()
+	if c.identity == 0 {
+		c.identity = c.request.Fingerprint()
 	}
-	return c.print
+	return c.identity
 }
 
 // examine returns why the request is not to be sent to a server, nil if it may be. It
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -72,9 +72,9 @@
 	service  routes.Service
 	request  request.Request
 	bodyHeld int64
-	// print is the request's fingerprint, 0 before it is needed, and standing what was
-	// last known of servers that ended under it.
-	print    request.Fingerprint
+	// identity is the request's fingerprint, 0 before it is needed, and standing what
+	// was last known of servers that ended under it.
+	identity request.Fingerprint
 	standing quarantine.Standing
 	// sentAt is when it was last sent to a server.
 	sentAt time.Time
