Peers: nothing is learned of reads from datagrams that waited

Each datagram says when it left, by the clock of its sender since start, which shows how long it waited. Half a second late, begins of reads are not taken in and ends only end. The spec 'learn nothing of reads from datagrams that waited' failed without it.

--- a/internal/decide/place/resumed_test.go
+++ b/internal/decide/place/resumed_test.go
@@ -134,8 +134,8 @@
 	})
 })
 
-// Guards against the belief of one entry that was cut off from the others, that reads
-// take no time, becoming that of all which start after it.
+// Guards against the wrong belief of one entry, that reads take no time, becoming that
+// of all which start after it.
 func TestWhatIsBelievedOfReadsIsNotTakenOver(t *testing.T) {
 	RegisterTestingT(t)
 	wrong := newFleet(1, 1)
--- a/internal/decide/place/state.go
+++ b/internal/decide/place/state.go
@@ -12,9 +12,8 @@
 // answers the loss of all entries at once: callers resume their answers together, and
 // by what is known of nothing those that need a fast engine go to any.
 //
-// It has nothing of reads. What an entry believes of them rests on what others tell,
-// and is wrong for seconds after it was cut off from them; kept, the error of one
-// would become that of all.
+// It has nothing of reads. What an entry believes of them rests on what others tell;
+// kept, the error of one would become that of all.
 type State struct {
 	Steps   predict.FitState     `json:"steps"`
 	Lengths predict.LengthsState `json:"lengths"`
--- a/internal/peers/delay.go
+++ b/internal/peers/delay.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// maxTimed bounds the senders whose delay is known. Three gateways confirm for
-// all at a time; more are those of earlier starts.
-const maxTimed = 32
+// maxTimed bounds the senders whose delay is known: those of a group, and of earlier
+// starts.
+const maxTimed = 256
 
 // delays estimates how long datagrams were on their way, beyond the least that
 // one of the same sender took.
--- a/internal/peers/outbox.go
+++ b/internal/peers/outbox.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -115,6 +116,7 @@
 		return
 	}
 	box.timer.Stop()
+	box.pending.SentMs = uint64(boottime.Now().Milliseconds())
 	data, err := proto.Marshal(box.pending)
 	box.pending = nil
 	if err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -40,6 +40,9 @@
 	// lateDatagram is a delay that is counted: many of them mean that this VM is
 	// too slow for what it is told.
 	lateDatagram = time.Second
+	// lateRead is the delay from which what a datagram says of reads is not learned
+	// from.
+	lateRead = 500 * time.Millisecond
 	// maxDatagram keeps a datagram within one packet of common networks.
 	maxDatagram = 1_200
 )
@@ -337,9 +340,7 @@
 	if s.Sender == uint32(p.start) {
 		return
 	}
-	for _, m := range s.Placed {
-		p.takePlaced(m)
-	}
+	p.takeReads(s)
 	now := time.Now()
 	for _, m := range s.Entries {
 		p.receiver.RelayedEntry(now, directory.Change{
@@ -358,10 +359,32 @@
 	for _, m := range s.ServersEnded {
 		p.receiver.RemoteServerEnded(serverEnded(now, m))
 	}
+}
+
+// takeReads takes in what another gateway does at the engines.
+//
+// A gateway that stood still finds the begins and ends of thousands of reads in its
+// socket at once. Learned from, they say that reads take no time; one notices by a
+// gateway that lets in what nobody can serve for half a minute after it went on.
+func (p *Peers) takeReads(s *wire.Share) {
+	sent := time.Duration(s.SentMs) * time.Millisecond
+	late := p.delays.of(uint64(s.Sender), sent, boottime.Now()) > lateRead
+	for _, m := range s.Placed {
+		if !late {
+			p.takePlaced(m)
+		}
+	}
 	for _, id := range s.ReadDone {
+		if late {
+			p.receiver.RemoteEnded(place.JobID(id))
+			continue
+		}
 		p.receiver.RemoteReadDone(place.JobID(id))
 	}
 	for _, id := range s.Ended {
 		p.receiver.RemoteEnded(place.JobID(id))
 	}
+	if late {
+		p.late.Inc(1)
+	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -38,6 +38,8 @@
 	read   map[place.JobID]bool
 	ended  map[place.JobID]bool
 	avoids int
+	// stands says that it stands still for as long as it is told to avoid an engine.
+	stands bool
 	// evidence is what was told of servers that ended.
 	evidence []quarantine.Evidence
 }
@@ -80,7 +82,10 @@
 	h.ended[id] = true
 }
 
-func (h *heard) RemoteAvoid(string, string, time.Duration) {
+func (h *heard) RemoteAvoid(_, _ string, d time.Duration) {
+	if h.stands {
+		time.Sleep(d)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.avoids++
@@ -168,6 +173,35 @@
 		Expect(n).To(BeNumerically("<=", mostBytes))
 	})
 
+	// A VM is suspended for seconds. What the others did meanwhile waits in its socket,
+	// begins and ends of reads together, as if none had taken any time.
+	It("learn nothing of reads from datagrams that waited", func() {
+		told := newHeard()
+		told.stands = true
+		r, err := peers.New(peers.Config{Name: "f-2", Start: rand.Uint64(), Address: "127.0.0.1:0"}, told)
+		Expect(err).NotTo(HaveOccurred())
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go func() { _ = r.Receive(ctx) }()
+		p, err := peers.New(peers.Config{Name: "f-1", Start: rand.Uint64(), Address: "127.0.0.1:0"}, newHeard())
+		Expect(err).NotTo(HaveOccurred())
+		p.Set(map[string]netip.AddrPort{"f-2": r.Addresses()["f-2"]})
+		p.JoinGroup(1)
+		read := func(id place.JobID) {
+			p.Placed(place.Placement{ID: id, Plan: place.Plan{Reader: "i-p", Decoder: "i-p"}})
+			p.ReadDone(id)
+		}
+		p.Avoid("llm", "i-1", 1500*time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		read(1)
+		Eventually(told.avoided).WithTimeout(5 * time.Second).Should(Equal(1))
+		read(2)
+		Eventually(func() int { _, read, _ := told.jobs(); return read }).Should(Equal(1))
+		placed, _, ended := told.jobs()
+		Expect(placed).To(Equal(1))
+		Expect(ended).To(Equal(1))
+	})
+
 	// A datagram is lost, or a gateway was not there yet. It is told again by any of the
 	// others until all know it.
 	It("tell that servers ended to all at once, and to some again", func() {
