sharedstate: the test of silent connections uses every connection it opened

Cause, in the test: four readers start together. The HTTP client dials for each, but hands a reader the first connection that is free, so a dialled connection may never carry a request. The test called silent only those that had carried one, and the read took the unused one. The product was right to succeed.

--- a/internal/sharedstate/sharedstate_test.go
+++ b/internal/sharedstate/sharedstate_test.go
@@ -158,14 +158,23 @@
 	// nothing arrives on them any more, while new ones work. A client that
 	// keeps to its open connections sees an outage that nobody else has.
 	It("opens a new connection after a timeout", func() {
+		const readers = 4
+		var hang, healed atomic.Bool
 		var silent sync.Map
-		var hang atomic.Bool
+		// Readers meet, so that each has a connection and none is left unused.
+		var met sync.WaitGroup
+		met.Add(readers)
 		done := make(chan struct{})
 		client := serve(func(w http.ResponseWriter, r *http.Request) {
-			if !hang.Load() {
+			if !healed.Load() {
 				silent.Store(r.RemoteAddr, true)
 			}
-			if _, old := silent.Load(r.RemoteAddr); old && hang.Load() {
+			_, old := silent.Load(r.RemoteAddr)
+			switch {
+			case !hang.Load():
+				met.Done()
+				met.Wait()
+			case old:
 				<-done
 				return
 			}
@@ -176,13 +185,14 @@
 			_, err := client.Get(context.Background(), name)
 			return err
 		}
-		var readers sync.WaitGroup
-		for n := range 4 {
-			readers.Go(func() { _ = read(string(rune('a' + n))) })
+		var reading sync.WaitGroup
+		for n := range readers {
+			reading.Go(func() { _ = read(string(rune('a' + n))) })
 		}
-		readers.Wait()
+		reading.Wait()
 		hang.Store(true)
 		Expect(read("x")).NotTo(Succeed())
+		healed.Store(true)
 		Expect(read("x")).To(Succeed())
 	})
 })
