Place: long prompts are let in half as often as all, also in bursts that last

Cause: a prompt is let in if wait and own read end within 0.85 of the objective. In a burst short prompts fill the wait up to what they themselves bear (142 ms at the median refusal of the shortest), and a long one, which needs 46 ms to be read, bears 124.

Change: each gateway counts by route how many of the longest tenth, of the next quarter and of all it was asked to let in and did, with a half-life of 20 s. A long prompt that would be refused as late is let in while its kind has less than 0.55 of the share of all, if it can still be answered. Line and counter say so (admitted_by_size).

--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -20,8 +20,8 @@
 	// The rest is for the stream itself: a longer prompt would be read for an
 	// answer that its deadline cuts.
 	latePart = 0.6
-	// hopeless is the chance of missing the deadline above which an answer is refused.
-	hopeless = 0.97
+	// hopelessMiss is the chance of missing the deadline above which an answer is refused.
+	hopelessMiss = 0.97
 	// leastRetryAfter and maxRetryPart bound what a refused caller is told:
 	// callers keep to a third of the time that they have left.
 	leastRetryAfter = 100 * time.Millisecond
@@ -58,6 +58,8 @@
 	Priority int
 	// RetryAfter is when a refused caller may come back.
 	RetryAfter time.Duration
+	// BySize says that it is let in because prompts of its length were too seldom.
+	BySize bool
 }
 
 // admit decides whether a planned request is let in.
@@ -68,19 +70,27 @@
 // that is worth nothing; one notices by engines that read at full speed while
 // no answer is in time, and it does not end when the cause does.
 func admit(p Plan, u Urgency, refusals float64) Admission {
-	if p.Miss > hopeless && !u.Committed {
+	if p.hopeless(u) {
 		return Admission{RetryAfter: part(maxRetryPart, u.Left)}
 	}
 	expected := p.Expected()
 	if expected <= part(inTimePart, u.Objective) || !p.Learned {
 		return Admission{Admit: true, Priority: OnTimePriority}
 	}
-	if p.Wait+p.Lag <= part(lateWaitPart, u.Left) && expected <= part(latePart, u.Left) {
+	if p.Wait+p.Lag <= part(lateWaitPart, u.Left) && p.canEnd(u) {
 		return Admission{Admit: true, Priority: latePriority(p)}
 	}
 	return Admission{RetryAfter: max(leastRetryAfter, comeBack(expected, u, refusals))}
 }
 
+// hopeless reports whether the answer would miss its deadline.
+func (p Plan) hopeless(u Urgency) bool { return p.Miss > hopelessMiss && !u.Committed }
+
+// canEnd reports whether a late first token leaves time for the answer.
+func (p Plan) canEnd(u Urgency) bool {
+	return !p.hopeless(u) && p.Expected() <= part(latePart, u.Left)
+}
+
 // latePriority is the priority of a prompt that cannot be in time. A short one does
 // not go behind the others: it costs them next to nothing, and in a burst, in which
 // engines always have something more urgent to read, it would wait until its caller
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -64,6 +64,8 @@
 	Prompt request.Prompt
 	// DataCentre is the entry's.
 	DataCentre string
+	// Route is the name of the route that it came by.
+	Route string
 	// Exclude names engines that refused or failed the request.
 	Exclude func(id string) bool
 	// Group is the entry's.
@@ -131,6 +133,8 @@
 	misses misses
 	// refusals is the part of the requests that was refused lately.
 	refusals float64
+	// sizes is how prompts of each length fare.
+	sizes sizesByRoute
 	// restored is what another process has learned of engines.
 	restored map[string]EngineState
 	// perToken is the transfer time of one token's KV cache.
@@ -147,6 +151,7 @@
 	return &Fleet{
 		engines: make(map[string]*engine),
 		jobs:    make(map[JobID]*job),
+		sizes:   make(sizesByRoute),
 		readings: map[backend.Role]*predict.Reading{
 			backend.Prefill: predict.NewReading(1), backend.Decode: predict.NewReading(decodeSlowness),
 		},
@@ -195,7 +200,7 @@
 	f.forgetOverdue(now)
 	for _, s := range planScopes {
 		if p, ok := f.plan(now, j, u, s); ok {
-			a := admit(p, u, f.refusals)
+			a := f.admitBySize(now, j, p, u, admit(p, u, f.refusals))
 			f.countRefusal(!a.Admit)
 			return p, a, true
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,9 @@
 		off := c.trace.first - c.trace.placed - expected
 		metrics.GetOrRegisterTimer("gateway.expected_off."+kind, nil).Update(max(off, -off))
 	}
+	if c.trace.bySize {
+		metrics.GetOrRegisterCounter("gateway.admitted_by_size", nil).Inc(1)
+	}
 	if c.sends > 1 {
 		metrics.GetOrRegisterCounter("gateway.repeated_sends", nil).Inc(int64(c.sends - 1))
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -29,6 +29,7 @@
 	job := place.Job{
 		ID:         jobID(c.request.ID),
 		Prompt:     c.request.Prompt,
+		Route:      c.route.Name,
 		DataCentre: g.deployment.Load().DataCentre,
 		Exclude:    func(server string) bool { return c.refusedBy[server] },
 	}
@@ -46,7 +47,7 @@
 			last = verdict.Refused(verdict.CodeOverloaded, "the answer would come too late", admission.RetryAfter)
 			break
 		}
-		c.priority = admission.Priority
+		c.priority, c.trace.bySize = admission.Priority, admission.BySize
 		err := c.runPlan(plan, job)
 		if err == nil {
 			return
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -32,6 +32,8 @@
 	// plan is where the prompt went, prefill how long its reading took there.
 	plan    place.Plan
 	prefill time.Duration
+	// bySize says that the prompt was let in for its length.
+	bySize bool
 	// placed is how long after the request came the plan was made.
 	placed time.Duration
 	// events counts those that were passed on.
@@ -171,6 +173,9 @@
 		fields["length"], fields["answer_cost_ms"] = c.request.Prompt.Output, p.Answer.Milliseconds()
 		fields["prefill_ms"], fields["learned"] = c.trace.prefill.Milliseconds(), p.Learned
 		fields["patience_ms"], fields["events"] = c.deadline.Sub(c.received).Milliseconds(), c.trace.events
+		if c.trace.bySize {
+			fields["admitted_by_size"] = true
+		}
 		if c.request.LastEventID != "" {
 			fields["resumed_after"] = c.request.LastEventID
 		}
