Quarantine: servers that are lost together do not fill what is noted of a request

A rack that is lost under it fills them, with ends that count once, and later ends were not noted: the request would go on ending servers until it was cleared or ten minutes had passed.

Now one end too many drops the first that does not count, the oldest if all do. The spec failed before: three ends in sequence after twelve at one moment did not refuse.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -124,14 +124,27 @@
 		}
 		r.ended[i].Began = e.Began
 		return true
-	case !e.At.After(r.clearedAt) || len(r.ended) >= mostInstances:
+	case !e.At.After(r.clearedAt):
 		return false
 	}
 	r.ended = append(r.ended, e)
 	slices.SortFunc(r.ended, func(a, b Evidence) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Instance.ID, b.Instance.ID))
 	})
-	return true
+	return r.bound() != e.Instance
+}
+
+// bound drops one end if there are too many, and returns its instance: the first one
+// that does not count, the oldest if all do.
+func (r *record) bound() Instance {
+	if len(r.ended) <= mostInstances {
+		return Instance{}
+	}
+	counted := r.inSequence()
+	i := slices.IndexFunc(r.ended, func(e Evidence) bool { return !slices.Contains(counted, e) })
+	dropped := r.ended[max(0, i)].Instance
+	r.ended = slices.Delete(r.ended, max(0, i), max(0, i)+1)
+	return dropped
 }
 
 // Standing returns what is known of a request.
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -79,6 +79,19 @@
 		Expect(l.Standing(at(1), 1).Suspect()).To(BeTrue())
 	})
 
+	// Guards against a rack that was lost under it, with all that is noted of a request,
+	// keeping later ends from being noted.
+	It("is refused once three have ended after a rack was lost under it", func() {
+		l := quarantine.New()
+		for i := range 12 {
+			l.Add(at(1), ended(1, "rack"+strconv.Itoa(i), 0.01*float64(i)))
+		}
+		for i := range 3 {
+			l.Add(at(9), ended(1, "later"+strconv.Itoa(i), 1+float64(i)))
+		}
+		Expect(l.Standing(at(9), 1).Refuse).To(BeTrue())
+	})
+
 	It("is let in again when the evidence is old", func() {
 		l := quarantine.New()
 		for i := range 3 {
