--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
@@ -25,3 +29,26 @@
 		t.Errorf("may have run: objective %v, want 4s", u.Objective)
 	}
 }
+
+// Guards against a request that is refused at its second send being counted twice.
+func TestQuarantinedRequestsAreCountedOnce(t *testing.T) {
+	g := &Gateway{endings: newEndings()}
+	c := &call{gateway: g, identity: 1, deadline: time.Now().Add(time.Minute)}
+	for i := range quarantine.Limit {
+		ended := time.Now().Add(time.Duration(i) * time.Second)
+		g.endings.list.Add(time.Now(), quarantine.Evidence{
+			Request: 1, Instance: quarantine.Instance{ID: strconv.Itoa(i)}, Began: ended.Add(-time.Millisecond), At: ended,
+		})
+	}
+	counter := metrics.GetOrRegisterCounter("gateway.requests_quarantined", nil)
+	before := counter.Count()
+	for range 2 {
+		if c.examine() == nil {
+			t.Fatal("not refused")
+		}
+	}
+	g.observe(c)
+	if counted := counter.Count() - before; counted != 1 {
+		t.Errorf("counted %d times", counted)
+	}
+}
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -54,7 +54,7 @@
 	running map[request.Fingerprint]struct{}
 	share   Share
 
-	ended, refused metrics.Counter
+	ended metrics.Counter
 }
 
 func newEndings() *endings {
@@ -64,7 +64,6 @@
 		running: make(map[request.Fingerprint]struct{}),
 		share:   noShare{},
 		ended:   metrics.GetOrRegisterCounter("gateway.servers_ended_under_requests", nil),
-		refused: metrics.GetOrRegisterCounter("gateway.requests_quarantined", nil),
 	}
 }
 
@@ -254,7 +253,6 @@
 	if !c.standing.Refuse {
 		return nil
 	}
-	e.refused.Inc(1)
 	return verdict.Refused(verdict.CodeQuarantined, "servers ended under this request: "+c.endedServers(), c.standing.RetryAfter)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,9 @@
 		off := c.trace.first - c.trace.placed - expected
 		metrics.GetOrRegisterTimer("gateway.expected_off."+kind, nil).Update(max(off, -off))
 	}
+	if c.standing.Refuse {
+		metrics.GetOrRegisterCounter("gateway.requests_quarantined", nil).Inc(1)
+	}
 	if c.trace.bySize {
 		metrics.GetOrRegisterCounter("gateway.admitted_by_size", nil).Inc(1)
 	}
