Roles: engines change together while a role has at most half of its engines

At 24 s one of eight engines reads. Changes of busy engines are made one at a time, ten seconds apart, and one takes ten seconds, as running answers end first: orders at 21.0, 33.9 and 46.2 s.

Now a quarter of the engines may change together while the role that they join has at most half of what it should have. Else one at a time, as before; its spec is untouched. New specs failed before (one order in place of two).

--- a/internal/decide/roles/budget.go
+++ b/internal/decide/roles/budget.go
@@ -10,6 +10,8 @@
 	// requestsPerMove pay for one change: it costs as much as some answers, and a
 	// fleet that is off its share loses a few in a hundred.
 	requestsPerMove = 200
+	// mostAway is the part of the fleet that may change its role together.
+	mostAway = 0.25
 )
 
 // Afford returns the first of the changes that Decide wants, as many as the
@@ -24,3 +26,21 @@
 	needed := leastDecode - count(engines, backend.Decode)
 	return moves[:min(len(moves), max(0, paid, needed))]
 }
+
+// AtOnce returns the first of the changes that Decide wants, as many as may be made
+// together while engines have work: one, or a part of the fleet if the role that
+// they join has at most half of its engines.
+//
+// It answers the replacement of many engines. The new ones start in a role of their
+// own, and each change waits until the answers of its engine have ended: one at a
+// time, a fleet whose readers were replaced is short of them for a minute.
+func AtOnce(engines []Engine, moves []Move) []Move {
+	most := 1
+	if len(moves) > 0 {
+		have := count(engines, moves[0].Role)
+		if 2*have <= have+len(moves) {
+			most = max(most, int(mostAway*float64(len(engines))))
+		}
+	}
+	return moves[:min(len(moves), most)]
+}
--- a/internal/decide/roles/roles_test.go
+++ b/internal/decide/roles/roles_test.go
@@ -101,6 +101,27 @@
 	})
 })
 
+var _ = Describe("AtOnce", func() {
+	atOnce := func(prefill, decode int, share float64) []roles.Move {
+		engines := fleet(prefill, decode, 4)
+		return roles.AtOnce(engines, roles.Decide(engines, share))
+	}
+
+	It("changes busy engines one at a time", func() {
+		Expect(atOnce(5, 7, 0.4)).To(HaveLen(1))
+		Expect(atOnce(7, 5, 0.4)).To(BeEmpty())
+	})
+
+	// Guards against a fleet whose readers were replaced by engines that generate
+	// being short of them for as long as several changes take one after the other.
+	It("changes a quarter of them while a role has at most half of its engines", func() {
+		Expect(atOnce(1, 7, 0.5)).To(HaveLen(2))
+		Expect(atOnce(2, 6, 0.5)).To(HaveLen(2))
+		Expect(atOnce(10, 50, 0.4)).To(HaveLen(15))
+		Expect(atOnce(0, 3, 0.7)).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("Decide, on engines that differ", func() {
 	paced := func(slowness ...float64) []roles.Engine {
 		list := fleet(0, len(slowness), 4)
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -62,8 +62,8 @@
 	View   func() *directory.View
 	// Rank is this gateway's place among those that may give orders, 0 first.
 	Rank func() int
-	// Busy returns the work at an engine; any work at all means that changes
-	// are made one at a time.
+	// Busy returns the work at an engine; any work at all means that few changes
+	// are made together.
 	Busy func(service, engine string) int
 	// Pace returns how slow an engine is.
 	Pace func(service, engine string) roles.Pace
@@ -156,8 +156,8 @@
 		if busy && r.resting(engines, now) {
 			continue
 		}
-		if busy && len(moves) > 1 {
-			moves = moves[:1]
+		if busy {
+			moves = roles.AtOnce(engines, moves)
 		}
 		all = append(all, roles.Afford(engines, moves, r.config.Requests(name), r.made[name])...)
 	}
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -181,6 +181,18 @@
 		Expect(w.orders()).To(Equal(2))
 	})
 
+	// Guards against a role staying short for as long as several changes take one after
+	// the other, after its engines were replaced.
+	It("changes busy engines together while a role has at most half of its engines", func() {
+		w := newWorld(1, 7)
+		w.work = 1
+		r := w.reconciler(0)
+		w.pass(r, 5*time.Second)
+		Expect(w.orders()).To(Equal(2))
+		w.pass(r, 4*time.Second)
+		Expect(w.orders()).To(Equal(2))
+	})
+
 	It("gives no order while another process holds the lease", func() {
 		w := newWorld(5, 7)
 		w.held = true
