--- a/internal/decide/place/misses.go
+++ b/internal/decide/place/misses.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
@@ -31,7 +30,7 @@
 
 func (m *misses) fade(now time.Time) {
 	if passed := now.Sub(m.at); passed > 0 {
-		left := math.Exp2(-float64(passed) / float64(missesHalfLife))
+		left := predict.Left(passed, missesHalfLife)
 		m.all *= left
 		m.missed *= left
 		m.at = now
--- a/internal/decide/place/size.go
+++ b/internal/decide/place/size.go
@@ -1,8 +1,9 @@
 package place
 
 import (
-	"math"
 	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/predict"
 )
 
 const (
@@ -74,7 +75,7 @@
 	if passed <= 0 {
 		return
 	}
-	left := math.Exp2(-float64(passed) / float64(shareHalfLife))
+	left := predict.Left(passed, shareHalfLife)
 	r.all.fade(left)
 	for i := range r.long {
 		r.long[i].fade(left)
--- a/internal/decide/predict/lag.go
+++ b/internal/decide/predict/lag.go
@@ -1,9 +1,6 @@
 package predict
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// lagGain is the part that each value adds to a Lag.
@@ -37,7 +34,7 @@
 
 func (l *Lag) fade(now time.Time) {
 	if passed := now.Sub(l.at); passed > 0 {
-		l.value *= math.Exp2(-float64(passed) / float64(lagHalfLife))
+		l.value *= Left(passed, lagHalfLife)
 		l.at = now
 	}
 }
