Place: a prompt without length does not teach what a long one is

First matter (SHORT), found in the reading of the change: the lengths that count as long move by parts of themselves, and a first prompt without length left them at 0. Then all prompts were long, and none was let in for its length.

--- a/internal/decide/place/size.go
+++ b/internal/decide/place/size.go
@@ -115,6 +115,9 @@
 // enough for them, so that there is never time for a long one: its caller is refused
 // whenever it comes. One notices by refusals that grow with the length of the prompt.
 func (f *Fleet) admitBySize(now time.Time, j Job, p Plan, u Urgency, a Admission) Admission {
+	if j.Prompt.Tokens <= 0 {
+		return a
+	}
 	tokens := float64(j.Prompt.Tokens)
 	r := f.sizes.of(now, j.Route, tokens)
 	class := r.class(tokens)
--- a/internal/decide/place/size_test.go
+++ b/internal/decide/place/size_test.go
@@ -155,3 +155,16 @@
 		Expect(a.Admit).To(BeFalse())
 	}
 }
+
+// Guards against a route whose first prompt has no length calling all others long: then
+// none of them is let in for its length.
+func TestLongPromptsAreKnownAfterOneWithoutLength(t *testing.T) {
+	RegisterTestingT(t)
+	p := &readPlay{fleet: taught(4, 2), rng: rand.New(rand.NewPCG(2, 53)), now: start, free: map[string]time.Time{}}
+	p.fleet.Plan(p.now, place.Job{ID: 1 << 40, Route: "checks"}, patient)
+	p.arrive(5*time.Second, 150)
+	p.arrive(8*time.Second, 900)
+	p.pass(p.now.Add(2 * time.Second))
+	longest, _, all := servedOf(p.all)
+	Expect(longest).To(BeNumerically(">=", all/2))
+}
