Directory: what ends an outage of the store for one ends the pauses of all

Cause: the configuration and the servers are read by duties that pause by themselves, for up to 0.6 s, after each failure; one that had the store back did not tell the other, and what another gateway confirmed did not end a pause. Class of fault: each part backs off from one dependency by what it alone has seen.

Now the end of an outage seen by one duty, or the first confirmation of another gateway after none for 1.5 s, ends the pauses of both. A gateway cut off from the store alone hears confirmations all the while, so that it asks once more and then pauses as before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -47,6 +47,8 @@
 	OnEntry func(Change)
 
 	configWake, serversWake chan struct{}
+	// configRetry and serversRetry end a pause after a failed read.
+	configRetry, serversRetry chan struct{}
 
 	// OnChange is called after each change of the servers or the configuration,
 	// if set.
@@ -62,8 +64,10 @@
 		kinds: kinds,
 		state: newState(d),
 
-		configWake:  make(chan struct{}, 1),
-		serversWake: make(chan struct{}, 1),
+		configWake:   make(chan struct{}, 1),
+		serversWake:  make(chan struct{}, 1),
+		configRetry:  make(chan struct{}, 1),
+		serversRetry: make(chan struct{}, 1),
 
 		failures: metrics.GetOrRegisterCounter("directory.store_failures", nil),
 		dropped:  metrics.GetOrRegisterCounter("directory.histories_dropped", nil),
@@ -89,6 +93,7 @@
 		confirm: func(at time.Time) { d.state.confirmConfig(at) },
 		lacks:   func() bool { return d.state.view.OutOfDate() },
 		wake:    d.configWake,
+		retry:   d.configRetry,
 	})
 }
 
@@ -108,6 +113,7 @@
 		lacks:   func() bool { return d.state.serversWanted > d.state.serversKnown },
 		sawAll:  func(at int64) { d.state.sawAll(at) },
 		wake:    d.serversWake,
+		retry:   d.serversRetry,
 		confirm: func(at time.Time) { d.state.confirmServers(at) },
 		lost:    func() { d.state.lost() },
 	})
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -44,6 +44,8 @@
 	// lacks reports whether others know a newer change; wake asks to look.
 	lacks func() bool
 	wake  chan struct{}
+	// retry ends the pause after a failed read.
+	retry chan struct{}
 
 	// at is the revision to watch from.
 	at int64
@@ -73,11 +75,28 @@
 		} else {
 			d.failed(f, err)
 		}
-		pause.For(ctx, f.pauses.Next(random))
+		d.waitRetry(ctx, f, f.pauses.Next(random))
 	}
 	return ctx.Err()
 }
 
+// waitRetry waits after a failed read, for less if the store is known to answer again.
+func (d *Directory) waitRetry(ctx context.Context, f *follower, longest time.Duration) {
+	select {
+	case <-f.retry:
+		// From before the failure.
+	default:
+	}
+	pause.Until(ctx, longest, f.retry)
+}
+
+// storeAnswers ends the pauses of all kinds. Each would go on for up to longestPause
+// while requests are refused, though one kind, or another gateway, has the store back.
+func (d *Directory) storeAnswers() {
+	d.wake(d.configRetry)
+	d.wake(d.serversRetry)
+}
+
 // listAndWatch returns nil once other gateways' watches stand in for its own.
 func (d *Directory) listAndWatch(ctx context.Context, f *follower) error {
 	if err := d.list(ctx, f); err != nil {
@@ -199,6 +218,7 @@
 	if f.down {
 		f.down = false
 		log.WithField("kind", f.kind).Info("store regained")
+		d.storeAnswers()
 	}
 }
 
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -80,6 +80,9 @@
 		d.wake(d.serversWake)
 	}
 	at := now.Add(-c.Age)
+	if at.Sub(s.relayedAt) >= coverFor {
+		d.storeAnswers()
+	}
 	s.relayedAt = later(s.relayedAt, at)
 	if c.ConfigRevision == s.view.TableRevision {
 		s.view.TableAt = later(s.view.TableAt, at)
--- a/internal/directory/told_test.go
+++ b/internal/directory/told_test.go
@@ -224,3 +224,43 @@
 		}
 	})
 }
+
+// Guards against a gateway that has read the configuration after an outage of the store,
+// and refuses all requests while it pauses before it reads the servers.
+func TestStoreThatAnswersForOneKindIsAskedForTheOther(t *testing.T) {
+	both := func(d *Directory, ctx context.Context) error {
+		go func() { _ = d.FollowServers(ctx) }()
+		return d.FollowConfig(ctx)
+	}
+	for range 20 {
+		s := &holdingBack{revision: 1, away: true}
+		followed(t, s, both, func(*Directory) {
+			time.Sleep(5 * time.Second)
+			s.set(false, false)
+			time.Sleep(longestPause)
+			lists := s.listTimes()
+			if len(lists) != 2 || lists[1].After(lists[0]) {
+				t.Fatalf("lists at %v, want two together", lists)
+			}
+		})
+	}
+}
+
+// Guards against a gateway that pauses after an outage of the store while others confirm
+// that it answers again.
+func TestStoreThatAnswersOthersIsAskedAtOnce(t *testing.T) {
+	for range 20 {
+		s := &holdingBack{revision: 1, away: true}
+		followed(t, s, (*Directory).FollowConfig, func(d *Directory) {
+			time.Sleep(5 * time.Second)
+			s.set(false, false)
+			told := time.Now()
+			d.Relayed(told, Confirmation{ConfigRevision: 1})
+			time.Sleep(longestPause)
+			lists := s.listTimes()
+			if len(lists) == 0 || lists[0].After(told) {
+				t.Fatalf("lists at %v, told at %v", lists, told)
+			}
+		})
+	}
+}
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -9,12 +9,17 @@
 )
 
 // For waits for d and reports whether ctx still holds.
-func For(ctx context.Context, d time.Duration) bool {
+func For(ctx context.Context, d time.Duration) bool { return Until(ctx, d, nil) }
+
+// Until waits for d, or less if a signal comes, and reports whether ctx still holds.
+func Until(ctx context.Context, d time.Duration, signal <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
+	case <-signal:
+		return true
 	case <-ctx.Done():
 		return false
 	}
