Gateway: callers return late while the store answers no gateway

Cause: one time to come back for all reasons why no configuration is known. Now, if the last read of the store failed and no other gateway has named a configuration, it is a third of what the caller waits, as late as callers return, two seconds at most. A gateway that has just started, or is cut off alone, says 0.3 s as before.

The spec failed before (0.30 for 0.67).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -54,6 +54,9 @@
 	// if set.
 	OnChange func(*View)
 
+	// storeLost says that the last read of the store failed.
+	storeLost atomic.Bool
+
 	failures, dropped, early metrics.Counter
 }
 
@@ -80,6 +83,9 @@
 // View returns what is known now.
 func (d *Directory) View() *View { return d.view.Load() }
 
+// StoreLost reports whether the last read of the store failed.
+func (d *Directory) StoreLost() bool { return d.storeLost.Load() }
+
 // FollowConfig keeps the configuration up to date until ctx ends.
 func (d *Directory) FollowConfig(ctx context.Context) error {
 	return d.follow(ctx, &follower{
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -215,6 +215,7 @@
 }
 
 func (d *Directory) answered(f *follower) {
+	d.storeLost.Store(false)
 	if f.down {
 		f.down = false
 		log.WithField("kind", f.kind).Info("store regained")
@@ -223,6 +224,7 @@
 }
 
 func (d *Directory) failed(f *follower, err error) {
+	d.storeLost.Store(true)
 	d.failures.Inc(1)
 	if f.lost != nil {
 		d.locked(f.lost)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -453,3 +453,24 @@
 		Eventually(func() int { return w.ask(http.MethodPost, "/stream-once/1", "r1").status }).Should(Equal(http.StatusOK))
 	})
 })
+
+var _ = Describe("a gateway that knows no configuration", func() {
+	// Guards against callers who spend their one return within the outage that is the
+	// reason for their refusal.
+	It("asks its callers back late while the store answers nobody, and soon otherwise", func() {
+		w := newWorld()
+		Expect(w.ask("GET", "/read/x", "r1").header.Get("Retry-After")).To(Equal("0.30"))
+		w.store.SetFaults(objectstore.Faults{Refuse: true})
+		w.follow()
+		Eventually(w.dir.StoreLost).Should(BeTrue())
+		refused := w.ask("GET", "/read/x", "r2")
+		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.header.Get("Retry-After")).To(Equal("0.67"))
+		Expect(w.ask("GET", "/read/x", "r3", "Deadline-Ms", "60000").header.Get("Retry-After")).To(Equal("2.00"))
+		w.dir.Relayed(time.Now(), directory.Confirmation{ConfigRevision: 1})
+		Expect(w.ask("GET", "/read/x", "r4").header.Get("Retry-After")).To(Equal("0.30"))
+		w.store.SetFaults(objectstore.Faults{})
+		w.configure("1")
+		Eventually(func() bool { return w.dir.View().Table != nil && !w.dir.StoreLost() }).Should(BeTrue())
+	})
+})
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -22,6 +22,12 @@
 	// unknownRetry is when a caller may come back while this process knows no
 	// configuration, or cannot tell whether a route exists.
 	unknownRetry = 300 * time.Millisecond
+	// longestUnknownRetry is when a caller may come back at the latest while the store
+	// answers nobody.
+	longestUnknownRetry = 2 * time.Second
+	// retryPart is the part of their time, one in so many, for which callers wait before
+	// they come back.
+	retryPart = 3
 	// defaultConfigApply is how long a confirmed configuration may take to be in
 	// force where the operators name no bound.
 	defaultConfigApply = 2 * time.Second
@@ -106,7 +112,7 @@
 	g := c.gateway
 	c.view = g.directory.View()
 	if c.view.Table == nil {
-		c.refuse(http.StatusServiceUnavailable, verdict.Refused(verdict.CodeStore, "no configuration yet", unknownRetry))
+		c.refuse(http.StatusServiceUnavailable, verdict.Refused(verdict.CodeStore, "no configuration yet", c.unconfiguredRetry(r)))
 		return false
 	}
 	route, ok := c.view.Table.Match(r.Host, pathOf(r.RequestURI))
@@ -129,6 +135,22 @@
 	return true
 }
 
+// unconfiguredRetry is when the caller may come back to a gateway that knows no
+// configuration. While the store answers no gateway, that is as late as the caller
+// would: such an outage lasts for seconds, and a caller who returns within it is
+// refused for good.
+func (c *call) unconfiguredRetry(r *http.Request) time.Duration {
+	if c.view.TableTold > 0 || !c.gateway.directory.StoreLost() {
+		return unknownRetry
+	}
+	req, err := c.gateway.dialect.Request(r, c.received)
+	if err != nil {
+		return unknownRetry
+	}
+	c.request = req
+	return min(max(unknownRetry, c.patience()/retryPart), longestUnknownRetry)
+}
+
 // unknownRoute answers a request that no route takes. If the store has not
 // confirmed the configuration within the operators' bound, or another gateway has a
 // newer one, the route may have been added since: a caller who is told that there is
