--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -71,7 +71,7 @@
 // no answer is in time, and it does not end when the cause does.
 func admit(p Plan, u Urgency, refusals float64) Admission {
 	if p.hopeless(u) {
-		return Admission{RetryAfter: part(maxRetryPart, u.Left)}
+		return Admission{RetryAfter: LatestReturn(u.Left)}
 	}
 	expected := p.Expected()
 	if expected <= part(inTimePart, u.Objective) || !p.Learned {
@@ -109,12 +109,16 @@
 // burst lasts for seconds: callers who return within it are refused once more,
 // and for good. They are told to come as late as they would.
 func comeBack(expected time.Duration, u Urgency, refusals float64) time.Duration {
-	latest := part(maxRetryPart, u.Left)
+	latest := LatestReturn(u.Left)
 	soon := min(expected-max(0, u.Objective), latest)
 	lasts := refusals / lastingRefusals
 	return soon + part(min(1, lasts*lasts), latest-soon)
 }
 
+// LatestReturn is when a refused caller returns at the latest, by the time that it has
+// left.
+func LatestReturn(left time.Duration) time.Duration { return part(maxRetryPart, left) }
+
 func part(of float64, d time.Duration) time.Duration {
 	return time.Duration(of * float64(d))
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -25,9 +26,6 @@
 	// longestUnknownRetry is when a caller may come back at the latest while the store
 	// answers nobody.
 	longestUnknownRetry = 2 * time.Second
-	// retryPart is the part of their time, one in so many, for which callers wait before
-	// they come back.
-	retryPart = 3
 	// defaultConfigApply is how long a confirmed configuration may take to be in
 	// force where the operators name no bound.
 	defaultConfigApply = 2 * time.Second
@@ -148,7 +146,7 @@
 		return unknownRetry
 	}
 	c.request = req
-	return min(max(unknownRetry, c.patience()/retryPart), longestUnknownRetry)
+	return min(max(unknownRetry, place.LatestReturn(c.patience())), longestUnknownRetry)
 }
 
 // unknownRoute answers a request that no route takes. If the store has not
