--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -33,6 +33,15 @@
 	Role    Role
 }
 
+// Instance is one start of a server.
+type Instance struct {
+	ID          string
+	Incarnation int64
+}
+
+// Instance returns the start that the server's entry is of.
+func (s Server) Instance() Instance { return Instance{ID: s.ID, Incarnation: s.Incarnation} }
+
 // Load is what a server says of its work.
 type Load struct {
 	Running, Waiting, Slots int
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -19,6 +19,7 @@
 	"slices"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
 
@@ -38,23 +39,17 @@
 	tellFor = 3 * time.Second
 )
 
-// Instance is one start of a backend server.
-type Instance struct {
-	ID          string
-	Incarnation int64
-}
-
 // Evidence says that an instance ended while it ran a request. Of the zero Instance it
 // says that the request ended well.
 type Evidence struct {
 	Request  request.Fingerprint
-	Instance Instance
+	Instance backend.Instance
 	// Began is when the request was sent there, At when its end was seen.
 	Began, At time.Time
 }
 
 // endedWell reports whether it clears the request.
-func (e Evidence) endedWell() bool { return e.Instance == Instance{} }
+func (e Evidence) endedWell() bool { return e.Instance == backend.Instance{} }
 
 // Standing is what the evidence says of a request.
 type Standing struct {
@@ -136,9 +131,9 @@
 
 // bound drops one end if there are too many, and returns its instance: the first one
 // that does not count, the oldest if all do.
-func (r *record) bound() Instance {
+func (r *record) bound() backend.Instance {
 	if len(r.ended) <= mostInstances {
-		return Instance{}
+		return backend.Instance{}
 	}
 	counted := r.inSequence()
 	i := slices.IndexFunc(r.ended, func(e Evidence) bool { return !slices.Contains(counted, e) })
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
@@ -23,7 +24,7 @@
 func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 
 func ended(f request.Fingerprint, server string, s float64) quarantine.Evidence {
-	return quarantine.Evidence{Request: f, Instance: quarantine.Instance{ID: server, Incarnation: 1}, Began: at(s - 0.1), At: at(s)}
+	return quarantine.Evidence{Request: f, Instance: backend.Instance{ID: server, Incarnation: 1}, Began: at(s - 0.1), At: at(s)}
 }
 
 func well(f request.Fingerprint, s float64) quarantine.Evidence {
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
@@ -37,7 +38,7 @@
 	for i := range quarantine.Limit {
 		ended := time.Now().Add(time.Duration(i) * time.Second)
 		g.endings.list.Add(time.Now(), quarantine.Evidence{
-			Request: 1, Instance: quarantine.Instance{ID: strconv.Itoa(i)}, Began: ended.Add(-time.Millisecond), At: ended,
+			Request: 1, Instance: backend.Instance{ID: strconv.Itoa(i)}, Began: ended.Add(-time.Millisecond), At: ended,
 		})
 	}
 	counter := metrics.GetOrRegisterCounter("gateway.requests_quarantined", nil)
--- a/internal/gateway/endings.go
+++ b/internal/gateway/endings.go
@@ -49,7 +49,7 @@
 	list *quarantine.List
 	// pending are the requests whose connections broke at an instance of which it is
 	// not known yet whether it ended, with when they were sent there.
-	pending map[quarantine.Instance]map[request.Fingerprint]time.Time
+	pending map[backend.Instance]map[request.Fingerprint]time.Time
 	// running are the requests under suspicion that run at a server now.
 	running map[request.Fingerprint]struct{}
 	share   Share
@@ -60,7 +60,7 @@
 func newEndings() *endings {
 	return &endings{
 		list:    quarantine.New(),
-		pending: make(map[quarantine.Instance]map[request.Fingerprint]time.Time),
+		pending: make(map[backend.Instance]map[request.Fingerprint]time.Time),
 		running: make(map[request.Fingerprint]struct{}),
 		share:   noShare{},
 		ended:   metrics.GetOrRegisterCounter("gateway.servers_ended_under_requests", nil),
@@ -74,22 +74,18 @@
 	return e.list.Len() == 0
 }
 
-func instanceOf(s backend.Server) quarantine.Instance {
-	return quarantine.Instance{ID: s.ID, Incarnation: s.Incarnation}
-}
-
 // broke notes that a request's connection to a server broke. It returns true if it is
 // the first for that start of the server, which then is to be watched.
 func (e *endings) broke(s backend.Server, f request.Fingerprint, began time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	requests, ok := e.pending[instanceOf(s)]
+	requests, ok := e.pending[s.Instance()]
 	if !ok {
 		if len(e.pending) >= mostPending {
 			return false
 		}
 		requests = make(map[request.Fingerprint]time.Time)
-		e.pending[instanceOf(s)] = requests
+		e.pending[s.Instance()] = requests
 	}
 	if len(requests) < mostPendingRequests && began.After(requests[f]) {
 		requests[f] = began
@@ -101,9 +97,9 @@
 func (e *endings) conclude(s backend.Server, at time.Time, ended bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	began := e.pending[instanceOf(s)]
+	began := e.pending[s.Instance()]
 	requests := lo.Keys(began)
-	delete(e.pending, instanceOf(s))
+	delete(e.pending, s.Instance())
 	names := lo.Map(requests[:min(mostLogged, len(requests))], func(f request.Fingerprint, _ int) string { return f.String() })
 	line := log.WithFields(log.Fields{
 		"server": s.ID, "incarnation": s.Incarnation, "requests": len(requests), "fingerprints": strings.Join(names, " "),
@@ -116,7 +112,7 @@
 	line.Info("server ended under requests")
 	e.ended.Inc(1)
 	for _, f := range requests {
-		e.add(quarantine.Evidence{Request: f, Instance: instanceOf(s), Began: began[f], At: at})
+		e.add(quarantine.Evidence{Request: f, Instance: s.Instance(), Began: began[f], At: at})
 	}
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -21,6 +21,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
@@ -238,7 +239,7 @@
 	at := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
 	return quarantine.Evidence{
 		Request:  request.Fingerprint(m.Request),
-		Instance: quarantine.Instance{ID: m.Server, Incarnation: m.Incarnation},
+		Instance: backend.Instance{ID: m.Server, Incarnation: m.Incarnation},
 		Began:    at.Add(-time.Duration(m.RanMs) * time.Millisecond),
 		At:       at,
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -221,7 +222,7 @@
 		}
 		sender.Set(maps.Clone(addresses))
 		evidence := quarantine.Evidence{
-			Request: 1 << 63, Instance: quarantine.Instance{ID: "i-9a340f44e5", Incarnation: 1776457240515},
+			Request: 1 << 63, Instance: backend.Instance{ID: "i-9a340f44e5", Incarnation: 1776457240515},
 			Began: time.Now().Add(-1100 * time.Millisecond), At: time.Now().Add(-time.Second),
 		}
 		heardBy := func() (gateways, pieces int) {
