--- /dev/null
+++ b/internal/decide/ratelimit/ratelimit.go
@@ -0,0 +1,205 @@
+// Package ratelimit keeps the limits that backend servers name for themselves: how many
+// requests a second a server takes from all gateways together, for as long as it says so.
+//
+// Answers come out of order, and one gateway hears what another has not. A Notice
+// therefore carries the span in which the server can have said it, and is newer than
+// another one only if the spans do not overlap; of two that overlap, the stricter holds.
+//
+// It is pure code. Times are passed in and count from the start of the VM, suspended time
+// included: with a clock that stands still, what a VM knew before a suspension would seem
+// newer than what others heard meanwhile.
+package ratelimit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/backend"
+)
+
+const (
+	// weakDelay is how much later than a limit with an authentication code an answer
+	// without one must have been asked for to end it.
+	weakDelay = 2 * time.Second
+	// keptEnded is for how long the end of a limit is known: late news of the limit must
+	// not bring it back.
+	keptEnded = 10 * time.Second
+	// keptGone is for how long the limit of a server is known whose entry is gone. An
+	// entry that lapsed with the store's outage returns.
+	keptGone = time.Minute
+	// mostServers bounds the servers with limits.
+	mostServers = 4_096
+)
+
+// Notice is what one answer of a server says of its limit.
+type Notice struct {
+	Server backend.Instance
+	// Named says that the server takes PerSecond requests a second; otherwise it names no
+	// limit.
+	Named     bool
+	PerSecond float64
+	// Sent is when the request was sent that the server answered so, and Heard when the
+	// head of the answer came.
+	Sent, Heard time.Duration
+	// Weak says that the answer had no authentication code, as those to prompts that are
+	// only read and rejections.
+	Weak bool
+}
+
+// stricter reports whether n lets fewer requests through than o.
+func (n Notice) stricter(o Notice) bool {
+	return n.Named && (!o.Named || n.PerSecond < o.PerSecond)
+}
+
+// says reports whether n and o say the same.
+func (n Notice) says(o Notice) bool {
+	return n.Named == o.Named && (!n.Named || n.PerSecond == o.PerSecond)
+}
+
+// Change is what a Notice changed.
+type Change uint8
+
+// The changes.
+const (
+	Unchanged Change = iota
+	Begun
+	Changed
+	Ended
+)
+
+// String returns the name used in logs.
+func (c Change) String() string {
+	return [...]string{"unchanged", "begun", "changed", "ended"}[c]
+}
+
+// Table is the limits that one gateway knows, by server. Its methods are for one
+// goroutine at a time.
+type Table struct {
+	entries map[string]*entry
+}
+
+// entry is the limit of one start of a server.
+type entry struct {
+	// last is the newest notice.
+	last Notice
+	// endedAt is when the limit ended, of a server that names none any more.
+	endedAt time.Duration
+	// toldAt is when it was last told to others.
+	toldAt time.Duration
+}
+
+// New returns a Table without limits.
+func New() *Table { return &Table{entries: make(map[string]*entry)} }
+
+// Len returns how many servers have a limit, or had one until lately.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Limit returns the limit that a server names, in requests a second.
+func (t *Table) Limit(server string) (perSecond float64, ok bool) {
+	e, ok := t.entries[server]
+	if !ok || !e.last.Named {
+		return 0, false
+	}
+	return e.last.PerSecond, true
+}
+
+// Add takes in a notice and returns what it changed.
+func (t *Table) Add(n Notice) Change {
+	e, ok := t.entries[n.Server.ID]
+	switch {
+	case !ok:
+		return t.begin(n)
+	case n.Server.Incarnation < e.last.Server.Incarnation:
+		return Unchanged
+	case n.Server.Incarnation > e.last.Server.Incarnation:
+		return t.replace(e, n)
+	case n.Heard <= e.last.Sent:
+		return Unchanged
+	case !n.newerThan(e.last):
+		return e.merge(n)
+	}
+	return e.set(n)
+}
+
+// begin takes in the first notice of a server. One without a limit says nothing.
+func (t *Table) begin(n Notice) Change {
+	if !n.Named {
+		return Unchanged
+	}
+	t.makeRoom()
+	t.entries[n.Server.ID] = &entry{last: n}
+	return Begun
+}
+
+// replace takes in the first notice of a later start of a server.
+func (t *Table) replace(e *entry, n Notice) Change {
+	delete(t.entries, n.Server.ID)
+	if t.begin(n) == Begun {
+		return Begun
+	}
+	if e.last.Named {
+		return Ended
+	}
+	return Unchanged
+}
+
+// newerThan reports whether the server certainly said n after o.
+func (n Notice) newerThan(o Notice) bool {
+	if !n.Named && o.Named && n.Weak && !o.Weak {
+		return n.Sent >= o.Heard+weakDelay
+	}
+	return n.Sent >= o.Heard
+}
+
+// merge takes in a notice that overlaps with the last one.
+func (e *entry) merge(n Notice) Change {
+	switch {
+	case n.says(e.last):
+		e.last.Sent, e.last.Heard = max(e.last.Sent, n.Sent), max(e.last.Heard, n.Heard)
+		return Unchanged
+	case n.stricter(e.last):
+		return e.set(n)
+	default:
+		return Unchanged
+	}
+}
+
+// set makes a notice the newest one.
+func (e *entry) set(n Notice) Change {
+	was := e.last
+	e.last = n
+	switch {
+	case n.says(was):
+		return Unchanged
+	case !n.Named:
+		e.endedAt = n.Heard
+		return Ended
+	case was.Named:
+		return Changed
+	default:
+		return Begun
+	}
+}
+
+// Forget drops the limits that ended and those of servers that are gone.
+func (t *Table) Forget(now time.Duration, known func(server string) bool) {
+	maps.DeleteFunc(t.entries, func(id string, e *entry) bool {
+		if !e.last.Named && now-e.endedAt >= keptEnded {
+			return true
+		}
+		return !known(id) && now-e.last.Heard >= keptGone
+	})
+}
+
+// makeRoom drops the limit that was heard longest ago if there are too many.
+func (t *Table) makeRoom() {
+	if len(t.entries) < mostServers {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Values(t.entries)), func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.last.Heard, b.last.Heard), cmp.Compare(a.last.Server.ID, b.last.Server.ID))
+	})
+	delete(t.entries, oldest.last.Server.ID)
+}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -44,6 +44,9 @@
 type Transport struct {
 	codec Codec
 	pool  *pool
+	// OnAnswer is called with the head of each answer to a request, before Send returns
+	// it. It is set before the first Send and does not block.
+	OnAnswer func(Answered)
 
 	opened, reused metrics.Counter
 }
@@ -51,13 +54,23 @@
 // New returns a Transport that speaks codec.
 func New(codec Codec) *Transport {
 	return &Transport{
-		codec:  codec,
-		pool:   newPool(),
-		opened: metrics.GetOrRegisterCounter("direct.connections_opened", nil),
-		reused: metrics.GetOrRegisterCounter("direct.connections_reused", nil),
+		codec:    codec,
+		pool:     newPool(),
+		OnAnswer: func(Answered) {},
+		opened:   metrics.GetOrRegisterCounter("direct.connections_opened", nil),
+		reused:   metrics.GetOrRegisterCounter("direct.connections_reused", nil),
 	}
 }
 
+// Answered is the head of an answer with the send that it answers.
+type Answered struct {
+	request.Answer
+	Server backend.Server
+	Stage  request.Stage
+	// Sent is when the request was sent.
+	Sent time.Time
+}
+
 // Reply is a backend server's answer. Its Body must be closed.
 type Reply struct {
 	request.Answer
@@ -75,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{transport: t, key: key, conn: c, request: r}
+	x := &exchange{transport: t, key: key, conn: c, request: r, options: &o, sent: time.Now()}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	if err := c.SetDeadline(time.Now().Add(o.Left + lateSlack)); err != nil {
 		return nil, x.fail(verdict.NotRun, "set deadline", err)
@@ -133,7 +146,10 @@
 	key       string
 	conn      *conn
 	request   *request.Request
-	stop      func() bool
+	options   *request.Options
+	// sent is when the request was sent.
+	sent time.Time
+	stop func() bool
 	// written is closed once the whole request has been written, and is nil if
 	// that happened before the answer was read.
 	written  chan struct{}
@@ -176,6 +192,7 @@
 		}
 		a := x.transport.codec.Answer(resp.StatusCode, resp.Header)
 		if a.ID == x.request.ID || (a.ID == "" && a.NotRun && !x.extra) {
+			x.transport.OnAnswer(Answered{Answer: a, Server: x.options.Server, Stage: x.options.Stage, Sent: x.sent})
 			return x.reply(resp, a), nil
 		}
 		x.extra = true
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -28,6 +28,14 @@
 	Work int `json:"work"`
 	// Belief is what is learned of a model engine, absent for others.
 	Belief *place.Belief `json:"belief,omitempty"`
+	// Limit is what the server names as its limit, absent if it names none.
+	Limit *LimitDump `json:"limit,omitempty"`
+}
+
+// LimitDump is the limit that a server names.
+type LimitDump struct {
+	// PerSecond is how many requests a second it takes from all gateways together.
+	PerSecond float64 `json:"per_second"`
 }
 
 // Dump returns the state of the gateway.
@@ -45,7 +53,7 @@
 		d.ConfigVersion = v.Table.Version
 	}
 	for _, s := range v.Servers {
-		d.Servers = append(d.Servers, ServerDump{Server: s, Work: g.EngineWork(s.Service, s.ID), Belief: g.engineBelief(now, s)})
+		d.Servers = append(d.Servers, ServerDump{Server: s, Work: g.EngineWork(s.Service, s.ID), Belief: g.engineBelief(now, s), Limit: g.limits.dump(s.ID)})
 	}
 	return d
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,7 @@
 	engines *engines
 	plain   *plain
 	endings *endings
+	limits  *limits
 
 	mu    sync.Mutex
 	sends map[string]*retry.Sends
@@ -79,8 +80,10 @@
 		engines:   newEngines(),
 		plain:     newPlain(),
 		endings:   newEndings(),
+		limits:    newLimits(),
 		sends:     make(map[string]*retry.Sends),
 	}
+	g.transport.OnAnswer = g.limits.answered
 	g.deployment.Store(&c.Deployment)
 	g.bodies.limit = int64(bodyPart * float64(c.Deployment.MemoryBytes))
 	return g
@@ -99,6 +102,7 @@
 func (g *Gateway) ViewChanged(v *directory.View) {
 	g.engines.update(v)
 	g.plain.forget(v)
+	g.limits.forget(v)
 	g.transport.Forget(func(id string) bool {
 		s, ok := v.Servers[id]
 		return !ok || s.Draining
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -98,6 +98,19 @@
 	LoadKnown bool
 	// KeepFor is how long the server keeps the connection idle, 0 if unknown.
 	KeepFor time.Duration
+	// Limit is the server's own limit on what it gets.
+	Limit Limit
+}
+
+// Limit is what a server says of the requests that it takes from all gateways together.
+// The zero Limit says that it names none.
+type Limit struct {
+	Named bool
+	// PerSecond is how many it takes a second, if Named.
+	PerSecond float64
+	// Invalid is what the server said if it could not be understood: whether it names a
+	// limit is then not known.
+	Invalid string
 }
 
 // Prefilled is the answer to a PrefillOnly send.
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -67,6 +67,9 @@
 
 	mu       sync.Mutex
 	fault    Fault
+	limit    string
+	limitOn  Answers
+	got      []time.Time
 	runs     []Run
 	prefills []Run
 	handles  map[string]bool
@@ -97,6 +100,7 @@
 	defer r.mu.Unlock()
 	r.born = time.Now().UnixMilli()
 	r.orders = 0
+	r.limit = ""
 	r.handles = make(map[string]bool)
 }
 
@@ -107,6 +111,42 @@
 	r.fault = f
 }
 
+// Answers are those of a runner that name its limit.
+type Answers uint8
+
+// The answers.
+const (
+	AllAnswers Answers = iota
+	// Rejections are answers that a request did not run.
+	Rejections
+	// Reads are answers to requests whose prompt is read only.
+	Reads
+)
+
+// SetLimit has the runner name a limit in some of its answers, none if text is empty.
+func (r *Runner) SetLimit(text string, on Answers) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit, r.limitOn = text, on
+}
+
+// nameLimit adds the limit to the head of an answer.
+func (r *Runner) nameLimit(w http.ResponseWriter, of Answers) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit != "" && (r.limitOn == AllAnswers || r.limitOn == of) {
+		w.Header().Set("Server-Limit", r.limit)
+	}
+}
+
+// Got returns when requests came, those that were rejected and those whose prompt was
+// read only included.
+func (r *Runner) Got() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.got...)
+}
+
 // Runs returns the requests that ran.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -220,9 +260,10 @@
 	}
 	r.mu.Lock()
 	fault := r.fault
+	r.got = append(r.got, time.Now())
 	r.mu.Unlock()
 	if fault == Shedding {
-		notRun(w)
+		r.notRun(w)
 		return
 	}
 	run := Run{
@@ -234,7 +275,7 @@
 		return
 	}
 	if !r.takeSource(req.Header.Get("Kv-Source")) {
-		notRun(w)
+		r.notRun(w)
 		return
 	}
 	r.mu.Lock()
@@ -248,12 +289,14 @@
 	r.answer(w, req, run, fault)
 }
 
-func notRun(w http.ResponseWriter) {
+func (r *Runner) notRun(w http.ResponseWriter) {
+	r.nameLimit(w, Rejections)
 	w.Header().Set("Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 func (r *Runner) prefill(w http.ResponseWriter, run Run) {
+	r.nameLimit(w, Reads)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.Phase != "prefill" {
@@ -318,6 +361,7 @@
 		return
 	}
 	w.Header().Set("Server-Load", "1,0,6")
+	r.nameLimit(w, AllAnswers)
 	if fault != Unsealed {
 		w.Header().Set("Response-Seal", Seal(run.ID))
 	}
