Gateways keep to the limits that servers name, all of them together

What callers' operators saw: a server in need that named a limit of 4.2 requests a second got 68 in 4 s, 30 allowed, and none of the gateways sent less than before.

Class of fault: a server's own word on what it can take is dropped, or acted on by each gateway for itself.

Fix: decide/ratelimit. A limit is often smaller than the number of gateways, so equal parts are over it with the first request of each. Instead, as many gateways as the limit has requests a second have equal parts, and the others send nothing; they are found by rendezvous hashing over the gateways that are known, so that the bound needs no message. A server that is over its limit for this gateway is left out of the choice for prompts (reader, decoder, another decoder) and for plain services; where no server is left the request is refused at once (server_limit, Retry-After from when a place comes free). The notice travels to all at once and again to three at random each half second, with ages by the clock that goes on during suspensions. It ends by an answer without it that was asked for after the one that named it came; then the rate doubles each half second for 3 s. Without an answer for 10 s one other gateway at a time may send. A new one among those that may send waits 4 s.

--- a/internal/decide/place/group.go
+++ b/internal/decide/place/group.go
@@ -34,6 +34,9 @@
 	return g.Count <= 1 || hash%g.Count == g.Index
 }
 
+// Has reports whether an engine is one of the group's.
+func (g Group) Has(engine string) bool { return g.has(xxhash.Sum64String(engine)) }
+
 // scope is which engines a plan may use.
 type scope uint8
 
--- /dev/null
+++ b/internal/decide/ratelimit/allowance_test.go
@@ -0,0 +1,152 @@
+package ratelimit_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
+)
+
+var _ = Describe("what a gateway may send to a server with a limit", func() {
+	var (
+		table *ratelimit.Table
+		rank  ratelimit.Rank
+	)
+	BeforeEach(func() {
+		rank = ratelimit.Rank{Of: 1}
+		table = ratelimit.New(func(string, uint64) ratelimit.Rank { return rank })
+	})
+	// sent is how many requests of those that come each 10 ms pass between two moments.
+	sent := func(from, to float64) int {
+		n := 0
+		for now := seconds(from); now < seconds(to); now += 10 * time.Millisecond {
+			if table.Allows(now, "s") {
+				table.Take(now, "s")
+				n++
+			}
+		}
+		return n
+	}
+
+	It("is all without a limit", func() {
+		Expect(sent(0, 1)).To(Equal(100))
+		Expect(table.Wait(0, "s")).To(BeZero())
+	})
+
+	It("is the limit, from the moment at which it is named", func() {
+		table.Add(seconds(1), said(1, 4, 0, 1))
+		Expect(sent(1, 1.24)).To(BeZero())
+		Expect(sent(1.24, 11)).To(BeNumerically("~", 40, 1))
+		table.Add(seconds(11), said(1, 2, 10, 11))
+		Expect(sent(11, 21)).To(BeNumerically("~", 20, 1))
+	})
+
+	// Guards against the unused part of a limit being sent at once later.
+	It("does not add up while nothing is sent", func() {
+		table.Add(0, said(1, 4, -1, 0))
+		Expect(sent(60, 60.2)).To(Equal(1))
+	})
+
+	It("is a part of it for as many gateways as it has requests a second, and nothing for others", func() {
+		rank = ratelimit.Rank{Position: 3, Of: 40}
+		table.Add(0, said(1, 4.2, -1, 0))
+		Expect(sent(0, 9.5)).To(BeNumerically("~", 10, 1))
+		rank.Position = 4
+		table.Rank(seconds(9.5))
+		Expect(sent(9.5, 10)).To(BeZero())
+	})
+
+	// Guards against more gateways than agreed using a limit while they do not yet know
+	// the same gateways.
+	It("is nothing for a while for a gateway that takes the place of another", func() {
+		rank = ratelimit.Rank{Position: 1, Of: 40}
+		table.Add(0, said(1, 1, -1, 0))
+		Expect(sent(0, 4)).To(BeZero())
+		rank.Position = 0
+		table.Rank(seconds(4))
+		Expect(sent(4, 8)).To(BeZero())
+		Expect(sent(8, 13)).To(BeNumerically("~", 5, 1))
+	})
+
+	// Guards against a gateway that has not found the others yet taking all of a limit.
+	It("is nothing while the other gateways are not known", func() {
+		rank = ratelimit.Rank{}
+		table.Add(0, said(1, 100, -1, 0))
+		Expect(sent(0, 4)).To(BeZero())
+		Expect(table.Wait(seconds(4), "s")).To(Equal(10 * time.Millisecond))
+	})
+
+	// Guards against a server that is never asked again once it took nothing.
+	It("is a request now and then at a limit of zero", func() {
+		table.Add(0, said(1, 0, -1, 0))
+		n := 0
+		for at := 0.0; at < 40; at += 4 {
+			n += sent(at, at+4)
+			table.Add(seconds(at+4), said(1, 0, at+3, at+4))
+		}
+		Expect(n).To(BeNumerically("~", 10, 1))
+	})
+
+	// Guards against a server in need that gets nothing, as the gateways that may send
+	// have gone or have no requests, and against all looking at once whether it still is.
+	It("goes to another gateway when no answer is known for long", func() {
+		asked := uint64(0)
+		table = ratelimit.New(func(_ string, round uint64) ratelimit.Rank {
+			asked = max(asked, round)
+			return ratelimit.Rank{Position: int((round + 1) % 2), Of: 40}
+		})
+		table.Add(0, said(1, 1, -1, 0))
+		Expect(sent(0, 10)).To(BeZero())
+		Expect(sent(10, 12)).To(Equal(2))
+		Expect(asked).To(Equal(uint64(1)))
+		table.Add(seconds(12), said(1, 1, 11, 12))
+		Expect(sent(12, 20)).To(BeZero())
+	})
+
+	// Guards against a rush to a server that was in need a moment ago.
+	It("grows step by step after the limit has ended", func() {
+		table.Add(0, said(1, 4, -1, 0))
+		Expect(sent(0, 4)).To(BeNumerically("~", 16, 1))
+		table.Add(seconds(4), said(1, none, 3, 4))
+		Expect(sent(4, 4.5)).To(BeNumerically("<=", 4))
+		Expect(sent(4.5, 5.5)).To(BeNumerically("<=", 20))
+		Expect(sent(7.1, 8.1)).To(Equal(100))
+	})
+
+	It("says when the next request may pass", func() {
+		table.Add(0, said(1, 4, -1, 0))
+		Expect(table.Wait(0, "s")).To(Equal(250 * time.Millisecond))
+		Expect(table.Wait(seconds(0.2), "s")).To(BeNumerically("~", 50*time.Millisecond, time.Millisecond))
+		rank.Position = 4
+		rank.Of = 8
+		table.Rank(0)
+		Expect(table.Wait(seconds(1), "s")).To(Equal(250 * time.Millisecond))
+	})
+})
+
+var _ = Describe("the ranks of gateways", func() {
+	It("differ, are agreed on, and differ from server to server", func() {
+		var names []string
+		for n := range 40 {
+			names = append(names, fmt.Sprint("g-", n))
+		}
+		seen := map[int]bool{}
+		first := map[string]bool{}
+		for _, own := range names {
+			r := ratelimit.RankAmong(own, names, "s", 0)
+			Expect(r.Of).To(Equal(40))
+			seen[r.Position] = true
+			for n := range 20 {
+				if ratelimit.RankAmong(own, names, fmt.Sprint("s-", n), 0).Position == 0 {
+					first[own] = true
+				}
+			}
+		}
+		Expect(seen).To(HaveLen(40))
+		Expect(len(first)).To(BeNumerically(">", 10))
+		Expect(ratelimit.RankAmong("other", names, "s", 0)).To(Equal(ratelimit.Rank{Position: 40, Of: 40}))
+	})
+})
--- a/internal/decide/ratelimit/ratelimit.go
+++ b/internal/decide/ratelimit/ratelimit.go
@@ -77,6 +77,7 @@
 // Table is the limits that one gateway knows, by server. Its methods are for one
 // goroutine at a time.
 type Table struct {
+	ranking Ranking
 	entries map[string]*entry
 }
 
@@ -84,14 +85,17 @@
 type entry struct {
 	// last is the newest notice.
 	last Notice
-	// endedAt is when the limit ended, of a server that names none any more.
+	// before is the limit that ended, and endedAt when, of a server that names none any
+	// more.
+	before  float64
 	endedAt time.Duration
+	allowance
 	// toldAt is when it was last told to others.
 	toldAt time.Duration
 }
 
 // New returns a Table without limits.
-func New() *Table { return &Table{entries: make(map[string]*entry)} }
+func New(r Ranking) *Table { return &Table{ranking: r, entries: make(map[string]*entry)} }
 
 // Len returns how many servers have a limit, or had one until lately.
 func (t *Table) Len() int { return len(t.entries) }
@@ -106,15 +110,15 @@
 }
 
 // Add takes in a notice and returns what it changed.
-func (t *Table) Add(n Notice) Change {
+func (t *Table) Add(now time.Duration, n Notice) Change {
 	e, ok := t.entries[n.Server.ID]
 	switch {
 	case !ok:
-		return t.begin(n)
+		return t.begin(now, n)
 	case n.Server.Incarnation < e.last.Server.Incarnation:
 		return Unchanged
 	case n.Server.Incarnation > e.last.Server.Incarnation:
-		return t.replace(e, n)
+		return t.replace(now, e, n)
 	case n.Heard <= e.last.Sent:
 		return Unchanged
 	case !n.newerThan(e.last):
@@ -124,19 +128,22 @@
 }
 
 // begin takes in the first notice of a server. One without a limit says nothing.
-func (t *Table) begin(n Notice) Change {
+func (t *Table) begin(now time.Duration, n Notice) Change {
 	if !n.Named {
 		return Unchanged
 	}
 	t.makeRoom()
-	t.entries[n.Server.ID] = &entry{last: n}
+	e := &entry{last: n}
+	e.refilled = now
+	e.rank = t.ranking(n.Server.ID, 0)
+	t.entries[n.Server.ID] = e
 	return Begun
 }
 
 // replace takes in the first notice of a later start of a server.
-func (t *Table) replace(e *entry, n Notice) Change {
+func (t *Table) replace(now time.Duration, e *entry, n Notice) Change {
 	delete(t.entries, n.Server.ID)
-	if t.begin(n) == Begun {
+	if t.begin(now, n) == Begun {
 		return Begun
 	}
 	if e.last.Named {
@@ -174,7 +181,7 @@
 	case n.says(was):
 		return Unchanged
 	case !n.Named:
-		e.endedAt = n.Heard
+		e.before, e.endedAt = was.PerSecond, n.Heard
 		return Ended
 	case was.Named:
 		return Changed
@@ -193,6 +200,20 @@
 	})
 }
 
+// ToTell returns up to most notices that others may not have, those told longest ago
+// first.
+func (t *Table) ToTell(now time.Duration, most int) []Notice {
+	entries := slices.SortedFunc(maps.Values(t.entries), func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.toldAt, b.toldAt), cmp.Compare(a.last.Server.ID, b.last.Server.ID))
+	})
+	notices := make([]Notice, 0, min(most, len(entries)))
+	for _, e := range entries[:min(most, len(entries))] {
+		e.toldAt = now
+		notices = append(notices, e.last)
+	}
+	return notices
+}
+
 // makeRoom drops the limit that was heard longest ago if there are too many.
 func (t *Table) makeRoom() {
 	if len(t.entries) < mostServers {
--- a/internal/decide/ratelimit/ratelimit_test.go
+++ b/internal/decide/ratelimit/ratelimit_test.go
@@ -28,11 +28,14 @@
 	}
 }
 
+// alone is the ranking of a gateway without others.
+func alone(string, uint64) ratelimit.Rank { return ratelimit.Rank{Of: 1} }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 var _ = Describe("what a server says of its limit", func() {
 	var table *ratelimit.Table
-	BeforeEach(func() { table = ratelimit.New() })
+	BeforeEach(func() { table = ratelimit.New(alone) })
 	limit := func() float64 {
 		l, ok := table.Limit("s")
 		if !ok {
@@ -42,77 +45,77 @@
 	}
 
 	It("holds for as long as it says so", func() {
-		Expect(table.Add(said(1, none, 0, 1))).To(Equal(ratelimit.Unchanged))
+		Expect(table.Add(0, said(1, none, 0, 1))).To(Equal(ratelimit.Unchanged))
 		Expect(table.Len()).To(BeZero())
-		Expect(table.Add(said(1, 4.2, 1, 2))).To(Equal(ratelimit.Begun))
-		Expect(table.Add(said(1, 4.2, 2, 3))).To(Equal(ratelimit.Unchanged))
-		Expect(table.Add(said(1, 3.8, 3, 4))).To(Equal(ratelimit.Changed))
+		Expect(table.Add(0, said(1, 4.2, 1, 2))).To(Equal(ratelimit.Begun))
+		Expect(table.Add(0, said(1, 4.2, 2, 3))).To(Equal(ratelimit.Unchanged))
+		Expect(table.Add(0, said(1, 3.8, 3, 4))).To(Equal(ratelimit.Changed))
 		Expect(limit()).To(Equal(3.8))
-		Expect(table.Add(said(1, none, 4, 5))).To(Equal(ratelimit.Ended))
+		Expect(table.Add(0, said(1, none, 4, 5))).To(Equal(ratelimit.Ended))
 		Expect(limit()).To(Equal(float64(none)))
-		Expect(table.Add(said(1, 5, 5, 6))).To(Equal(ratelimit.Begun))
+		Expect(table.Add(0, said(1, 5, 5, 6))).To(Equal(ratelimit.Begun))
 	})
 
 	// Guards against answers that were on their way when a limit was named ending it.
 	It("is not taken back by an answer that it may have given before", func() {
-		table.Add(said(1, 4.2, 1, 2))
-		Expect(table.Add(said(1, none, 1.9, 3))).To(Equal(ratelimit.Unchanged))
+		table.Add(0, said(1, 4.2, 1, 2))
+		Expect(table.Add(0, said(1, none, 1.9, 3))).To(Equal(ratelimit.Unchanged))
 		Expect(limit()).To(Equal(4.2))
-		Expect(table.Add(said(1, none, 2, 3))).To(Equal(ratelimit.Ended))
+		Expect(table.Add(0, said(1, none, 2, 3))).To(Equal(ratelimit.Ended))
 	})
 
 	// Guards against late news bringing back a limit that has ended.
 	It("is not brought back by an answer that it gave before", func() {
-		table.Add(said(1, 4.2, 1, 2))
-		table.Add(said(1, none, 3, 4))
-		Expect(table.Add(said(1, 4.2, 2, 3))).To(Equal(ratelimit.Unchanged))
+		table.Add(0, said(1, 4.2, 1, 2))
+		table.Add(0, said(1, none, 3, 4))
+		Expect(table.Add(0, said(1, 4.2, 2, 3))).To(Equal(ratelimit.Unchanged))
 		Expect(limit()).To(Equal(float64(none)))
-		Expect(table.Add(said(1, 4.2, 2, 3.5))).To(Equal(ratelimit.Begun))
+		Expect(table.Add(0, said(1, 4.2, 2, 3.5))).To(Equal(ratelimit.Begun))
 	})
 
 	It("is the stricter of two limits that it may have named in either order", func() {
-		table.Add(said(1, 4.2, 1, 3))
-		Expect(table.Add(said(1, 5, 2, 4))).To(Equal(ratelimit.Unchanged))
-		Expect(table.Add(said(1, 3.8, 2, 4))).To(Equal(ratelimit.Changed))
+		table.Add(0, said(1, 4.2, 1, 3))
+		Expect(table.Add(0, said(1, 5, 2, 4))).To(Equal(ratelimit.Unchanged))
+		Expect(table.Add(0, said(1, 3.8, 2, 4))).To(Equal(ratelimit.Changed))
 		Expect(limit()).To(Equal(3.8))
 	})
 
 	// Guards against answers that never name a limit, as those to reads, ending one that
 	// others name.
 	It("is ended late by an answer without authentication code", func() {
-		table.Add(said(1, 4.2, 1, 2))
+		table.Add(0, said(1, 4.2, 1, 2))
 		weak := said(1, none, 2.5, 3)
 		weak.Weak = true
-		Expect(table.Add(weak)).To(Equal(ratelimit.Unchanged))
+		Expect(table.Add(0, weak)).To(Equal(ratelimit.Unchanged))
 		weak = said(1, none, 4, 5)
 		weak.Weak = true
-		Expect(table.Add(weak)).To(Equal(ratelimit.Ended))
+		Expect(table.Add(0, weak)).To(Equal(ratelimit.Ended))
 	})
 
 	// Guards against a limit that outlives the start of the server that named it.
 	It("concerns one start of the server", func() {
-		table.Add(said(2, 4.2, 1, 2))
-		Expect(table.Add(said(1, 1, 5, 6))).To(Equal(ratelimit.Unchanged))
+		table.Add(0, said(2, 4.2, 1, 2))
+		Expect(table.Add(0, said(1, 1, 5, 6))).To(Equal(ratelimit.Unchanged))
 		Expect(limit()).To(Equal(4.2))
-		Expect(table.Add(said(3, none, 1, 2))).To(Equal(ratelimit.Ended))
+		Expect(table.Add(0, said(3, none, 1, 2))).To(Equal(ratelimit.Ended))
 		Expect(limit()).To(Equal(float64(none)))
-		Expect(table.Add(said(4, 6, 1, 2))).To(Equal(ratelimit.Begun))
-		Expect(table.Add(said(5, 7, 1, 2))).To(Equal(ratelimit.Begun))
+		Expect(table.Add(0, said(4, 6, 1, 2))).To(Equal(ratelimit.Begun))
+		Expect(table.Add(0, said(5, 7, 1, 2))).To(Equal(ratelimit.Begun))
 		Expect(limit()).To(Equal(7.0))
 	})
 
 	It("is forgotten once it has ended or the server is gone", func() {
 		here := func(string) bool { return true }
 		gone := func(string) bool { return false }
-		table.Add(said(1, 4.2, 1, 2))
+		table.Add(0, said(1, 4.2, 1, 2))
 		table.Forget(time.Hour, here)
 		Expect(table.Len()).To(Equal(1))
 		table.Forget(seconds(10), gone)
 		Expect(table.Len()).To(Equal(1))
 		table.Forget(time.Hour, gone)
 		Expect(table.Len()).To(BeZero())
-		table.Add(said(1, 4.2, 1, 2))
-		table.Add(said(1, none, 2, 3))
+		table.Add(0, said(1, 4.2, 1, 2))
+		table.Add(0, said(1, none, 2, 3))
 		table.Forget(seconds(4), here)
 		Expect(table.Len()).To(Equal(1))
 		table.Forget(seconds(60), here)
@@ -123,7 +126,7 @@
 		for n := range 10_000 {
 			notice := said(1, 1, float64(n), float64(n+1))
 			notice.Server.ID = fmt.Sprint(n)
-			table.Add(notice)
+			table.Add(0, notice)
 		}
 		Expect(table.Len()).To(BeNumerically("<=", 4_096))
 		_, ok := table.Limit("9999")
@@ -144,11 +147,11 @@
 			}
 			last := notices[len(notices)-1]
 			r.Shuffle(len(notices), func(i, j int) { notices[i], notices[j] = notices[j], notices[i] })
-			table = ratelimit.New()
+			table = ratelimit.New(alone)
 			// Of a server that never named a limit nothing is kept.
-			table.Add(said(1, 1, -2, -1))
+			table.Add(0, said(1, 1, -2, -1))
 			for _, n := range notices {
-				table.Add(n)
+				table.Add(0, n)
 			}
 			got, ok := table.Limit("s")
 			Expect(ok).To(Equal(last.Named), "seed %d", seed)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,7 +5,10 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
+
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -90,6 +93,34 @@
 	c.refusedBy[server.ID] = true
 }
 
+// excluded reports whether the request is not to go to a server now: it was refused or
+// failed there, or the server's own limit leaves no room for it. A request under suspicion
+// does not go to a server in need at all.
+func (c *call) excluded(server string) bool {
+	if c.refusedBy[server] {
+		return true
+	}
+	limits := c.gateway.limits
+	if limits.allows(server) && !(c.standing.Suspect() && limits.has(server)) {
+		return false
+	}
+	if c.limitedBy == nil {
+		c.limitedBy = make(map[string]bool)
+	}
+	c.limitedBy[server] = true
+	return true
+}
+
+// noServer is the outcome of a request that no server may get now. If that is for their
+// limits, its caller may come back when the first of them has room.
+func (c *call) noServer(message string) *verdict.Error {
+	if len(c.limitedBy) == 0 {
+		return verdict.Refused(verdict.CodeNoBackend, message, unknownRetry)
+	}
+	wait := c.gateway.limits.wait(lo.Keys(c.limitedBy))
+	return verdict.Refused(verdict.CodeServerLimit, message+" that is not over its own limit", min(wait, max(leastRetry, place.LatestReturn(c.left()))))
+}
+
 // unusable tells why an answer cannot be passed on: a success without the
 // server's authentication code is not the server's, and a status that promises
 // "not run" may not be passed on without that promise.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -145,6 +145,9 @@
 		func(ctx context.Context) error {
 			return periodic.Run(ctx, 500*time.Millisecond, g.TellEndings)
 		},
+		func(ctx context.Context) error {
+			return periodic.Run(ctx, 500*time.Millisecond, g.TellLimits)
+		},
 	} {
 		go func() { _ = duty(ctx) }()
 	}
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -10,6 +10,7 @@
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
+	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
 	"pistachioroad.dev/pistachioroad/internal/decide/roles"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -27,6 +28,12 @@
 	// ServerEndedAgain tells some of them once more.
 	ServerEnded(e quarantine.Evidence)
 	ServerEndedAgain(e quarantine.Evidence)
+	// ServerLimit tells all what a server said of its limit; ServerLimitAgain tells some
+	// of them once more.
+	ServerLimit(n ratelimit.Notice)
+	ServerLimitAgain(n ratelimit.Notice)
+	// RankFor ranks this entry among those that could send to a server.
+	RankFor(server string, round uint64) ratelimit.Rank
 	// Count returns how many entries there are, this one included.
 	Count() int
 	// JoinGroup returns this entry's group among a number of groups. From then
@@ -37,14 +44,17 @@
 // noShare is the Share of an entry that has no others.
 type noShare struct{}
 
-func (noShare) Placed(place.Placement)               {}
-func (noShare) ReadDone(place.JobID)                 {}
-func (noShare) Ended(place.JobID)                    {}
-func (noShare) Avoid(string, string, time.Duration)  {}
-func (noShare) ServerEnded(quarantine.Evidence)      {}
-func (noShare) ServerEndedAgain(quarantine.Evidence) {}
-func (noShare) Count() int                           { return 1 }
-func (noShare) JoinGroup(uint64) place.Group         { return place.Group{} }
+func (noShare) Placed(place.Placement)                {}
+func (noShare) ReadDone(place.JobID)                  {}
+func (noShare) Ended(place.JobID)                     {}
+func (noShare) Avoid(string, string, time.Duration)   {}
+func (noShare) ServerEnded(quarantine.Evidence)       {}
+func (noShare) ServerEndedAgain(quarantine.Evidence)  {}
+func (noShare) ServerLimit(ratelimit.Notice)          {}
+func (noShare) ServerLimitAgain(ratelimit.Notice)     {}
+func (noShare) RankFor(string, uint64) ratelimit.Rank { return ratelimit.Rank{Of: 1} }
+func (noShare) Count() int                            { return 1 }
+func (noShare) JoinGroup(uint64) place.Group          { return place.Group{} }
 
 // engines is the load of all model engines, by service.
 type engines struct {
@@ -54,14 +64,15 @@
 	names map[uint32]engineName
 	share Share
 	// count is how many engines there are.
-	count int
+	count  int
+	limits *limits
 }
 
 // engineName names an engine.
 type engineName struct{ service, id string }
 
-func newEngines() *engines {
-	return &engines{fleets: make(map[string]*place.Fleet), share: noShare{}}
+func newEngines(l *limits) *engines {
+	return &engines{fleets: make(map[string]*place.Fleet), share: noShare{}, limits: l}
 }
 
 // update takes in the servers and services of a new view.
@@ -115,6 +126,13 @@
 	return e.share.JoinGroup(place.Groups(e.share.Count(), e.count))
 }
 
+// joinGroup has this entry take in its group, also while it places nothing.
+func (e *engines) joinGroup() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.group()
+}
+
 // place chooses engines for a job and, if it is let in, notes that it goes
 // there. It returns false if no engine could run it.
 func (e *engines) place(now time.Time, service string, j place.Job, u place.Urgency) (place.Plan, place.Admission, bool) {
@@ -127,10 +145,19 @@
 		placement := place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Left: u.Left}
 		f.Placed(now, placement)
 		e.share.Placed(placement)
+		e.takeFrom(p)
 	}
 	return p, a, ok
 }
 
+// takeFrom notes the sends of a plan at engines with limits.
+func (e *engines) takeFrom(p place.Plan) {
+	e.limits.take(p.Reader)
+	if p.Split() {
+		e.limits.take(p.Decoder)
+	}
+}
+
 func (e *engines) readDone(service string, id place.JobID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -191,6 +218,7 @@
 	p, ok := f.OtherDecoder(now, j, u, p)
 	if ok {
 		f.Moved(now, j.ID, p.Decoder)
+		e.limits.take(p.Decoder)
 	}
 	return p, ok
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,18 +69,20 @@
 func (g *Gateway) ShareWith(share Share) {
 	g.engines.share = share
 	g.endings.share = share
+	g.limits.share = share
 }
 
 // New returns a Gateway.
 func New(c Config) *Gateway {
+	l := newLimits()
 	g := &Gateway{
 		dialect:   c.Dialect,
 		transport: direct.New(c.Dialect),
 		directory: c.Directory,
-		engines:   newEngines(),
-		plain:     newPlain(),
+		engines:   newEngines(l),
+		plain:     newPlain(l),
 		endings:   newEndings(),
-		limits:    newLimits(),
+		limits:    l,
 		sends:     make(map[string]*retry.Sends),
 	}
 	g.transport.OnAnswer = g.limits.answered
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
+	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
@@ -252,14 +253,17 @@
 // placements counts what a gateway tells the others.
 type placements struct{ count atomic.Int64 }
 
-func (p *placements) Placed(place.Placement)               { p.count.Add(1) }
-func (p *placements) ReadDone(place.JobID)                 {}
-func (p *placements) Ended(place.JobID)                    {}
-func (p *placements) Avoid(string, string, time.Duration)  {}
-func (p *placements) Count() int                           { return 1 }
-func (p *placements) ServerEnded(quarantine.Evidence)      {}
-func (p *placements) ServerEndedAgain(quarantine.Evidence) {}
-func (p *placements) JoinGroup(uint64) place.Group         { return place.Group{} }
+func (p *placements) Placed(place.Placement)                { p.count.Add(1) }
+func (p *placements) ReadDone(place.JobID)                  {}
+func (p *placements) Ended(place.JobID)                     {}
+func (p *placements) Avoid(string, string, time.Duration)   {}
+func (p *placements) Count() int                            { return 1 }
+func (p *placements) ServerEnded(quarantine.Evidence)       {}
+func (p *placements) ServerEndedAgain(quarantine.Evidence)  {}
+func (p *placements) ServerLimit(ratelimit.Notice)          {}
+func (p *placements) ServerLimitAgain(ratelimit.Notice)     {}
+func (p *placements) RankFor(string, uint64) ratelimit.Rank { return ratelimit.Rank{Of: 1} }
+func (p *placements) JoinGroup(uint64) place.Group          { return place.Group{} }
 
 var _ = Describe("a prompt", func() {
 	var (
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -100,6 +100,8 @@
 	priority int
 	// refusedBy are servers that are not tried again.
 	refusedBy map[string]bool
+	// limitedBy are servers whose own limits kept the request from them.
+	limitedBy map[string]bool
 
 	trace trace
 }
--- a/internal/gateway/limit_kept_test.go
+++ b/internal/gateway/limit_kept_test.go
@@ -113,6 +113,9 @@
 			if got := mostWithin(c.server.Got(), named.Add(contact)); got > allowed(perSecond) {
 				t.Errorf("%d requests in %v to a server that takes %v a second, %d are allowed", got, limitSpan, perSecond, allowed(perSecond))
 			}
+			if mostWithin(c.server.Got(), named.Add(contact)) == 0 {
+				t.Error("no request to a server that takes some")
+			}
 		})
 	}
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
+	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -26,6 +28,7 @@
 
 	mu    sync.Mutex
 	table *ratelimit.Table
+	share Share
 	// invalidAt is when a limit that is not understood was last logged.
 	invalidAt time.Time
 
@@ -34,12 +37,14 @@
 }
 
 func newLimits() *limits {
-	return &limits{
-		table:   ratelimit.New(),
+	l := &limits{
+		share:   noShare{},
 		named:   metrics.GetOrRegisterCounter("gateway.server_limits_named", nil),
 		invalid: metrics.GetOrRegisterCounter("gateway.server_limits_invalid", nil),
 		limited: metrics.GetOrRegisterGauge("gateway.servers_limited", nil),
 	}
+	l.table = ratelimit.New(func(server string, round uint64) ratelimit.Rank { return l.share.RankFor(server, round) })
+	return l
 }
 
 // answered takes in what the head of an answer says of its server's limit.
@@ -54,10 +59,13 @@
 	heard := boottime.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.add(heard, "", ratelimit.Notice{
+	n := ratelimit.Notice{
 		Server: a.Server.Instance(), Named: a.Limit.Named, PerSecond: a.Limit.PerSecond,
 		Sent: heard - time.Since(a.Sent), Heard: heard, Weak: !a.Sealed,
-	})
+	}
+	if l.add(heard, "", n) != ratelimit.Unchanged {
+		l.share.ServerLimit(n)
+	}
 }
 
 // saysLimit reports whether an answer can say something of its server's limit. One that
@@ -73,7 +81,7 @@
 // and is empty for an answer of the server's own.
 func (l *limits) add(now time.Duration, from string, n ratelimit.Notice) ratelimit.Change {
 	before, _ := l.table.Limit(n.Server.ID)
-	change := l.table.Add(n)
+	change := l.table.Add(now, n)
 	if change == ratelimit.Unchanged {
 		return change
 	}
@@ -93,6 +101,77 @@
 	return change
 }
 
+// allows reports whether this gateway may send a request to a server now.
+func (l *limits) allows(server string) bool {
+	if l.servers.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Allows(boottime.Now(), server)
+}
+
+// has reports whether a server names a limit.
+func (l *limits) has(server string) bool {
+	if l.servers.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.table.Limit(server)
+	return ok
+}
+
+// take notes a request to a server.
+func (l *limits) take(server string) {
+	if l.servers.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Take(boottime.Now(), server)
+}
+
+// wait returns after how long the first of some servers has room for a request.
+func (l *limits) wait(servers []string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := boottime.Now()
+	return slices.Min(lo.Map(servers, func(id string, _ int) time.Duration { return l.table.Wait(now, id) }))
+}
+
+// NamesLimit reports whether a server names a limit of its own.
+func (g *Gateway) NamesLimit(server string) bool { return g.limits.has(server) }
+
+// RemoteServerLimit takes in what a server said of its limit to another gateway. Of a
+// server that is not known here it is dropped: it is told again.
+func (g *Gateway) RemoteServerLimit(from string, n ratelimit.Notice) {
+	if _, ok := g.directory.View().Servers[n.Server.ID]; !ok {
+		return
+	}
+	g.limits.mu.Lock()
+	defer g.limits.mu.Unlock()
+	g.limits.add(boottime.Now(), from, n)
+}
+
+// TellLimits tells again what other gateways may not know yet, and takes in which
+// gateways there are.
+func (g *Gateway) TellLimits(time.Time) {
+	l := g.limits
+	if l.servers.Load() == 0 {
+		return
+	}
+	g.engines.joinGroup()
+	g.limits.forget(g.directory.View())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := boottime.Now()
+	l.table.Rank(now)
+	for _, n := range l.table.ToTell(now, mostRetold) {
+		l.share.ServerLimitAgain(n)
+	}
+}
+
 // count tells how many servers have a limit.
 func (l *limits) count() {
 	l.servers.Store(int32(l.table.Len()))
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/gateway"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
 )
 
@@ -74,4 +76,42 @@
 		w.ask(http.MethodGet, "/read/1", "r2")
 		limited("i-a", 1000)
 	})
+
+	// Guards against requests that wait, or go to a server in need, though no other has
+	// room for them.
+	It("has requests refused at once that no server has room for", func() {
+		a := w.add("plain", runner.New("i-a", ""))
+		p := w.add("llm", runner.New("i-p", "prefill"))
+		d := w.add("llm", runner.New("i-d", "decode"))
+		w.ready(3)
+		for _, r := range []*runner.Runner{a, p, d} {
+			r.SetLimit("0.5", runner.AllAnswers)
+		}
+		w.ask(http.MethodGet, "/read/1", "r1")
+		w.ask(http.MethodPost, "/stream-again/1", "r2", "Token-Count", "1000,10", "Prefix-Hash", "a:1000")
+		limited("i-a", 0.5)
+		limited("i-d", 0.5)
+		before := len(a.Got()) + len(d.Got())
+		for _, target := range []string{"/read/1", "/hold/1", "/stream-again/1", "/stream-once/1"} {
+			got := w.ask(http.MethodPost, target, "r3", "Token-Count", "1000,10", "Prefix-Hash", "a:1000")
+			Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(got.header.Get(verdict.Header)).To(Equal("not_run"))
+			Expect(got.body).To(ContainSubstring(`"server_limit"`))
+			after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(after).To(And(BeNumerically(">", 0), BeNumerically("<=", 0.67)))
+		}
+		Expect(len(a.Got()) + len(d.Got())).To(Equal(before))
+	})
+
+	It("sends requests to the servers that have room", func() {
+		a := w.add("plain", runner.New("i-a", ""))
+		w.add("plain", runner.New("i-b", ""))
+		w.ready(2)
+		a.SetLimit("0.5", runner.AllAnswers)
+		for n := range 20 {
+			Expect(w.ask(http.MethodGet, "/read/1", "r"+strconv.Itoa(n)).status).To(Equal(http.StatusOK))
+		}
+		Expect(len(a.Got())).To(BeNumerically("<", 10))
+	})
 })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,9 @@
 	if c.standing.Refuse {
 		metrics.GetOrRegisterCounter("gateway.requests_quarantined", nil).Inc(1)
 	}
+	if len(c.limitedBy) > 0 {
+		metrics.GetOrRegisterCounter("gateway.requests_limited", nil).Inc(1)
+	}
 	if c.trace.bySize {
 		metrics.GetOrRegisterCounter("gateway.admitted_by_size", nil).Inc(1)
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -31,15 +31,18 @@
 		Prompt:     c.request.Prompt,
 		Route:      c.route.Name,
 		DataCentre: g.deployment.Load().DataCentre,
-		Exclude:    func(server string) bool { return c.refusedBy[server] },
+		Exclude:    c.excluded,
 	}
-	last := verdict.Refused(verdict.CodeNoBackend, "no engine", unknownRetry)
+	var last *verdict.Error
 	for first := true; first || c.mayRepeat(); first = false {
 		now := time.Now()
 		job.Suspect = c.standing.Suspect()
 		job.Prompt.Done = c.request.Prompt.Done + c.trace.events
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.urgency(now))
 		if !ok {
+			if last == nil {
+				last = c.noServer("no engine")
+			}
 			break
 		}
 		c.trace.plan, c.trace.placed = plan, now.Sub(c.received)
@@ -271,6 +274,7 @@
 func (g *Gateway) freeHandle(s backend.Server, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
+	g.limits.take(s.ID)
 	method, path := g.dialect.FreeHandle(handle)
 	r := request.Request{ID: handle, Method: method, Target: path, Host: s.Address, Header: http.Header{}}
 	reply, err := g.transport.Send(ctx, &r, request.Options{Server: s, Left: freeTimeout, Priority: request.DefaultPriority})
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -28,6 +28,7 @@
 
 // plain balances requests over the servers of plain services.
 type plain struct {
+	limits  *limits
 	mu      sync.Mutex
 	servers map[string]*plainServer
 }
@@ -39,7 +40,7 @@
 	suspectUntil time.Time
 }
 
-func newPlain() *plain { return &plain{servers: make(map[string]*plainServer)} }
+func newPlain(l *limits) *plain { return &plain{limits: l, servers: make(map[string]*plainServer)} }
 
 func (p *plain) server(id string) *plainServer {
 	s, ok := p.servers[id]
@@ -62,13 +63,13 @@
 }
 
 // choose returns the server with the least work, and counts a request there.
-func (p *plain) choose(now time.Time, servers []backend.Server, dataCentre string, exclude map[string]bool) (backend.Server, bool) {
+func (p *plain) choose(now time.Time, servers []backend.Server, dataCentre string, exclude func(id string) bool) (backend.Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best backend.Server
 	least := -1.0
 	for _, s := range servers {
-		if exclude[s.ID] {
+		if exclude(s.ID) {
 			continue
 		}
 		if w := p.server(s.ID).work(now, s, dataCentre); least < 0 || w < least {
@@ -79,6 +80,7 @@
 		return backend.Server{}, false
 	}
 	p.server(best.ID).inFlight++
+	p.limits.take(best.ID)
 	return best, true
 }
 
@@ -126,10 +128,10 @@
 	var last *verdict.Error
 	for {
 		servers := g.directory.View().Service(c.service.Name)
-		server, ok := g.plain.choose(time.Now(), servers, g.deployment.Load().DataCentre, c.refusedBy)
+		server, ok := g.plain.choose(time.Now(), servers, g.deployment.Load().DataCentre, c.excluded)
 		if !ok {
 			if last == nil {
-				last = verdict.Refused(verdict.CodeNoBackend, "no backend server", unknownRetry)
+				last = c.noServer("no backend server")
 			}
 			break
 		}
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -102,6 +102,7 @@
 	root.Add(duty(p.reconciler().Run))
 	root.Add(duty(p.confirm))
 	root.Add(duty(p.tellEndings))
+	root.Add(duty(p.tellLimits))
 	root.Add(duty(p.learn))
 	root.Add(duty(p.restoreLearned))
 	root.Add(duty(p.saveLearned))
@@ -135,8 +136,8 @@
 	})
 }
 
-// tellEvery is how often what is known of servers that ended under requests is told
-// again: several times within the time in which gateways must agree on it.
+// tellEvery is how often what is known of servers that ended under requests, and of the
+// limits of servers, is told again: several times within the time in which gateways must agree on it.
 const tellEvery = 500 * time.Millisecond
 
 // tellEndings makes up for lost datagrams, and for gateways that were not there.
@@ -144,6 +145,11 @@
 	return periodic.Run(ctx, tellEvery, p.gateway.TellEndings)
 }
 
+// tellLimits does the same for the limits that servers name.
+func (p *parts) tellLimits(ctx context.Context) error {
+	return periodic.Run(ctx, tellEvery, p.gateway.TellLimits)
+}
+
 // lookForEngines is how often a new process looks whether engines are known.
 const lookForEngines = 50 * time.Millisecond
 
@@ -172,6 +178,9 @@
 func (p *parts) askKept(ctx context.Context) {
 	client := platform.NewEngines()
 	for _, s := range someEngines(p.directory.View().Servers, mostAsked) {
+		if p.gateway.NamesLimit(s.ID) {
+			continue
+		}
 		kept, err := client.Kept(ctx, s)
 		if err != nil {
 			log.WithField("engine", s.ID).WithField("error", err.Error()).Info("what an engine keeps is not known")
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -5,7 +5,9 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -183,6 +185,10 @@
 	if c.trace.broke {
 		fields["fingerprint"], fields["caller"] = c.fingerprint().String(), c.request.Caller
 	}
+	if len(c.limitedBy) > 0 {
+		names := slices.Sorted(maps.Keys(c.limitedBy))
+		fields["limited"] = strings.Join(names[:min(mostLogged, len(names))], " ")
+	}
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -10,8 +10,10 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,12 +21,14 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
+	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/store"
@@ -57,6 +61,9 @@
 	RemoteEnded(id place.JobID)
 	RemoteAvoid(service, engine string, d time.Duration)
 	RemoteServerEnded(e quarantine.Evidence)
+	// RemoteServerLimit takes in what a server said of its limit to the gateway whose
+	// start from names.
+	RemoteServerLimit(from string, n ratelimit.Notice)
 	Relayed(now time.Time, c directory.Confirmation)
 	RelayedEntry(now time.Time, c directory.Change)
 }
@@ -72,6 +79,8 @@
 
 	mu     sync.Mutex
 	others map[string]netip.AddrPort
+	// listed says that the others were listed.
+	listed bool
 	rank   int
 	// group is this gateway's, members are the others in it.
 	group    place.Group
@@ -171,6 +180,7 @@
 		log.WithField("peers", len(others)).Info("peers changed")
 	}
 	p.others = others
+	p.listed = true
 	p.rank = rankAmong(p.name, others)
 	p.findMembers()
 }
@@ -245,6 +255,48 @@
 	}
 }
 
+// RankFor implements gateway.Share. Of an engine of some group, its gateways count.
+func (p *Peers) RankFor(server string, round uint64) ratelimit.Rank {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.listed {
+		return ratelimit.Rank{}
+	}
+	among := lo.Filter(append(lo.Keys(p.others), p.name), func(name string, _ int) bool {
+		return place.GroupOf(name, p.group.Count).Has(server)
+	})
+	if len(among) == 0 {
+		among = append(lo.Keys(p.others), p.name)
+	}
+	return ratelimit.RankAmong(p.name, among, server, round)
+}
+
+// ServerLimit implements gateway.Share.
+func (p *Peers) ServerLimit(n ratelimit.Notice) { p.tellServerLimit(everyone, n) }
+
+// ServerLimitAgain implements gateway.Share.
+func (p *Peers) ServerLimitAgain(n ratelimit.Notice) { p.tellServerLimit(some, n) }
+
+func (p *Peers) tellServerLimit(to audience, n ratelimit.Notice) {
+	m := &wire.ServerLimit{
+		Server: n.Server.ID, Incarnation: n.Server.Incarnation, Named: n.Named, PerSecond: n.PerSecond, Weak: n.Weak,
+		HeardAgeMs: uint32(max(0, (boottime.Now() - n.Heard).Milliseconds())),
+		AnswerMs:   uint32(max(0, (n.Heard - n.Sent).Milliseconds())),
+	}
+	p.tell(to, flushAfter, proto.Size(m), func(s *wire.Share) { s.ServerLimits = append(s.ServerLimits, m) })
+}
+
+// serverLimit decodes a notice of another gateway whose datagram was on its way for a
+// time.
+func serverLimit(now, delay time.Duration, m *wire.ServerLimit) ratelimit.Notice {
+	heard := now - delay - time.Duration(m.HeardAgeMs)*time.Millisecond
+	return ratelimit.Notice{
+		Server: backend.Instance{ID: m.Server, Incarnation: m.Incarnation},
+		Named:  m.Named, PerSecond: m.PerSecond, Weak: m.Weak,
+		Sent: heard - time.Duration(m.AnswerMs)*time.Millisecond, Heard: heard,
+	}
+}
+
 // Confirm tells what the store has confirmed to this gateway.
 func (p *Peers) Confirm(c directory.Confirmation) {
 	m := &wire.Confirmation{
@@ -341,7 +393,8 @@
 	if s.Sender == uint32(p.start) {
 		return
 	}
-	p.takeReads(s)
+	delay := p.delays.of(uint64(s.Sender), time.Duration(s.SentMs)*time.Millisecond, boottime.Now())
+	p.takeReads(s, delay)
 	now := time.Now()
 	for _, m := range s.Entries {
 		p.receiver.RelayedEntry(now, directory.Change{
@@ -360,16 +413,23 @@
 	for _, m := range s.ServersEnded {
 		p.receiver.RemoteServerEnded(serverEnded(now, m))
 	}
+	for _, m := range s.ServerLimits {
+		if math.IsNaN(m.PerSecond) || math.IsInf(m.PerSecond, 0) || m.PerSecond < 0 {
+			p.dropped.Inc(1)
+			continue
+		}
+		p.receiver.RemoteServerLimit(strconv.FormatUint(uint64(s.Sender), 16), serverLimit(boottime.Now(), delay, m))
+	}
 }
 
-// takeReads takes in what another gateway does at the engines.
+// takeReads takes in what another gateway does at the engines, from a datagram that was
+// on its way for a time.
 //
 // A gateway that stood still finds the begins and ends of thousands of reads in its
 // socket at once. Learned from, they say that reads take no time; one notices by a
 // gateway that lets in what nobody can serve for half a minute after it went on.
-func (p *Peers) takeReads(s *wire.Share) {
-	sent := time.Duration(s.SentMs) * time.Millisecond
-	late := p.delays.of(uint64(s.Sender), sent, boottime.Now()) > lateRead
+func (p *Peers) takeReads(s *wire.Share, delay time.Duration) {
+	late := delay > lateRead
 	for _, m := range s.Placed {
 		if !late {
 			p.takePlaced(m)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http/httptest"
@@ -17,8 +18,10 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
+	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -43,6 +46,8 @@
 	stands bool
 	// evidence is what was told of servers that ended.
 	evidence []quarantine.Evidence
+	// limits is what was told of the limits of servers.
+	limits []ratelimit.Notice
 }
 
 func (h *heard) avoided() int {
@@ -98,6 +103,12 @@
 	h.evidence = append(h.evidence, e)
 }
 
+func (h *heard) RemoteServerLimit(_ string, n ratelimit.Notice) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits = append(h.limits, n)
+}
+
 func (h *heard) Relayed(time.Time, directory.Confirmation) {}
 func (h *heard) RelayedEntry(time.Time, directory.Change)  {}
 
@@ -246,6 +257,58 @@
 		Eventually(func() int { _, pieces := heardBy(); return pieces }).Should(Equal(9))
 	})
 
+	// Guards against limits that reach others with another age, and against gateways that
+	// do not agree on who may send.
+	It("tell the limits of servers with their ages, and rank each other alike", func() {
+		told := map[string]*heard{}
+		addresses := map[string]netip.AddrPort{}
+		var all []*peers.Peers
+		for n := range 7 {
+			name := "f-" + strconv.Itoa(n)
+			told[name] = newHeard()
+			p, err := peers.New(peers.Config{Name: name, Start: rand.Uint64(), Address: "127.0.0.1:0"}, told[name])
+			Expect(err).NotTo(HaveOccurred())
+			ctx, stop := context.WithCancel(context.Background())
+			DeferCleanup(stop)
+			go func() { _ = p.Receive(ctx) }()
+			addresses[name] = p.Addresses()[name]
+			all = append(all, p)
+		}
+		Expect(all[0].RankFor("s", 0)).To(Equal(ratelimit.Rank{}))
+		positions := map[int]bool{}
+		for _, p := range all {
+			p.Set(maps.Clone(addresses))
+			rank := p.RankFor("s", 0)
+			Expect(rank.Of).To(Equal(7))
+			positions[rank.Position] = true
+		}
+		Expect(positions).To(HaveLen(7))
+		n := ratelimit.Notice{
+			Server: backend.Instance{ID: "s", Incarnation: 1776457240515}, Named: true, PerSecond: 4.2, Weak: true,
+			Sent: boottime.Now() - 1100*time.Millisecond, Heard: boottime.Now() - time.Second,
+		}
+		bad := n
+		bad.PerSecond = math.NaN()
+		all[6].ServerLimit(bad)
+		all[6].ServerLimit(n)
+		for name, h := range told {
+			if name == "f-6" {
+				continue
+			}
+			got := func() []ratelimit.Notice {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				return h.limits
+			}
+			Eventually(got).Should(HaveLen(1))
+			notice := got()[0]
+			Expect(notice.Heard).To(BeNumerically("~", n.Heard, 500*time.Millisecond))
+			Expect(notice.Heard - notice.Sent).To(BeNumerically("~", 100*time.Millisecond, 5*time.Millisecond))
+			notice.Heard, notice.Sent = n.Heard, n.Sent
+			Expect(notice).To(Equal(n))
+		}
+	})
+
 	// Three hundred gateways tell each other of every request: each takes in
 	// megabytes a second, and small VMs have no processor left for callers.
 	It("tell placements to their group only, and refusals to all", func() {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -70,6 +70,7 @@
 	CodeBackend       Code = "backend_failed"
 	CodeBroken        Code = "answer_broken"
 	CodeQuarantined   Code = "quarantined"
+	CodeServerLimit   Code = "server_limit"
 	CodeInternal      Code = "internal"
 )
 
