--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -216,6 +216,7 @@
 		Rank:     p.peers.Rank,
 		Busy:     p.gateway.EngineWork,
 		Pace:     p.gateway.EnginePace,
+		Limited:  p.gateway.NamesLimit,
 		Misses:   p.gateway.EngineMisses,
 		Requests: p.gateway.EngineRequests,
 		Away:     p.gateway.EngineAway,
--- a/internal/reconcile/model_test.go
+++ b/internal/reconcile/model_test.go
@@ -148,6 +148,7 @@
 			Rank:     func() int { return 0 },
 			Busy:     func(string, string) int { return 0 },
 			Pace:     func(string, string) roles.Pace { return roles.Pace{} },
+			Limited:  func(string) bool { return false },
 			Misses:   func(string) (float64, bool) { return 0, false },
 			Requests: func(string) int64 { return 0 },
 			Away:     func(string, string, time.Duration) {},
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -67,6 +67,9 @@
 	Busy func(service, engine string) int
 	// Pace returns how slow an engine is.
 	Pace func(service, engine string) roles.Pace
+	// Limited reports whether a server takes few requests only: it does not count as one
+	// that serves its role.
+	Limited func(server string) bool
 	// Misses returns the part of a service's answers, by length, that is expected to
 	// miss its deadline; false while that is not known.
 	Misses func(service string) (float64, bool)
@@ -172,7 +175,7 @@
 
 func (r *Reconciler) engines(view *directory.View, service string) (list []roles.Engine, busy bool) {
 	for _, s := range view.Service(service) {
-		if s.Role == backend.NoRole {
+		if s.Role == backend.NoRole || r.config.Limited(s.ID) {
 			continue
 		}
 		work := r.config.Busy(service, s.ID)
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -37,6 +37,8 @@
 	requests    int64
 	misses      float64
 	missesKnown bool
+	// limited are the engines that take few requests only.
+	limited map[string]bool
 	now         time.Time
 }
 
@@ -110,6 +112,7 @@
 		Holder: "f-1", View: func() *directory.View { return w.view }, Rank: func() int { return rank },
 		Busy: func(string, string) int { return w.work }, Engines: w, Lease: w,
 		Pace:     func(string, string) roles.Pace { return roles.Pace{} },
+		Limited:  func(server string) bool { return w.limited[server] },
 		Away:     func(string, string, time.Duration) {},
 		Misses:   func(string) (float64, bool) { return w.misses, w.missesKnown },
 		Requests: func(string) int64 { return w.requests },
@@ -193,6 +196,28 @@
 		Expect(w.orders()).To(Equal(2))
 	})
 
+	// Guards against engines that take next to nothing counting as a role's, so that the
+	// rest of the role has all its work.
+	It("does not count engines that name a limit, and restores the share afterwards", func() {
+		w := newWorld(7, 5)
+		r := w.reconciler(0)
+		w.limited = map[string]bool{"e8": true, "e9": true, "e10": true}
+		for range 5 {
+			w.pass(r, 15*time.Second)
+			w.tell()
+		}
+		Expect(w.decoding()).To(Equal(7))
+		for id := range w.limited {
+			Expect(w.engines[id].orders).To(BeEmpty())
+		}
+		w.limited = nil
+		for range 5 {
+			w.pass(r, 15*time.Second)
+			w.tell()
+		}
+		Expect(w.decoding()).To(Equal(5))
+	})
+
 	It("gives no order while another process holds the lease", func() {
 		w := newWorld(5, 7)
 		w.held = true
