Rate limits: up to four more gateways than requests a second send

The most that may be sent in 4 s is four times the limit and one for each that may send; the rest of what is allowed is for lists of gateways that differ. Below one a second one or two send.

--- a/internal/decide/ratelimit/allowance.go
+++ b/internal/decide/ratelimit/allowance.go
@@ -9,6 +9,9 @@
 	// leastRate is the rate at which a server is sent requests that names a smaller limit:
 	// without any request nobody would hear that the limit has ended.
 	leastRate = 0.25
+	// extraMembers is by how many, at most, the gateways that may send are more than the
+	// requests a second that a server takes.
+	extraMembers = 4
 	// burst is the time whose part of the limit a gateway may send at once.
 	burst = 250 * time.Millisecond
 	// settle is how long a gateway that is newly among those that may send waits, so that
@@ -38,8 +41,8 @@
 //
 // A limit is often smaller than the number of gateways. If each had an equal part, the
 // first request of each would be over the limit. So a few gateways have equal parts, and
-// the others send nothing: they are found by ranking, which needs no message, and never
-// send more than the limit over any time, plus one request each.
+// the others send nothing: they are found by ranking, which needs no message, and over any
+// time send the limit and one request each at most.
 type allowance struct {
 	tokens   float64
 	refilled time.Duration
@@ -68,7 +71,7 @@
 	if round > 0 {
 		return 1
 	}
-	return int(max(1, min(rate, float64(of))))
+	return max(1, min(int(rate+min(1+rate, extraMembers)), of))
 }
 
 // currentRound counts the times for which no answer of the server was known. In each, one
