Soak of processes: servers that name limits

Beside the other faults servers name limits of up to two requests a second, in all answers, in rejections or in reads only. In the calm part one plain server and one engine that reads name two a second until the end of the run, through held-back changes and a restart of a gateway, and may get 17 requests in any 4 s from contact on.

--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -84,6 +84,9 @@
 	{"server fails", serverFault(runner.Failing)},
 	{"server answers twice", serverFault(runner.ExtraAnswer)},
 	{"server silent", serverFault(runner.Silent)},
+	{"server names a limit", serverLimit(runner.AllAnswers)},
+	{"server names a limit in rejections", serverLimit(runner.Rejections)},
+	{"server names a limit in reads", serverLimit(runner.Reads)},
 	{"server drains", func(w *world, r *rand.Rand) func() {
 		s := w.anyServer(r)
 		if !s.drainedAt.IsZero() {
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -113,6 +113,7 @@
 	time.Sleep(settled)
 	well := time.Now()
 	defer func() { w.judgeEnds(well, l) }()
+	defer w.nameLimits(l)()
 	w.configure()
 	drained := w.servers[len(w.servers)-1]
 	w.register(drained, "draining")
