Rate limits: a limit that drifts by little is no news for all

A server whose limit differs a little in each answer would have each of them told to all gateways and logged. It is news from 5 in 100 off what was news last; what differs by less travels with the notices that are told again. Spec: 99 answers, at most 15 news.

--- a/internal/decide/ratelimit/ratelimit.go
+++ b/internal/decide/ratelimit/ratelimit.go
@@ -13,6 +13,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -29,6 +30,9 @@
 	// keptGone is for how long the limit of a server is known whose entry is gone. An
 	// entry that lapsed with the store's outage returns.
 	keptGone = time.Minute
+	// notable is the part by which a limit must differ from the one that was last a change
+	// to be another.
+	notable = 0.05
 	// mostServers bounds the servers with limits.
 	mostServers = 4_096
 )
@@ -61,7 +65,7 @@
 // Change is what a Notice changed.
 type Change uint8
 
-// The changes.
+// The changes. One that others need not hear of at once is Unchanged.
 const (
 	Unchanged Change = iota
 	Begun
@@ -85,6 +89,8 @@
 type entry struct {
 	// last is the newest notice.
 	last Notice
+	// announced is the limit that was last a change.
+	announced float64
 	// before is the limit that ended, and endedAt when, of a server that names none any
 	// more.
 	before  float64
@@ -100,6 +106,12 @@
 // Len returns how many servers have a limit, or had one until lately.
 func (t *Table) Len() int { return len(t.entries) }
 
+// Knows reports whether a server has a limit, or had one until lately.
+func (t *Table) Knows(server string) bool {
+	_, ok := t.entries[server]
+	return ok
+}
+
 // Limit returns the limit that a server names, in requests a second.
 func (t *Table) Limit(server string) (perSecond float64, ok bool) {
 	e, ok := t.entries[server]
@@ -133,7 +145,7 @@
 		return Unchanged
 	}
 	t.makeRoom()
-	e := &entry{last: n}
+	e := &entry{last: n, announced: n.PerSecond}
 	e.refilled = now
 	e.rank = t.ranking(n.Server.ID, 0)
 	t.entries[n.Server.ID] = e
@@ -178,16 +190,19 @@
 	was := e.last
 	e.last = n
 	switch {
-	case n.says(was):
+	case !n.Named && !was.Named:
 		return Unchanged
 	case !n.Named:
 		e.before, e.endedAt = was.PerSecond, n.Heard
 		return Ended
-	case was.Named:
+	case was.Named && math.Abs(n.PerSecond-e.announced) <= notable*e.announced:
+		return Unchanged
+	}
+	e.announced = n.PerSecond
+	if was.Named {
 		return Changed
-	default:
-		return Begun
 	}
+	return Begun
 }
 
 // Forget drops the limits that ended and those of servers that are gone.
--- a/internal/decide/ratelimit/ratelimit_test.go
+++ b/internal/decide/ratelimit/ratelimit_test.go
@@ -104,6 +104,20 @@
 		Expect(limit()).To(Equal(7.0))
 	})
 
+	// Guards against a datagram to all for each answer of a server whose limit drifts.
+	It("is no news while it differs by little from what was news last", func() {
+		table.Add(0, said(1, 4, 0, 1))
+		news := 0
+		for n := 1; n < 100; n++ {
+			perSecond := 4 - 0.02*float64(n)
+			if table.Add(0, said(1, perSecond, float64(n), float64(n+1))) != ratelimit.Unchanged {
+				news++
+			}
+			Expect(limit()).To(Equal(perSecond))
+		}
+		Expect(news).To(BeNumerically("<=", 15))
+	})
+
 	It("is forgotten once it has ended or the server is gone", func() {
 		here := func(string) bool { return true }
 		gone := func(string) bool { return false }
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -39,7 +39,7 @@
 	missesKnown bool
 	// limited are the engines that take few requests only.
 	limited map[string]bool
-	now         time.Time
+	now     time.Time
 }
 
 type engine struct {
