Gateway: the clock is read only for servers with a limit

While one engine has a limit, each plan asked the kernel for the time once an engine and scope: some hundred calls a request with 60 engines.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -108,7 +108,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.table.Allows(boottime.Now(), server)
+	return !l.table.Knows(server) || l.table.Allows(boottime.Now(), server)
 }
 
 // has reports whether a server names a limit.
@@ -129,7 +129,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.table.Take(boottime.Now(), server)
+	if l.table.Knows(server) {
+		l.table.Take(boottime.Now(), server)
+	}
 }
 
 // wait returns after how long the first of some servers has room for a request.
