--- a/internal/decide/ratelimit/allowance.go
+++ b/internal/decide/ratelimit/allowance.go
@@ -118,6 +118,19 @@
 	return !limited || (member && e.tokens >= 1)
 }
 
+// Part returns how many requests a second this gateway may send to a server with a limit,
+// 0 if it may send none now.
+func (t *Table) Part(now time.Duration, server string) float64 {
+	e, ok := t.entries[server]
+	if !ok {
+		return 0
+	}
+	if part, member, _ := e.refresh(now, t.ranking); member {
+		return part
+	}
+	return 0
+}
+
 // Take notes a request to a server, also one that Allows would not have let through.
 func (t *Table) Take(now time.Duration, server string) {
 	if e, ok := t.entries[server]; ok {
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -36,6 +36,8 @@
 type LimitDump struct {
 	// PerSecond is how many requests a second it takes from all gateways together.
 	PerSecond float64 `json:"per_second"`
+	// Part is how many of these this gateway may send, 0 for none.
+	Part float64 `json:"part"`
 }
 
 // Dump returns the state of the gateway.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -214,5 +214,5 @@
 	if !ok {
 		return nil
 	}
-	return &LimitDump{PerSecond: perSecond}
+	return &LimitDump{PerSecond: perSecond, Part: l.table.Part(boottime.Now(), server)}
 }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -32,6 +32,7 @@
 		l := limitOf(w, server)
 		Expect(l).NotTo(BeNil())
 		Expect(l.PerSecond).To(Equal(perSecond))
+		Expect(l.Part).To(BeNumerically("~", max(0.25, perSecond), 1e-9))
 	}
 
 	It("is in the dump from the answer that names it to the one that does not", func() {
