Rate limits: gateways are ranked anew only when they change

It is done when the list or the group changes. Limits told of servers that are not known are counted.

--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -34,6 +34,8 @@
 	ServerLimitAgain(n ratelimit.Notice)
 	// RankFor ranks this entry among those that could send to a server.
 	RankFor(server string, round uint64) ratelimit.Rank
+	// Membership differs from an earlier one if ranks may have changed since.
+	Membership() uint64
 	// Count returns how many entries there are, this one included.
 	Count() int
 	// JoinGroup returns this entry's group among a number of groups. From then
@@ -53,6 +55,7 @@
 func (noShare) ServerLimit(ratelimit.Notice)          {}
 func (noShare) ServerLimitAgain(ratelimit.Notice)     {}
 func (noShare) RankFor(string, uint64) ratelimit.Rank { return ratelimit.Rank{Of: 1} }
+func (noShare) Membership() uint64                    { return 0 }
 func (noShare) Count() int                            { return 1 }
 func (noShare) JoinGroup(uint64) place.Group          { return place.Group{} }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -263,6 +263,7 @@
 func (p *placements) ServerLimit(ratelimit.Notice)          {}
 func (p *placements) ServerLimitAgain(ratelimit.Notice)     {}
 func (p *placements) RankFor(string, uint64) ratelimit.Rank { return ratelimit.Rank{Of: 1} }
+func (p *placements) Membership() uint64                    { return 0 }
 func (p *placements) JoinGroup(uint64) place.Group          { return place.Group{} }
 
 var _ = Describe("a prompt", func() {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -29,11 +29,13 @@
 	mu    sync.Mutex
 	table *ratelimit.Table
 	share Share
+	// membership is that by which the gateways were ranked last.
+	membership uint64
 	// invalidAt is when a limit that is not understood was last logged.
 	invalidAt time.Time
 
-	named, invalid metrics.Counter
-	limited        metrics.Gauge
+	named, invalid, unknown metrics.Counter
+	limited                 metrics.Gauge
 }
 
 func newLimits() *limits {
@@ -41,6 +43,7 @@
 		share:   noShare{},
 		named:   metrics.GetOrRegisterCounter("gateway.server_limits_named", nil),
 		invalid: metrics.GetOrRegisterCounter("gateway.server_limits_invalid", nil),
+		unknown: metrics.GetOrRegisterCounter("gateway.server_limits_unknown", nil),
 		limited: metrics.GetOrRegisterGauge("gateway.servers_limited", nil),
 	}
 	l.table = ratelimit.New(func(server string, round uint64) ratelimit.Rank { return l.share.RankFor(server, round) })
@@ -149,6 +152,7 @@
 // server that is not known here it is dropped: it is told again.
 func (g *Gateway) RemoteServerLimit(from string, n ratelimit.Notice) {
 	if _, ok := g.directory.View().Servers[n.Server.ID]; !ok {
+		g.limits.unknown.Inc(1)
 		return
 	}
 	g.limits.mu.Lock()
@@ -168,7 +172,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := boottime.Now()
-	l.table.Rank(now)
+	if m := l.share.Membership(); m != l.membership {
+		l.membership = m
+		l.table.Rank(now)
+	}
 	for _, n := range l.table.ToTell(now, mostRetold) {
 		l.share.ServerLimitAgain(n)
 	}
--- a/internal/peers/outbox.go
+++ b/internal/peers/outbox.go
@@ -43,6 +43,7 @@
 	defer p.mu.Unlock()
 	if p.group.Count != count {
 		p.group = place.GroupOf(p.name, count)
+		p.membership++
 		p.findMembers()
 	}
 	return p.group
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -79,9 +79,11 @@
 
 	mu     sync.Mutex
 	others map[string]netip.AddrPort
-	// listed says that the others were listed.
-	listed bool
-	rank   int
+	// listed says that the others were listed, membership counts the changes of who they
+	// are and of the group.
+	listed     bool
+	membership uint64
+	rank       int
 	// group is this gateway's, members are the others in it.
 	group    place.Group
 	members  map[string]netip.AddrPort
@@ -179,6 +181,9 @@
 	if len(others) != len(p.others) {
 		log.WithField("peers", len(others)).Info("peers changed")
 	}
+	if !p.listed || !maps.Equal(others, p.others) {
+		p.membership++
+	}
 	p.others = others
 	p.listed = true
 	p.rank = rankAmong(p.name, others)
@@ -271,6 +276,13 @@
 	return ratelimit.RankAmong(p.name, among, server, round)
 }
 
+// Membership implements gateway.Share.
+func (p *Peers) Membership() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.membership
+}
+
 // ServerLimit implements gateway.Share.
 func (p *Peers) ServerLimit(n ratelimit.Notice) { p.tellServerLimit(everyone, n) }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -281,6 +281,9 @@
 			rank := p.RankFor("s", 0)
 			Expect(rank.Of).To(Equal(7))
 			positions[rank.Position] = true
+			before := p.Membership()
+			p.Set(maps.Clone(addresses))
+			Expect(p.Membership()).To(Equal(before))
 		}
 		Expect(positions).To(HaveLen(7))
 		n := ratelimit.Notice{
