--- a/internal/decide/ratelimit/allowance.go
+++ b/internal/decide/ratelimit/allowance.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// leastRate is the rate at which a server is sent requests that names a smaller limit:
-	// without any request nobody would hear that the limit has ended.
+	// leastRate is the rate, in requests a second, at which a server is sent requests that
+	// names a smaller limit: without any nobody would hear that the limit has ended.
 	leastRate = 0.25
 	// extraMembers is by how many, at most, the gateways that may send are more than the
 	// requests a second that a server takes.
@@ -41,8 +41,8 @@
 //
 // A limit is often smaller than the number of gateways. If each had an equal part, the
 // first request of each would be over the limit. So a few gateways have equal parts, and
-// the others send nothing: they are found by ranking, which needs no message, and over any
-// time send the limit and one request each at most.
+// the others send nothing. They are found by ranking, which needs no message, and over any
+// time send the limit and a burst each at most: one request, or its part of burst.
 type allowance struct {
 	tokens   float64
 	refilled time.Duration
@@ -74,6 +74,11 @@
 	return max(1, min(int(rate+min(1+rate, extraMembers)), of))
 }
 
+// chosen reports whether this gateway is one of those that may send at a rate.
+func (e *entry) chosen(rate float64) bool {
+	return e.rank.Of > 0 && e.rank.Position < members(rate, e.round, e.rank.Of)
+}
+
 // currentRound counts the times for which no answer of the server was known. In each, one
 // other gateway looks whether the limit still holds.
 func (e *entry) currentRound(now time.Duration, rate float64) uint64 {
@@ -95,10 +100,9 @@
 		e.round = round
 		e.rank = ranking(e.last.Server.ID, round)
 	}
-	n := members(rate, e.round, e.rank.Of)
-	part = rate / float64(n)
+	part = rate / float64(members(rate, e.round, e.rank.Of))
 	e.fill(now, part)
-	return part, e.rank.Position < n && e.rank.Of > 0 && now >= e.heldUntil, true
+	return part, e.chosen(rate) && now >= e.heldUntil, true
 }
 
 // fill adds the tokens of the time since the last call.
@@ -167,10 +171,9 @@
 		if !limited {
 			continue
 		}
-		was := e.rank.Position < members(rate, e.round, e.rank.Of) && e.rank.Of > 0
+		was := e.chosen(rate)
 		e.rank = t.ranking(e.last.Server.ID, e.round)
-		is := e.rank.Position < members(rate, e.round, e.rank.Of)
-		if is && !was {
+		if e.chosen(rate) && !was {
 			e.heldUntil = now + settle
 		}
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -80,8 +80,8 @@
 	return a.Sealed || a.NotRun || a.Stage == request.PrefillOnly
 }
 
-// add takes in a notice and logs what it changed. From names the gateway that told it,
-// and is empty for an answer of the server's own.
+// add takes in a notice and logs what it changed. from names the gateway that told it, and
+// is empty for an answer that came here.
 func (l *limits) add(now time.Duration, from string, n ratelimit.Notice) ratelimit.Change {
 	before, _ := l.table.Limit(n.Server.ID)
 	change := l.table.Add(now, n)
@@ -168,7 +168,7 @@
 		return
 	}
 	g.engines.joinGroup()
-	g.limits.forget(g.directory.View())
+	l.forget(g.directory.View())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := boottime.Now()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -50,6 +50,24 @@
 	limits []ratelimit.Notice
 }
 
+// startPeers starts some gateways that do not know each other, with what each was told and
+// where each takes datagrams, by name.
+func startPeers(count int) (all []*peers.Peers, told map[string]*heard, addresses map[string]netip.AddrPort) {
+	told, addresses = map[string]*heard{}, map[string]netip.AddrPort{}
+	for n := range count {
+		name := "f-" + strconv.Itoa(n)
+		told[name] = newHeard()
+		p, err := peers.New(peers.Config{Name: name, Start: rand.Uint64(), Address: "127.0.0.1:0"}, told[name])
+		Expect(err).NotTo(HaveOccurred())
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go func() { _ = p.Receive(ctx) }()
+		addresses[name] = p.Addresses()[name]
+		all = append(all, p)
+	}
+	return all, told, addresses
+}
+
 func (h *heard) avoided() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -217,20 +235,8 @@
 	// A datagram is lost, or a gateway was not there yet. It is told again by any of the
 	// others until all know it.
 	It("tell that servers ended to all at once, and to some again", func() {
-		told := map[string]*heard{}
-		addresses := map[string]netip.AddrPort{}
-		var sender *peers.Peers
-		for n := range 7 {
-			name := "f-" + strconv.Itoa(n)
-			told[name] = newHeard()
-			p, err := peers.New(peers.Config{Name: name, Start: rand.Uint64(), Address: "127.0.0.1:0"}, told[name])
-			Expect(err).NotTo(HaveOccurred())
-			ctx, stop := context.WithCancel(context.Background())
-			DeferCleanup(stop)
-			go func() { _ = p.Receive(ctx) }()
-			addresses[name] = p.Addresses()[name]
-			sender = p
-		}
+		all, told, addresses := startPeers(7)
+		sender := all[6]
 		sender.Set(maps.Clone(addresses))
 		evidence := quarantine.Evidence{
 			Request: 1 << 63, Instance: backend.Instance{ID: "i-9a340f44e5", Incarnation: 1776457240515},
@@ -260,20 +266,7 @@
 	// Guards against limits that reach others with another age, and against gateways that
 	// do not agree on who may send.
 	It("tell the limits of servers with their ages, and rank each other alike", func() {
-		told := map[string]*heard{}
-		addresses := map[string]netip.AddrPort{}
-		var all []*peers.Peers
-		for n := range 7 {
-			name := "f-" + strconv.Itoa(n)
-			told[name] = newHeard()
-			p, err := peers.New(peers.Config{Name: name, Start: rand.Uint64(), Address: "127.0.0.1:0"}, told[name])
-			Expect(err).NotTo(HaveOccurred())
-			ctx, stop := context.WithCancel(context.Background())
-			DeferCleanup(stop)
-			go func() { _ = p.Receive(ctx) }()
-			addresses[name] = p.Addresses()[name]
-			all = append(all, p)
-		}
+		all, told, addresses := startPeers(7)
 		Expect(all[0].RankFor("s", 0)).To(Equal(ratelimit.Rank{}))
 		positions := map[int]bool{}
 		for _, p := range all {
