Gateway: log and count streams that are canceled because their engine sends no data

The request line only had the error of the last attempt, so that a stream given up for a silent engine looked like one that ran out of retries (incident LOST, hypotheses 1 and 2). Field stalled, counter gateway.streams_stalled.

--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -192,7 +192,11 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	stall := c.watchStall(cancel)
-	defer stall.stop()
+	defer func() {
+		if stall.stop() {
+			c.trace.stalledAt = append(c.trace.stalledAt, decodeEngine.ID)
+		}
+	}()
 	reply, err := c.send(ctx, decodeEngine, o)
 	if err != nil {
 		c.avoidFailed(decodeEngine, o, err)
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -43,6 +43,8 @@
 	events  int
 	bytes   int64
 	aborted bool
+	// stalledAt are the engines whose streams were canceled because they sent no data.
+	stalledAt []string
 	// connectionBroken is set if a server's connection broke while the server may
 	// have been running the request.
 	connectionBroken bool
@@ -193,6 +195,9 @@
 		names := slices.Sorted(maps.Keys(c.limitedBy))
 		fields["limited"] = strings.Join(names[:min(maxLogged, len(names))], " ")
 	}
+	if len(c.trace.stalledAt) > 0 {
+		fields["stalled"] = strings.Join(c.trace.stalledAt, " ")
+	}
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
 	}
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
@@ -25,6 +27,8 @@
 	body io.Reader
 	// timer is nil if the stream is not watched.
 	timer *time.Timer
+	// fired is set once the stream has been canceled.
+	fired atomic.Bool
 }
 
 // watchStall watches the next attempt of a stream if it could be resumed elsewhere.
@@ -36,7 +40,13 @@
 	if !c.route.Resumable || c.possibleRuns+1 >= c.route.MaxAttempts || decodeEngines < 2 {
 		return &stallWatch{}
 	}
-	return &stallWatch{timer: time.AfterFunc(streamStallTimeout, cancel)}
+	w := &stallWatch{}
+	w.timer = time.AfterFunc(streamStallTimeout, func() {
+		w.fired.Store(true)
+		metrics.GetOrRegisterCounter("gateway.streams_stalled", nil).Inc(1)
+		cancel()
+	})
+	return w
 }
 
 // Read implements io.Reader. The timer runs only while the read waits, so that a
@@ -51,8 +61,10 @@
 	return n, err
 }
 
-func (w *stallWatch) stop() {
+// stop ends the watch. It reports whether the stream has been canceled.
+func (w *stallWatch) stop() bool {
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	return w.fired.Load()
 }
