Gateway: a silent server's attempt is kept while another server is tried

Cause: a stall canceled the attempt before it was known whether the request could go on elsewhere. All streams of a silent engine asked for the retry budget in the same millisecond; those beyond it, and those whose second engine rejected them or was silent too, ended without the rest. A silence was taken for a failure.

Now the second attempt runs beside the first (hedge): the first server to send the awaited data is used, the other attempt is canceled; if there is none to try, the first is waited for until the deadline, and the search is repeated. The same retry budget, attempts and runs are counted as before. Safe requests to plain services do likewise; they stayed at a silent server until the deadline.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -84,6 +84,9 @@
 // Send sends a request and returns the head of its response. The request is canceled
 // when ctx is done, or times out shortly after Options.Remaining.
 func (t *Transport) Send(ctx context.Context, r *request.Request, o request.Options) (*Reply, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeCancelled, err.Error())
+	}
 	key := poolKey(o.Server)
 	c, err := t.connect(ctx, key, o)
 	if err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -26,21 +26,62 @@
 
 // send makes one attempt at a server. It returns the response if the server ran
 // the request, and an error otherwise. The attempt is canceled when ctx is done.
-func (c *call) send(ctx context.Context, server backend.Server, o request.Options) (*direct.Reply, *verdict.Error) {
-	if c.attempts > 0 && !c.spendRetry() {
-		return nil, c.retryBudgetError()
+//
+// With a hedge, another server is tried as well if this one is silent. If that one
+// begins to answer first, send returns its attempt instead.
+func (c *call) send(ctx context.Context, server backend.Server, o request.Options, h *hedge) (*direct.Reply, *hedgedAttempt, *verdict.Error) {
+	if e := c.beginAttempt(server, &o); e != nil {
+		return nil, nil, e
+	}
+	var reply *direct.Reply
+	var err error
+	other := h.wait(func() bool {
+		reply, err = c.gateway.transport.Send(ctx, &c.request, o)
+		return err == nil && !reply.NotRun && reply.Status < http.StatusInternalServerError
+	})
+	if other != nil {
+		if reply != nil {
+			reply.Body.Close()
+		}
+		c.reportBrokenConnection(server)
+		c.recordFailure(server, verdict.MayHaveRun)
+		return nil, other, nil
+	}
+	reply, failed := c.endAttempt(ctx, server, reply, err)
+	return reply, nil, failed
+}
+
+// beginAttempt counts an attempt at a server and sets its options. It returns an error
+// if the retry budget does not allow it.
+func (c *call) beginAttempt(server backend.Server, o *request.Options) *verdict.Error {
+	if c.attempts > 0 && !c.retryReserved && !c.spendRetry() {
+		return c.retryBudgetError()
 	}
+	c.retryReserved = false
 	invariant.Check(c.verdict == verdict.NotRun || c.route.Repeatable(), "runs-at-most-once",
 		"request %s of route %s is sent again after %s", c.id, c.route.Name, c.verdict)
 	c.attempts++
 	o.Server = server
 	o.Remaining = c.remaining()
 	c.trace.server = server.ID
-	c.lastSentAt = time.Now()
-	reply, err := c.gateway.transport.Send(ctx, &c.request, o)
+	c.recordSend(server)
+	return nil
+}
+
+// recordSend records when the request was last sent to a server.
+func (c *call) recordSend(server backend.Server) {
+	if c.sentAt == nil {
+		c.sentAt = make(map[string]time.Time)
+	}
+	c.sentAt[server.ID] = time.Now()
+}
+
+// endAttempt records the outcome of an attempt. It returns the response if the server
+// ran the request, and an error otherwise.
+func (c *call) endAttempt(ctx context.Context, server backend.Server, reply *direct.Reply, err error) (*direct.Reply, *verdict.Error) {
 	if err != nil {
 		e := verdict.Of(err)
-		if e.Verdict != verdict.NotRun {
+		if e.Verdict != verdict.NotRun && ctx.Err() == nil {
 			c.reportBrokenConnection(server)
 		}
 		c.recordFailure(server, e.Verdict)
@@ -56,6 +97,7 @@
 		c.recordFailure(server, verdict.MayHaveRun)
 		return nil, e
 	}
+	c.trace.server = server.ID
 	c.verdict = verdict.Ran
 	c.possibleRuns++
 	return reply, nil
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -81,8 +81,8 @@
 	// quarantineStatus is the result of the last quarantine check. It lists the
 	// servers that terminated while they ran the request.
 	quarantineStatus quarantine.Status
-	// lastSentAt is when the request was last sent to a server.
-	lastSentAt time.Time
+	// sentAt is when the request was last sent to each server.
+	sentAt map[string]time.Time
 
 	// verdict is the worst verdict of all attempts.
 	verdict  verdict.Verdict
@@ -90,13 +90,17 @@
 	// prefillAttempts counts the attempts that requested only a prefill.
 	prefillAttempts int
 	// retryBudgetSpent is set once the service's retry budget is exhausted.
-	retryBudgetSpent bool
+	// retryReserved is set if the next attempt has been counted against it already.
+	retryBudgetSpent, retryReserved bool
 	// possibleRuns counts the attempts whose server ran, or may have run, the request.
 	possibleRuns int
 	// headSent is set once the head of the response has been sent; lastEventID is
 	// the ID of the last stream event sent to the caller.
 	headSent    bool
 	lastEventID string
+	// stream reads the answer that is being forwarded, and sampler counts its events.
+	stream  *eventReader
+	sampler *streamSampler
 	// priority is the request's priority in engines' queues.
 	priority int
 	// excludedServers are not tried again for this request.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -27,18 +27,10 @@
 // each attempt.
 func (c *call) runModel() {
 	g := c.gateway
-	job := place.Job{
-		ID:         jobID(c.request.ID),
-		Prompt:     c.request.Prompt,
-		Route:      c.route.Name,
-		DataCentre: g.deployment.Load().DataCentre,
-		Exclude:    c.excluded,
-	}
 	var last *verdict.Error
 	for first := true; first || c.mayRetry(); first = false {
 		now := time.Now()
-		job.Suspect = c.quarantineStatus.Suspected()
-		job.Prompt.DeliveredEvents = c.request.Prompt.DeliveredEvents + c.trace.events
+		job := c.placeJob()
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.constraints(now))
 		if !ok {
 			if last == nil {
@@ -64,6 +56,28 @@
 	c.fail(last)
 }
 
+// placeJob returns the rest of the request as a job to place.
+func (c *call) placeJob() place.Job {
+	job := place.Job{
+		ID:         jobID(c.request.ID),
+		Prompt:     c.request.Prompt,
+		Route:      c.route.Name,
+		DataCentre: c.gateway.deployment.Load().DataCentre,
+		Exclude:    c.excluded,
+		Suspect:    c.quarantineStatus.Suspected(),
+	}
+	job.Prompt.DeliveredEvents += c.events()
+	return job
+}
+
+// events returns the number of stream events that have been forwarded.
+func (c *call) events() int {
+	if c.sampler == nil {
+		return c.trace.events
+	}
+	return c.trace.events + c.sampler.events
+}
+
 // constraints returns the time limits of the next attempt.
 func (c *call) constraints(now time.Time) place.Constraints {
 	remaining := c.deadline.Sub(now)
@@ -102,7 +116,7 @@
 		return c.engineGone(plan.PrefillEngine)
 	}
 	began := time.Now()
-	handle, err := c.prefill(prefillEngine)
+	handle, err := c.prefill(c.ctx, prefillEngine)
 	c.trace.prefill = time.Since(began)
 	if err != nil {
 		return err
@@ -149,18 +163,20 @@
 
 // prefill has an engine prefill the prompt and returns the handle of its KV cache.
 // Whatever the outcome, the request itself has not run.
-func (c *call) prefill(prefillEngine backend.Server) (string, *verdict.Error) {
+func (c *call) prefill(ctx context.Context, prefillEngine backend.Server) (string, *verdict.Error) {
 	g := c.gateway
 	if c.prefillAttempts > 0 && !c.spendRetry() {
 		return "", c.retryBudgetError()
 	}
 	c.prefillAttempts++
-	c.lastSentAt = time.Now()
+	c.recordSend(prefillEngine)
 	o := request.Options{Server: prefillEngine, Remaining: c.remaining(), Stage: request.PrefillOnly, Priority: c.priority}
-	reply, err := g.transport.Send(c.ctx, &c.request, o)
+	reply, err := g.transport.Send(ctx, &c.request, o)
 	if err != nil {
-		g.engines.avoid(c.service.Name, prefillEngine.ID, failureAvoidTime)
-		if verdict.Of(err).Verdict != verdict.NotRun {
+		if ctx.Err() == nil {
+			g.engines.avoid(c.service.Name, prefillEngine.ID, failureAvoidTime)
+		}
+		if verdict.Of(err).Verdict != verdict.NotRun && ctx.Err() == nil {
 			c.reportBrokenConnection(prefillEngine)
 		}
 		return "", c.prefillFailed(prefillEngine, err.Error())
@@ -187,21 +203,25 @@
 
 // generate has an engine generate the answer and forwards it.
 func (c *call) generate(decodeEngine backend.Server, o request.Options, id place.JobID) *verdict.Error {
-	g := c.gateway
-	o.ResumeAfter = c.lastEventID
+	o.ResumeAfter = c.resumePoint()
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	stall := c.watchStall(cancel)
-	defer func() {
-		if stall.stop() {
-			c.trace.stalledAt = append(c.trace.stalledAt, decodeEngine.ID)
-		}
-	}()
-	reply, err := c.send(ctx, decodeEngine, o)
+	h := c.hedgeStream(decodeEngine, cancel)
+	reply, other, err := c.send(ctx, decodeEngine, o, h)
+	if other != nil {
+		return c.forwardHedged(other)
+	}
 	if err != nil {
-		c.avoidFailed(decodeEngine, o, err)
+		c.avoidFailed(ctx, decodeEngine, o, err)
 		return err
 	}
+	return c.forward(decodeEngine, reply, id, h)
+}
+
+// forward forwards the answer of an engine. If a hedge finds that another engine goes
+// on first, it forwards the rest from there.
+func (c *call) forward(decodeEngine backend.Server, reply *direct.Reply, id place.JobID, h *hedge) *verdict.Error {
+	g := c.gateway
 	defer reply.Body.Close()
 	if c.headSent && !continuesStream(reply) {
 		c.exclude(decodeEngine)
@@ -211,17 +231,38 @@
 		c.writeHead(reply)
 		c.headSent = true
 	}
-	stall.body = reply.Body
-	sampler := &streamSampler{
-		Reader:     stall,
-		onFirst:    func() { g.engines.firstToken(c.service.Name, id) },
-		onInterval: func(interval time.Duration) { g.engines.interEventTime(c.service.Name, id, interval) },
+	if h != nil {
+		h.headReceived = true
+	}
+	body := &hedgedBody{body: reply.Body, hedge: h}
+	if failed := c.copyEvents(decodeEngine, body, id); failed == nil || body.other == nil {
+		return failed
 	}
-	defer func() { c.trace.events += sampler.events }()
-	failed := c.copyStream(decodeEngine, sampler)
+	g.engines.finished(c.service.Name, id)
+	return c.forwardHedged(body.other)
+}
+
+// copyEvents forwards the events of one engine and learns from them.
+func (c *call) copyEvents(decodeEngine backend.Server, body *hedgedBody, id place.JobID) *verdict.Error {
+	engines := c.gateway.engines
+	silences := body.hedge.silent()
+	c.sampler = &streamSampler{
+		Reader:  body,
+		onFirst: func() { engines.firstToken(c.service.Name, id) },
+		onInterval: func(interval time.Duration) {
+			// The interval of a silent engine says nothing about its speed.
+			if n := body.hedge.silent(); n != silences {
+				silences = n
+				return
+			}
+			engines.interEventTime(c.service.Name, id, interval)
+		},
+	}
+	failed := c.copyStream(decodeEngine, c.sampler)
+	c.trace.events += c.sampler.events
+	c.sampler = nil
 	if failed == nil {
-		events := c.request.Prompt.DeliveredEvents + c.trace.events + sampler.events
-		g.engines.completed(c.service.Name, c.request.Prompt.ExpectedOutputTokens, events)
+		engines.completed(c.service.Name, c.request.Prompt.ExpectedOutputTokens, c.request.Prompt.DeliveredEvents+c.trace.events)
 	}
 	return failed
 }
@@ -245,9 +286,10 @@
 		}
 		return nil
 	}
-	events := &eventReader{source: source, lastID: c.lastEventID}
-	err := c.copyBody(events)
-	c.lastEventID = events.lastID
+	c.stream = &eventReader{source: source, lastID: c.lastEventID}
+	err := c.copyBody(c.stream)
+	c.lastEventID = c.stream.lastID
+	c.stream = nil
 	if err == nil {
 		return nil
 	}
@@ -256,6 +298,14 @@
 	return verdict.New(verdict.MayHaveRun, verdict.CodeAnswerBroken, "stream from the engine interrupted: "+err.Error())
 }
 
+// resumePoint returns the ID of the last event that the caller has, empty for none.
+func (c *call) resumePoint() string {
+	if c.stream != nil {
+		return c.stream.lastID
+	}
+	return c.lastEventID
+}
+
 // rejectionAvoidTime is how long an engine is avoided after it rejected a request:
 // long enough that each gateway makes about one attempt a second there, short enough
 // to notice when it accepts requests again.
@@ -264,10 +314,10 @@
 // avoidFailed avoids an engine after a failed attempt. A rejection of a request with
 // KV cache to fetch is as often the fault of the engine that holds the cache. Only
 // this gateway then avoids the engine, for half the time.
-func (c *call) avoidFailed(s backend.Server, o request.Options, err *verdict.Error) {
+func (c *call) avoidFailed(ctx context.Context, s backend.Server, o request.Options, err *verdict.Error) {
 	engines := c.gateway.engines
 	switch {
-	case c.ctx.Err() != nil || c.retryBudgetSpent:
+	case ctx.Err() != nil || c.retryBudgetSpent:
 	case err.Verdict != verdict.NotRun || err.Code == verdict.CodeNoBackend:
 		engines.avoid(c.service.Name, s.ID, failureAvoidTime)
 	case o.KVSource == "":
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -127,37 +128,106 @@
 	}
 }
 
+// avoid makes other requests avoid a server that is silent.
+func (p *plainBalancer) avoid(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.server(id).avoidUntil = time.Now().Add(failureAvoidTime)
+}
+
 // runPlain serves a request to a plain service. It chooses a server for each attempt.
 func (c *call) runPlain() {
-	g := c.gateway
 	var last *verdict.Error
-	for {
-		servers := g.directory.View().Service(c.service.Name)
-		server, ok := g.plain.choose(time.Now(), servers, g.deployment.Load().DataCentre, c.excluded)
+	for first := true; first || c.mayRetry(); first = false {
+		server, ok := c.choosePlain()
 		if !ok {
 			if last == nil {
 				last = c.noServerError("no backend server")
 			}
 			break
 		}
-		reply, err := c.send(c.ctx, server, request.Options{Priority: request.DefaultPriority})
-		if err == nil && reply.Status >= http.StatusInternalServerError && c.mayRetry() {
-			// The server itself failed: retry at another one where that is safe.
-			c.discard(reply, server)
-			last = verdict.New(verdict.Ran, verdict.CodeBackendFailed, "the backend server failed")
-			continue
-		}
-		if err == nil {
-			c.deliver(reply, server)
+		if last = c.attemptPlain(server); last == nil {
 			return
 		}
+	}
+	c.fail(last)
+}
+
+// choosePlain chooses a server for the next attempt.
+func (c *call) choosePlain() (backend.Server, bool) {
+	g := c.gateway
+	servers := g.directory.View().Service(c.service.Name)
+	return g.plain.choose(time.Now(), servers, g.deployment.Load().DataCentre, c.excluded)
+}
+
+// attemptPlain makes one attempt at a server. It returns nil if a response has been
+// forwarded.
+func (c *call) attemptPlain(server backend.Server) *verdict.Error {
+	g := c.gateway
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	reply, other, err := c.send(ctx, server, plainOptions, c.hedgePlain(server, cancel))
+	if other != nil {
+		g.plain.done(server.ID, nil, verdict.MayHaveRun)
+		defer other.cancel()
+		c.trace.server = other.server.ID
+		c.deliver(other.reply, other.server)
+		return nil
+	}
+	if err != nil {
 		g.plain.done(server.ID, nil, err.Verdict)
-		last = err
-		if !c.mayRetry() {
-			break
+		return err
+	}
+	if reply.Status >= http.StatusInternalServerError && c.mayRetry() {
+		// The server itself failed: retry at another one where that is safe.
+		c.discard(reply, server)
+		return verdict.New(verdict.Ran, verdict.CodeBackendFailed, "the backend server failed")
+	}
+	c.deliver(reply, server)
+	return nil
+}
+
+// plainOptions are the options of requests to plain services.
+var plainOptions = request.Options{Priority: request.DefaultPriority}
+
+// hedgePlain returns the hedge of an attempt at a server, or nil if the request may not
+// run at another one.
+func (c *call) hedgePlain(server backend.Server, cancel context.CancelFunc) *hedge {
+	if !c.route.Repeatable() || c.route.MaxAttempts < 2 {
+		return nil
+	}
+	plain := c.gateway.plain
+	return &hedge{
+		call: c, first: server, cancelFirst: cancel, next: c.tryOtherServer,
+		discard:    func(a *hedgedAttempt) { plain.done(a.server.ID, nil, verdict.NotRun) },
+		avoidFirst: func() { plain.avoid(server.ID) },
+	}
+}
+
+// tryOtherServer makes one attempt at another server. It returns the attempt once the
+// server begins to answer, or nil.
+func (c *call) tryOtherServer(ctx context.Context) *hedgedAttempt {
+	g := c.gateway
+	server, ok := c.choosePlain()
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	reply, _, err := c.send(ctx, server, plainOptions, nil)
+	if err == nil && reply.Status < http.StatusInternalServerError {
+		return &hedgedAttempt{server: server, reply: reply, cancel: cancel}
+	}
+	if err == nil {
+		c.discard(reply, server)
+	} else {
+		v := err.Verdict
+		if ctx.Err() != nil {
+			v = verdict.NotRun
 		}
+		g.plain.done(server.ID, nil, v)
 	}
-	c.fail(last)
+	cancel()
+	return nil
 }
 
 // discard drops a response because the request is retried at another server.
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -43,8 +43,8 @@
 	events  int
 	bytes   int64
 	aborted bool
-	// stalledAt are the engines whose streams were canceled because they sent no data.
-	stalledAt []string
+	// silent are the servers that sent no data for silenceTimeout.
+	silent []string
 	// connectionBroken is set if a server's connection broke while the server may
 	// have been running the request.
 	connectionBroken bool
@@ -180,7 +180,7 @@
 		fields["lag_ms"] = p.PrefillLag.Milliseconds()
 		fields["length"], fields["answer_cost_ms"] = c.request.Prompt.ExpectedOutputTokens, p.AnswerCost.Milliseconds()
 		fields["prefill_ms"], fields["learned"] = c.trace.prefill.Milliseconds(), p.Calibrated
-		fields["patience_ms"], fields["events"] = c.deadline.Sub(c.received).Milliseconds(), c.trace.events
+		fields["patience_ms"], fields["events"] = c.deadline.Sub(c.received).Milliseconds(), c.events()
 		if c.trace.bySize {
 			fields["admitted_by_size"] = true
 		}
@@ -195,8 +195,8 @@
 		names := slices.Sorted(maps.Keys(c.limitedBy))
 		fields["limited"] = strings.Join(names[:min(maxLogged, len(names))], " ")
 	}
-	if len(c.trace.stalledAt) > 0 {
-		fields["stalled"] = strings.Join(c.trace.stalledAt, " ")
+	if len(c.trace.silent) > 0 {
+		fields["silent"] = strings.Join(c.trace.silent, " ")
 	}
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -234,7 +234,7 @@
 	if !ok || current.Draining || current.Incarnation != s.Incarnation {
 		return
 	}
-	if c.gateway.terminations.addPending(s, c.fingerprint(), c.lastSentAt) {
+	if c.gateway.terminations.addPending(s, c.fingerprint(), c.sentAt[s.ID]) {
 		go c.gateway.watchTermination(s, at)
 	}
 }
