Direct: TCP time-out of requests exceeds the pauses of a sound server

Callers got 502, or a cut stream, when a server's VM acknowledged nothing for a second and then went on: TCP_USER_TIMEOUT of one second closed the connection ("may have run", which nobody repeats for them).

The second was needed for servers without power; since another server is tried after a second of silence anyway, the connection may stay open for 3 s. Prefill-only attempts keep one second: giving one up loses nothing, as the request has not run. Idle connections to a server at which a reused one was silent are closed as before.

--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -16,8 +17,12 @@
 	dialTimeout = 400 * time.Millisecond
 	// ackTimeout closes a connection whose peer does not acknowledge data, because
 	// it lost power or a device in between dropped the connection's state. Without
-	// it, a request on such a connection waits until its deadline.
-	ackTimeout = time.Second
+	// it, a request on such a connection waits until its deadline. It exceeds the
+	// pauses of a sound server, which must not end the requests that it runs.
+	ackTimeout = 3 * time.Second
+	// prefillAckTimeout is the ackTimeout of PrefillOnly attempts. They may be given up
+	// early, because the request itself has not run.
+	prefillAckTimeout = time.Second
 	// Keep-alive probes detect idle connections with an unresponsive peer, so that
 	// no request is sent on them.
 	keepAliveIdle     = time.Second
@@ -37,6 +42,8 @@
 	idleTimeout time.Duration
 	// reused is set once the connection has been returned to the pool.
 	reused bool
+	// ackTimeout is the TCP_USER_TIMEOUT of the connection.
+	ackTimeout time.Duration
 }
 
 var dialer = net.Dialer{
@@ -47,16 +54,15 @@
 		Interval: keepAliveInterval,
 		Count:    keepAliveCount,
 	},
-	Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-		})
-		if controlErr != nil {
-			return controlErr
-		}
-		return err
-	},
+	Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, ackTimeout) },
+}
+
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	return errors.Join(controlErr, err)
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
@@ -64,7 +70,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}, nil
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), ackTimeout: ackTimeout}, nil
+}
+
+// setAckTimeout sets how long sent data may remain unacknowledged.
+func (c *conn) setAckTimeout(d time.Duration) error {
+	if c.ackTimeout == d {
+		return nil
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	c.ackTimeout = d
+	return setUserTimeout(raw, d)
 }
 
 // healthy reports whether an idle connection is open and has no data to read. Data
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -94,8 +94,9 @@
 	}
 	x := &exchange{transport: t, key: key, conn: c, request: r, options: &o, sent: time.Now()}
 	x.stopWatch = context.AfterFunc(ctx, func() { c.Close() })
-	if err := c.SetDeadline(time.Now().Add(o.Remaining + responseSlack)); err != nil {
-		return nil, x.fail(verdict.NotRun, "set deadline", err)
+	deadlineErr := c.SetDeadline(time.Now().Add(o.Remaining + responseSlack))
+	if err := errors.Join(deadlineErr, c.setAckTimeout(ackTimeoutOf(o.Stage))); err != nil {
+		return nil, x.fail(verdict.NotRun, "set timeouts", err)
 	}
 	if err := x.write(t.codec.AppendRequest(nil, r, o)); err != nil {
 		return nil, err
@@ -103,6 +104,13 @@
 	return x.readHead()
 }
 
+func ackTimeoutOf(s request.Stage) time.Duration {
+	if s == request.PrefillOnly {
+		return prefillAckTimeout
+	}
+	return ackTimeout
+}
+
 // CloseServers closes the idle connections to servers that are gone.
 func (t *Transport) CloseServers(gone func(serverID string) bool) {
 	t.pool.closeIf(func(key string, _ *conn) bool { return gone(serverID(key)) })
@@ -120,6 +128,11 @@
 	t.pool.closeIf(func(_ string, c *conn) bool { return c.idleSince.Before(before) })
 }
 
+// closeIdle is like CloseIdleBefore for the connections to one server.
+func (t *Transport) closeIdle(key string, before time.Time) {
+	t.pool.closeIf(func(k string, c *conn) bool { return k == key && c.idleSince.Before(before) })
+}
+
 // connect returns an idle connection from the pool or a new one.
 func (t *Transport) connect(ctx context.Context, key string, o request.Options) (*conn, error) {
 	if c := t.pool.get(key, time.Now()); c != nil {
@@ -237,12 +250,22 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// suspectTime is how long a reused connection may stay without a response before the
+// others are suspected to be unresponsive as well.
+const suspectTime = time.Second
+
 // failRead ends the exchange after a read error. Whatever the error is, the server
 // may have run the request.
 func (x *exchange) failRead(err error) error {
+	now := time.Now()
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() && x.conn.reused {
-		x.transport.CloseIdleBefore(time.Now().Add(-ackTimeout))
+	switch {
+	case !x.conn.reused:
+	case errors.As(err, &timeout) && timeout.Timeout():
+		x.transport.CloseIdleBefore(now.Add(-suspectTime))
+	case now.Sub(x.sent) >= suspectTime:
+		// The attempt was canceled because the server was silent.
+		x.transport.closeIdle(x.key, now.Add(-suspectTime))
 	}
 	return x.fail(verdict.MayHaveRun, "read", err)
 }
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -76,9 +76,14 @@
 }
 
 func send(t *direct.Transport, address, id string, body []byte) (string, error) {
+	return sendWithin(time.Second, t, address, id, body)
+}
+
+// sendWithin is send with the time that the server has for the request.
+func sendWithin(remaining time.Duration, t *direct.Transport, address, id string, body []byte) (string, error) {
 	r := &request.Request{ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Body: body, Header: http.Header{"Request-Id": {id}}}
 	reply, err := t.Send(context.Background(), r, request.Options{
-		Server: backend.Server{ID: "i-1", Address: address}, Remaining: time.Second, Priority: request.DefaultPriority,
+		Server: backend.Server{ID: "i-1", Address: address}, Remaining: remaining, Priority: request.DefaultPriority,
 	})
 	if err != nil {
 		return "", err
