--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -173,10 +173,11 @@
 	o := request.Options{Server: prefillEngine, Remaining: c.remaining(), Stage: request.PrefillOnly, Priority: c.priority}
 	reply, err := g.transport.Send(ctx, &c.request, o)
 	if err != nil {
-		if ctx.Err() == nil {
+		hedgeLost := ctx.Err() != nil && c.ctx.Err() == nil
+		if !hedgeLost {
 			g.engines.avoid(c.service.Name, prefillEngine.ID, failureAvoidTime)
 		}
-		if verdict.Of(err).Verdict != verdict.NotRun && ctx.Err() == nil {
+		if verdict.Of(err).Verdict != verdict.NotRun && !hedgeLost {
 			c.reportBrokenConnection(prefillEngine)
 		}
 		return "", c.prefillFailed(prefillEngine, err.Error())
