Gateway: while a prefill is silent, another one is tried

The hedge of the attempts now covers prefills too, of every route, since a prefill is no run. Budget and attempts are counted as before.

TestSilentServersForGoodAreLeftByPrefills failed before (503 at 5 s), passes.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -32,16 +32,17 @@
 type hedge struct {
 	call  *call
 	first backend.Server
-	// headReceived is set once the first server has begun to answer.
-	headReceived bool
+	// runCounted is set if the first attempt is no run, or its run has been counted.
+	runCounted bool
 	// cancelFirst cancels the first attempt.
 	cancelFirst context.CancelFunc
-	// next makes one attempt at another server and returns it once that server begins
-	// to answer. It returns nil if there is no server or the attempt fails.
+	// next makes one attempt at another server and returns it once that server has sent
+	// what is awaited. It returns nil if there is no server or the attempt fails.
 	next func(ctx context.Context) *hedgedAttempt
 	// discard ends the accounting of an attempt that next has returned and that lost.
 	discard func(*hedgedAttempt)
-	// avoidFirst makes other requests avoid the first server for a while.
+	// avoidFirst makes other requests avoid the first server for a while. It is nil if
+	// they need not.
 	avoidFirst func()
 	// race is nil until the first wait, and again after each wait in which the first
 	// server was silent.
@@ -50,10 +51,14 @@
 	silences int
 }
 
-// hedgedAttempt is an attempt whose server has begun to answer.
+// hedgedAttempt is an attempt beside a silent one.
 type hedgedAttempt struct {
+	// server is the one that has sent what is awaited.
 	server backend.Server
-	reply  *direct.Reply
+	// reply is its response, nil for a prefill.
+	reply *direct.Reply
+	// handle is that of the KV cache, empty if there was no prefill.
+	handle string
 	// cancel cancels the attempt.
 	cancel context.CancelFunc
 	// plan, prefill and job belong to an attempt at engines.
@@ -96,12 +101,12 @@
 	return h.silences
 }
 
-// allowed reports whether the request may be sent to another server now. The run of
-// the first server counts even if it has not begun to answer.
+// allowed reports whether the request may be sent to another server now. A run at the
+// first server counts even if that one has not begun to answer.
 func (h *hedge) allowed() bool {
 	c := h.call
 	runs := c.possibleRuns
-	if !h.headReceived {
+	if !h.runCounted {
 		runs++
 	}
 	return runs < c.route.MaxAttempts && c.mayRetry()
@@ -137,7 +142,7 @@
 	defer close(r.done)
 	c := r.hedge.call
 	c.exclude(r.hedge.first)
-	if !r.hedge.headReceived {
+	if r.hedge.avoidFirst != nil {
 		r.hedge.avoidFirst()
 	}
 	for r.ctx.Err() == nil && r.hedge.allowed() {
@@ -172,7 +177,6 @@
 	defer r.mu.Unlock()
 	if r.firstWon {
 		a.cancel()
-		a.reply.Body.Close()
 		r.hedge.discard(a)
 		return
 	}
--- a/internal/gateway/hedge_model.go
+++ b/internal/gateway/hedge_model.go
@@ -55,7 +55,10 @@
 	engines := c.gateway.engines
 	return &hedge{
 		call: c, first: decodeEngine, cancelFirst: cancel, next: c.tryOtherEngine,
-		discard:    func(a *hedgedAttempt) { engines.finished(c.service.Name, a.job) },
+		discard: func(a *hedgedAttempt) {
+			a.reply.Body.Close()
+			engines.finished(c.service.Name, a.job)
+		},
 		avoidFirst: func() { engines.avoid(c.service.Name, decodeEngine.ID, failureAvoidTime) },
 	}
 }
@@ -71,6 +74,27 @@
 // tryOtherEngine places the rest of the request again and makes one attempt. It returns
 // the attempt once the engine begins to answer, or nil.
 func (c *call) tryOtherEngine(ctx context.Context) *hedgedAttempt {
+	return c.placeHedged(ctx, func(ctx context.Context, a *hedgedAttempt) bool {
+		if !c.prefillHedged(ctx, a) {
+			return false
+		}
+		o := request.Options{Priority: c.priority, ResumeAfter: c.resumePoint()}
+		if !a.plan.Split() {
+			return c.generateHedged(ctx, a, o) == nil
+		}
+		prefillEngine := a.server
+		o.KVSource, o.Priority = c.gateway.codec.KVSource(prefillEngine.Address, a.handle), place.DecodePriority
+		failed := c.generateHedged(ctx, a, o)
+		if failed != nil && failed.Verdict == verdict.NotRun {
+			go c.gateway.freeKV(prefillEngine, a.handle)
+		}
+		return failed == nil
+	})
+}
+
+// placeHedged places the rest of the request again and begins an attempt there. It
+// returns nil if there is no engine, no room in the retry budget or the attempt fails.
+func (c *call) placeHedged(ctx context.Context, begin func(context.Context, *hedgedAttempt) bool) *hedgedAttempt {
 	engines := c.gateway.engines
 	now := time.Now()
 	job := c.placeJob()
@@ -80,16 +104,14 @@
 	if !ok || !admission.Admit {
 		return nil
 	}
-	// The attempt is counted before the prefill: without room in the budget the prompt
-	// would be prefilled for nothing.
-	if c.retryReserved = c.spendRetry(); !c.retryReserved {
+	if !c.reserveRetry() {
 		engines.finished(c.service.Name, job.ID)
 		return nil
 	}
 	c.priority = admission.Priority
 	ctx, cancel := context.WithCancel(ctx)
 	a := &hedgedAttempt{cancel: cancel, plan: plan, job: job.ID}
-	if !c.beginHedged(ctx, a) {
+	if !begin(ctx, a) {
 		cancel()
 		engines.finished(c.service.Name, job.ID)
 		return nil
@@ -97,31 +119,63 @@
 	return a
 }
 
-// beginHedged sends a hedged attempt to its engines. It reports whether the engine has
-// begun an answer that can be forwarded.
-func (c *call) beginHedged(ctx context.Context, a *hedgedAttempt) bool {
+// reserveRetry counts the next attempt against the retry budget before its prefill:
+// without room in the budget the prompt would be prefilled for nothing.
+func (c *call) reserveRetry() bool {
+	if c.attempts > 0 && !c.retryReserved {
+		c.retryReserved = c.spendRetry()
+	}
+	return c.attempts == 0 || c.retryReserved
+}
+
+// prefillHedged has the prompt prefilled as planned. It reports whether the answer can
+// be generated.
+func (c *call) prefillHedged(ctx context.Context, a *hedgedAttempt) bool {
+	if !a.plan.Split() {
+		return true
+	}
 	g := c.gateway
-	o := request.Options{Priority: c.priority, ResumeAfter: c.resumePoint()}
-	if a.plan.Split() {
-		prefillEngine, ok := serverByID(g.directory.View(), a.plan.PrefillEngine)
-		if !ok {
-			return false
-		}
-		began := time.Now()
-		handle, failed := c.prefill(ctx, prefillEngine)
-		a.prefill = time.Since(began)
-		if failed != nil {
-			return false
-		}
-		g.engines.prefillDone(c.service.Name, a.job)
-		o.KVSource, o.Priority = g.codec.KVSource(prefillEngine.Address, handle), place.DecodePriority
-		failed = c.generateHedged(ctx, a, o)
-		if failed != nil && failed.Verdict == verdict.NotRun {
-			go g.freeKV(prefillEngine, handle)
-		}
-		return failed == nil
+	var ok bool
+	if a.server, ok = serverByID(g.directory.View(), a.plan.PrefillEngine); !ok {
+		return false
+	}
+	began := time.Now()
+	handle, _, failed := c.prefill(ctx, a.server, nil)
+	if failed != nil {
+		return false
+	}
+	a.handle, a.prefill = handle, time.Since(began)
+	g.engines.prefillDone(c.service.Name, a.job)
+	return true
+}
+
+// hedgePrefill returns the hedge of a prefill. The request has not run, so that any
+// request may move on.
+func (c *call) hedgePrefill(prefillEngine backend.Server, cancel context.CancelFunc) *hedge {
+	g := c.gateway
+	return &hedge{
+		call: c, first: prefillEngine, cancelFirst: cancel, runCounted: true,
+		next: func(ctx context.Context) *hedgedAttempt { return c.placeHedged(ctx, c.prefillHedged) },
+		discard: func(a *hedgedAttempt) {
+			g.engines.finished(c.service.Name, a.job)
+			if a.plan.Split() {
+				go g.freeKV(a.server, a.handle)
+			}
+		},
+		avoidFirst: func() { g.engines.avoid(c.service.Name, prefillEngine.ID, failureAvoidTime) },
+	}
+}
+
+// runHedgedPrefill generates the answer as planned by the hedge of a prefill.
+func (c *call) runHedgedPrefill(a *hedgedAttempt, job place.Job) *verdict.Error {
+	defer a.cancel()
+	defer c.gateway.engines.finished(c.service.Name, a.job)
+	c.trace.plan, c.trace.prefill = a.plan, a.prefill
+	job.ID = a.job
+	if !a.plan.Split() {
+		return c.runAtOne(a.plan, job)
 	}
-	return c.generateHedged(ctx, a, o) == nil
+	return c.runPrefilled(a.plan, job, a.server, a.handle)
 }
 
 // generateHedged makes a hedged attempt at the planned decode engine.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -101,6 +101,11 @@
 	if plan.Split() {
 		return c.runSplit(plan, job)
 	}
+	return c.runAtOne(plan, job)
+}
+
+// runAtOne has one engine prefill the prompt and generate the answer.
+func (c *call) runAtOne(plan place.Plan, job place.Job) *verdict.Error {
 	decodeEngine, ok := serverByID(c.gateway.directory.View(), plan.DecodeEngine)
 	if !ok {
 		return c.engineGone(plan.DecodeEngine)
@@ -110,17 +115,28 @@
 
 // runSplit has one engine prefill the prompt and another generate the answer.
 func (c *call) runSplit(plan place.Plan, job place.Job) *verdict.Error {
-	g := c.gateway
-	prefillEngine, ok := serverByID(g.directory.View(), plan.PrefillEngine)
+	prefillEngine, ok := serverByID(c.gateway.directory.View(), plan.PrefillEngine)
 	if !ok {
 		return c.engineGone(plan.PrefillEngine)
 	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
 	began := time.Now()
-	handle, err := c.prefill(c.ctx, prefillEngine)
+	handle, other, err := c.prefill(ctx, prefillEngine, c.hedgePrefill(prefillEngine, cancel))
 	c.trace.prefill = time.Since(began)
+	if other != nil {
+		c.gateway.engines.finished(c.service.Name, job.ID)
+		return c.runHedgedPrefill(other, job)
+	}
 	if err != nil {
 		return err
 	}
+	return c.runPrefilled(plan, job, prefillEngine, handle)
+}
+
+// runPrefilled has an engine generate the answer from KV cache that another one holds.
+func (c *call) runPrefilled(plan place.Plan, job place.Job, prefillEngine backend.Server, handle string) *verdict.Error {
+	g := c.gateway
 	g.engines.prefillDone(c.service.Name, job.ID)
 	options := request.Options{
 		Priority: place.DecodePriority,
@@ -162,16 +178,35 @@
 }
 
 // prefill has an engine prefill the prompt and returns the handle of its KV cache.
-// Whatever the outcome, the request itself has not run.
-func (c *call) prefill(ctx context.Context, prefillEngine backend.Server) (string, *verdict.Error) {
-	g := c.gateway
+// Whatever the outcome, the request itself has not run. With a hedge, prefill returns
+// the attempt at other engines instead if these are ready first.
+func (c *call) prefill(ctx context.Context, prefillEngine backend.Server, h *hedge) (string, *hedgedAttempt, *verdict.Error) {
 	if c.prefillAttempts > 0 && !c.spendRetry() {
-		return "", c.retryBudgetError()
+		return "", nil, c.retryBudgetError()
 	}
 	c.prefillAttempts++
 	c.recordSend(prefillEngine)
 	o := request.Options{Server: prefillEngine, Remaining: c.remaining(), Stage: request.PrefillOnly, Priority: c.priority}
-	reply, err := g.transport.Send(ctx, &c.request, o)
+	var reply *direct.Reply
+	var err error
+	other := h.wait(func() bool {
+		reply, err = c.gateway.transport.Send(ctx, &c.request, o)
+		return err == nil && reply.Status == http.StatusOK
+	})
+	if other != nil {
+		if reply != nil {
+			reply.Body.Close()
+		}
+		c.reportBrokenConnection(prefillEngine)
+		return "", other, nil
+	}
+	handle, failed := c.endPrefill(ctx, prefillEngine, reply, err)
+	return handle, nil, failed
+}
+
+// endPrefill records the outcome of a prefill and returns the handle.
+func (c *call) endPrefill(ctx context.Context, prefillEngine backend.Server, reply *direct.Reply, err error) (string, *verdict.Error) {
+	g := c.gateway
 	if err != nil {
 		hedgeLost := ctx.Err() != nil && c.ctx.Err() == nil
 		if !hedgeLost {
@@ -233,7 +268,7 @@
 		c.headSent = true
 	}
 	if h != nil {
-		h.headReceived = true
+		h.runCounted, h.avoidFirst = true, nil
 	}
 	body := &hedgedBody{body: reply.Body, hedge: h}
 	if failed := c.copyEvents(decodeEngine, body, id); failed == nil || body.other == nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -199,7 +199,10 @@
 	plain := c.gateway.plain
 	return &hedge{
 		call: c, first: server, cancelFirst: cancel, next: c.tryOtherServer,
-		discard:    func(a *hedgedAttempt) { plain.done(a.server.ID, nil, verdict.NotRun) },
+		discard: func(a *hedgedAttempt) {
+			a.reply.Body.Close()
+			plain.done(a.server.ID, nil, verdict.NotRun)
+		},
 		avoidFirst: func() { plain.avoid(server.ID) },
 	}
 }
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -275,3 +275,16 @@
 	Expect(runsOf(second, "r0")).To(BeZero())
 	Expect(runsOf(first, "r0")).To(Equal(1))
 }
+
+// Guards against a request that waits for a silent prefill until its deadline, although
+// it has not run and another engine is free.
+func TestSilentServersForGoodAreLeftByPrefills(t *testing.T) {
+	f, _, _ := newSilenceFixture(t, enoughSlack, 1, 0)
+	readers := []*runner.BackendServer{f.add("llm", runner.New("f-0", "prefill")), f.add("llm", runner.New("f-1", "prefill"))}
+	Eventually(func() int { return len(f.dir.View().Servers) }).Should(Equal(3))
+	silence(readers...)
+	wait := f.start(http.MethodPost, "/stream-once/1", "r0", "Token-Count", "20000,80", "Prefix-Hash", "aa:15000,bb:5000", "Deadline-Ms", patience)
+	reader, _ := resumeAllButTheHolder(readers)
+	expectWholeStreams([]func() response{wait}, []string{"r0"})
+	Eventually(reader.Held).Should(BeZero(), "the prefill that was left is canceled")
+}
