Gateway: closing idle connections never cuts a request that has been read

What callers saw: a request on a kept connection, sent when the connection had been idle for a long time, was passed on to a backend server, and the connection closed without an answer or a rejection.

The same for the second of two pipelined requests.

Fix: accepted connections are wrapped in callerConn. A read returns either bytes or the error of the deadline, never both, so no bytes are taken from a connection that is closed, and none is closed after bytes were taken. A read after StateIdle means that net/http has no complete request: nothing that is closed can have been passed on. Bytes that arrive with the interruption stay unread in the kernel: the caller gets a reset, not an end, and knows that nobody read them.

New counter: gateway.idle_connections_closed.

Not taken: closing the connection under the wrapper's lock and dropping what a read had just returned. It keeps the request from a server, but the bytes have left the kernel, so the caller sees an ordinary end and cannot know that the request was not read.

--- /dev/null
+++ b/internal/gateway/caller_conn.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// callerConn is a caller's connection. Between requests it can be closed without
+// cutting a request: closing it only interrupts the read that waits for the next
+// request, and that read returns either bytes or an error, never both.
+type callerConn struct {
+	net.Conn
+	conns *callerConns
+
+	mu        sync.Mutex
+	phase     connPhase
+	idleSince time.Time
+}
+
+// connPhase is what a caller's connection is used for.
+type connPhase int
+
+const (
+	// phaseServing: a request is being read or answered.
+	phaseServing connPhase = iota
+	// phaseIdle: the last request has been answered, and net/http does not yet wait
+	// for more bytes. It may already have those of a pipelined request.
+	phaseIdle
+	// phaseWaiting: net/http waits for bytes, since it has no complete request.
+	phaseWaiting
+	// phaseInterrupted: the waiting read has been interrupted.
+	phaseInterrupted
+)
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if !c.startWaiting() {
+		return c.Conn.Read(p)
+	}
+	n, err := c.Conn.Read(p)
+	return c.endWaiting(n, err)
+}
+
+// startWaiting reports whether the read that begins waits for the next request.
+func (c *callerConn) startWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseIdle {
+		return false
+	}
+	c.phase = phaseWaiting
+	return true
+}
+
+// endWaiting handles the result of a read that waited for the next request. If the
+// read was interrupted before any bytes arrived, it closes the connection.
+func (c *callerConn) endWaiting(n int, err error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseInterrupted && errors.Is(err, os.ErrDeadlineExceeded) {
+		metrics.GetOrRegisterCounter("gateway.idle_connections_closed", nil).Inc(1)
+		c.Conn.Close()
+		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Err: net.ErrClosed}
+	}
+	c.phase = phaseServing
+	if n > 0 && err == nil {
+		// net/http limits the time for the head only after four bytes. This limit also
+		// replaces the deadline of an interruption that came too late.
+		err = c.SetReadDeadline(time.Now().Add(headerTimeout))
+	}
+	return n, err
+}
+
+// becomeIdle records that the last request has been answered.
+func (c *callerConn) becomeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.idleSince = phaseIdle, now
+}
+
+// becomeActive records that a complete request has been read.
+func (c *callerConn) becomeActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseServing
+}
+
+// closeIdleBefore closes the connection if it became idle before the given time and
+// still waits for the next request.
+func (c *callerConn) closeIdleBefore(cutoff time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseWaiting && c.idleSince.Before(cutoff) {
+		c.interrupt()
+	}
+}
+
+// interrupt makes the waiting read return. c.mu must be held.
+func (c *callerConn) interrupt() {
+	if c.SetReadDeadline(interruptDeadline) == nil {
+		c.phase = phaseInterrupted
+	}
+}
+
+// interruptDeadline is a read deadline in the past.
+var interruptDeadline = time.Unix(1, 0)
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.conns.remove(c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/gateway/caller_conn_test.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const callerRequest = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
+
+// afterAnyTimeout is a time at which every idle connection has expired.
+func afterAnyTimeout() time.Time { return time.Now().Add(time.Hour) }
+
+// callerServer is a server for callers that responds 204 to every request.
+type callerServer struct {
+	conns    *callerConns
+	listener net.Listener
+	// handled counts the requests that reached the handler.
+	handled atomic.Int32
+	// onState is called before the connection's state changes.
+	onState func(http.ConnState)
+	// onRequest is called while a request is handled.
+	onRequest func()
+}
+
+func newCallerServerFixture() *callerServer {
+	return &callerServer{conns: newCallerConns(), onState: func(http.ConnState) {}, onRequest: func() {}}
+}
+
+func (s *callerServer) serve(t *testing.T) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.listener = l
+	server := newCallerServer(s)
+	changed := server.ConnState
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		s.onState(state)
+		changed(c, state)
+	}
+	go func() { _ = server.Serve(s.conns.listen(l)) }()
+	t.Cleanup(func() { server.Close() })
+}
+
+// waitUntilClosed waits until all connections have been closed and their handlers have
+// returned.
+func (s *callerServer) waitUntilClosed() {
+	for {
+		s.conns.mu.Lock()
+		left := len(s.conns.open)
+		s.conns.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *callerServer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	s.handled.Add(1)
+	s.onRequest()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *callerServer) dial(t *testing.T) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp4", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &caller{Conn: c, reader: bufio.NewReader(c)}
+}
+
+// send sends a request and returns an error if it is not answered.
+func (c *caller) send() error {
+	if _, err := io.WriteString(c, callerRequest); err != nil {
+		return err
+	}
+	return c.readResponse()
+}
+
+func (c *caller) readResponse() error {
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// newPipeConn returns a caller's connection that waits for its next request, and the
+// caller's end.
+func newPipeConn(t *testing.T, now time.Time) (*callerConn, net.Conn) {
+	t.Helper()
+	server, client := net.Pipe()
+	c := newCallerConns().add(server)
+	t.Cleanup(func() { c.Close(); client.Close() })
+	c.becomeIdle(now)
+	if !c.startWaiting() {
+		t.Fatal("an idle connection does not wait for a request")
+	}
+	return c, client
+}
+
+// Guards against closing a connection whose next request has been read: the request is
+// sent to a backend server, and its caller gets neither a response nor a rejection.
+func TestRequestThatHasBeenReadIsAnswered(t *testing.T) {
+	s := newCallerServerFixture()
+	active := 0
+	s.onState = func(state http.ConnState) {
+		if state != http.StateActive {
+			return
+		}
+		if active++; active == 2 {
+			s.conns.closeIdleBefore(afterAnyTimeout())
+		}
+	}
+	s.serve(t)
+	c := s.dial(t)
+	for n := 1; n <= 2; n++ {
+		if err := c.send(); err != nil {
+			t.Errorf("request %d: %v", n, err)
+		}
+	}
+}
+
+// Guards against closing a connection between pipelined requests, or while the handler
+// of the second one runs: net/http reads no more bytes for it.
+func TestPipelinedRequestsAreAnswered(t *testing.T) {
+	s := newCallerServerFixture()
+	sweep := func() { s.conns.closeIdleBefore(afterAnyTimeout()) }
+	s.onState = func(http.ConnState) { sweep() }
+	s.onRequest = sweep
+	s.serve(t)
+	c := s.dial(t)
+	if _, err := io.WriteString(c, strings.Repeat(callerRequest, 3)); err != nil {
+		t.Fatal(err)
+	}
+	for n := 1; n <= 3; n++ {
+		if err := c.readResponse(); err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+	}
+}
+
+// Guards against closing a connection whose request is sent to a backend server, and
+// sending one whose connection has been closed, if both come at once.
+func TestClosedConnectionsHandleNoRequest(t *testing.T) {
+	s := newCallerServerFixture()
+	s.serve(t)
+	const rounds = 300
+	answered := 0
+	for range rounds {
+		c := s.dial(t)
+		if err := c.send(); err != nil {
+			t.Fatal(err)
+		}
+		swept := make(chan struct{})
+		go func() {
+			defer close(swept)
+			s.conns.closeIdleBefore(afterAnyTimeout())
+		}()
+		if c.send() == nil {
+			answered++
+		}
+		<-swept
+		c.Close()
+	}
+	s.waitUntilClosed()
+	if handled := int(s.handled.Load()) - rounds; handled != answered {
+		t.Errorf("%d requests handled beside a sweep, %d answered", handled, answered)
+	}
+	t.Logf("%d of %d answered", answered, rounds)
+}
+
+// Guards against closing a connection from which bytes of the next request have been
+// read, but not all of its head.
+func TestReadBytesKeepTheConnectionOpen(t *testing.T) {
+	now := time.Now()
+	c, client := newPipeConn(t, now)
+	go func() { _, _ = io.WriteString(client, callerRequest) }()
+	buf := make([]byte, 1)
+	n, err := c.Conn.Read(buf)
+	c.closeIdleBefore(now.Add(time.Second))
+	if n, err = c.endWaiting(n, err); n != 1 || err != nil {
+		t.Fatalf("read %d bytes, %v", n, err)
+	}
+	c.closeIdleBefore(now.Add(time.Second))
+	if rest, err := io.ReadAll(io.LimitReader(c, int64(len(callerRequest)-1))); err != nil || string(rest) != callerRequest[1:] {
+		t.Errorf("read %q, %v", rest, err)
+	}
+}
+
+// Guards against handing up bytes of a request after the connection has been closed, and
+// against closing connections without counting them.
+func TestExpiredConnectionIsClosed(t *testing.T) {
+	counter := metrics.GetOrRegisterCounter("gateway.idle_connections_closed", nil)
+	before := counter.Count()
+	now := time.Now()
+	c, client := newPipeConn(t, now)
+	c.closeIdleBefore(now)
+	c.closeIdleBefore(now.Add(time.Nanosecond))
+	go func() { _, _ = io.WriteString(client, callerRequest) }()
+	buf := make([]byte, 1)
+	if n, err := c.endWaiting(c.Conn.Read(buf)); n != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	if _, err := c.Read(buf); err == nil {
+		t.Error("a closed connection can be read")
+	}
+	if _, err := client.Read(buf); !errors.Is(err, io.EOF) {
+		t.Errorf("the caller's connection is open: %v", err)
+	}
+	if counted := counter.Count() - before; counted != 1 {
+		t.Errorf("counted %d connections", counted)
+	}
+}
+
+// Guards against closing a connection that has not been idle for long enough, or that is
+// new and has its own limit.
+func TestConnectionsInUseStayOpen(t *testing.T) {
+	now := time.Now()
+	idle, _ := newPipeConn(t, now)
+	idle.closeIdleBefore(now)
+	fresh := newCallerConns().add(idle.Conn)
+	if fresh.startWaiting() {
+		t.Error("a new connection is taken for idle")
+	}
+	fresh.closeIdleBefore(afterAnyTimeout())
+	for _, c := range []*callerConn{idle, fresh} {
+		if c.phase == phaseInterrupted {
+			t.Error("interrupted")
+		}
+	}
+}
+
+// Guards against a connection that stays open for good because the caller has sent less
+// than net/http waits for before it limits the time for the head.
+func TestFirstBytesStartTheHeaderTimeout(t *testing.T) {
+	c, client := newPipeConn(t, time.Now())
+	deadlines := &deadlineRecorder{Conn: c.Conn}
+	c.Conn = deadlines
+	go func() { _, _ = io.WriteString(client, "G") }()
+	began := time.Now()
+	if _, err := c.endWaiting(c.Conn.Read(make([]byte, 1))); err != nil {
+		t.Fatal(err)
+	}
+	if d := deadlines.last.Sub(began); d < headerTimeout || d > 2*headerTimeout {
+		t.Errorf("the rest may take %v, want about %v", d, headerTimeout)
+	}
+}
+
+// deadlineRecorder records the last read deadline.
+type deadlineRecorder struct {
+	net.Conn
+	last time.Time
+}
+
+// SetReadDeadline implements net.Conn.
+func (d *deadlineRecorder) SetReadDeadline(t time.Time) error {
+	d.last = t
+	return d.Conn.SetReadDeadline(t)
+}
+
+// Guards against connections that are kept in memory after they were closed.
+func TestClosedConnectionsAreForgotten(t *testing.T) {
+	conns := newCallerConns()
+	server, client := net.Pipe()
+	defer client.Close()
+	c := conns.add(server)
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if len(conns.open) != 0 {
+		t.Error("still there")
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -42,15 +41,10 @@
 		return eris.Wrap(err, "listen for callers")
 	}
 	listener = netutil.LimitListener(listener, max(1, d.MaxFileDescriptors-reservedDescriptors))
-	idle := newIdleConns()
-	server := &http.Server{
-		Handler:           g,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         idle.connStateChanged,
-	}
+	conns := newCallerConns()
+	server := newCallerServer(g)
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(listener) }()
+	go func() { serveErr <- server.Serve(conns.listen(listener)) }()
 	sweep := time.NewTicker(idleSweepInterval)
 	defer sweep.Stop()
 	for {
@@ -60,7 +54,7 @@
 		case now := <-sweep.C:
 			g.transport.CloseExpired(now)
 			if t := g.directory.View().Table; t != nil && t.Limits.IdleTimeout > 0 {
-				idle.closeBefore(now.Add(-time.Duration(idleTimeoutFactor * float64(t.Limits.IdleTimeout))))
+				conns.closeIdleBefore(now.Add(-time.Duration(idleTimeoutFactor * float64(t.Limits.IdleTimeout))))
 			}
 		case <-ctx.Done():
 			return g.shutDown(server)
@@ -68,6 +62,16 @@
 	}
 }
 
+// newCallerServer returns a server for the connections of a callerConns.
+func newCallerServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         connStateChanged,
+	}
+}
+
 // shutDown turns readiness off, keeps the listener open for balancerLag and then
 // waits for requests in flight until the grace period ends.
 func (g *Gateway) shutDown(server *http.Server) error {
@@ -92,33 +96,3 @@
 	v := g.directory.View()
 	return !g.stopping.Load() && v.Table != nil && (!v.ServersConfirmedAt.IsZero() || len(v.Servers) > 0)
 }
-
-// idleConns records since when callers' connections are idle.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-func newIdleConns() *idleConns { return &idleConns{since: make(map[net.Conn]time.Time)} }
-
-func (i *idleConns) connStateChanged(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if state == http.StateIdle {
-		i.since[c] = time.Now()
-		return
-	}
-	delete(i.since, c)
-}
-
-// closeBefore closes connections that became idle before the given time.
-func (i *idleConns) closeBefore(cutoff time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
-		if since.Before(cutoff) {
-			c.Close()
-			delete(i.since, c)
-		}
-	}
-}
