Gateway: a shorter idle timeout does not cut connections that callers may still use

What callers saw: beside a configuration with a shorter idle timeout, kept connections were closed that had been idle for less than the timeout that their callers knew; a request sent just then got no answer.

A gateway knows of it within milliseconds of the store, callers do not, and they reuse connections that have been idle for up to four fifths of the timeout they know.

Fix: a connection keeps the timeout that was in force when it became idle, if that is longer than the configured one. For connections that become idle after the change, the previous timeout stays in force for configApplyTime, since their callers may not know of the change yet either. A longer timeout extends idle connections at once, as before. The price is idle connections that stay open for longer, for one old timeout at most.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -20,6 +20,8 @@
 	mu        sync.Mutex
 	phase     connPhase
 	idleSince time.Time
+	// idleTimeout is the one that was in force when the connection became idle.
+	idleTimeout time.Duration
 }
 
 // connPhase is what a caller's connection is used for.
@@ -76,11 +78,12 @@
 	return n, err
 }
 
-// becomeIdle records that the last request has been answered.
-func (c *callerConn) becomeIdle(now time.Time) {
+// becomeIdle records that the last request has been answered while the given idle
+// timeout was in force.
+func (c *callerConn) becomeIdle(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.idleSince = phaseIdle, now
+	c.phase, c.idleSince, c.idleTimeout = phaseIdle, now, timeout
 }
 
 // becomeActive records that a complete request has been read.
@@ -90,12 +93,14 @@
 	c.phase = phaseServing
 }
 
-// closeIdleBefore closes the connection if it became idle before the given time and
-// still waits for the next request.
-func (c *callerConn) closeIdleBefore(cutoff time.Time) {
+// closeExpired closes the connection if it still waits for the next request and has
+// been idle for longer than its idle timeout. A longer configured timeout extends it; a
+// shorter one does not apply, because the caller may not know of it yet.
+func (c *callerConn) closeExpired(now time.Time, configured time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseWaiting && c.idleSince.Before(cutoff) {
+	timeout := max(configured, c.idleTimeout)
+	if c.phase == phaseWaiting && now.Sub(c.idleSince) > time.Duration(idleTimeoutFactor*float64(timeout)) {
 		c.interrupt()
 	}
 }
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -16,8 +16,20 @@
 
 const callerRequest = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
 
-// afterAnyTimeout is a time at which every idle connection has expired.
-func afterAnyTimeout() time.Time { return time.Now().Add(time.Hour) }
+// testIdleTimeout is the configured idle timeout, and testNoticeTime how long callers may
+// rely on the one before.
+const (
+	testIdleTimeout = 4 * time.Second
+	testNoticeTime  = 2 * time.Second
+)
+
+// expiry is the longest time for which a connection may be idle.
+const expiry = testIdleTimeout * 3 / 2
+
+// closeAllIdle closes the idle connections as if their timeout had passed.
+func (c *callerConns) closeAllIdle() {
+	c.closeExpired(time.Now().Add(time.Hour), testIdleTimeout, testNoticeTime)
+}
 
 // callerServer is a server for callers that responds 204 to every request.
 type callerServer struct {
@@ -112,7 +124,7 @@
 	server, client := net.Pipe()
 	c := newCallerConns().add(server)
 	t.Cleanup(func() { c.Close(); client.Close() })
-	c.becomeIdle(now)
+	c.becomeIdle(now, testIdleTimeout)
 	if !c.startWaiting() {
 		t.Fatal("an idle connection does not wait for a request")
 	}
@@ -129,7 +141,7 @@
 			return
 		}
 		if active++; active == 2 {
-			s.conns.closeIdleBefore(afterAnyTimeout())
+			s.conns.closeAllIdle()
 		}
 	}
 	s.serve(t)
@@ -145,9 +157,8 @@
 // of the second one runs: net/http reads no more bytes for it.
 func TestPipelinedRequestsAreAnswered(t *testing.T) {
 	s := newCallerServerFixture()
-	sweep := func() { s.conns.closeIdleBefore(afterAnyTimeout()) }
-	s.onState = func(http.ConnState) { sweep() }
-	s.onRequest = sweep
+	s.onState = func(http.ConnState) { s.conns.closeAllIdle() }
+	s.onRequest = s.conns.closeAllIdle
 	s.serve(t)
 	c := s.dial(t)
 	if _, err := io.WriteString(c, strings.Repeat(callerRequest, 3)); err != nil {
@@ -175,7 +186,7 @@
 		swept := make(chan struct{})
 		go func() {
 			defer close(swept)
-			s.conns.closeIdleBefore(afterAnyTimeout())
+			s.conns.closeAllIdle()
 		}()
 		if c.send() == nil {
 			answered++
@@ -198,11 +209,11 @@
 	go func() { _, _ = io.WriteString(client, callerRequest) }()
 	buf := make([]byte, 1)
 	n, err := c.Conn.Read(buf)
-	c.closeIdleBefore(now.Add(time.Second))
+	c.closeExpired(now.Add(expiry+1), testIdleTimeout)
 	if n, err = c.endWaiting(n, err); n != 1 || err != nil {
 		t.Fatalf("read %d bytes, %v", n, err)
 	}
-	c.closeIdleBefore(now.Add(time.Second))
+	c.closeExpired(now.Add(expiry+1), testIdleTimeout)
 	if rest, err := io.ReadAll(io.LimitReader(c, int64(len(callerRequest)-1))); err != nil || string(rest) != callerRequest[1:] {
 		t.Errorf("read %q, %v", rest, err)
 	}
@@ -215,8 +226,8 @@
 	before := counter.Count()
 	now := time.Now()
 	c, client := newPipeConn(t, now)
-	c.closeIdleBefore(now)
-	c.closeIdleBefore(now.Add(time.Nanosecond))
+	c.closeExpired(now.Add(expiry), testIdleTimeout)
+	c.closeExpired(now.Add(expiry+1), testIdleTimeout)
 	go func() { _, _ = io.WriteString(client, callerRequest) }()
 	buf := make([]byte, 1)
 	if n, err := c.endWaiting(c.Conn.Read(buf)); n != 0 || !errors.Is(err, net.ErrClosed) {
@@ -238,12 +249,12 @@
 func TestConnectionsInUseStayOpen(t *testing.T) {
 	now := time.Now()
 	idle, _ := newPipeConn(t, now)
-	idle.closeIdleBefore(now)
+	idle.closeExpired(now.Add(expiry), testIdleTimeout)
 	fresh := newCallerConns().add(idle.Conn)
 	if fresh.startWaiting() {
 		t.Error("a new connection is taken for idle")
 	}
-	fresh.closeIdleBefore(afterAnyTimeout())
+	fresh.closeExpired(now.Add(time.Hour), testIdleTimeout)
 	for _, c := range []*callerConn{idle, fresh} {
 		if c.phase == phaseInterrupted {
 			t.Error("interrupted")
@@ -251,6 +262,59 @@
 	}
 }
 
+// Guards against closing a connection earlier than its caller was told: a configuration
+// with a shorter idle timeout has just been confirmed.
+func TestShorterIdleTimeoutSparesIdleConnections(t *testing.T) {
+	now := time.Now()
+	c, _ := newPipeConn(t, now)
+	const shorter = testIdleTimeout / 4
+	c.closeExpired(now.Add(expiry), shorter)
+	if c.phase != phaseWaiting {
+		t.Error("the timeout of before was cut short")
+	}
+	c.closeExpired(now.Add(expiry+1), shorter)
+	if c.phase != phaseInterrupted {
+		t.Error("it has no end")
+	}
+}
+
+// Guards against closing a connection earlier than the configuration in force says.
+func TestLongerIdleTimeoutExtendsIdleConnections(t *testing.T) {
+	now := time.Now()
+	c, _ := newPipeConn(t, now)
+	c.closeExpired(now.Add(2*expiry), 2*testIdleTimeout)
+	if c.phase != phaseWaiting {
+		t.Error("the timeout was not extended")
+	}
+	c.closeExpired(now.Add(2*expiry+1), 2*testIdleTimeout)
+	if c.phase != phaseInterrupted {
+		t.Error("it has no end")
+	}
+}
+
+// Guards against a connection that becomes idle when this gateway knows of a shorter
+// timeout and its caller does not.
+func TestShorterIdleTimeoutAppliesAfterNotice(t *testing.T) {
+	now := time.Now()
+	c := newCallerConns()
+	for _, step := range []struct {
+		after            time.Duration
+		configured, want time.Duration
+	}{
+		{0, 8 * time.Second, 8 * time.Second},
+		{10 * time.Second, 8 * time.Second, 8 * time.Second},
+		{11 * time.Second, 3 * time.Second, 8 * time.Second},
+		{12 * time.Second, 3 * time.Second, 8 * time.Second},
+		{12*time.Second + 1, 3 * time.Second, 3 * time.Second},
+		{13 * time.Second, 5 * time.Second, 5 * time.Second},
+	} {
+		c.closeExpired(now.Add(step.after), step.configured, testNoticeTime)
+		if got := time.Duration(c.idleTimeout.Load()); got != step.want {
+			t.Errorf("%v after the start, %v configured: %v, want %v", step.after, step.configured, got, step.want)
+		}
+	}
+}
+
 // Guards against a connection that stays open for good because the caller has sent less
 // than net/http waits for before it limits the time for the head.
 func TestFirstBytesStartTheHeaderTimeout(t *testing.T) {
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -4,13 +4,20 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // callerConns are the open connections from callers.
 type callerConns struct {
+	// idleTimeout is the idle timeout of connections that become idle now, a
+	// time.Duration. 0 if none is known.
+	idleTimeout atomic.Int64
+
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
+	// inForceAt is when idleTimeout was last the configured one.
+	inForceAt time.Time
 }
 
 func newCallerConns() *callerConns {
@@ -50,12 +57,24 @@
 	delete(c.open, conn)
 }
 
-// closeIdleBefore closes the connections that became idle before the given time.
-func (c *callerConns) closeIdleBefore(cutoff time.Time) {
+// closeExpired closes the connections that have been idle for longer than their idle
+// timeout. configured is the configured timeout. Callers may rely on the previous one
+// until it has been out of force for noticeTime.
+func (c *callerConns) closeExpired(now time.Time, configured, noticeTime time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.updateIdleTimeout(now, configured, noticeTime)
 	for conn := range c.open {
-		conn.closeIdleBefore(cutoff)
+		conn.closeExpired(now, configured)
+	}
+}
+
+// updateIdleTimeout adopts a longer timeout at once, a shorter one after noticeTime.
+// c.mu must be held.
+func (c *callerConns) updateIdleTimeout(now time.Time, configured, noticeTime time.Duration) {
+	if configured >= time.Duration(c.idleTimeout.Load()) || now.Sub(c.inForceAt) > noticeTime {
+		c.idleTimeout.Store(int64(configured))
+		c.inForceAt = now
 	}
 }
 
@@ -67,7 +86,7 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.becomeIdle(time.Now())
+		c.becomeIdle(time.Now(), time.Duration(c.conns.idleTimeout.Load()))
 	case http.StateActive:
 		c.becomeActive()
 	default:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,7 +54,7 @@
 		case now := <-sweep.C:
 			g.transport.CloseExpired(now)
 			if t := g.directory.View().Table; t != nil && t.Limits.IdleTimeout > 0 {
-				conns.closeIdleBefore(now.Add(-time.Duration(idleTimeoutFactor * float64(t.Limits.IdleTimeout))))
+				conns.closeExpired(now, t.Limits.IdleTimeout, g.configApplyTime())
 			}
 		case <-ctx.Done():
 			return g.shutDown(server)
