Gateway: shutting down does not drop requests that have just been read

What callers saw: three seconds after a SIGTERM, a request on a kept connection was read by the gateway, and the connection closed without an answer or a rejection. It had not been passed on, but its caller could not know that.

Cause: http.Server.Shutdown closes connections in StateIdle, a state that ends only after the whole head has been read; and from its start on net/http drops every request that it reads: conn.serve returns after readRequest if the server is shutting down.

Fix: the gateway drains by itself. It closes the listener, waits until the server has accepted its last connection, and then interrupts the connections that wait for a request, every 10 ms, until none is open or the grace ends. This is the same interruption as for expired connections, so it takes no bytes; a request that has been read is served, with Connection: close. New connections still get 5 s for their first request, as net/http gave them.

net/http also added Connection: close to heads sent during its shutdown. The gateway now decides that when it sends the head, not when it receives the request: a caller whose request came before the SIGTERM is told, too.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -17,9 +17,12 @@
 	net.Conn
 	conns *callerConns
 
-	mu        sync.Mutex
-	phase     connPhase
+	mu    sync.Mutex
+	phase connPhase
+	// idleSince is when the connection was accepted or last became idle.
 	idleSince time.Time
+	// used is set once a request has been answered.
+	used bool
 	// idleTimeout is the one that was in force when the connection became idle.
 	idleTimeout time.Duration
 }
@@ -28,15 +31,16 @@
 type connPhase int
 
 const (
-	// phaseServing: a request is being read or answered.
-	phaseServing connPhase = iota
-	// phaseIdle: the last request has been answered, and net/http does not yet wait
-	// for more bytes. It may already have those of a pipelined request.
-	phaseIdle
+	// phaseIdle: the connection is new, or the last request has been answered, and
+	// net/http does not yet wait for more bytes. It may already have those of a
+	// pipelined request.
+	phaseIdle connPhase = iota
 	// phaseWaiting: net/http waits for bytes, since it has no complete request.
 	phaseWaiting
 	// phaseInterrupted: the waiting read has been interrupted.
 	phaseInterrupted
+	// phaseServing: a request is being read or answered.
+	phaseServing
 )
 
 // Read implements net.Conn.
@@ -64,15 +68,17 @@
 func (c *callerConn) endWaiting(n int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseInterrupted && errors.Is(err, os.ErrDeadlineExceeded) {
+	interrupted := c.phase == phaseInterrupted
+	if interrupted && errors.Is(err, os.ErrDeadlineExceeded) {
 		metrics.GetOrRegisterCounter("gateway.idle_connections_closed", nil).Inc(1)
 		c.Conn.Close()
 		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Err: net.ErrClosed}
 	}
 	c.phase = phaseServing
-	if n > 0 && err == nil {
-		// net/http limits the time for the head only after four bytes. This limit also
-		// replaces the deadline of an interruption that came too late.
+	if n > 0 && err == nil && (c.used || interrupted) {
+		// net/http limits the time for the head of a second request only after four
+		// bytes. This limit also replaces the deadline of an interruption that came
+		// too late.
 		err = c.SetReadDeadline(time.Now().Add(headerTimeout))
 	}
 	return n, err
@@ -83,7 +89,8 @@
 func (c *callerConn) becomeIdle(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.idleSince, c.idleTimeout = phaseIdle, now, timeout
+	c.phase, c.used = phaseIdle, true
+	c.idleSince, c.idleTimeout = now, timeout
 }
 
 // becomeActive records that a complete request has been read.
@@ -100,7 +107,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	timeout := max(configured, c.idleTimeout)
-	if c.phase == phaseWaiting && now.Sub(c.idleSince) > time.Duration(idleTimeoutFactor*float64(timeout)) {
+	if c.used && c.phase == phaseWaiting && now.Sub(c.idleSince) > time.Duration(idleTimeoutFactor*float64(timeout)) {
+		c.interrupt()
+	}
+}
+
+// closeIdle closes the connection if it waits for a request, unless it is new and its
+// first request may be on its way.
+func (c *callerConn) closeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseWaiting && (c.used || now.Sub(c.idleSince) > newConnTimeout) {
 		c.interrupt()
 	}
 }
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -44,7 +45,7 @@
 }
 
 func (c *callerConns) add(conn net.Conn) *callerConn {
-	added := &callerConn{Conn: conn, conns: c}
+	added := &callerConn{Conn: conn, conns: c, idleSince: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[added] = struct{}{}
@@ -78,6 +79,40 @@
 	}
 }
 
+// closeIdle closes the connections that are not in use and returns how many are open.
+func (c *callerConns) closeIdle(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		conn.closeIdle(now)
+	}
+	return len(c.open)
+}
+
+// shutDown closes the listener, whose server reports its end to served, and waits until
+// all requests have been answered. It reports whether that was before ctx was done.
+func (c *callerConns) shutDown(ctx context.Context, l net.Listener, served <-chan error) (complete bool, err error) {
+	err = l.Close()
+	// The server has accepted its last connection once it returns.
+	<-served
+	return c.drain(ctx), err
+}
+
+// drain closes each connection as soon as it is not in use. It reports whether all were
+// closed before ctx was done.
+func (c *callerConns) drain(ctx context.Context) bool {
+	poll := time.NewTicker(drainInterval)
+	defer poll.Stop()
+	for c.closeIdle(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-poll.C:
+		}
+	}
+	return true
+}
+
 // connStateChanged is the ConnState hook of a server for caller connections.
 func connStateChanged(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
@@ -45,10 +46,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	c := &call{gateway: g, writer: w, received: now, id: g.codec.RequestID(r.Header)}
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	c := &call{gateway: g, writer: &callerWriter{ResponseWriter: w, stopping: &g.stopping}, received: now, id: g.codec.RequestID(r.Header)}
 	defer c.logRequest()
 	defer func() { g.bodies.release(c.reservedBodyBytes) }()
 	if !c.prepare(r) {
@@ -61,6 +59,24 @@
 	c.run()
 }
 
+// callerWriter tells the caller not to reuse its connection if the gateway is shutting
+// down when the head of the response is sent.
+type callerWriter struct {
+	http.ResponseWriter
+	stopping *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *callerWriter) WriteHeader(status int) {
+	if w.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *callerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // call is the state of one caller's request while it is handled.
 type call struct {
 	gateway *Gateway
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -26,6 +25,11 @@
 	idleTimeoutFactor = 1.5
 	// idleSweepInterval is the interval between checks for expired idle connections.
 	idleSweepInterval = 500 * time.Millisecond
+	// newConnTimeout is how long a new connection stays open for its first request
+	// during shutdown.
+	newConnTimeout = 5 * time.Second
+	// drainInterval is the interval between checks for idle connections during shutdown.
+	drainInterval = 10 * time.Millisecond
 	// headerTimeout limits how long reading a request's head may take.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes limits the size of a request's head.
@@ -57,7 +61,7 @@
 				conns.closeExpired(now, t.Limits.IdleTimeout, g.configApplyTime())
 			}
 		case <-ctx.Done():
-			return g.shutDown(server)
+			return g.shutDown(listener, serveErr, conns)
 		}
 	}
 }
@@ -73,8 +77,9 @@
 }
 
 // shutDown turns readiness off, keeps the listener open for balancerLag and then
-// waits for requests in flight until the grace period ends.
-func (g *Gateway) shutDown(server *http.Server) error {
+// waits for requests in flight until the grace period ends. It does not use
+// http.Server.Shutdown, which drops requests that it has just read.
+func (g *Gateway) shutDown(listener net.Listener, served <-chan error, conns *callerConns) error {
 	began := time.Now()
 	g.stopping.Store(true)
 	log.Info("shutting down, readiness is off")
@@ -82,11 +87,8 @@
 	grace := g.deployment.Load().Bounds.GracePeriod - graceMargin - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, grace))
 	defer cancel()
-	err := server.Shutdown(ctx)
-	log.WithField("complete", err == nil).Info("shut down")
-	if errors.Is(err, context.DeadlineExceeded) {
-		return nil
-	}
+	complete, err := conns.shutDown(ctx, listener, served)
+	log.WithField("complete", complete).Info("shut down")
 	return err
 }
 
