Gateway: a passed read deadline is not taken for a caller that has left

What callers saw: a request without a body whose deadline had passed by the time the gateway had read it got no response: its connection was closed.

Cause: for a request without a body net/http begins to read in the background before the handler runs (server.go, conn.serve, startBackgroundRead), and any error of that read cancels the request's context (handleReadErrorLocked). The gateway set the read deadline of the body for such requests, too, and cleared it just after. If the deadline had passed already, because the process had stood still or the timeout was very short, the background read could fail in between. The request's context was then done, and fail() closes the connection of a caller that has disconnected.

Fix: the read deadline is set only if there is a body to read. For those the background read begins at the end of the body, and net/http clears the deadline first (startBackgroundRead).

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -145,7 +145,7 @@
 	}
 	c.request = req
 	c.deadline = c.received.Add(c.timeout())
-	if !c.checkHeadSize(r) || !c.setIODeadlines() || !c.readBody(r) {
+	if !c.checkHeadSize(r) || !c.setIODeadlines(r) || !c.readBody(r) {
 		return false
 	}
 	c.chooseService()
@@ -217,10 +217,14 @@
 }
 
 // setIODeadlines limits how long a caller that neither sends nor reads can occupy
-// memory and a connection.
-func (c *call) setIODeadlines() bool {
+// memory and a connection. Without a body, net/http already reads in the background to
+// notice that the caller disconnects: a read deadline that passes would look like that.
+func (c *call) setIODeadlines(r *http.Request) bool {
 	control := http.NewResponseController(c.writer)
-	read := control.SetReadDeadline(c.deadline)
+	var read error
+	if r.ContentLength != 0 {
+		read = control.SetReadDeadline(c.deadline)
+	}
 	write := control.SetWriteDeadline(c.deadline.Add(responseWriteSlack))
 	if err := errors.Join(read, write); err != nil {
 		c.respondError(http.StatusServiceUnavailable, verdict.NewRejection(verdict.CodeInternal, err.Error(), defaultRetryAfter))
@@ -251,7 +255,7 @@
 		return false
 	}
 	if r.ContentLength == 0 {
-		return c.clearReadDeadline()
+		return true
 	}
 	var buf bytes.Buffer
 	if r.ContentLength > 0 {
