--- /dev/null
+++ b/internal/gateway/caller_conn.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// callerConn is a caller's connection. Between requests it can be closed without
+// cutting a request: closing it only interrupts the read that waits for the next
+// request, and that read returns either bytes or an error, never both.
+type callerConn struct {
+	net.Conn
+	conns *callerConns
+
+	mu    sync.Mutex
+	phase connPhase
+	// idleSince is when the connection was accepted or last became idle.
+	idleSince time.Time
+	// used is set once a request has been answered.
+	used bool
+	// idleTimeout is the one that was in force when the connection became idle.
+	idleTimeout time.Duration
+}
+
+// connPhase is what a caller's connection is used for.
+type connPhase int
+
+const (
+	// phaseIdle: the connection is new, or the last request has been answered, and
+	// net/http does not yet wait for more bytes. It may already have those of a
+	// pipelined request.
+	phaseIdle connPhase = iota
+	// phaseWaiting: net/http waits for bytes, since it has no complete request.
+	phaseWaiting
+	// phaseInterrupted: the waiting read has been interrupted.
+	phaseInterrupted
+	// phaseServing: a request is being read or answered.
+	phaseServing
+)
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if !c.startWaiting() {
+		return c.Conn.Read(p)
+	}
+	n, err := c.Conn.Read(p)
+	return c.endWaiting(n, err)
+}
+
+// startWaiting reports whether the read that begins waits for the next request.
+func (c *callerConn) startWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseIdle {
+		return false
+	}
+	c.phase = phaseWaiting
+	return true
+}
+
+// endWaiting handles the result of a read that waited for the next request. If the
+// read was interrupted before any bytes arrived, it closes the connection.
+func (c *callerConn) endWaiting(n int, err error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	interrupted := c.phase == phaseInterrupted
+	if interrupted && errors.Is(err, os.ErrDeadlineExceeded) {
+		metrics.GetOrRegisterCounter("gateway.idle_connections_closed", nil).Inc(1)
+		c.Conn.Close()
+		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Err: net.ErrClosed}
+	}
+	c.phase = phaseServing
+	if n > 0 && err == nil && (c.used || interrupted) {
+		// net/http limits the time for the head of a second request only after four
+		// bytes. This limit also replaces the deadline of an interruption that came
+		// too late.
+		err = c.SetReadDeadline(time.Now().Add(headerTimeout))
+	}
+	return n, err
+}
+
+// becomeIdle records that the last request has been answered while the given idle
+// timeout was in force.
+func (c *callerConn) becomeIdle(now time.Time, timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.used = phaseIdle, true
+	c.idleSince, c.idleTimeout = now, timeout
+}
+
+// becomeActive records that a complete request has been read.
+func (c *callerConn) becomeActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseServing
+}
+
+// closeExpired closes the connection if it still waits for the next request and has
+// been idle for longer than its idle timeout. A longer configured timeout extends it; a
+// shorter one does not apply, because the caller may not know of it yet.
+func (c *callerConn) closeExpired(now time.Time, configured time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timeout := max(configured, c.idleTimeout)
+	if c.used && c.phase == phaseWaiting && now.Sub(c.idleSince) > time.Duration(idleTimeoutFactor*float64(timeout)) {
+		c.interrupt()
+	}
+}
+
+// closeIdle closes the connection if it waits for a request, unless it is new and its
+// first request may be on its way.
+func (c *callerConn) closeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseWaiting && (c.used || now.Sub(c.idleSince) > newConnTimeout) {
+		c.interrupt()
+	}
+}
+
+// interrupt makes the waiting read return. c.mu must be held.
+func (c *callerConn) interrupt() {
+	if c.SetReadDeadline(interruptDeadline) == nil {
+		c.phase = phaseInterrupted
+	}
+}
+
+// interruptDeadline is a read deadline in the past.
+var interruptDeadline = time.Unix(1, 0)
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.conns.remove(c)
+	return c.Conn.Close()
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
@@ -45,10 +46,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	c := &call{gateway: g, writer: w, received: now, id: g.codec.RequestID(r.Header)}
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	c := &call{gateway: g, writer: &callerWriter{ResponseWriter: w, stopping: &g.stopping}, received: now, id: g.codec.RequestID(r.Header)}
 	defer c.logRequest()
 	defer func() { g.bodies.release(c.reservedBodyBytes) }()
 	if !c.prepare(r) {
@@ -61,6 +59,24 @@
 	c.run()
 }
 
+// callerWriter tells the caller not to reuse its connection if the gateway is shutting
+// down when the head of the response is sent.
+type callerWriter struct {
+	http.ResponseWriter
+	stopping *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *callerWriter) WriteHeader(status int) {
+	if w.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *callerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // call is the state of one caller's request while it is handled.
 type call struct {
 	gateway *Gateway
@@ -133,7 +149,7 @@
 	}
 	c.request = req
 	c.deadline = c.received.Add(c.timeout())
-	if !c.checkHeadSize(r) || !c.setIODeadlines() || !c.readBody(r) {
+	if !c.checkHeadSize(r) || !c.setIODeadlines(r) || !c.readBody(r) {
 		return false
 	}
 	c.chooseService()
@@ -205,10 +221,14 @@
 }
 
 // setIODeadlines limits how long a caller that neither sends nor reads can occupy
-// memory and a connection.
-func (c *call) setIODeadlines() bool {
+// memory and a connection. Without a body, net/http already reads in the background to
+// notice that the caller disconnects: a read deadline that passes would look like that.
+func (c *call) setIODeadlines(r *http.Request) bool {
 	control := http.NewResponseController(c.writer)
-	read := control.SetReadDeadline(c.deadline)
+	var read error
+	if r.ContentLength != 0 {
+		read = control.SetReadDeadline(c.deadline)
+	}
 	write := control.SetWriteDeadline(c.deadline.Add(responseWriteSlack))
 	if err := errors.Join(read, write); err != nil {
 		c.respondError(http.StatusServiceUnavailable, verdict.NewRejection(verdict.CodeInternal, err.Error(), defaultRetryAfter))
@@ -239,7 +259,7 @@
 		return false
 	}
 	if r.ContentLength == 0 {
-		return c.clearReadDeadline()
+		return true
 	}
 	var buf bytes.Buffer
 	if r.ContentLength > 0 {
