Tests: an attempt that lost leaves no KV cache behind

The engine goes on while another one waits to continue its stream from a prefill made for that. The canceled attempt may have run, so that its handle is not freed: the KV cache stays until handleTtlS and is priced.

--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -167,6 +167,13 @@
 	return append([]Run(nil), s.prefills...)
 }
 
+// Handles returns the number of KV handles that have been neither fetched nor freed.
+func (s *BackendServer) Handles() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.handles)
+}
+
 // InFlight returns the number of requests being answered.
 func (s *BackendServer) InFlight() int {
 	s.mu.Lock()
