Gateway: every hedged attempt has a job ID of its own

With one ID for all hedges of a request, the placement of the second replaced that of the first, and the end of the silent engine's job ended that of the engine that runs the stream: it was counted nowhere.

--- a/internal/gateway/hedge_model.go
+++ b/internal/gateway/hedge_model.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
@@ -13,7 +14,8 @@
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
-// hedgedJobSuffix distinguishes the job of a hedged attempt from that of the first one.
+// hedgedJobSuffix, with the number of attempts, distinguishes the job of a hedged attempt
+// from that of the silent one.
 const hedgedJobSuffix = "/hedge"
 
 // errMoved is the read error of a stream that another engine continues.
@@ -98,7 +100,7 @@
 	engines := c.gateway.engines
 	now := time.Now()
 	job := c.placeJob()
-	job.ID = jobID(c.request.ID + hedgedJobSuffix)
+	job.ID = jobID(c.request.ID + hedgedJobSuffix + strconv.Itoa(c.attempts))
 	remaining := c.deadline.Sub(now)
 	plan, admission, ok := engines.place(now, c.service.Name, job, place.Constraints{Objective: remaining, Remaining: remaining, Committed: true})
 	if !ok || !admission.Admit {
