Gateway: a suspected request is not hedged

It was sent to a second server while a silent one might have been running it, though a request under suspicion must be at one server at a time. TestSilentServersDoNotSpreadSuspectedRequests failed (at 2 engines), passes with -race.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -109,7 +109,8 @@
 	if !h.runCounted {
 		runs++
 	}
-	return runs < c.route.MaxAttempts && c.mayRetry()
+	// A suspected request is at one server at a time: it could terminate both.
+	return runs < c.route.MaxAttempts && c.mayRetry() && !c.quarantineStatus.Suspected()
 }
 
 // race is a wait for the first server, with a timer that starts the search for another
