Gateway: KV cache of a hedged attempt that lost is freed

The attempt may have run, so that its handle was kept for handleTtlS; but it was canceled and nobody fetches the KV cache. TestSilentServersThatGoOnLeaveNoKVCache failed (1 handle), passes with -race.

--- a/internal/gateway/hedge_model.go
+++ b/internal/gateway/hedge_model.go
@@ -87,7 +87,7 @@
 		prefillEngine := a.server
 		o.KVSource, o.Priority = c.gateway.codec.KVSource(prefillEngine.Address, a.handle), place.DecodePriority
 		failed := c.generateHedged(ctx, a, o)
-		if failed != nil && failed.Verdict == verdict.NotRun {
+		if failed != nil && (failed.Verdict == verdict.NotRun || ctx.Err() != nil) {
 			go c.gateway.freeKV(prefillEngine, a.handle)
 		}
 		return failed == nil
