--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -247,10 +247,18 @@
 	if c.phase != phaseWaiting {
 		t.Error("closed at once")
 	}
+	go func() { _, _ = io.WriteString(client, callerRequest) }()
+	n, err := c.Conn.Read(make([]byte, 1))
 	c.closeIdle(c.idleSince.Add(newConnTimeout + 1))
 	if c.phase != phaseInterrupted {
 		t.Error("never closed")
 	}
+	if n, err = c.endWaiting(n, err); n != 1 || err != nil {
+		t.Fatalf("read %d bytes, %v", n, err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Errorf("the rest of the request was not read: %v", err)
+	}
 }
 
 // Guards against closing a connection between pipelined requests, or while the handler
@@ -302,20 +310,43 @@
 }
 
 // Guards against closing a connection from which bytes of the next request have been
-// read, but not all of its head.
+// read, but not all of its head, before an interruption or just after it.
 func TestReadBytesKeepTheConnectionOpen(t *testing.T) {
+	for name, interrupted := range map[string]bool{"before": false, "after": true} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			c, client := newPipeConn(t, now)
+			go func() { _, _ = io.WriteString(client, callerRequest) }()
+			n, err := c.Conn.Read(make([]byte, 1))
+			if interrupted {
+				c.closeExpired(now.Add(expiry+1), testIdleTimeout)
+			}
+			if n, err = c.endWaiting(n, err); n != 1 || err != nil {
+				t.Fatalf("read %d bytes, %v", n, err)
+			}
+			c.closeExpired(now.Add(expiry+1), testIdleTimeout)
+			if rest, err := io.ReadAll(io.LimitReader(c, int64(len(callerRequest)-1))); err != nil || string(rest) != callerRequest[1:] {
+				t.Errorf("read %q, %v", rest, err)
+			}
+		})
+	}
+}
+
+// Guards against interrupting the read by which net/http notices, while a request is
+// handled, that the caller disconnects.
+func TestReadsDuringARequestAreNotInterrupted(t *testing.T) {
 	now := time.Now()
 	c, client := newPipeConn(t, now)
-	go func() { _, _ = io.WriteString(client, callerRequest) }()
-	buf := make([]byte, 1)
-	n, err := c.Conn.Read(buf)
-	c.closeExpired(now.Add(expiry+1), testIdleTimeout)
-	if n, err = c.endWaiting(n, err); n != 1 || err != nil {
-		t.Fatalf("read %d bytes, %v", n, err)
+	c.becomeIdle(now, testIdleTimeout)
+	c.becomeActive()
+	if c.startWaiting() {
+		t.Error("the read is taken for one that waits for a request")
 	}
 	c.closeExpired(now.Add(expiry+1), testIdleTimeout)
-	if rest, err := io.ReadAll(io.LimitReader(c, int64(len(callerRequest)-1))); err != nil || string(rest) != callerRequest[1:] {
-		t.Errorf("read %q, %v", rest, err)
+	c.closeIdle(now)
+	go func() { _, _ = io.WriteString(client, "G") }()
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Errorf("read %d bytes, %v", n, err)
 	}
 }
 
