Gateway: the log line of a request names the silent engine that went on

It named the engine of the canceled attempt, so that a stream that broke later was looked for at the wrong one. TestSilentServersThatGoOnAreNamedInTheLog failed, passes with -race.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -212,6 +212,8 @@
 		fields["to"] = winner.server.ID
 	case !received:
 		outcome = "failed"
+	default:
+		c.trace.server = first.ID
 	}
 	fields["outcome"] = outcome
 	c.trace.silent = append(c.trace.silent, first.ID)
