Gateway: what servers state about themselves is decoded, logged and counted

Requests reached servers that had said in their answers that they leave, or that had asked the gateway for rest. No line, counter or dump of ours has either, so the hypotheses of docs/incidents/leaving-and-resting-servers.md cannot be told apart.

Each change is one line with the request's id, the dump and the gauges have the present state. Nothing acts on any of it yet.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -68,6 +68,8 @@
 	request.ResponseHead
 	Server backend.Server
 	Stage  request.Stage
+	// SentID is the ID of the request, which the response need not repeat.
+	SentID string
 	// Sent is when the request was sent.
 	Sent time.Time
 }
@@ -196,7 +198,7 @@
 		}
 		head := x.transport.codec.ParseResponse(resp.StatusCode, resp.Header)
 		if head.RequestID == x.request.ID || (head.RequestID == "" && head.NotRun && !x.sawStale) {
-			x.transport.OnResponse(ResponseInfo{ResponseHead: head, Server: x.options.Server, Stage: x.options.Stage, Sent: x.sent})
+			x.transport.OnResponse(ResponseInfo{ResponseHead: head, Server: x.options.Server, Stage: x.options.Stage, SentID: x.request.ID, Sent: x.sent})
 			return x.reply(resp, head), nil
 		}
 		x.sawStale = true
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -30,6 +30,10 @@
 	Estimates *place.EngineEstimate `json:"belief,omitempty"`
 	// Limit is the limit that the server states, absent if it states none.
 	Limit *LimitDump `json:"limit,omitempty"`
+	// Leaving says that the server states that it is leaving, and Rest how much longer it
+	// wants no requests from this gateway, absent if it does not rest.
+	Leaving bool   `json:"leaving,omitempty"`
+	Rest    string `json:"rest,omitempty"`
 }
 
 // LimitDump is the limit that a server states.
@@ -56,7 +60,22 @@
 		d.ConfigVersion = v.Table.Version
 	}
 	for _, s := range v.Servers {
-		d.Servers = append(d.Servers, ServerDump{Server: s, InFlight: g.EngineInFlight(s.Service, s.ID), Estimates: g.engineEstimates(now, s), Limit: g.limits.dump(s.ID)})
+		d.Servers = append(d.Servers, g.dumpServer(now, s))
+	}
+	return d
+}
+
+func (g *Gateway) dumpServer(now time.Time, s backend.Server) ServerDump {
+	d := ServerDump{
+		Server:    s,
+		InFlight:  g.EngineInFlight(s.Service, s.ID),
+		Estimates: g.engineEstimates(now, s),
+		Limit:     g.limits.dump(s.ID),
+	}
+	leaving, rest := g.limits.dumpStatements(s.Instance())
+	d.Leaving = leaving
+	if rest > 0 {
+		d.Rest = rest.Round(time.Millisecond).String()
 	}
 	return d
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 	g.engines.update(v)
 	g.plain.prune(v)
 	g.limits.prune(v)
+	g.limits.updateStatements(v)
 	g.transport.CloseServers(func(id string) bool {
 		s, ok := v.Servers[id]
 		return !ok || s.Draining
--- a/internal/gateway/server_limits.go
+++ b/internal/gateway/server_limits.go
@@ -11,14 +11,17 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/samber/lo"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
 
-// invalidLogInterval is the minimum time between log lines on invalid limits.
+// invalidLogInterval is the minimum time between log lines on invalid limits, and between
+// those on invalid rests.
 const invalidLogInterval = 10 * time.Second
 
 // serverLimits tracks the request rate limits that servers state in their
@@ -39,6 +42,17 @@
 	// could not be parsed, and unknown the notices of unknown servers.
 	named, invalid, unknown metrics.Counter
 	limited                 metrics.Gauge
+
+	// statements are what servers state besides limits.
+	statements *availability.Table
+	// statementCount is the size of statements.
+	statementCount atomic.Int32
+	// invalidRestAt is when an invalid rest was last logged.
+	invalidRestAt time.Time
+	// leavingNamed and restsNamed count what servers began to state, restsInvalid the
+	// rests that could not be parsed.
+	leavingNamed, restsNamed, restsInvalid metrics.Counter
+	leaving, resting                       metrics.Gauge
 }
 
 func newServerLimits() *serverLimits {
@@ -48,19 +62,62 @@
 		invalid: metrics.GetOrRegisterCounter("gateway.server_limits_invalid", nil),
 		unknown: metrics.GetOrRegisterCounter("gateway.server_limits_unknown", nil),
 		limited: metrics.GetOrRegisterGauge("gateway.servers_limited", nil),
+
+		statements:   availability.New(),
+		leavingNamed: metrics.GetOrRegisterCounter("gateway.server_leaving_named", nil),
+		restsNamed:   metrics.GetOrRegisterCounter("gateway.server_rests_named", nil),
+		restsInvalid: metrics.GetOrRegisterCounter("gateway.server_rests_invalid", nil),
+		leaving:      metrics.GetOrRegisterGauge("gateway.servers_leaving", nil),
+		resting:      metrics.GetOrRegisterGauge("gateway.servers_resting", nil),
 	}
 	l.table = ratelimit.New(func(server string, round uint64) ratelimit.Rank { return l.gossip.RankFor(server, round) })
 	return l
 }
 
-// observe processes the limit in the head of a response, or its absence, and
-// announces a change.
+// observe processes what the head of a response states about its server.
 func (l *serverLimits) observe(info direct.ResponseInfo) {
+	l.observeLimit(info)
+	l.observeStatements(info)
+}
+
+// observeStatements records that a server is leaving or asks for rest, and logs the
+// change. Other gateways learn it from their own responses.
+func (l *serverLimits) observeStatements(info direct.ResponseInfo) {
+	if info.Rest.Invalid != "" {
+		l.logInvalidRest(info)
+	}
+	if (!info.Leaving && info.Rest.Duration == 0) || !isEvidence(info) {
+		return
+	}
+	received := boottime.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change := l.statements.Observe(availability.Response{
+		Server: info.Server.Instance(), Leaving: info.Leaving, Rest: info.Rest.Duration, ReceivedAt: received,
+	})
+	line := log.WithFields(log.Fields{
+		"server": info.Server.ID, "incarnation": info.Server.Incarnation, "request": info.SentID, "status": info.Status,
+	})
+	if change.Leaving {
+		l.leavingNamed.Inc(1)
+		line.Info("server states that it is leaving")
+	}
+	if change.Rest {
+		l.restsNamed.Inc(1)
+		line.WithField("rest_ms", info.Rest.Duration.Milliseconds()).
+			WithField("left_ms", (change.RestUntil - received).Milliseconds()).Info("server asks for rest")
+	}
+	l.updateStatementCounts(received)
+}
+
+// observeLimit processes the limit in the head of a response, or its absence, and
+// announces a change.
+func (l *serverLimits) observeLimit(info direct.ResponseInfo) {
 	if info.Limit.Invalid != "" {
 		l.logInvalid(info)
 		return
 	}
-	if (!info.Limit.Limited && l.limitedServers.Load() == 0) || !carriesLimit(info) {
+	if (!info.Limit.Limited && l.limitedServers.Load() == 0) || !isEvidence(info) {
 		return
 	}
 	received := boottime.Now()
@@ -75,10 +132,10 @@
 	}
 }
 
-// carriesLimit reports whether a response is evidence of its server's limit. One
+// isEvidence reports whether a response is evidence of what its server states. One
 // from a misdirected request is another server's, and a success without an
 // authentication code may come from any program.
-func carriesLimit(info direct.ResponseInfo) bool {
+func isEvidence(info direct.ResponseInfo) bool {
 	if info.Status == http.StatusMisdirectedRequest {
 		return false
 	}
@@ -169,6 +226,7 @@
 // and updates the ranks if the membership has changed.
 func (g *Gateway) ReannounceServerLimits(time.Time) {
 	l := g.limits
+	l.updateStatements(g.directory.View())
 	if l.limitedServers.Load() == 0 {
 		return
 	}
@@ -192,6 +250,32 @@
 	l.limited.Update(int64(l.table.Len()))
 }
 
+// updateStatementCounts updates the numbers of servers that are leaving or rest.
+func (l *serverLimits) updateStatementCounts(now time.Duration) {
+	l.statementCount.Store(int32(l.statements.Len()))
+	leaving, resting := l.statements.Counts(now)
+	l.leaving.Update(int64(leaving))
+	l.resting.Update(int64(resting))
+}
+
+// updateStatements adapts the statements to the registered servers.
+func (l *serverLimits) updateStatements(v *directory.View) {
+	if l.statementCount.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := boottime.Now()
+	replaced := l.statements.Update(now, func(id string) (backend.Instance, bool) {
+		s, ok := v.Servers[id]
+		return s.Instance(), ok
+	})
+	for _, i := range replaced {
+		log.WithField("server", i.ID).WithField("incarnation", i.Incarnation).Info("server that was leaving or resting has been replaced")
+	}
+	l.updateStatementCounts(now)
+}
+
 // prune removes the limits of servers that are gone.
 func (l *serverLimits) prune(v *directory.View) {
 	if l.limitedServers.Load() == 0 {
@@ -218,6 +302,29 @@
 	log.WithField("server", info.Server.ID).WithField("limit", info.Limit.Invalid).Warn("invalid server limit, the last known one stays")
 }
 
+// logInvalidRest counts and logs a rest that is no valid duration.
+func (l *serverLimits) logInvalidRest(info direct.ResponseInfo) {
+	l.restsInvalid.Inc(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.invalidRestAt) < invalidLogInterval {
+		return
+	}
+	l.invalidRestAt = time.Now()
+	log.WithField("server", info.Server.ID).WithField("request", info.SentID).WithField("rest", info.Rest.Invalid).Warn("invalid rest of a server, ignored")
+}
+
+// dumpStatements returns whether a server is leaving, and how much longer it rests.
+func (l *serverLimits) dumpStatements(server backend.Instance) (leaving bool, rest time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := boottime.Now()
+	if until := l.statements.RestUntil(now, server); until > 0 {
+		rest = until - now
+	}
+	return l.statements.Leaving(server), rest
+}
+
 // dump returns a server's limit for operators, or nil if it states none.
 func (l *serverLimits) dump(server string) *LimitDump {
 	l.mu.Lock()
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -102,6 +102,18 @@
 	IdleTimeout time.Duration
 	// Limit is the rate limit that the server announces.
 	Limit Limit
+	// Leaving is set if the server announces that it is shutting down.
+	Leaving bool
+	// Rest is how long the server wants no requests from this gateway.
+	Rest Rest
+}
+
+// Rest is the time for which a server that rejects a request wants no more of them from
+// the gateway that sent it. The zero Rest means that it states none.
+type Rest struct {
+	Duration time.Duration
+	// Invalid is the text that the server sent if it is no valid duration.
+	Invalid string
 }
 
 // Limit is the rate limit that a server sets on the requests from all gateways
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -52,6 +52,9 @@
 	Header                          http.Header
 }
 
+// isStream reports whether the answer is a stream.
+func (r Run) isStream() bool { return strings.Contains(r.Target, "stream") }
+
 // BackendServer is the stand-in; it implements http.Handler.
 type BackendServer struct {
 	// ID is the instance id; requests with another Expect-Instance are rejected.
@@ -79,6 +82,7 @@
 	orderSequence  int64
 	acceptedOrders []Order
 	startedAtMS    int64
+	notices        notices
 }
 
 // Order is the body of an order to an engine.
@@ -103,6 +107,7 @@
 	s.startedAtMS = time.Now().UnixMilli()
 	s.orderSequence = 0
 	s.limit = ""
+	s.notices = notices{}
 	s.handles = make(map[string]bool)
 }
 
@@ -213,6 +218,7 @@
 		s.mu.Lock()
 		delete(s.handles, strings.TrimPrefix(req.URL.Path, "/-/kv-handle/"))
 		s.mu.Unlock()
+		s.countFreed()
 		w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
 	default:
 		s.serve(w, req)
@@ -259,6 +265,7 @@
 	w.Header().Set("Request-Id", id)
 	if req.Header.Get("Expect-Instance") != s.ID {
 		w.Header().Set("Instance-Id", s.ID)
+		s.addNotices(w, Misdirections)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -266,7 +273,7 @@
 	fault := s.fault
 	s.requestTimes = append(s.requestTimes, time.Now())
 	s.mu.Unlock()
-	if fault == Shedding {
+	if fault == Shedding || s.resting() {
 		s.rejectNotRun(w)
 		return
 	}
@@ -295,12 +302,15 @@
 
 func (s *BackendServer) rejectNotRun(w http.ResponseWriter) {
 	s.addLimitHeader(w, Rejections)
+	s.addNotices(w, NotRun)
 	w.Header().Set("Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 func (s *BackendServer) prefill(w http.ResponseWriter, run Run) {
+	s.waitForPrefillGate()
 	s.addLimitHeader(w, PrefillAnswers)
+	s.addNotices(w, Prefills)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Phase != "prefill" {
@@ -368,6 +378,7 @@
 	}
 	w.Header().Set("Server-Load", "1,0,6")
 	s.addLimitHeader(w, AllAnswers)
+	s.addNotices(w, kindOf(run, fault))
 	if fault != Unsealed {
 		w.Header().Set("Response-Seal", Seal(run.ID))
 	}
@@ -375,7 +386,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if strings.Contains(run.Target, "stream") {
+	if run.isStream() {
 		s.stream(req.Context(), w, run, fault)
 		return
 	}
