--- a/internal/decide/availability/availability.go
+++ b/internal/decide/availability/availability.go
@@ -1,6 +1,7 @@
 // Package availability tracks what backend servers state about themselves in their
-// responses: that they are leaving, or that they want no requests from this gateway for
-// a while.
+// responses: that they are leaving, that they want no requests from this gateway for a
+// while, or how many requests a second they accept from all gateways together (package
+// ratelimit).
 //
 // A statement holds for one start of a server (backend.Instance). A later start under the
 // same ID is not bound by it, an earlier one is: a view of the servers may be older than a
@@ -18,6 +19,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
 )
 
 const (
@@ -51,6 +53,8 @@
 
 // Table holds what servers have stated to one gateway. It is not safe for concurrent use.
 type Table struct {
+	// Limits are the limits that servers state, also to other gateways.
+	Limits  *ratelimit.Table
 	servers map[string]*statements
 }
 
@@ -66,11 +70,14 @@
 	removedAt time.Duration
 }
 
-// New returns an empty Table.
-func New() *Table { return &Table{servers: make(map[string]*statements)} }
+// New returns an empty Table. The ranking is the one of the gateways that share limits.
+func New(r ratelimit.Ranking) *Table {
+	return &Table{Limits: ratelimit.New(r), servers: make(map[string]*statements)}
+}
 
-// Len returns the number of servers with statements.
-func (t *Table) Len() int { return len(t.servers) }
+// Len returns the number of servers with statements, counting those with limits twice if
+// they have stated something else as well.
+func (t *Table) Len() int { return len(t.servers) + t.Limits.Len() }
 
 // Observe merges a response and returns its effect.
 func (t *Table) Observe(r Response) Change {
@@ -150,6 +157,10 @@
 // Update adapts the table to the servers that are registered now. It returns the starts
 // that were leaving or resting and have been replaced by later ones since the last call.
 func (t *Table) Update(now time.Duration, registered func(id string) (backend.Instance, bool)) []backend.Instance {
+	t.Limits.Prune(now, func(id string) bool {
+		_, ok := registered(id)
+		return ok
+	})
 	var replaced []backend.Instance
 	for id, s := range t.servers {
 		current, ok := registered(id)
--- a/internal/decide/availability/availability_test.go
+++ b/internal/decide/availability/availability_test.go
@@ -11,6 +11,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
+	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
 )
 
 func TestAvailability(t *testing.T) {
@@ -18,6 +19,8 @@
 	RunSpecs(t, "availability")
 }
 
+func singleGateway(string, uint64) ratelimit.Rank { return ratelimit.Rank{Total: 1} }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func start(incarnation int64) backend.Instance {
@@ -41,7 +44,7 @@
 
 var _ = Describe("a server that states that it is leaving", func() {
 	var table *availability.Table
-	BeforeEach(func() { table = availability.New() })
+	BeforeEach(func() { table = availability.New(singleGateway) })
 
 	It("leaves until a later start is registered", func() {
 		Expect(table.Leaving(start(5))).To(BeFalse())
@@ -123,7 +126,7 @@
 
 var _ = Describe("a server that asks for rest", func() {
 	var table *availability.Table
-	BeforeEach(func() { table = availability.New() })
+	BeforeEach(func() { table = availability.New(singleGateway) })
 
 	It("rests from the response on for as long as it states", func() {
 		Expect(table.Observe(rests(1, 10, 2.5))).To(Equal(availability.Change{Rest: true, RestUntil: seconds(12.5)}))
@@ -216,7 +219,7 @@
 func TestStatementsMatchTheHistoryOfResponses(t *testing.T) {
 	for seed := range uint64(300) {
 		r := rand.New(rand.NewPCG(seed, 0))
-		table := availability.New()
+		table := availability.New(singleGateway)
 		var responses history
 		now := time.Duration(0)
 		for step := range 60 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -101,8 +101,8 @@
 	if c.excludedServers[server] {
 		return true
 	}
-	limits := c.gateway.limits
-	if limits.allows(server) && !(c.quarantineStatus.Suspected() && limits.has(server)) {
+	statements := c.gateway.statements
+	if statements.allows(server) && !(c.quarantineStatus.Suspected() && statements.hasLimit(server)) {
 		return false
 	}
 	if c.limitedBy == nil {
@@ -119,7 +119,7 @@
 	if len(c.limitedBy) == 0 {
 		return verdict.NewRejection(verdict.CodeNoBackend, message, defaultRetryAfter)
 	}
-	wait := c.gateway.limits.retryAfter(lo.Keys(c.limitedBy))
+	wait := c.gateway.statements.retryAfter(lo.Keys(c.limitedBy))
 	return verdict.NewRejection(verdict.CodeServerLimit, message+" that is not over its own limit", min(wait, max(minRetryAfter, place.MaxRetryAfter(c.remaining()))))
 }
 
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -70,9 +70,9 @@
 		Server:    s,
 		InFlight:  g.EngineInFlight(s.Service, s.ID),
 		Estimates: g.engineEstimates(now, s),
-		Limit:     g.limits.dump(s.ID),
+		Limit:     g.statements.dumpLimit(s.ID),
 	}
-	leaving, rest := g.limits.dumpStatements(s.Instance())
+	leaving, rest := g.statements.dumpNotices(s.Instance())
 	d.Leaving = leaving
 	if rest > 0 {
 		d.Rest = rest.Round(time.Millisecond).String()
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -71,15 +71,15 @@
 	byHash map[uint32]engineKey
 	gossip Gossip
 	// count is the number of engines of all services.
-	count  int
-	limits *serverLimits
+	count      int
+	statements *serverStatements
 }
 
 // engineKey identifies an engine.
 type engineKey struct{ service, id string }
 
-func newEngines(l *serverLimits) *engines {
-	return &engines{fleets: make(map[string]*place.Fleet), gossip: noGossip{}, limits: l}
+func newEngines(s *serverStatements) *engines {
+	return &engines{fleets: make(map[string]*place.Fleet), gossip: noGossip{}, statements: s}
 }
 
 // update sets the engines to those of a new view.
@@ -160,9 +160,9 @@
 
 // countSends counts the requests of a plan against the limits of its engines.
 func (e *engines) countSends(p place.Plan) {
-	e.limits.countSend(p.PrefillEngine)
+	e.statements.countSend(p.PrefillEngine)
 	if p.Split() {
-		e.limits.countSend(p.DecodeEngine)
+		e.statements.countSend(p.DecodeEngine)
 	}
 }
 
@@ -229,7 +229,7 @@
 	p, ok := f.AlternateDecodeEngine(now, j, constraints, p)
 	if ok {
 		f.SetDecodeEngine(now, j.ID, p.DecodeEngine)
-		e.limits.countSend(p.DecodeEngine)
+		e.statements.countSend(p.DecodeEngine)
 	}
 	return p, ok
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,7 @@
 	engines      *engines
 	plain        *plainBalancer
 	terminations *terminations
-	limits       *serverLimits
+	statements   *serverStatements
 
 	mu sync.Mutex
 	// retryBudgets limits the retries of each service.
@@ -72,23 +72,23 @@
 func (g *Gateway) SetGossip(gossip Gossip) {
 	g.engines.gossip = gossip
 	g.terminations.gossip = gossip
-	g.limits.gossip = gossip
+	g.statements.gossip = gossip
 }
 
 // New returns a Gateway.
 func New(c Config) *Gateway {
-	l := newServerLimits()
+	s := newServerStatements()
 	g := &Gateway{
 		codec:        c.Codec,
 		transport:    direct.New(c.Codec),
 		directory:    c.Directory,
-		engines:      newEngines(l),
-		plain:        newPlainBalancer(l),
+		engines:      newEngines(s),
+		plain:        newPlainBalancer(s),
 		terminations: newTerminations(),
-		limits:       l,
+		statements:   s,
 		retryBudgets: make(map[string]*retry.AttemptLimiter),
 	}
-	g.transport.OnResponse = g.limits.observe
+	g.transport.OnResponse = g.statements.observe
 	g.deployment.Store(&c.Deployment)
 	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
 	return g
@@ -113,8 +113,7 @@
 func (g *Gateway) ViewChanged(v *directory.View) {
 	g.engines.update(v)
 	g.plain.prune(v)
-	g.limits.prune(v)
-	g.limits.updateStatements(v)
+	g.statements.update(v)
 	g.transport.CloseServers(func(id string) bool {
 		s, ok := v.Servers[id]
 		return !ok || s.Draining
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -278,7 +278,7 @@
 func (g *Gateway) freeKV(s backend.Server, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeKVTimeout)
 	defer cancel()
-	g.limits.countSend(s.ID)
+	g.statements.countSend(s.ID)
 	method, path := g.codec.FreeHandle(handle)
 	r := request.Request{ID: handle, Method: method, Target: path, Host: s.Address, Header: http.Header{}}
 	reply, err := g.transport.Send(ctx, &r, request.Options{Server: s, Remaining: freeKVTimeout, Priority: request.DefaultPriority})
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,9 +30,9 @@
 // plainBalancer balances requests over the servers of plain services, which are
 // those without model engines.
 type plainBalancer struct {
-	limits  *serverLimits
-	mu      sync.Mutex
-	servers map[string]*plainServer
+	statements *serverStatements
+	mu         sync.Mutex
+	servers    map[string]*plainServer
 }
 
 type plainServer struct {
@@ -42,8 +42,8 @@
 	avoidUntil time.Time
 }
 
-func newPlainBalancer(l *serverLimits) *plainBalancer {
-	return &plainBalancer{limits: l, servers: make(map[string]*plainServer)}
+func newPlainBalancer(s *serverStatements) *plainBalancer {
+	return &plainBalancer{statements: s, servers: make(map[string]*plainServer)}
 }
 
 func (p *plainBalancer) server(id string) *plainServer {
@@ -84,7 +84,7 @@
 		return backend.Server{}, false
 	}
 	p.server(best.ID).inFlight++
-	p.limits.countSend(best.ID)
+	p.statements.countSend(best.ID)
 	return best, true
 }
 
