Gateway: no request goes to a server that has said that it leaves

Requests reached a server 2353 and 2266 ms after the gateway that sent them had passed on an answer of it that says that it leaves.

Cause: nothing read the field.

Why it works: a notice is taken from the head of every response before the response is passed on, also from those that no caller gets, and holds for that start of the server until a later one is registered; store and other gateways are not asked. All choices ask one place (excluded), and each send, prefill call and request to free memory asks again immediately before it, for plans from before the notice. A request that is withheld there is no attempt, spends no retry budget and is planned again without the server; each server can withhold a request once, so it cannot loop. If all servers leave, the request is rejected immediately as server_leaving with the Retry-After of a service without servers: nobody knows when others come.

--- a/internal/decide/availability/availability_test.go
+++ b/internal/decide/availability/availability_test.go
@@ -164,6 +164,47 @@
 	})
 })
 
+var _ = Describe("the status of a server", func() {
+	var table *availability.Table
+	BeforeEach(func() { table = availability.New(singleGateway) })
+	limit := func() {
+		table.Limits.Add(seconds(0), ratelimit.Notice{Server: start(1), Limited: true, PerSecond: 1, RequestedAt: seconds(-1), ReceivedAt: 0})
+	}
+
+	It("is available without statements", func() {
+		Expect(table.Check(0, start(1)).Available()).To(BeTrue())
+		Expect(table.Withdrawn(0, start(1)).Available()).To(BeTrue())
+	})
+
+	It("has the statement that ends last", func() {
+		limit()
+		Expect(table.Check(0, start(1))).To(Equal(availability.Status{Reason: availability.Limited, Until: seconds(1)}))
+		table.Observe(leaves(1, 0))
+		Expect(table.Check(0, start(1))).To(Equal(availability.Status{Reason: availability.Leaving}))
+		Expect(table.Check(0, start(2)).Reason).To(Equal(availability.Limited))
+	})
+
+	// Guards against a request that is withheld because it has itself been counted against
+	// the server's limit.
+	It("is not withdrawn because of a limit", func() {
+		limit()
+		Expect(table.Withdrawn(0, start(1)).Available()).To(BeTrue())
+	})
+
+	It("is earlier the sooner the server may be asked", func() {
+		available := availability.Status{}
+		limited := availability.Status{Reason: availability.Limited, Until: seconds(5)}
+		sooner := availability.Status{Reason: availability.Limited, Until: seconds(3)}
+		leaving := availability.Status{Reason: availability.Leaving}
+		ordered := []availability.Status{available, sooner, limited, leaving}
+		for i, a := range ordered {
+			for j, b := range ordered {
+				Expect(a.Earlier(b)).To(Equal(i < j), "%v before %v", a.Reason, b.Reason)
+			}
+		}
+	})
+})
+
 // history is a simple model of the table: all responses, searched for each question.
 type history []availability.Response
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,10 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/samber/lo"
-
 	"pistachioroad.dev/pistachioroad/internal/backend"
-	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -27,6 +24,9 @@
 // send makes one attempt at a server. It returns the response if the server ran
 // the request, and an error otherwise. The attempt is canceled when ctx is done.
 func (c *call) send(ctx context.Context, server backend.Server, o request.Options) (*direct.Reply, *verdict.Error) {
+	if e := c.checkBeforeSend(server); e != nil {
+		return nil, e
+	}
 	if c.attempts > 0 && !c.spendRetry() {
 		return nil, c.retryBudgetError()
 	}
@@ -93,36 +93,6 @@
 	c.excludedServers[server.ID] = true
 }
 
-// excluded reports whether the request must not be sent to a server now: it was
-// rejected or failed there, or the limit that the server states leaves no room for it.
-// A request suspected of terminating servers is never sent to a server that states a
-// limit, since that server is already under strain.
-func (c *call) excluded(server string) bool {
-	if c.excludedServers[server] {
-		return true
-	}
-	statements := c.gateway.statements
-	if statements.allows(server) && !(c.quarantineStatus.Suspected() && statements.hasLimit(server)) {
-		return false
-	}
-	if c.limitedBy == nil {
-		c.limitedBy = make(map[string]bool)
-	}
-	c.limitedBy[server] = true
-	return true
-}
-
-// noServerError returns the error of a request for which no server is eligible. If
-// servers were skipped for their limits, Retry-After is when the first of them has
-// room again.
-func (c *call) noServerError(message string) *verdict.Error {
-	if len(c.limitedBy) == 0 {
-		return verdict.NewRejection(verdict.CodeNoBackend, message, defaultRetryAfter)
-	}
-	wait := c.gateway.statements.retryAfter(lo.Keys(c.limitedBy))
-	return verdict.NewRejection(verdict.CodeServerLimit, message+" that is not over its own limit", min(wait, max(minRetryAfter, place.MaxRetryAfter(c.remaining()))))
-}
-
 // checkReply returns an error if a response must not be forwarded. A success
 // without the server's authentication code may not be from the server, and a status
 // that promises "not run" is only forwarded if the server makes that promise.
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"strconv"
 	"testing"
 	"time"
@@ -8,7 +9,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
+	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
@@ -32,6 +35,25 @@
 	}
 }
 
+// Guards against spending attempts and the retry budget on requests that are not sent, and
+// against one that is planned for the same server again and again.
+func TestRequestToAServerThatLeavesIsNoAttempt(t *testing.T) {
+	g := &Gateway{statements: newServerStatements(), terminations: newTerminations()}
+	server := backend.Server{ID: "s", Incarnation: 1}
+	g.statements.table.Observe(availability.Response{Server: server.Instance(), Leaving: true})
+	g.statements.updateCounts(0)
+	c := &call{gateway: g, attempts: 1, deadline: time.Now().Add(time.Minute), ctx: context.Background()}
+	for range 2 {
+		// Without a transport, sending would panic.
+		if _, err := c.send(c.ctx, server, request.Options{}); err == nil || !withheld(err) || err.Verdict != verdict.NotRun {
+			t.Fatalf("error %v, want one of a request that was withheld", err)
+		}
+	}
+	if c.attempts != 1 || c.retryBudgetSpent || !c.excludedServers[server.ID] || !c.mayRetry() {
+		t.Errorf("attempts %d, budget spent %v, excluded %v, may retry %v", c.attempts, c.retryBudgetSpent, c.excludedServers, c.mayRetry())
+	}
+}
+
 // Guards against double counting: a request is found to be quarantined at its second
 // attempt.
 func TestQuarantinedRequestsAreCountedOnce(t *testing.T) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -101,8 +102,9 @@
 	priority int
 	// excludedServers are not tried again for this request.
 	excludedServers map[string]bool
-	// limitedBy are the servers that were skipped because of the limits they state.
-	limitedBy map[string]bool
+	// skipped are the servers that were skipped because of what they state, with the last
+	// reason.
+	skipped map[string]availability.Reason
 
 	trace trace
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,9 +28,7 @@
 	if c.quarantineStatus.Quarantined {
 		metrics.GetOrRegisterCounter("gateway.requests_quarantined", nil).Inc(1)
 	}
-	if len(c.limitedBy) > 0 {
-		metrics.GetOrRegisterCounter("gateway.requests_limited", nil).Inc(1)
-	}
+	c.countSkipped()
 	if c.trace.bySize {
 		metrics.GetOrRegisterCounter("gateway.admitted_by_size", nil).Inc(1)
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -41,9 +41,7 @@
 		job.Prompt.DeliveredEvents = c.request.Prompt.DeliveredEvents + c.trace.events
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.constraints(now))
 		if !ok {
-			if last == nil {
-				last = c.noServerError("no engine")
-			}
+			last = c.noServerError("no engine", last)
 			break
 		}
 		c.trace.plan, c.trace.plannedAfter = plan, now.Sub(c.received)
@@ -56,7 +54,9 @@
 		if err == nil {
 			return
 		}
-		last = err
+		if last == nil || !withheld(err) {
+			last = err
+		}
 	}
 	if c.headSent {
 		c.abort(last.Message)
@@ -151,6 +151,9 @@
 // Whatever the outcome, the request itself has not run.
 func (c *call) prefill(prefillEngine backend.Server) (string, *verdict.Error) {
 	g := c.gateway
+	if e := c.checkBeforeSend(prefillEngine); e != nil {
+		return "", e
+	}
 	if c.prefillAttempts > 0 && !c.spendRetry() {
 		return "", c.retryBudgetError()
 	}
@@ -263,7 +266,7 @@
 func (c *call) avoidFailed(s backend.Server, o request.Options, err *verdict.Error) {
 	engines := c.gateway.engines
 	switch {
-	case c.ctx.Err() != nil || c.retryBudgetSpent:
+	case c.ctx.Err() != nil || c.retryBudgetSpent || withheld(err):
 	case err.Verdict != verdict.NotRun || err.Code == verdict.CodeNoBackend:
 		engines.avoid(c.service.Name, s.ID, failureAvoidTime)
 	case o.KVSource == "":
@@ -274,8 +277,11 @@
 }
 
 // freeKV frees KV cache that no engine has fetched. Otherwise it would occupy memory
-// until the handle expires.
+// until the handle expires, as it does at an engine that wants no requests.
 func (g *Gateway) freeKV(s backend.Server, handle string) {
+	if !g.statements.withdrawn(s.Instance()).Available() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeKVTimeout)
 	defer cancel()
 	g.statements.countSend(s.ID)
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -197,6 +197,20 @@
 	}
 }
 
+// Guards against a server that is never used again after a restart under its ID.
+func TestServerThatLeftIsUsedAgainAfterARestart(t *testing.T) {
+	f := newNoticesFixture(t)
+	a := f.start("i-a", "")
+	address := f.gateway.dir.View().Servers["i-a"].Address
+	a.SetLeaving(runner.EveryAnswer)
+	f.sendUntil(a, plainTarget, noHeader)
+	f.checkNoMore(a, plainTarget, noHeader)
+	time.Sleep(2 * time.Millisecond)
+	a.Restart()
+	f.store.Put("servers", "i-a", a.Registration("plain", address, "z", "ready"))
+	f.waitFor("the restarted server gets a request", func() bool { return f.send(plainTarget, "").status == http.StatusOK })
+}
+
 // rest is the time for which servers of these tests ask.
 const rest = 1200 * time.Millisecond
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -135,9 +135,7 @@
 		servers := g.directory.View().Service(c.service.Name)
 		server, ok := g.plain.choose(time.Now(), servers, g.deployment.Load().DataCentre, c.excluded)
 		if !ok {
-			if last == nil {
-				last = c.noServerError("no backend server")
-			}
+			last = c.noServerError("no backend server", last)
 			break
 		}
 		reply, err := c.send(c.ctx, server, request.Options{Priority: request.DefaultPriority})
@@ -152,7 +150,9 @@
 			return
 		}
 		g.plain.done(server.ID, nil, err.Verdict)
-		last = err
+		if last == nil || !withheld(err) {
+			last = err
+		}
 		if !c.mayRetry() {
 			break
 		}
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -180,11 +180,11 @@
 const maxCacheQueries = 64
 
 // queryCaches queries the cache contents of some engines, other than those that state
-// a limit.
+// a limit or are leaving.
 func (p *components) queryCaches(ctx context.Context) {
 	client := platform.NewEngineClient()
 	for _, s := range randomEngines(p.directory.View().Servers, maxCacheQueries) {
-		if p.gateway.HasServerLimit(s.ID) {
+		if p.gateway.HasServerLimit(s.ID) || p.gateway.IsLeaving(s.ID) {
 			continue
 		}
 		cached, err := client.CachedSegments(ctx, s)
@@ -223,7 +223,7 @@
 		Rank:               p.peers.Rank,
 		InFlight:           p.gateway.EngineInFlight,
 		Speed:              p.gateway.EngineSpeed,
-		Limited:            p.gateway.HasServerLimit,
+		Limited:            func(id string) bool { return p.gateway.HasServerLimit(id) || p.gateway.IsLeaving(id) },
 		ExpectedMissRate:   p.gateway.ExpectedMissRate,
 		PlacedRequests:     p.gateway.EnginePlacements,
 		RoleChangeStarting: p.gateway.AvoidEngine,
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -5,9 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -189,10 +187,7 @@
 	if c.trace.connectionBroken {
 		fields["fingerprint"], fields["caller"] = c.fingerprint().String(), c.request.Caller
 	}
-	if len(c.limitedBy) > 0 {
-		names := slices.Sorted(maps.Keys(c.limitedBy))
-		fields["limited"] = strings.Join(names[:min(maxLogged, len(names))], " ")
-	}
+	c.logSkipped(fields)
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
 	}
--- a/internal/gateway/server_statements.go
+++ b/internal/gateway/server_statements.go
@@ -2,14 +2,12 @@
 
 import (
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
-	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
@@ -114,7 +112,7 @@
 		s.logInvalidLimit(info)
 		return
 	}
-	if (!info.Limit.Limited && s.count.Load() == 0) || !isEvidence(info) {
+	if (!info.Limit.Limited && s.empty()) || !isEvidence(info) {
 		return
 	}
 	received := boottime.Now()
@@ -163,19 +161,46 @@
 	return change
 }
 
-// allows reports whether a server's limit allows a request from this gateway now.
-func (s *serverStatements) allows(server string) bool {
-	if s.count.Load() == 0 {
-		return true
+// empty reports whether no server states anything.
+func (s *serverStatements) empty() bool { return s.count.Load() == 0 }
+
+// check returns whether this gateway may send a request to a server now.
+func (s *serverStatements) check(server backend.Instance) availability.Status {
+	if s.empty() {
+		return availability.Status{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Check(boottime.Now(), server)
+}
+
+// withdrawn returns the same regardless of the server's limit.
+func (s *serverStatements) withdrawn(server backend.Instance) availability.Status {
+	if s.empty() {
+		return availability.Status{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.table.Limits.Tracks(server) || s.table.Limits.Allows(boottime.Now(), server)
+	return s.table.Withdrawn(boottime.Now(), server)
+}
+
+// earliest returns the status of the server that may be asked first, or false without
+// servers.
+func (s *serverStatements) earliest(servers []backend.Server) (first availability.Status, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	for i, server := range servers {
+		if status := s.table.Check(now, server.Instance()); i == 0 || status.Earlier(first) {
+			first = status
+		}
+	}
+	return first, len(servers) > 0
 }
 
 // hasLimit reports whether a server states a limit.
 func (s *serverStatements) hasLimit(server string) bool {
-	if s.count.Load() == 0 {
+	if s.empty() {
 		return false
 	}
 	s.mu.Lock()
@@ -186,7 +211,7 @@
 
 // countSend counts a request against a server's limit.
 func (s *serverStatements) countSend(server string) {
-	if s.count.Load() == 0 {
+	if s.empty() {
 		return
 	}
 	s.mu.Lock()
@@ -196,17 +221,14 @@
 	}
 }
 
-// retryAfter returns the time until the first of the given servers has room for a request.
-func (s *serverStatements) retryAfter(servers []string) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := boottime.Now()
-	return slices.Min(lo.Map(servers, func(id string, _ int) time.Duration { return s.table.Limits.RetryAfter(now, id) }))
-}
-
 // HasServerLimit reports whether a server states a limit.
 func (g *Gateway) HasServerLimit(server string) bool { return g.statements.hasLimit(server) }
 
+// IsLeaving reports whether a server states that it is leaving.
+func (g *Gateway) IsLeaving(server string) bool {
+	return g.statements.withdrawn(g.registered(server)).Reason == availability.Leaving
+}
+
 // RemoteServerLimit adds a limit notice that another gateway announced. Notices of
 // servers that are unknown here are dropped, because they are announced again.
 func (g *Gateway) RemoteServerLimit(from string, n ratelimit.Notice) {
@@ -223,7 +245,7 @@
 // and updates the ranks if the membership has changed.
 func (g *Gateway) ReannounceServerLimits(time.Time) {
 	s := g.statements
-	if s.count.Load() == 0 {
+	if s.empty() {
 		return
 	}
 	g.engines.joinGroup()
@@ -242,7 +264,7 @@
 
 // update adapts the statements to the registered servers.
 func (s *serverStatements) update(v *directory.View) {
-	if s.count.Load() == 0 {
+	if s.empty() {
 		return
 	}
 	s.mu.Lock()
--- a/internal/reconcile/reconcile.go
+++ b/internal/reconcile/reconcile.go
@@ -70,7 +70,7 @@
 	InFlight func(service, engine string) int
 	// Speed returns the speed of an engine relative to the others.
 	Speed func(service, engine string) roles.Speed
-	// Limited reports whether a server accepts only few requests. It then does not
+	// Limited reports whether a server accepts only few requests or none. It then does not
 	// count as serving its role.
 	Limited func(server string) bool
 	// ExpectedMissRate returns the fraction of a service's answers, weighted by
