--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -33,9 +33,7 @@
 		job := c.placeJob()
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.constraints(now))
 		if !ok {
-			if last == nil {
-				last = c.noServerError("no engine")
-			}
+			last = c.noServerError("no engine", last)
 			break
 		}
 		c.trace.plan, c.trace.plannedAfter = plan, now.Sub(c.received)
@@ -48,7 +46,9 @@
 		if err == nil {
 			return
 		}
-		last = err
+		if last == nil || !withheld(err) {
+			last = err
+		}
 	}
 	if c.headSent {
 		c.abort(last.Message)
@@ -181,6 +181,9 @@
 // Whatever the outcome, the request itself has not run. With a hedge, prefill returns
 // the attempt at other engines instead if these are ready first.
 func (c *call) prefill(ctx context.Context, prefillEngine backend.Server, h *hedge) (string, *hedgedAttempt, *verdict.Error) {
+	if e := c.checkBeforeSend(prefillEngine); e != nil {
+		return "", nil, e
+	}
 	if c.prefillAttempts > 0 && !c.takeReserved(&c.reserved.prefill) {
 		return "", nil, c.retryBudgetError()
 	}
@@ -353,7 +356,7 @@
 func (c *call) avoidFailed(ctx context.Context, s backend.Server, o request.Options, err *verdict.Error) {
 	engines := c.gateway.engines
 	switch {
-	case ctx.Err() != nil || c.retryBudgetSpent:
+	case ctx.Err() != nil || c.retryBudgetSpent || withheld(err):
 	case err.Verdict != verdict.NotRun || err.Code == verdict.CodeNoBackend:
 		engines.avoid(c.service.Name, s.ID, failureAvoidTime)
 	case o.KVSource == "":
@@ -364,11 +367,14 @@
 }
 
 // freeKV frees KV cache that no engine has fetched. Otherwise it would occupy memory
-// until the handle expires.
+// until the handle expires, as it does at an engine that wants no requests.
 func (g *Gateway) freeKV(s backend.Server, handle string) {
+	if !g.statements.withdrawn(s.Instance()).Available() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeKVTimeout)
 	defer cancel()
-	g.limits.countSend(s.ID)
+	g.statements.countSend(s.ID)
 	method, path := g.codec.FreeHandle(handle)
 	r := request.Request{ID: handle, Method: method, Target: path, Host: s.Address, Header: http.Header{}}
 	reply, err := g.transport.Send(ctx, &r, request.Options{Server: s, Remaining: freeKVTimeout, Priority: request.DefaultPriority})
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -31,9 +31,9 @@
 // plainBalancer balances requests over the servers of plain services, which are
 // those without model engines.
 type plainBalancer struct {
-	limits  *serverLimits
-	mu      sync.Mutex
-	servers map[string]*plainServer
+	statements *serverStatements
+	mu         sync.Mutex
+	servers    map[string]*plainServer
 }
 
 type plainServer struct {
@@ -43,8 +43,8 @@
 	avoidUntil time.Time
 }
 
-func newPlainBalancer(l *serverLimits) *plainBalancer {
-	return &plainBalancer{limits: l, servers: make(map[string]*plainServer)}
+func newPlainBalancer(s *serverStatements) *plainBalancer {
+	return &plainBalancer{statements: s, servers: make(map[string]*plainServer)}
 }
 
 func (p *plainBalancer) server(id string) *plainServer {
@@ -85,7 +85,7 @@
 		return backend.Server{}, false
 	}
 	p.server(best.ID).inFlight++
-	p.limits.countSend(best.ID)
+	p.statements.countSend(best.ID)
 	return best, true
 }
 
@@ -141,14 +141,16 @@
 	for first := true; first || c.mayRetry(); first = false {
 		server, ok := c.choosePlain()
 		if !ok {
-			if last == nil {
-				last = c.noServerError("no backend server")
-			}
+			last = c.noServerError("no backend server", last)
 			break
 		}
-		if last = c.attemptPlain(server); last == nil {
+		err := c.attemptPlain(server)
+		if err == nil {
 			return
 		}
+		if last == nil || !withheld(err) {
+			last = err
+		}
 	}
 	c.fail(last)
 }
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -191,13 +190,10 @@
 	if c.trace.connectionBroken {
 		fields["fingerprint"], fields["caller"] = c.fingerprint().String(), c.request.Caller
 	}
-	if len(c.limitedBy) > 0 {
-		names := slices.Sorted(maps.Keys(c.limitedBy))
-		fields["limited"] = strings.Join(names[:min(maxLogged, len(names))], " ")
-	}
 	if len(c.trace.silent) > 0 {
 		fields["silent"] = strings.Join(c.trace.silent, " ")
 	}
+	c.logSkipped(fields)
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
 	}
