Gateway: KV cache of a request that has moved on is freed; a hedge's panic stays in its request

By reading: a panic in the goroutine of a hedge would have ended the process; it is raised in the request's goroutine, where net/http recovers.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -112,6 +112,8 @@
 	// possibleRuns counts the attempts whose server ran, or may have run, the request,
 	// and pendingRuns those whose server has not responded.
 	possibleRuns, pendingRuns int
+	// freePrefilled frees the KV cache from which the first attempt was to generate.
+	freePrefilled func()
 	// hedgedJobs counts the jobs of hedged attempts.
 	hedgedJobs int
 	// headSent is set once the head of the response has been sent; lastEventID is
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -130,8 +130,10 @@
 	firstFailed, done chan struct{}
 	// armedAt is when the timer was last started.
 	armedAt time.Time
-	// silent is set if the first server was silent. It must be read after done.
-	silent bool
+	// silent is set if the first server was silent, and panicked is what the search
+	// panicked with. They must be read after done.
+	silent   bool
+	panicked any
 
 	mu       sync.Mutex
 	firstWon bool
@@ -155,6 +157,7 @@
 // the first server or for the end of run.
 func (r *race) run() {
 	defer close(r.done)
+	defer func() { r.panicked = recover() }()
 	if r.silent = r.confirmSilence(); !r.silent {
 		return
 	}
@@ -225,6 +228,10 @@
 		close(r.firstFailed)
 	}
 	<-r.done
+	if r.panicked != nil {
+		// The server recovers from it in the goroutine of the request only.
+		panic(r.panicked)
+	}
 	return r.winner
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -142,6 +142,7 @@
 		Priority: place.DecodePriority,
 		KVSource: g.codec.KVSource(prefillEngine.Address, handle),
 	}
+	c.freePrefilled = func() { g.freeKV(prefillEngine, handle) }
 	failed := c.generateWithFallback(plan, job, options)
 	if failed != nil && failed.Verdict == verdict.NotRun {
 		go g.freeKV(prefillEngine, handle)
@@ -198,7 +199,7 @@
 	})
 	if other != nil {
 		if reply != nil {
-			reply.Body.Close()
+			go c.gateway.freeReply(prefillEngine, reply)
 		}
 		c.reportBrokenConnection(prefillEngine)
 		return "", other, nil
@@ -248,6 +249,9 @@
 	h := c.hedgeStream(c.ctx, decodeEngine, id, cancel)
 	reply, other, err := c.send(ctx, decodeEngine, o, h)
 	if other != nil {
+		if o.KVSource != "" {
+			go c.freePrefilled()
+		}
 		return c.forwardHedged(other)
 	}
 	if err != nil {
@@ -366,6 +370,17 @@
 	}
 }
 
+// freeReply frees the KV cache of a prefill that is not used any more.
+func (g *Gateway) freeReply(s backend.Server, reply *direct.Reply) {
+	body, err := reply.ReadAll(maxPrefillResponse)
+	if err != nil || reply.Status != http.StatusOK {
+		return
+	}
+	if p, err := g.codec.ParsePrefilled(body); err == nil {
+		g.freeKV(s, p.Handle)
+	}
+}
+
 // freeKV frees KV cache that no engine has fetched. Otherwise it would occupy memory
 // until the handle expires, as it does at an engine that wants no requests.
 func (g *Gateway) freeKV(s backend.Server, handle string) {
