Gateway: the clock is read only for servers that state something

A plan asks for every engine whether it may get the request. With one server that leaves, each of these read the boot-time clock, a system call each.

--- a/internal/decide/availability/availability.go
+++ b/internal/decide/availability/availability.go
@@ -79,6 +79,12 @@
 // they have stated something else as well.
 func (t *Table) Len() int { return len(t.servers) + t.Limits.Len() }
 
+// Tracks reports whether anything is known of a server. If not, it is available.
+func (t *Table) Tracks(server string) bool {
+	_, ok := t.servers[server]
+	return ok || t.Limits.Tracks(server)
+}
+
 // Observe merges a response and returns its effect.
 func (t *Table) Observe(r Response) Change {
 	if !r.Leaving && r.Rest <= 0 {
--- a/internal/gateway/server_statements.go
+++ b/internal/gateway/server_statements.go
@@ -171,6 +171,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// Reading the clock is a system call, and a plan asks for every engine.
+	if !s.table.Tracks(server.ID) {
+		return availability.Status{}
+	}
 	return s.table.Check(boottime.Now(), server)
 }
 
@@ -181,6 +185,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.table.Tracks(server.ID) {
+		return availability.Status{}
+	}
 	return s.table.Withdrawn(boottime.Now(), server)
 }
 
