Soak of processes: servers that say they leave and servers that ask for rest

Two random faults (a server says in all answers that it leaves, then restarts; a server rejects and asks for up to 2 s of rest) and a check in the calm phase: one decode engine says that it leaves, another asks every gateway for 1.5 s of rest. No gateway may send to the first later than the drain timeout after the answer that told it so, nor more than two requests to the second between half a second after its rejection and the end of the rest.

With one prefill engine limited and the other leaving, a decode engine is ordered to prefill; the stand-in carried that out and its object went on saying decode, so that it rejected all that it got. An accepted order now changes the object.

--- a/test/soakproc/callers.go
+++ b/test/soakproc/callers.go
@@ -76,6 +76,7 @@
 				req := requestKinds[r.IntN(len(requestKinds))]
 				req.id = l.nextID()
 				gracefulStopOnly := l.gracefulStopOnly.Load()
+				l.gatewayOf.Store(req.id, env.gateways[n%len(env.gateways)].process.Name)
 				got := send(client, env.gateways[n%len(env.gateways)].address, req)
 				l.record(req, got, gracefulStopOnly && l.gracefulStopOnly.Load())
 				time.Sleep(time.Duration(r.IntN(30)) * time.Millisecond)
@@ -93,6 +94,8 @@
 	next atomic.Int64
 	// gracefulStopOnly is set while a graceful stop is the only disturbance.
 	gracefulStopOnly atomic.Bool
+	// gatewayOf has the name of the gateway that each request was sent to, by ID.
+	gatewayOf sync.Map
 
 	mu         sync.Mutex
 	sent       map[string]request
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -120,6 +120,7 @@
 		s.service = plainService
 	}
 	s.EventInterval = 2 * time.Millisecond
+	s.PhaseChanged = func() { env.register(s, "ready") }
 	if role == "decode" {
 		env.crashOnFatal(s)
 	}
--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -96,6 +96,8 @@
 	{"server names a limit", serverLimitFault(runner.AllAnswers)},
 	{"server names a limit in rejections", serverLimitFault(runner.Rejections)},
 	{"server names a limit in reads", serverLimitFault(runner.PrefillAnswers)},
+	{"server says it leaves", leavingFault},
+	{"server asks for rest", restFault},
 	{"server drains", func(env *environment, r *rand.Rand) func() {
 		s := env.randomServer(r)
 		if !s.drainedAt.IsZero() {
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -117,6 +117,7 @@
 	recovered := time.Now()
 	defer func() { env.checkCrashes(recovered, l) }()
 	defer env.setLimits(l)()
+	defer env.setNotices(l)()
 	env.writeConfig()
 	drained := env.servers[len(env.servers)-1]
 	env.register(drained, "draining")
--- a/test/standin/runner/notices.go
+++ b/test/standin/runner/notices.go
@@ -29,26 +29,54 @@
 type notices struct {
 	leavingIn AnswerKinds
 	rest      string
-	// leavingSince is when the first answer since SetLeaving said so, zero before.
-	leavingSince time.Time
 	// prefillGate, if it is not nil, delays prefills until it is closed.
 	prefillGate chan struct{}
 	freed       int
+
+	arrivals []Arrival
+	stated   []Statement
 }
 
-// SetLeaving makes the server say in the given kinds of answers that it is leaving.
-func (s *BackendServer) SetLeaving(in AnswerKinds) {
+// Arrival is a request that reached a start of the server, including rejected and
+// prefill-only ones.
+type Arrival struct {
+	ID      string
+	At      time.Time
+	StartMS int64
+}
+
+// Statement is an answer that said that the server is leaving or that asked for rest.
+type Statement struct {
+	Arrival
+	Leaving bool
+	// Rest is the value of Retry-After, empty without one.
+	Rest string
+}
+
+// Arrivals returns the requests that reached the server.
+func (s *BackendServer) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.notices.arrivals...)
+}
+
+// Statements returns the answers that said something.
+func (s *BackendServer) Statements() []Statement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.notices.leavingIn, s.notices.leavingSince = in, time.Time{}
+	return append([]Statement(nil), s.notices.stated...)
+}
+
+// clear ends what the server says. The records stay.
+func (n *notices) clear() {
+	n.leavingIn, n.rest = 0, ""
 }
 
-// LeavingSince returns when the first answer said that the server is leaving, zero if none
-// has.
-func (s *BackendServer) LeavingSince() time.Time {
+// SetLeaving makes the server say in the given kinds of answers that it is leaving.
+func (s *BackendServer) SetLeaving(in AnswerKinds) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.notices.leavingSince
+	s.notices.leavingIn = in
 }
 
 // SetRest makes the server reject all requests and ask for rest with the given value of
@@ -101,14 +129,17 @@
 func (s *BackendServer) addNotices(w http.ResponseWriter, of AnswerKinds) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	said := Statement{Arrival: Arrival{ID: w.Header().Get("Request-Id"), At: time.Now(), StartMS: s.startedAtMS}}
 	if s.notices.leavingIn&of != 0 {
 		w.Header().Set("Server-Leaving", "1")
-		if s.notices.leavingSince.IsZero() {
-			s.notices.leavingSince = time.Now()
-		}
+		said.Leaving = true
 	}
 	if of == NotRun && s.notices.rest != "" {
 		w.Header().Set("Retry-After", s.notices.rest)
+		said.Rest = s.notices.rest
+	}
+	if said.Leaving || said.Rest != "" {
+		s.notices.stated = append(s.notices.stated, said)
 	}
 }
 
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -68,6 +68,9 @@
 	// started to run; Crash is called then. Both are set before it serves.
 	FatalBody string
 	Crash     func()
+	// PhaseChanged, if it is set before the server serves, is called after an order has
+	// changed the phase.
+	PhaseChanged func()
 
 	mu             sync.Mutex
 	fault          Fault
@@ -107,7 +110,7 @@
 	s.startedAtMS = time.Now().UnixMilli()
 	s.orderSequence = 0
 	s.limit = ""
-	s.notices = notices{}
+	s.notices.clear()
 	s.handles = make(map[string]bool)
 }
 
@@ -240,19 +243,27 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	status := s.carryOut(o)
+	w.WriteHeader(status)
+	if status == http.StatusAccepted && s.PhaseChanged != nil {
+		s.PhaseChanged()
+	}
+}
+
+// carryOut carries out an order and returns the status of the answer.
+func (s *BackendServer) carryOut(o Order) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case o.Precondition != nil && *o.Precondition != s.orderSequence:
-		w.WriteHeader(http.StatusConflict)
+		return http.StatusConflict
 	case o.Phase == s.Phase:
-		w.WriteHeader(http.StatusOK)
-	default:
-		s.orderSequence++
-		s.acceptedOrders = append(s.acceptedOrders, o)
-		s.Phase = o.Phase
-		w.WriteHeader(http.StatusAccepted)
+		return http.StatusOK
 	}
+	s.orderSequence++
+	s.acceptedOrders = append(s.acceptedOrders, o)
+	s.Phase = o.Phase
+	return http.StatusAccepted
 }
 
 // serve handles a caller's request.
@@ -272,6 +283,7 @@
 	s.mu.Lock()
 	fault := s.fault
 	s.requestTimes = append(s.requestTimes, time.Now())
+	s.notices.arrivals = append(s.notices.arrivals, Arrival{ID: id, At: time.Now(), StartMS: s.startedAtMS})
 	s.mu.Unlock()
 	if fault == Shedding || s.resting() {
 		s.rejectNotRun(w)
