Soak of processes: servers that are silent and go on, beside planned changes

Callers' answers were cut when a sound server was silent for 1.3 s, and no test could play that: the faults of the soak lost bytes or ended connections, its retry budget was never used up, and its streams were over in 4 ms.

- test/faultproxy: Mode.Hold keeps bytes back in both directions and delivers all of them later.
A close is passed on only after the bytes before it.
- test/standin/runner: a silent server answers no reports, orders and lists either, and KV cache of a silent engine arrives when it goes on.
- test/soakproc: new faults "server paused" and "server held" (0.8 to 2.5 s, one server or two of one service), "gateway reloads its settings" (a changed settings file and SIGHUP), "idle timeout changed", "route timeout changed".
The last phase, checkPauses, plays only these and new configurations for 6 s.
In it a transport error, a missing head or a truncated body is a violation, unless the request had reached its timeout, or its caller had been idle for longer than four fifths of the shortest idle timeout and no gateway had read the request.
- Half of the runs have a small retry budget; 24 callers instead of 12; streams last 20 ms.

In the phase half of the callers send resumable streams only, and silences are half of the faults.

--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -22,6 +22,9 @@
 	// DropToServer and DropToClient discard all bytes in one direction.
 	DropToServer bool
 	DropToClient bool
+	// Hold keeps all bytes back, in both directions, and delivers them once a mode
+	// without it is set. Nothing is lost, and no connection is closed.
+	Hold bool
 }
 
 // Proxy forwards connections from its own address to a target.
@@ -35,6 +38,8 @@
 	mu       sync.Mutex
 	listener net.Listener
 	mode     Mode
+	// released is closed at the end of Hold. It is nil while nothing is held.
+	released chan struct{}
 	conns    map[*conn]struct{}
 }
 
@@ -82,6 +87,7 @@
 func (p *Proxy) Set(m Mode) {
 	p.mu.Lock()
 	p.mode = m
+	p.hold(m.Hold)
 	conns := p.openConns()
 	p.mu.Unlock()
 	if m.Cut {
@@ -91,6 +97,30 @@
 	}
 }
 
+// hold begins or ends holding bytes back. The caller holds mu.
+func (p *Proxy) hold(on bool) {
+	switch {
+	case on && p.released == nil:
+		p.released = make(chan struct{})
+	case !on && p.released != nil:
+		close(p.released)
+		p.released = nil
+	}
+}
+
+// awaitRelease waits while bytes are held back.
+func (p *Proxy) awaitRelease() {
+	for {
+		p.mu.Lock()
+		released := p.released
+		p.mu.Unlock()
+		if released == nil {
+			return
+		}
+		<-released
+	}
+}
+
 // BlackholeExisting permanently discards all bytes of the existing connections, as
 // a NAT or firewall does that has lost their state. New connections work.
 func (p *Proxy) BlackholeExisting() {
@@ -105,6 +135,7 @@
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	_ = p.listener.Close()
+	p.hold(false)
 	conns := p.openConns()
 	p.mu.Unlock()
 	for _, c := range conns {
@@ -166,6 +197,7 @@
 	discard := false
 	for {
 		n, err := from.Read(buffer)
+		p.awaitRelease()
 		if err != nil {
 			return
 		}
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -96,6 +96,9 @@
 // Terminate sends SIGTERM.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// HangUp sends SIGHUP.
+func (p *Process) HangUp() { p.signal(syscall.SIGHUP) }
+
 // Pause sends SIGSTOP.
 func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
 
--- a/test/soakproc/callers.go
+++ b/test/soakproc/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,9 @@
 	status int
 	body   string
 	err    error
+	// sent is when the request was sent, took the time to the end of the answer.
+	sent time.Time
+	took time.Duration
 }
 
 // requestKinds are the requests that callers choose from at random.
@@ -43,6 +47,13 @@
 }
 
 func send(c *http.Client, address string, r request) outcome {
+	sent := time.Now()
+	got := exchange(c, address, r)
+	got.sent, got.took = sent, time.Since(sent)
+	return got
+}
+
+func exchange(c *http.Client, address string, r request) outcome {
 	req, err := http.NewRequest(r.method, "http://"+address+r.target, io.NopCloser(strings.NewReader(cmp.Or(r.body, "b"))))
 	if err != nil {
 		return outcome{err: err}
@@ -51,7 +62,7 @@
 	// Without GetBody, net/http cannot resend a request that may have run.
 	req.GetBody = nil
 	req.Header.Set("Request-Id", r.id)
-	req.Header.Set("Deadline-Ms", "3000")
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 	req.Header.Set("Token-Count", "2000,20")
 	req.Header.Set("Prefix-Hash", "aa:1500,"+fmt.Sprintf("%x", len(r.id))+":500")
 	resp, err := c.Do(req)
@@ -67,24 +78,36 @@
 // function is called.
 func (env *environment) startCallers(ctx context.Context, seed uint64, l *requestLog) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	var wait sync.WaitGroup
+	var callers sync.WaitGroup
 	for n := range callerCount {
-		wait.Go(func() {
+		callers.Go(func() {
 			r := rand.New(rand.NewPCG(seed, uint64(100+n)))
 			client := newClient()
-			for ctx.Err() == nil {
-				req := requestKinds[r.IntN(len(requestKinds))]
+			for idle := time.Duration(0); wait(ctx, idle); idle = l.pauseOf(n, r) {
+				req := l.kindOf(n, r)
 				req.id = l.nextID()
-				gracefulStopOnly := l.gracefulStopOnly.Load()
+				gracefulStopOnly, pausesOnly := l.gracefulStopOnly.Load(), l.pausesOnly.Load()
 				got := send(client, env.gateways[n%len(env.gateways)].address, req)
 				l.record(req, got, gracefulStopOnly && l.gracefulStopOnly.Load())
-				time.Sleep(time.Duration(r.IntN(30)) * time.Millisecond)
+				if pausesOnly {
+					env.checkEnding(l, req, got, idle)
+				}
 			}
 		})
 	}
 	return func() {
 		cancel()
-		wait.Wait()
+		callers.Wait()
+	}
+}
+
+// wait waits for a time and reports whether ctx is not done.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
 }
 
@@ -93,6 +116,8 @@
 	next atomic.Int64
 	// gracefulStopOnly is set while a graceful stop is the only disturbance.
 	gracefulStopOnly atomic.Bool
+	// pausesOnly is set once there are only pauses and planned changes.
+	pausesOnly atomic.Bool
 
 	mu         sync.Mutex
 	sent       map[string]request
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -37,6 +37,9 @@
 	modelService = "llm"
 )
 
+// eventInterval lets pauses meet streams in the middle.
+const eventInterval = 10 * time.Millisecond
+
 const (
 	// drainTimeout is how long a server may still get requests after the store
 	// lists it as draining.
@@ -55,6 +58,8 @@
 type gateway struct {
 	process *fleet.Process
 	address string
+	// writeSettings writes the settings file of the process.
+	writeSettings func() error
 	// store is the proxy between this gateway and the store.
 	store *faultproxy.Proxy
 	// paused and down report that a signal has paused or ended the process.
@@ -68,6 +73,8 @@
 	proxy   *faultproxy.Proxy
 	// drainedAt is when the server was registered as draining; zero if it is not.
 	drainedAt time.Time
+	// quiet reports that a pause is in progress.
+	quiet bool
 }
 
 // environment holds everything that one run starts.
@@ -79,12 +86,28 @@
 	version  int64
 	closers  []func()
 	crashes  crashTimes
+	// budget is the retry budget of a service, idleTimeout that of callers' connections.
+	budget      retryBudget
+	idleTimeout time.Duration
+	timeouts    routeTimeouts
+}
+
+// retryBudget bounds the retries for a service within 10 s to a share of its requests
+// plus slack.
+type retryBudget struct {
+	share float64
+	slack int
 }
 
+// retryBudgets are the budgets of the runs in turn: with the second one, a pause of one
+// server uses up the budget.
+var retryBudgets = []retryBudget{{share: 0.5, slack: 300}, {share: 0.002, slack: 5}}
+
 // start starts the environment of a seed. Its addresses in 127.0.0.0/8 depend on
 // the seed and the process id, so that concurrent runs do not collide.
 func start(seed uint64, bin, dir string) (*environment, error) {
-	env := &environment{store: objectstore.New()}
+	env := &environment{store: objectstore.New(), budget: retryBudgets[seed/2%2], idleTimeout: maxIdleTimeout}
+	env.timeouts.set(callerTimeout)
 	env.ip = func(host int) string { return fmt.Sprintf("127.%d.%d.%d", 100+seed%100, 1+os.Getpid()%200, host) }
 	if err := env.serve(net.JoinHostPort(env.ip(1), strconv.Itoa(portStore)), env.store); err != nil {
 		return env, err
@@ -119,7 +142,7 @@
 	if role == "" {
 		s.service = plainService
 	}
-	s.EventInterval = 2 * time.Millisecond
+	s.EventInterval = eventInterval
 	if role == "decode" {
 		env.crashOnFatal(s)
 	}
@@ -150,7 +173,7 @@
 	env.version++
 	route := func(name, prefix, kind, service string, attempts int, model, resumable bool) map[string]any {
 		return map[string]any{
-			"name": name, "hostname": "h.example", "pathPrefix": prefix, "routeType": kind, "timeoutMs": 3000,
+			"name": name, "hostname": "h.example", "pathPrefix": prefix, "routeType": kind, "timeoutMs": env.timeouts.newest().Milliseconds(),
 			"latencyGoalMs": 1000, "serviceName": service, "maxAttempts": attempts, "affinity": model, "resumable": resumable,
 		}
 	}
@@ -169,7 +192,7 @@
 				"capacity": 16, "kvCapacity": 100_000, "kvTokenBytes": 1000, "linkMbps": 1000, "handleTtlS": 5, "stageSwitchS": 0.1,
 			}},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": env.idleTimeout.Milliseconds()},
 	})
 }
 
@@ -182,7 +205,8 @@
 	env.closers = append(env.closers, proxy.Close)
 	name := fmt.Sprintf("f-%d", host)
 	path := filepath.Join(dir, name+".json")
-	if err := env.writeSettings(path, name, ip, proxy.Address()); err != nil {
+	writeSettings := func() error { return env.writeSettings(path, name, ip, proxy.Address()) }
+	if err := writeSettings(); err != nil {
 		return err
 	}
 	ready := "http://" + net.JoinHostPort(ip, strconv.Itoa(portReady)) + "/-/readiness"
@@ -190,7 +214,8 @@
 	if err := p.Restart(); err != nil {
 		return err
 	}
-	env.gateways = append(env.gateways, &gateway{process: p, address: net.JoinHostPort(ip, strconv.Itoa(portCallers)), store: proxy})
+	address := net.JoinHostPort(ip, strconv.Itoa(portCallers))
+	env.gateways = append(env.gateways, &gateway{process: p, address: address, writeSettings: writeSettings, store: proxy})
 	return nil
 }
 
@@ -204,7 +229,7 @@
 		"limits":    map[string]any{"memoryMb": 206, "maxFds": 2870},
 		"bounds": map[string]any{
 			"drainTimeoutMs": drainTimeout.Milliseconds(), "gracePeriodS": 8, "configApplyMs": configApply.Milliseconds(), "contactMs": contact.Milliseconds(),
-			"retryBudgetRatio": 0.5, "retrySlack": 300, "budgetWindowS": 10, "leaseMs": 1000,
+			"retryBudgetRatio": env.budget.share, "retrySlack": env.budget.slack, "budgetWindowS": 10, "leaseMs": 1000,
 		},
 		"platformSettings": map[string]any{"address": store},
 	})
--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"pistachioroad.dev/pistachioroad/test/faultproxy"
@@ -18,6 +19,20 @@
 type fault struct {
 	name  string
 	begin func(env *environment, r *rand.Rand) (end func())
+	// pause is set if the fault lasts from minPause to maxPause.
+	pause bool
+}
+
+// duration returns how long the fault lasts.
+func (f fault) duration(r *rand.Rand) time.Duration {
+	if f.pause {
+		return between(r, minPause, maxPause)
+	}
+	return between(r, 0, maxFaultDuration)
+}
+
+func between(r *rand.Rand, shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(r.Int64N(int64(longest-shortest)))
 }
 
 func noop() {}
@@ -31,8 +46,11 @@
 }
 
 // faults are all kinds of fault.
-var faults = []fault{
-	{"gateway killed", func(env *environment, r *rand.Rand) func() {
+var faults = slices.Concat(disruptions, silences, plannedChanges)
+
+// disruptions are the faults that may cut answers.
+var disruptions = []fault{
+	{name: "gateway killed", begin: func(env *environment, r *rand.Rand) func() {
 		g := env.randomGateway(r)
 		if g.paused || g.down {
 			return nil
@@ -41,7 +59,7 @@
 		g.process.Kill()
 		return func() { g.down = false; _ = g.process.Restart() }
 	}},
-	{"gateway paused", func(env *environment, r *rand.Rand) func() {
+	{name: "gateway paused", begin: func(env *environment, r *rand.Rand) func() {
 		g := env.randomGateway(r)
 		if g.paused || g.down {
 			return nil
@@ -50,7 +68,7 @@
 		g.process.Pause()
 		return func() { g.process.Resume(); g.paused = false }
 	}},
-	{"gateway terminated", func(env *environment, r *rand.Rand) func() {
+	{name: "gateway terminated", begin: func(env *environment, r *rand.Rand) func() {
 		g := env.randomGateway(r)
 		if g.paused || g.down {
 			return nil
@@ -65,38 +83,38 @@
 			_ = g.process.Restart()
 		}
 	}},
-	{"store refuses", storeFault(objectstore.Faults{Unavailable: true})},
-	{"store silent", storeFault(objectstore.Faults{Unresponsive: true})},
-	{"store loses replies", storeFault(objectstore.Faults{LoseReplies: true})},
-	{"store drops history", func(env *environment, _ *rand.Rand) func() { env.store.CompactHistory(); return noop }},
-	{"store keeps changes back", func(env *environment, _ *rand.Rand) func() {
+	{name: "store refuses", begin: storeFault(objectstore.Faults{Unavailable: true})},
+	{name: "store silent", begin: storeFault(objectstore.Faults{Unresponsive: true})},
+	{name: "store loses replies", begin: storeFault(objectstore.Faults{LoseReplies: true})},
+	{name: "store drops history", begin: func(env *environment, _ *rand.Rand) func() { env.store.CompactHistory(); return noop }},
+	{name: "store keeps changes back", begin: func(env *environment, _ *rand.Rand) func() {
 		env.store.SetFaults(objectstore.Faults{StallWatches: true})
 		return env.recoverWatches
 	}},
-	{"one gateway cut from the store", storeLinkFault(faultproxy.Mode{Cut: true})},
-	{"one gateway's store one way", storeLinkFault(faultproxy.Mode{DropToClient: true})},
-	{"one gateway's store delayed", storeLinkFault(faultproxy.Mode{Delay: 100 * time.Millisecond})},
-	{"one gateway's store silenced", func(env *environment, r *rand.Rand) func() {
+	{name: "one gateway cut from the store", begin: storeLinkFault(faultproxy.Mode{Cut: true})},
+	{name: "one gateway's store one way", begin: storeLinkFault(faultproxy.Mode{DropToClient: true})},
+	{name: "one gateway's store delayed", begin: storeLinkFault(faultproxy.Mode{Delay: 100 * time.Millisecond})},
+	{name: "one gateway's store silenced", begin: func(env *environment, r *rand.Rand) func() {
 		env.randomGateway(r).store.BlackholeExisting()
 		return noop
 	}},
-	{"server cut", serverLinkFault(faultproxy.Mode{Cut: true})},
-	{"server one way", serverLinkFault(faultproxy.Mode{DropToClient: true})},
-	{"server delayed", serverLinkFault(faultproxy.Mode{Delay: 30 * time.Millisecond})},
-	{"server silenced", func(env *environment, r *rand.Rand) func() {
+	{name: "server cut", begin: serverLinkFault(faultproxy.Mode{Cut: true})},
+	{name: "server one way", begin: serverLinkFault(faultproxy.Mode{DropToClient: true})},
+	{name: "server delayed", begin: serverLinkFault(faultproxy.Mode{Delay: 30 * time.Millisecond})},
+	{name: "server silenced", begin: func(env *environment, r *rand.Rand) func() {
 		env.randomServer(r).proxy.BlackholeExisting()
 		return noop
 	}},
-	{"server sheds", serverFault(runner.Shedding)},
-	{"server loses answers", serverFault(runner.DroppingAnswers)},
-	{"server breaks off", serverFault(runner.TruncatingStream)},
-	{"server fails", serverFault(runner.Failing)},
-	{"server answers twice", serverFault(runner.DuplicateAnswer)},
-	{"server silent", serverFault(runner.Unresponsive)},
-	{"server names a limit", serverLimitFault(runner.AllAnswers)},
-	{"server names a limit in rejections", serverLimitFault(runner.Rejections)},
-	{"server names a limit in reads", serverLimitFault(runner.PrefillAnswers)},
-	{"server drains", func(env *environment, r *rand.Rand) func() {
+	{name: "server sheds", begin: serverFault(runner.Shedding)},
+	{name: "server loses answers", begin: serverFault(runner.DroppingAnswers)},
+	{name: "server breaks off", begin: serverFault(runner.TruncatingStream)},
+	{name: "server fails", begin: serverFault(runner.Failing)},
+	{name: "server answers twice", begin: serverFault(runner.DuplicateAnswer)},
+	{name: "server silent", begin: serverFault(runner.Unresponsive)},
+	{name: "server names a limit", begin: serverLimitFault(runner.AllAnswers)},
+	{name: "server names a limit in rejections", begin: serverLimitFault(runner.Rejections)},
+	{name: "server names a limit in reads", begin: serverLimitFault(runner.PrefillAnswers)},
+	{name: "server drains", begin: func(env *environment, r *rand.Rand) func() {
 		s := env.randomServer(r)
 		if !s.drainedAt.IsZero() {
 			return nil
@@ -105,7 +123,6 @@
 		s.drainedAt = time.Now()
 		return func() { s.drainedAt = time.Time{}; env.register(s, "ready") }
 	}},
-	{"configuration changed", func(env *environment, _ *rand.Rand) func() { env.writeConfig(); return noop }},
 }
 
 func storeFault(f objectstore.Faults) func(*environment, *rand.Rand) func() {
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -18,7 +18,7 @@
 	meanFaultInterval = 250 * time.Millisecond
 	maxFaultDuration  = 1800 * time.Millisecond
 	// callerCount callers run concurrently, each on its own keep-alive connection.
-	callerCount = 12
+	callerCount = 24
 	// drainObservation is how long a draining server is observed for new requests
 	// after its drain timeout.
 	drainObservation = 2 * time.Second
@@ -43,7 +43,7 @@
 	if err != nil {
 		return report, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
 	for _, g := range env.gateways {
 		if err := g.process.WaitReady(ctx); err != nil {
@@ -53,9 +53,10 @@
 	l := newRequestLog()
 	stopCallers := env.startCallers(ctx, seed, l)
 	stopFatal := env.startFatalCaller(ctx, l)
-	env.inject(seed, report.Faults)
+	env.inject(faults, faultsDuration, seed, report.Faults)
 	env.checkRecovery(ctx, l)
 	stopFatal()
+	env.checkPauses(ctx, seed, l, report.Faults)
 	stopCallers()
 	l.check(env)
 	report.Violations = l.violations
@@ -72,9 +73,9 @@
 	return names
 }
 
-// inject starts faults at random times and ends each after a random duration.
-// All faults have ended when it returns.
-func (env *environment) inject(seed uint64, counts map[string]int) {
+// inject starts faults of the given kinds at random times for a time, and ends each
+// after a random duration. All faults have ended when it returns.
+func (env *environment) inject(kinds []fault, duration time.Duration, seed uint64, counts map[string]int) {
 	r := rand.New(rand.NewPCG(seed, 1))
 	type ending struct {
 		at  time.Time
@@ -90,13 +91,12 @@
 			return true
 		})
 	}
-	order := r.Perm(len(faults))
-	for n, until := 0, time.Now().Add(faultsDuration); time.Now().Before(until); n++ {
-		f := faults[order[n%len(order)]]
+	order := r.Perm(len(kinds))
+	for n, until := 0, time.Now().Add(duration); time.Now().Before(until); n++ {
+		f := kinds[order[n%len(order)]]
 		if end := f.begin(env, r); end != nil {
 			counts[f.name]++
-			duration := time.Duration(r.Int64N(int64(maxFaultDuration)))
-			endings = append(endings, ending{at: time.Now().Add(duration), end: end})
+			endings = append(endings, ending{at: time.Now().Add(f.duration(r)), end: end})
 		}
 		time.Sleep(time.Duration(r.Int64N(int64(2 * meanFaultInterval))))
 		finish(time.Now())
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -5,6 +5,7 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -204,6 +205,11 @@
 
 // ServeHTTP implements http.Handler.
 func (s *BackendServer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil || !s.silence.await(req.Context()) {
+		panic(http.ErrAbortHandler)
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
 	switch {
 	case req.URL.Path == "/-/report":
 		s.report(w)
@@ -255,7 +261,7 @@
 func (s *BackendServer) serve(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
 	body, err := io.ReadAll(req.Body)
-	if err != nil || !s.silence.await(req.Context()) {
+	if err != nil {
 		return
 	}
 	w.Header().Set("Request-Id", id)
@@ -280,7 +286,7 @@
 		s.prefill(w, run)
 		return
 	}
-	if !s.takeKVSource(req.Header.Get("Kv-Source")) {
+	if !s.takeKVSource(req.Context(), req.Header.Get("Kv-Source")) {
 		s.rejectNotRun(w)
 		return
 	}
@@ -331,8 +337,8 @@
 
 // takeKVSource consumes the KV handle that a request names and reports whether the
 // request can run: it cannot if the handle does not exist, or, without a handle,
-// on a prefill engine.
-func (s *BackendServer) takeKVSource(source string) bool {
+// on a prefill engine. It waits while the source is silent.
+func (s *BackendServer) takeKVSource(ctx context.Context, source string) bool {
 	if source == "" {
 		return s.Phase != "prefill"
 	}
@@ -340,7 +346,7 @@
 	kvSourcesMu.Lock()
 	from := kvSources[address]
 	kvSourcesMu.Unlock()
-	if from == nil {
+	if from == nil || !from.silence.await(ctx) {
 		return false
 	}
 	from.mu.Lock()
