--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -261,7 +261,7 @@
 func (s *BackendServer) serve(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
 	body, err := io.ReadAll(req.Body)
-	if err != nil {
+	if err != nil || !s.silence.await(req.Context()) {
 		return
 	}
 	w.Header().Set("Request-Id", id)
