--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -27,6 +25,11 @@
 	idleTimeoutFactor = 1.5
 	// idleSweepInterval is the interval between checks for expired idle connections.
 	idleSweepInterval = 500 * time.Millisecond
+	// newConnTimeout is how long a new connection stays open for its first request
+	// during shutdown.
+	newConnTimeout = 5 * time.Second
+	// drainInterval is the interval between checks for idle connections during shutdown.
+	drainInterval = 10 * time.Millisecond
 	// headerTimeout limits how long reading a request's head may take.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes limits the size of a request's head.
@@ -42,15 +45,10 @@
 		return eris.Wrap(err, "listen for callers")
 	}
 	listener = netutil.LimitListener(listener, max(1, d.MaxFileDescriptors-reservedDescriptors))
-	idle := newIdleConns()
-	server := &http.Server{
-		Handler:           g,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         idle.connStateChanged,
-	}
+	conns := newCallerConns()
+	server := newCallerServer(g)
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(listener) }()
+	go func() { serveErr <- server.Serve(conns.listen(listener)) }()
 	sweep := time.NewTicker(idleSweepInterval)
 	defer sweep.Stop()
 	for {
@@ -60,17 +58,28 @@
 		case now := <-sweep.C:
 			g.transport.CloseExpired(now)
 			if t := g.directory.View().Table; t != nil && t.Limits.IdleTimeout > 0 {
-				idle.closeBefore(now.Add(-time.Duration(idleTimeoutFactor * float64(t.Limits.IdleTimeout))))
+				conns.closeExpired(now, t.Limits.IdleTimeout, g.configApplyTime())
 			}
 		case <-ctx.Done():
-			return g.shutDown(server)
+			return g.shutDown(listener, serveErr, conns)
 		}
 	}
 }
 
+// newCallerServer returns a server for the connections of a callerConns.
+func newCallerServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         connStateChanged,
+	}
+}
+
 // shutDown turns readiness off, keeps the listener open for balancerLag and then
-// waits for requests in flight until the grace period ends.
-func (g *Gateway) shutDown(server *http.Server) error {
+// waits for requests in flight until the grace period ends. It does not use
+// http.Server.Shutdown, which drops requests that it has just read.
+func (g *Gateway) shutDown(listener net.Listener, served <-chan error, conns *callerConns) error {
 	began := time.Now()
 	g.stopping.Store(true)
 	log.Info("shutting down, readiness is off")
@@ -78,11 +87,8 @@
 	grace := g.deployment.Load().Bounds.GracePeriod - graceMargin - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, grace))
 	defer cancel()
-	err := server.Shutdown(ctx)
-	log.WithField("complete", err == nil).Info("shut down")
-	if errors.Is(err, context.DeadlineExceeded) {
-		return nil
-	}
+	complete, err := conns.shutDown(ctx, listener, served)
+	log.WithField("complete", complete).Info("shut down")
 	return err
 }
 
@@ -92,33 +98,3 @@
 	v := g.directory.View()
 	return !g.stopping.Load() && v.Table != nil && (!v.ServersConfirmedAt.IsZero() || len(v.Servers) > 0)
 }
-
-// idleConns records since when callers' connections are idle.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-func newIdleConns() *idleConns { return &idleConns{since: make(map[net.Conn]time.Time)} }
-
-func (i *idleConns) connStateChanged(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if state == http.StateIdle {
-		i.since[c] = time.Now()
-		return
-	}
-	delete(i.since, c)
-}
-
-// closeBefore closes connections that became idle before the given time.
-func (i *idleConns) closeBefore(cutoff time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
-		if since.Before(cutoff) {
-			c.Close()
-			delete(i.since, c)
-		}
-	}
-}
