Soak of processes: a run whose addresses are taken uses others

A run now takes the next subnet if the port of its store is taken, and soak-processes prints the reports of all runs before it fails.

--- a/test/cmd/soak-processes/main.go
+++ b/test/cmd/soak-processes/main.go
@@ -41,11 +41,13 @@
 			return err
 		})
 	}
-	if err := group.Wait(); err != nil {
-		fmt.Println(err)
-		os.Exit(1)
+	err := group.Wait()
+	status := printReports(reports)
+	if err != nil {
+		fmt.Println("not all runs were complete:", err)
+		status = 1
 	}
-	os.Exit(printReports(reports))
+	os.Exit(status)
 }
 
 // printReports prints the reports and returns the exit status.
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -7,12 +7,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"time"
 
 	"pistachioroad.dev/pistachioroad/test/faultproxy"
@@ -103,13 +105,16 @@
 // server uses up the budget.
 var retryBudgets = []retryBudget{{share: 0.5, slack: 300}, {share: 0.002, slack: 5}}
 
+// maxSubnets limits the subnets that a run tries to find a free one.
+const maxSubnets = 200
+
 // start starts the environment of a seed. Its addresses in 127.0.0.0/8 depend on
-// the seed and the process id, so that concurrent runs do not collide.
+// the seed and the process id, so that concurrent runs rarely collide. A run whose
+// store finds its port taken uses the next subnet.
 func start(seed uint64, bin, dir string) (*environment, error) {
 	env := &environment{store: objectstore.New(), budget: retryBudgets[seed/2%2], idleTimeout: maxIdleTimeout}
 	env.timeouts.set(callerTimeout)
-	env.ip = func(host int) string { return fmt.Sprintf("127.%d.%d.%d", 100+seed%100, 1+os.Getpid()%200, host) }
-	if err := env.serve(net.JoinHostPort(env.ip(1), strconv.Itoa(portStore)), env.store); err != nil {
+	if err := env.serveStore(seed); err != nil {
 		return env, err
 	}
 	for i, role := range []string{"prefill", "prefill", "decode", "decode", "decode", "", "", ""} {
@@ -126,6 +131,18 @@
 	return env, nil
 }
 
+// serveStore chooses the subnet of the run and serves the store there.
+func (env *environment) serveStore(seed uint64) (err error) {
+	for n := range maxSubnets {
+		subnet := 1 + (os.Getpid()+n)%maxSubnets
+		env.ip = func(host int) string { return fmt.Sprintf("127.%d.%d.%d", 100+seed%100, subnet, host) }
+		if err = env.serve(net.JoinHostPort(env.ip(1), strconv.Itoa(portStore)), env.store); !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+	return err
+}
+
 func (env *environment) serve(address string, h http.Handler) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
