--- a/test/soakproc/pauses.go
+++ b/test/soakproc/pauses.go
@@ -13,7 +13,6 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/test/faultproxy"
-	"pistachioroad.dev/pistachioroad/test/standin/runner"
 )
 
 const (
