--- a/test/soakproc/pauses.go
+++ b/test/soakproc/pauses.go
@@ -63,7 +63,8 @@
 		return noop
 	}},
 	{name: "route timeout changed", begin: func(env *environment, r *rand.Rand) func() {
-		env.timeouts.set(between(r, minRouteTimeout, callerTimeout))
+		// The configuration has whole milliseconds.
+		env.timeouts.set(between(r, minRouteTimeout, callerTimeout).Truncate(time.Millisecond))
 		env.writeConfig()
 		return noop
 	}},
