--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,10 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/samber/lo"
-
 	"pistachioroad.dev/pistachioroad/internal/backend"
-	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -35,10 +32,12 @@
 	}
 	var reply *direct.Reply
 	var err error
+	c.pendingRuns++
 	other := h.wait(func() bool {
 		reply, err = c.gateway.transport.Send(ctx, &c.request, o)
 		return err == nil && !reply.NotRun && reply.Status < http.StatusInternalServerError
 	})
+	c.pendingRuns--
 	if other != nil {
 		if reply != nil {
 			reply.Body.Close()
@@ -52,12 +51,14 @@
 }
 
 // beginAttempt counts an attempt at a server and sets its options. It returns an error
-// if the retry budget does not allow it.
+// if the server wants no request now or the retry budget does not allow it.
 func (c *call) beginAttempt(server backend.Server, o *request.Options) *verdict.Error {
-	if c.attempts > 0 && !c.retryReserved && !c.spendRetry() {
+	if e := c.checkBeforeSend(server); e != nil {
+		return e
+	}
+	if c.attempts > 0 && !c.takeReserved(&c.reserved.send) {
 		return c.retryBudgetError()
 	}
-	c.retryReserved = false
 	invariant.Check(c.verdict == verdict.NotRun || c.route.Repeatable(), "runs-at-most-once",
 		"request %s of route %s is sent again after %s", c.id, c.route.Name, c.verdict)
 	c.attempts++
@@ -113,6 +114,23 @@
 	return !c.retryBudgetSpent
 }
 
+// reservations are parts of the retry budget that were spent before their attempts.
+type reservations struct{ send, prefill bool }
+
+// reserveRetry spends a part of the retry budget for a later attempt. It reports whether
+// the attempt may be made.
+func (c *call) reserveRetry(reserved *bool) bool {
+	*reserved = *reserved || c.spendRetry()
+	return *reserved
+}
+
+// takeReserved uses a reserved part of the retry budget, or spends one now.
+func (c *call) takeReserved(reserved *bool) bool {
+	ok := c.reserveRetry(reserved)
+	*reserved = false
+	return ok
+}
+
 func (c *call) retryBudgetError() *verdict.Error {
 	return verdict.NewRejection(verdict.CodeOverloaded, "the budget for repeated sends is used up", defaultRetryAfter)
 }
@@ -135,36 +153,6 @@
 	c.excludedServers[server.ID] = true
 }
 
-// excluded reports whether the request must not be sent to a server now: it was
-// rejected or failed there, or the limit that the server states leaves no room for it.
-// A request suspected of terminating servers is never sent to a server that states a
-// limit, since that server is already under strain.
-func (c *call) excluded(server string) bool {
-	if c.excludedServers[server] {
-		return true
-	}
-	limits := c.gateway.limits
-	if limits.allows(server) && !(c.quarantineStatus.Suspected() && limits.has(server)) {
-		return false
-	}
-	if c.limitedBy == nil {
-		c.limitedBy = make(map[string]bool)
-	}
-	c.limitedBy[server] = true
-	return true
-}
-
-// noServerError returns the error of a request for which no server is eligible. If
-// servers were skipped for their limits, Retry-After is when the first of them has
-// room again.
-func (c *call) noServerError(message string) *verdict.Error {
-	if len(c.limitedBy) == 0 {
-		return verdict.NewRejection(verdict.CodeNoBackend, message, defaultRetryAfter)
-	}
-	wait := c.gateway.limits.retryAfter(lo.Keys(c.limitedBy))
-	return verdict.NewRejection(verdict.CodeServerLimit, message+" that is not over its own limit", min(wait, max(minRetryAfter, place.MaxRetryAfter(c.remaining()))))
-}
-
 // checkReply returns an error if a response must not be forwarded. A success
 // without the server's authentication code may not be from the server, and a status
 // that promises "not run" is only forwarded if the server makes that promise.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -106,10 +107,15 @@
 	// prefillAttempts counts the attempts that requested only a prefill.
 	prefillAttempts int
 	// retryBudgetSpent is set once the service's retry budget is exhausted.
-	// retryReserved is set if the next attempt has been counted against it already.
-	retryBudgetSpent, retryReserved bool
-	// possibleRuns counts the attempts whose server ran, or may have run, the request.
-	possibleRuns int
+	retryBudgetSpent bool
+	reserved         reservations
+	// possibleRuns counts the attempts whose server ran, or may have run, the request,
+	// and pendingRuns those whose server has not responded.
+	possibleRuns, pendingRuns int
+	// freePrefilled frees the KV cache from which the first attempt was to generate.
+	freePrefilled func()
+	// hedgedJobs counts the jobs of hedged attempts.
+	hedgedJobs int
 	// headSent is set once the head of the response has been sent; lastEventID is
 	// the ID of the last stream event sent to the caller.
 	headSent    bool
@@ -121,8 +127,9 @@
 	priority int
 	// excludedServers are not tried again for this request.
 	excludedServers map[string]bool
-	// limitedBy are the servers that were skipped because of the limits they state.
-	limitedBy map[string]bool
+	// skipped are the servers that were skipped because of what they state, with the last
+	// reason.
+	skipped map[string]availability.Reason
 
 	trace trace
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -33,9 +33,7 @@
 		job := c.placeJob()
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.constraints(now))
 		if !ok {
-			if last == nil {
-				last = c.noServerError("no engine")
-			}
+			last = c.noServerError("no engine", last)
 			break
 		}
 		c.trace.plan, c.trace.plannedAfter = plan, now.Sub(c.received)
@@ -48,7 +46,9 @@
 		if err == nil {
 			return
 		}
-		last = err
+		if last == nil || !withheld(err) {
+			last = err
+		}
 	}
 	if c.headSent {
 		c.abort(last.Message)
@@ -122,7 +122,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	began := time.Now()
-	handle, other, err := c.prefill(ctx, prefillEngine, c.hedgePrefill(prefillEngine, cancel))
+	handle, other, err := c.prefill(ctx, prefillEngine, c.hedgePrefill(prefillEngine, job.ID, cancel))
 	c.trace.prefill = time.Since(began)
 	if other != nil {
 		c.gateway.engines.finished(c.service.Name, job.ID)
@@ -142,6 +142,7 @@
 		Priority: place.DecodePriority,
 		KVSource: g.codec.KVSource(prefillEngine.Address, handle),
 	}
+	c.freePrefilled = func() { g.freeKV(prefillEngine, handle) }
 	failed := c.generateWithFallback(plan, job, options)
 	if failed != nil && failed.Verdict == verdict.NotRun {
 		go g.freeKV(prefillEngine, handle)
@@ -181,7 +182,10 @@
 // Whatever the outcome, the request itself has not run. With a hedge, prefill returns
 // the attempt at other engines instead if these are ready first.
 func (c *call) prefill(ctx context.Context, prefillEngine backend.Server, h *hedge) (string, *hedgedAttempt, *verdict.Error) {
-	if c.prefillAttempts > 0 && !c.spendRetry() {
+	if e := c.checkBeforeSend(prefillEngine); e != nil {
+		return "", nil, e
+	}
+	if c.prefillAttempts > 0 && !c.takeReserved(&c.reserved.prefill) {
 		return "", nil, c.retryBudgetError()
 	}
 	c.prefillAttempts++
@@ -195,7 +199,7 @@
 	})
 	if other != nil {
 		if reply != nil {
-			reply.Body.Close()
+			go c.gateway.freeReply(prefillEngine, reply)
 		}
 		c.reportBrokenConnection(prefillEngine)
 		return "", other, nil
@@ -242,9 +246,12 @@
 	o.ResumeAfter = c.resumePoint()
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	h := c.hedgeStream(decodeEngine, cancel)
+	h := c.hedgeStream(c.ctx, decodeEngine, id, cancel)
 	reply, other, err := c.send(ctx, decodeEngine, o, h)
 	if other != nil {
+		if o.KVSource != "" {
+			go c.freePrefilled()
+		}
 		return c.forwardHedged(other)
 	}
 	if err != nil {
@@ -268,7 +275,7 @@
 		c.headSent = true
 	}
 	if h != nil {
-		h.runCounted, h.avoidFirst = true, nil
+		h.onSilence = nil
 	}
 	body := &hedgedBody{body: reply.Body, hedge: h}
 	if failed := c.copyEvents(decodeEngine, body, id); failed == nil || body.other == nil {
@@ -353,7 +360,7 @@
 func (c *call) avoidFailed(ctx context.Context, s backend.Server, o request.Options, err *verdict.Error) {
 	engines := c.gateway.engines
 	switch {
-	case ctx.Err() != nil || c.retryBudgetSpent:
+	case ctx.Err() != nil || c.retryBudgetSpent || withheld(err):
 	case err.Verdict != verdict.NotRun || err.Code == verdict.CodeNoBackend:
 		engines.avoid(c.service.Name, s.ID, failureAvoidTime)
 	case o.KVSource == "":
@@ -363,12 +370,26 @@
 	}
 }
 
+// freeReply frees the KV cache of a prefill that is not used any more.
+func (g *Gateway) freeReply(s backend.Server, reply *direct.Reply) {
+	body, err := reply.ReadAll(maxPrefillResponse)
+	if err != nil || reply.Status != http.StatusOK {
+		return
+	}
+	if p, err := g.codec.ParsePrefilled(body); err == nil {
+		g.freeKV(s, p.Handle)
+	}
+}
+
 // freeKV frees KV cache that no engine has fetched. Otherwise it would occupy memory
-// until the handle expires.
+// until the handle expires, as it does at an engine that wants no requests.
 func (g *Gateway) freeKV(s backend.Server, handle string) {
+	if !g.statements.withdrawn(s.Instance()).Available() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeKVTimeout)
 	defer cancel()
-	g.limits.countSend(s.ID)
+	g.statements.countSend(s.ID)
 	method, path := g.codec.FreeHandle(handle)
 	r := request.Request{ID: handle, Method: method, Target: path, Host: s.Address, Header: http.Header{}}
 	reply, err := g.transport.Send(ctx, &r, request.Options{Server: s, Remaining: freeKVTimeout, Priority: request.DefaultPriority})
--- a/test/soakproc/callers.go
+++ b/test/soakproc/callers.go
@@ -87,6 +87,7 @@
 				req := l.kindOf(n, r)
 				req.id = l.nextID()
 				gracefulStopOnly, pausesOnly := l.gracefulStopOnly.Load(), l.pausesOnly.Load()
+				l.gatewayOf.Store(req.id, env.gateways[n%len(env.gateways)].process.Name)
 				got := send(client, env.gateways[n%len(env.gateways)].address, req)
 				l.record(req, got, gracefulStopOnly && l.gracefulStopOnly.Load())
 				if pausesOnly {
@@ -118,6 +119,8 @@
 	gracefulStopOnly atomic.Bool
 	// pausesOnly is set once there are only pauses and planned changes.
 	pausesOnly atomic.Bool
+	// gatewayOf has the name of the gateway that each request was sent to, by ID.
+	gatewayOf sync.Map
 
 	mu         sync.Mutex
 	sent       map[string]request
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -160,6 +160,7 @@
 		s.service = plainService
 	}
 	s.EventInterval = eventInterval
+	s.PhaseChanged = func() { env.register(s, "ready") }
 	if role == "decode" {
 		env.crashOnFatal(s)
 	}
--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -114,6 +114,8 @@
 	{name: "server names a limit", begin: serverLimitFault(runner.AllAnswers)},
 	{name: "server names a limit in rejections", begin: serverLimitFault(runner.Rejections)},
 	{name: "server names a limit in reads", begin: serverLimitFault(runner.PrefillAnswers)},
+	{name: "server says it leaves", begin: leavingFault},
+	{name: "server asks for rest", begin: restFault},
 	{name: "server drains", begin: func(env *environment, r *rand.Rand) func() {
 		s := env.randomServer(r)
 		if !s.drainedAt.IsZero() {
--- a/test/soakproc/pauses.go
+++ b/test/soakproc/pauses.go
@@ -13,7 +13,6 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/test/faultproxy"
-	"pistachioroad.dev/pistachioroad/test/standin/runner"
 )
 
 const (
@@ -121,11 +120,11 @@
 	env.inject(slices.Concat(silences, silences, plannedChanges), pausesDuration, seed, counts)
 }
 
-// restore ends what the checks before have left: a stopped gateway, a draining server
-// and limits.
+// restore ends what the checks before have left: a stopped gateway, a draining server,
+// limits, and servers that leave or rest.
 func (env *environment) restore(ctx context.Context) error {
 	for _, s := range env.servers {
-		s.SetLimit("", runner.AllAnswers)
+		s.Restart()
 		env.register(s, "ready")
 	}
 	if err := env.gateways[0].process.Restart(); err != nil {
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -53,6 +53,9 @@
 	Header                          http.Header
 }
 
+// isStream reports whether the answer is a stream.
+func (r Run) isStream() bool { return strings.Contains(r.Target, "stream") }
+
 // BackendServer is the stand-in; it implements http.Handler.
 type BackendServer struct {
 	// ID is the instance id; requests with another Expect-Instance are rejected.
@@ -66,6 +69,9 @@
 	// started to run; Crash is called then. Both are set before it serves.
 	FatalBody string
 	Crash     func()
+	// PhaseChanged, if it is set before the server serves, is called after an order has
+	// changed the phase.
+	PhaseChanged func()
 
 	silence silence
 
@@ -82,6 +88,7 @@
 	orderSequence  int64
 	acceptedOrders []Order
 	startedAtMS    int64
+	notices        notices
 }
 
 // Order is the body of an order to an engine.
@@ -106,6 +113,7 @@
 	s.startedAtMS = time.Now().UnixMilli()
 	s.orderSequence = 0
 	s.limit = ""
+	s.notices.clear()
 	s.handles = make(map[string]bool)
 }
 
@@ -228,6 +236,7 @@
 		s.mu.Lock()
 		delete(s.handles, strings.TrimPrefix(req.URL.Path, "/-/kv-handle/"))
 		s.mu.Unlock()
+		s.countFreed()
 		w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
 	default:
 		s.serve(w, req)
@@ -249,19 +258,27 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	status := s.carryOut(o)
+	w.WriteHeader(status)
+	if status == http.StatusAccepted && s.PhaseChanged != nil {
+		s.PhaseChanged()
+	}
+}
+
+// carryOut carries out an order and returns the status of the answer.
+func (s *BackendServer) carryOut(o Order) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case o.Precondition != nil && *o.Precondition != s.orderSequence:
-		w.WriteHeader(http.StatusConflict)
+		return http.StatusConflict
 	case o.Phase == s.Phase:
-		w.WriteHeader(http.StatusOK)
-	default:
-		s.orderSequence++
-		s.acceptedOrders = append(s.acceptedOrders, o)
-		s.Phase = o.Phase
-		w.WriteHeader(http.StatusAccepted)
+		return http.StatusOK
 	}
+	s.orderSequence++
+	s.acceptedOrders = append(s.acceptedOrders, o)
+	s.Phase = o.Phase
+	return http.StatusAccepted
 }
 
 // serve handles a caller's request.
@@ -274,14 +291,16 @@
 	w.Header().Set("Request-Id", id)
 	if req.Header.Get("Expect-Instance") != s.ID {
 		w.Header().Set("Instance-Id", s.ID)
+		s.addNotices(w, Misdirections)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	s.mu.Lock()
 	fault := s.fault
 	s.requestTimes = append(s.requestTimes, time.Now())
+	s.notices.arrivals = append(s.notices.arrivals, Arrival{ID: id, At: time.Now(), StartMS: s.startedAtMS})
 	s.mu.Unlock()
-	if fault == Shedding {
+	if fault == Shedding || s.resting() {
 		s.rejectNotRun(w)
 		return
 	}
@@ -310,12 +329,15 @@
 
 func (s *BackendServer) rejectNotRun(w http.ResponseWriter) {
 	s.addLimitHeader(w, Rejections)
+	s.addNotices(w, NotRun)
 	w.Header().Set("Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 func (s *BackendServer) prefill(w http.ResponseWriter, run Run) {
+	s.waitForPrefillGate()
 	s.addLimitHeader(w, PrefillAnswers)
+	s.addNotices(w, Prefills)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Phase != "prefill" {
@@ -386,6 +408,7 @@
 	}
 	w.Header().Set("Server-Load", "1,0,6")
 	s.addLimitHeader(w, AllAnswers)
+	s.addNotices(w, kindOf(run, fault))
 	if fault != Unsealed {
 		w.Header().Set("Response-Seal", Seal(run.ID))
 	}
@@ -393,7 +416,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if strings.Contains(run.Target, "stream") {
+	if run.isStream() {
 		s.stream(req.Context(), w, run, fault)
 		return
 	}
