--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -373,12 +374,15 @@
 // freeReply frees the KV cache of a prefill that is not used any more.
 func (g *Gateway) freeReply(s backend.Server, reply *direct.Reply) {
 	body, err := reply.ReadAll(maxPrefillResponse)
-	if err != nil || reply.Status != http.StatusOK {
+	if reply.Status != http.StatusOK {
 		return
 	}
-	if p, err := g.codec.ParsePrefilled(body); err == nil {
-		g.freeKV(s, p.Handle)
+	p, parseErr := g.codec.ParsePrefilled(body)
+	if err := errors.Join(err, parseErr); err != nil {
+		logNotFreed(s, err)
+		return
 	}
+	g.freeKV(s, p.Handle)
 }
 
 // freeKV frees KV cache that no engine has fetched. Otherwise it would occupy memory
@@ -394,8 +398,12 @@
 	r := request.Request{ID: handle, Method: method, Target: path, Host: s.Address, Header: http.Header{}}
 	reply, err := g.transport.Send(ctx, &r, request.Options{Server: s, Remaining: freeKVTimeout, Priority: request.DefaultPriority})
 	if err != nil {
-		log.WithField("server", s.ID).WithField("error", err.Error()).Info("free KV cache failed")
+		logNotFreed(s, err)
 		return
 	}
 	reply.Body.Close()
 }
+
+func logNotFreed(s backend.Server, err error) {
+	log.WithField("server", s.ID).WithField("error", err.Error()).Info("free KV cache failed")
+}
