Last reading: one word for silent servers in the soak, why hedges exist, a line for KV cache that is not freed

No change of what is sent: a KV cache left at an engine that leaves or rests is logged now ("free KV cache failed", the reason in error); the soak's quiet is silent, as everywhere; the symptom that the former stall watch named is back in the comment on hedges.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -266,7 +266,7 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		x.transport.CloseIdleBefore(now.Add(-suspectTime))
 	case now.Sub(x.sent) >= suspectTime:
-		// The attempt was canceled because the server was silent.
+		// The attempt was canceled after the server had been silent.
 		x.transport.closeIdle(x.key, now.Add(-suspectTime))
 	}
 	return x.fail(verdict.MayHaveRun, "read", err)
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -72,7 +72,7 @@
 		Estimates: g.engineEstimates(now, s),
 		Limit:     g.statements.dumpLimit(s.ID),
 	}
-	leaving, rest := g.statements.dumpNotices(s.Instance())
+	leaving, rest := g.statements.dumpStatements(s.Instance())
 	d.Leaving = leaving
 	if rest > 0 {
 		d.Rest = rest.Round(time.Millisecond).String()
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -28,7 +28,9 @@
 	lateReadTime = 50 * time.Millisecond
 )
 
-// hedge tries a request at another server while its first server is silent.
+// hedge tries a request at another server while its first server is silent: it sends
+// nothing, with its connections open. Callers would leave after two seconds, and the
+// answers of one engine would all end at about the same time without an error of it.
 //
 // The first attempt is kept meanwhile, because a sound server may be silent for a
 // while and then go on, and the other attempt may be refused. The attempt whose server
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -388,7 +390,8 @@
 // freeKV frees KV cache that no engine has fetched. Otherwise it would occupy memory
 // until the handle expires, as it does at an engine that wants no requests.
 func (g *Gateway) freeKV(s backend.Server, handle string) {
-	if !g.statements.withdrawn(s.Instance()).Available() {
+	if reason := g.statements.withdrawn(s.Instance()).Reason; reason != availability.Available {
+		logNotFreed(s, eris.New("the engine is "+reason.String()))
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeKVTimeout)
--- a/internal/gateway/server_statements.go
+++ b/internal/gateway/server_statements.go
@@ -325,8 +325,8 @@
 	log.WithField("server", info.Server.ID).WithField("request", info.SentID).WithField("rest", info.Rest.Invalid).Warn("invalid rest of a server, ignored")
 }
 
-// dumpNotices returns whether a server is leaving, and how much longer it rests.
-func (s *serverStatements) dumpNotices(server backend.Instance) (leaving bool, rest time.Duration) {
+// dumpStatements returns whether a server is leaving, and how much longer it rests.
+func (s *serverStatements) dumpStatements(server backend.Instance) (leaving bool, rest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -75,8 +75,8 @@
 	proxy   *faultproxy.Proxy
 	// drainedAt is when the server was registered as draining; zero if it is not.
 	drainedAt time.Time
-	// quiet reports that a pause is in progress.
-	quiet bool
+	// silent reports that a pause is in progress.
+	silent bool
 }
 
 // environment holds everything that one run starts.
--- a/test/soakproc/pauses.go
+++ b/test/soakproc/pauses.go
@@ -41,10 +41,10 @@
 // silences make servers silent that go on later.
 var silences = []fault{
 	{name: "server paused", pause: true, begin: func(env *environment, r *rand.Rand) func() {
-		return env.quieten(r, func(s *server) { s.Silence() }, func(s *server) { s.Resume() })
+		return env.silence(r, func(s *server) { s.Silence() }, func(s *server) { s.Resume() })
 	}},
 	{name: "server held", pause: true, begin: func(env *environment, r *rand.Rand) func() {
-		return env.quieten(r,
+		return env.silence(r,
 			func(s *server) { s.proxy.Set(faultproxy.Mode{Hold: true}) },
 			func(s *server) { s.proxy.Set(faultproxy.Mode{}) })
 	}},
@@ -69,21 +69,21 @@
 	}},
 }
 
-// quieten makes one server, or two of one service, silent.
-func (env *environment) quieten(r *rand.Rand, begin, end func(*server)) func() {
+// silence makes one server, or two of one service, silent.
+func (env *environment) silence(r *rand.Rand, begin, end func(*server)) func() {
 	first := env.randomServer(r)
 	others := lo.Filter(env.servers, func(s *server, _ int) bool { return s != first && s.service == first.service })
 	chosen := append([]*server{first}, others[r.IntN(len(others))])[:1+r.IntN(2)]
-	if lo.SomeBy(chosen, func(s *server) bool { return s.quiet }) {
+	if lo.SomeBy(chosen, func(s *server) bool { return s.silent }) {
 		return nil
 	}
 	for _, s := range chosen {
-		s.quiet = true
+		s.silent = true
 		begin(s)
 	}
 	return func() {
 		for _, s := range chosen {
-			s.quiet = false
+			s.silent = false
 			end(s)
 		}
 	}
