TCP time-out of requests: 4 s, so that a server silent for 3 s keeps them

Cause: TCP sends unacknowledged data again after 0.2, 0.6, 1.4 and 3.0 s. The time-out of 3 s ended the connection at the moment of that last attempt, so that chance decided for every server that was silent for 1.4 to 3 s with data on its way. Connections to lost peers are noticed a second later; hedges and the 1 s of prefills do not change.

--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -18,8 +18,9 @@
 	// ackTimeout closes a connection whose peer does not acknowledge data, because
 	// it lost power or a device in between dropped the connection's state. Without
 	// it, a request on such a connection waits until its deadline. It exceeds the
-	// pauses of a sound server, which must not end the requests that it runs.
-	ackTimeout = 3 * time.Second
+	// pauses of a sound server, which must not end the requests that it runs: TCP
+	// sends again after 0.2, 0.6, 1.4 and 3.0 s, and the last needs time for its answer.
+	ackTimeout = 4 * time.Second
 	// prefillAckTimeout is the ackTimeout of PrefillOnly attempts. They may be given up
 	// early, because the request itself has not run.
 	prefillAckTimeout = time.Second
