Client accounts: callers authenticate by API key

Cause: nothing knew keys.

An unknown key is a 401 only while the configuration is surely current, else a 503: it may just have been added. The account's name goes on every attempt, in the one place that encodes them; the caller's own field and its authorization are never forwarded where there are accounts.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -35,6 +35,8 @@
 	return routes.New(version, nil, nil, routes.Limits{}), err
 }
 
+func (plainDecoder) WithoutKeys(o store.Object) (store.Object, error) { return o, nil }
+
 func (plainDecoder) Server(o store.Object) (backend.Server, error) {
 	if string(o.Spec) == "bad" {
 		return backend.Server{}, errors.New("malformed")
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -18,6 +18,8 @@
 // Decoder decodes the objects of the store.
 type Decoder interface {
 	Config(store.Object) (*routes.Table, error)
+	// WithoutKeys returns the configuration with digests in place of callers' API keys.
+	WithoutKeys(store.Object) (store.Object, error)
 	Server(store.Object) (backend.Server, error)
 }
 
@@ -37,8 +39,8 @@
 	// be read again.
 	outage      bool
 	recoveredAt time.Time
-	// configObject and serverObjects are the objects as read from the store, for
-	// gateways that cannot reach it.
+	// configObject and serverObjects are the objects as read from the store, except for
+	// API keys, for gateways that cannot reach it.
 	configObject  store.Object
 	serverObjects map[string]store.Object
 	// serversRevision is the highest revision of a server object seen.
@@ -80,8 +82,12 @@
 	if err != nil {
 		return false, err
 	}
+	stored, err := s.decoder.WithoutKeys(o)
+	if err != nil {
+		return false, err
+	}
 	s.view.Table = table
-	s.configObject = o
+	s.configObject = stored
 	s.view.TableRevision = o.Revision
 	return true, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,8 @@
 	direct.Codec
 	// ParseRequest parses the head of a caller's request.
 	ParseRequest(r *http.Request, received time.Time) (request.Request, error)
+	// RestoreAuthorization adds the caller's authorization to the header to be forwarded.
+	RestoreAuthorization(header, received http.Header)
 	// RequestID returns the ID of a caller's request, or "" if it has none.
 	RequestID(h http.Header) string
 	// ParsePrefilled parses the body of the response to a PrefillOnly request.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -92,6 +92,7 @@
 	route             routes.Route
 	service           routes.Service
 	request           request.Request
+	auth              authResult
 	reservedBodyBytes int64
 	// cachedFingerprint is the request's fingerprint, 0 until it is first needed.
 	cachedFingerprint request.Fingerprint
@@ -156,7 +157,7 @@
 	}
 	c.request = req
 	c.deadline = c.received.Add(c.timeout())
-	if !c.checkHeadSize(r) || !c.setIODeadlines(r) || !c.readBody(r) {
+	if !c.checkHeadSize(r) || !c.authenticate(r) || !c.setIODeadlines(r) || !c.readBody(r) {
 		return false
 	}
 	c.chooseService()
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -167,6 +167,9 @@
 		"status": c.trace.status, "verdict": c.verdict.String(), "sends": c.attempts, "server": c.trace.server,
 		"total_ms": time.Since(c.received).Milliseconds(), "first_ms": c.trace.firstByte.Milliseconds(), "bytes": c.trace.bytes,
 	}
+	if c.auth != "" && c.auth != authNone {
+		fields["auth"], fields["account"] = string(c.auth), c.request.Account
+	}
 	if c.view != nil {
 		fields["config_revision"], fields["config_told"] = c.view.TableRevision, c.view.AnnouncedRevision
 		fields["config_age_ms"] = c.received.Sub(c.view.TableConfirmedAt).Milliseconds()
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -310,6 +310,8 @@
 	return routes.New(1, nil, []routes.Service{{Name: "llm", Engine: &routes.Engine{}}}, routes.Limits{}), nil
 }
 
+func (decoder) WithoutKeys(o store.Object) (store.Object, error) { return o, nil }
+
 func (decoder) Server(o store.Object) (backend.Server, error) {
 	var role backend.Role
 	err := json.Unmarshal(o.Spec, &role)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/accounts"
 	"pistachioroad.dev/pistachioroad/internal/backend"
 )
 
@@ -23,6 +24,11 @@
 	// only the gateway may set.
 	Header http.Header
 	Body   []byte
+	// Credential is what the caller sent to authenticate itself.
+	Credential Credential
+	// Account is the name of the caller's client account, empty if it is not known. Each
+	// attempt carries it to the backend server.
+	Account string
 
 	// Received is when the request head was received completely.
 	Received time.Time
@@ -35,6 +41,16 @@
 	LastEventID string
 }
 
+// Credential is the API key of a caller. The zero Credential means that the caller sent
+// none.
+type Credential struct {
+	// Digest is the digest of the key, valid if Present.
+	Digest  accounts.Digest
+	Present bool
+	// Malformed is set if the caller sent something that is not exactly one key.
+	Malformed bool
+}
+
 // Prompt describes the work of a request to a model engine.
 type Prompt struct {
 	Model string
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/accounts"
 )
 
 // Kind determines whether a request with unknown outcome may be retried.
@@ -59,6 +61,8 @@
 	Model bool
 	// Resumable is set if a stream may be resumed at another backend server.
 	Resumable bool
+	// Keyless is set if callers need no API key even if the table has client accounts.
+	Keyless bool
 }
 
 // Target is a service of a route with its weight.
@@ -109,11 +113,14 @@
 	Version  int64
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are the client accounts. It is nil if callers need no API key on any route.
+	Accounts *accounts.Table
 
 	byHost map[string][]Route
 }
 
-// New returns a Table. Within a host, routes with longer prefixes come first.
+// New returns a Table without client accounts. Within a host, routes with longer prefixes
+// come first.
 func New(version int64, rules []Route, services []Service, limits Limits) *Table {
 	t := &Table{
 		Version:  version,
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -56,6 +56,7 @@
 	CodeBadRequest       Code = "bad_request"
 	CodeTooLarge         Code = "too_large"
 	CodeSlowBody         Code = "slow_body"
+	CodeUnauthenticated  Code = "unauthenticated"
 	CodeUnknownModel     Code = "unknown_model"
 	CodeUnknownService   Code = "unknown_service"
 	CodeOverloaded       Code = "overloaded"
