Usage of client accounts: counted by all gateways, settled in the store, reported by one

Every gateway counts what began to run for an account (a stream at its first event, else when it is sent; taken back if a server did not run it) by windows of true time: the median of the gateways' clocks as an offset to the boot-time clock, at most 1 ms a second of change. Counts are cumulative and numbered, so that lost, repeated and late datagrams do no harm, and go to the three gateways of first rank. One of them has the right to report: one object, changed by conditional update, has the right and the reports. A report is in it before it is sent, and whoever follows repeats it; the fencing token is the revision by which the right was taken.

Shown failing without: the wait before a takeover (2.5 s), the check right before the send, the rule for recent holders.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -35,7 +35,18 @@
 	// HeartbeatInterval is the interval at which backend servers renew their
 	// records in the store.
 	HeartbeatInterval time.Duration
-	Bounds            Bounds
+	// Usage is where the usage of client accounts is reported.
+	Usage  Usage
+	Bounds Bounds
+}
+
+// Usage says where and how the usage of client accounts is reported. The zero value means
+// that it is not.
+type Usage struct {
+	// Address is the IP:PORT of the platform's interface for reports.
+	Address string
+	// Window is the length of the windows of true time that reports are for.
+	Window time.Duration
 }
 
 // Bounds has the time and rate limits that the operators set.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,6 +66,9 @@
 	o.Remaining = c.remaining()
 	c.trace.server = server.ID
 	c.recordSend(server)
+	if !c.usesEngines() {
+		c.countRun(time.Now())
+	}
 	return nil
 }
 
@@ -142,6 +145,9 @@
 	if v != verdict.NotRun {
 		c.possibleRuns++
 	}
+	if c.verdict == verdict.NotRun && c.pendingRuns == 0 {
+		c.uncountRun()
+	}
 	c.exclude(server)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/usage"
 )
 
 // Codec encodes and decodes the HTTP headers and bodies that callers and backend
@@ -54,6 +55,9 @@
 	// retryBudgets limits the retries of each service.
 	retryBudgets map[string]*retry.AttemptLimiter
 
+	// usage counts the requests of client accounts, nil if they are not counted.
+	usage *usage.Counter
+
 	stopping atomic.Bool
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -18,6 +18,7 @@
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/routes"
+	"pistachioroad.dev/pistachioroad/internal/usage"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -85,14 +86,17 @@
 	// callerCtx is done when the caller disconnects, ctx also at the deadline.
 	ctx, callerCtx context.Context
 
-	id                string
-	received          time.Time
-	deadline          time.Time
-	view              *directory.View
-	route             routes.Route
-	service           routes.Service
-	request           request.Request
-	auth              authResult
+	id       string
+	received time.Time
+	deadline time.Time
+	view     *directory.View
+	route    routes.Route
+	service  routes.Service
+	request  request.Request
+	auth     authResult
+	// counted is set while the request is counted for its client account, as usageMark.
+	counted           bool
+	usageMark         usage.Mark
 	reservedBodyBytes int64
 	// cachedFingerprint is the request's fingerprint, 0 until it is first needed.
 	cachedFingerprint request.Fingerprint
@@ -341,13 +345,16 @@
 
 // dispatch serves the request by the kind of its service.
 func (c *call) dispatch() {
-	if c.route.Model && c.service.Engine != nil {
+	if c.usesEngines() {
 		c.runModel()
 		return
 	}
 	c.runPlain()
 }
 
+// usesEngines reports whether the request is served by model engines.
+func (c *call) usesEngines() bool { return c.route.Model && c.service.Engine != nil }
+
 // pathOf returns the path of a request target as it was sent.
 func pathOf(target string) string {
 	if i := strings.IndexByte(target, '?'); i >= 0 {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -293,8 +293,11 @@
 	engines := c.gateway.engines
 	silences := body.hedge.silent()
 	c.sampler = &streamSampler{
-		Reader:  body,
-		onFirst: func() { engines.firstToken(c.service.Name, id) },
+		Reader: body,
+		onFirst: func() {
+			c.countRun(time.Now())
+			engines.firstToken(c.service.Name, id)
+		},
 		onInterval: func(interval time.Duration) {
 			// The interval of a silent engine says nothing about its speed.
 			if n := body.hedge.silent(); n != silences {
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -33,6 +33,7 @@
 	"pistachioroad.dev/pistachioroad/internal/periodic"
 	"pistachioroad.dev/pistachioroad/internal/reconcile"
 	"pistachioroad.dev/pistachioroad/internal/store"
+	"pistachioroad.dev/pistachioroad/internal/truetime"
 	"pistachioroad.dev/pistachioroad/platform"
 )
 
@@ -61,10 +62,13 @@
 		Directory:  dir,
 	})
 	dir.OnChange = g.ViewChanged
+	startID := rand.Uint64()
+	trueTime := truetime.New(boottime.Now(), time.Now())
 	gateways, err := peers.New(peers.Config{
-		Name:    d.Name,
-		StartID: rand.Uint64(),
-		Address: net.JoinHostPort(d.IP, strconv.Itoa(d.PeerPort)),
+		Name:     d.Name,
+		StartID:  startID,
+		Address:  net.JoinHostPort(d.IP, strconv.Itoa(d.PeerPort)),
+		TrueTime: trueTime,
 	}, g)
 	if err != nil {
 		return err
@@ -77,6 +81,10 @@
 		}
 	}
 	p := &components{config: c, gateway: g, directory: dir, peers: gateways, store: storeClient}
+	if d.Usage.Window > 0 {
+		p.usage = newUsageDuties(d, trueTime, startID, gateways, storeClient)
+		g.SetUsage(p.usage.counter)
+	}
 	return p.supervise(ctx)
 }
 
@@ -87,6 +95,8 @@
 	directory *directory.Directory
 	peers     *peers.Peers
 	store     store.Store
+	// usage is nil if usage is not reported.
+	usage *usageDuties
 }
 
 // supervise runs the duties under a supervisor, and serves callers until ctx is done.
@@ -112,6 +122,10 @@
 	root.Add(duty(func(ctx context.Context) error { return p.peers.Register(ctx, p.store) }))
 	root.Add(duty(func(ctx context.Context) error { return serveReadiness(ctx, c.Deployment, g) }))
 	root.Add(duty(func(ctx context.Context) error { return reload(ctx, c, g) }))
+	if p.usage != nil {
+		root.Add(duty(p.usage.send))
+		root.Add(duty(p.usage.report))
+	}
 	if c.Deployment.StateAddress != "" {
 		root.Add(duty(p.serveBootstrap))
 		root.Add(duty(p.bootstrapFromPeers))
@@ -120,7 +134,11 @@
 		root.Add(duty(func(ctx context.Context) error { return serveMetrics(ctx, c, g) }))
 	}
 	root.ServeBackground(duties)
-	return g.Serve(ctx)
+	err := g.Serve(ctx)
+	if p.usage != nil {
+		p.usage.finish()
+	}
+	return err
 }
 
 // confirmInterval is how often a gateway that watches the store announces what the
--- a/internal/peers/outbox.go
+++ b/internal/peers/outbox.go
@@ -22,6 +22,8 @@
 	ownGroup
 	// randomPeers are a few of the other gateways, sampled for each datagram.
 	randomPeers
+	// collectors are the other gateways that collect the usage of client accounts.
+	collectors
 	audienceCount
 )
 
@@ -65,6 +67,8 @@
 		return p.groupMembers
 	case randomPeers:
 		return p.samplePeers()
+	case collectors:
+		return p.collectors
 	default:
 		return p.others
 	}
@@ -103,6 +107,15 @@
 	box.size += size
 }
 
+// Flush sends all pending datagrams at once.
+func (p *Peers) Flush() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for to := range audienceCount {
+		p.flush(to)
+	}
+}
+
 // flushDue flushes when the timer of an outbox fires.
 func (p *Peers) flushDue(to audience) {
 	p.mu.Lock()
@@ -110,6 +123,20 @@
 	p.flush(to)
 }
 
+// stamp sets the times of a datagram that is about to be sent.
+func (p *Peers) stamp(s *wire.Share) {
+	now := boottime.Now()
+	s.SentMs = uint64(now.Milliseconds())
+	if len(s.Usage) > 0 {
+		s.ClockUs = time.Now().UnixMicro()
+	}
+	if s.Confirmation != nil {
+		if t, ok := p.trueTime.Anchored(now); ok {
+			s.Confirmation.TrueUs = t.UnixMicro()
+		}
+	}
+}
+
 // flush sends the pending datagram to an audience. Datagrams that cannot be sent count as
 // dropped.
 func (p *Peers) flush(to audience) {
@@ -118,7 +145,7 @@
 		return
 	}
 	box.timer.Stop()
-	box.pending.SentMs = uint64(boottime.Now().Milliseconds())
+	p.stamp(box.pending)
 	data, err := proto.Marshal(box.pending)
 	box.pending = nil
 	if err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -33,6 +33,9 @@
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/store"
+	"pistachioroad.dev/pistachioroad/internal/truetime"
+	"pistachioroad.dev/pistachioroad/internal/usage"
+	"pistachioroad.dev/pistachioroad/internal/usage/report"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -76,7 +79,10 @@
 	conn     *net.UDPConn
 	receiver Receiver
 	// delays is used only by Receive.
-	delays *delayEstimator
+	delays   *delayEstimator
+	trueTime *truetime.Estimator
+	// OnUsage, if set, is called for each update of usage. It must be set before Receive.
+	OnUsage func(usage.Update)
 
 	mu     sync.Mutex
 	others map[string]netip.AddrPort
@@ -88,7 +94,9 @@
 	// group is this gateway's group, groupMembers are the other gateways in it.
 	group        place.Group
 	groupMembers map[string]netip.AddrPort
-	outboxes     [audienceCount]outbox
+	// collectors are the other gateways of the first ranks.
+	collectors map[string]netip.AddrPort
+	outboxes   [audienceCount]outbox
 
 	sent, received, dropped, late metrics.Counter
 }
@@ -101,6 +109,8 @@
 	StartID uint64
 	// Address is the IP:PORT on which to receive datagrams.
 	Address string
+	// TrueTime gets the clocks of the other gateways; nil for one of its own.
+	TrueTime *truetime.Estimator
 }
 
 // New returns Peers that listen for datagrams. Call Receive to handle them.
@@ -113,7 +123,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "peers: listen for datagrams")
 	}
+	if c.TrueTime == nil {
+		c.TrueTime = truetime.New(boottime.Now(), time.Now())
+	}
 	p := &Peers{
+		trueTime: c.TrueTime,
 		name:     c.Name,
 		startID:  c.StartID,
 		conn:     conn,
@@ -155,6 +169,15 @@
 	return rank
 }
 
+// rankOf returns the rank of another gateway.
+func (p *Peers) rankOf(name string) int {
+	rank := rankByHash(name, p.others)
+	if xxhash.Sum64String(p.name) < xxhash.Sum64String(name) {
+		rank++
+	}
+	return rank
+}
+
 // watcherCount is the number of gateways that watch the store on behalf of all. With
 // only one, each of its failures would make all others watch for a while; three rarely
 // fail at the same time.
@@ -189,6 +212,7 @@
 	p.others = others
 	p.listed = true
 	p.rank = rankByHash(p.name, others)
+	p.collectors = lo.PickBy(others, func(name string, _ netip.AddrPort) bool { return p.rankOf(name) < report.Candidates })
 	p.updateGroupMembers()
 }
 
@@ -335,6 +359,47 @@
 	}
 }
 
+// AnnounceUsage sends counts to the gateways that collect them, in as many messages as
+// needed.
+func (p *Peers) AnnounceUsage(u usage.Update) {
+	m := p.usageMessage(u)
+	size := proto.Size(m)
+	for account, count := range u.Counts {
+		entry := len(account) + usageEntryBytes
+		if size+entry > maxDatagramBytes {
+			p.sendUsage(m, size)
+			m = p.usageMessage(u)
+			size = proto.Size(m)
+		}
+		m.Accounts, m.Counts = append(m.Accounts, account), append(m.Counts, uint32(max(0, count)))
+		size += entry
+	}
+	p.sendUsage(m, size)
+}
+
+// usageEntryBytes is the size of a count in a datagram without the account's name.
+const usageEntryBytes = 5
+
+func (p *Peers) usageMessage(u usage.Update) *wire.Usage {
+	return &wire.Usage{Vm: p.name, Window: int64(u.Window), Sequence: u.Sequence, Total: uint32(max(0, u.Total)), Closed: u.Closed}
+}
+
+func (p *Peers) sendUsage(m *wire.Usage, size int) {
+	p.enqueue(collectors, flushDelay, size, func(s *wire.Share) { s.Usage = append(s.Usage, m) })
+}
+
+// decodeUsage decodes the counts of another gateway.
+func decodeUsage(sender uint32, m *wire.Usage) usage.Update {
+	u := usage.Update{
+		Source: usage.Source{VM: m.Vm, Start: sender}, Window: usage.Window(m.Window), Sequence: m.Sequence,
+		Total: int64(m.Total), Closed: m.Closed, Counts: make(usage.Counts, len(m.Accounts)),
+	}
+	for i := range min(len(m.Accounts), len(m.Counts)) {
+		u.Counts[m.Accounts[i]] = int64(m.Counts[i])
+	}
+	return u
+}
+
 // Receive handles datagrams until ctx is done.
 func (p *Peers) Receive(ctx context.Context) error {
 	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
@@ -421,7 +486,11 @@
 			PreviousRevision: m.After,
 		})
 	}
+	p.receiveUsage(s)
 	if c := s.Confirmation; c != nil {
+		if c.TrueUs > 0 {
+			p.trueTime.ObserveEstimate(s.Sender, time.UnixMicro(c.TrueUs), boottime.Now())
+		}
 		p.receiver.RemoteConfirmation(now, p.decodeConfirmation(c))
 	}
 	for _, m := range s.Avoid {
@@ -439,6 +508,19 @@
 	}
 }
 
+// receiveUsage handles the clock and the usage of another gateway.
+func (p *Peers) receiveUsage(s *wire.Share) {
+	if s.ClockUs > 0 {
+		p.trueTime.ObserveClock(s.Sender, time.UnixMicro(s.ClockUs), boottime.Now())
+	}
+	if p.OnUsage == nil {
+		return
+	}
+	for _, m := range s.Usage {
+		p.OnUsage(decodeUsage(s.Sender, m))
+	}
+}
+
 // receiveJobs handles the placed, prefilled and finished jobs of another gateway from a
 // datagram with a delay.
 //
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -25,6 +25,7 @@
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/usage"
 	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
@@ -144,6 +145,48 @@
 	return p
 }
 
+var _ = Describe("usage of client accounts", func() {
+	// Guards against counts that are cut off because they need several datagrams, and
+	// against traffic to gateways that do not collect them.
+	It("reaches the gateways of the first ranks, whatever its size", func() {
+		all, _, addresses := startGateways(5)
+		received := make([]usage.Counts, len(all))
+		var mu sync.Mutex
+		for n, p := range all {
+			received[n] = usage.Counts{}
+			p.OnUsage = func(u usage.Update) {
+				mu.Lock()
+				defer mu.Unlock()
+				Expect(u.Window).To(BeEquivalentTo(353445120))
+				Expect(u.Total).To(BeEquivalentTo(400))
+				maps.Copy(received[n], u.Counts)
+			}
+			p.SetPeers(maps.Clone(addresses))
+		}
+		counts := usage.Counts{}
+		for n := range 400 {
+			counts["account-"+strconv.Itoa(n)] = 1
+		}
+		for n, p := range all {
+			if p.Rank() != 4 {
+				continue
+			}
+			p.AnnounceUsage(usage.Update{Source: usage.Source{VM: "f-" + strconv.Itoa(n)}, Window: 353445120, Total: 400, Counts: counts})
+		}
+		for n, p := range all {
+			want := 0
+			if p.Rank() < 3 {
+				want = 400
+			}
+			Eventually(func() int {
+				mu.Lock()
+				defer mu.Unlock()
+				return len(received[n])
+			}).Should(Equal(want))
+		}
+	})
+})
+
 var _ = Describe("gateways", func() {
 	It("discover each other in the store and announce their placements", func() {
 		server := httptest.NewServer(objectstore.New())
