A gateway that the store turns away gets a newer configuration from another one

Cause: such a gateway learned from confirmations that a newer configuration existed, but could not read it: it went on with removed keys and answered 503 to new ones and to dropped routes.

--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -25,6 +25,22 @@
 	return snapshot, d.state.view.Table != nil
 }
 
+// AdoptConfig applies a configuration that another gateway has read, if it is newer than
+// the known one.
+//
+// Without it, a gateway that cannot reach the store would serve by an old configuration
+// although others have announced a newer one: with keys that were removed, and without
+// those that were added.
+func (d *Directory) AdoptConfig(o store.Object) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o.Name != d.kinds.ConfigName || o.Revision <= d.state.view.TableRevision {
+		return
+	}
+	log.WithField("revision", o.Revision).WithField("previous", d.state.view.TableRevision).Info("configuration of another gateway adopted")
+	d.applyConfig(o)
+}
+
 // Adopt applies the snapshot of another gateway if this one has no configuration yet.
 //
 // Without it, a process that starts during an outage of the store would reject every
--- a/internal/gateway/process/bootstrap.go
+++ b/internal/gateway/process/bootstrap.go
@@ -45,18 +45,27 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(bootstrapState{Snapshot: snapshot, Gateways: p.peers.Addresses()}); err != nil {
-			log.WithField("error", err.Error()).Info("write bootstrap state failed")
-		}
+		writeJSON(w, bootstrapState{Snapshot: snapshot, Gateways: p.peers.Addresses()})
 	})
+	mux.HandleFunc("GET "+configPath, p.serveConfig)
 	return serveHTTP(ctx, p.config.Deployment.StateAddress, mux)
 }
 
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		log.WithField("error", err.Error()).Info("write state for another gateway failed")
+	}
+}
+
+func newBootstrapClient() *http.Client {
+	return &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 // bootstrapFromPeers asks the seed gateways until the configuration is known, from
 // them or from the store.
 func (p *components) bootstrapFromPeers(ctx context.Context) error {
-	client := &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newBootstrapClient()
 	wait := bootstrapDelay
 	for {
 		if !pause.Sleep(ctx, wait) {
@@ -71,8 +80,8 @@
 			if seed == p.config.Deployment.StateAddress {
 				continue
 			}
-			state, err := fetchBootstrap(ctx, client, seed)
-			if err != nil {
+			var state bootstrapState
+			if err := fetchJSON(ctx, client, seed, bootstrapPath, &state); err != nil {
 				log.WithField("neighbour", seed).WithField("error", err.Error()).Debug("bootstrap from peer failed")
 				continue
 			}
@@ -83,24 +92,23 @@
 	}
 }
 
-// fetchBootstrap requests the state of the gateway at address.
-func fetchBootstrap(ctx context.Context, client *http.Client, address string) (bootstrapState, error) {
-	var state bootstrapState
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+bootstrapPath, nil)
+// fetchJSON requests the state of the gateway at address and decodes it into result.
+func fetchJSON(ctx context.Context, client *http.Client, address, path string, result any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return state, eris.Wrap(err, "create request")
+		return eris.Wrap(err, "create request")
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return state, eris.Wrap(err, "send request")
+		return eris.Wrap(err, "send request")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return state, eris.Errorf("status %d", resp.StatusCode)
+		return eris.Errorf("status %d", resp.StatusCode)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBootstrapBytes))
 	if err != nil {
-		return state, eris.Wrap(err, "read response")
+		return eris.Wrap(err, "read response")
 	}
-	return state, eris.Wrap(json.Unmarshal(data, &state), "decode response")
+	return eris.Wrap(json.Unmarshal(data, result), "decode response")
 }
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -129,6 +129,7 @@
 	if c.Deployment.StateAddress != "" {
 		root.Add(duty(p.serveBootstrap))
 		root.Add(duty(p.bootstrapFromPeers))
+		root.Add(duty(p.adoptNewerConfig))
 	}
 	if c.MetricsPort > 0 {
 		root.Add(duty(func(ctx context.Context) error { return serveMetrics(ctx, c, g) }))
