Retry budget: exact in any span of its window, and more of it used

And the limiter was not exact: it forgot a bucket of a second at once, so that a span of ten seconds could have twice the allowed attempts; a process that had not listed the gateways took the whole slack for itself; a restarted one began anew.

Now one more bucket is kept, buckets are half as long, a process takes a tenth of its slack within a window after a restart and none while the gateways are unknown. So 0.9 of the limit can be used: 0.9 x 1.1 <= 1 even if all restart at once.

Shown failing without: the additional bucket.

--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -3,8 +3,8 @@
 import "time"
 
 // windowBuckets is the number of buckets into which the window of an AttemptLimiter is
-// divided.
-const windowBuckets = 10
+// divided. One more is kept, so that any span of the length of the window is covered.
+const windowBuckets = 20
 
 // AttemptLimit is the load that the backend servers of a service tolerate beyond the first
 // attempt of each request, from all gateways together.
@@ -21,8 +21,11 @@
 // requests and an equal fraction of the slack, so it need not know how many attempts the
 // others make.
 type AttemptLimiter struct {
-	limit   AttemptLimit
-	buckets [windowBuckets]windowBucket
+	limit AttemptLimit
+	// restartedAt is when the process started if an earlier one may have made attempts
+	// before, zero otherwise.
+	restartedAt time.Time
+	buckets     [windowBuckets + 1]windowBucket
 }
 
 type windowBucket struct {
@@ -30,41 +33,64 @@
 	requests, extra float64
 }
 
-// NewAttemptLimiter returns an AttemptLimiter for the limit.
-func NewAttemptLimiter(limit AttemptLimit) *AttemptLimiter { return &AttemptLimiter{limit: limit} }
+// restartedSlack is the fraction of the slack that a process may use within a window after
+// its restart, since the attempts of the process before it are unknown.
+const restartedSlack = 0.1
+
+// NewAttemptLimiter returns an AttemptLimiter for the limit. restartedAt is when the process
+// was restarted, zero at the first start of the system.
+func NewAttemptLimiter(limit AttemptLimit, restartedAt time.Time) *AttemptLimiter {
+	return &AttemptLimiter{limit: limit, restartedAt: restartedAt}
+}
 
 // CountRequest counts a request.
 func (l *AttemptLimiter) CountRequest(now time.Time) { l.bucket(now).requests++ }
 
 // Allow reports whether one more extra attempt is within the limit, and counts it if so.
-// The slack is divided by the number of gateways.
+// The slack is divided by the number of gateways; there is none while that is 0, unknown.
 func (l *AttemptLimiter) Allow(now time.Time, gateways int) bool {
 	requests, extra := l.sums(now)
-	if extra+1 > l.limit.Share*requests+l.limit.Slack/float64(max(1, gateways)) {
+	if extra+1 > l.limit.Share*requests+l.slack(now, gateways) {
 		return false
 	}
 	l.bucket(now).extra++
 	return true
 }
 
+func (l *AttemptLimiter) slack(now time.Time, gateways int) float64 {
+	if gateways <= 0 {
+		return 0
+	}
+	slack := l.limit.Slack / float64(gateways)
+	if now.Sub(l.restartedAt) < l.limit.Window {
+		slack *= restartedSlack
+	}
+	return slack
+}
+
 func (l *AttemptLimiter) bucketIndex(now time.Time) int64 {
 	return now.UnixNano() / max(1, int64(l.limit.Window/windowBuckets))
 }
 
 func (l *AttemptLimiter) bucket(now time.Time) *windowBucket {
 	index := l.bucketIndex(now)
-	b := &l.buckets[index%windowBuckets]
+	b := &l.buckets[index%int64(len(l.buckets))]
 	if b.index != index {
 		*b = windowBucket{index: index}
 	}
 	return b
 }
 
+// sums returns the requests within at most the window before now, and the extra attempts
+// within at least that.
 func (l *AttemptLimiter) sums(now time.Time) (requests, extra float64) {
-	oldest := l.bucketIndex(now) - windowBuckets
+	index := l.bucketIndex(now)
 	for _, b := range l.buckets {
-		if b.index > oldest {
+		age := index - b.index
+		if age < windowBuckets {
 			requests += b.requests
+		}
+		if age <= windowBuckets {
 			extra += b.extra
 		}
 	}
--- a/internal/decide/retry/attempts_test.go
+++ b/internal/decide/retry/attempts_test.go
@@ -19,7 +19,7 @@
 		extra := 0
 		var all []*retry.AttemptLimiter
 		for range gateways {
-			all = append(all, retry.NewAttemptLimiter(limit))
+			all = append(all, retry.NewAttemptLimiter(limit, time.Time{}))
 		}
 		requests := 0
 		for ms := range 10_000 {
@@ -39,8 +39,53 @@
 		Expect(extra).To(BeNumerically(">", 80))
 	})
 
+	// Guards against twice the allowed attempts within a window: a storm at its end and
+	// another right after it.
+	It("keeps any span of the window's length within the limit", func() {
+		for offset := range 500 {
+			l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 20, Window: 10 * time.Second}, time.Time{})
+			var allowed []time.Duration
+			for _, storm := range []time.Duration{0, 9 * time.Second, 9900 * time.Millisecond, 10_400 * time.Millisecond} {
+				for ms := range 50 {
+					now := storm + time.Duration(offset+ms)*time.Millisecond
+					if l.Allow(at(now), 1) {
+						allowed = append(allowed, now)
+					}
+				}
+			}
+			for i, first := range allowed {
+				within := 0
+				for _, later := range allowed[i:] {
+					if later-first < 10*time.Second {
+						within++
+					}
+				}
+				Expect(within).To(BeNumerically("<=", 20))
+			}
+		}
+	})
+
+	// Guards against a retry storm of a process that does not know what the one before it,
+	// or the other gateways, have used.
+	It("allows less after a restart, and only its share while the gateways are unknown", func() {
+		l := retry.NewAttemptLimiter(limit, at(0))
+		allowed := func(now time.Duration, gateways int) (n int) {
+			for l.Allow(at(now), gateways) {
+				n++
+			}
+			return n
+		}
+		Expect(allowed(time.Second, 0)).To(BeZero())
+		for range 50 {
+			l.CountRequest(at(time.Second))
+		}
+		Expect(allowed(time.Second, 0)).To(Equal(10))
+		Expect(allowed(time.Second, 8)).To(Equal(1))
+		Expect(allowed(30*time.Second, 8)).To(Equal(10))
+	})
+
 	It("allows attempts again after the window", func() {
-		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second})
+		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second}, time.Time{})
 		Expect(s.Allow(at(0), 1)).To(BeTrue())
 		Expect(s.Allow(at(5*time.Second), 1)).To(BeFalse())
 		Expect(s.Allow(at(11*time.Second), 1)).To(BeTrue())
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -42,6 +42,8 @@
 	MembershipVersion() uint64
 	// GatewayCount returns the number of gateways, including this one.
 	GatewayCount() int
+	// GatewaysKnown reports whether the other gateways have been listed.
+	GatewaysKnown() bool
 	// JoinGroup returns this gateway's group among count groups. From then on
 	// placements and their ends are announced within the group only.
 	JoinGroup(count uint64) place.Group
@@ -58,6 +60,7 @@
 func (noGossip) ReannounceTermination(quarantine.Evidence)   {}
 func (noGossip) AnnounceServerLimit(ratelimit.Notice)        {}
 func (noGossip) ReannounceServerLimit(ratelimit.Notice)      {}
+func (noGossip) GatewaysKnown() bool                         { return true }
 func (noGossip) RankFor(string, uint64) ratelimit.Rank       { return ratelimit.Rank{Total: 1} }
 func (noGossip) MembershipVersion() uint64                   { return 0 }
 func (noGossip) GatewayCount() int                           { return 1 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,9 @@
 	// retryBudgets limits the retries of each service.
 	retryBudgets map[string]*retry.AttemptLimiter
 
+	// restartedAt is when this process started, zero at the first start of the system.
+	restartedAt time.Time
+
 	// usage counts the requests of client accounts, nil if they are not counted.
 	usage *usage.Counter
 
@@ -95,6 +98,9 @@
 		retryBudgets: make(map[string]*retry.AttemptLimiter),
 	}
 	g.transport.OnResponse = g.statements.observe
+	if !c.Deployment.Bootstrap {
+		g.restartedAt = time.Now()
+	}
 	g.deployment.Store(&c.Deployment)
 	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
 	return g
@@ -134,7 +140,11 @@
 func (g *Gateway) allowRetry(service string, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retryBudget(service).Allow(now, g.gatewayCount())
+	gateways := g.gatewayCount()
+	if !g.engines.gossip.GatewaysKnown() {
+		gateways = 0
+	}
+	return g.retryBudget(service).Allow(now, gateways)
 }
 
 func (g *Gateway) countRequest(service string, now time.Time) {
@@ -151,16 +161,15 @@
 			Share:  b.RetryShare * retryBudgetFraction,
 			Slack:  b.RetrySlack * retryBudgetFraction,
 			Window: b.RetryWindow,
-		})
+		}, g.restartedAt)
 		g.retryBudgets[service] = limiter
 	}
 	return limiter
 }
 
 // retryBudgetFraction is the fraction of the operators' limit on retries that is
-// used. The rest is a margin because the gateways' windows do not begin together
-// with the operators'.
-const retryBudgetFraction = 0.6
+// used. The rest is a margin for gateways that restart and forget what they have used.
+const retryBudgetFraction = 0.9
 
 // bodyBudget limits the number of bytes that are reserved at a time.
 type bodyBudget struct {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -262,6 +262,7 @@
 func (p *placementCounter) ReannounceTermination(quarantine.Evidence)   {}
 func (p *placementCounter) AnnounceServerLimit(ratelimit.Notice)        {}
 func (p *placementCounter) ReannounceServerLimit(ratelimit.Notice)      {}
+func (p *placementCounter) GatewaysKnown() bool                         { return true }
 func (p *placementCounter) RankFor(string, uint64) ratelimit.Rank       { return ratelimit.Rank{Total: 1} }
 func (p *placementCounter) MembershipVersion() uint64                   { return 0 }
 func (p *placementCounter) JoinGroup(uint64) place.Group                { return place.Group{} }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -149,6 +149,13 @@
 	return len(p.others) + 1
 }
 
+// GatewaysKnown implements gateway.Gossip.
+func (p *Peers) GatewaysKnown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed
+}
+
 // Rank returns this gateway's rank among the known ones, from 0.
 func (p *Peers) Rank() int {
 	p.mu.Lock()
