Process soak: client accounts and usage

Each configuration removes a key and adds one. A stand-in takes usage reports and checks them: one report a window, fencing tokens, alternating holders, none missing once the faults are over. Servers' records are searched for keys and wrong accounts.

--- a/test/soakproc/callers.go
+++ b/test/soakproc/callers.go
@@ -21,6 +21,8 @@
 	method, target, id, kind string
 	// body is "b" if it is empty.
 	body string
+	// key is the API key; if it is empty, that of the request's number.
+	key string
 }
 
 // outcome is the result of a request.
@@ -63,6 +65,9 @@
 	req.GetBody = nil
 	req.Header.Set("Request-Id", r.id)
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
+	req.Header.Set("Authorization", "Bearer "+cmp.Or(r.key, keyOf(requestNumber(r.id))))
+	// Callers claim an account that is not theirs.
+	req.Header.Set("Tenant", "nobody")
 	req.Header.Set("Token-Count", "2000,20")
 	req.Header.Set("Prefix-Hash", "aa:1500,"+fmt.Sprintf("%x", len(r.id))+":500")
 	resp, err := c.Do(req)
@@ -183,12 +188,17 @@
 			l.addViolation("%s %s ran %d times, at most 1 is allowed", req.kind, id, n)
 		}
 	}
+	l.checkAccounts(env)
+	env.usage.check(l)
 	for id, got := range l.outcomes {
 		req := l.sent[id]
 		rejected := got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests
 		if once := req.kind == "hold" || req.kind == "once"; rejected && once && runs[id] > 0 {
 			l.addViolation("%s %s was rejected as not run, but ran", req.kind, id)
 		}
+		if got.status == http.StatusUnauthorized && requestNumber(id)%wrongKeyInterval != 0 {
+			l.addViolation("%s %s was denied though its key is valid", req.kind, id)
+		}
 		if got.status == http.StatusOK && got.err == nil && got.body != expectedBody(req) && got.body != "ok" {
 			l.addViolation("%s %s got the wrong answer: %q", req.kind, id, got.body)
 		}
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -92,6 +92,7 @@
 	budget      retryBudget
 	idleTimeout time.Duration
 	timeouts    routeTimeouts
+	usage       *usageReports
 }
 
 // retryBudget bounds the retries for a service within 10 s to a share of its requests
@@ -114,7 +115,7 @@
 func start(seed uint64, bin, dir string) (*environment, error) {
 	env := &environment{store: objectstore.New(), budget: retryBudgets[seed/2%2], idleTimeout: maxIdleTimeout}
 	env.timeouts.set(callerTimeout)
-	if err := env.serveStore(seed); err != nil {
+	if err := errors.Join(env.serveStore(seed), env.serveReports()); err != nil {
 		return env, err
 	}
 	for i, role := range []string{"prefill", "prefill", "decode", "decode", "decode", "", "", ""} {
@@ -203,7 +204,7 @@
 		route("version", fmt.Sprintf("/v%d/", env.version), "safe", plainService, 2, false, false),
 	}
 	env.store.Put("config", "main", map[string]any{
-		"version": env.version, "routes": rules,
+		"version": env.version, "routes": rules, "tenants": tenants(env.version),
 		"services": []any{
 			map[string]any{"name": plainService, "healthPath": "/health"},
 			map[string]any{"name": modelService, "healthPath": "/health", "engine": map[string]any{
@@ -247,8 +248,10 @@
 		"limits":    map[string]any{"memoryMb": 206, "maxFds": 2870},
 		"bounds": map[string]any{
 			"drainTimeoutMs": drainTimeout.Milliseconds(), "gracePeriodS": 8, "configApplyMs": configApply.Milliseconds(), "contactMs": contact.Milliseconds(),
-			"retryBudgetRatio": env.budget.share, "retrySlack": env.budget.slack, "budgetWindowS": 10, "leaseMs": 1000,
+			"retryBudgetRatio": env.budget.share, "retrySlack": env.budget.slack, "budgetWindowS": 10, "leaseMs": alternation.Milliseconds(),
+			"windowS": usageWindow.Seconds(),
 		},
+		"cloudApi":         map[string]any{"address": env.reportsAddress(), "duties": []string{"usage_reporting"}},
 		"platformSettings": map[string]any{"address": store},
 	})
 	if err != nil {
--- a/test/soakproc/fatal.go
+++ b/test/soakproc/fatal.go
@@ -67,7 +67,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() {
 		for n := 0; ctx.Err() == nil; n++ {
-			req := request{method: "POST", target: "/stream-again/fatal", kind: "fatal", id: l.nextID(), body: fatalBody}
+			req := request{method: "POST", target: "/stream-again/fatal", kind: "fatal", id: l.nextIDOf(accountNames[0]), body: fatalBody}
 			send(newClient(), env.gateways[n%len(env.gateways)].address, req)
 			time.Sleep(fatalInterval)
 		}
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -54,10 +54,12 @@
 	stopCallers := env.startCallers(ctx, seed, l)
 	stopFatal := env.startFatalCaller(ctx, l)
 	env.inject(faults, faultsDuration, seed, report.Faults)
+	recovered := time.Now().Add(settleTime)
 	env.checkRecovery(ctx, l)
 	stopFatal()
 	env.checkPauses(ctx, seed, l, report.Faults)
 	stopCallers()
+	env.usage.checkComplete(recovered, time.Now(), l)
 	l.check(env)
 	report.Violations = l.violations
 	report.Answers = l.statuses
@@ -124,8 +126,9 @@
 	time.Sleep(drainTimeout)
 	before := len(drained.Runs())
 	env.checkNewestConfig(l)
+	env.checkKeys(l)
 	for _, g := range env.gateways {
-		old := send(newClient(), g.address, request{method: "GET", target: fmt.Sprintf("/v%d/", env.version-1), id: l.nextID(), kind: "version"})
+		old := send(newClient(), g.address, request{method: "GET", target: fmt.Sprintf("/v%d/", env.version-1), id: l.nextIDOf(accountNames[0]), kind: "version"})
 		if old.status != 404 {
 			l.addViolation("%s still serves the previous configuration: status %d, want 404", g.address, old.status)
 		}
@@ -141,7 +144,7 @@
 // checkNewestConfig checks that every gateway serves the newest configuration.
 func (env *environment) checkNewestConfig(l *requestLog) {
 	for _, g := range env.gateways {
-		got := send(newClient(), g.address, request{method: "GET", target: fmt.Sprintf("/v%d/", env.version), id: l.nextID(), kind: "version"})
+		got := send(newClient(), g.address, request{method: "GET", target: fmt.Sprintf("/v%d/", env.version), id: l.nextIDOf(accountNames[0]), kind: "version"})
 		if got.status != 200 {
 			l.addViolation("%s does not serve the newest configuration: status %d %v", g.address, got.status, got.err)
 		}
