--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -5,6 +5,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/usage"
 )
 
 // Dump is the state of a gateway, for operators.
@@ -17,10 +18,21 @@
 	// Gateways is how many gateways share the retry budgets of the services.
 	Gateways int          `json:"entries"`
 	Servers  []ServerDump `json:"servers"`
+	// ClientKeys is the number of API keys that the configuration has.
+	ClientKeys int `json:"client_keys"`
+	// Usage is what this gateway has counted, absent if it counts nothing.
+	Usage *UsageDump `json:"usage,omitempty"`
 	// BodyBytes is the memory currently reserved for request bodies.
 	BodyBytes int64 `json:"body_bytes"`
 }
 
+// UsageDump is what a gateway has counted in the current window.
+type UsageDump struct {
+	Window   int64 `json:"window"`
+	Accounts int   `json:"accounts"`
+	Requests int64 `json:"requests"`
+}
+
 // ServerDump is one backend server as the gateway sees it.
 type ServerDump struct {
 	backend.Server
@@ -58,6 +70,10 @@
 	}
 	if v.Table != nil {
 		d.ConfigVersion = v.Table.Version
+		d.ClientKeys = v.Table.Accounts.Len()
+	}
+	if g.usage != nil {
+		d.Usage = dumpUsage(now, g.usage)
 	}
 	for _, s := range v.Servers {
 		d.Servers = append(d.Servers, g.dumpServer(now, s))
@@ -87,3 +103,9 @@
 	}
 	return now.Sub(at).Round(time.Millisecond).String()
 }
+
+func dumpUsage(now time.Time, c *usage.Counter) *UsageDump {
+	window := c.Window(now)
+	counts := c.Snapshot(window)
+	return &UsageDump{Window: int64(window), Accounts: len(counts), Requests: counts.Total()}
+}
--- a/internal/gateway/usage_test.go
+++ b/internal/gateway/usage_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pistachioroad.dev/pistachioroad/internal/gateway"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
 )
@@ -44,6 +45,9 @@
 		Expect(send(http.MethodPost, "/hold/1", "r2", brandKey).status).To(Equal(http.StatusOK))
 		Expect(f.send(http.MethodGet, "/open/1", "r3").status).To(Equal(http.StatusOK))
 		Expect(counts()).To(Equal(usage.Counts{"desk": 3, "brand": 1}))
+		dump := f.gateway.Dump(time.Now())
+		Expect(dump.ClientKeys).To(Equal(2))
+		Expect(*dump.Usage).To(Equal(gateway.UsageDump{Window: int64(counter.Window(time.Now())), Accounts: 2, Requests: 4}))
 	})
 
 	// Guards against accounts that pay for requests that no server ran.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -9,11 +9,13 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -176,13 +178,10 @@
 	return rank
 }
 
-// rankOf returns the rank of another gateway.
-func (p *Peers) rankOf(name string) int {
-	rank := rankByHash(name, p.others)
-	if xxhash.Sum64String(p.name) < xxhash.Sum64String(name) {
-		rank++
-	}
-	return rank
+// firstByHash returns the names of the gateways of the first ranks.
+func firstByHash(names []string, count int) []string {
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	return names[:min(count, len(names))]
 }
 
 // watcherCount is the number of gateways that watch the store on behalf of all. With
@@ -219,7 +218,7 @@
 	p.others = others
 	p.listed = true
 	p.rank = rankByHash(p.name, others)
-	p.collectors = lo.PickBy(others, func(name string, _ netip.AddrPort) bool { return p.rankOf(name) < report.Candidates })
+	p.collectors = lo.PickByKeys(others, firstByHash(append(lo.Keys(others), p.name), report.Candidates))
 	p.updateGroupMembers()
 }
 
