--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -39,7 +39,7 @@
 	if c.request.Credential.Present {
 		account, known = table.Lookup(c.request.Credential.Digest)
 	}
-	c.auth = c.authResult(known)
+	c.auth = c.decideAuth(known)
 	metrics.GetOrRegisterCounter("gateway.auth_"+string(c.auth), nil).Inc(1)
 	switch c.auth {
 	case authMissing:
@@ -59,9 +59,9 @@
 	return true
 }
 
-// authResult decides on a request whose key is known or not. An unknown key may have been
+// decideAuth decides on a request whose key is known or not. An unknown key may have been
 // added if the configuration is not surely current. Callers retry a 503, but not a 401.
-func (c *call) authResult(known bool) authResult {
+func (c *call) decideAuth(known bool) authResult {
 	switch {
 	case known:
 		return authKnown
