Usage reports: counts leave the store's object once they are sent

Cause: the object had the counts of three windows, and each renewal wrote them again: with some 6,000 accounts a window near the store's limit for a value.

--- a/internal/usage/report/model_test.go
+++ b/internal/usage/report/model_test.go
@@ -383,6 +383,18 @@
 		Expect(w.calls).To(HaveLen(len(w.accepted)))
 	})
 
+	// Guards against an object that grows beyond what the store accepts: with thousands of
+	// accounts, the counts of one window take a tenth of that.
+	It("are kept in the store only until they are sent", func() {
+		w := newWorld(1, 3)
+		for range 300 {
+			w.count()
+			w.run(stepTime)
+		}
+		w.run(2 * time.Second)
+		Expect(string(w.object.Spec)).NotTo(ContainSubstring(`"a":`))
+	})
+
 	// Guards against two reports of a window with different counts, against fencing tokens
 	// that go down and against holders that alternate, under faults of all kinds.
 	It("obey the rules under random faults, and are complete after them", func() {
--- a/internal/usage/report/record.go
+++ b/internal/usage/report/record.go
@@ -38,6 +38,7 @@
 // settled is the report of a window, which does not change any more.
 type settled struct {
 	Window usage.Window `json:"window"`
+	// Counts is nil once the report is sent, which keeps the object small.
 	Counts usage.Counts `json:"counts"`
 	// Sent is set once the platform has accepted the report.
 	Sent bool `json:"sent,omitempty"`
@@ -50,6 +51,15 @@
 	return r
 }
 
+// markSent marks the reports of the given windows as sent.
+func (r *record) markSent(sent map[usage.Window]bool) {
+	for i := range r.Reports {
+		if s := &r.Reports[i]; s.Sent || sent[s.Window] {
+			s.Sent, s.Counts = true, nil
+		}
+	}
+}
+
 // settle adds the report of the next window.
 func (r *record) settle(counts usage.Counts) {
 	r.SettledThrough++
--- a/internal/usage/report/report.go
+++ b/internal/usage/report/report.go
@@ -268,9 +268,7 @@
 // update settles the windows that are due, and renews the right.
 func (r *Reporter) update(ctx context.Context) {
 	next := r.record.clone()
-	for i := range next.Reports {
-		next.Reports[i].Sent = next.Reports[i].Sent || r.sent[next.Reports[i].Window]
-	}
+	next.markSent(r.sent)
 	due := r.settleDue(&next)
 	if !due && r.unchangedFor() < renewInterval {
 		return
@@ -408,9 +406,7 @@
 		return
 	}
 	next := r.record.clone()
-	for i := range next.Reports {
-		next.Reports[i].Sent = next.Reports[i].Sent || r.sent[next.Reports[i].Window]
-	}
+	next.markSent(r.sent)
 	next.Released = true
 	r.holding = false
 	log.WithField("fence", r.fence).WithField("released", r.write(ctx, next)).Info("right to report usage given up")
