--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -192,6 +192,7 @@
 	req.Close = true
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", "2000")
+	req.Header.Set("Authorization", "Bearer "+deskKey)
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, nil
@@ -342,3 +343,28 @@
 		t.Errorf("got status %d from recovered engines, want 200", status)
 	}
 }
+
+// Guards against engines that learn a key, or serve for no account, when a request is
+// suspected of terminating them.
+func TestSuspectedRequestKeepsItsAccount(t *testing.T) {
+	f := newClusterFixture(t, 1, 6)
+	f.store.PutRaw("config", "main", []byte(accountsConfiguration("2", bothAccounts)))
+	f.waitFor("the gateway knows the accounts", func() bool { return f.gateways[0].dir.View().Table.Version == 2 })
+	for n := range 8 {
+		f.send(f.gateways[0], fmt.Sprintf("r%d", n), fatal)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	runs := 0
+	for _, e := range f.engines {
+		for _, run := range e.Runs() {
+			runs++
+			if account, key := run.Header.Get("Tenant"), run.Header.Get("Authorization"); account != "desk" || key != "" {
+				t.Errorf("request reached an engine for account %q with authorization %q, want desk and none", account, key)
+			}
+		}
+	}
+	if runs < 3 {
+		t.Errorf("%d runs, want at least 3, so that the request is suspected", runs)
+	}
+}
