--- a/internal/usage/report/report.go
+++ b/internal/usage/report/report.go
@@ -299,19 +299,19 @@
 		log.WithField("from", int64(next.SettledThrough+1)).WithField("to", int64(oldest)).Error("usage of windows is too old to be reported")
 		next.SettledThrough = oldest
 	}
-	any := false
+	found := false
 	for w := next.SettledThrough + 1; ; w++ {
 		age := now.Sub(w.End(r.config.Length))
 		if age < settleDelay {
-			return any
+			return found
 		}
 		missing := r.config.Counts.Missing(w)
 		if len(missing) > 0 && age < maxSettleDelay {
-			return any
+			return found
 		}
 		counts := r.config.Counts.Sum(w)
 		next.settle(counts)
-		any = true
+		found = true
 		log.WithFields(log.Fields{
 			"window": int64(w), "age_ms": age.Milliseconds(), "accounts": len(counts), "requests": counts.Total(), "missing": missing,
 		}).Info("usage of a window to be settled")
--- a/internal/usage/sender.go
+++ b/internal/usage/sender.go
@@ -41,7 +41,7 @@
 	if now.Sub(s.lastFull) >= fullInterval {
 		s.lastFull = now
 		updates = append(updates, s.full(current, false))
-	} else if u, any := s.changes(current, false); any {
+	} else if u, ok := s.changes(current, false); ok {
 		updates = append(updates, u)
 	}
 	s.counter.Forget(current)
@@ -59,7 +59,7 @@
 		case w < s.current-keptWindows:
 			delete(s.closings, w)
 		default:
-			if u, any := s.changes(w, true); any {
+			if u, ok := s.changes(w, true); ok {
 				updates = append(updates, u)
 			}
 		}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -80,11 +80,10 @@
 // step lets time pass, sends what is due and delivers what the network does not lose.
 func (f *fleet) step() {
 	f.now = f.now.Add(50 * time.Millisecond)
-	for n, s := range f.senders {
+	for _, s := range f.senders {
 		if f.random.IntN(5) == 0 {
 			f.transmit(s.Step(f.now))
 		}
-		_ = n
 	}
 	f.random.Shuffle(len(f.inFlight), func(i, j int) { f.inFlight[i], f.inFlight[j] = f.inFlight[j], f.inFlight[i] })
 	for len(f.inFlight) > 3 {
