--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -18,7 +18,7 @@
 	// authAnonymous means that the route needs no key and the request has no known one.
 	authAnonymous authResult = "anonymous"
 	authKnown     authResult = "known"
-	// authMissing means that the request has no key, or more than one.
+	// authMissing means that the request has no key, more than one, or another scheme.
 	authMissing authResult = "missing"
 	authUnknown authResult = "unknown"
 	// authUncertain means that the key is unknown, but may have been added since.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,7 +168,8 @@
 }
 
 // retryBudgetFraction is the fraction of the operators' limit on retries that is
-// used. The rest is a margin for gateways that restart and forget what they have used.
+// used. The rest is a margin for gateways that restart and forget what they have used,
+// and for attempts that arrive later than they are counted.
 const retryBudgetFraction = 0.9
 
 // bodyBudget limits the number of bytes that are reserved at a time.
