--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -49,7 +49,7 @@
 	// must be set before the first Send and must not block.
 	OnResponse func(ResponseInfo)
 
-	opened, reused metrics.Counter
+	opened, reused, unframed metrics.Counter
 }
 
 // New returns a Transport that uses codec.
@@ -60,6 +60,7 @@
 		OnResponse: func(ResponseInfo) {},
 		opened:     metrics.GetOrRegisterCounter("direct.connections_opened", nil),
 		reused:     metrics.GetOrRegisterCounter("direct.connections_reused", nil),
+		unframed:   metrics.GetOrRegisterCounter("direct.responses_unframed", nil),
 	}
 }
 
@@ -79,6 +80,9 @@
 	request.ResponseHead
 	// Length is the length of the body, -1 if unknown.
 	Length int64
+	// Unframed is set if the body has neither a length nor chunks and ends with its
+	// connection.
+	Unframed bool
 	// Body returns io.EOF only after a complete response.
 	Body io.ReadCloser
 }
@@ -241,15 +245,19 @@
 // reply returns the Reply for a response head and decides whether the connection
 // may be reused.
 func (x *exchange) reply(resp *http.Response, head request.ResponseHead) *Reply {
-	x.reusable = !resp.Close && !x.sawStale && resp.ContentLength >= -1 && !endsWithConnection(resp)
+	unframed := endsWithConnection(resp)
+	if unframed {
+		x.transport.unframed.Inc(1)
+	}
+	x.reusable = !resp.Close && !x.sawStale && resp.ContentLength >= -1 && !unframed
 	x.conn.idleTimeout = head.IdleTimeout
-	return &Reply{ResponseHead: head, Length: resp.ContentLength, Body: &replyBody{ReadCloser: resp.Body, exchange: x}}
+	return &Reply{ResponseHead: head, Length: resp.ContentLength, Unframed: unframed, Body: &replyBody{ReadCloser: resp.Body, exchange: x}}
 }
 
 // endsWithConnection reports whether the response's body is delimited only by the
 // close of the connection.
 func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
 
 // suspectTime is how long a reused connection may stay without a response before the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -102,6 +102,7 @@
 		return nil, e
 	}
 	c.trace.server = server.ID
+	c.trace.unframed = c.trace.unframed || reply.Unframed
 	c.verdict = verdict.Ran
 	c.possibleRuns++
 	return reply, nil
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -42,6 +42,8 @@
 	events  int
 	bytes   int64
 	aborted bool
+	// unframed is set if a response of a server had neither a length nor chunks.
+	unframed bool
 	// silent are the servers that sent no data for silenceTimeout.
 	silent []string
 	// connectionBroken is set if a server's connection broke while the server may
@@ -193,6 +195,9 @@
 	if c.trace.connectionBroken {
 		fields["fingerprint"], fields["caller"] = c.fingerprint().String(), c.request.Caller
 	}
+	if c.trace.unframed {
+		fields["unframed"] = true
+	}
 	if len(c.trace.silent) > 0 {
 		fields["silent"] = strings.Join(c.trace.silent, " ")
 	}
