A stream that ends within an event is broken off, whatever frames it

Cause: net/http reports the end of a connection as io.EOF where an answer has neither length nor chunks, and direct.Reply passed that on as the end of a complete response. The gateway answers in chunks and sent the last one. The class: the end of a transport taken for the end of a message.

Fix, in the one place that promises complete bodies: direct.Reply.Body follows the events of a stream (internal/eventstream: LF, CR, CRLF, comments) and fails if it ends within one, or, if only its connection ended it, before the first. What follows a broken stream then holds here too: resumed after the last whole event, a hedge beside it goes on, else the caller's connection is broken off; the crash counts for quarantine and for the engine's health. eventReader uses the same scanner, so that it finds the ends of events in all spellings.

FuzzEventReader checks the end of events by the scanner, so that it also covers the other spellings.

A stream that ends between two events with its connection cannot be told from a whole one.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -83,7 +83,9 @@
 	// Unframed is set if the body has neither a length nor chunks and ends with its
 	// connection.
 	Unframed bool
-	// Body returns io.EOF only after a complete response.
+	// Body returns io.EOF only after a complete response. An unframed one ends with its
+	// connection and is taken for complete, unless it is a stream of events that ends
+	// within an event or before the first.
 	Body io.ReadCloser
 }
 
@@ -245,19 +247,13 @@
 // reply returns the Reply for a response head and decides whether the connection
 // may be reused.
 func (x *exchange) reply(resp *http.Response, head request.ResponseHead) *Reply {
-	unframed := endsWithConnection(resp)
+	unframed := isUnframed(resp)
 	if unframed {
 		x.transport.unframed.Inc(1)
 	}
 	x.reusable = !resp.Close && !x.sawStale && resp.ContentLength >= -1 && !unframed
 	x.conn.idleTimeout = head.IdleTimeout
-	return &Reply{ResponseHead: head, Length: resp.ContentLength, Unframed: unframed, Body: &replyBody{ReadCloser: resp.Body, exchange: x}}
-}
-
-// endsWithConnection reports whether the response's body is delimited only by the
-// close of the connection.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	return &Reply{ResponseHead: head, Length: resp.ContentLength, Unframed: unframed, Body: &replyBody{ReadCloser: newBody(resp), exchange: x}}
 }
 
 // suspectTime is how long a reused connection may stay without a response before the
@@ -320,27 +316,6 @@
 	}
 }
 
-// replyBody is a response body that releases its connection at the end.
-type replyBody struct {
-	io.ReadCloser
-	exchange *exchange
-}
-
-// Read implements io.Reader.
-func (b *replyBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.exchange.end(true)
-	}
-	return n, err
-}
-
-// Close closes the connection unless the body has been read to its end.
-func (b *replyBody) Close() error {
-	b.exchange.end(false)
-	return nil
-}
-
 // ReadAll reads and closes the body, up to limit bytes.
 func (r *Reply) ReadAll(limit int64) ([]byte, error) {
 	defer r.Body.Close()
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -40,6 +40,8 @@
 	store    *objectstore.Store
 	client   *platform.Store
 	gateways []*testGateway
+	// fatalEnd is how the answer to a fatal request ends at a crash.
+	fatalEnd runner.StreamEnd
 
 	mu sync.Mutex
 	// crashes holds the times of engine crashes, starts counts engine starts.
@@ -57,7 +59,11 @@
 }
 
 func newClusterFixture(t *testing.T, gateways, engines int) *clusterFixture {
-	f := &clusterFixture{t: t, store: objectstore.New()}
+	return startClusterFixture(&clusterFixture{t: t, store: objectstore.New()}, gateways, engines)
+}
+
+func startClusterFixture(f *clusterFixture, gateways, engines int) *clusterFixture {
+	t := f.t
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.CloseClientConnections)
 	f.client = platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
@@ -100,7 +106,7 @@
 	f.mu.Lock()
 	f.starts++
 	r := runner.New("i-"+strconv.Itoa(f.starts), "decode")
-	r.Events, r.EventInterval = 3, 20*time.Millisecond
+	r.Events, r.EventInterval, r.FatalEnd = 3, 20*time.Millisecond, f.fatalEnd
 	f.engines = append(f.engines, r)
 	f.mu.Unlock()
 	server := &http.Server{Handler: r}
@@ -234,7 +240,18 @@
 // Guards against a query of death that crashes one engine after the other: its caller
 // retries at any gateway with new request IDs.
 func TestRequestThatEndsEnginesIsNotSentOn(t *testing.T) {
-	f := newClusterFixture(t, 2, 8)
+	newClusterFixture(t, 2, 8).expectFatalRequestNotSentOn()
+}
+
+// Guards against a query of death that is not recognized because the crash looks like the
+// end of a complete answer.
+func TestRequestThatEndsEnginesWithinUnframedAnswersIsNotSentOn(t *testing.T) {
+	f := &clusterFixture{t: t, store: objectstore.New(), fatalEnd: runner.WithinEvent}
+	startClusterFixture(f, 2, 8).expectFatalRequestNotSentOn()
+}
+
+// expectFatalRequestNotSentOn sends the fatal request again and again.
+func (f *clusterFixture) expectFatalRequestNotSentOn() {
 	n := 0
 	attempt := func() {
 		f.send(f.gateways[n%2], fmt.Sprintf("r%d", n), fatal)
@@ -248,7 +265,7 @@
 		attempt()
 	}
 	if late := f.crashesAfter(f.thirdCrash().Add(agreementTime)); late > maxLateCrashes {
-		t.Errorf("%d crashes after the third one, want at most %d; %d crashes in all", late, maxLateCrashes, f.crashesAfter(time.Time{}))
+		f.t.Errorf("%d crashes after the third one, want at most %d; %d crashes in all", late, maxLateCrashes, f.crashesAfter(time.Time{}))
 	}
 }
 
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,25 +1,22 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 
 	"github.com/rotisserie/eris"
+
+	"pistachioroad.dev/pistachioroad/internal/eventstream"
 )
 
 // maxEventBytes limits how much of an incomplete event is buffered.
 const maxEventBytes = 64 << 10
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
 // eventReader returns complete events only and tracks the ID of the last one. A
 // stream that is interrupted within an event can then be resumed at another engine,
 // because the caller has received all events up to an ID and no part of the next.
 type eventReader struct {
-	source io.Reader
+	source  io.Reader
+	scanner eventstream.Scanner
 	// buffered is data that was read and not yet returned. The first ready bytes of
 	// it are complete events.
 	buffered []byte
@@ -47,13 +44,11 @@
 func (r *eventReader) fill(size int) {
 	chunk := make([]byte, size)
 	n, err := r.source.Read(chunk)
-	// The buffered data contains no end of an event and is not searched again. For a
-	// long event that arrives byte by byte, that would take seconds of CPU time.
-	from := max(0, len(r.buffered)-len(eventEnd)+1)
+	before := len(r.buffered)
 	r.buffered = append(r.buffered, chunk[:n]...)
 	r.err = err
-	if end := bytes.LastIndex(r.buffered[from:], eventEnd); end >= 0 {
-		r.ready = from + end + len(eventEnd)
+	if outside := r.scanner.Scan(chunk[:n]); outside > 0 {
+		r.ready = before + outside
 		r.updateLastID(r.buffered[:r.ready])
 	}
 	switch {
@@ -67,9 +62,7 @@
 
 // updateLastID sets lastID to the last ID field in complete events.
 func (r *eventReader) updateLastID(events []byte) {
-	for line := range bytes.Lines(events) {
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			r.lastID = string(bytes.TrimSpace(rest))
-		}
+	if id := eventstream.LastID(events); id != "" {
+		r.lastID = id
 	}
 }
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"testing"
+
+	"pistachioroad.dev/pistachioroad/internal/eventstream"
 )
 
 var errCut = errors.New("connection cut")
@@ -32,6 +34,7 @@
 func FuzzEventReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"), uint8(3), true)
 	f.Add([]byte("\n\n\n"), uint8(1), false)
+	f.Add([]byte("id: 1\r\n\r\nid: 2\r\rid: 3\r\n: x\r\n\r\nda"), uint8(2), true)
 	f.Fuzz(func(t *testing.T, stream []byte, piece uint8, cut bool) {
 		end := io.EOF
 		if cut {
@@ -46,7 +49,9 @@
 		if !cut && err == nil && len(got) != len(stream) {
 			t.Fatalf("completed after %d of %d bytes", len(got), len(stream))
 		}
-		if err != nil && len(got) > 0 && !bytes.HasSuffix(got, eventEnd) {
+		var scanner eventstream.Scanner
+		scanner.Scan(got)
+		if err != nil && (scanner.Within() || len(got) > 0 && !bytes.ContainsRune([]byte("\r\n"), rune(got[len(got)-1]))) {
 			t.Fatalf("interrupted within an event: %q", got)
 		}
 	})
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -15,6 +14,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
+	"pistachioroad.dev/pistachioroad/internal/eventstream"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
@@ -316,13 +316,10 @@
 	return failed
 }
 
-// eventStreamType is the content type of server-sent events.
-const eventStreamType = "text/event-stream"
-
 // continuesStream reports whether a response can be the rest of a stream. Anything
 // else after the first events would reach the caller as part of the stream.
 func continuesStream(reply *direct.Reply) bool {
-	return reply.Status == http.StatusOK && strings.HasPrefix(reply.Header.Get("Content-Type"), eventStreamType)
+	return reply.Status == http.StatusOK && eventstream.IsContentType(reply.Header.Get("Content-Type"))
 }
 
 // copyStream forwards the events of one engine. It returns an error only if the
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -69,6 +69,9 @@
 	// started to run; Crash is called then. Both are set before it serves.
 	FatalBody string
 	Crash     func()
+	// FatalEnd is how the answer to such a request ends. Unless it is Framed, the answer
+	// begins before the crash.
+	FatalEnd StreamEnd
 	// PhaseChanged, if it is set before the server serves, is called after an order has
 	// changed the phase.
 	PhaseChanged func()
@@ -322,6 +325,11 @@
 	s.mu.Unlock()
 	if s.FatalBody != "" && run.Body == s.FatalBody {
 		time.Sleep(s.EventInterval)
+		if s.FatalEnd != Framed {
+			w.Header().Set("Response-Seal", Seal(id))
+			w.Header().Set("Content-Type", "text/event-stream")
+			s.streamUnframed(w, run, s.FatalEnd)
+		}
 		s.Crash()
 		panic(http.ErrAbortHandler)
 	}
