A prefill whose answer is cut counts as a broken connection

Callers saw nothing of it: the request is prefilled elsewhere. But a prefill engine that crashed in the middle of its answer was neither avoided nor watched for its end, and an unframed answer that is cut looks complete until it is parsed, so that a query of death that ends prefill engines was not counted. Same cause as the stream that ends within an event, other place. The new test fails on the code before (broken false where an answer is cut).

--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
+	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +15,8 @@
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
+	"pistachioroad.dev/pistachioroad/internal/direct"
+	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
@@ -77,3 +83,40 @@
 		t.Errorf("counted %d times", counted)
 	}
 }
+
+// prefillCodec decodes the answers to prefills only.
+type prefillCodec struct{ Codec }
+
+func (prefillCodec) ParsePrefilled(body []byte) (request.PrefillResult, error) {
+	var p struct {
+		Handle string `json:"kvHandle"`
+	}
+	err := json.Unmarshal(body, &p)
+	return request.PrefillResult{Handle: p.Handle}, err
+}
+
+// Guards against a crash of a prefill engine that goes unnoticed because the cut answer,
+// which has neither length nor chunks, ends like a complete one.
+func TestCutAnswerToAPrefillCountsAsABrokenConnection(t *testing.T) {
+	const whole = `{"kvHandle":"h1","tokens":1}`
+	for _, test := range []struct {
+		body     string
+		unframed bool
+		handle   string
+		broken   bool
+	}{
+		{body: whole, unframed: true, handle: "h1"},
+		{body: whole[:len(whole)-1], unframed: true, broken: true},
+		{body: "", unframed: true, broken: true},
+		{body: whole[:len(whole)-1]},
+	} {
+		g := New(Config{Codec: prefillCodec{}, Directory: directory.New(nil, nil, directory.Kinds{})})
+		c := &call{gateway: g, ctx: context.Background(), service: routes.Service{Name: "llm"}}
+		reply := &direct.Reply{Unframed: test.unframed, Body: io.NopCloser(strings.NewReader(test.body))}
+		reply.Status = http.StatusOK
+		handle, failed := c.endPrefill(c.ctx, backend.Server{ID: "s"}, reply, nil)
+		if handle != test.handle || (failed == nil) != (handle != "") || c.trace.connectionBroken != test.broken {
+			t.Errorf("%q, unframed %v: handle %q, error %v, broken %v", test.body, test.unframed, handle, failed, c.trace.connectionBroken)
+		}
+	}
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -215,17 +215,12 @@
 func (c *call) endPrefill(ctx context.Context, prefillEngine backend.Server, reply *direct.Reply, err error) (string, *verdict.Error) {
 	g := c.gateway
 	if err != nil {
-		hedgeLost := ctx.Err() != nil && c.ctx.Err() == nil
-		if !hedgeLost {
-			g.engines.avoid(c.service.Name, prefillEngine.ID, failureAvoidTime)
-		}
-		if verdict.Of(err).Verdict != verdict.NotRun && !hedgeLost {
-			c.reportBrokenConnection(prefillEngine)
-		}
+		c.avoidBroken(ctx, prefillEngine, verdict.Of(err).Verdict)
 		return "", c.prefillFailed(prefillEngine, err.Error())
 	}
 	body, err := reply.ReadAll(maxPrefillResponse)
 	if err != nil {
+		c.avoidBroken(ctx, prefillEngine, verdict.MayHaveRun)
 		return "", c.prefillFailed(prefillEngine, "answer broke off: "+err.Error())
 	}
 	if reply.Status != http.StatusOK {
@@ -234,11 +229,27 @@
 	}
 	p, err := g.codec.ParsePrefilled(body)
 	if err != nil {
+		if reply.Unframed {
+			c.avoidBroken(ctx, prefillEngine, verdict.MayHaveRun)
+		}
 		return "", c.prefillFailed(prefillEngine, err.Error())
 	}
 	return p.Handle, nil
 }
 
+// avoidBroken avoids an engine to which the connection of a prefill broke, unless a hedge
+// has canceled it. If the engine may have begun the prefill, that is reported.
+func (c *call) avoidBroken(ctx context.Context, prefillEngine backend.Server, v verdict.Verdict) {
+	hedgeLost := ctx.Err() != nil && c.ctx.Err() == nil
+	if hedgeLost {
+		return
+	}
+	c.gateway.engines.avoid(c.service.Name, prefillEngine.ID, failureAvoidTime)
+	if v != verdict.NotRun {
+		c.reportBrokenConnection(prefillEngine)
+	}
+}
+
 func (c *call) prefillFailed(prefillEngine backend.Server, why string) *verdict.Error {
 	c.recordFailure(prefillEngine, verdict.NotRun)
 	return verdict.NewRejection(verdict.CodeOverloaded, "prefill at "+prefillEngine.ID+": "+why, minRetryAfter)
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -357,7 +357,12 @@
 	s.lastHandle++
 	handle := fmt.Sprintf("h%d", s.lastHandle)
 	s.handles[handle] = true
-	_ = json.NewEncoder(w).Encode(map[string]any{"kvHandle": handle, "tokens": 1, "version": 1})
+	answer := fmt.Sprintf(`{"kvHandle":%q,"tokens":1,"version":1}`, handle)
+	if s.streamEnd == WithinEvent {
+		writeUnframed(w, answer[:len(answer)/2], false)
+		return
+	}
+	_, _ = io.WriteString(w, answer)
 }
 
 // kvSources are the servers of this process by address, for KV transfers.
--- a/test/standin/runner/unframed.go
+++ b/test/standin/runner/unframed.go
@@ -1,8 +1,6 @@
 package runner
 
 import (
-	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -44,21 +42,8 @@
 
 // streamUnframed writes a stream that ends with its connection.
 func (s *BackendServer) streamUnframed(w http.ResponseWriter, run Run, end StreamEnd) {
-	c, out, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer c.Close()
-	if writeUnframed(out, w.Header(), s.unframedEvents(run, end)) != nil {
-		return
-	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	if end == ResetWithinEvent || end == ResetAfterLastEvent {
-		_ = tcp.SetLinger(0)
-	}
+	reset := end == ResetWithinEvent || end == ResetAfterLastEvent
+	writeUnframed(w, s.unframedEvents(run, end), reset)
 }
 
 // unframedEvents returns the part of a stream that precedes its end.
@@ -79,15 +64,18 @@
 	return text
 }
 
-func writeUnframed(out *bufio.ReadWriter, header http.Header, body string) error {
-	if _, err := fmt.Fprint(out, "HTTP/1.1 200 OK\r\n"); err != nil {
-		return err
-	}
-	if err := header.Write(out); err != nil {
-		return err
+// writeUnframed writes a response with neither length nor chunks and ends its connection.
+func writeUnframed(w http.ResponseWriter, body string, reset bool) {
+	c, out, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
 	}
-	if _, err := io.WriteString(out, "\r\n"+body); err != nil {
-		return err
+	defer c.Close()
+	_, _ = io.WriteString(out, "HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(out)
+	_, _ = io.WriteString(out, "\r\n"+body)
+	_ = out.Flush()
+	if tcp, ok := c.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(0)
 	}
-	return out.Flush()
 }
