An interrupted answer to HTTP/1.0 ends with a reset

Callers saw, or could have: a caller of HTTP/1.0 gets a stream that ends with its connection, since there are no chunks; the gateway and the entry break such an answer off by an orderly close, which is how a complete one ends. Same class as the unframed answers of engines, on our own side.

Fix: while an answer to HTTP/1.0 is written, closing its connection resets it, also when the process is killed; after a complete answer that is undone (internal/closeframed). The connections of netutil.LimitListener hide SetLinger, so internal/limitlistener replaces it.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -9,8 +9,8 @@
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
 
+	"pistachioroad.dev/pistachioroad/internal/closeframed"
 	"pistachioroad.dev/pistachioroad/internal/entry/api"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 )
@@ -24,10 +24,11 @@
 
 func newCallerServer(listener net.Listener, s *settings.Entry, a *api.API) *callerServer {
 	return &callerServer{
-		listener: netutil.LimitListener(listener, s.Limits.Connections),
+		listener: listener,
 		api:      a,
 		server: &http.Server{
-			Handler:           a.Handler(),
+			Handler:           closeframed.Handler(a.Handler()),
+			ConnContext:       closeframed.ConnContext,
 			ReadHeaderTimeout: s.Limits.HeaderTimeout,
 			IdleTimeout:       s.Limits.IdleTimeout,
 			MaxHeaderBytes:    s.Limits.HeaderBytes,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"pistachioroad.dev/pistachioroad/internal/entry/router"
 	"pistachioroad.dev/pistachioroad/internal/entry/serve"
 	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/internal/limitlistener"
 	"pistachioroad.dev/pistachioroad/internal/member"
 	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/internal/planner"
@@ -154,7 +155,7 @@
 
 func listenForCallers(i do.Injector) (*callerServer, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	listener, err := net.Listen("tcp", s.Listen.Callers)
+	listener, err := limitlistener.Listen(s.Listen.Callers, s.Entry.Limits.Connections)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 )
 
 // callerConn is a caller's connection. Between requests it can be closed without
@@ -132,6 +133,16 @@
 // interruptDeadline is a read deadline in the past.
 var interruptDeadline = time.Unix(1, 0)
 
+// SetLinger sets what happens to unsent data when the connection is closed, as for a
+// net.TCPConn. It returns an error if the connection is of another type.
+func (c *callerConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return eris.Errorf("a connection of type %T has no linger time", c.Conn)
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.conns.remove(c)
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -10,10 +10,14 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"pistachioroad.dev/pistachioroad/internal/limitlistener"
 )
 
 const callerRequest = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
@@ -485,3 +489,32 @@
 		t.Error("still there")
 	}
 }
+
+// Guards against an interrupted answer that looks complete to a caller of HTTP/1.0, whose
+// answer ends with its connection.
+func TestInterruptedAnswerToHTTP10EndsWithAReset(t *testing.T) {
+	l, err := limitlistener.Listen("127.0.0.1:0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c := &call{writer: &callerWriter{ResponseWriter: w, stopping: &atomic.Bool{}}}
+		source := iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("id: 1\n\n")))
+		if err := c.copyBody(source); err != nil {
+			c.abort(err.Error())
+		}
+	}))
+	go func() { _ = server.Serve(newCallerConns().listen(l)) }()
+	t.Cleanup(func() { server.Close() })
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "GET / HTTP/1.0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if data, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%q, error %v, want a reset", data, err)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,7 +8,9 @@
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
+
+	"pistachioroad.dev/pistachioroad/internal/closeframed"
+	"pistachioroad.dev/pistachioroad/internal/limitlistener"
 )
 
 const (
@@ -40,11 +42,10 @@
 // for requests in flight to finish.
 func (g *Gateway) Serve(ctx context.Context) error {
 	d := g.deployment.Load()
-	listener, err := net.Listen("tcp4", d.CallerAddress)
+	listener, err := limitlistener.Listen(d.CallerAddress, max(1, d.MaxFileDescriptors-reservedDescriptors))
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	listener = netutil.LimitListener(listener, max(1, d.MaxFileDescriptors-reservedDescriptors))
 	conns := newCallerConns()
 	server := newCallerServer(g)
 	serveErr := make(chan error, 1)
@@ -69,10 +70,11 @@
 // newCallerServer returns a server for the connections of a callerConns.
 func newCallerServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           h,
+		Handler:           closeframed.Handler(h),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         connStateChanged,
+		ConnContext:       closeframed.ConnContext,
 	}
 }
 
