Log lines have the software versions of servers and what a caller resumes

The line of a request now has versions, in the order of the engines that sent events, and resumes; a change of a server's object has its version.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -21,6 +21,9 @@
 	// server's own clock, or 0 if unknown.
 	Incarnation int64
 	Service     string
+	// Version is the version of the server's software, empty if it states none. It is the
+	// same for all of an instance's life.
+	Version string
 	// Address is the server's IP:PORT.
 	Address    string
 	DataCentre string
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -189,7 +189,7 @@
 	}
 	s, there := d.state.view.Servers[e.Object.Name]
 	log.WithFields(log.Fields{
-		"server": e.Object.Name, "there": there, "draining": s.Draining, "role": string(s.Role),
+		"server": e.Object.Name, "there": there, "version": s.Version, "draining": s.Draining, "role": string(s.Role),
 		"address": s.Address, "revision": e.Object.Revision,
 	}).Info("backend server changed")
 	d.publishCoalesced(now)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -306,6 +306,7 @@
 	c.sampler = &streamSampler{
 		Reader: body,
 		onFirst: func() {
+			c.trace.versions = append(c.trace.versions, decodeEngine.Version)
 			c.countRun(time.Now())
 			engines.firstToken(c.service.Name, id)
 		},
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -25,10 +25,13 @@
 
 // trace collects data for the log line and the metrics of a request.
 type trace struct {
-	status    int
-	code      verdict.Code
-	message   string
-	server    string
+	status  int
+	code    verdict.Code
+	message string
+	server  string
+	// versions are the software versions of the engines whose events were forwarded, in
+	// order.
+	versions  []string
 	firstByte time.Duration
 	// plan is the last plan for the prompt, prefill how long its prefill took.
 	plan    place.Plan
@@ -189,7 +192,10 @@
 			fields["admitted_by_size"] = true
 		}
 		if c.request.LastEventID != "" {
-			fields["resumed_after"] = c.request.LastEventID
+			fields["resumed_after"], fields["resumes"] = c.request.LastEventID, c.request.Resumes
+		}
+		if len(c.trace.versions) > 0 {
+			fields["versions"] = strings.Join(c.trace.versions, " ")
 		}
 	}
 	if c.trace.connectionBroken {
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -62,6 +62,8 @@
 	ID string
 	// Phase is the role of a model engine, or empty for a plain service.
 	Phase string
+	// Version is the version of its software.
+	Version string
 	// Events is the number of events of a stream, EventInterval the pause between them.
 	Events        int
 	EventInterval time.Duration
@@ -106,7 +108,7 @@
 
 // New returns a server without faults.
 func New(id, phase string) *BackendServer {
-	return &BackendServer{ID: id, Phase: phase, Events: 3, handles: make(map[string]bool), startedAtMS: time.Now().UnixMilli()}
+	return &BackendServer{ID: id, Phase: phase, Version: "v1", Events: 3, handles: make(map[string]bool), startedAtMS: time.Now().UnixMilli()}
 }
 
 // Restart clears the state that a real server loses when it is restarted under
@@ -212,7 +214,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object := map[string]any{
-		"serviceName": service, "address": address, "zone": zone, "version": "v1", "capacity": 6,
+		"serviceName": service, "address": address, "zone": zone, "version": s.Version, "capacity": 6,
 		"state": state, "coldLeftMs": 0, "sequence": s.orderSequence, "born": s.startedAtMS,
 	}
 	if s.Phase != "" {
