Failing tests: streams go on at another software version than the one that began them

Callers saw: answers with events from two software versions (ORDER), within one answer and over their own requests.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -42,6 +42,8 @@
 	gateways []*testGateway
 	// fatalEnd is how the answer to a fatal request ends at a crash.
 	fatalEnd runner.StreamEnd
+	// version is the software version of the engines that start from now on, v1 if empty.
+	version string
 
 	mu sync.Mutex
 	// crashes holds the times of engine crashes, starts counts engine starts.
@@ -56,6 +58,8 @@
 	dir   *directory.Directory
 	peers *peers.Peers
 	url   string
+	// kill ends the gateway and its connections.
+	kill func()
 }
 
 func newClusterFixture(t *testing.T, gateways, engines int) *clusterFixture {
@@ -107,6 +111,9 @@
 	f.starts++
 	r := runner.New("i-"+strconv.Itoa(f.starts), "decode")
 	r.Events, r.EventInterval, r.FatalEnd = 3, 20*time.Millisecond, f.fatalEnd
+	if f.version != "" {
+		r.Version = f.version
+	}
 	f.engines = append(f.engines, r)
 	f.mu.Unlock()
 	server := &http.Server{Handler: r}
@@ -160,6 +167,11 @@
 	server := httptest.NewServer(g.Gateway)
 	f.t.Cleanup(server.CloseClientConnections)
 	g.url = server.URL
+	g.kill = func() {
+		stop()
+		server.CloseClientConnections()
+		server.Listener.Close()
+	}
 	return g
 }
 
