Within an answer, a stream goes on only at the software version that began it

Callers saw: answers with events from two software versions (ORDER); in the operators' record, a stream begun at v1 was resumed by its gateway at v1.2.

Cause: the gateway knew no versions. The class: a stream's state was taken to be its events alone.

Fix: the version of the engine whose first event is forwarded becomes a constraint of the call (internal/decide/streamversion). It is part of the job that is placed, so that resuming, hedges beside a silent engine, another decoder for the same KV cache and suspected requests all have it, and it is checked once more before each send. Engines that only prefill are not constrained. Before the first event any version will do. If no engine of the version is left, the error says so.

--- a/internal/decide/place/decode_engine.go
+++ b/internal/decide/place/decode_engine.go
@@ -30,7 +30,7 @@
 	candidates := make(decodeCandidates)
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
-		if e.Role == backend.Prefill || !e.eligible(now, j, s) {
+		if e.Role == backend.Prefill || !e.eligible(now, j, s) || !e.fits(j) {
 			continue
 		}
 		d := decodeCandidate{engine: e, handoverTime: f.handoverTime(now, e)}
--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -7,6 +7,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 )
 
@@ -15,6 +16,7 @@
 	ID         string
 	DataCentre string
 	Role       backend.Role
+	Version    streamversion.Version
 	// KVTokens is the capacity of its KV cache.
 	KVTokens int
 	// Slots is how many requests it runs concurrently.
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -15,6 +15,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
 
@@ -68,6 +69,9 @@
 	// Suspect is set if an engine terminated while it ran the request: the next one may
 	// too, with all requests that run there.
 	Suspect bool
+	// Version limits the engines that may generate the answer, or the rest of it. Any
+	// engine may prefill the prompt.
+	Version streamversion.Constraint
 }
 
 // Plan is the choice of engines for a request, with its expected latency and cost.
@@ -226,7 +230,7 @@
 	candidates := f.decodeCandidates(now, j, c, s)
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
-		if !e.eligible(now, j, s) {
+		if !e.eligible(now, j, s) || !e.fits(j) {
 			continue
 		}
 		p, ok := f.planPrefillOn(now, j, c, e, candidates)
@@ -251,6 +255,12 @@
 	return j.Exclude == nil || !j.Exclude(e.ID)
 }
 
+// fits reports whether the engine's software version allows what it would do for the
+// job: prefill engines do not generate the answer.
+func (e *engine) fits(j Job) bool {
+	return e.Role == backend.Prefill || j.Version.Allows(e.Version)
+}
+
 // planPrefillOn returns the plan in which prefillEngine prefills the prompt; false if
 // no engine can generate the answer.
 func (f *Fleet) planPrefillOn(now time.Time, j Job, c Constraints, prefillEngine *engine, candidates decodeCandidates) (Plan, bool) {
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -10,6 +10,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
 
@@ -745,3 +746,43 @@
 		Expect(p.DecodeEngine).To(Equal("e1"))
 	})
 })
+
+var _ = Describe("software versions", func() {
+	engine := func(id string, role backend.Role, software string) place.Engine {
+		return place.Engine{
+			ID: id, DataCentre: "z", Role: role, KVTokens: 100_000, Slots: 8,
+			Version: streamversion.Of(backend.Server{Service: "llm", Version: software}),
+		}
+	}
+	job := func(software string) place.Job {
+		j := place.Job{ID: 1, DataCentre: "z", Prompt: request.Prompt{Tokens: 1000}}
+		if software != "" {
+			j.Version = streamversion.Only(streamversion.Of(backend.Server{Service: "llm", Version: software}))
+		}
+		return j
+	}
+
+	// Guards against streams that go on at another version, and against a constraint for
+	// engines that only prefill.
+	DescribeTable("limit the engine that generates the answer",
+		func(software string, engines []place.Engine, want string) {
+			f := place.NewFleet()
+			f.SetEngines(engines)
+			p, _, ok := f.Plan(at(0), job(software), unhurried)
+			Expect(ok).To(Equal(want != ""))
+			if !ok {
+				return
+			}
+			Expect(p.DecodeEngine).To(Equal(want))
+			other, found := f.AlternateDecodeEngine(at(0), job(software), unhurried, p)
+			Expect(found).To(BeTrue())
+			Expect(other.DecodeEngine).To(Equal(want))
+		},
+		Entry("decode engines", "v2", []place.Engine{engine("a", backend.Decode, "v1"), engine("b", backend.Decode, "v2")}, "b"),
+		Entry("engines without roles", "v2", []place.Engine{engine("a", backend.NoRole, "v1"), engine("b", backend.NoRole, "v2")}, "b"),
+		Entry("a prefill engine of another version", "v2", []place.Engine{engine("p", backend.Prefill, "v1"), engine("a", backend.Decode, "v1"), engine("b", backend.Decode, "v2")}, "b"),
+		Entry("a prefill engine of the version, no other", "v2", []place.Engine{engine("p", backend.Prefill, "v2"), engine("a", backend.Decode, "v1")}, ""),
+		Entry("no engine of the version", "v3", []place.Engine{engine("a", backend.Decode, "v1"), engine("b", backend.Decode, "v2")}, ""),
+		Entry("a new stream", "", []place.Engine{engine("a", backend.Decode, "v1")}, "a"),
+	)
+})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,6 +56,9 @@
 	if e := c.checkBeforeSend(server); e != nil {
 		return e
 	}
+	if e := c.checkVersion(server); e != nil {
+		return e
+	}
 	if c.attempts > 0 && !c.takeReserved(&c.reserved.send) {
 		return c.retryBudgetError()
 	}
--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -13,6 +13,7 @@
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -81,9 +82,9 @@
 }
 
 // withheld reports whether an error is from a request that was not sent because of what
-// the server states.
+// the server states, or of its software version.
 func withheld(e *verdict.Error) bool {
-	return e.Code == verdict.CodeServerLeaving || e.Code == verdict.CodeServerRest
+	return e.Code == verdict.CodeServerLeaving || e.Code == verdict.CodeServerRest || e.Code == verdict.CodeVersionUnavailable
 }
 
 // noServerError returns the error of a request for which no server is eligible. last is
@@ -109,10 +110,10 @@
 	return verdict.NewRejection(codeOf(first.Reason), message, min(wait, max(minRetryAfter, place.MaxRetryAfter(c.remaining()))))
 }
 
-// answeringServers returns the servers that could answer requests of the service.
+// answeringServers returns the servers of the service that could answer the request.
 func (c *call) answeringServers() []backend.Server {
 	return lo.Filter(c.gateway.directory.View().Service(c.service.Name), func(s backend.Server, _ int) bool {
-		return s.Role != backend.Prefill
+		return s.Role != backend.Prefill && c.streamVersion.Allows(streamversion.Of(s))
 	})
 }
 
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -12,6 +12,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
 	"pistachioroad.dev/pistachioroad/internal/decide/roles"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 )
@@ -103,7 +104,7 @@
 		for _, s := range v.Service(name) {
 			e.byHash[place.EngineHash(s.ID)] = engineKey{service: name, id: s.ID}
 			list = append(list, place.Engine{
-				ID: s.ID, DataCentre: s.DataCentre, Role: s.Role,
+				ID: s.ID, DataCentre: s.DataCentre, Role: s.Role, Version: streamversion.Of(s),
 				KVTokens: service.Engine.KVTokens, Slots: service.Engine.Slots, Incarnation: s.Incarnation,
 			})
 		}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -23,7 +23,9 @@
 	ready    int
 	// lastID is the ID of the last complete event, empty before the first.
 	lastID string
-	err    error
+	// onFirst is called once the first event is complete, before it is returned.
+	onFirst func()
+	err     error
 }
 
 // Read implements io.Reader.
@@ -44,13 +46,16 @@
 func (r *eventReader) fill(size int) {
 	chunk := make([]byte, size)
 	n, err := r.source.Read(chunk)
-	before := len(r.buffered)
+	before, events := len(r.buffered), r.scanner.Events()
 	r.buffered = append(r.buffered, chunk[:n]...)
 	r.err = err
 	if outside := r.scanner.Scan(chunk[:n]); outside > 0 {
 		r.ready = before + outside
 		r.updateLastID(r.buffered[:r.ready])
 	}
+	if events == 0 && r.scanner.Events() > 0 && r.onFirst != nil {
+		r.onFirst()
+	}
 	switch {
 	case err == io.EOF:
 		// The response is complete, and so is the rest of the data.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -15,6 +15,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/routes"
@@ -125,6 +126,9 @@
 	// the ID of the last stream event sent to the caller.
 	headSent    bool
 	lastEventID string
+	// streamVersion is the software version that began the stream, once its first event
+	// has been forwarded.
+	streamVersion streamversion.Constraint
 	// stream reads the answer that is being forwarded, and sampler counts its events.
 	stream  *eventReader
 	sampler *streamSampler
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -36,7 +36,7 @@
 		job := c.placeJob()
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.constraints(now))
 		if !ok {
-			last = c.noServerError("no engine", last)
+			last = c.noEngineError(last)
 			break
 		}
 		c.trace.plan, c.trace.plannedAfter = plan, now.Sub(c.received)
@@ -68,6 +68,7 @@
 		DataCentre: c.gateway.deployment.Load().DataCentre,
 		Exclude:    c.excluded,
 		Suspect:    c.quarantineStatus.Suspected(),
+		Version:    c.streamVersion,
 	}
 	job.Prompt.DeliveredEvents += c.events()
 	return job
@@ -344,7 +345,7 @@
 		}
 		return nil
 	}
-	c.stream = &eventReader{source: source, lastID: c.lastEventID}
+	c.stream = &eventReader{source: source, lastID: c.lastEventID, onFirst: func() { c.fixStreamVersion(decodeEngine) }}
 	err := c.copyBody(c.stream)
 	c.lastEventID = c.stream.lastID
 	c.stream = nil
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -75,7 +75,10 @@
 	CodeServerLimit      Code = "server_limit"
 	CodeServerRest       Code = "server_rest"
 	CodeServerLeaving    Code = "server_leaving"
-	CodeInternal         Code = "internal"
+	// CodeVersionUnavailable means that no engine of the software version that began a
+	// stream can go on with it.
+	CodeVersionUnavailable Code = "version_unavailable"
+	CodeInternal           Code = "internal"
 )
 
 // Error is an error of the request path.
