A stream that a caller takes up goes on only at the software version that began it

Callers saw: streams that held events from two versions over their own requests (ORDER): the gateway that takes up is often not the one that began the stream, which may be gone.

Cause: Resumes was not read, and no gateway knew where another one's streams had begun.

Fix: with a stream's first event, before it is forwarded, its gateway records the version and sends it to two gateways chosen by the hash of the stream's ID. One that takes a stream up without a record asks the first four for it (4 times, 25 ms each; a lost datagram or a killed gateway costs one interval). Records live for 30 to 60 s. If nobody has a record, the stream goes on only if no other version can have begun it: one version has served for the longest life of a stream, by this gateway's own history or that of one of those asked, and by a list of servers that the store confirmed after the request came. Otherwise 503, not run, at once. If no server of the version is left: 503 at once, and the error says so. Counters and log fields tell the share of new and taken-up streams that get events, the source of each version and the reasons of rejections.

TestGateway 'trains the length estimate' now names the stream that it resumes: a process that has just started cannot know the version of one that names nothing.

--- /dev/null
+++ b/internal/decide/streamversion/records_test.go
@@ -0,0 +1,97 @@
+package streamversion_test
+
+import (
+	"testing"
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
+)
+
+func at(seconds int) time.Time { return time.Unix(1_000_000+int64(seconds), 0) }
+
+const life = int(streamversion.MaxStreamLife / time.Second)
+
+func TestRecordsKeepStreamsForTheirLongestLife(t *testing.T) {
+	r := streamversion.NewRecords()
+	v1, v2 := version("llm", "v1"), version("llm", "v2")
+	if !r.Add(at(0), 1, v1) || r.Add(at(1), 1, v2) || !r.Add(at(1), 1, v1) {
+		t.Error("the first record of a stream does not stay")
+	}
+	for second := 1; second <= life; second++ {
+		r.Add(at(second), streamversion.StreamID(1000+second), v2)
+		if v, ok := r.Lookup(1); !ok || v != v1 {
+			t.Fatalf("after %d s: %v, %v", second, v, ok)
+		}
+	}
+	r.Add(at(2*life), 2, v2)
+	r.Add(at(3*life), 3, v2)
+	if _, ok := r.Lookup(1); ok || r.Len() != 2 {
+		t.Errorf("a stream is kept for three times its life, %d records", r.Len())
+	}
+}
+
+// Guards against a record that is forgotten in the middle of a stream that is taken up again
+// and again.
+func TestRecordsKeepAStreamThatIsAddedAgain(t *testing.T) {
+	r := streamversion.NewRecords()
+	v1 := version("llm", "v1")
+	for second := 0; second < 5*life; second += life - 1 {
+		r.Add(at(second), 1, v1)
+	}
+	if _, ok := r.Lookup(1); !ok {
+		t.Error("forgotten")
+	}
+}
+
+func TestRecordsAreBounded(t *testing.T) {
+	r := streamversion.NewRecords()
+	for id := range 300_000 {
+		r.Add(at(0), streamversion.StreamID(id), version("llm", "v1"))
+	}
+	if r.Len() > 1<<17 {
+		t.Errorf("%d records", r.Len())
+	}
+	if _, ok := r.Lookup(299_999); !ok {
+		t.Error("the newest stream is forgotten")
+	}
+}
+
+// Guards against the conclusion that only one version can have begun a stream while another
+// one serves, or did within the life of a stream.
+func TestHistoryNamesAVersionOnlyIfNoOtherCanHaveBegunAStream(t *testing.T) {
+	v1, v2, other := version("llm", "v1"), version("llm", "v2"), version("desk", "v7")
+	type observation struct {
+		second   int
+		versions []streamversion.Version
+	}
+	type versions = []streamversion.Version
+	for _, test := range []struct {
+		name       string
+		firstStart bool
+		observed   []observation
+		second     int
+		want       streamversion.Version
+		ok         bool
+	}{
+		{"nothing observed", true, nil, 0, v1, false},
+		{"first start", true, []observation{{0, versions{v1, other}}}, 0, v1, true},
+		{"restart", false, []observation{{0, versions{v1}}}, life, v1, false},
+		{"restart long ago", false, []observation{{0, versions{v1}}}, life + 1, v1, true},
+		{"two versions", true, []observation{{0, versions{v1}}, {1, versions{v1, v2}}}, 5, v1, false},
+		{"the other has just left", true, []observation{{0, versions{v1, v2}}, {10, versions{v2}}}, 10 + life, v1, false},
+		{"the other left long ago", true, []observation{{0, versions{v1, v2}}, {10, versions{v2}}}, 11 + life, v2, true},
+		{"the other has come back", true, []observation{{0, versions{v1, v2}}, {10, versions{v2}}, {20, versions{v1, v2}}}, 100, v2, false},
+		{"the only one has left", true, []observation{{0, versions{v1}}, {10, nil}}, 11, v1, true},
+		{"all left long ago", true, []observation{{0, versions{v1}}, {10, nil}}, 100, v1, false},
+		{"there all the time", true, []observation{{0, versions{v1}}, {1000, versions{v2}}}, 1001, v1, false},
+	} {
+		h := streamversion.NewHistory(test.firstStart)
+		for _, o := range test.observed {
+			h.Observe(at(o.second), o.versions)
+		}
+		got := h.Served(at(test.second), v1.Service, streamversion.MaxStreamLife)
+		if got.Certain() != test.ok || (test.ok && got.Version != test.want) {
+			t.Errorf("%s: %+v", test.name, got)
+		}
+	}
+}
--- a/internal/decide/streamversion/streamversion.go
+++ b/internal/decide/streamversion/streamversion.go
@@ -16,10 +16,11 @@
 
 // Of returns the version of a server.
 func Of(s backend.Server) Version {
-	return Version{Service: hash(s.Service), Software: hash(s.Version)}
+	return Version{Service: HashOf(s.Service), Software: HashOf(s.Version)}
 }
 
-func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+// HashOf returns the hash of the name of a service or of a software version.
+func HashOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 // Constraint limits the engines at which a stream may go on. The zero Constraint is that
 // of a stream without events, which any engine may begin.
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -22,6 +22,8 @@
 	ClientKeys int `json:"client_keys"`
 	// Usage is what this gateway has counted, absent if it counts nothing.
 	Usage *UsageDump `json:"usage,omitempty"`
+	// RecordedStreams is how many streams this gateway knows the software version of.
+	RecordedStreams int `json:"recorded_streams"`
 	// BodyBytes is the memory currently reserved for request bodies.
 	BodyBytes int64 `json:"body_bytes"`
 }
@@ -65,8 +67,10 @@
 		ConfigRevision: v.TableRevision,
 		ConfigAge:      age(now, v.TableConfirmedAt),
 		ServersAge:     age(now, v.ServersConfirmedAt),
-		Gateways:       g.gatewayCount(),
-		BodyBytes:      g.bodies.reserved.Load(),
+
+		RecordedStreams: g.streams.recorded(),
+		Gateways:        g.gatewayCount(),
+		BodyBytes:       g.bodies.reserved.Load(),
 	}
 	if v.Table != nil {
 		d.ConfigVersion = v.Table.Version
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -48,6 +48,11 @@
 	// JoinGroup returns this gateway's group among count groups. From then on
 	// placements and their ends are announced within the group only.
 	JoinGroup(count uint64) place.Group
+	// AnnounceStreamVersion announces to a few gateways, chosen by the stream's ID, which
+	// version began the stream. QueryStreamVersion asks those gateways for it, and for the
+	// versions that have served, and returns how many it has asked.
+	AnnounceStreamVersion(id streamversion.StreamID, v streamversion.Version)
+	QueryStreamVersion(q streamversion.Query) (asked int)
 }
 
 // noGossip is the Gossip of a gateway without peers.
@@ -67,6 +72,10 @@
 func (noGossip) GatewayCount() int                           { return 1 }
 func (noGossip) JoinGroup(uint64) place.Group                { return place.Group{} }
 
+func (noGossip) AnnounceStreamVersion(streamversion.StreamID, streamversion.Version) {}
+
+func (noGossip) QueryStreamVersion(streamversion.Query) int { return 0 }
+
 // engines tracks the load of all model engines, by service.
 type engines struct {
 	mu     sync.Mutex
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	engines      *engines
 	plain        *plainBalancer
 	terminations *terminations
+	streams      *streamVersions
 	statements   *serverStatements
 
 	mu sync.Mutex
@@ -82,6 +83,7 @@
 	g.engines.gossip = gossip
 	g.terminations.gossip = gossip
 	g.statements.gossip = gossip
+	g.streams.gossip = gossip
 }
 
 // New returns a Gateway.
@@ -95,6 +97,7 @@
 		plain:        newPlainBalancer(s),
 		terminations: newTerminations(),
 		statements:   s,
+		streams:      newStreamVersions(c.Deployment.Bootstrap),
 		retryBudgets: make(map[string]*retry.AttemptLimiter),
 	}
 	g.transport.OnResponse = g.statements.observe
@@ -126,6 +129,7 @@
 	g.engines.update(v)
 	g.plain.prune(v)
 	g.statements.update(v)
+	g.streams.update(time.Now(), v)
 	g.transport.CloseServers(func(id string) bool {
 		s, ok := v.Servers[id]
 		return !ok || s.Draining
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
@@ -265,7 +266,11 @@
 func (p *placementCounter) GatewaysKnown() bool                         { return true }
 func (p *placementCounter) RankFor(string, uint64) ratelimit.Rank       { return ratelimit.Rank{Total: 1} }
 func (p *placementCounter) MembershipVersion() uint64                   { return 0 }
-func (p *placementCounter) JoinGroup(uint64) place.Group                { return place.Group{} }
+func (p *placementCounter) AnnounceStreamVersion(streamversion.StreamID, streamversion.Version) {
+}
+
+func (p *placementCounter) QueryStreamVersion(streamversion.Query) int { return 0 }
+func (p *placementCounter) JoinGroup(uint64) place.Group               { return place.Group{} }
 
 var _ = Describe("a prompt", func() {
 	var (
@@ -342,9 +347,10 @@
 		engine.Events, engine.EventInterval = 10, 5*time.Millisecond
 		f.configure("1")
 		f.followUntilKnown(1)
+		prompt := []string{"Token-Count", "10,100", "Length-Hint", "10"}
+		Expect(f.send(http.MethodPost, "/stream-again/x", "begun", prompt...).status).To(Equal(http.StatusOK))
 		for n := range 40 {
-			got := f.send(http.MethodPost, "/stream-again/x", "r"+strconv.Itoa(n),
-				"Token-Count", "10,100", "Length-Hint", "10", "Last-Event-Id", "8")
+			got := f.send(http.MethodPost, "/stream-again/x", "r"+strconv.Itoa(n), append(prompt, "Last-Event-Id", "8", "Resumes", "begun")...)
 			Expect(got.status).To(Equal(http.StatusOK))
 		}
 		Expect(f.gateway.LearnedState()["llm"].AnswerLengths.LogEvents).To(BeNumerically("~", 0, 0.1))
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -30,6 +30,10 @@
 // each attempt.
 func (c *call) runModel() {
 	g := c.gateway
+	if rejection := c.resolveStreamVersion(); rejection != nil {
+		c.fail(rejection)
+		return
+	}
 	var last *verdict.Error
 	for first := true; first || c.mayRetry(); first = false {
 		now := time.Now()
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -31,8 +31,10 @@
 	server  string
 	// versions are the software versions of the engines whose events were forwarded, in
 	// order.
-	versions  []string
-	firstByte time.Duration
+	versions []string
+	// versionSource is how the version of a stream that is taken up became known.
+	versionSource versionSource
+	firstByte     time.Duration
 	// plan is the last plan for the prompt, prefill how long its prefill took.
 	plan    place.Plan
 	prefill time.Duration
@@ -191,9 +193,7 @@
 		if c.trace.bySize {
 			fields["admitted_by_size"] = true
 		}
-		if c.request.LastEventID != "" {
-			fields["resumed_after"], fields["resumes"] = c.request.LastEventID, c.request.Resumes
-		}
+		c.logStreamVersion(fields)
 		if len(c.trace.versions) > 0 {
 			fields["versions"] = strings.Join(c.trace.versions, " ")
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -32,6 +32,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/store"
@@ -72,6 +73,17 @@
 	RemoteServerLimit(from string, n ratelimit.Notice)
 	RemoteConfirmation(now time.Time, c directory.Confirmation)
 	RemoteServerChange(now time.Time, c directory.ServerChange)
+	// RemoteStreamVersion handles the version that began a stream.
+	RemoteStreamVersion(id streamversion.StreamID, v streamversion.Version)
+	// RemoteStreamUnknown handles that another gateway, which was asked, has no record of a
+	// stream, and what it knows of the service. from is the start ID of that gateway.
+	RemoteStreamUnknown(id streamversion.StreamID, from uint32, s streamversion.Served)
+	// RecordedStreamVersion returns the version that began a stream, false if there is no
+	// record of it here.
+	RecordedStreamVersion(id streamversion.StreamID) (streamversion.Version, bool)
+	// ServedVersions returns which versions of a service have served within the life of a
+	// stream.
+	ServedVersions(service uint32, life time.Duration) streamversion.Served
 }
 
 // Peers exchanges announcements with the other gateways.
@@ -98,7 +110,9 @@
 	groupMembers map[string]netip.AddrPort
 	// collectors are the other gateways of the first ranks.
 	collectors map[string]netip.AddrPort
-	outboxes   [audienceCount]outbox
+	// keepers ranks the gateways, including this one, that keep the version of a stream.
+	keepers  streamversion.Gateways
+	outboxes [audienceCount]outbox
 
 	sent, received, dropped, late metrics.Counter
 }
@@ -218,6 +232,7 @@
 	p.others = others
 	p.listed = true
 	p.rank = rankByHash(p.name, others)
+	p.keepers = streamversion.NewGateways(append(lo.Keys(others), p.name))
 	p.collectors = lo.PickByKeys(others, firstByHash(append(lo.Keys(others), p.name), report.Candidates))
 	p.updateGroupMembers()
 }
@@ -411,7 +426,7 @@
 	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
 	buf := make([]byte, 64<<10)
 	for {
-		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return eris.Wrap(err, "peers: receive")
 		}
@@ -422,6 +437,7 @@
 			continue
 		}
 		p.dispatch(&s)
+		p.answerStreamQueries(&s, from)
 	}
 }
 
@@ -481,6 +497,10 @@
 	if s.Sender == uint32(p.startID) {
 		return
 	}
+	p.receiveStreams(s)
+	if s.SentMs == 0 {
+		return
+	}
 	delay := p.delays.estimate(uint64(s.Sender), time.Duration(s.SentMs)*time.Millisecond, boottime.Now())
 	p.receiveJobs(s, delay)
 	now := time.Now()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -22,6 +22,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -47,6 +48,12 @@
 	blocks   bool
 	evidence []quarantine.Evidence
 	limits   []ratelimit.Notice
+
+	streams *streamversion.Records
+	// unknownAt are the gateways that had no record of a stream, with what they knew of its
+	// service, and served is what this one knows.
+	unknownAt map[uint32]streamversion.Served
+	served    streamversion.Served
 }
 
 // startGateways starts gateways that do not know each other. It returns them with their
@@ -74,7 +81,10 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{placements: map[place.JobID]place.Placement{}, prefilled: map[place.JobID]bool{}, finished: map[place.JobID]bool{}}
+	return &recorder{
+		placements: map[place.JobID]place.Placement{}, prefilled: map[place.JobID]bool{}, finished: map[place.JobID]bool{},
+		streams: streamversion.NewRecords(), unknownAt: map[uint32]streamversion.Served{},
+	}
 }
 
 func (r *recorder) EngineByHash(hash uint32) (service, id string, ok bool) {
@@ -126,6 +136,30 @@
 	r.limits = append(r.limits, n)
 }
 
+func (r *recorder) RemoteStreamVersion(id streamversion.StreamID, v streamversion.Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.streams.Add(time.Now(), id, v)
+}
+
+func (r *recorder) RemoteStreamUnknown(_ streamversion.StreamID, from uint32, s streamversion.Served) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unknownAt[from] = s
+}
+
+func (r *recorder) ServedVersions(uint32, time.Duration) streamversion.Served {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.served
+}
+
+func (r *recorder) RecordedStreamVersion(id streamversion.StreamID) (streamversion.Version, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.streams.Lookup(id)
+}
+
 func (r *recorder) RemoteConfirmation(time.Time, directory.Confirmation) {}
 func (r *recorder) RemoteServerChange(time.Time, directory.ServerChange) {}
 
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -78,7 +78,9 @@
 	// CodeVersionUnavailable means that no engine of the software version that began a
 	// stream can go on with it.
 	CodeVersionUnavailable Code = "version_unavailable"
-	CodeInternal           Code = "internal"
+	// CodeVersionUnknown means that it is not known which software version began a stream.
+	CodeVersionUnknown Code = "version_unknown"
+	CodeInternal       Code = "internal"
 )
 
 // Error is an error of the request path.
