--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -46,7 +46,7 @@
 }
 
 // faults are all kinds of fault.
-var faults = slices.Concat(disruptions, silences, plannedChanges)
+var faults = slices.Concat(disruptions, silences, plannedChanges, streamFaults)
 
 // disruptions are the faults that may cut answers.
 var disruptions = []fault{
