Soak of processes: two software versions, callers that take up streams

Checked: no run goes on at a version at which its stream did not begin, every event is the only right one.

--- a/test/soakproc/callers.go
+++ b/test/soakproc/callers.go
@@ -21,6 +21,10 @@
 	method, target, id, kind string
 	// body is "b" if it is empty.
 	body string
+	// resumes is the request that brought the first event of the stream to take up, and
+	// after the last event that the caller has; empty and 0 for a new request.
+	resumes string
+	after   int
 	// key is the API key; if it is empty, that of the request's number.
 	key string
 }
@@ -70,6 +74,7 @@
 	req.Header.Set("Tenant", "nobody")
 	req.Header.Set("Token-Count", "2000,20")
 	req.Header.Set("Prefix-Hash", "aa:1500,"+fmt.Sprintf("%x", len(r.id))+":500")
+	r.setResumption(req.Header)
 	resp, err := c.Do(req)
 	if err != nil {
 		return outcome{err: err}
@@ -95,6 +100,9 @@
 				l.gatewayOf.Store(req.id, env.gateways[n%len(env.gateways)].process.Name)
 				got := send(client, env.gateways[n%len(env.gateways)].address, req)
 				l.record(req, got, gracefulStopOnly && l.gracefulStopOnly.Load())
+				if req.kind == "again" {
+					env.takeUps(l, client, req, got, n)
+				}
 				if pausesOnly {
 					env.checkEnding(l, req, got, idle)
 				}
@@ -131,11 +139,12 @@
 	sent       map[string]request
 	outcomes   map[string]outcome
 	statuses   map[int]int
+	takeUps    map[int]int
 	violations []string
 }
 
 func newRequestLog() *requestLog {
-	return &requestLog{sent: map[string]request{}, outcomes: map[string]outcome{}, statuses: map[int]int{}}
+	return &requestLog{sent: map[string]request{}, outcomes: map[string]outcome{}, statuses: map[int]int{}, takeUps: map[int]int{}}
 }
 
 func (l *requestLog) nextID() string { return fmt.Sprintf("r%d", l.next.Add(1)) }
@@ -158,13 +167,20 @@
 	}
 }
 
+// countTakeUp counts the answer to a request that takes up a stream.
+func (l *requestLog) countTakeUp(got outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.takeUps[got.status]++
+}
+
 // expectedBody returns the body of a successful response to a request.
 func expectedBody(req request) string {
 	if req.kind != "once" && req.kind != "again" {
 		return runner.Body(req.id)
 	}
 	var b strings.Builder
-	for n := 1; n <= 3; n++ {
+	for n := req.after + 1; n <= 3; n++ {
 		b.WriteString(runner.Event(req.id, n))
 	}
 	return b.String()
@@ -189,6 +205,7 @@
 		}
 	}
 	l.checkAccounts(env)
+	l.checkVersions(env)
 	env.usage.check(l)
 	for id, got := range l.outcomes {
 		req := l.sent[id]
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -72,6 +72,8 @@
 type server struct {
 	*runner.BackendServer
 	service string
+	// decodes reports that it is an engine that began as one that generates answers.
+	decodes bool
 	proxy   *faultproxy.Proxy
 	// drainedAt is when the server was registered as draining; zero if it is not.
 	drainedAt time.Time
@@ -93,6 +95,8 @@
 	idleTimeout time.Duration
 	timeouts    routeTimeouts
 	usage       *usageReports
+	// released are the engines of the second version while they are registered.
+	released []*server
 }
 
 // retryBudget bounds the retries for a service within 10 s to a share of its requests
@@ -118,8 +122,12 @@
 	if err := errors.Join(env.serveStore(seed), env.serveReports()); err != nil {
 		return env, err
 	}
-	for i, role := range []string{"prefill", "prefill", "decode", "decode", "decode", "", "", ""} {
-		if err := env.addServer(10+i, role); err != nil {
+	for i, role := range []string{"prefill", "prefill", "decode", "decode", "decode", "decode", "decode", "", "", ""} {
+		version := firstVersion
+		if i == 5 || i == 6 {
+			version = secondVersion
+		}
+		if err := env.addServer(10+i, role, version); err != nil {
 			return env, err
 		}
 	}
@@ -155,8 +163,9 @@
 	return nil
 }
 
-func (env *environment) addServer(host int, role string) error {
-	s := &server{BackendServer: runner.New(fmt.Sprintf("i-%d", host), role), service: modelService}
+func (env *environment) addServer(host int, role, version string) error {
+	s := &server{BackendServer: runner.New(fmt.Sprintf("i-%d", host), role), service: modelService, decodes: role == "decode"}
+	s.Version = version
 	if role == "" {
 		s.service = plainService
 	}
@@ -177,7 +186,9 @@
 	s.proxy = proxy
 	s.RegisterKVSource(proxy.Address())
 	env.servers = append(env.servers, s)
-	env.register(s, "ready")
+	if version == firstVersion {
+		env.register(s, "ready")
+	}
 	return nil
 }
 
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -32,6 +32,8 @@
 	// Faults counts the injected faults by name, Answers the answers by status.
 	Faults  map[string]int
 	Answers map[int]int
+	// TakeUps counts the answers to requests that take up a stream by status.
+	TakeUps map[int]int
 }
 
 // Run runs one seed. The programs are in bin; logs and settings are written to
@@ -62,7 +64,7 @@
 	env.usage.checkComplete(recovered, time.Now(), l)
 	l.check(env)
 	report.Violations = l.violations
-	report.Answers = l.statuses
+	report.Answers, report.TakeUps = l.statuses, l.takeUps
 	return report, nil
 }
 
