Streams of plain services are taken up at the software version that began them

Callers could have seen: a stream of a service without engines that may be resumed goes on at a server of another version. Same cause as for engines, other place: plain.go chose any server. The version is now resolved before either kind of service is asked, and only whole events of such a stream are forwarded, so that the first one can be recorded before it is. The new test fails on the code before (a take-up ran at v2).

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -349,6 +349,10 @@
 
 // dispatch serves the request by the kind of its service.
 func (c *call) dispatch() {
+	if rejection := c.resolveStreamVersion(); rejection != nil {
+		c.fail(rejection)
+		return
+	}
 	if c.usesEngines() {
 		c.runModel()
 		return
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -30,17 +30,13 @@
 // each attempt.
 func (c *call) runModel() {
 	g := c.gateway
-	if rejection := c.resolveStreamVersion(); rejection != nil {
-		c.fail(rejection)
-		return
-	}
 	var last *verdict.Error
 	for first := true; first || c.mayRetry(); first = false {
 		now := time.Now()
 		job := c.placeJob()
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.constraints(now))
 		if !ok {
-			last = c.noEngineError(last)
+			last = c.noEligibleError("no engine", last)
 			break
 		}
 		c.trace.plan, c.trace.plannedAfter = plan, now.Sub(c.received)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -9,7 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -141,7 +144,7 @@
 	for first := true; first || c.mayRetry(); first = false {
 		server, ok := c.choosePlain()
 		if !ok {
-			last = c.noServerError("no backend server", last)
+			last = c.noEligibleError("no backend server", last)
 			break
 		}
 		err := c.attemptPlain(server)
@@ -158,7 +161,9 @@
 // choosePlain chooses a server for the next attempt.
 func (c *call) choosePlain() (backend.Server, bool) {
 	g := c.gateway
-	servers := g.directory.View().Service(c.service.Name)
+	servers := lo.Filter(g.directory.View().Service(c.service.Name), func(s backend.Server, _ int) bool {
+		return c.streamVersion.Allows(streamversion.Of(s))
+	})
 	return g.plain.choose(time.Now(), servers, g.deployment.Load().DataCentre, c.excluded)
 }
 
@@ -248,12 +253,21 @@
 	reply.Body.Close()
 }
 
+// answerBody returns the body to forward. Of a stream that may be taken up, only whole
+// events are forwarded.
+func (c *call) answerBody(reply *direct.Reply, server backend.Server) io.Reader {
+	if !c.route.Resumable || !continuesStream(reply) {
+		return reply.Body
+	}
+	return &eventReader{source: reply.Body, onFirst: func() { c.fixStreamVersion(server) }}
+}
+
 // deliver forwards a response to the caller.
 func (c *call) deliver(reply *direct.Reply, server backend.Server) {
 	defer reply.Body.Close()
 	defer c.gateway.plain.done(server.ID, reply, verdict.Ran)
 	c.writeHead(reply)
-	if err := c.copyBody(reply.Body); err != nil {
+	if err := c.copyBody(c.answerBody(reply, server)); err != nil {
 		c.reportBrokenConnection(server)
 		c.abort("response from the backend server interrupted: " + err.Error())
 	}
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -290,12 +291,12 @@
 	}
 }
 
-// fixStreamVersion records that an engine has sent the first event that is forwarded. From
-// then on, the stream goes on only at the engine's software version.
-func (c *call) fixStreamVersion(decodeEngine backend.Server) {
+// fixStreamVersion records that a server has sent the first event that is forwarded. From
+// then on, the stream goes on only at the server's software version.
+func (c *call) fixStreamVersion(server backend.Server) {
 	version, fixed := c.streamVersion.Version()
 	if !fixed {
-		version = streamversion.Of(decodeEngine)
+		version = streamversion.Of(server)
 		c.streamVersion = streamversion.Only(version)
 	}
 	id := c.streamID()
@@ -303,22 +304,22 @@
 	c.gateway.streams.gossip.AnnounceStreamVersion(id, version)
 }
 
-// checkVersion returns an error if a stream must not go on at an engine.
-func (c *call) checkVersion(engine backend.Server) *verdict.Error {
-	if c.streamVersion.Allows(streamversion.Of(engine)) {
+// checkVersion returns an error if a stream must not go on at a server.
+func (c *call) checkVersion(server backend.Server) *verdict.Error {
+	if c.streamVersion.Allows(streamversion.Of(server)) {
 		return nil
 	}
-	c.exclude(engine)
-	return verdict.NewRejection(verdict.CodeVersionUnavailable, "the engine has software version "+engine.Version+", the stream "+c.versionName(), minRetryAfter)
+	c.exclude(server)
+	return verdict.NewRejection(verdict.CodeVersionUnavailable, "the server has software version "+server.Version+", the stream "+c.versionName(), minRetryAfter)
 }
 
-// noEngineError returns the error of a request for which no engine is eligible. last is the
-// error of its last attempt, nil if there was none.
-func (c *call) noEngineError(last *verdict.Error) *verdict.Error {
+// noEligibleError returns the error of a request for which no server is eligible. last is
+// the error of its last attempt, nil if there was none.
+func (c *call) noEligibleError(message string, last *verdict.Error) *verdict.Error {
 	if _, fixed := c.streamVersion.Version(); !fixed || len(c.answeringServers()) > 0 {
-		return c.noServerError("no engine", last)
+		return c.noServerError(message, last)
 	}
-	message := "no engine serves software version " + c.versionName() + ", which began the stream"
+	message += " of software version " + c.versionName() + ", which began the stream"
 	if last != nil && c.verdict != verdict.NotRun {
 		return verdict.New(last.Verdict, verdict.CodeVersionUnavailable, message+"; before: "+last.Message)
 	}
@@ -351,7 +352,7 @@
 // countStream counts the new and the taken-up streams, those of them that got events, and
 // the rejected ones by reason.
 func (c *call) countStream() {
-	if !c.route.Resumable || !c.usesEngines() {
+	if !c.route.Resumable {
 		return
 	}
 	kind := "gateway.streams_new"
@@ -361,7 +362,7 @@
 	}
 	metrics.GetOrRegisterCounter(kind, nil).Inc(1)
 	switch {
-	case c.events() > 0:
+	case c.trace.bytes > 0 && c.trace.status == http.StatusOK:
 		metrics.GetOrRegisterCounter(kind+".with_events", nil).Inc(1)
 	case c.trace.code != "":
 		metrics.GetOrRegisterCounter(kind+".failed."+string(c.trace.code), nil).Inc(1)
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -216,3 +217,29 @@
 		}
 	}
 }
+
+// Guards against streams of two versions from plain services, whose routes may be resumed too.
+func TestStreamOfAPlainServiceIsTakenUpAtTheVersionThatBeganIt(t *testing.T) {
+	f, _, desk := newSilenceFixture(t, enoughSlack, 0, 1)
+	const route = `{"name":"feed","hostname":"h.example","pathPrefix":"/stream-feed/","routeType":"streaming","timeoutMs":2000,"serviceName":"plain","maxAttempts":2,"resumable":true},`
+	text := strings.Replace(configuration, `"routes":[`, `"routes":[`+route, 1)
+	f.store.PutRaw("config", "main", []byte(strings.ReplaceAll(text, "%VERSION%", "2")))
+	Eventually(func() int { return f.send(http.MethodPost, "/stream-feed/x", "begun").status }).Should(Equal(http.StatusOK))
+	other := runner.New("p-other", "")
+	other.Version = "v2"
+	f.add("plain", other)
+	Eventually(func() int { return len(f.dir.View().Servers) }).Should(Equal(2))
+	takeUp := func(id, resumes string) response {
+		return f.send(http.MethodPost, "/stream-feed/x", id, "Last-Event-Id", "1", "Resumes", resumes)
+	}
+	for n := range 8 {
+		got := takeUp(fmt.Sprintf("t%d", n), "begun")
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.body).To(Equal(streamEvents(fmt.Sprintf("t%d", n), 2, 3)))
+	}
+	Expect(runCount(other)).To(BeZero())
+	Expect(takeUp("u", "nobody").status).To(Equal(http.StatusServiceUnavailable))
+	desk[0].SetFault(runner.Shedding)
+	Expect(takeUp("w", "begun").status).To(Equal(http.StatusServiceUnavailable))
+	Expect(runCount(other)).To(BeZero())
+}
