--- a/internal/decide/streamversion/records_test.go
+++ b/internal/decide/streamversion/records_test.go
@@ -1,6 +1,8 @@
 package streamversion_test
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -95,3 +97,36 @@
 		}
 	}
 }
+
+// Guards against the loss of a stream's record when one gateway joins or leaves.
+func TestGatewaysMoveByOneRankWhenOneJoins(t *testing.T) {
+	var names []string
+	for n := range 20 {
+		names = append(names, "g"+strconv.Itoa(n))
+	}
+	before, after := streamversion.NewGateways(names[1:]), streamversion.NewGateways(names)
+	keeps := map[string]int{}
+	for id := range streamversion.StreamID(20_000) {
+		kept, asked := before.First(id*0x9e3779b97f4a7c15, 2), after.First(id*0x9e3779b97f4a7c15, 4)
+		if len(kept) != 2 || len(asked) != 4 || !slices.Contains(asked, kept[0]) || !slices.Contains(asked, kept[1]) {
+			t.Fatalf("stream %d: kept by %v, asked are %v", id, kept, asked)
+		}
+		keeps[kept[0]]++
+	}
+	for name, count := range keeps {
+		if share := float64(count) * 19 / 20_000; share < 0.8 || share > 1.2 {
+			t.Errorf("%s keeps %.2f times its share", name, share)
+		}
+	}
+}
+
+func BenchmarkFirstOf350Gateways(b *testing.B) {
+	var names []string
+	for n := range 350 {
+		names = append(names, "g"+strconv.Itoa(n))
+	}
+	g := streamversion.NewGateways(names)
+	for n := range b.N {
+		g.First(streamversion.StreamID(n), 2)
+	}
+}
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -125,6 +125,10 @@
 	defer s.end(query.Stream, q)
 	for range versionQueries {
 		asked := s.gossip.QueryStreamVersion(query)
+		if !s.gossip.GatewaysKnown() {
+			// A gateway that has just started may know the others before the next query.
+			asked = max(asked, 1)
+		}
 		if s.await(ctx, query.Stream, q, asked) {
 			break
 		}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -148,6 +148,12 @@
 	r.unknownAt[from] = s
 }
 
+func (r *recorder) setServed(s streamversion.Served) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.served = s
+}
+
 func (r *recorder) ServedVersions(uint32, time.Duration) streamversion.Served {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -79,8 +79,8 @@
 	})
 
 	It("that nobody has recorded are answered with what is known of the service", func() {
-		recorderOf(1).served = streamversion.Served{Version: v1, Single: true, Complete: true}
-		recorderOf(2).served = streamversion.Served{Version: v1, Single: true}
+		recorderOf(1).setServed(streamversion.Served{Version: v1, Single: true, Complete: true})
+		recorderOf(2).setServed(streamversion.Served{Version: v1, Single: true})
 		var asked int
 		for id := streamversion.StreamID(100); id < 120; id++ {
 			asked = max(asked, all[0].QueryStreamVersion(query(id)))
