A stream whose version has only draining engines left goes on at one of them

Cause: the exclusion of draining servers left a constrained stream nowhere to go.

Fix: such an engine is used if no other one is eligible, until the drain timeout less 0.3 s after the store last confirmed that it was ready. The new test fails without (503) and shows the end of the window; a test of the directory shows that the time is that of the last confirmation as ready.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -31,6 +31,9 @@
 	Slots int
 	// Draining servers receive no new requests.
 	Draining bool
+	// LastReady is, for a draining server, when the store last confirmed that it was not,
+	// by this process's monotonic clock; zero if that is not known.
+	LastReady time.Time `json:"LastReady,omitzero"`
 	// WarmUpRemaining is how much longer the server expects to be slow after its
 	// start, if it registered that.
 	WarmUpRemaining time.Duration `json:"ColdFor"`
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -89,6 +89,24 @@
 		Expect(names()).To(ConsistOf("b"))
 	})
 
+	// Guards against requests to a leaving server after its drain timeout: the timeout
+	// counts from when the store accepted the leaving, which is later than the last
+	// confirmation that the server was ready.
+	It("has the last time at which a draining server was confirmed as ready", func() {
+		lastReady := func() time.Time { return s.snapshot().Servers["a"].LastReady }
+		s.applyServerList(at(0), listing(5, object("a", 1, "x"), object("b", 2, "leaving")))
+		s.confirmServers(at(time.Second))
+		Expect(lastReady()).To(BeZero())
+		Expect(s.snapshot().Servers["b"].LastReady).To(BeZero())
+		_, _ = s.applyServerEvent(at(2*time.Second), store.Event{Object: object("a", 6, "leaving")})
+		s.confirmServers(at(3 * time.Second))
+		changed, err := s.applyServerEvent(at(4*time.Second), store.Event{Object: object("a", 7, "leaving")})
+		Expect(changed, err).To(BeFalse())
+		Expect(lastReady()).To(Equal(at(time.Second)))
+		_, _ = s.applyServerEvent(at(5*time.Second), store.Event{Object: object("a", 8, "x")})
+		Expect(lastReady()).To(BeZero())
+	})
+
 	// Guards against rejected callers after an outage of the store: servers cannot
 	// renew their objects during it, which expire, so that the list is empty at first
 	// although every server is alive.
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -158,7 +158,14 @@
 		return known, err
 	}
 	delete(s.malformed, o.Name)
-	changed := s.view.Servers[o.Name] != server
+	known, ok := s.view.Servers[o.Name]
+	if ok && server.Draining && known.Incarnation == server.Incarnation {
+		server.LastReady = known.LastReady
+		if !known.Draining {
+			server.LastReady = s.view.ServersConfirmedAt
+		}
+	}
+	changed := known != server
 	s.serverObjects[o.Name] = o
 	s.view.Servers[o.Name] = server
 	return changed, nil
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -36,8 +36,15 @@
 		job := c.placeJob()
 		plan, admission, ok := g.engines.place(now, c.service.Name, job, c.constraints(now))
 		if !ok {
-			last = c.noEligibleError("no engine", last)
-			break
+			engine, draining := c.drainingEngine(now)
+			if !draining {
+				last = c.noEligibleError("no engine", last)
+				break
+			}
+			if last = c.generate(engine, request.Options{Priority: request.DefaultPriority}, job.ID); last == nil {
+				return
+			}
+			continue
 		}
 		c.trace.plan, c.trace.plannedAfter = plan, now.Sub(c.received)
 		if !admission.Admit {
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -330,6 +330,28 @@
 	return verdict.NewRejection(verdict.CodeVersionUnavailable, message, defaultRetryAfter)
 }
 
+// drainMargin is the part of the drain timeout that is left for requests on their way.
+const drainMargin = 300 * time.Millisecond
+
+// drainingEngine returns an engine that is draining, and that can go on with the stream
+// because it still accepts requests. It is for streams whose version no other engine has.
+func (c *call) drainingEngine(now time.Time) (backend.Server, bool) {
+	if _, fixed := c.streamVersion.Version(); !fixed {
+		return backend.Server{}, false
+	}
+	// The store accepted the leaving after LastReady.
+	accepts := c.gateway.deployment.Load().Bounds.DrainTimeout - drainMargin
+	engines := lo.Filter(lo.Values(c.gateway.directory.View().Servers), func(s backend.Server, _ int) bool {
+		return s.Draining && s.Service == c.service.Name && s.Role != backend.Prefill &&
+			c.streamVersion.Allows(streamversion.Of(s)) &&
+			!s.LastReady.IsZero() && now.Sub(s.LastReady) < accepts && !c.excluded(s.ID)
+	})
+	if len(engines) == 0 {
+		return backend.Server{}, false
+	}
+	return lo.Sample(engines), true
+}
+
 // versionName returns the name of the version that began the stream, for logs and errors:
 // its hash if no server has it any more.
 func (c *call) versionName() string {
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -243,3 +243,24 @@
 	Expect(takeUp("w", "begun").status).To(Equal(http.StatusServiceUnavailable))
 	Expect(runCount(other)).To(BeZero())
 }
+
+// Guards against streams that are given up while engines of their version still serve: a
+// release has drained all of them, and their drain timeout has not passed.
+func TestStreamIsTakenUpAtADrainingEngineOfItsVersion(t *testing.T) {
+	f, decode, _ := newSilenceFixture(t, enoughSlack, 1, 0)
+	takeUp := func(id string) response {
+		return f.send(http.MethodPost, "/stream-again/x", id, append(silencePrompt, "Last-Event-Id", "1", "Resumes", "begun")...)
+	}
+	Expect(f.send(http.MethodPost, "/stream-again/x", "begun", silencePrompt...).status).To(Equal(http.StatusOK))
+	other := f.addVersion("d-other", "v2")
+	f.store.Put("servers", decode[0].ID, decode[0].Registration("llm", f.addresses[decode[0].ID], "z", "draining"))
+	drained := time.Now()
+	Eventually(func() bool { return f.dir.View().Servers[decode[0].ID].Draining }).Should(BeTrue())
+	got := takeUp("t1")
+	Expect(got.status).To(Equal(http.StatusOK))
+	Expect(got.body).To(Equal(streamEvents("t1", 2, 3)))
+	time.Sleep(time.Until(drained.Add(2 * time.Second)))
+	Expect(takeUp("t2").status).To(Equal(http.StatusServiceUnavailable))
+	Expect(runsOf(decode[0], "t2")).To(BeZero())
+	Expect(runCount(other)).To(BeZero())
+}
