--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,7 +97,7 @@
 		plain:        newPlainBalancer(s),
 		terminations: newTerminations(),
 		statements:   s,
-		streams:      newStreamVersions(c.Deployment.Bootstrap),
+		streams:      newStreamVersions(c.Deployment.Bootstrap, c.Directory.View),
 		retryBudgets: make(map[string]*retry.AttemptLimiter),
 	}
 	g.transport.OnResponse = g.statements.observe
@@ -129,7 +129,7 @@
 	g.engines.update(v)
 	g.plain.prune(v)
 	g.statements.update(v)
-	g.streams.update(time.Now(), v)
+	g.streams.viewChanged()
 	g.transport.CloseServers(func(id string) bool {
 		s, ok := v.Servers[id]
 		return !ok || s.Draining
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -28,11 +29,17 @@
 	// after it: longer than a watch of the store and the announcement of its result take.
 	serversTimeout      = 1200 * time.Millisecond
 	serversPollInterval = 20 * time.Millisecond
+	// observeDelay is within which time a changed list of servers is observed. A server is in
+	// the list for longer, even one that crashes at once.
+	observeDelay = 500 * time.Millisecond
 )
 
 // streamVersions knows which software versions began streams.
 type streamVersions struct {
 	gossip Gossip
+	view   func() *directory.View
+	// observing is set while an observation of the list of servers is due.
+	observing atomic.Bool
 
 	mu      sync.Mutex
 	records *streamversion.Records
@@ -53,9 +60,10 @@
 	answered chan struct{}
 }
 
-func newStreamVersions(firstStart bool) *streamVersions {
+func newStreamVersions(firstStart bool, view func() *directory.View) *streamVersions {
 	return &streamVersions{
 		gossip:    noGossip{},
+		view:      view,
 		records:   streamversion.NewRecords(),
 		history:   streamversion.NewHistory(firstStart),
 		queries:   make(map[streamversion.StreamID][]*versionQuery),
@@ -63,15 +71,28 @@
 	}
 }
 
-// update observes which versions serve.
-func (s *streamVersions) update(now time.Time, v *directory.View) {
+// viewChanged observes which versions serve after observeDelay. With thousands of servers,
+// an observation for each change would take a hundredth of a core.
+func (s *streamVersions) viewChanged() {
+	if s.observing.Swap(true) {
+		return
+	}
+	time.AfterFunc(observeDelay, func() {
+		s.observing.Store(false)
+		s.observe()
+	})
+}
+
+// observe observes which versions serve.
+func (s *streamVersions) observe() {
+	v := s.view()
 	if v.ServersConfirmedAt.IsZero() {
 		return
 	}
 	versions := lo.MapToSlice(v.Servers, func(_ string, b backend.Server) streamversion.Version { return streamversion.Of(b) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Observe(now, versions)
+	s.history.Observe(time.Now(), versions)
 }
 
 // add records the version that began a stream.
@@ -286,7 +307,7 @@
 	defer cancel()
 	for {
 		if v := c.gateway.directory.View(); !v.ServersConfirmedAt.Before(c.received) {
-			c.gateway.streams.update(time.Now(), v)
+			c.gateway.streams.observe()
 			return true
 		}
 		if c.gateway.directory.StoreUnreachable() || !pause.Sleep(ctx, serversPollInterval) {
