--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"mime"
 	"strings"
 )
 
@@ -14,8 +13,8 @@
 // IsContentType reports whether the value of a Content-Type header is ContentType, with
 // or without parameters.
 func IsContentType(value string) bool {
-	mediaType, _, err := mime.ParseMediaType(value)
-	return err == nil && mediaType == ContentType
+	mediaType, _, _ := strings.Cut(value, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), ContentType)
 }
 
 // Scanner follows a stream of events. Lines end with LF, CR or CRLF, and an event ends
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -66,6 +66,18 @@
 	})
 }
 
+// Guards against streams that are not followed because of the parameters of their type.
+func TestContentTypeMayHaveParameters(t *testing.T) {
+	for value, want := range map[string]bool{
+		"text/event-stream": true, "text/event-stream; charset=utf-8": true, "Text/Event-Stream ;charset": true,
+		"": false, "text/event-streams": false, "text/plain": false, "application/json; x=text/event-stream": false,
+	} {
+		if got := eventstream.IsContentType(value); got != want {
+			t.Errorf("%q: %v, want %v", value, got, want)
+		}
+	}
+}
+
 func TestLastIDIsTheOneOfTheLastEventThatHasOne(t *testing.T) {
 	for text, want := range map[string]string{
 		"":                                  "",
