--- a/internal/decide/streamversion/model_test.go
+++ b/internal/decide/streamversion/model_test.go
@@ -33,9 +33,9 @@
 }
 
 const (
-	modelLife  = 10 * time.Second
-	modelKeep  = 2
-	modelAsked = 4
+	modelLife     = 10 * time.Second
+	modelReplicas = 2
+	modelAsked    = 4
 )
 
 func newModel() *model {
@@ -77,9 +77,9 @@
 func (m *model) record(t *rapid.T, g *modelGateway, id streamversion.StreamID, v streamversion.Version) {
 	m.lastAt[id] = m.now
 	g.records.Add(m.now, id, v)
-	for _, keeper := range m.first(id, modelKeep) {
+	for _, replica := range m.first(id, modelReplicas) {
 		for range rapid.IntRange(0, 2).Draw(t, "datagrams") {
-			keeper.records.Add(m.now, id, v)
+			replica.records.Add(m.now, id, v)
 		}
 	}
 }
@@ -91,14 +91,14 @@
 	}
 	service := version("llm", "").Service
 	certain := map[streamversion.Version]bool{}
-	for _, keeper := range m.first(id, modelAsked) {
-		if keeper == g || rapid.Bool().Draw(t, "lost") {
+	for _, replica := range m.first(id, modelAsked) {
+		if replica == g || rapid.Bool().Draw(t, "lost") {
 			continue
 		}
-		if v, ok := keeper.records.Lookup(id); ok {
+		if v, ok := replica.records.Lookup(id); ok {
 			return v, true
 		}
-		if s := keeper.history.Served(m.now, service, modelLife); s.Certain() {
+		if s := replica.history.Served(m.now, service, modelLife); s.Certain() {
 			certain[s.Version] = true
 		}
 	}
--- a/internal/decide/streamversion/keepers.go
+++ b/internal/decide/streamversion/ranking.go
@@ -7,7 +7,7 @@
 )
 
 // Gateways ranks gateways for each stream by rendezvous hashing: those of the first ranks
-// keep its version. Gateways that know the same names agree, and a name that is added or
+// record its version. Gateways that know the same names agree, and a name that is added or
 // removed moves the others by one rank at most.
 type Gateways struct {
 	names  []string
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -40,13 +40,13 @@
 
 // takesUp reports whether the caller takes up a stream of which it has events.
 func (c *call) takesUp() bool {
-	return c.route.Resumable && (c.request.LastEventID != "" || c.request.Resumes != "")
+	return c.route.Resumable && (c.request.LastEventID != "" || c.request.BegunBy != "")
 }
 
 // streamID returns the ID of the call's stream.
 func (c *call) streamID() streamversion.StreamID {
-	if c.takesUp() && c.request.Resumes != "" {
-		return streamversion.StreamIDOf(c.request.Resumes)
+	if c.takesUp() && c.request.BegunBy != "" {
+		return streamversion.StreamIDOf(c.request.BegunBy)
 	}
 	return streamversion.StreamIDOf(c.request.ID)
 }
@@ -78,7 +78,7 @@
 	s.observe()
 	served := s.served(query.Service, query.Life)
 	var certain map[streamversion.Version]bool
-	if c.request.Resumes != "" || !served.Complete {
+	if c.request.BegunBy != "" || !served.Complete {
 		began := time.Now()
 		certain = s.query(c.ctx, query).certain
 		metrics.GetOrRegisterTimer("gateway.stream_version_query", nil).UpdateSince(began)
@@ -189,7 +189,7 @@
 // logStreamVersion adds what is known of the stream to the log line of the request.
 func (c *call) logStreamVersion(fields log.Fields) {
 	if c.trace.versionSource != "" {
-		fields["resumed_after"], fields["resumes"] = c.request.LastEventID, c.request.Resumes
+		fields["resumed_after"], fields["begun_by"] = c.request.LastEventID, c.request.BegunBy
 		fields["stream_version"], fields["version_source"] = c.versionName(), string(c.trace.versionSource)
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -110,9 +110,9 @@
 	groupMembers map[string]netip.AddrPort
 	// collectors are the other gateways of the first ranks.
 	collectors map[string]netip.AddrPort
-	// keepers ranks the gateways, including this one, that keep the version of a stream.
-	keepers  streamversion.Gateways
-	outboxes [audienceCount]outbox
+	// streamRanking ranks the gateways, including this one, for the records of streams.
+	streamRanking streamversion.Gateways
+	outboxes      [audienceCount]outbox
 
 	sent, received, dropped, late metrics.Counter
 }
@@ -232,7 +232,7 @@
 	p.others = others
 	p.listed = true
 	p.rank = rankByHash(p.name, others)
-	p.keepers = streamversion.NewGateways(append(lo.Keys(others), p.name))
+	p.streamRanking = streamversion.NewGateways(append(lo.Keys(others), p.name))
 	p.collectors = lo.PickByKeys(others, firstByHash(append(lo.Keys(others), p.name), report.Candidates))
 	p.updateGroupMembers()
 }
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -12,34 +12,34 @@
 )
 
 const (
-	// keeperCount is the number of gateways that keep the version of each stream.
-	keeperCount = 2
-	// askedKeepers is the number of gateways that are asked for it. It exceeds keeperCount
-	// because gateways that joined since rank among the keepers and do not know it.
-	askedKeepers = 4
+	// recordReplicas is the number of gateways that record the version of each stream.
+	recordReplicas = 2
+	// queriedReplicas is the number of gateways that are asked for it. It exceeds recordReplicas
+	// because gateways that have joined since may have the first ranks without a record.
+	queriedReplicas = 4
 )
 
 // AnnounceStreamVersion implements gateway.Gossip. The datagrams are sent before it
 // returns, because a gateway that is killed announces nothing later.
 func (p *Peers) AnnounceStreamVersion(id streamversion.StreamID, v streamversion.Version) {
 	s := &wire.Share{StreamVersions: []*wire.StreamVersion{encodeStreamVersion(id, v)}}
-	p.sendNow(s, p.keepersOf(id, keeperCount))
+	p.sendNow(s, p.gatewaysFor(id, recordReplicas))
 }
 
 // QueryStreamVersion implements gateway.Gossip.
 func (p *Peers) QueryStreamVersion(q streamversion.Query) (asked int) {
-	to := p.keepersOf(q.Stream, askedKeepers)
+	to := p.gatewaysFor(q.Stream, queriedReplicas)
 	m := &wire.StreamQuery{Stream: uint64(q.Stream), Service: q.Service, LifeMs: uint32(max(0, q.Life.Milliseconds()))}
 	p.sendNow(&wire.Share{StreamQueries: []*wire.StreamQuery{m}}, to)
 	return len(to)
 }
 
-// keepersOf returns the first gateways for a stream without this one, which may be among
+// gatewaysFor returns the first gateways for a stream without this one, which may be among
 // them.
-func (p *Peers) keepersOf(id streamversion.StreamID, count int) []netip.AddrPort {
+func (p *Peers) gatewaysFor(id streamversion.StreamID, count int) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return lo.FilterMap(p.keepers.First(id, count), func(name string, _ int) (netip.AddrPort, bool) {
+	return lo.FilterMap(p.streamRanking.First(id, count), func(name string, _ int) (netip.AddrPort, bool) {
 		address, ok := p.others[name]
 		return address, ok
 	})
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -34,7 +34,7 @@
 		v, ok := recorderOf(n).RecordedStreamVersion(id)
 		return ok && v == v1
 	}
-	keepers := func(id streamversion.StreamID) (count int) {
+	records := func(id streamversion.StreamID) (count int) {
 		for n := range gateways {
 			if hasRecord(n, id) {
 				count++
@@ -48,8 +48,8 @@
 	It("are kept by two gateways, from which any other gets them", func() {
 		for id := streamversion.StreamID(1); id <= 20; id++ {
 			all[0].AnnounceStreamVersion(id, v1)
-			Eventually(func() int { return keepers(id) }).Should(BeNumerically(">=", 1))
-			Consistently(func() int { return keepers(id) }, "20ms").Should(BeNumerically("<=", 2))
+			Eventually(func() int { return records(id) }).Should(BeNumerically(">=", 1))
+			Consistently(func() int { return records(id) }, "20ms").Should(BeNumerically("<=", 2))
 			for n := range gateways {
 				if hasRecord(n, id) {
 					continue
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -39,9 +39,9 @@
 	// LastEventID is the last event that the caller received of a stream to
 	// resume; empty for a new stream.
 	LastEventID string
-	// Resumes is the ID of the caller's request that brought the first event of the
+	// BegunBy is the ID of the caller's request that brought the first event of the
 	// stream to resume; empty if the caller names none.
-	Resumes string
+	BegunBy string
 }
 
 // Credential is the API key of a caller. The zero Credential means that the caller sent
