--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -46,6 +46,8 @@
 func (r *eventReader) fill(size int) {
 	chunk := make([]byte, size)
 	n, err := r.source.Read(chunk)
+	// The scanner reads each byte once. Searching the buffered data again for each read would
+	// take seconds of CPU time for a long event that arrives byte by byte.
 	before, events := len(r.buffered), r.scanner.Events()
 	r.buffered = append(r.buffered, chunk[:n]...)
 	r.err = err
--- a/internal/gateway/stream_records.go
+++ b/internal/gateway/stream_records.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// viewChanged observes which versions serve after observeDelay. With thousands of servers,
-// an observation for each change would take a hundredth of a core.
+// viewChanged observes which versions serve after observeDelay. Each observation reads the
+// whole list of servers, which may change many times a second.
 func (s *streamVersions) viewChanged() {
 	if s.observing.Swap(true) {
 		return
