Decisions of the retry budget are logged and counted by service

What logs lacked: whether a repeat was a send or a prefill, why it was allowed, and refusals by service. Added without a change of any decision: prefills, retries and retry_refused in request lines, "retry budget" lines with the inputs (at most one a second and service), counters by service, the state of each budget in the dump.

--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -46,15 +46,32 @@
 // CountRequest counts a request.
 func (l *AttemptLimiter) CountRequest(now time.Time) { l.bucket(now).requests++ }
 
-// Allow reports whether one more extra attempt is within the limit, and counts it if so.
+// Decision is whether one more extra attempt is allowed, and the inputs of the decision.
+type Decision struct {
+	Allowed bool
+	// Requests and Extra are the requests and the extra attempts within the window before
+	// it, Slack is this gateway's part of the slack.
+	Requests, Extra, Slack float64
+	// Gateways is how many gateways share the slack, 0 if that is unknown.
+	Gateways int
+}
+
+// Allow decides whether one more extra attempt is within the limit, and counts it if so.
 // The slack is divided by the number of gateways; there is none while that is 0, unknown.
-func (l *AttemptLimiter) Allow(now time.Time, gateways int) bool {
-	requests, extra := l.sums(now)
-	if extra+1 > l.limit.Share*requests+l.slack(now, gateways) {
-		return false
+func (l *AttemptLimiter) Allow(now time.Time, gateways int) Decision {
+	d := l.State(now, gateways)
+	if d.Allowed {
+		l.bucket(now).extra++
 	}
-	l.bucket(now).extra++
-	return true
+	return d
+}
+
+// State returns what Allow would decide.
+func (l *AttemptLimiter) State(now time.Time, gateways int) Decision {
+	d := Decision{Gateways: gateways, Slack: l.slack(now, gateways)}
+	d.Requests, d.Extra = l.sums(now)
+	d.Allowed = d.Extra+1 <= l.limit.Share*d.Requests+d.Slack
+	return d
 }
 
 func (l *AttemptLimiter) slack(now time.Time, gateways int) float64 {
--- a/internal/decide/retry/attempts_test.go
+++ b/internal/decide/retry/attempts_test.go
@@ -30,7 +30,7 @@
 				now := at(time.Duration(ms) * time.Millisecond)
 				l.CountRequest(now)
 				requests++
-				for l.Allow(now, gateways) {
+				for l.Allow(now, gateways).Allowed {
 					extra++
 				}
 			}
@@ -48,7 +48,7 @@
 			for _, storm := range []time.Duration{0, 9 * time.Second, 9900 * time.Millisecond, 10_400 * time.Millisecond} {
 				for ms := range 50 {
 					now := storm + time.Duration(offset+ms)*time.Millisecond
-					if l.Allow(at(now), 1) {
+					if l.Allow(at(now), 1).Allowed {
 						allowed = append(allowed, now)
 					}
 				}
@@ -70,7 +70,7 @@
 	It("allows less after a restart, and only its share while the gateways are unknown", func() {
 		l := retry.NewAttemptLimiter(limit, at(0))
 		allowed := func(now time.Duration, gateways int) (n int) {
-			for l.Allow(at(now), gateways) {
+			for l.Allow(at(now), gateways).Allowed {
 				n++
 			}
 			return n
@@ -86,8 +86,8 @@
 
 	It("allows attempts again after the window", func() {
 		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second}, time.Time{})
-		Expect(s.Allow(at(0), 1)).To(BeTrue())
-		Expect(s.Allow(at(5*time.Second), 1)).To(BeFalse())
-		Expect(s.Allow(at(11*time.Second), 1)).To(BeTrue())
+		Expect(s.Allow(at(0), 1).Allowed).To(BeTrue())
+		Expect(s.Allow(at(5*time.Second), 1).Allowed).To(BeFalse())
+		Expect(s.Allow(at(11*time.Second), 1).Allowed).To(BeTrue())
 	})
 })
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,7 +59,7 @@
 	if e := c.checkVersion(server); e != nil {
 		return e
 	}
-	if c.attempts > 0 && !c.takeReserved(&c.reserved.send) {
+	if c.attempts > 0 && !c.takeReserved(sendAttempt) {
 		return c.retryBudgetError()
 	}
 	invariant.Check(c.verdict == verdict.NotRun || c.route.Repeatable(), "runs-at-most-once",
@@ -114,27 +114,36 @@
 // spendRetry reports whether one more attempt is within the service's retry budget.
 // Once one is not, the call fails. Otherwise the prompt would be assigned and
 // prefilled again and again without ever being sent for generation.
-func (c *call) spendRetry() bool {
-	if !c.gateway.allowRetry(c.service.Name, time.Now()) {
+func (c *call) spendRetry(kind attemptKind) bool {
+	if c.gateway.retryBudgets.allow(c.service.Name, kind, time.Now()) {
+		c.trace.retries++
+	} else {
 		c.retryBudgetSpent = true
 	}
 	return !c.retryBudgetSpent
 }
 
-// reservations are parts of the retry budget that were spent before their attempts.
-type reservations struct{ send, prefill bool }
+// reservations are the kinds of attempts for which a part of the retry budget was spent
+// before.
+type reservations map[attemptKind]bool
 
 // reserveRetry spends a part of the retry budget for a later attempt. It reports whether
 // the attempt may be made.
-func (c *call) reserveRetry(reserved *bool) bool {
-	*reserved = *reserved || c.spendRetry()
-	return *reserved
+func (c *call) reserveRetry(kind attemptKind) bool {
+	if c.reserved[kind] || c.spendRetry(kind) {
+		if c.reserved == nil {
+			c.reserved = make(reservations)
+		}
+		c.reserved[kind] = true
+		return true
+	}
+	return false
 }
 
 // takeReserved uses a reserved part of the retry budget, or spends one now.
-func (c *call) takeReserved(reserved *bool) bool {
-	ok := c.reserveRetry(reserved)
-	*reserved = false
+func (c *call) takeReserved(kind attemptKind) bool {
+	ok := c.reserveRetry(kind)
+	delete(c.reserved, kind)
 	return ok
 }
 
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -15,9 +15,10 @@
 	ConfigRevision int64  `json:"config_revision"`
 	ConfigAge      string `json:"config_age"`
 	ServersAge     string `json:"servers_age"`
-	// Gateways is how many gateways share the retry budgets of the services.
-	Gateways int          `json:"entries"`
-	Servers  []ServerDump `json:"servers"`
+	// Gateways is the number of gateways, which share the retry budgets of the services.
+	Gateways     int               `json:"entries"`
+	RetryBudgets []RetryBudgetDump `json:"retry_budgets"`
+	Servers      []ServerDump      `json:"servers"`
 	// ClientKeys is the number of API keys that the configuration has.
 	ClientKeys int `json:"client_keys"`
 	// Usage is what this gateway has counted, absent if it counts nothing.
@@ -70,6 +71,7 @@
 
 		RecordedStreams: g.streams.recorded(),
 		Gateways:        g.gatewayCount(),
+		RetryBudgets:    g.retryBudgets.dump(now),
 		BodyBytes:       g.bodies.reserved.Load(),
 	}
 	if v.Table != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,11 +5,9 @@
 
 import (
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -52,12 +50,7 @@
 	streams      *streamVersions
 	statements   *serverStatements
 
-	mu sync.Mutex
-	// retryBudgets limits the retries of each service.
-	retryBudgets map[string]*retry.AttemptLimiter
-
-	// restartedAt is when this process started, zero at the first start of the system.
-	restartedAt time.Time
+	retryBudgets *retryBudgets
 
 	// usage counts the requests of client accounts, nil if they are not counted.
 	usage *usage.Counter
@@ -98,12 +91,11 @@
 		terminations: newTerminations(),
 		statements:   s,
 		streams:      newStreamVersions(c.Deployment.Bootstrap, c.Directory.View),
-		retryBudgets: make(map[string]*retry.AttemptLimiter),
+		retryBudgets: newRetryBudgets(time.Now(), !c.Deployment.Bootstrap),
 	}
 	g.transport.OnResponse = g.statements.observe
-	if !c.Deployment.Bootstrap {
-		g.restartedAt = time.Now()
-	}
+	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
+	g.retryBudgets.gateways = g.retryShares
 	g.deployment.Store(&c.Deployment)
 	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
 	return g
@@ -136,46 +128,18 @@
 	})
 }
 
-// gatewayCount returns how many gateways share the retry budgets of the services.
+// gatewayCount returns the number of gateways, including this one.
 func (g *Gateway) gatewayCount() int { return g.engines.gossip.GatewayCount() }
 
-// allowRetry reports whether the retry budget of a service allows one more retry,
-// and spends it if so.
-func (g *Gateway) allowRetry(service string, now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	gateways := g.gatewayCount()
+// retryShares returns how many gateways share the retry budgets of the services, 0 if that
+// is unknown.
+func (g *Gateway) retryShares() int {
 	if !g.engines.gossip.GatewaysKnown() {
-		gateways = 0
-	}
-	return g.retryBudget(service).Allow(now, gateways)
-}
-
-func (g *Gateway) countRequest(service string, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.retryBudget(service).CountRequest(now)
-}
-
-func (g *Gateway) retryBudget(service string) *retry.AttemptLimiter {
-	limiter, ok := g.retryBudgets[service]
-	if !ok {
-		b := g.deployment.Load().Bounds
-		limiter = retry.NewAttemptLimiter(retry.AttemptLimit{
-			Share:  b.RetryShare * retryBudgetFraction,
-			Slack:  b.RetrySlack * retryBudgetFraction,
-			Window: b.RetryWindow,
-		}, g.restartedAt)
-		g.retryBudgets[service] = limiter
+		return 0
 	}
-	return limiter
+	return g.gatewayCount()
 }
 
-// retryBudgetFraction is the fraction of the operators' limit on retries that is
-// used. The rest is a margin for gateways that restart and forget what they have used,
-// and for attempts that arrive later than they are counted.
-const retryBudgetFraction = 0.9
-
 // bodyBudget limits the number of bytes that are reserved at a time.
 type bodyBudget struct {
 	limit    int64
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -260,7 +260,7 @@
 		service = routes.Service{Name: name}
 	}
 	c.service = service
-	c.gateway.countRequest(name, c.received)
+	c.gateway.retryBudgets.countRequest(name, c.received)
 }
 
 // readBody reads the body within the configured size limit and the memory limit
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -196,7 +196,7 @@
 	if e := c.checkBeforeSend(prefillEngine); e != nil {
 		return "", nil, e
 	}
-	if c.prefillAttempts > 0 && !c.takeReserved(&c.reserved.prefill) {
+	if c.prefillAttempts > 0 && !c.takeReserved(prefillAttempt) {
 		return "", nil, c.retryBudgetError()
 	}
 	c.prefillAttempts++
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -47,6 +47,8 @@
 	events  int
 	bytes   int64
 	aborted bool
+	// retries counts the parts of the service's retry budget that were spent.
+	retries int
 	// unframed is set if a response of a server had neither a length nor chunks.
 	unframed bool
 	// silent are the servers that sent no data for silenceTimeout.
@@ -198,6 +200,15 @@
 			fields["versions"] = strings.Join(c.trace.versions, " ")
 		}
 	}
+	if c.prefillAttempts > 0 {
+		fields["prefills"] = c.prefillAttempts
+	}
+	if c.trace.retries > 0 {
+		fields["retries"] = c.trace.retries
+	}
+	if c.retryBudgetSpent {
+		fields["retry_refused"] = true
+	}
 	if c.trace.connectionBroken {
 		fields["fingerprint"], fields["caller"] = c.fingerprint().String(), c.request.Caller
 	}
--- /dev/null
+++ b/internal/gateway/retry_budget.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/retry"
+	"pistachioroad.dev/pistachioroad/internal/deployment"
+)
+
+const (
+	// retryBudgetFraction is the fraction of the operators' limit on retries that is
+	// used. The rest is a margin for gateways that restart and forget what they have used,
+	// and for attempts that arrive later than they are counted.
+	retryBudgetFraction = 0.9
+	// retryLogInterval is the least time between two log lines on the budget of a service.
+	retryLogInterval = time.Second
+)
+
+// attemptKind is the kind of an attempt, for logs.
+type attemptKind string
+
+const (
+	sendAttempt    attemptKind = "sends"
+	prefillAttempt attemptKind = "prefills"
+)
+
+// retryBudgets limits the extra attempts of each service.
+type retryBudgets struct {
+	mu       sync.Mutex
+	services map[string]*serviceBudget
+	// bounds are those of the deployment.
+	bounds func() deployment.Bounds
+	// gateways returns how many gateways share the budgets, 0 if that is unknown.
+	gateways func() int
+	// startedAt is when this process started, and restarted says that an earlier one may
+	// have made attempts.
+	startedAt time.Time
+	restarted bool
+}
+
+// serviceBudget is the budget of one service.
+type serviceBudget struct {
+	limiter          *retry.AttemptLimiter
+	allowed, refused metrics.Counter
+	// pending counts the decisions since the last log line, at loggedAt.
+	pending  map[attemptKind]*decisionCount
+	loggedAt time.Time
+}
+
+type decisionCount struct{ allowed, refused int }
+
+func newRetryBudgets(startedAt time.Time, restarted bool) *retryBudgets {
+	return &retryBudgets{services: make(map[string]*serviceBudget), startedAt: startedAt, restarted: restarted}
+}
+
+func (b *retryBudgets) countRequest(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.service(service).limiter.CountRequest(now)
+}
+
+// allow reports whether the budget of a service allows one more extra attempt, and spends
+// it if so.
+func (b *retryBudgets) allow(service string, kind attemptKind, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	d := s.limiter.Allow(now, b.gateways())
+	s.count(kind, d.Allowed)
+	b.logDecisions(service, s, now, d)
+	return d.Allowed
+}
+
+func (s *serviceBudget) count(kind attemptKind, allowed bool) {
+	if s.pending[kind] == nil {
+		s.pending[kind] = &decisionCount{}
+	}
+	if allowed {
+		s.allowed.Inc(1)
+		s.pending[kind].allowed++
+		return
+	}
+	s.refused.Inc(1)
+	s.pending[kind].refused++
+}
+
+// logDecisions logs the decisions since the last line, with the inputs of the last one.
+func (b *retryBudgets) logDecisions(service string, s *serviceBudget, now time.Time, d retry.Decision) {
+	if now.Sub(s.loggedAt) < retryLogInterval {
+		return
+	}
+	fields := log.Fields{
+		"service": service, "requests": d.Requests, "extra": d.Extra, "slack": d.Slack, "gateways": d.Gateways,
+		"started_ms": now.Sub(b.startedAt).Milliseconds(), "restarted": b.restarted,
+	}
+	for kind, n := range s.pending {
+		fields[string(kind)+"_allowed"], fields[string(kind)+"_refused"] = n.allowed, n.refused
+	}
+	s.pending = make(map[attemptKind]*decisionCount)
+	s.loggedAt = now
+	log.WithFields(fields).Info("retry budget")
+}
+
+func (b *retryBudgets) service(name string) *serviceBudget {
+	s, ok := b.services[name]
+	if !ok {
+		s = &serviceBudget{
+			limiter: b.newLimiter(),
+			allowed: metrics.GetOrRegisterCounter("gateway.retries_allowed_"+name, nil),
+			refused: metrics.GetOrRegisterCounter("gateway.retries_refused_"+name, nil),
+			pending: make(map[attemptKind]*decisionCount),
+		}
+		b.services[name] = s
+	}
+	return s
+}
+
+func (b *retryBudgets) newLimiter() *retry.AttemptLimiter {
+	bounds := b.bounds()
+	var restartedAt time.Time
+	if b.restarted {
+		restartedAt = b.startedAt
+	}
+	return retry.NewAttemptLimiter(retry.AttemptLimit{
+		Share:  bounds.RetryShare * retryBudgetFraction,
+		Slack:  bounds.RetrySlack * retryBudgetFraction,
+		Window: bounds.RetryWindow,
+	}, restartedAt)
+}
+
+// RetryBudgetDump is the retry budget of a service in the window until now.
+type RetryBudgetDump struct {
+	Service string `json:"service"`
+	// Requests and Extra count the requests and their extra attempts, Slack is this
+	// gateway's part of what is allowed in addition to the share of the requests.
+	Requests float64 `json:"requests"`
+	Extra    float64 `json:"extra"`
+	Slack    float64 `json:"slack"`
+}
+
+func (b *retryBudgets) dump(now time.Time) []RetryBudgetDump {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []RetryBudgetDump
+	for _, name := range slices.Sorted(maps.Keys(b.services)) {
+		d := b.services[name].limiter.State(now, b.gateways())
+		all = append(all, RetryBudgetDump{Service: name, Requests: d.Requests, Extra: d.Extra, Slack: d.Slack})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/gateway/retry_budget_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+
+	"pistachioroad.dev/pistachioroad/internal/deployment"
+)
+
+func newTestBudgets(share, slack float64) *retryBudgets {
+	b := newRetryBudgets(time.Unix(1_000, 0), false)
+	b.bounds = func() deployment.Bounds {
+		return deployment.Bounds{RetryShare: share, RetrySlack: slack, RetryWindow: 10 * time.Second}
+	}
+	b.gateways = func() int { return 1 }
+	return b
+}
+
+// Guards against a log that a retry storm floods, and against refusals that no line or
+// metric counts.
+func TestDecisionsOfTheRetryBudgetAreLoggedOnceASecond(t *testing.T) {
+	h := memory.New()
+	before := log.Log
+	log.SetHandler(h)
+	t.Cleanup(func() { log.Log = before })
+
+	b := newTestBudgets(0, 10)
+	for ms := range 2_500 {
+		b.allow("s", sendAttempt, time.Unix(1_001, 0).Add(time.Duration(ms)*time.Millisecond))
+	}
+	if len(h.Entries) != 3 {
+		t.Fatalf("%d lines, want 3", len(h.Entries))
+	}
+	allowed, refused := 0, 0
+	for _, e := range h.Entries {
+		allowed += e.Fields["sends_allowed"].(int)
+		refused += e.Fields["sends_refused"].(int)
+	}
+	if allowed != 9 || refused != 2_001-9 {
+		t.Errorf("%d allowed and %d refused decisions until the last line, want 9 and 1992", allowed, refused)
+	}
+	if s := b.service("s"); s.allowed.Count() != 9 || s.refused.Count() != 2_500-9 {
+		t.Errorf("metrics count %d allowed and %d refused, want 9 and 2491", s.allowed.Count(), s.refused.Count())
+	}
+}
