Everything that a request costs a service is paid from the retry budget

Seen by callers and operators: in a storm of rejections a service gets about twice the repeats that it tolerates, which adds to the load that made it reject. Cause: the first send and the first prefill of a request were each free, whatever came of them; a rejected prefill and then a send cost two arrivals and nothing of the budget. Now one pure count, retry.Arrivals, is asked before every attempt of any way to send; a prefill counts as rejected until it is known to be accepted; a prefill after a rejected one is made only if its send is paid for; what no attempt used goes back at the end of the call.

--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -49,6 +49,8 @@
 // Decision is whether one more extra attempt is allowed, and the inputs of the decision.
 type Decision struct {
 	Allowed bool
+	// Charge is the part of the budget that was spent, if the attempt is allowed.
+	Charge Charge
 	// Requests and Extra are the requests and the extra attempts within the window before
 	// it, Slack is this gateway's part of the slack.
 	Requests, Extra, Slack float64
@@ -56,16 +58,28 @@
 	Gateways int
 }
 
+// Charge is an extra attempt that an AttemptLimiter has counted.
+type Charge struct{ bucket int64 }
+
 // Allow decides whether one more extra attempt is within the limit, and counts it if so.
 // The slack is divided by the number of gateways; there is none while that is 0, unknown.
 func (l *AttemptLimiter) Allow(now time.Time, gateways int) Decision {
 	d := l.State(now, gateways)
 	if d.Allowed {
-		l.bucket(now).extra++
+		b := l.bucket(now)
+		b.extra++
+		d.Charge = Charge{bucket: b.index}
 	}
 	return d
 }
 
+// Refund takes back an extra attempt that was counted and has not been made.
+func (l *AttemptLimiter) Refund(c Charge) {
+	if b := &l.buckets[c.bucket%int64(len(l.buckets))]; b.index == c.bucket {
+		b.extra--
+	}
+}
+
 // State returns what Allow would decide.
 func (l *AttemptLimiter) State(now time.Time, gateways int) Decision {
 	d := Decision{Gateways: gateways, Slack: l.slack(now, gateways)}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,7 @@
 		return err == nil && !reply.NotRun && reply.Status < http.StatusInternalServerError
 	})
 	c.pendingRuns--
+	c.uncountUnsent(err)
 	if other != nil {
 		if reply != nil {
 			reply.Body.Close()
@@ -59,12 +60,13 @@
 	if e := c.checkVersion(server); e != nil {
 		return e
 	}
-	if c.attempts > 0 && !c.takeReserved(sendAttempt) {
+	if !c.reserveRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
 		return c.retryBudgetError()
 	}
 	invariant.Check(c.verdict == verdict.NotRun || c.route.Repeatable(), "runs-at-most-once",
 		"request %s of route %s is sent again after %s", c.id, c.route.Name, c.verdict)
 	c.attempts++
+	c.arrivals.Begin()
 	o.Server = server
 	o.Remaining = c.remaining()
 	c.trace.server = server.ID
@@ -111,42 +113,6 @@
 	return reply, nil
 }
 
-// spendRetry reports whether one more attempt is within the service's retry budget.
-// Once one is not, the call fails. Otherwise the prompt would be assigned and
-// prefilled again and again without ever being sent for generation.
-func (c *call) spendRetry(kind attemptKind) bool {
-	if c.gateway.retryBudgets.allow(c.service.Name, kind, time.Now()) {
-		c.trace.retries++
-	} else {
-		c.retryBudgetSpent = true
-	}
-	return !c.retryBudgetSpent
-}
-
-// reservations are the kinds of attempts for which a part of the retry budget was spent
-// before.
-type reservations map[attemptKind]bool
-
-// reserveRetry spends a part of the retry budget for a later attempt. It reports whether
-// the attempt may be made.
-func (c *call) reserveRetry(kind attemptKind) bool {
-	if c.reserved[kind] || c.spendRetry(kind) {
-		if c.reserved == nil {
-			c.reserved = make(reservations)
-		}
-		c.reserved[kind] = true
-		return true
-	}
-	return false
-}
-
-// takeReserved uses a reserved part of the retry budget, or spends one now.
-func (c *call) takeReserved(kind attemptKind) bool {
-	ok := c.reserveRetry(kind)
-	delete(c.reserved, kind)
-	return ok
-}
-
 func (c *call) retryBudgetError() *verdict.Error {
 	return verdict.NewRejection(verdict.CodeOverloaded, "the budget for repeated sends is used up", defaultRetryAfter)
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -15,6 +15,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
+	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -51,6 +52,7 @@
 	now := time.Now()
 	c := &call{gateway: g, writer: &callerWriter{ResponseWriter: w, stopping: &g.stopping}, received: now, id: g.codec.RequestID(r.Header)}
 	defer c.logRequest()
+	defer c.refundUnusedRetries()
 	defer func() { g.bodies.release(c.reservedBodyBytes) }()
 	if !c.prepare(r) {
 		return
@@ -114,7 +116,11 @@
 	prefillAttempts int
 	// retryBudgetSpent is set once the service's retry budget is exhausted.
 	retryBudgetSpent bool
-	reserved         reservations
+	// arrivals counts what the attempts cost the service, and charges are the parts of its
+	// retry budget that were spent for them: one for each extra attempt, and further ones
+	// for attempts that are to follow.
+	arrivals retry.Arrivals
+	charges  []retry.Charge
 	// possibleRuns counts the attempts whose server ran, or may have run, the request,
 	// and pendingRuns those whose server has not responded.
 	possibleRuns, pendingRuns int
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -196,10 +196,11 @@
 	if e := c.checkBeforeSend(prefillEngine); e != nil {
 		return "", nil, e
 	}
-	if c.prefillAttempts > 0 && !c.takeReserved(prefillAttempt) {
+	if !c.reserveRetries(prefillAttempt, c.arrivals.ExtraAfterPrefill()) {
 		return "", nil, c.retryBudgetError()
 	}
 	c.prefillAttempts++
+	c.arrivals.Begin()
 	c.recordSend(prefillEngine)
 	o := request.Options{Server: prefillEngine, Remaining: c.remaining(), Stage: request.PrefillOnly, Priority: c.priority}
 	var reply *direct.Reply
@@ -208,6 +209,10 @@
 		reply, err = c.gateway.transport.Send(ctx, &c.request, o)
 		return err == nil && reply.Status == http.StatusOK
 	})
+	c.uncountUnsent(err)
+	if err == nil && reply.Status == http.StatusOK {
+		c.arrivals.PrefillAccepted()
+	}
 	if other != nil {
 		if reply != nil {
 			go c.gateway.freeReply(prefillEngine, reply)
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -47,8 +47,6 @@
 	events  int
 	bytes   int64
 	aborted bool
-	// retries counts the parts of the service's retry budget that were spent.
-	retries int
 	// unframed is set if a response of a server had neither a length nor chunks.
 	unframed bool
 	// silent are the servers that sent no data for silenceTimeout.
@@ -203,8 +201,8 @@
 	if c.prefillAttempts > 0 {
 		fields["prefills"] = c.prefillAttempts
 	}
-	if c.trace.retries > 0 {
-		fields["retries"] = c.trace.retries
+	if n := len(c.charges); n > 0 {
+		fields["retries"] = n
 	}
 	if c.retryBudgetSpent {
 		fields["retry_refused"] = true
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -46,8 +46,10 @@
 
 // serviceBudget is the budget of one service.
 type serviceBudget struct {
-	limiter          *retry.AttemptLimiter
-	allowed, refused metrics.Counter
+	limiter *retry.AttemptLimiter
+	// allowed, refused and refunded count the decisions, and the attempts that were
+	// allowed and not made.
+	allowed, refused, refunded metrics.Counter
 	// pending counts the decisions since the last log line, at loggedAt.
 	pending  map[attemptKind]*decisionCount
 	loggedAt time.Time
@@ -65,16 +67,26 @@
 	b.service(service).limiter.CountRequest(now)
 }
 
-// allow reports whether the budget of a service allows one more extra attempt, and spends
-// it if so.
-func (b *retryBudgets) allow(service string, kind attemptKind, now time.Time) bool {
+// spend decides whether the budget of a service allows one more extra attempt, and spends
+// a part of it if so.
+func (b *retryBudgets) spend(service string, kind attemptKind, now time.Time) retry.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(service)
 	d := s.limiter.Allow(now, b.gateways())
 	s.count(kind, d.Allowed)
 	b.logDecisions(service, s, now, d)
-	return d.Allowed
+	return d
+}
+
+// refund takes back a part of the budget that was spent for an attempt that has not been
+// made.
+func (b *retryBudgets) refund(service string, c retry.Charge) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	s.limiter.Refund(c)
+	s.refunded.Inc(1)
 }
 
 func (s *serviceBudget) count(kind attemptKind, allowed bool) {
@@ -111,10 +123,11 @@
 	s, ok := b.services[name]
 	if !ok {
 		s = &serviceBudget{
-			limiter: b.newLimiter(),
-			allowed: metrics.GetOrRegisterCounter("gateway.retries_allowed_"+name, nil),
-			refused: metrics.GetOrRegisterCounter("gateway.retries_refused_"+name, nil),
-			pending: make(map[attemptKind]*decisionCount),
+			limiter:  b.newLimiter(),
+			allowed:  metrics.GetOrRegisterCounter("gateway.retries_allowed_"+name, nil),
+			refused:  metrics.GetOrRegisterCounter("gateway.retries_refused_"+name, nil),
+			refunded: metrics.GetOrRegisterCounter("gateway.retries_refunded_"+name, nil),
+			pending:  make(map[attemptKind]*decisionCount),
 		}
 		b.services[name] = s
 	}
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/memory"
 
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 )
@@ -22,22 +21,27 @@
 // Guards against a log that a retry storm floods, and against refusals that no line or
 // metric counts.
 func TestDecisionsOfTheRetryBudgetAreLoggedOnceASecond(t *testing.T) {
-	h := memory.New()
-	before := log.Log
-	log.SetHandler(h)
-	t.Cleanup(func() { log.Log = before })
+	var lines []log.Fields
+	previous := log.Log.(*log.Logger).Handler
+	log.SetHandler(log.HandlerFunc(func(e *log.Entry) error {
+		if e.Message == "retry budget" && e.Fields["service"] == "s" {
+			lines = append(lines, e.Fields)
+		}
+		return nil
+	}))
+	t.Cleanup(func() { log.SetHandler(previous) })
 
 	b := newTestBudgets(0, 10)
 	for ms := range 2_500 {
-		b.allow("s", sendAttempt, time.Unix(1_001, 0).Add(time.Duration(ms)*time.Millisecond))
+		b.spend("s", sendAttempt, time.Unix(1_001, 0).Add(time.Duration(ms)*time.Millisecond))
 	}
-	if len(h.Entries) != 3 {
-		t.Fatalf("%d lines, want 3", len(h.Entries))
+	if len(lines) != 3 {
+		t.Fatalf("%d lines, want 3", len(lines))
 	}
 	allowed, refused := 0, 0
-	for _, e := range h.Entries {
-		allowed += e.Fields["sends_allowed"].(int)
-		refused += e.Fields["sends_refused"].(int)
+	for _, fields := range lines {
+		allowed += fields["sends_allowed"].(int)
+		refused += fields["sends_refused"].(int)
 	}
 	if allowed != 9 || refused != 2_001-9 {
 		t.Errorf("%d allowed and %d refused decisions until the last line, want 9 and 1992", allowed, refused)
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -27,6 +27,8 @@
 	Healthy Fault = iota
 	// Shedding rejects requests as not run, with status 503.
 	Shedding
+	// SheddingMost rejects nine of ten requests as not run, with status 503.
+	SheddingMost
 	// DroppingAnswers runs the request and closes the connection without an answer.
 	DroppingAnswers
 	// TruncatingStream closes the connection in the middle of a stream's second event.
@@ -46,6 +48,10 @@
 	DuplicateAnswer
 )
 
+// acceptedOneIn is how many requests a server that sheds most gets for each one that it
+// accepts.
+const acceptedOneIn = 10
+
 // Run is a request that ran.
 type Run struct {
 	ID, Method, Target, LastEventID string
@@ -305,8 +311,9 @@
 	fault := s.fault
 	s.requestTimes = append(s.requestTimes, time.Now())
 	s.notices.arrivals = append(s.notices.arrivals, Arrival{ID: id, At: time.Now(), StartMS: s.startedAtMS})
+	arrivals := len(s.notices.arrivals)
 	s.mu.Unlock()
-	if fault == Shedding || s.resting() {
+	if fault == Shedding || (fault == SheddingMost && arrivals%acceptedOneIn != 0) || s.resting() {
 		s.rejectNotRun(w)
 		return
 	}
