Retry budgets are measured by a clock that is never set

Seen: after a step of the time of day, as by a clock that is corrected, services get more repeats than they tolerate. Cause: the window of the budget was cut by the time of day, so a step forward of more than the window emptied it. It is now cut by the time since boot, which counts suspended time too. TestStepOfTheTimeOfDayDoesNotRenewTheRetryBudget before: 9 extra attempts before and 9 after the step, where 9 are allowed in all; after: 9 and none.

--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -16,16 +16,18 @@
 }
 
 // AttemptLimiter counts the requests for one service and the attempts beyond the first of
-// each, and limits the latter. Like Budget it guards against retry storms, for services
+// each, and limits the latter. Its times are those of a clock that is never set and that
+// includes suspended time: a step of the time of day would empty the window. Like Budget it guards against retry storms, for services
 // whose operators limit attempts instead of work. Each gateway may use the share of its own
 // requests and an equal fraction of the slack, so it need not know how many attempts the
 // others make.
 type AttemptLimiter struct {
 	limit AttemptLimit
-	// restartedAt is when the process started if an earlier one may have made attempts
-	// before, zero otherwise.
-	restartedAt time.Time
-	buckets     [windowBuckets + 1]windowBucket
+	// startedAt is when the process started, and restarted says that an earlier one may
+	// have made attempts before.
+	startedAt time.Duration
+	restarted bool
+	buckets   [windowBuckets + 1]windowBucket
 }
 
 type windowBucket struct {
@@ -37,14 +39,14 @@
 // its restart, since the attempts of the process before it are unknown.
 const restartedSlack = 0.1
 
-// NewAttemptLimiter returns an AttemptLimiter for the limit. restartedAt is when the process
-// was restarted, zero at the first start of the system.
-func NewAttemptLimiter(limit AttemptLimit, restartedAt time.Time) *AttemptLimiter {
-	return &AttemptLimiter{limit: limit, restartedAt: restartedAt}
+// NewAttemptLimiter returns an AttemptLimiter for the limit. startedAt is when the process
+// started, and restarted says that it is not the first start of the system.
+func NewAttemptLimiter(limit AttemptLimit, startedAt time.Duration, restarted bool) *AttemptLimiter {
+	return &AttemptLimiter{limit: limit, startedAt: startedAt, restarted: restarted}
 }
 
 // CountRequest counts a request.
-func (l *AttemptLimiter) CountRequest(now time.Time) { l.bucket(now).requests++ }
+func (l *AttemptLimiter) CountRequest(now time.Duration) { l.bucket(now).requests++ }
 
 // Decision is whether one more extra attempt is allowed, and the inputs of the decision.
 type Decision struct {
@@ -63,7 +65,7 @@
 
 // Allow decides whether one more extra attempt is within the limit, and counts it if so.
 // The slack is divided by the number of gateways; there is none while that is 0, unknown.
-func (l *AttemptLimiter) Allow(now time.Time, gateways int) Decision {
+func (l *AttemptLimiter) Allow(now time.Duration, gateways int) Decision {
 	d := l.State(now, gateways)
 	if d.Allowed {
 		b := l.bucket(now)
@@ -81,29 +83,29 @@
 }
 
 // State returns what Allow would decide.
-func (l *AttemptLimiter) State(now time.Time, gateways int) Decision {
+func (l *AttemptLimiter) State(now time.Duration, gateways int) Decision {
 	d := Decision{Gateways: gateways, Slack: l.slack(now, gateways)}
 	d.Requests, d.Extra = l.sums(now)
 	d.Allowed = d.Extra+1 <= l.limit.Share*d.Requests+d.Slack
 	return d
 }
 
-func (l *AttemptLimiter) slack(now time.Time, gateways int) float64 {
+func (l *AttemptLimiter) slack(now time.Duration, gateways int) float64 {
 	if gateways <= 0 {
 		return 0
 	}
 	slack := l.limit.Slack / float64(gateways)
-	if now.Sub(l.restartedAt) < l.limit.Window {
+	if l.restarted && now-l.startedAt < l.limit.Window {
 		slack *= restartedSlack
 	}
 	return slack
 }
 
-func (l *AttemptLimiter) bucketIndex(now time.Time) int64 {
-	return now.UnixNano() / max(1, int64(l.limit.Window/windowBuckets))
+func (l *AttemptLimiter) bucketIndex(now time.Duration) int64 {
+	return int64(now / max(1, l.limit.Window/windowBuckets))
 }
 
-func (l *AttemptLimiter) bucket(now time.Time) *windowBucket {
+func (l *AttemptLimiter) bucket(now time.Duration) *windowBucket {
 	index := l.bucketIndex(now)
 	b := &l.buckets[index%int64(len(l.buckets))]
 	if b.index != index {
@@ -114,7 +116,7 @@
 
 // sums returns the requests within at most the window before now, and the extra attempts
 // within at least that.
-func (l *AttemptLimiter) sums(now time.Time) (requests, extra float64) {
+func (l *AttemptLimiter) sums(now time.Duration) (requests, extra float64) {
 	index := l.bucketIndex(now)
 	for _, b := range l.buckets {
 		age := index - b.index
--- a/internal/decide/retry/attempts_test.go
+++ b/internal/decide/retry/attempts_test.go
@@ -19,7 +19,7 @@
 		extra := 0
 		var all []*retry.AttemptLimiter
 		for range gateways {
-			all = append(all, retry.NewAttemptLimiter(limit, time.Time{}))
+			all = append(all, retry.NewAttemptLimiter(limit, 0, false))
 		}
 		requests := 0
 		for ms := range 10_000 {
@@ -27,7 +27,7 @@
 				continue
 			}
 			for _, l := range all {
-				now := at(time.Duration(ms) * time.Millisecond)
+				now := time.Duration(ms) * time.Millisecond
 				l.CountRequest(now)
 				requests++
 				for l.Allow(now, gateways).Allowed {
@@ -43,12 +43,12 @@
 	// another right after it.
 	It("keeps any span of the window's length within the limit", func() {
 		for offset := range 500 {
-			l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 20, Window: 10 * time.Second}, time.Time{})
+			l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 20, Window: 10 * time.Second}, 0, false)
 			var allowed []time.Duration
 			for _, storm := range []time.Duration{0, 9 * time.Second, 9900 * time.Millisecond, 10_400 * time.Millisecond} {
 				for ms := range 50 {
 					now := storm + time.Duration(offset+ms)*time.Millisecond
-					if l.Allow(at(now), 1).Allowed {
+					if l.Allow(now, 1).Allowed {
 						allowed = append(allowed, now)
 					}
 				}
@@ -68,16 +68,16 @@
 	// Guards against a retry storm of a process that does not know what the one before it,
 	// or the other gateways, have used.
 	It("allows less after a restart, and only its share while the gateways are unknown", func() {
-		l := retry.NewAttemptLimiter(limit, at(0))
+		l := retry.NewAttemptLimiter(limit, 0, true)
 		allowed := func(now time.Duration, gateways int) (n int) {
-			for l.Allow(at(now), gateways).Allowed {
+			for l.Allow(now, gateways).Allowed {
 				n++
 			}
 			return n
 		}
 		Expect(allowed(time.Second, 0)).To(BeZero())
 		for range 50 {
-			l.CountRequest(at(time.Second))
+			l.CountRequest(time.Second)
 		}
 		Expect(allowed(time.Second, 0)).To(Equal(10))
 		Expect(allowed(time.Second, 8)).To(Equal(1))
@@ -85,9 +85,9 @@
 	})
 
 	It("allows attempts again after the window", func() {
-		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second}, time.Time{})
-		Expect(s.Allow(at(0), 1).Allowed).To(BeTrue())
-		Expect(s.Allow(at(5*time.Second), 1).Allowed).To(BeFalse())
-		Expect(s.Allow(at(11*time.Second), 1).Allowed).To(BeTrue())
+		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second}, 0, false)
+		Expect(s.Allow(0, 1).Allowed).To(BeTrue())
+		Expect(s.Allow(5*time.Second, 1).Allowed).To(BeFalse())
+		Expect(s.Allow(11*time.Second, 1).Allowed).To(BeTrue())
 	})
 })
--- a/internal/gateway/call_retries.go
+++ b/internal/gateway/call_retries.go
@@ -1,8 +1,7 @@
 package gateway
 
 import (
-	"time"
-
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -12,7 +11,7 @@
 // again without ever being sent for generation.
 func (c *call) reserveRetries(kind attemptKind, extra int) bool {
 	for len(c.charges) < extra {
-		d := c.gateway.retryBudgets.spend(c.service.Name, kind, time.Now())
+		d := c.gateway.retryBudgets.spend(c.service.Name, kind, boottime.Now())
 		if !d.Allowed {
 			c.retryBudgetSpent = true
 			return false
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 )
@@ -71,7 +72,7 @@
 
 		RecordedStreams: g.streams.recorded(),
 		Gateways:        g.gatewayCount(),
-		RetryBudgets:    g.retryBudgets.dump(now),
+		RetryBudgets:    g.retryBudgets.dump(boottime.Now()),
 		BodyBytes:       g.bodies.reserved.Load(),
 	}
 	if v.Table != nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
@@ -266,7 +267,7 @@
 		service = routes.Service{Name: name}
 	}
 	c.service = service
-	c.gateway.retryBudgets.countRequest(name, c.received)
+	c.gateway.retryBudgets.countRequest(name, boottime.Now())
 }
 
 // readBody reads the body within the configured size limit and the memory limit
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -30,7 +30,7 @@
 	prefillAttempt attemptKind = "prefills"
 )
 
-// retryBudgets limits the extra attempts of each service.
+// retryBudgets limits the extra attempts of each service. Its times are those of boottime.
 type retryBudgets struct {
 	mu       sync.Mutex
 	services map[string]*serviceBudget
@@ -40,7 +40,7 @@
 	gateways func() int
 	// startedAt is when this process started, and restarted says that an earlier one may
 	// have made attempts.
-	startedAt time.Time
+	startedAt time.Duration
 	restarted bool
 }
 
@@ -50,18 +50,19 @@
 	// allowed, refused and refunded count the decisions, and the attempts that were
 	// allowed and not made.
 	allowed, refused, refunded metrics.Counter
-	// pending counts the decisions since the last log line, at loggedAt.
+	// pending counts the decisions since the last log line, at loggedAt if there was one.
 	pending  map[attemptKind]*decisionCount
-	loggedAt time.Time
+	logged   bool
+	loggedAt time.Duration
 }
 
 type decisionCount struct{ allowed, refused int }
 
-func newRetryBudgets(startedAt time.Time, restarted bool) *retryBudgets {
+func newRetryBudgets(startedAt time.Duration, restarted bool) *retryBudgets {
 	return &retryBudgets{services: make(map[string]*serviceBudget), startedAt: startedAt, restarted: restarted}
 }
 
-func (b *retryBudgets) countRequest(service string, now time.Time) {
+func (b *retryBudgets) countRequest(service string, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.service(service).limiter.CountRequest(now)
@@ -69,7 +70,7 @@
 
 // spend decides whether the budget of a service allows one more extra attempt, and spends
 // a part of it if so.
-func (b *retryBudgets) spend(service string, kind attemptKind, now time.Time) retry.Decision {
+func (b *retryBudgets) spend(service string, kind attemptKind, now time.Duration) retry.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(service)
@@ -103,19 +104,19 @@
 }
 
 // logDecisions logs the decisions since the last line, with the inputs of the last one.
-func (b *retryBudgets) logDecisions(service string, s *serviceBudget, now time.Time, d retry.Decision) {
-	if now.Sub(s.loggedAt) < retryLogInterval {
+func (b *retryBudgets) logDecisions(service string, s *serviceBudget, now time.Duration, d retry.Decision) {
+	if s.logged && now-s.loggedAt < retryLogInterval {
 		return
 	}
 	fields := log.Fields{
 		"service": service, "requests": d.Requests, "extra": d.Extra, "slack": d.Slack, "gateways": d.Gateways,
-		"started_ms": now.Sub(b.startedAt).Milliseconds(), "restarted": b.restarted,
+		"started_ms": (now - b.startedAt).Milliseconds(), "restarted": b.restarted,
 	}
 	for kind, n := range s.pending {
 		fields[string(kind)+"_allowed"], fields[string(kind)+"_refused"] = n.allowed, n.refused
 	}
 	s.pending = make(map[attemptKind]*decisionCount)
-	s.loggedAt = now
+	s.logged, s.loggedAt = true, now
 	log.WithFields(fields).Info("retry budget")
 }
 
@@ -136,15 +137,11 @@
 
 func (b *retryBudgets) newLimiter() *retry.AttemptLimiter {
 	bounds := b.bounds()
-	var restartedAt time.Time
-	if b.restarted {
-		restartedAt = b.startedAt
-	}
 	return retry.NewAttemptLimiter(retry.AttemptLimit{
 		Share:  bounds.RetryShare * retryBudgetFraction,
 		Slack:  bounds.RetrySlack * retryBudgetFraction,
 		Window: bounds.RetryWindow,
-	}, restartedAt)
+	}, b.startedAt, b.restarted)
 }
 
 // RetryBudgetDump is the retry budget of a service in the window until now.
@@ -157,7 +154,7 @@
 	Slack    float64 `json:"slack"`
 }
 
-func (b *retryBudgets) dump(now time.Time) []RetryBudgetDump {
+func (b *retryBudgets) dump(now time.Duration) []RetryBudgetDump {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var all []RetryBudgetDump
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -2,15 +2,17 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
 
 	"pistachioroad.dev/pistachioroad/internal/deployment"
+	"pistachioroad.dev/pistachioroad/internal/routes"
 )
 
 func newTestBudgets(share, slack float64) *retryBudgets {
-	b := newRetryBudgets(time.Unix(1_000, 0), false)
+	b := newRetryBudgets(0, false)
 	b.bounds = func() deployment.Bounds {
 		return deployment.Bounds{RetryShare: share, RetrySlack: slack, RetryWindow: 10 * time.Second}
 	}
@@ -33,7 +35,7 @@
 
 	b := newTestBudgets(0, 10)
 	for ms := range 2_500 {
-		b.spend("s", sendAttempt, time.Unix(1_001, 0).Add(time.Duration(ms)*time.Millisecond))
+		b.spend("s", sendAttempt, time.Duration(ms)*time.Millisecond)
 	}
 	if len(lines) != 3 {
 		t.Fatalf("%d lines, want 3", len(lines))
@@ -50,3 +52,25 @@
 		t.Errorf("metrics count %d allowed and %d refused, want 9 and 2491", s.allowed.Count(), s.refused.Count())
 	}
 }
+
+// Guards against a window that a step of the time of day empties. The clock of the bubble
+// steps, the clock that is never set does not.
+func TestStepOfTheTimeOfDayDoesNotRenewTheRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &Gateway{retryBudgets: newTestBudgets(0, 10)}
+		spend := func() (spent int) {
+			for range 20 {
+				c := &call{gateway: g, service: routes.Service{Name: "step"}}
+				if c.reserveRetries(sendAttempt, 1) {
+					spent++
+				}
+			}
+			return spent
+		}
+		first := spend()
+		time.Sleep(12 * time.Second)
+		if second := spend(); first != 9 || second != 0 {
+			t.Errorf("%d extra attempts before and %d after the step, want 9 and none", first, second)
+		}
+	})
+}
