An extra attempt counts from when it is allowed until its outcome is known

Seen: repeats of a service pile up in one window though each was allowed in another. Cause: a hedge was counted when its search began and sent seconds later, and refunds went to the time of the decision. A part of the budget is now held until the outcome of its attempt is known, counts as spent at any time meanwhile, and is spent then; attempts of which no byte was sent cost nothing.

--- a/internal/decide/retry/arrivals.go
+++ b/internal/decide/retry/arrivals.go
@@ -1,25 +1,51 @@
 package retry
 
 // Arrivals counts the arrivals of one request at backend servers, run or rejected. The
-// first prefill that a server accepts is not counted. A prefill counts as rejected until it
-// is known to be accepted, also if its outcome never becomes known.
+// first prefill that a server accepts is not counted. An attempt whose outcome is unknown
+// counts as an arrival, and a prefill then counts as rejected.
 type Arrivals struct {
 	attempts        int
+	pending         int
 	prefillAccepted bool
 }
 
-// Begin counts an attempt, which is about to be sent.
-func (a *Arrivals) Begin() { a.attempts++ }
+// Outcome is what became of an attempt.
+type Outcome uint8
 
-// NotSent takes back an attempt of which no byte was sent.
-func (a *Arrivals) NotSent() { a.attempts-- }
+// The outcomes.
+const (
+	// Arrived is that of an attempt which has, or may have, reached a server.
+	Arrived Outcome = iota
+	// NotSent is that of an attempt of which no byte was sent.
+	NotSent
+	// PrefillAccepted is that of a prefill which a server has accepted.
+	PrefillAccepted
+)
 
-// PrefillAccepted records that a server has accepted a prefill.
-func (a *Arrivals) PrefillAccepted() { a.prefillAccepted = true }
+// Begin counts an attempt, which is about to be sent.
+func (a *Arrivals) Begin() {
+	a.attempts++
+	a.pending++
+}
 
-// Extra returns the number of extra attempts so far.
+// End records the outcome of an attempt.
+func (a *Arrivals) End(o Outcome) {
+	a.pending--
+	switch o {
+	case NotSent:
+		a.attempts--
+	case PrefillAccepted:
+		a.prefillAccepted = true
+	}
+}
+
+// Extra returns the number of extra attempts, including those whose outcome is pending.
 func (a *Arrivals) Extra() int { return a.ExtraAfter(0) }
 
+// ExtraEnded returns the number of extra attempts among those that have ended. It never
+// decreases.
+func (a *Arrivals) ExtraEnded() int { return a.ExtraAfter(-a.pending) }
+
 // ExtraAfter returns the number of extra attempts after n more attempts.
 func (a *Arrivals) ExtraAfter(n int) int {
 	counted := a.attempts + n
--- a/internal/decide/retry/arrivals_test.go
+++ b/internal/decide/retry/arrivals_test.go
@@ -43,34 +43,50 @@
 	a.Begin()
 	switch attempt {
 	case 'a':
-		a.PrefillAccepted()
+		a.End(retry.PrefillAccepted)
 	case 'n':
-		a.NotSent()
+		a.End(retry.NotSent)
+	default:
+		a.End(retry.Arrived)
 	}
 }
 
-// Guards against a count that is below what servers see while the outcome of a prefill is
-// unknown, and against a prefill whose send is not paid for with it.
+// Guards against a count that is below what servers see while outcomes are unknown, against
+// a prefill whose send is not paid for with it, and against parts that would have to be
+// taken back after they were spent.
 func TestArrivalsWithUnknownOutcomesAreNeverUndercounted(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 20_000 {
 		var a retry.Arrivals
-		arrived, accepted := 0, 0
-		for range random.IntN(8) {
-			reserved := a.ExtraAfterPrefill()
-			a.Begin()
-			arrived++
-			if random.IntN(2) == 0 {
-				continue // A send, or a prefill that was rejected or whose outcome is unknown.
+		arrived, accepted, pending := 0, 0, 0
+		for range random.IntN(12) {
+			reserved, ended := a.ExtraAfterPrefill(), a.ExtraEnded()
+			switch {
+			case pending == 0 || random.IntN(2) == 0:
+				a.Begin()
+				pending++
+				arrived++
+			case random.IntN(3) == 0:
+				a.End(retry.NotSent)
+				pending--
+				arrived--
+			case random.IntN(2) == 0:
+				a.End(retry.Arrived)
+				pending--
+			default:
+				a.End(retry.PrefillAccepted)
+				pending--
+				accepted++
+				if after := a.ExtraAfter(1); after > reserved {
+					t.Fatalf("the send after an accepted prefill makes %d extra attempts, %d were reserved", after, reserved)
+				}
 			}
-			accepted++
-			a.PrefillAccepted()
-			if after := a.ExtraAfter(1); after > reserved {
-				t.Fatalf("the send after an accepted prefill makes %d extra attempts, %d were reserved", after, reserved)
+			if extra := max(0, arrived-min(1, accepted)-1); a.Extra() != extra {
+				t.Fatalf("%d extra attempts of %d arrivals, %d of them accepted prefills, want %d", a.Extra(), arrived, accepted, extra)
+			}
+			if a.ExtraEnded() < ended || a.ExtraEnded() > a.Extra() {
+				t.Fatalf("%d extra attempts have ended, before %d, of %d", a.ExtraEnded(), ended, a.Extra())
 			}
-		}
-		if extra := max(0, arrived-min(1, accepted)-1); a.Extra() < extra {
-			t.Fatalf("%d extra attempts of %d arrivals, %d of them accepted prefills, want at least %d", a.Extra(), arrived, accepted, extra)
 		}
 	}
 }
--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -28,6 +28,7 @@
 	startedAt time.Duration
 	restarted bool
 	buckets   [windowBuckets + 1]windowBucket
+	held      float64
 }
 
 type windowBucket struct {
@@ -51,42 +52,41 @@
 // Decision is whether one more extra attempt is allowed, and the inputs of the decision.
 type Decision struct {
 	Allowed bool
-	// Charge is the part of the budget that was spent, if the attempt is allowed.
-	Charge Charge
 	// Requests and Extra are the requests and the extra attempts within the window before
-	// it, Slack is this gateway's part of the slack.
-	Requests, Extra, Slack float64
+	// it, Held are the attempts for which a part is held, and Slack is this gateway's part
+	// of the slack.
+	Requests, Extra, Held, Slack float64
 	// Gateways is how many gateways share the slack, 0 if that is unknown.
 	Gateways int
 }
 
-// Charge is an extra attempt that an AttemptLimiter has counted.
-type Charge struct{ bucket int64 }
-
-// Allow decides whether one more extra attempt is within the limit, and counts it if so.
+// Hold decides whether one more extra attempt is within the limit, and holds a part of the
+// limit for it if so. The attempt may reach a server at any time from then on: it counts as
+// made now until Spend says that it was made, or Release that it will not be.
+//
 // The slack is divided by the number of gateways; there is none while that is 0, unknown.
-func (l *AttemptLimiter) Allow(now time.Duration, gateways int) Decision {
+func (l *AttemptLimiter) Hold(now time.Duration, gateways int) Decision {
 	d := l.State(now, gateways)
 	if d.Allowed {
-		b := l.bucket(now)
-		b.extra++
-		d.Charge = Charge{bucket: b.index}
+		l.held++
 	}
 	return d
 }
 
-// Refund takes back an extra attempt that was counted and has not been made.
-func (l *AttemptLimiter) Refund(c Charge) {
-	if b := &l.buckets[c.bucket%int64(len(l.buckets))]; b.index == c.bucket {
-		b.extra--
-	}
+// Spend counts an attempt for which a part is held.
+func (l *AttemptLimiter) Spend(now time.Duration) {
+	l.held--
+	l.bucket(now).extra++
 }
 
-// State returns what Allow would decide.
+// Release gives back a part that is held.
+func (l *AttemptLimiter) Release() { l.held-- }
+
+// State returns what Hold would decide.
 func (l *AttemptLimiter) State(now time.Duration, gateways int) Decision {
-	d := Decision{Gateways: gateways, Slack: l.slack(now, gateways)}
+	d := Decision{Gateways: gateways, Slack: l.slack(now, gateways), Held: l.held}
 	d.Requests, d.Extra = l.sums(now)
-	d.Allowed = d.Extra+1 <= l.limit.Share*d.Requests+d.Slack
+	d.Allowed = d.Extra+d.Held+1 <= l.limit.Share*d.Requests+d.Slack
 	return d
 }
 
--- a/internal/decide/retry/attempts_test.go
+++ b/internal/decide/retry/attempts_test.go
@@ -30,7 +30,8 @@
 				now := time.Duration(ms) * time.Millisecond
 				l.CountRequest(now)
 				requests++
-				for l.Allow(now, gateways).Allowed {
+				for l.Hold(now, gateways).Allowed {
+					l.Spend(now)
 					extra++
 				}
 			}
@@ -48,7 +49,8 @@
 			for _, storm := range []time.Duration{0, 9 * time.Second, 9900 * time.Millisecond, 10_400 * time.Millisecond} {
 				for ms := range 50 {
 					now := storm + time.Duration(offset+ms)*time.Millisecond
-					if l.Allow(now, 1).Allowed {
+					if l.Hold(now, 1).Allowed {
+						l.Spend(now)
 						allowed = append(allowed, now)
 					}
 				}
@@ -70,7 +72,8 @@
 	It("allows less after a restart, and only its share while the gateways are unknown", func() {
 		l := retry.NewAttemptLimiter(limit, 0, true)
 		allowed := func(now time.Duration, gateways int) (n int) {
-			for l.Allow(now, gateways).Allowed {
+			for l.Hold(now, gateways).Allowed {
+				l.Spend(now)
 				n++
 			}
 			return n
@@ -86,8 +89,29 @@
 
 	It("allows attempts again after the window", func() {
 		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second}, 0, false)
-		Expect(s.Allow(0, 1).Allowed).To(BeTrue())
-		Expect(s.Allow(5*time.Second, 1).Allowed).To(BeFalse())
-		Expect(s.Allow(11*time.Second, 1).Allowed).To(BeTrue())
+		Expect(s.Hold(0, 1).Allowed).To(BeTrue())
+		s.Spend(0)
+		Expect(s.Hold(5*time.Second, 1).Allowed).To(BeFalse())
+		Expect(s.Hold(11*time.Second, 1).Allowed).To(BeTrue())
+	})
+
+	// Guards against attempts that reach servers in another window than the one in which
+	// they were allowed.
+	It("counts an attempt that is made late when it is made, and before that all the time", func() {
+		const parts = 10
+		l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: parts, Window: 10 * time.Second}, 0, false)
+		for range parts {
+			Expect(l.Hold(0, 1).Allowed).To(BeTrue())
+		}
+		Expect(l.Hold(12*time.Second, 1).Allowed).To(BeFalse(), "all parts are held")
+		for range parts {
+			l.Spend(12 * time.Second)
+		}
+		Expect(l.Hold(21*time.Second, 1).Allowed).To(BeFalse(), "all parts are spent within the window")
+		Expect(l.Hold(23*time.Second, 1).Allowed).To(BeTrue())
+		l.Release()
+		for range parts {
+			Expect(l.Hold(23*time.Second, 1).Allowed).To(BeTrue())
+		}
 	})
 })
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,7 +38,7 @@
 		return err == nil && !reply.NotRun && reply.Status < http.StatusInternalServerError
 	})
 	c.pendingRuns--
-	c.uncountUnsent(err)
+	c.endArrival(err, false)
 	if other != nil {
 		if reply != nil {
 			reply.Body.Close()
@@ -60,7 +60,7 @@
 	if e := c.checkVersion(server); e != nil {
 		return e
 	}
-	if !c.reserveRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+	if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
 		return c.retryBudgetError()
 	}
 	invariant.Check(c.verdict == verdict.NotRun || c.route.Repeatable(), "runs-at-most-once",
--- a/internal/gateway/call_retries.go
+++ b/internal/gateway/call_retries.go
@@ -1,39 +1,51 @@
 package gateway
 
 import (
-	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
-// reserveRetries spends parts of the service's retry budget until they pay for the given
-// number of extra attempts of the call. It reports whether they do. Once the budget does not
-// allow that, the call fails. Otherwise the prompt would be assigned and prefilled again and
-// again without ever being sent for generation.
-func (c *call) reserveRetries(kind attemptKind, extra int) bool {
-	for len(c.charges) < extra {
-		d := c.gateway.retryBudgets.spend(c.service.Name, kind, boottime.Now())
-		if !d.Allowed {
+// holdRetries holds parts of the service's retry budget until they, and those that are
+// spent, pay for the given number of extra attempts of the call. It reports whether they do.
+// Once the budget does not allow that, the call fails. Otherwise the prompt would be
+// assigned and prefilled again and again without ever being sent for generation.
+func (c *call) holdRetries(kind attemptKind, extra int) bool {
+	for c.heldRetries+c.spentRetries < extra {
+		if !c.gateway.retryBudgets.hold(c.service.Name, kind) {
 			c.retryBudgetSpent = true
 			return false
 		}
-		c.charges = append(c.charges, d.Charge)
+		c.heldRetries++
 	}
 	return true
 }
 
-// uncountUnsent takes back the attempt that has just ended with err if nothing was sent.
-func (c *call) uncountUnsent(err error) {
-	if err != nil && verdict.Of(err).Verdict == verdict.NotRun {
-		c.arrivals.NotSent()
+// endArrival records the outcome of an attempt that has ended with err or a response. If it
+// was an extra one, the part that is held for it is spent.
+func (c *call) endArrival(err error, prefillAccepted bool) {
+	switch {
+	case err != nil && verdict.Of(err).Verdict == verdict.NotRun:
+		c.arrivals.End(retry.NotSent)
+	case prefillAccepted:
+		c.arrivals.End(retry.PrefillAccepted)
+	default:
+		c.arrivals.End(retry.Arrived)
 	}
+	c.spendRetries(c.arrivals.ExtraEnded())
 }
 
-// refundUnusedRetries takes back what was spent for attempts that were not made.
-func (c *call) refundUnusedRetries() {
-	extra := c.arrivals.Extra()
-	for len(c.charges) > extra {
-		last := len(c.charges) - 1
-		c.gateway.retryBudgets.refund(c.service.Name, c.charges[last])
-		c.charges = c.charges[:last]
+func (c *call) spendRetries(extra int) {
+	for ; c.spentRetries < extra; c.spentRetries++ {
+		c.gateway.retryBudgets.spend(c.service.Name)
+		c.heldRetries--
+	}
+}
+
+// settleRetries gives back what is held at the end of the call for attempts that were not
+// made.
+func (c *call) settleRetries() {
+	c.spendRetries(c.arrivals.Extra())
+	for ; c.heldRetries > 0; c.heldRetries-- {
+		c.gateway.retryBudgets.release(c.service.Name)
 	}
 }
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
-	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 )
@@ -72,7 +71,7 @@
 
 		RecordedStreams: g.streams.recorded(),
 		Gateways:        g.gatewayCount(),
-		RetryBudgets:    g.retryBudgets.dump(boottime.Now()),
+		RetryBudgets:    g.retryBudgets.dump(),
 		BodyBytes:       g.bodies.reserved.Load(),
 	}
 	if v.Table != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -92,7 +91,7 @@
 		terminations: newTerminations(),
 		statements:   s,
 		streams:      newStreamVersions(c.Deployment.Bootstrap, c.Directory.View),
-		retryBudgets: newRetryBudgets(boottime.Now(), !c.Deployment.Bootstrap),
+		retryBudgets: newRetryBudgets(!c.Deployment.Bootstrap),
 	}
 	g.transport.OnResponse = g.statements.observe
 	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
@@ -53,7 +52,7 @@
 	now := time.Now()
 	c := &call{gateway: g, writer: &callerWriter{ResponseWriter: w, stopping: &g.stopping}, received: now, id: g.codec.RequestID(r.Header)}
 	defer c.logRequest()
-	defer c.refundUnusedRetries()
+	defer c.settleRetries()
 	defer func() { g.bodies.release(c.reservedBodyBytes) }()
 	if !c.prepare(r) {
 		return
@@ -117,11 +116,11 @@
 	prefillAttempts int
 	// retryBudgetSpent is set once the service's retry budget is exhausted.
 	retryBudgetSpent bool
-	// arrivals counts what the attempts cost the service, and charges are the parts of its
-	// retry budget that were spent for them: one for each extra attempt, and further ones
-	// for attempts that are to follow.
-	arrivals retry.Arrivals
-	charges  []retry.Charge
+	// arrivals counts what the attempts cost the service. heldRetries are the parts of its
+	// retry budget that are held for attempts that have not ended or not begun, and
+	// spentRetries those that are spent.
+	arrivals                  retry.Arrivals
+	heldRetries, spentRetries int
 	// possibleRuns counts the attempts whose server ran, or may have run, the request,
 	// and pendingRuns those whose server has not responded.
 	possibleRuns, pendingRuns int
@@ -267,7 +266,7 @@
 		service = routes.Service{Name: name}
 	}
 	c.service = service
-	c.gateway.retryBudgets.countRequest(name, boottime.Now())
+	c.gateway.retryBudgets.countRequest(name)
 }
 
 // readBody reads the body within the configured size limit and the memory limit
--- a/internal/gateway/hedge_model.go
+++ b/internal/gateway/hedge_model.go
@@ -77,7 +77,7 @@
 // of its own.
 func (c *call) tryOtherEngine(search context.Context) (a *hedgedAttempt, again bool) {
 	// The attempt is counted before the prompt is placed and prefilled for it.
-	if !c.reserveRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+	if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
 		return nil, true
 	}
 	return c.placeHedged(search, c.runHedged), true
@@ -186,7 +186,7 @@
 // tryOtherPrefill has the prompt prefilled by another engine. A plan without a separate
 // prefill is no reason to give up one that has begun.
 func (c *call) tryOtherPrefill(search context.Context) (a *hedgedAttempt, again bool) {
-	if !c.reserveRetries(prefillAttempt, c.arrivals.ExtraAfterPrefill()) {
+	if !c.holdRetries(prefillAttempt, c.arrivals.ExtraAfterPrefill()) {
 		return nil, true
 	}
 	split := true
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -196,7 +196,7 @@
 	if e := c.checkBeforeSend(prefillEngine); e != nil {
 		return "", nil, e
 	}
-	if !c.reserveRetries(prefillAttempt, c.arrivals.ExtraAfterPrefill()) {
+	if !c.holdRetries(prefillAttempt, c.arrivals.ExtraAfterPrefill()) {
 		return "", nil, c.retryBudgetError()
 	}
 	c.prefillAttempts++
@@ -209,10 +209,7 @@
 		reply, err = c.gateway.transport.Send(ctx, &c.request, o)
 		return err == nil && reply.Status == http.StatusOK
 	})
-	c.uncountUnsent(err)
-	if err == nil && reply.Status == http.StatusOK {
-		c.arrivals.PrefillAccepted()
-	}
+	c.endArrival(err, err == nil && reply.Status == http.StatusOK)
 	if other != nil {
 		if reply != nil {
 			go c.gateway.freeReply(prefillEngine, reply)
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -201,8 +201,8 @@
 	if c.prefillAttempts > 0 {
 		fields["prefills"] = c.prefillAttempts
 	}
-	if n := len(c.charges); n > 0 {
-		fields["retries"] = n
+	if c.spentRetries > 0 {
+		fields["retries"] = c.spentRetries
 	}
 	if c.retryBudgetSpent {
 		fields["retry_refused"] = true
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 )
@@ -30,7 +31,7 @@
 	prefillAttempt attemptKind = "prefills"
 )
 
-// retryBudgets limits the extra attempts of each service. Its times are those of boottime.
+// retryBudgets limits the extra attempts of each service.
 type retryBudgets struct {
 	mu       sync.Mutex
 	services map[string]*serviceBudget
@@ -42,14 +43,16 @@
 	// have made attempts.
 	startedAt time.Duration
 	restarted bool
+	// now returns the time since boot.
+	now func() time.Duration
 }
 
 // serviceBudget is the budget of one service.
 type serviceBudget struct {
 	limiter *retry.AttemptLimiter
-	// allowed, refused and refunded count the decisions, and the attempts that were
+	// allowed, refused and released count the decisions, and the attempts that were
 	// allowed and not made.
-	allowed, refused, refunded metrics.Counter
+	allowed, refused, released metrics.Counter
 	// pending counts the decisions since the last log line, at loggedAt if there was one.
 	pending  map[attemptKind]*decisionCount
 	logged   bool
@@ -58,36 +61,43 @@
 
 type decisionCount struct{ allowed, refused int }
 
-func newRetryBudgets(startedAt time.Duration, restarted bool) *retryBudgets {
-	return &retryBudgets{services: make(map[string]*serviceBudget), startedAt: startedAt, restarted: restarted}
+func newRetryBudgets(restarted bool) *retryBudgets {
+	return &retryBudgets{services: make(map[string]*serviceBudget), startedAt: boottime.Now(), restarted: restarted, now: boottime.Now}
 }
 
-func (b *retryBudgets) countRequest(service string, now time.Duration) {
+func (b *retryBudgets) countRequest(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.service(service).limiter.CountRequest(now)
+	b.service(service).limiter.CountRequest(b.now())
 }
 
-// spend decides whether the budget of a service allows one more extra attempt, and spends
-// a part of it if so.
-func (b *retryBudgets) spend(service string, kind attemptKind, now time.Duration) retry.Decision {
+// hold reports whether the budget of a service allows one more extra attempt, and holds a
+// part of it if so.
+func (b *retryBudgets) hold(service string, kind attemptKind) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.now()
 	s := b.service(service)
-	d := s.limiter.Allow(now, b.gateways())
+	d := s.limiter.Hold(now, b.gateways())
 	s.count(kind, d.Allowed)
 	b.logDecisions(service, s, now, d)
-	return d
+	return d.Allowed
 }
 
-// refund takes back a part of the budget that was spent for an attempt that has not been
-// made.
-func (b *retryBudgets) refund(service string, c retry.Charge) {
+// spend counts an extra attempt for which a part of the budget is held.
+func (b *retryBudgets) spend(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.service(service).limiter.Spend(b.now())
+}
+
+// release gives back a part of the budget that is held.
+func (b *retryBudgets) release(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(service)
-	s.limiter.Refund(c)
-	s.refunded.Inc(1)
+	s.limiter.Release()
+	s.released.Inc(1)
 }
 
 func (s *serviceBudget) count(kind attemptKind, allowed bool) {
@@ -109,7 +119,7 @@
 		return
 	}
 	fields := log.Fields{
-		"service": service, "requests": d.Requests, "extra": d.Extra, "slack": d.Slack, "gateways": d.Gateways,
+		"service": service, "requests": d.Requests, "extra": d.Extra, "held": d.Held, "slack": d.Slack, "gateways": d.Gateways,
 		"started_ms": (now - b.startedAt).Milliseconds(), "restarted": b.restarted,
 	}
 	for kind, n := range s.pending {
@@ -127,7 +137,7 @@
 			limiter:  b.newLimiter(),
 			allowed:  metrics.GetOrRegisterCounter("gateway.retries_allowed_"+name, nil),
 			refused:  metrics.GetOrRegisterCounter("gateway.retries_refused_"+name, nil),
-			refunded: metrics.GetOrRegisterCounter("gateway.retries_refunded_"+name, nil),
+			released: metrics.GetOrRegisterCounter("gateway.retries_released_"+name, nil),
 			pending:  make(map[attemptKind]*decisionCount),
 		}
 		b.services[name] = s
@@ -147,20 +157,22 @@
 // RetryBudgetDump is the retry budget of a service in the window until now.
 type RetryBudgetDump struct {
 	Service string `json:"service"`
-	// Requests and Extra count the requests and their extra attempts, Slack is this
-	// gateway's part of what is allowed in addition to the share of the requests.
+	// Requests and Extra count the requests and their extra attempts, Held the attempts
+	// that are allowed and have not ended. Slack is this gateway's part of what is allowed
+	// in addition to the share of the requests.
 	Requests float64 `json:"requests"`
 	Extra    float64 `json:"extra"`
+	Held     float64 `json:"held"`
 	Slack    float64 `json:"slack"`
 }
 
-func (b *retryBudgets) dump(now time.Duration) []RetryBudgetDump {
+func (b *retryBudgets) dump() []RetryBudgetDump {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var all []RetryBudgetDump
 	for _, name := range slices.Sorted(maps.Keys(b.services)) {
-		d := b.services[name].limiter.State(now, b.gateways())
-		all = append(all, RetryBudgetDump{Service: name, Requests: d.Requests, Extra: d.Extra, Slack: d.Slack})
+		d := b.services[name].limiter.State(b.now(), b.gateways())
+		all = append(all, RetryBudgetDump{Service: name, Requests: d.Requests, Extra: d.Extra, Held: d.Held, Slack: d.Slack})
 	}
 	return all
 }
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -9,10 +9,11 @@
 
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/routes"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
 func newTestBudgets(share, slack float64) *retryBudgets {
-	b := newRetryBudgets(0, false)
+	b := newRetryBudgets(false)
 	b.bounds = func() deployment.Bounds {
 		return deployment.Bounds{RetryShare: share, RetrySlack: slack, RetryWindow: 10 * time.Second}
 	}
@@ -35,7 +36,8 @@
 
 	b := newTestBudgets(0, 10)
 	for ms := range 2_500 {
-		b.spend("s", sendAttempt, time.Duration(ms)*time.Millisecond)
+		b.now = func() time.Duration { return time.Duration(ms) * time.Millisecond }
+		b.hold("s", sendAttempt)
 	}
 	if len(lines) != 3 {
 		t.Fatalf("%d lines, want 3", len(lines))
@@ -61,7 +63,7 @@
 		spend := func() (spent int) {
 			for range 20 {
 				c := &call{gateway: g, service: routes.Service{Name: "step"}}
-				if c.reserveRetries(sendAttempt, 1) {
+				if c.holdRetries(sendAttempt, 1) {
 					spent++
 				}
 			}
@@ -74,3 +76,62 @@
 		}
 	})
 }
+
+// Guards against extra attempts in another window than the one in which they were allowed:
+// hedges are allowed one, search for seconds and then send it.
+func TestRetryThatIsMadeLateCountsWhenItIsMade(t *testing.T) {
+	const slack = 10
+	b := newTestBudgets(0, slack)
+	g := &Gateway{retryBudgets: b}
+	at := func(d time.Duration) { b.now = func() time.Duration { return d } }
+	begin := func() *call {
+		c := &call{gateway: g, service: routes.Service{Name: "late"}}
+		c.arrivals.Begin()
+		if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+			return nil
+		}
+		return c
+	}
+	at(0)
+	var calls []*call
+	for c := begin(); c != nil; c = begin() {
+		calls = append(calls, c)
+	}
+	at(8 * time.Second)
+	for _, c := range calls {
+		c.arrivals.Begin()
+		c.endArrival(nil, false)
+		c.endArrival(nil, false)
+		c.settleRetries()
+	}
+	late := len(calls)
+	at(12 * time.Second)
+	for c := begin(); c != nil; c = begin() {
+		late++
+	}
+	if late > slack {
+		t.Errorf("%d extra attempts from 8 to 12 s, %d are allowed in 10 s", late, slack)
+	}
+}
+
+// Guards against a budget that attempts use up without reaching a server: connections are
+// refused.
+func TestAttemptsThatAreNotSentCostNoRetryBudget(t *testing.T) {
+	b := newTestBudgets(0, 10)
+	for range 100 {
+		c := &call{gateway: &Gateway{retryBudgets: b}, service: routes.Service{Name: "refused"}}
+		c.arrivals.Begin()
+		c.endArrival(nil, false)
+		for range 3 {
+			if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+				t.Fatal("no budget is left")
+			}
+			c.arrivals.Begin()
+			c.endArrival(verdict.New(verdict.NotRun, verdict.CodeNoBackend, "connect"), false)
+		}
+		c.settleRetries()
+	}
+	if d := b.dump(); d[0].Extra != 0 || d[0].Held != 0 {
+		t.Errorf("budget %+v, want nothing spent and nothing held", d[0])
+	}
+}
