Every span within the window has its own limit of extra attempts

Seen: when gateways are killed or restarted in a storm of rejections, a service gets more repeats than it tolerates. Cause: the limiter let a process save up the share of ten seconds of requests and use it in a moment, and the process that follows a killed one cannot know that. Now what a process uses in any span up to the window is at most the share of its requests in that span and its part of the slack; after a restart no slack for a window. Processes that follow each other add up to the limit.

--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -4,7 +4,7 @@
 
 // windowBuckets is the number of buckets into which the window of an AttemptLimiter is
 // divided. One more is kept, so that any span of the length of the window is covered.
-const windowBuckets = 20
+const windowBuckets = 40
 
 // AttemptLimit is the load that the backend servers of a service tolerate beyond the first
 // attempt of each request, from all gateways together.
@@ -17,10 +17,16 @@
 
 // AttemptLimiter counts the requests for one service and the attempts beyond the first of
 // each, and limits the latter. Its times are those of a clock that is never set and that
-// includes suspended time: a step of the time of day would empty the window. Like Budget it guards against retry storms, for services
-// whose operators limit attempts instead of work. Each gateway may use the share of its own
-// requests and an equal fraction of the slack, so it need not know how many attempts the
-// others make.
+// includes suspended time: a step of the time of day would empty the window. Like Budget it
+// guards against retry storms, for services whose operators limit attempts instead of work.
+//
+// Each gateway may use the share of its own requests and an equal part of the slack, so it
+// need not know how many attempts the others make. Nor need it know what the process before
+// it has used: in any span up to the length of the window, a process uses at most the share
+// of its requests in that span and its part of the slack, and after a restart no slack for
+// one window. So processes that follow each other are together within the limit, however
+// often they are killed. A limit on the whole window alone would not do: what one process
+// has saved up and used in a moment, the next one could use again.
 type AttemptLimiter struct {
 	limit AttemptLimit
 	// startedAt is when the process started, and restarted says that an earlier one may
@@ -34,12 +40,11 @@
 type windowBucket struct {
 	index           int64
 	requests, extra float64
+	// excess is the most by which the extra attempts from any moment to the end of the
+	// bucket exceed the share of the requests in the same span.
+	excess float64
 }
 
-// restartedSlack is the fraction of the slack that a process may use within a window after
-// its restart, since the attempts of the process before it are unknown.
-const restartedSlack = 0.1
-
 // NewAttemptLimiter returns an AttemptLimiter for the limit. startedAt is when the process
 // started, and restarted says that it is not the first start of the system.
 func NewAttemptLimiter(limit AttemptLimit, startedAt time.Duration, restarted bool) *AttemptLimiter {
@@ -47,15 +52,19 @@
 }
 
 // CountRequest counts a request.
-func (l *AttemptLimiter) CountRequest(now time.Duration) { l.bucket(now).requests++ }
+func (l *AttemptLimiter) CountRequest(now time.Duration) {
+	b := l.bucket(now)
+	b.requests++
+	b.excess = max(0, b.excess-l.limit.Share)
+}
 
 // Decision is whether one more extra attempt is allowed, and the inputs of the decision.
 type Decision struct {
 	Allowed bool
 	// Requests and Extra are the requests and the extra attempts within the window before
-	// it, Held are the attempts for which a part is held, and Slack is this gateway's part
-	// of the slack.
-	Requests, Extra, Held, Slack float64
+	// it, and Held are the attempts for which a part is held. Slack is this gateway's part
+	// of the slack, and Excess what is used of it.
+	Requests, Extra, Held, Slack, Excess float64
 	// Gateways is how many gateways share the slack, 0 if that is unknown.
 	Gateways int
 }
@@ -76,7 +85,9 @@
 // Spend counts an attempt for which a part is held.
 func (l *AttemptLimiter) Spend(now time.Duration) {
 	l.held--
-	l.bucket(now).extra++
+	b := l.bucket(now)
+	b.extra++
+	b.excess++
 }
 
 // Release gives back a part that is held.
@@ -84,21 +95,26 @@
 
 // State returns what Hold would decide.
 func (l *AttemptLimiter) State(now time.Duration, gateways int) Decision {
-	d := Decision{Gateways: gateways, Slack: l.slack(now, gateways), Held: l.held}
-	d.Requests, d.Extra = l.sums(now)
-	d.Allowed = d.Extra+d.Held+1 <= l.limit.Share*d.Requests+d.Slack
+	part := l.part(gateways)
+	d := Decision{Gateways: gateways, Held: l.held, Slack: part}
+	if l.restarted && now-l.startedAt < l.limit.Window {
+		d.Slack = 0
+	}
+	d.Requests, d.Extra, d.Excess = l.sums(now)
+	d.Allowed = d.Excess+d.Held+1 <= max(1, part)
+	if d.Slack < 1 {
+		// One attempt in any span may exceed the slack, the window may not.
+		d.Allowed = d.Allowed && d.Extra+d.Held+1 <= l.limit.Share*d.Requests+d.Slack
+	}
 	return d
 }
 
-func (l *AttemptLimiter) slack(now time.Duration, gateways int) float64 {
+// part returns this gateway's part of the slack.
+func (l *AttemptLimiter) part(gateways int) float64 {
 	if gateways <= 0 {
 		return 0
 	}
-	slack := l.limit.Slack / float64(gateways)
-	if l.restarted && now-l.startedAt < l.limit.Window {
-		slack *= restartedSlack
-	}
-	return slack
+	return l.limit.Slack / float64(gateways)
 }
 
 func (l *AttemptLimiter) bucketIndex(now time.Duration) int64 {
@@ -114,18 +130,22 @@
 	return b
 }
 
-// sums returns the requests within at most the window before now, and the extra attempts
-// within at least that.
-func (l *AttemptLimiter) sums(now time.Duration) (requests, extra float64) {
-	index := l.bucketIndex(now)
-	for _, b := range l.buckets {
-		age := index - b.index
+// sums returns the requests within at most the window before now, the extra attempts within
+// at least that, and the largest excess of any span that ends now.
+func (l *AttemptLimiter) sums(now time.Duration) (requests, extra, excess float64) {
+	newest := l.bucketIndex(now)
+	later := 0.0
+	for age := range int64(len(l.buckets)) {
+		b := l.buckets[(newest-age+int64(len(l.buckets)))%int64(len(l.buckets))]
+		if b.index != newest-age {
+			continue
+		}
+		excess = max(excess, later+b.excess)
+		later += b.extra - l.limit.Share*b.requests
+		extra += b.extra
 		if age < windowBuckets {
 			requests += b.requests
 		}
-		if age <= windowBuckets {
-			extra += b.extra
-		}
 	}
-	return requests, extra
+	return requests, extra, excess
 }
--- a/internal/decide/retry/attempts_test.go
+++ b/internal/decide/retry/attempts_test.go
@@ -69,22 +69,28 @@
 
 	// Guards against a retry storm of a process that does not know what the one before it,
 	// or the other gateways, have used.
-	It("allows less after a restart, and only its share while the gateways are unknown", func() {
-		l := retry.NewAttemptLimiter(limit, 0, true)
-		allowed := func(now time.Duration, gateways int) (n int) {
-			for l.Hold(now, gateways).Allowed {
-				l.Spend(now)
-				n++
+	It("allows only the share of its requests for a window after a restart, and while the gateways are unknown", func() {
+		for _, gateways := range []int{0, 8} {
+			l := retry.NewAttemptLimiter(limit, 0, true)
+			allowed := func(now time.Duration, gateways int) (n int) {
+				for l.Hold(now, gateways).Allowed {
+					l.Spend(now)
+					n++
+				}
+				return n
 			}
-			return n
-		}
-		Expect(allowed(time.Second, 0)).To(BeZero())
-		for range 50 {
-			l.CountRequest(time.Second)
+			Expect(allowed(time.Second, gateways)).To(BeZero())
+			requests, extra := 0, 0
+			for now := time.Second; now < limit.Window; now += 20 * time.Millisecond {
+				l.CountRequest(now)
+				requests++
+				extra += allowed(now, gateways)
+				Expect(float64(extra)).To(BeNumerically("<=", limit.Share*float64(requests)))
+			}
+			Expect(float64(extra)).To(BeNumerically(">=", limit.Share*float64(requests)-1))
+			Expect(allowed(30*time.Second, 0)).To(BeZero(), "no slack while the gateways are unknown")
+			Expect(allowed(30*time.Second, 8)).To(Equal(10))
 		}
-		Expect(allowed(time.Second, 0)).To(Equal(10))
-		Expect(allowed(time.Second, 8)).To(Equal(1))
-		Expect(allowed(30*time.Second, 8)).To(Equal(10))
 	})
 
 	It("allows attempts again after the window", func() {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -59,12 +59,9 @@
 	return startFixture(retrySlack, func(end func()) { DeferCleanup(end) })
 }
 
+// startFixture starts a gateway as at the first start of the system, so that the whole retry
+// budget is available.
 func startFixture(retrySlack float64, atEnd func(func())) *fixture {
-	return startFixtureAt(false, retrySlack, atEnd)
-}
-
-// startFixtureAt sets whether it is the first start of the system.
-func startFixtureAt(firstStart bool, retrySlack float64, atEnd func(func())) *fixture {
 	f := &fixture{store: objectstore.New(), addresses: map[string]string{}, atEnd: atEnd}
 	storeServer := httptest.NewServer(f.store)
 	f.atEnd(storeServer.CloseClientConnections)
@@ -72,7 +69,7 @@
 	f.dir = directory.New(client, platform.Codec{}, platform.ObjectKinds)
 	f.gateway = gateway.New(gateway.Config{
 		Deployment: deployment.Deployment{
-			Name: "f-1", DataCentre: "z", MaxMemoryBytes: 64 << 20, Bootstrap: firstStart,
+			Name: "f-1", DataCentre: "z", MaxMemoryBytes: 64 << 20, Bootstrap: true,
 			Bounds: deployment.Bounds{RetryShare: 0.2, RetrySlack: retrySlack, RetryWindow: 10 * time.Second, GracePeriod: 8 * time.Second, DrainTimeout: 2 * time.Second},
 		},
 		Codec:     platform.Codec{},
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -119,7 +119,7 @@
 		return
 	}
 	fields := log.Fields{
-		"service": service, "requests": d.Requests, "extra": d.Extra, "held": d.Held, "slack": d.Slack, "gateways": d.Gateways,
+		"service": service, "requests": d.Requests, "extra": d.Extra, "held": d.Held, "slack": d.Slack, "excess": d.Excess, "gateways": d.Gateways,
 		"started_ms": (now - b.startedAt).Milliseconds(), "restarted": b.restarted,
 	}
 	for kind, n := range s.pending {
@@ -159,11 +159,12 @@
 	Service string `json:"service"`
 	// Requests and Extra count the requests and their extra attempts, Held the attempts
 	// that are allowed and have not ended. Slack is this gateway's part of what is allowed
-	// in addition to the share of the requests.
+	// in addition to the share of the requests, and Excess what is used of it.
 	Requests float64 `json:"requests"`
 	Extra    float64 `json:"extra"`
 	Held     float64 `json:"held"`
 	Slack    float64 `json:"slack"`
+	Excess   float64 `json:"excess"`
 }
 
 func (b *retryBudgets) dump() []RetryBudgetDump {
@@ -172,7 +173,7 @@
 	var all []RetryBudgetDump
 	for _, name := range slices.Sorted(maps.Keys(b.services)) {
 		d := b.services[name].limiter.State(b.now(), b.gateways())
-		all = append(all, RetryBudgetDump{Service: name, Requests: d.Requests, Extra: d.Extra, Held: d.Held, Slack: d.Slack})
+		all = append(all, RetryBudgetDump{Service: name, Requests: d.Requests, Extra: d.Extra, Held: d.Held, Slack: d.Slack, Excess: d.Excess})
 	}
 	return all
 }
--- a/internal/gateway/retry_storm_test.go
+++ b/internal/gateway/retry_storm_test.go
@@ -39,7 +39,7 @@
 func TestStormOfRejectedPrefillsStaysWithinTheRetryBudget(t *testing.T) {
 	RegisterTestingT(t)
 	const requests, slack, share = 300, 20, 0.2
-	f := startFixtureAt(true, slack, t.Cleanup)
+	f := startFixture(slack, t.Cleanup)
 	f.configure("1")
 	var engines []*runner.BackendServer
 	for i := range 4 {
