The slack of a retry budget is divided by the most gateways known within the window

Seen: more repeats than a service tolerates while gateways read an old list of each other, as stale reads may return. Cause: the part of the slack followed the last list at once.

--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -40,6 +40,8 @@
 type windowBucket struct {
 	index           int64
 	requests, extra float64
+	// gateways is the largest number of gateways that was known.
+	gateways int
 	// excess is the most by which the extra attempts from any moment to the end of the
 	// bucket exceed the share of the requests in the same span.
 	excess float64
@@ -51,9 +53,10 @@
 	return &AttemptLimiter{limit: limit, startedAt: startedAt, restarted: restarted}
 }
 
-// CountRequest counts a request.
-func (l *AttemptLimiter) CountRequest(now time.Duration) {
+// CountRequest counts a request. gateways is the number of gateways, 0 if unknown.
+func (l *AttemptLimiter) CountRequest(now time.Duration, gateways int) {
 	b := l.bucket(now)
+	b.gateways = max(b.gateways, gateways)
 	b.requests++
 	b.excess = max(0, b.excess-l.limit.Share)
 }
@@ -65,7 +68,8 @@
 	// it, and Held are the attempts for which a part is held. Slack is this gateway's part
 	// of the slack, and Excess what is used of it.
 	Requests, Extra, Held, Slack, Excess float64
-	// Gateways is how many gateways share the slack, 0 if that is unknown.
+	// Gateways is how many gateways share the slack, 0 if that is unknown: the most that
+	// were known within the window.
 	Gateways int
 }
 
@@ -73,8 +77,11 @@
 // limit for it if so. The attempt may reach a server at any time from then on: it counts as
 // made now until Spend says that it was made, or Release that it will not be.
 //
-// The slack is divided by the number of gateways; there is none while that is 0, unknown.
+// The slack is divided by the largest number of gateways that was known within the window,
+// as a list of them may be old; there is none while the number is 0, unknown.
 func (l *AttemptLimiter) Hold(now time.Duration, gateways int) Decision {
+	b := l.bucket(now)
+	b.gateways = max(b.gateways, gateways)
 	d := l.State(now, gateways)
 	if d.Allowed {
 		l.held++
@@ -95,6 +102,7 @@
 
 // State returns what Hold would decide.
 func (l *AttemptLimiter) State(now time.Duration, gateways int) Decision {
+	gateways = l.mostGateways(now, gateways)
 	part := l.part(gateways)
 	d := Decision{Gateways: gateways, Held: l.held, Slack: part}
 	if l.restarted && now-l.startedAt < l.limit.Window {
@@ -109,6 +117,21 @@
 	return d
 }
 
+// mostGateways returns the largest number of gateways that was known within the window, 0 if
+// it is unknown now.
+func (l *AttemptLimiter) mostGateways(now time.Duration, gateways int) int {
+	if gateways <= 0 {
+		return 0
+	}
+	newest := l.bucketIndex(now)
+	for _, b := range l.buckets {
+		if newest-b.index <= windowBuckets {
+			gateways = max(gateways, b.gateways)
+		}
+	}
+	return gateways
+}
+
 // part returns this gateway's part of the slack.
 func (l *AttemptLimiter) part(gateways int) float64 {
 	if gateways <= 0 {
--- a/internal/decide/retry/attempts_test.go
+++ b/internal/decide/retry/attempts_test.go
@@ -28,7 +28,7 @@
 			}
 			for _, l := range all {
 				now := time.Duration(ms) * time.Millisecond
-				l.CountRequest(now)
+				l.CountRequest(now, gateways)
 				requests++
 				for l.Hold(now, gateways).Allowed {
 					l.Spend(now)
@@ -82,7 +82,7 @@
 			Expect(allowed(time.Second, gateways)).To(BeZero())
 			requests, extra := 0, 0
 			for now := time.Second; now < limit.Window; now += 20 * time.Millisecond {
-				l.CountRequest(now)
+				l.CountRequest(now, gateways)
 				requests++
 				extra += allowed(now, gateways)
 				Expect(float64(extra)).To(BeNumerically("<=", limit.Share*float64(requests)))
--- a/internal/decide/retry/play_test.go
+++ b/internal/decide/retry/play_test.go
@@ -39,6 +39,8 @@
 	downUntil time.Duration
 	// knownFrom is when the other gateways know this one.
 	knownFrom time.Duration
+	// staleUntil is when a list that lacks half of the gateways is replaced.
+	staleUntil time.Duration
 }
 
 func (p *play) limit() retry.AttemptLimit {
@@ -77,6 +79,9 @@
 			n++
 		}
 	}
+	if now < g.staleUntil {
+		return (n + 1) / 2
+	}
 	return n
 }
 
@@ -103,11 +108,11 @@
 
 // serve counts a request and returns how many extra attempts it makes.
 func (p *play) serve(g *playGateway, now time.Duration) (extra float64) {
-	g.limiter.CountRequest(now)
+	known := p.known(g, now)
+	g.limiter.CountRequest(now, known)
 	if !p.storm(now) {
 		return 0
 	}
-	known := p.known(g, now)
 	for range maxExtraPerRequest {
 		if !g.limiter.Hold(now, known).Allowed {
 			break
@@ -157,6 +162,29 @@
 	perSecond float64
 }{{2, 40}, {8, 160}, {8, 20}, {34, 500}, {100, 300}, {350, 1_800}, {1_000, 4_000}}
 
+// Guards against a limit that is divided by too few gateways: all of them read an old list
+// for some seconds.
+func TestStaleListsOfGatewaysStayWithinTheRetryLimit(t *testing.T) {
+	for _, size := range sizes {
+		for seed := range uint64(4) {
+			p := newPlay(seed, size.gateways, size.perSecond, 108)
+			begin := 11*time.Second + time.Duration(p.random.Int64N(int64(4*time.Second)))
+			p.storm = func(now time.Duration) bool { return now >= begin }
+			p.run(func(now time.Duration) {
+				if now/playStep%(9*time.Second/playStep) != 0 || now < 5*time.Second {
+					return
+				}
+				for _, g := range p.gateways {
+					g.staleUntil = now + 3*time.Second
+				}
+			})
+			if most := p.most(); most > 1 {
+				t.Errorf("%d gateways, %.0f requests a second, seed %d: %.3f of the limit is used", size.gateways, size.perSecond, seed, most)
+			}
+		}
+	}
+}
+
 // minPerSecond is the number of requests a second at each gateway from which on most of the
 // limit is used. Each of them makes whole attempts only.
 const minPerSecond = 4
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -68,7 +68,7 @@
 func (b *retryBudgets) countRequest(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.service(service).limiter.CountRequest(b.now())
+	b.service(service).limiter.CountRequest(b.now(), b.gateways())
 }
 
 // hold reports whether the budget of a service allows one more extra attempt, and holds a
