The test of an account at an engine that resumes a stream makes its requests overlap

It failed once in the gateway's tests: 50 requests in a row all went to the sound engine, which the first of them had shown to be fast, so that no stream broke off. What it demands is unchanged.

--- a/internal/gateway/authenticate_test.go
+++ b/internal/gateway/authenticate_test.go
@@ -124,8 +124,9 @@
 		})
 
 		It("at an engine that resumes a stream", func() {
-			addEngine("i-d", "decode").SetFault(runner.TruncatingStream)
-			other := addEngine("i-e", "decode")
+			broken, other := addEngine("i-d", "decode"), addEngine("i-e", "decode")
+			broken.SetFault(runner.TruncatingStream)
+			other.EventInterval = 50 * time.Millisecond
 			resumed := func() bool {
 				for _, run := range other.Runs() {
 					if run.LastEventID != "" {
@@ -134,9 +135,14 @@
 				}
 				return false
 			}
-			for n := 0; n < 50 && !resumed(); n++ {
+			// One at a time, they may all go to the engine that has proved to be fast.
+			var waits []func() response
+			for n := range 4 {
 				own := authorized("Token-Count", "2000,80", "Prefix-Hash", fmt.Sprintf("%x:2000", n), "Deadline-Ms", "5000")
-				Expect(f.send(http.MethodPost, "/stream-again/1", "r1", own...).status).To(Equal(http.StatusOK))
+				waits = append(waits, f.start(http.MethodPost, "/stream-again/1", fmt.Sprintf("r%d", n), own...))
+			}
+			for _, wait := range waits {
+				Expect(wait().status).To(Equal(http.StatusOK))
 			}
 			Expect(resumed()).To(BeTrue())
 			expectAccount("desk", 2)
