A gateway uses no slack of a retry budget while no list has it, and none hands over a list of one

Seen: more repeats than a service tolerates while gateways believe that there are fewer of them. Causes: a new gateway that cannot reach the store took the list of the one that it asked, which may know no others; a gateway whose registration has not reached the store used a part that the others divide without it; objects that cannot be read were not counted.

--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -45,6 +45,9 @@
 	GatewayCount() int
 	// GatewaysKnown reports whether the other gateways have been listed.
 	GatewaysKnown() bool
+	// GatewaysSharing returns how many gateways share a limit, including this one, 0 while
+	// that is unknown.
+	GatewaysSharing() int
 	// JoinGroup returns this gateway's group among count groups. From then on
 	// placements and their ends are announced within the group only.
 	JoinGroup(count uint64) place.Group
@@ -67,6 +70,7 @@
 func (noGossip) AnnounceServerLimit(ratelimit.Notice)        {}
 func (noGossip) ReannounceServerLimit(ratelimit.Notice)      {}
 func (noGossip) GatewaysKnown() bool                         { return true }
+func (noGossip) GatewaysSharing() int                        { return 1 }
 func (noGossip) RankFor(string, uint64) ratelimit.Rank       { return ratelimit.Rank{Total: 1} }
 func (noGossip) MembershipVersion() uint64                   { return 0 }
 func (noGossip) GatewayCount() int                           { return 1 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,7 +95,7 @@
 	}
 	g.transport.OnResponse = g.statements.observe
 	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
-	g.retryBudgets.gateways = g.retryShares
+	g.retryBudgets.gateways = func() int { return g.engines.gossip.GatewaysSharing() }
 	g.deployment.Store(&c.Deployment)
 	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
 	return g
@@ -131,15 +131,6 @@
 // gatewayCount returns the number of gateways, including this one.
 func (g *Gateway) gatewayCount() int { return g.engines.gossip.GatewayCount() }
 
-// retryShares returns how many gateways share the retry budgets of the services, 0 if that
-// is unknown.
-func (g *Gateway) retryShares() int {
-	if !g.engines.gossip.GatewaysKnown() {
-		return 0
-	}
-	return g.gatewayCount()
-}
-
 // bodyBudget limits the number of bytes that are reserved at a time.
 type bodyBudget struct {
 	limit    int64
--- a/internal/gateway/process/bootstrap.go
+++ b/internal/gateway/process/bootstrap.go
@@ -32,25 +32,32 @@
 // bootstrapState is what a gateway sends to a new one that cannot reach the store.
 type bootstrapState struct {
 	Snapshot directory.Snapshot `json:"snapshot"`
-	// Gateways are the gateways' addresses for datagrams, by VM.
-	Gateways map[string]netip.AddrPort `json:"gateways"`
+	// Gateways are the gateways' addresses for datagrams, by VM. They are absent if this
+	// gateway does not know the others.
+	Gateways map[string]netip.AddrPort `json:"gateways,omitempty"`
 }
 
 // serveBootstrap serves this gateway's state to new gateways.
 func (p *components) serveBootstrap(ctx context.Context) error {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+bootstrapPath, func(w http.ResponseWriter, _ *http.Request) {
-		snapshot, ok := p.directory.Snapshot()
-		if !ok {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		writeJSON(w, bootstrapState{Snapshot: snapshot, Gateways: p.peers.Addresses()})
-	})
+	mux.HandleFunc("GET "+bootstrapPath, p.serveState)
 	mux.HandleFunc("GET "+configPath, p.serveConfig)
 	return serveHTTP(ctx, p.config.Deployment.StateAddress, mux)
 }
 
+func (p *components) serveState(w http.ResponseWriter, _ *http.Request) {
+	snapshot, ok := p.directory.Snapshot()
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	state := bootstrapState{Snapshot: snapshot}
+	if p.peers.GatewaysKnown() {
+		state.Gateways = p.peers.Addresses()
+	}
+	writeJSON(w, state)
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(value); err != nil {
@@ -86,7 +93,9 @@
 				continue
 			}
 			p.directory.Adopt(time.Now(), state.Snapshot)
-			p.peers.SetPeers(state.Gateways)
+			if len(state.Gateways) > 0 {
+				p.peers.SetPeers(state.Gateways)
+			}
 			break
 		}
 	}
--- a/internal/gateway/process/handover_test.go
+++ b/internal/gateway/process/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -99,4 +100,22 @@
 		Expect(cut.View().TableRevision).To(Equal(revision))
 		Expect(holds("added-key")()).To(BeTrue())
 	})
+
+	// Guards against a new gateway that takes the one which it asks for the only other one,
+	// and then uses half of what all gateways share.
+	It("gets no list of gateways from one that does not know the others", func() {
+		gateways, err := peers.New(peers.Config{Name: "served", StartID: rand.Uint64(), Address: "127.0.0.1:0"}, gateway.New(gateway.Config{Codec: platform.Codec{}, Directory: served}))
+		Expect(err).NotTo(HaveOccurred())
+		known.peers = gateways
+		received := func() (state bootstrapState) {
+			recorder := httptest.NewRecorder()
+			known.serveState(recorder, nil)
+			Expect(json.Unmarshal(recorder.Body.Bytes(), &state)).To(Succeed())
+			return state
+		}
+		Eventually(func() bool { _, ok := served.Snapshot(); return ok }).Should(BeTrue())
+		Expect(received().Gateways).To(BeEmpty())
+		gateways.SetPeers(map[string]netip.AddrPort{"cut": netip.MustParseAddrPort("127.0.0.1:9")})
+		Expect(received().Gateways).To(HaveLen(2))
+	})
 })
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -100,9 +100,11 @@
 
 	mu     sync.Mutex
 	others map[string]netip.AddrPort
-	// listed says that others has been set, membershipVersion counts the changes of others
-	// and group.
-	listed            bool
+	// listed says that others has been set, and ownListed that a list had this gateway too.
+	// membershipVersion counts the changes of others and group.
+	listed, ownListed bool
+	// unreadable is the number of gateways whose addresses could not be read.
+	unreadable        int
 	membershipVersion uint64
 	rank              int
 	// group is this gateway's group, groupMembers are the other gateways in it.
@@ -172,6 +174,17 @@
 	return p.listed
 }
 
+// GatewaysSharing implements gateway.Gossip. It is 0 while no list has this gateway: the
+// others then divide limits without it.
+func (p *Peers) GatewaysSharing() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ownListed {
+		return 0
+	}
+	return len(p.others) + p.unreadable + 1
+}
+
 // Rank returns this gateway's rank among the known ones, from 0.
 func (p *Peers) Rank() int {
 	p.mu.Lock()
@@ -218,11 +231,14 @@
 	return all
 }
 
-// SetPeers replaces the addresses of the other gateways, by VM.
+// SetPeers replaces the addresses of the gateways, by VM. This one may be among them.
 func (p *Peers) SetPeers(others map[string]netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(others, p.name)
+	if _, ok := others[p.name]; ok {
+		p.ownListed = true
+		delete(others, p.name)
+	}
 	if len(others) != len(p.others) {
 		log.WithField("peers", len(others)).Info("peers changed")
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -423,3 +423,29 @@
 		Expect(members).To(BeNumerically("<", len(names)-1))
 	})
 })
+
+var _ = Describe("the number of gateways that share a limit", func() {
+	// Guards against a part of a limit that the others, who do not know this gateway, use
+	// as well.
+	It("is unknown while no list has this gateway", func() {
+		all, _, addresses := startGateways(3)
+		p := all[0]
+		Expect(p.GatewaysSharing()).To(BeZero())
+		others := maps.Clone(addresses)
+		delete(others, "f-0")
+		p.SetPeers(others)
+		Expect(p.GatewaysSharing()).To(BeZero())
+		p.SetPeers(maps.Clone(addresses))
+		Expect(p.GatewaysSharing()).To(Equal(3))
+	})
+
+	// Guards against parts that are too large: the object of one gateway cannot be read.
+	It("has gateways whose objects cannot be read", func() {
+		objects := objectstore.New()
+		server := httptest.NewServer(objects)
+		DeferCleanup(server.CloseClientConnections)
+		objects.PutRaw(peers.Kind, "f-1", []byte(`{"address":"nowhere"}`))
+		p := start("f-0", platform.NewStore(strings.TrimPrefix(server.URL, "http://")), newRecorder())
+		Eventually(p.GatewaysSharing).Should(Equal(2))
+	})
+})
--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -84,18 +84,29 @@
 		log.WithField("error", err.Error()).Debug("listing gateways failed, keeping the known ones")
 		return
 	}
-	others := make(map[string]netip.AddrPort, len(l.Objects))
+	gateways := make(map[string]netip.AddrPort, len(l.Objects))
 	for _, o := range l.Objects {
-		var r registration
-		if err := json.Unmarshal(o.Spec, &r); err != nil {
+		address, err := decodeRegistration(o)
+		if err != nil {
 			log.WithField("object", o.Name).WithField("error", err.Error()).Warn("gateway object is invalid, ignored")
 			continue
 		}
-		address, err := netip.ParseAddrPort(r.Address)
-		if err != nil || o.Name == p.name {
-			continue
-		}
-		others[o.Name] = address
+		gateways[o.Name] = address
 	}
-	p.SetPeers(others)
+	p.setUnreadable(len(l.Objects) - len(gateways))
+	p.SetPeers(gateways)
+}
+
+func decodeRegistration(o store.Object) (netip.AddrPort, error) {
+	var r registration
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		return netip.AddrPort{}, err
+	}
+	return netip.ParseAddrPort(r.Address)
+}
+
+func (p *Peers) setUnreadable(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unreadable = n
 }
