The connection of an attempt that is given up is reset

Seen: a service gets requests that were given up seconds before, next to what ran instead of them. Cause: an attempt that a hedge, the caller or the deadline ended was closed without a reset; the kernel goes on to deliver what a silent link holds up, and the server runs it when the link recovers. A reset drops it.

--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"golang.org/x/sys/unix"
 )
 
@@ -74,6 +75,18 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), ackTimeout: ackTimeout}, nil
 }
 
+// abort closes the connection with a reset, which drops what has not been delivered. After
+// a close without one, a request that a silent link holds up would reach the server once the
+// link recovers, long after it was given up.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			log.WithField("error", err.Error()).Debug("reset of a connection failed, closing it")
+		}
+	}
+	c.Close()
+}
+
 // setAckTimeout sets how long sent data may remain unacknowledged.
 func (c *conn) setAckTimeout(d time.Duration) error {
 	if c.ackTimeout == d {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	x := &exchange{transport: t, key: key, conn: c, request: r, options: &o, sent: time.Now()}
-	x.stopWatch = context.AfterFunc(ctx, func() { c.Close() })
+	x.stopWatch = context.AfterFunc(ctx, c.abort)
 	deadlineErr := c.SetDeadline(time.Now().Add(o.Remaining + responseSlack))
 	if err := errors.Join(deadlineErr, c.setAckTimeout(ackTimeoutOf(o.Stage))); err != nil {
 		return nil, x.fail(verdict.NotRun, "set timeouts", err)
@@ -282,7 +282,8 @@
 	return verdict.New(v, verdict.CodeBackendFailed, step+": "+err.Error())
 }
 
-// end returns the connection to the pool if it is reusable, and otherwise closes it.
+// end returns the connection to the pool if it is reusable, and otherwise closes it, with a
+// reset if the response is incomplete.
 func (x *exchange) end(complete bool) {
 	if x.conn == nil {
 		return
@@ -290,7 +291,11 @@
 	c := x.conn
 	x.conn = nil
 	canceled := !x.stopWatch()
-	if !complete || canceled || !x.reusable || !x.wroteAll() || c.reader.Buffered() > 0 {
+	if !complete || canceled {
+		c.abort()
+		return
+	}
+	if !x.reusable || !x.wroteAll() || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
