Retry budgets follow the bounds of reloaded settings

Seen: operators lower the retry slack and gateways go on with the old one. Cause: the limiter of a service kept the bounds of its first use. It is now set at each use; after a change it forgets what it counted, as after a restart, and there is no slack for a window. TestReloadedBoundsLimitRetries before: 90 extra attempts after a change from 100 to 10; after: none for a window, then 9.

--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -53,6 +53,14 @@
 	return &AttemptLimiter{limit: limit, startedAt: startedAt, restarted: restarted}
 }
 
+// SetLimit changes the limit. What has been counted is forgotten, so that, as after a
+// restart, there is no slack for a window.
+func (l *AttemptLimiter) SetLimit(now time.Duration, limit AttemptLimit) {
+	if limit != l.limit {
+		*l = AttemptLimiter{limit: limit, startedAt: now, restarted: true, held: l.held}
+	}
+}
+
 // CountRequest counts a request. gateways is the number of gateways, 0 if unknown.
 func (l *AttemptLimiter) CountRequest(now time.Duration, gateways int) {
 	b := l.bucket(now)
--- a/internal/gateway/call_retries.go
+++ b/internal/gateway/call_retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"pistachioroad.dev/pistachioroad/internal/decide/retry"
+	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -31,6 +32,8 @@
 	default:
 		c.arrivals.End(retry.Arrived)
 	}
+	invariant.Check(c.heldRetries+c.spentRetries >= c.arrivals.Extra(), "extra-attempts-are-paid-for",
+		"request %s has made %d extra attempts, %d parts of the retry budget are held and %d spent", c.id, c.arrivals.Extra(), c.heldRetries, c.spentRetries)
 	c.spendRetries(c.arrivals.ExtraEnded())
 }
 
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -130,11 +130,12 @@
 	log.WithFields(fields).Info("retry budget")
 }
 
+// service returns the budget of a service, with the limit of the current settings.
 func (b *retryBudgets) service(name string) *serviceBudget {
 	s, ok := b.services[name]
 	if !ok {
 		s = &serviceBudget{
-			limiter:  b.newLimiter(),
+			limiter:  retry.NewAttemptLimiter(b.limit(), b.startedAt, b.restarted),
 			allowed:  metrics.GetOrRegisterCounter("gateway.retries_allowed_"+name, nil),
 			refused:  metrics.GetOrRegisterCounter("gateway.retries_refused_"+name, nil),
 			released: metrics.GetOrRegisterCounter("gateway.retries_released_"+name, nil),
@@ -142,16 +143,18 @@
 		}
 		b.services[name] = s
 	}
+	s.limiter.SetLimit(b.now(), b.limit())
 	return s
 }
 
-func (b *retryBudgets) newLimiter() *retry.AttemptLimiter {
+// limit returns the limit that the deployment settings have now.
+func (b *retryBudgets) limit() retry.AttemptLimit {
 	bounds := b.bounds()
-	return retry.NewAttemptLimiter(retry.AttemptLimit{
+	return retry.AttemptLimit{
 		Share:  bounds.RetryShare * retryBudgetFraction,
 		Slack:  bounds.RetrySlack * retryBudgetFraction,
 		Window: bounds.RetryWindow,
-	}, b.startedAt, b.restarted)
+	}
 }
 
 // RetryBudgetDump is the retry budget of a service in the window until now.
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -135,3 +135,25 @@
 		t.Errorf("budget %+v, want nothing spent and nothing held", d[0])
 	}
 }
+
+// Guards against a retry budget that keeps the bounds of the settings before a reload.
+func TestReloadedBoundsLimitRetries(t *testing.T) {
+	b := newTestBudgets(0, 100)
+	spend := func() (spent int) {
+		for b.hold("reloaded", sendAttempt) {
+			b.spend("reloaded")
+			spent++
+		}
+		return spent
+	}
+	b.countRequest("reloaded")
+	b.bounds = func() deployment.Bounds { return deployment.Bounds{RetrySlack: 10, RetryWindow: 10 * time.Second} }
+	if spent := spend(); spent != 0 {
+		t.Errorf("%d extra attempts within a window after the reload, want none: earlier ones are not counted any more", spent)
+	}
+	later := b.now() + 11*time.Second
+	b.now = func() time.Duration { return later }
+	if spent := spend(); spent != 9 {
+		t.Errorf("%d extra attempts, want 9 of 10", spent)
+	}
+}
