The soak of processes counts extra arrivals as the operators do

It set a retry budget and checked nothing of it. It now counts the arrivals beyond the first of each request at all servers in any window and compares them with the budget; new faults are servers of a service that shed most requests and a kill of all gateways; a budget between the two others; the report has the largest fraction that a window used.

--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -106,9 +106,9 @@
 	slack int
 }
 
-// retryBudgets are the budgets of the runs in turn: with the second one, a pause of one
-// server uses up the budget.
-var retryBudgets = []retryBudget{{share: 0.5, slack: 300}, {share: 0.002, slack: 5}}
+// retryBudgets are the budgets of the runs in turn: with the first one, a service that sheds
+// most requests uses up the budget, with the last one, a pause of one server does.
+var retryBudgets = []retryBudget{{share: 0.05, slack: 20}, {share: 0.5, slack: 300}, {share: 0.002, slack: 5}}
 
 // maxSubnets limits the subnets that a run tries to find a free one.
 const maxSubnets = 200
@@ -117,7 +117,7 @@
 // the seed and the process id, so that concurrent runs rarely collide. A run whose
 // store finds its port taken uses the next subnet.
 func start(seed uint64, bin, dir string) (*environment, error) {
-	env := &environment{store: objectstore.New(), budget: retryBudgets[seed/2%2], idleTimeout: maxIdleTimeout}
+	env := &environment{store: objectstore.New(), budget: retryBudgets[seed/2%uint64(len(retryBudgets))], idleTimeout: maxIdleTimeout}
 	env.timeouts.set(callerTimeout)
 	if err := errors.Join(env.serveStore(seed), env.serveReports()); err != nil {
 		return env, err
--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -83,6 +83,22 @@
 			_ = g.process.Restart()
 		}
 	}},
+	{name: "all gateways killed", begin: func(env *environment, _ *rand.Rand) func() {
+		var killed []*gateway
+		for _, g := range env.gateways {
+			if !g.paused && !g.down {
+				g.down = true
+				g.process.Kill()
+				killed = append(killed, g)
+			}
+		}
+		return func() {
+			for _, g := range killed {
+				g.down = false
+				_ = g.process.Restart()
+			}
+		}
+	}},
 	{name: "store refuses", begin: storeFault(objectstore.Faults{Unavailable: true})},
 	{name: "store silent", begin: storeFault(objectstore.Faults{Unresponsive: true})},
 	{name: "store loses replies", begin: storeFault(objectstore.Faults{LoseReplies: true})},
@@ -106,6 +122,8 @@
 		return noop
 	}},
 	{name: "server sheds", begin: serverFault(runner.Shedding)},
+	{name: "engines shed most", begin: serviceFault(modelService, runner.SheddingMost)},
+	{name: "plain servers shed most", begin: serviceFault(plainService, runner.SheddingMost)},
 	{name: "server loses answers", begin: serverFault(runner.DroppingAnswers)},
 	{name: "server breaks off", begin: serverFault(runner.TruncatingStream)},
 	{name: "server fails", begin: serverFault(runner.Failing)},
@@ -157,6 +175,21 @@
 	}
 }
 
+// serviceFault sets a fault of all servers of a service.
+func serviceFault(service string, f runner.Fault) func(*environment, *rand.Rand) func() {
+	return func(env *environment, _ *rand.Rand) func() {
+		set := func(f runner.Fault) {
+			for _, s := range env.servers {
+				if s.service == service {
+					s.SetFault(f)
+				}
+			}
+		}
+		set(f)
+		return func() { set(runner.Healthy) }
+	}
+}
+
 func serverFault(f runner.Fault) func(*environment, *rand.Rand) func() {
 	return func(env *environment, r *rand.Rand) func() {
 		s := env.randomServer(r)
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -32,6 +32,8 @@
 	// Faults counts the injected faults by name, Answers the answers by status.
 	Faults  map[string]int
 	Answers map[int]int
+	// RetriesUsed is the largest fraction of a retry budget that was used in a window.
+	RetriesUsed float64
 	// TakeUps counts the answers to requests that take up a stream by status.
 	TakeUps map[int]int
 }
@@ -63,6 +65,7 @@
 	stopCallers()
 	env.usage.checkComplete(recovered, time.Now(), l)
 	l.check(env)
+	report.RetriesUsed = env.checkRetryBudgets(l)
 	report.Violations = l.violations
 	report.Answers, report.TakeUps = l.statuses, l.takeUps
 	return report, nil
--- a/test/standin/runner/notices.go
+++ b/test/standin/runner/notices.go
@@ -43,6 +43,8 @@
 	ID      string
 	At      time.Time
 	StartMS int64
+	// Prefilled says that it was a prefill that the server accepted.
+	Prefilled bool
 }
 
 // Statement is an answer that said that the server is leaving or that asked for rest.
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -322,7 +322,7 @@
 		LastEventID: req.Header.Get("Last-Event-Id"), Header: req.Header.Clone(),
 	}
 	if req.Header.Get("Serving-Phase") == "prefill" {
-		s.prefill(w, run)
+		s.prefill(w, run, arrivals-1)
 		return
 	}
 	if !s.takeKVSource(req.Context(), req.Header.Get("Kv-Source")) {
@@ -352,7 +352,8 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-func (s *BackendServer) prefill(w http.ResponseWriter, run Run) {
+// prefill answers a prefill, which is the arrival with the given index.
+func (s *BackendServer) prefill(w http.ResponseWriter, run Run, arrival int) {
 	s.waitForPrefillGate()
 	s.addLimitHeader(w, PrefillAnswers)
 	s.addNotices(w, Prefills)
@@ -363,6 +364,7 @@
 		return
 	}
 	s.prefills = append(s.prefills, run)
+	s.notices.arrivals[arrival].Prefilled = true
 	s.lastHandle++
 	handle := fmt.Sprintf("h%d", s.lastHandle)
 	s.handles[handle] = true
