--- a/internal/decide/retry/attempts_test.go
+++ b/internal/decide/retry/attempts_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -121,3 +122,15 @@
 		}
 	})
 })
+
+// BenchmarkHold measures a request with one extra attempt.
+func BenchmarkHold(b *testing.B) {
+	l := retry.NewAttemptLimiter(retry.AttemptLimit{Share: 0.2, Slack: 80, Window: 10 * time.Second}, 0, false)
+	for n := range b.N {
+		now := time.Duration(n) * time.Millisecond
+		l.CountRequest(now, 8)
+		if l.Hold(now, 8).Allowed {
+			l.Spend(now)
+		}
+	}
+}
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -16,8 +16,8 @@
 
 const (
 	// retryBudgetFraction is the fraction of the operators' limit on retries that is
-	// used. The rest is a margin for gateways that restart and forget what they have used,
-	// and for attempts that arrive later than they are counted.
+	// used. The rest is a margin for gateways that others do not know yet, and for attempts
+	// that arrive after they are taken for ended here.
 	retryBudgetFraction = 0.9
 	// retryLogInterval is the least time between two log lines on the budget of a service.
 	retryLogInterval = time.Second
