Gateways are known for 30 s after the last list that had them

The same class as the divided slack, looked for elsewhere: a stale read may return an older list of gateways, and those it lacks lost their ranks for the limits that servers state, so that others sent in their place. Lists of the last 30 s are merged; objects of gateways are not removed, so no list lacks a gateway that serves for longer. Only read in the code, not shown by a run of gateways; TestOlderListDoesNotRemoveGateways.

--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
@@ -34,11 +35,12 @@
 // Register stores this gateway's address and discovers the others until ctx is done.
 func (p *Peers) Register(ctx context.Context, s store.Store) error {
 	registered := false
+	recent := newRecentLists()
 	for round := 0; ; round++ {
 		if !registered {
 			registered = p.register(ctx, s)
 		}
-		p.listPeers(ctx, s)
+		p.listPeers(ctx, s, recent)
 		wait := listInterval
 		if round < startupRounds {
 			wait = startupListInterval
@@ -78,7 +80,8 @@
 	return err
 }
 
-func (p *Peers) listPeers(ctx context.Context, s store.Store) {
+// listPeers lists the gateways and sets them to those of the recent lists.
+func (p *Peers) listPeers(ctx context.Context, s store.Store, recent *recentLists) {
 	l, err := s.List(ctx, Kind, store.Stale)
 	if err != nil {
 		log.WithField("error", err.Error()).Debug("listing gateways failed, keeping the known ones")
@@ -94,7 +97,7 @@
 		gateways[o.Name] = address
 	}
 	p.setUnreadable(len(l.Objects) - len(gateways))
-	p.SetPeers(gateways)
+	p.SetPeers(recent.add(boottime.Now(), gateways))
 }
 
 func decodeRegistration(o store.Object) (netip.AddrPort, error) {
