--- a/internal/gateway/hedge_model.go
+++ b/internal/gateway/hedge_model.go
@@ -76,7 +76,7 @@
 // tryOtherEngine places the rest of the request again and makes one attempt, with a hedge
 // of its own.
 func (c *call) tryOtherEngine(search context.Context) (a *hedgedAttempt, again bool) {
-	// The attempt is counted before the prompt is placed and prefilled for it.
+	// Without retry budget for the attempt, the prompt is not placed and prefilled for it.
 	if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
 		return nil, true
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -232,13 +232,13 @@
 }
 
 // SetPeers replaces the addresses of the gateways, by VM. This one may be among them.
-func (p *Peers) SetPeers(others map[string]netip.AddrPort) {
+func (p *Peers) SetPeers(gateways map[string]netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := others[p.name]; ok {
+	if _, ok := gateways[p.name]; ok {
 		p.ownListed = true
-		delete(others, p.name)
 	}
+	others := lo.OmitByKeys(gateways, []string{p.name})
 	if len(others) != len(p.others) {
 		log.WithField("peers", len(others)).Info("peers changed")
 	}
