Logs and metrics tell apart why repeats exceed their budget

Hypotheses of the incident that no line could tell apart: requests that arrive late, and processes that take a second start for the first.

- Attempts that are given up before their server has answered: "unanswered" in request lines (servers) and in the lines "retry budget" (since the line before), the counter gateway.attempts_unanswered_SERVICE.
The transport marks such errors: this side ended the connection, in contrast to a server that closed it.
- "gateway registered" has "existed": an earlier process of the VM had registered.
With "restarted" false next to it, a process takes a second start for the first.

Nothing acts on them.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -279,7 +279,16 @@
 // fail ends the exchange and returns an error with the given verdict.
 func (x *exchange) fail(v verdict.Verdict, step string, err error) error {
 	x.end(false)
-	return verdict.New(v, verdict.CodeBackendFailed, step+": "+err.Error())
+	e := verdict.New(v, verdict.CodeBackendFailed, step+": "+err.Error())
+	e.Unanswered = v == verdict.MayHaveRun && endedHere(err)
+	return e
+}
+
+// endedHere reports whether err shows that this side ended the connection: after a timeout
+// or because the attempt was canceled.
+func endedHere(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, net.ErrClosed) || (errors.As(err, &timeout) && timeout.Timeout())
 }
 
 // end returns the connection to the pool if it is reusable, and otherwise closes it, with a
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,7 +38,7 @@
 		return err == nil && !reply.NotRun && reply.Status < http.StatusInternalServerError
 	})
 	c.pendingRuns--
-	c.endArrival(err, false)
+	c.endArrival(server, err, false)
 	if other != nil {
 		if reply != nil {
 			reply.Body.Close()
--- a/internal/gateway/call_retries.go
+++ b/internal/gateway/call_retries.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
@@ -21,9 +22,13 @@
 	return true
 }
 
-// endArrival records the outcome of an attempt that has ended with err or a response. If it
-// was an extra one, the part that is held for it is spent.
-func (c *call) endArrival(err error, prefillAccepted bool) {
+// endArrival records the outcome of an attempt at a server that has ended with err or a
+// response. If it was an extra one, the part that is held for it is spent.
+func (c *call) endArrival(server backend.Server, err error, prefillAccepted bool) {
+	if err != nil && verdict.Of(err).Unanswered {
+		c.trace.unanswered = append(c.trace.unanswered, server.ID)
+		c.gateway.retryBudgets.countUnanswered(c.service.Name)
+	}
 	switch {
 	case err != nil && verdict.Of(err).Verdict == verdict.NotRun:
 		c.arrivals.End(retry.NotSent)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -209,7 +209,7 @@
 		reply, err = c.gateway.transport.Send(ctx, &c.request, o)
 		return err == nil && reply.Status == http.StatusOK
 	})
-	c.endArrival(err, err == nil && reply.Status == http.StatusOK)
+	c.endArrival(prefillEngine, err, err == nil && reply.Status == http.StatusOK)
 	if other != nil {
 		if reply != nil {
 			go c.gateway.freeReply(prefillEngine, reply)
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -51,6 +51,8 @@
 	unframed bool
 	// silent are the servers that sent no data for silenceTimeout.
 	silent []string
+	// unanswered are the servers at which an attempt was given up before they answered.
+	unanswered []string
 	// connectionBroken is set if a server's connection broke while the server may
 	// have been running the request.
 	connectionBroken bool
@@ -216,6 +218,9 @@
 	if len(c.trace.silent) > 0 {
 		fields["silent"] = strings.Join(c.trace.silent, " ")
 	}
+	if len(c.trace.unanswered) > 0 {
+		fields["unanswered"] = strings.Join(c.trace.unanswered, " ")
+	}
 	c.logSkipped(fields)
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -53,6 +53,10 @@
 	// allowed, refused and released count the decisions, and the attempts that were
 	// allowed and not made.
 	allowed, refused, released metrics.Counter
+	// unanswered counts the attempts that were given up before the server answered, and
+	// unansweredPending those since the last log line.
+	unanswered        metrics.Counter
+	unansweredPending int
 	// pending counts the decisions since the last log line, at loggedAt if there was one.
 	pending  map[attemptKind]*decisionCount
 	logged   bool
@@ -91,6 +95,15 @@
 	b.service(service).limiter.Spend(b.now())
 }
 
+// countUnanswered counts an attempt that was given up before the server answered.
+func (b *retryBudgets) countUnanswered(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	s.unanswered.Inc(1)
+	s.unansweredPending++
+}
+
 // release gives back a part of the budget that is held.
 func (b *retryBudgets) release(service string) {
 	b.mu.Lock()
@@ -120,12 +133,12 @@
 	}
 	fields := log.Fields{
 		"service": service, "requests": d.Requests, "extra": d.Extra, "held": d.Held, "slack": d.Slack, "excess": d.Excess, "gateways": d.Gateways,
-		"started_ms": (now - b.startedAt).Milliseconds(), "restarted": b.restarted,
+		"started_ms": (now - b.startedAt).Milliseconds(), "restarted": b.restarted, "unanswered": s.unansweredPending,
 	}
 	for kind, n := range s.pending {
 		fields[string(kind)+"_allowed"], fields[string(kind)+"_refused"] = n.allowed, n.refused
 	}
-	s.pending = make(map[attemptKind]*decisionCount)
+	s.pending, s.unansweredPending = make(map[attemptKind]*decisionCount), 0
 	s.logged, s.loggedAt = true, now
 	log.WithFields(fields).Info("retry budget")
 }
@@ -135,11 +148,12 @@
 	s, ok := b.services[name]
 	if !ok {
 		s = &serviceBudget{
-			limiter:  retry.NewAttemptLimiter(b.limit(), b.startedAt, b.restarted),
-			allowed:  metrics.GetOrRegisterCounter("gateway.retries_allowed_"+name, nil),
-			refused:  metrics.GetOrRegisterCounter("gateway.retries_refused_"+name, nil),
-			released: metrics.GetOrRegisterCounter("gateway.retries_released_"+name, nil),
-			pending:  make(map[attemptKind]*decisionCount),
+			limiter:    retry.NewAttemptLimiter(b.limit(), b.startedAt, b.restarted),
+			allowed:    metrics.GetOrRegisterCounter("gateway.retries_allowed_"+name, nil),
+			refused:    metrics.GetOrRegisterCounter("gateway.retries_refused_"+name, nil),
+			released:   metrics.GetOrRegisterCounter("gateway.retries_released_"+name, nil),
+			unanswered: metrics.GetOrRegisterCounter("gateway.attempts_unanswered_"+name, nil),
+			pending:    make(map[attemptKind]*decisionCount),
 		}
 		b.services[name] = s
 	}
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
@@ -100,8 +101,8 @@
 	at(8 * time.Second)
 	for _, c := range calls {
 		c.arrivals.Begin()
-		c.endArrival(nil, false)
-		c.endArrival(nil, false)
+		c.endArrival(backend.Server{}, nil, false)
+		c.endArrival(backend.Server{}, nil, false)
 		c.settleRetries()
 	}
 	late := len(calls)
@@ -121,13 +122,13 @@
 	for range 100 {
 		c := &call{gateway: &Gateway{retryBudgets: b}, service: routes.Service{Name: "refused"}}
 		c.arrivals.Begin()
-		c.endArrival(nil, false)
+		c.endArrival(backend.Server{}, nil, false)
 		for range 3 {
 			if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
 				t.Fatal("no budget is left")
 			}
 			c.arrivals.Begin()
-			c.endArrival(verdict.New(verdict.NotRun, verdict.CodeNoBackend, "connect"), false)
+			c.endArrival(backend.Server{}, verdict.New(verdict.NotRun, verdict.CodeNoBackend, "connect"), false)
 		}
 		c.settleRetries()
 	}
--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -56,14 +56,15 @@
 func (p *Peers) register(ctx context.Context, s store.Store) bool {
 	value := registration{Address: p.conn.LocalAddr().String()}
 	_, err := s.Create(ctx, Kind, p.name, value)
-	if errors.Is(err, store.ErrConflict) {
+	existed := errors.Is(err, store.ErrConflict)
+	if existed {
 		err = p.updateRegistration(ctx, s, value)
 	}
 	if err != nil {
 		log.WithField("error", err.Error()).Warn("gateway registration failed, retrying")
 		return false
 	}
-	log.WithField("address", value.Address).Info("gateway registered")
+	log.WithField("address", value.Address).WithField("existed", existed).Info("gateway registered")
 	return true
 }
 
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -91,6 +91,9 @@
 	Message string
 	// RetryAfter is the delay after which a retry is useful; zero if it is not.
 	RetryAfter time.Duration
+	// Unanswered is set if the attempt was ended on this side before the server had
+	// answered, so that bytes still in transit may reach the server later.
+	Unanswered bool
 }
 
 // Error returns the code, the verdict and the message.
