A process that starts has no slack of the retry budget for a window, whatever its settings say

Cause: "bootstrap" in the settings file alone told the first start of the system from a restart, and a first start had its part of the slack at once. A supervisor that writes the file once says so at each start, and each process spends the slack of the window again. The class: a limit that hangs on what a setting says of the past.

Now no process has slack in its first window. What an earlier process of the VM has used within the window then lies outside of it, and a first start needs nothing to be known. Tests that need the slack at once have a process that started earlier (Config.StartedAt).

--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -23,16 +23,14 @@
 // Each gateway may use the share of its own requests and an equal part of the slack, so it
 // need not know how many attempts the others make. Nor need it know what the process before
 // it has used: in any span up to the length of the window, a process uses at most the share
-// of its requests in that span and its part of the slack, and after a restart no slack for
+// of its requests in that span and its part of the slack, and after its start no slack for
 // one window. So processes that follow each other are together within the limit, however
 // often they are killed. A limit on the whole window alone would not do: what one process
 // has saved up and used in a moment, the next one could use again.
 type AttemptLimiter struct {
 	limit AttemptLimit
-	// startedAt is when the process started, and restarted says that an earlier one may
-	// have made attempts before.
-	startedAt time.Duration
-	restarted bool
+	// slackFrom is from when the slack may be used.
+	slackFrom time.Duration
 	buckets   [windowBuckets + 1]windowBucket
 	held      float64
 }
@@ -48,16 +46,16 @@
 }
 
 // NewAttemptLimiter returns an AttemptLimiter for the limit. startedAt is when the process
-// started, and restarted says that it is not the first start of the system.
-func NewAttemptLimiter(limit AttemptLimit, startedAt time.Duration, restarted bool) *AttemptLimiter {
-	return &AttemptLimiter{limit: limit, startedAt: startedAt, restarted: restarted}
+// started: an earlier one may have used the slack until then.
+func NewAttemptLimiter(limit AttemptLimit, startedAt time.Duration) *AttemptLimiter {
+	return &AttemptLimiter{limit: limit, slackFrom: startedAt + limit.Window}
 }
 
 // SetLimit changes the limit. What has been counted is forgotten, so that, as after a
-// restart, there is no slack for a window.
+// start, there is no slack for a window.
 func (l *AttemptLimiter) SetLimit(now time.Duration, limit AttemptLimit) {
 	if limit != l.limit {
-		*l = AttemptLimiter{limit: limit, startedAt: now, restarted: true, held: l.held}
+		*l = AttemptLimiter{limit: limit, slackFrom: max(l.slackFrom, now+limit.Window), held: l.held}
 	}
 }
 
@@ -113,7 +111,7 @@
 	gateways = l.mostGateways(now, gateways)
 	part := l.part(gateways)
 	d := Decision{Gateways: gateways, Held: l.held, Slack: part}
-	if l.restarted && now-l.startedAt < l.limit.Window {
+	if now < l.slackFrom {
 		d.Slack = 0
 	}
 	d.Requests, d.Extra, d.Excess = l.sums(now)
--- a/internal/decide/retry/attempts_test.go
+++ b/internal/decide/retry/attempts_test.go
@@ -20,7 +20,7 @@
 		extra := 0
 		var all []*retry.AttemptLimiter
 		for range gateways {
-			all = append(all, retry.NewAttemptLimiter(limit, 0, false))
+			all = append(all, retry.NewAttemptLimiter(limit, -limit.Window))
 		}
 		requests := 0
 		for ms := range 10_000 {
@@ -45,7 +45,7 @@
 	// another right after it.
 	It("keeps any span of the window's length within the limit", func() {
 		for offset := range 500 {
-			l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 20, Window: 10 * time.Second}, 0, false)
+			l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 20, Window: 10 * time.Second}, -10*time.Second)
 			var allowed []time.Duration
 			for _, storm := range []time.Duration{0, 9 * time.Second, 9900 * time.Millisecond, 10_400 * time.Millisecond} {
 				for ms := range 50 {
@@ -72,7 +72,7 @@
 	// or the other gateways, have used.
 	It("allows only the share of its requests for a window after a restart, and while the gateways are unknown", func() {
 		for _, gateways := range []int{0, 8} {
-			l := retry.NewAttemptLimiter(limit, 0, true)
+			l := retry.NewAttemptLimiter(limit, 0)
 			allowed := func(now time.Duration, gateways int) (n int) {
 				for l.Hold(now, gateways).Allowed {
 					l.Spend(now)
@@ -95,7 +95,7 @@
 	})
 
 	It("allows attempts again after the window", func() {
-		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second}, 0, false)
+		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second}, -10*time.Second)
 		Expect(s.Hold(0, 1).Allowed).To(BeTrue())
 		s.Spend(0)
 		Expect(s.Hold(5*time.Second, 1).Allowed).To(BeFalse())
@@ -106,7 +106,7 @@
 	// they were allowed.
 	It("counts an attempt that is made late when it is made, and before that all the time", func() {
 		const parts = 10
-		l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: parts, Window: 10 * time.Second}, 0, false)
+		l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: parts, Window: 10 * time.Second}, -10*time.Second)
 		for range parts {
 			Expect(l.Hold(0, 1).Allowed).To(BeTrue())
 		}
@@ -125,7 +125,7 @@
 
 // BenchmarkHold measures a request with one extra attempt.
 func BenchmarkHold(b *testing.B) {
-	l := retry.NewAttemptLimiter(retry.AttemptLimit{Share: 0.2, Slack: 80, Window: 10 * time.Second}, 0, false)
+	l := retry.NewAttemptLimiter(retry.AttemptLimit{Share: 0.2, Slack: 80, Window: 10 * time.Second}, -10*time.Second)
 	for n := range b.N {
 		now := time.Duration(n) * time.Millisecond
 		l.CountRequest(now, 8)
--- a/internal/decide/retry/play_test.go
+++ b/internal/decide/retry/play_test.go
@@ -54,7 +54,7 @@
 		load:  func(time.Duration) float64 { return 1 },
 	}
 	for range gateways {
-		p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), 0, false)})
+		p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), -playWindow)})
 	}
 	return p
 }
@@ -62,13 +62,13 @@
 // kill ends a process; another one follows it on the VM after down.
 func (p *play) kill(g *playGateway, now, down time.Duration) {
 	g.downUntil = now + down
-	g.limiter = retry.NewAttemptLimiter(p.limit(), g.downUntil, true)
+	g.limiter = retry.NewAttemptLimiter(p.limit(), g.downUntil)
 }
 
 // join adds a VM that the others know only after a while.
 func (p *play) join(now time.Duration) {
 	known := now + time.Duration(p.random.Int64N(int64(6*time.Second)))
-	p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), now, true), knownFrom: known})
+	p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), now), knownFrom: known})
 }
 
 // known returns how many gateways g knows.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/gateway"
@@ -59,7 +60,7 @@
 	return startFixture(retrySlack, func(end func()) { DeferCleanup(end) })
 }
 
-// startFixture starts a gateway as at the first start of the system, so that the whole retry
+// startFixture starts a gateway whose process has run for a minute, so that the whole retry
 // budget is available.
 func startFixture(retrySlack float64, atEnd func(func())) *fixture {
 	f := &fixture{store: objectstore.New(), addresses: map[string]string{}, atEnd: atEnd}
@@ -74,6 +75,7 @@
 		},
 		Codec:     platform.Codec{},
 		Directory: f.dir,
+		StartedAt: boottime.Now() - time.Minute,
 	})
 	f.dir.OnChange = f.gateway.ViewChanged
 	f.server = httptest.NewServer(f.gateway)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,10 +4,12 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -63,6 +65,8 @@
 	Deployment deployment.Deployment
 	Codec      Codec
 	Directory  *directory.Directory
+	// StartedAt is when the process started, in time since boot; 0 means now.
+	StartedAt time.Duration
 }
 
 // bodyMemoryFraction is the fraction of the process's memory available to request
@@ -91,7 +95,7 @@
 		terminations: newTerminations(),
 		statements:   s,
 		streams:      newStreamVersions(c.Deployment.Bootstrap, c.Directory.View),
-		retryBudgets: newRetryBudgets(!c.Deployment.Bootstrap),
+		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
 	g.transport.OnResponse = g.statements.observe
 	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -39,10 +39,8 @@
 	bounds func() deployment.Bounds
 	// gateways returns how many gateways share the budgets, 0 if that is unknown.
 	gateways func() int
-	// startedAt is when this process started, and restarted says that an earlier one may
-	// have made attempts.
+	// startedAt is when this process started.
 	startedAt time.Duration
-	restarted bool
 	// now returns the time since boot.
 	now func() time.Duration
 }
@@ -65,8 +63,8 @@
 
 type decisionCount struct{ allowed, refused int }
 
-func newRetryBudgets(restarted bool) *retryBudgets {
-	return &retryBudgets{services: make(map[string]*serviceBudget), startedAt: boottime.Now(), restarted: restarted, now: boottime.Now}
+func newRetryBudgets(startedAt time.Duration) *retryBudgets {
+	return &retryBudgets{services: make(map[string]*serviceBudget), startedAt: startedAt, now: boottime.Now}
 }
 
 func (b *retryBudgets) countRequest(service string) {
@@ -133,7 +131,7 @@
 	}
 	fields := log.Fields{
 		"service": service, "requests": d.Requests, "extra": d.Extra, "held": d.Held, "slack": d.Slack, "excess": d.Excess, "gateways": d.Gateways,
-		"started_ms": (now - b.startedAt).Milliseconds(), "restarted": b.restarted, "unanswered": s.unansweredPending,
+		"started_ms": (now - b.startedAt).Milliseconds(), "unanswered": s.unansweredPending,
 	}
 	for kind, n := range s.pending {
 		fields[string(kind)+"_allowed"], fields[string(kind)+"_refused"] = n.allowed, n.refused
@@ -148,7 +146,7 @@
 	s, ok := b.services[name]
 	if !ok {
 		s = &serviceBudget{
-			limiter:    retry.NewAttemptLimiter(b.limit(), b.startedAt, b.restarted),
+			limiter:    retry.NewAttemptLimiter(b.limit(), b.startedAt),
 			allowed:    metrics.GetOrRegisterCounter("gateway.retries_allowed_"+name, nil),
 			refused:    metrics.GetOrRegisterCounter("gateway.retries_refused_"+name, nil),
 			released:   metrics.GetOrRegisterCounter("gateway.retries_released_"+name, nil),
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -9,12 +9,13 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
+	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
 func newTestBudgets(share, slack float64) *retryBudgets {
-	b := newRetryBudgets(false)
+	b := newRetryBudgets(-time.Minute)
 	b.bounds = func() deployment.Bounds {
 		return deployment.Bounds{RetryShare: share, RetrySlack: slack, RetryWindow: 10 * time.Second}
 	}
@@ -158,3 +159,15 @@
 		t.Errorf("%d extra attempts, want 9 of 10", spent)
 	}
 }
+
+// Guards against the slack spent once more by each process whose settings say that the system
+// starts for the first time: a supervisor writes them once.
+func TestSettingsGiveAProcessThatStartsNoRetrySlack(t *testing.T) {
+	d := deployment.Deployment{Bootstrap: true, Bounds: deployment.Bounds{RetrySlack: 108, RetryWindow: 10 * time.Second}}
+	g := New(Config{Deployment: d, Directory: directory.New(nil, nil, directory.Kinds{})})
+	for range 10 {
+		if g.retryBudgets.hold("started", sendAttempt) {
+			t.Error("an extra attempt is allowed, an earlier process may have used the slack")
+		}
+	}
+}
