Streams begun before a restart are not taken up at another version, whatever the settings say

What callers would see: a stream whose pieces are of two software versions (ORDER), after a restart of all gateways in the middle of a release.

Cause, found by looking for that of the retry budget elsewhere: with "bootstrap" in its settings a process took its history of versions for complete, as no stream could be older than it. Started again with the same file, it takes up a stream of a version that has left at the only one that it has seen.

Now a history is complete once it is longer than the life of a stream, for each process. At the first start of a system nothing is lost but for a stream of the first seconds whose record is lost too: it is rejected where it was resumed.

TestStreamBegunBeforeARestartIsNotTakenUpAtAnotherVersion failed before (200, one run at v2) and gets 503 now. The table of the history has the same cases, with versions that were there long before in place of a first start, and one more for a process that has just started.

--- a/internal/decide/streamversion/history.go
+++ b/internal/decide/streamversion/history.go
@@ -8,8 +8,6 @@
 // History has which versions of each service serve or have served. It is not safe for
 // concurrent use.
 type History struct {
-	// fromStart is set if no stream is older than the history.
-	fromStart bool
 	// since is when versions were first observed.
 	since time.Time
 	// present are the versions of servers that are there, left when others were last there.
@@ -17,10 +15,10 @@
 	left    map[Version]time.Time
 }
 
-// NewHistory returns the History of a process that starts. Unless firstStart is set, other
-// versions may have served before.
-func NewHistory(firstStart bool) *History {
-	return &History{fromStart: firstStart, left: make(map[Version]time.Time)}
+// NewHistory returns the History of a process that starts. Other versions may have served
+// before.
+func NewHistory() *History {
+	return &History{left: make(map[Version]time.Time)}
 }
 
 // Observe records that servers of these versions are there, and of no others.
@@ -56,7 +54,7 @@
 // Served returns which versions of a service, by the hash of its name, have served within
 // the longest life of a stream, MaxStreamLife at most.
 func (h *History) Served(now time.Time, service uint32, life time.Duration) Served {
-	s := Served{Complete: !h.since.IsZero() && (h.fromStart || now.Sub(h.since) > life)}
+	s := Served{Complete: !h.since.IsZero() && now.Sub(h.since) > life}
 	count := 0
 	add := func(v Version) {
 		if v.Service == service {
--- a/internal/decide/streamversion/model_test.go
+++ b/internal/decide/streamversion/model_test.go
@@ -44,13 +44,14 @@
 		begun: map[streamversion.StreamID]streamversion.Version{}, lastAt: map[streamversion.StreamID]time.Time{},
 	}
 	for n := range 4 {
-		m.start(fmt.Sprintf("g%d", n), true)
+		m.start(fmt.Sprintf("g%d", n))
 	}
+	m.now = at(0).Add(modelLife + time.Second)
 	return m
 }
 
-func (m *model) start(name string, firstStart bool) {
-	g := &modelGateway{records: streamversion.NewRecords(), history: streamversion.NewHistory(firstStart)}
+func (m *model) start(name string) {
+	g := &modelGateway{records: streamversion.NewRecords(), history: streamversion.NewHistory()}
 	m.gateways[name] = g
 	m.observe(g)
 }
@@ -159,11 +160,11 @@
 			},
 			"kill": func(t *rapid.T) {
 				name := rapid.SampledFrom(slices.Sorted(maps.Keys(m.gateways))).Draw(t, "killed")
-				m.start(name, false)
+				m.start(name)
 			},
 			"join": func(*rapid.T) {
 				m.starts++
-				m.start(fmt.Sprintf("j%d", m.starts), false)
+				m.start(fmt.Sprintf("j%d", m.starts))
 			},
 			"leave": func(t *rapid.T) {
 				if len(m.gateways) < 3 {
--- a/internal/decide/streamversion/records_test.go
+++ b/internal/decide/streamversion/records_test.go
@@ -68,17 +68,19 @@
 	}
 	type versions = []streamversion.Version
 	for _, test := range []struct {
-		name       string
-		firstStart bool
-		observed   []observation
+		name string
+		// longAgo says that the first versions were there long before.
+		longAgo  bool
+		observed []observation
 		second     int
 		want       streamversion.Version
 		ok         bool
 	}{
 		{"nothing observed", true, nil, 0, v1, false},
-		{"first start", true, []observation{{0, versions{v1, other}}}, 0, v1, true},
-		{"restart", false, []observation{{0, versions{v1}}}, life, v1, false},
-		{"restart long ago", false, []observation{{0, versions{v1}}}, life + 1, v1, true},
+		{"there long before", true, []observation{{0, versions{v1, other}}}, 0, v1, true},
+		{"start", false, []observation{{0, versions{v1, other}}}, 0, v1, false},
+		{"start within the life of a stream", false, []observation{{0, versions{v1}}}, life, v1, false},
+		{"start long ago", false, []observation{{0, versions{v1}}}, life + 1, v1, true},
 		{"two versions", true, []observation{{0, versions{v1}}, {1, versions{v1, v2}}}, 5, v1, false},
 		{"the other has just left", true, []observation{{0, versions{v1, v2}}, {10, versions{v2}}}, 10 + life, v1, false},
 		{"the other left long ago", true, []observation{{0, versions{v1, v2}}, {10, versions{v2}}}, 11 + life, v2, true},
@@ -87,7 +89,10 @@
 		{"all left long ago", true, []observation{{0, versions{v1}}, {10, nil}}, 100, v1, false},
 		{"there all the time", true, []observation{{0, versions{v1}}, {1000, versions{v2}}}, 1001, v1, false},
 	} {
-		h := streamversion.NewHistory(test.firstStart)
+		h := streamversion.NewHistory()
+		if test.longAgo && len(test.observed) > 0 {
+			h.Observe(at(-life-1), test.observed[0].versions)
+		}
 		for _, o := range test.observed {
 			h.Observe(at(o.second), o.versions)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,7 @@
 		plain:        newPlainBalancer(s),
 		terminations: newTerminations(),
 		statements:   s,
-		streams:      newStreamVersions(c.Deployment.Bootstrap, c.Directory.View),
+		streams:      newStreamVersions(c.Directory.View),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
 	g.transport.OnResponse = g.statements.observe
--- a/internal/gateway/stream_records.go
+++ b/internal/gateway/stream_records.go
@@ -51,12 +51,12 @@
 	answered chan struct{}
 }
 
-func newStreamVersions(firstStart bool, view func() *directory.View) *streamVersions {
+func newStreamVersions(view func() *directory.View) *streamVersions {
 	return &streamVersions{
 		gossip:    noGossip{},
 		view:      view,
 		records:   streamversion.NewRecords(),
-		history:   streamversion.NewHistory(firstStart),
+		history:   streamversion.NewHistory(),
 		queries:   make(map[streamversion.StreamID][]*versionQuery),
 		conflicts: metrics.GetOrRegisterCounter("gateway.stream_version_conflicts", nil),
 	}
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -218,6 +218,16 @@
 	}
 }
 
+// Guards against a stream of two versions after a restart of all gateways, whatever their
+// settings say of it: the engines of the version that began the stream have left meanwhile.
+func TestStreamBegunBeforeARestartIsNotTakenUpAtAnotherVersion(t *testing.T) {
+	f, _, _ := newSilenceFixture(t, enoughSlack, 0, 0)
+	other := f.addVersion("d-other", "v2")
+	got := f.send(http.MethodPost, "/stream-again/x", "t", append(silencePrompt, "Last-Event-Id", "1", "Resumes", "begun")...)
+	Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	Expect(runCount(other)).To(BeZero())
+}
+
 // Guards against streams of two versions from plain services, whose routes may be resumed too.
 func TestStreamOfAPlainServiceIsTakenUpAtTheVersionThatBeganIt(t *testing.T) {
 	f, _, desk := newSilenceFixture(t, enoughSlack, 0, 1)
