A process restores what gateways have learned, whatever its settings say

Callers would see prompts at engines that are too slow for them after a restart: with "bootstrap" in settings that were written once, a process read nothing of the speeds that gateways had learned before it.

--- a/internal/gateway/process/learned.go
+++ b/internal/gateway/process/learned.go
@@ -101,9 +101,7 @@
 
 // restoreLearned loads the state that gateways learned before this process started.
 func (p *components) restoreLearned(ctx context.Context) error {
-	if !p.config.Deployment.Bootstrap {
-		restoreLearnedState(ctx, p.store, p.gateway)
-	}
+	restoreLearnedState(ctx, p.store, p.gateway)
 	<-ctx.Done()
 	return ctx.Err()
 }
