Cache contents are queried after each restart; no belief hangs on the bootstrap setting

Callers would see late first events after a restart of all gateways: with "bootstrap" in settings that were written once, a process did not ask engines what they had cached, and prompts were read again elsewhere. Found by looking for the cause of the retry budget elsewhere; it was the last use of the setting, which is no longer read.

A first start shows in the store now: no gateway has saved what it learned of engines, so they have cached nothing. Unless the store says so within a second, engines are asked; at a first start that spares a call to each engine by each gateway.

--- a/internal/decide/streamversion/records_test.go
+++ b/internal/decide/streamversion/records_test.go
@@ -72,9 +72,9 @@
 		// longAgo says that the first versions were there long before.
 		longAgo  bool
 		observed []observation
-		second     int
-		want       streamversion.Version
-		ok         bool
+		second   int
+		want     streamversion.Version
+		ok       bool
 	}{
 		{"nothing observed", true, nil, 0, v1, false},
 		{"there long before", true, []observation{{0, versions{v1, other}}}, 0, v1, true},
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -10,9 +10,6 @@
 	// Name is the name of the VM, which is unique in the deployment.
 	Name       string
 	DataCentre string
-	// Bootstrap means that the whole system starts for the first time: the
-	// engines have cached nothing yet.
-	Bootstrap bool
 	// IP is the address of the VM.
 	IP string
 	// CallerAddress is the address that serves callers' requests, and
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -70,7 +70,7 @@
 	f.dir = directory.New(client, platform.Codec{}, platform.ObjectKinds)
 	f.gateway = gateway.New(gateway.Config{
 		Deployment: deployment.Deployment{
-			Name: "f-1", DataCentre: "z", MaxMemoryBytes: 64 << 20, Bootstrap: true,
+			Name: "f-1", DataCentre: "z", MaxMemoryBytes: 64 << 20,
 			Bounds: deployment.Bounds{RetryShare: 0.2, RetrySlack: retrySlack, RetryWindow: 10 * time.Second, GracePeriod: 8 * time.Second, DrainTimeout: 2 * time.Second},
 		},
 		Codec:     platform.Codec{},
--- a/internal/gateway/process/learned.go
+++ b/internal/gateway/process/learned.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -27,6 +28,9 @@
 	// restoreTimeout for how long: by then it has learned the state itself.
 	restoreInterval = 200 * time.Millisecond
 	restoreTimeout  = 10 * time.Second
+	// restorationTimeout is how long a new process waits for the state before it does without
+	// knowing whether there is one.
+	restorationTimeout = time.Second
 	// maxLearnedBytes limits the size of the object's value.
 	maxLearnedBytes = 512 << 10
 )
@@ -99,16 +103,48 @@
 	return ctx.Err()
 }
 
+// restoration is the outcome of restoring what gateways had learned before this process
+// started.
+type restoration struct {
+	once sync.Once
+	done chan struct{}
+	// nothingLearned says that the store has no learned state. It must be read after done.
+	nothingLearned bool
+}
+
+func newRestoration() *restoration { return &restoration{done: make(chan struct{})} }
+
+func (r *restoration) finish(nothingLearned bool) {
+	r.once.Do(func() {
+		r.nothingLearned = nothingLearned
+		close(r.done)
+	})
+}
+
+// isFirst waits for the outcome, for restorationTimeout at most, and reports whether no
+// gateway has learned anything yet: the system starts for the first time.
+func (r *restoration) isFirst(ctx context.Context) bool {
+	pause.SleepOrSignal(ctx, restorationTimeout, r.done)
+	select {
+	case <-r.done:
+		return r.nothingLearned
+	default:
+		return false
+	}
+}
+
 // restoreLearned loads the state that gateways learned before this process started.
 func (p *components) restoreLearned(ctx context.Context) error {
-	restoreLearnedState(ctx, p.store, p.gateway)
+	found, known := restoreLearnedState(ctx, p.store, p.gateway)
+	p.restored.finish(known && !found)
 	<-ctx.Done()
 	return ctx.Err()
 }
 
 // restoreLearnedState reads the learned state from the store and passes it to g. It
-// retries until restoreTimeout has elapsed.
-func restoreLearnedState(ctx context.Context, s store.Store, g *gateway.Gateway) {
+// retries until restoreTimeout has elapsed. It reports whether there is such a state, and
+// whether the store has told that.
+func restoreLearnedState(ctx context.Context, s store.Store, g *gateway.Gateway) (found, known bool) {
 	for end := time.Now().Add(restoreTimeout); time.Now().Before(end); {
 		// A stale read suffices, because engines' speeds change slowly.
 		l, err := s.List(ctx, learnedKind, store.Stale)
@@ -116,13 +152,14 @@
 			for _, o := range l.Objects {
 				restoreObject(g, o)
 			}
-			return
+			return len(l.Objects) > 0, true
 		}
 		log.WithField("error", err.Error()).Debug("read of learned engine state failed, retrying")
 		if !pause.Sleep(ctx, restoreInterval) {
-			return
+			break
 		}
 	}
+	return false, false
 }
 
 // restoreObject restores the learned state of g from an object.
--- a/internal/gateway/process/learned_test.go
+++ b/internal/gateway/process/learned_test.go
@@ -11,7 +11,6 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
-	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/gateway"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -68,11 +67,10 @@
 		Expect(g.LearnedState()).To(HaveKey("llm"))
 	})
 
-	// Guards against bad placement after a restart with unchanged settings, in which a
-	// supervisor that wrote them once says that the system starts for the first time.
-	It("is restored by a process whatever its settings say", func() {
+	// Guards against bad placement after a restart.
+	It("is restored by each process that starts", func() {
 		Expect(save(&saver{store: client}, learned())).To(Succeed())
-		p := &components{config: Config{Deployment: deployment.Deployment{Bootstrap: true}}, gateway: newGateway(), store: client}
+		p := &components{gateway: newGateway(), store: client, restored: newRestoration()}
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		go func() { _ = p.restoreLearned(ctx) }()
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -80,7 +80,7 @@
 			gateways.AnnounceServerChange(c)
 		}
 	}
-	p := &components{config: c, gateway: g, directory: dir, peers: gateways, store: storeClient}
+	p := &components{config: c, gateway: g, directory: dir, peers: gateways, store: storeClient, restored: newRestoration()}
 	if d.Usage.Window > 0 {
 		p.usage = newUsageDuties(d, trueTime, startID, gateways, storeClient)
 		g.SetUsage(p.usage.counter)
@@ -95,6 +95,7 @@
 	directory *directory.Directory
 	peers     *peers.Peers
 	store     store.Store
+	restored  *restoration
 	// usage is nil if usage is not reported.
 	usage *usageDuties
 }
@@ -178,9 +179,10 @@
 
 // loadCacheContents queries the contents of the engines' prefix caches once. Without
 // it, a restarted process sends prompts to engines that have not cached the shared
-// segments: after a restart of all processes, prefill demand doubles.
+// segments: after a restart of all processes, prefill demand doubles. At the first start of
+// the system engines have cached nothing.
 func (p *components) loadCacheContents(ctx context.Context) error {
-	if !p.config.Deployment.Bootstrap {
+	if !p.restored.isFirst(ctx) {
 		for p.directory.View().Table == nil || len(p.directory.View().Servers) == 0 {
 			if !pause.Sleep(ctx, engineLookupInterval) {
 				return ctx.Err()
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -160,10 +160,9 @@
 	}
 }
 
-// Guards against the slack spent once more by each process whose settings say that the system
-// starts for the first time: a supervisor writes them once.
-func TestSettingsGiveAProcessThatStartsNoRetrySlack(t *testing.T) {
-	d := deployment.Deployment{Bootstrap: true, Bounds: deployment.Bounds{RetrySlack: 108, RetryWindow: 10 * time.Second}}
+// Guards against the slack spent once more by each process that is started again.
+func TestProcessThatStartsHasNoRetrySlack(t *testing.T) {
+	d := deployment.Deployment{Bounds: deployment.Bounds{RetrySlack: 108, RetryWindow: 10 * time.Second}}
 	g := New(Config{Deployment: d, Directory: directory.New(nil, nil, directory.Kinds{})})
 	for range 10 {
 		if g.retryBudgets.hold("started", sendAttempt) {
