Parts of the retry budget stay held for attempts that a link may deliver later

Callers' repeats exceeded the operators' limit after links to servers, or proxies on them, had been silent and recovered while servers rejected: requests that had been given up were delivered then.

Cause: an attempt that was given up counted as arrived from then on. Our reset ends our side of the connection only; bytes that a proxy has read arrive whenever the link recovers, in a window in which other attempts have been allowed. The class: a limit on what others see that counts what is believed here.

Now an attempt that was given up before its server had answered holds its part beyond the end of the request: until the server has answered an attempt that was sent later, which shows that the link works and has delivered what it held, or for 30 s at most. From then on it counts as made, so that the windows of its arrival have it, however long the link was silent. An attempt whose server closed the connection has ended, as before. Where servers answer, a hedge that lost the race holds its part for as long as the next answer takes.

Weighed: the part held for one window more and then spent (covers links that are silent for up to two windows only, and costs as much where all servers answer); counting it at both times (the second time has no decision that could be refused).

--- a/internal/decide/retry/arrivals.go
+++ b/internal/decide/retry/arrivals.go
@@ -42,6 +42,9 @@
 // Extra returns the number of extra attempts, including those whose outcome is pending.
 func (a *Arrivals) Extra() int { return a.ExtraAfter(0) }
 
+// Pending returns the number of attempts that have begun and not ended.
+func (a *Arrivals) Pending() int { return a.pending }
+
 // ExtraEnded returns the number of extra attempts among those that have ended. It never
 // decreases.
 func (a *Arrivals) ExtraEnded() int { return a.ExtraAfter(-a.pending) }
--- a/internal/decide/retry/play_test.go
+++ b/internal/decide/retry/play_test.go
@@ -30,11 +30,19 @@
 	requests, extra []float64
 	storm           func(now time.Duration) bool
 	load            func(now time.Duration) float64
+	// held says that the links to some servers hold all bytes back, and stuck is the number of
+	// extra attempts that they hold.
+	held  bool
+	stuck float64
 }
 
 // playGateway is one VM with its gateway process.
 type playGateway struct {
 	limiter *retry.AttemptLimiter
+	transit *retry.Transit
+	// answeredAt is when it gets an answer by a link that has held bytes back, 0 if it waits
+	// for none.
+	answeredAt time.Duration
 	// downUntil is when a killed process is back.
 	downUntil time.Duration
 	// knownFrom is when the other gateways know this one.
@@ -54,7 +62,7 @@
 		load:  func(time.Duration) float64 { return 1 },
 	}
 	for range gateways {
-		p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), -playWindow)})
+		p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), -playWindow), transit: &retry.Transit{}})
 	}
 	return p
 }
@@ -63,12 +71,13 @@
 func (p *play) kill(g *playGateway, now, down time.Duration) {
 	g.downUntil = now + down
 	g.limiter = retry.NewAttemptLimiter(p.limit(), g.downUntil)
+	g.transit = &retry.Transit{}
 }
 
 // join adds a VM that the others know only after a while.
 func (p *play) join(now time.Duration) {
 	known := now + time.Duration(p.random.Int64N(int64(6*time.Second)))
-	p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), now), knownFrom: known})
+	p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), now), transit: &retry.Transit{}, knownFrom: known})
 }
 
 // known returns how many gateways g knows.
@@ -89,7 +98,7 @@
 func (p *play) run(each func(now time.Duration)) {
 	for now := time.Duration(0); now < playLength; now += playStep {
 		each(now)
-		requests, extra := 0.0, 0.0
+		requests, extra := 0.0, p.deliver(now)
 		arrivals := p.perSecond * p.load(now) * playStep.Seconds()
 		for ; arrivals > 0; arrivals-- {
 			if p.random.Float64() > arrivals {
@@ -100,6 +109,10 @@
 				continue
 			}
 			requests++
+			if p.held && p.random.Float64() < heldShare {
+				p.hedge(g, now)
+				continue
+			}
 			extra += p.serve(g, now)
 		}
 		p.requests, p.extra = append(p.requests, requests), append(p.extra, extra)
@@ -123,6 +136,57 @@
 	return extra
 }
 
+const (
+	// heldShare is the share of the requests that are sent by links that hold them back.
+	heldShare = 0.6
+	// heldAddress is that of all servers whose links do.
+	heldAddress = "held"
+	// playGiveUp is the time after which such an attempt is given up.
+	playGiveUp = time.Second
+)
+
+// hedge counts a request whose first attempt a link holds back. If it may, it makes another
+// one, so that the first becomes the extra one when it arrives.
+func (p *play) hedge(g *playGateway, now time.Duration) {
+	known := p.known(g, now)
+	g.limiter.CountRequest(now, known)
+	if !g.limiter.Hold(now, known).Allowed {
+		return
+	}
+	p.stuck++
+	g.transit.Add("s", 1, []retry.Unanswered{{Address: heldAddress, GivenUpAt: at(now + playGiveUp)}})
+}
+
+// hold makes links hold bytes back from now on.
+func (p *play) hold() { p.held = true }
+
+// release ends that. Each gateway gets an answer by such a link within three seconds.
+func (p *play) release(now time.Duration) {
+	p.held = false
+	for _, g := range p.gateways {
+		g.answeredAt = now + playGiveUp + time.Duration(p.random.Int64N(int64(2*time.Second)))
+	}
+}
+
+// deliver returns how many attempts arrive that links have held back, and has the gateways
+// that are answered spend what they hold.
+func (p *play) deliver(now time.Duration) (arrived float64) {
+	if !p.held {
+		arrived, p.stuck = p.stuck, 0
+	}
+	for _, g := range p.gateways {
+		services := g.transit.Expire(at(now))
+		if g.answeredAt > 0 && now >= g.answeredAt {
+			services = append(services, g.transit.Answered(heldAddress, at(now))...)
+			g.answeredAt = 0
+		}
+		for range services {
+			g.limiter.Spend(now)
+		}
+	}
+	return arrived
+}
+
 // most returns the largest fraction of the operators' limit that any window uses.
 func (p *play) most() float64 {
 	window := int(playWindow / playStep)
@@ -237,6 +301,30 @@
 	}
 }
 
+// Guards against attempts that links hold back for seconds and deliver in a window in which
+// their parts of the limit are spent again.
+func TestAttemptsThatLinksHoldBackStayWithinTheRetryLimit(t *testing.T) {
+	for _, size := range sizes {
+		for seed := range uint64(6) {
+			p := newPlay(seed, size.gateways, size.perSecond, 108)
+			begin := 4*time.Second + time.Duration(p.random.Int64N(int64(4*time.Second)))
+			end := begin + time.Second + time.Duration(p.random.Int64N(int64(20*time.Second)))
+			p.storm = func(now time.Duration) bool { return now >= end }
+			p.run(func(now time.Duration) {
+				switch {
+				case now >= begin && now < end && !p.held:
+					p.hold()
+				case now >= end && p.held:
+					p.release(now)
+				}
+			})
+			if most := p.most(); most > 1 {
+				t.Errorf("%d gateways, %.0f requests a second, seed %d, held for %v: %.3f of the limit is used", size.gateways, size.perSecond, seed, end-begin, most)
+			}
+		}
+	}
+}
+
 // Guards against a limit of gateways together that leaves callers without the retries that
 // their operators allow.
 func TestUndisturbedGatewaysUseMostOfTheRetryLimit(t *testing.T) {
--- a/internal/gateway/call_retries.go
+++ b/internal/gateway/call_retries.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
@@ -23,13 +25,14 @@
 }
 
 // endArrival records the outcome of an attempt at a server that has ended with err or a
-// response. If it was an extra one, the part that is held for it is spent.
+// response. If it was an extra one, the part that is held for it is spent. An attempt that was
+// given up before the server had answered counts as pending: it may arrive later.
 func (c *call) endArrival(server backend.Server, err error, prefillAccepted bool) {
-	if err != nil && verdict.Of(err).Unanswered {
+	switch {
+	case err != nil && verdict.Of(err).Unanswered:
+		c.unanswered = append(c.unanswered, retry.Unanswered{Address: server.Address, GivenUpAt: time.Now()})
 		c.trace.unanswered = append(c.trace.unanswered, server.ID)
 		c.gateway.retryBudgets.countUnanswered(c.service.Name)
-	}
-	switch {
 	case err != nil && verdict.Of(err).Verdict == verdict.NotRun:
 		c.arrivals.End(retry.NotSent)
 	case prefillAccepted:
@@ -50,10 +53,17 @@
 }
 
 // settleRetries gives back what is held at the end of the call for attempts that were not
-// made.
+// made. What is held for unanswered attempts stays so until they have arrived.
 func (c *call) settleRetries() {
-	c.spendRetries(c.arrivals.Extra())
-	for ; c.heldRetries > 0; c.heldRetries-- {
+	for c.arrivals.Pending() > len(c.unanswered) {
+		c.arrivals.End(retry.Arrived)
+	}
+	c.spendRetries(c.arrivals.ExtraEnded())
+	late := c.arrivals.Extra() - c.spentRetries
+	for ; c.heldRetries > late; c.heldRetries-- {
 		c.gateway.retryBudgets.release(c.service.Name)
 	}
+	if late > 0 {
+		c.gateway.retryBudgets.addTransit(c.service.Name, late, c.unanswered)
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,7 +97,10 @@
 		streams:      newStreamVersions(c.Directory.View),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
-	g.transport.OnResponse = g.statements.observe
+	g.transport.OnResponse = func(info direct.ResponseInfo) {
+		g.statements.observe(info)
+		g.retryBudgets.observe(info)
+	}
 	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
 	g.retryBudgets.gateways = func() int { return g.engines.gossip.GatewaysSharing() }
 	g.deployment.Store(&c.Deployment)
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -12,6 +13,7 @@
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
+	"pistachioroad.dev/pistachioroad/internal/direct"
 )
 
 const (
@@ -35,6 +37,12 @@
 type retryBudgets struct {
 	mu       sync.Mutex
 	services map[string]*serviceBudget
+	// transit has the attempts that were given up and may still arrive, and inTransit is
+	// their number: while it is 0, responses skip the lock.
+	transit   retry.Transit
+	inTransit atomic.Int32
+	// inTransitGauge has the same for operators.
+	inTransitGauge metrics.Gauge
 	// bounds are those of the deployment.
 	bounds func() deployment.Bounds
 	// gateways returns how many gateways share the budgets, 0 if that is unknown.
@@ -64,12 +72,20 @@
 type decisionCount struct{ allowed, refused int }
 
 func newRetryBudgets(startedAt time.Duration) *retryBudgets {
-	return &retryBudgets{services: make(map[string]*serviceBudget), startedAt: startedAt, now: boottime.Now}
+	return &retryBudgets{
+		services:       make(map[string]*serviceBudget),
+		startedAt:      startedAt,
+		now:            boottime.Now,
+		inTransitGauge: metrics.GetOrRegisterGauge("gateway.attempts_in_transit", nil),
+	}
 }
 
 func (b *retryBudgets) countRequest(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.transit.Len() > 0 {
+		b.spendArrived(b.transit.Expire(time.Now()))
+	}
 	b.service(service).limiter.CountRequest(b.now(), b.gateways())
 }
 
@@ -93,6 +109,35 @@
 	b.service(service).limiter.Spend(b.now())
 }
 
+// addTransit adds the unanswered attempts of a request that has ended. Parts of the budget are
+// held for the extra ones among them.
+func (b *retryBudgets) addTransit(service string, extra int, attempts []retry.Unanswered) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.transit.Add(service, extra, attempts)
+	b.spendArrived(nil)
+}
+
+// observe processes that a server has responded: what was on its way to it has arrived.
+func (b *retryBudgets) observe(info direct.ResponseInfo) {
+	if b.inTransit.Load() == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spendArrived(b.transit.Answered(info.Server.Address, info.Sent))
+}
+
+// spendArrived counts extra attempts that have arrived, one for each entry of services. b.mu
+// must be held.
+func (b *retryBudgets) spendArrived(services []string) {
+	for _, service := range services {
+		b.service(service).limiter.Spend(b.now())
+	}
+	b.inTransit.Store(int32(b.transit.Len()))
+	b.inTransitGauge.Update(int64(b.transit.Len()))
+}
+
 // countUnanswered counts an attempt that was given up before the server answered.
 func (b *retryBudgets) countUnanswered(service string) {
 	b.mu.Lock()
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -9,6 +9,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
+	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
@@ -170,3 +171,51 @@
 		}
 	}
 }
+
+// Guards against a part of the budget that is spent again while a link still holds the attempt
+// back that it pays for: its server has not answered since.
+func TestUnansweredAttemptsHoldTheirPartsUntilTheirServerAnswers(t *testing.T) {
+	const slack = 10
+	b := newTestBudgets(0, slack)
+	g := &Gateway{retryBudgets: b}
+	at := func(d time.Duration) { b.now = func() time.Duration { return d } }
+	silent, sound := backend.Server{ID: "silent", Address: "127.0.0.1:1"}, backend.Server{ID: "sound", Address: "127.0.0.1:2"}
+	givenUp := verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "read: use of closed network connection")
+	givenUp.Unanswered = true
+	hedge := func() bool {
+		c := &call{gateway: g, service: routes.Service{Name: "held"}}
+		c.arrivals.Begin()
+		if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+			return false
+		}
+		c.arrivals.Begin()
+		c.endArrival(silent, givenUp, false)
+		c.endArrival(sound, nil, false)
+		c.settleRetries()
+		return true
+	}
+	hedges := func() (n int) {
+		for hedge() {
+			n++
+		}
+		return n
+	}
+	at(0)
+	if n := hedges(); n != 9 {
+		t.Fatalf("%d hedges, want 9 of 10", n)
+	}
+	at(11 * time.Second)
+	b.observe(direct.ResponseInfo{Server: sound, Sent: time.Now()})
+	if n := hedges(); n != 0 {
+		t.Errorf("%d hedges while the link to the server is silent, want none", n)
+	}
+	b.observe(direct.ResponseInfo{Server: silent, Sent: time.Now()})
+	at(20 * time.Second)
+	if n := hedges(); n != 0 {
+		t.Errorf("%d hedges within a window after the server has answered, want none", n)
+	}
+	at(22 * time.Second)
+	if n := hedges(); n != 9 {
+		t.Errorf("%d hedges in the next window, want 9", n)
+	}
+}
