No slack for two windows in a later process of a VM: attempts of the one before it may be on their way

Callers' repeats exceed the operators' limit if gateways are killed while links to servers hold requests back, and the links recover within ten seconds while servers reject.

Cause: a process that is killed tells nothing of the attempts that it has given up. The next one had its slack again after one window, while they may have arrived within it.

Now a process has no slack for two windows, which covers links that are silent for up to a window after the kill. The first gateway of a VM needs one only: it is the one that has created the object by which gateways find each other. A lost answer of the store, or an object that is there already, means a later one; an earlier process that no list had has used no slack.

--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -24,15 +24,17 @@
 // need not know how many attempts the others make. Nor need it know what the process before
 // it has used: in any span up to the length of the window, a process uses at most the share
 // of its requests in that span and its part of the slack, and after its start no slack for
-// one window. So processes that follow each other are together within the limit, however
+// one window, or two after another process of the VM. So processes that follow each other are together within the limit, however
 // often they are killed. A limit on the whole window alone would not do: what one process
 // has saved up and used in a moment, the next one could use again.
 type AttemptLimiter struct {
 	limit AttemptLimit
-	// slackFrom is from when the slack may be used.
-	slackFrom time.Duration
-	buckets   [windowBuckets + 1]windowBucket
-	held      float64
+	// startedAt is when the process started, and first says that no other process of the VM
+	// has used the limit. limitedAt is when the limit was last changed, 0 if it was not.
+	startedAt, limitedAt time.Duration
+	first                bool
+	buckets              [windowBuckets + 1]windowBucket
+	held                 float64
 }
 
 type windowBucket struct {
@@ -46,16 +48,32 @@
 }
 
 // NewAttemptLimiter returns an AttemptLimiter for the limit. startedAt is when the process
-// started: an earlier one may have used the slack until then.
+// started: an earlier one may have used the slack until then, and its attempts may arrive for
+// another window.
 func NewAttemptLimiter(limit AttemptLimit, startedAt time.Duration) *AttemptLimiter {
-	return &AttemptLimiter{limit: limit, slackFrom: startedAt + limit.Window}
+	return &AttemptLimiter{limit: limit, startedAt: startedAt}
+}
+
+// SetFirst records that no other process of the VM has used the limit.
+func (l *AttemptLimiter) SetFirst() { l.first = true }
+
+// slackFrom returns from when the slack may be used.
+func (l *AttemptLimiter) slackFrom() time.Duration {
+	from := l.startedAt + l.limit.Window
+	if !l.first {
+		from += l.limit.Window
+	}
+	if l.limitedAt > 0 {
+		from = max(from, l.limitedAt+l.limit.Window)
+	}
+	return from
 }
 
 // SetLimit changes the limit. What has been counted is forgotten, so that, as after a
 // start, there is no slack for a window.
 func (l *AttemptLimiter) SetLimit(now time.Duration, limit AttemptLimit) {
 	if limit != l.limit {
-		*l = AttemptLimiter{limit: limit, slackFrom: max(l.slackFrom, now+limit.Window), held: l.held}
+		*l = AttemptLimiter{limit: limit, startedAt: l.startedAt, first: l.first, limitedAt: now, held: l.held}
 	}
 }
 
@@ -111,7 +129,7 @@
 	gateways = l.mostGateways(now, gateways)
 	part := l.part(gateways)
 	d := Decision{Gateways: gateways, Held: l.held, Slack: part}
-	if now < l.slackFrom {
+	if now < l.slackFrom() {
 		d.Slack = 0
 	}
 	d.Requests, d.Extra, d.Excess = l.sums(now)
--- a/internal/decide/retry/attempts_test.go
+++ b/internal/decide/retry/attempts_test.go
@@ -20,7 +20,7 @@
 		extra := 0
 		var all []*retry.AttemptLimiter
 		for range gateways {
-			all = append(all, retry.NewAttemptLimiter(limit, -limit.Window))
+			all = append(all, retry.NewAttemptLimiter(limit, -2*limit.Window))
 		}
 		requests := 0
 		for ms := range 10_000 {
@@ -45,7 +45,7 @@
 	// another right after it.
 	It("keeps any span of the window's length within the limit", func() {
 		for offset := range 500 {
-			l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 20, Window: 10 * time.Second}, -10*time.Second)
+			l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 20, Window: 10 * time.Second}, -20*time.Second)
 			var allowed []time.Duration
 			for _, storm := range []time.Duration{0, 9 * time.Second, 9900 * time.Millisecond, 10_400 * time.Millisecond} {
 				for ms := range 50 {
@@ -70,9 +70,12 @@
 
 	// Guards against a retry storm of a process that does not know what the one before it,
 	// or the other gateways, have used.
-	It("allows only the share of its requests for a window after a restart, and while the gateways are unknown", func() {
+	DescribeTable("allows only the share of its requests after a start, and while the gateways are unknown", func(first bool, slackFrom time.Duration) {
 		for _, gateways := range []int{0, 8} {
 			l := retry.NewAttemptLimiter(limit, 0)
+			if first {
+				l.SetFirst()
+			}
 			allowed := func(now time.Duration, gateways int) (n int) {
 				for l.Hold(now, gateways).Allowed {
 					l.Spend(now)
@@ -82,20 +85,26 @@
 			}
 			Expect(allowed(time.Second, gateways)).To(BeZero())
 			requests, extra := 0, 0
-			for now := time.Second; now < limit.Window; now += 20 * time.Millisecond {
+			for now := time.Second; now < slackFrom; now += 20 * time.Millisecond {
 				l.CountRequest(now, gateways)
 				requests++
 				extra += allowed(now, gateways)
 				Expect(float64(extra)).To(BeNumerically("<=", limit.Share*float64(requests)))
+				if now < limit.Window {
+					Expect(float64(extra)).To(BeNumerically(">=", limit.Share*float64(requests)-1))
+				}
 			}
-			Expect(float64(extra)).To(BeNumerically(">=", limit.Share*float64(requests)-1))
-			Expect(allowed(30*time.Second, 0)).To(BeZero(), "no slack while the gateways are unknown")
-			Expect(allowed(30*time.Second, 8)).To(Equal(10))
+			Expect(float64(extra)).To(BeNumerically(">=", 0.95*limit.Share*float64(requests)))
+			Expect(allowed(40*time.Second, 0)).To(BeZero(), "no slack while the gateways are unknown")
+			Expect(allowed(40*time.Second, 8)).To(Equal(10))
 		}
-	})
+	},
+		Entry("of the first process of its VM for a window", true, limit.Window),
+		Entry("of a later one for two", false, 2*limit.Window),
+	)
 
 	It("allows attempts again after the window", func() {
-		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second}, -10*time.Second)
+		s := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: 1, Window: 10 * time.Second}, -20*time.Second)
 		Expect(s.Hold(0, 1).Allowed).To(BeTrue())
 		s.Spend(0)
 		Expect(s.Hold(5*time.Second, 1).Allowed).To(BeFalse())
@@ -106,7 +115,7 @@
 	// they were allowed.
 	It("counts an attempt that is made late when it is made, and before that all the time", func() {
 		const parts = 10
-		l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: parts, Window: 10 * time.Second}, -10*time.Second)
+		l := retry.NewAttemptLimiter(retry.AttemptLimit{Slack: parts, Window: 10 * time.Second}, -20*time.Second)
 		for range parts {
 			Expect(l.Hold(0, 1).Allowed).To(BeTrue())
 		}
@@ -125,7 +134,7 @@
 
 // BenchmarkHold measures a request with one extra attempt.
 func BenchmarkHold(b *testing.B) {
-	l := retry.NewAttemptLimiter(retry.AttemptLimit{Share: 0.2, Slack: 80, Window: 10 * time.Second}, -10*time.Second)
+	l := retry.NewAttemptLimiter(retry.AttemptLimit{Share: 0.2, Slack: 80, Window: 10 * time.Second}, -20*time.Second)
 	for n := range b.N {
 		now := time.Duration(n) * time.Millisecond
 		l.CountRequest(now, 8)
--- a/internal/decide/retry/play_test.go
+++ b/internal/decide/retry/play_test.go
@@ -62,7 +62,7 @@
 		load:  func(time.Duration) float64 { return 1 },
 	}
 	for range gateways {
-		p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), -playWindow), transit: &retry.Transit{}})
+		p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), -2*playWindow), transit: &retry.Transit{}})
 	}
 	return p
 }
@@ -77,7 +77,9 @@
 // join adds a VM that the others know only after a while.
 func (p *play) join(now time.Duration) {
 	known := now + time.Duration(p.random.Int64N(int64(6*time.Second)))
-	p.gateways = append(p.gateways, &playGateway{limiter: retry.NewAttemptLimiter(p.limit(), now), transit: &retry.Transit{}, knownFrom: known})
+	limiter := retry.NewAttemptLimiter(p.limit(), now)
+	limiter.SetFirst()
+	p.gateways = append(p.gateways, &playGateway{limiter: limiter, transit: &retry.Transit{}, knownFrom: known})
 }
 
 // known returns how many gateways g knows.
@@ -325,6 +327,36 @@
 	}
 }
 
+// Guards against the slack of a process that starts while links hold back attempts of the one
+// before it.
+func TestAttemptsThatLinksHoldBackStayWithinTheRetryLimitAfterKills(t *testing.T) {
+	for _, size := range sizes {
+		for seed := range uint64(6) {
+			p := newPlay(seed, size.gateways, size.perSecond, 108)
+			begin := 4*time.Second + time.Duration(p.random.Int64N(int64(4*time.Second)))
+			killed := begin + time.Second + time.Duration(p.random.Int64N(int64(4*time.Second)))
+			end := killed + time.Duration(p.random.Int64N(int64(playWindow)))
+			p.storm = func(now time.Duration) bool { return now >= killed }
+			p.run(func(now time.Duration) {
+				if now >= killed && now < killed+playStep {
+					for _, g := range p.gateways {
+						p.kill(g, now, 200*time.Millisecond)
+					}
+				}
+				switch {
+				case now >= begin && now < end && !p.held:
+					p.hold()
+				case now >= end && p.held:
+					p.release(now)
+				}
+			})
+			if most := p.most(); most > 1 {
+				t.Errorf("%d gateways, %.0f requests a second, seed %d, killed %v before the release: %.3f of the limit is used", size.gateways, size.perSecond, seed, end-killed, most)
+			}
+		}
+	}
+}
+
 // Guards against a limit of gateways together that leaves callers without the retries that
 // their operators allow.
 func TestUndisturbedGatewaysUseMostOfTheRetryLimit(t *testing.T) {
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -48,6 +48,8 @@
 	// GatewaysSharing returns how many gateways share a limit, including this one, 0 while
 	// that is unknown.
 	GatewaysSharing() int
+	// FirstProcess reports whether this process is known to be the first gateway of its VM.
+	FirstProcess() bool
 	// JoinGroup returns this gateway's group among count groups. From then on
 	// placements and their ends are announced within the group only.
 	JoinGroup(count uint64) place.Group
@@ -71,6 +73,7 @@
 func (noGossip) ReannounceServerLimit(ratelimit.Notice)      {}
 func (noGossip) GatewaysKnown() bool                         { return true }
 func (noGossip) GatewaysSharing() int                        { return 1 }
+func (noGossip) FirstProcess() bool                          { return false }
 func (noGossip) RankFor(string, uint64) ratelimit.Rank       { return ratelimit.Rank{Total: 1} }
 func (noGossip) MembershipVersion() uint64                   { return 0 }
 func (noGossip) GatewayCount() int                           { return 1 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 	}
 	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
 	g.retryBudgets.gateways = func() int { return g.engines.gossip.GatewaysSharing() }
+	g.retryBudgets.firstProcess = func() bool { return g.engines.gossip.FirstProcess() }
 	g.deployment.Store(&c.Deployment)
 	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
 	return g
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -265,6 +265,7 @@
 func (p *placementCounter) ReannounceServerLimit(ratelimit.Notice)      {}
 func (p *placementCounter) GatewaysKnown() bool                         { return true }
 func (p *placementCounter) GatewaysSharing() int                        { return 1 }
+func (p *placementCounter) FirstProcess() bool                          { return false }
 func (p *placementCounter) RankFor(string, uint64) ratelimit.Rank       { return ratelimit.Rank{Total: 1} }
 func (p *placementCounter) MembershipVersion() uint64                   { return 0 }
 func (p *placementCounter) AnnounceStreamVersion(streamversion.StreamID, streamversion.Version) {
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -47,6 +47,8 @@
 	bounds func() deployment.Bounds
 	// gateways returns how many gateways share the budgets, 0 if that is unknown.
 	gateways func() int
+	// firstProcess reports whether no other process of this VM has used the budgets.
+	firstProcess func() bool
 	// startedAt is when this process started.
 	startedAt time.Duration
 	// now returns the time since boot.
@@ -75,6 +77,7 @@
 	return &retryBudgets{
 		services:       make(map[string]*serviceBudget),
 		startedAt:      startedAt,
+		firstProcess:   func() bool { return false },
 		now:            boottime.Now,
 		inTransitGauge: metrics.GetOrRegisterGauge("gateway.attempts_in_transit", nil),
 	}
@@ -176,7 +179,7 @@
 	}
 	fields := log.Fields{
 		"service": service, "requests": d.Requests, "extra": d.Extra, "held": d.Held, "slack": d.Slack, "excess": d.Excess, "gateways": d.Gateways,
-		"started_ms": (now - b.startedAt).Milliseconds(), "unanswered": s.unansweredPending,
+		"started_ms": (now - b.startedAt).Milliseconds(), "first_process": b.firstProcess(), "unanswered": s.unansweredPending,
 	}
 	for kind, n := range s.pending {
 		fields[string(kind)+"_allowed"], fields[string(kind)+"_refused"] = n.allowed, n.refused
@@ -201,6 +204,9 @@
 		b.services[name] = s
 	}
 	s.limiter.SetLimit(b.now(), b.limit())
+	if b.firstProcess() {
+		s.limiter.SetFirst()
+	}
 	return s
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -103,6 +103,8 @@
 	// listed says that others has been set, and ownListed that a list had this gateway too.
 	// membershipVersion counts the changes of others and group.
 	listed, ownListed bool
+	// firstProcess says that this process created the gateway's object.
+	firstProcess bool
 	// unreadable is the number of gateways whose addresses could not be read.
 	unreadable        int
 	membershipVersion uint64
@@ -185,6 +187,14 @@
 	return len(p.others) + p.unreadable + 1
 }
 
+// FirstProcess implements gateway.Gossip. It is false unless this process surely created the
+// object of its VM: an earlier process that is in no list has used no slack.
+func (p *Peers) FirstProcess() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.firstProcess
+}
+
 // Rank returns this gateway's rank among the known ones, from 0.
 func (p *Peers) Rank() int {
 	p.mu.Lock()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -424,6 +424,34 @@
 	})
 })
 
+var _ = Describe("the first process of a VM", func() {
+	// Guards against the slack of a limit that an earlier process of the VM may have used.
+	It("is the one that has created the object of its gateway", func() {
+		objects := objectstore.New()
+		server := httptest.NewServer(objects)
+		DeferCleanup(server.CloseClientConnections)
+		first := start("f-0", platform.NewStore(strings.TrimPrefix(server.URL, "http://")), newRecorder())
+		Expect(first.FirstProcess()).To(BeFalse(), "before the store has answered")
+		Eventually(first.FirstProcess).Should(BeTrue())
+		objects.PutRaw(peers.Kind, "f-1", []byte(`{"address":"127.0.0.1:1"}`))
+		later := start("f-1", platform.NewStore(strings.TrimPrefix(server.URL, "http://")), newRecorder())
+		Eventually(later.GatewaysSharing).Should(Equal(2))
+		Expect(later.FirstProcess()).To(BeFalse())
+	})
+
+	It("is not known if the answer of the store is lost", func() {
+		objects := objectstore.New()
+		objects.SetFaults(objectstore.Faults{LoseReplies: true})
+		server := httptest.NewServer(objects)
+		DeferCleanup(server.CloseClientConnections)
+		p := start("f-0", platform.NewStore(strings.TrimPrefix(server.URL, "http://")), newRecorder())
+		Eventually(func() bool { _, ok := objects.Get(peers.Kind, "f-0"); return ok }, 3).Should(BeTrue())
+		objects.SetFaults(objectstore.Faults{})
+		Eventually(p.GatewaysSharing, 5).Should(Equal(1))
+		Expect(p.FirstProcess()).To(BeFalse())
+	})
+})
+
 var _ = Describe("the number of gateways that share a limit", func() {
 	// Guards against a part of a limit that the others, who do not know this gateway, use
 	// as well.
--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -64,6 +64,9 @@
 		log.WithField("error", err.Error()).Warn("gateway registration failed, retrying")
 		return false
 	}
+	p.mu.Lock()
+	p.firstProcess = !existed
+	p.mu.Unlock()
 	log.WithField("address", value.Address).WithField("existed", existed).Info("gateway registered")
 	return true
 }
--- a/test/soakproc/storm.go
+++ b/test/soakproc/storm.go
@@ -27,9 +27,11 @@
 	// shed, 0 for not at all.
 	Held time.Duration
 	// Kills is how often all gateways are killed and started again while the servers shed.
-	// With KillsWhileHeld, they are killed once more just before the links recover.
-	Kills          int
-	KillsWhileHeld bool
+	// With KilledWhileHeld, they are also killed in the middle of the time for which links are
+	// held, so that processes which know nothing of the held requests have run for a window
+	// before the storm ends.
+	Kills           int
+	KilledWhileHeld bool
 	// Rounds is the number of storms.
 	Rounds int
 }
@@ -125,10 +127,11 @@
 			spared[role] = true
 		}
 	}
-	time.Sleep(s.Held)
-	if s.KillsWhileHeld {
+	time.Sleep(s.Held / 2)
+	if s.KilledWhileHeld {
 		env.restartAll()
 	}
+	time.Sleep(s.Held / 2)
 	for _, server := range env.servers {
 		server.proxy.Set(faultproxy.Mode{})
 	}
@@ -252,7 +255,7 @@
 		add("restarts as at a first start", load.perSecond, load.budget, Storm{Kills: 2, Bootstrap: true})
 		add("held 4 s", load.perSecond, load.budget, Storm{Held: 4 * time.Second})
 		add("held 8 s", load.perSecond, load.budget, Storm{Held: 8 * time.Second})
-		add("held 8 s and restarts", load.perSecond, load.budget, Storm{Held: 8 * time.Second, KillsWhileHeld: true, Kills: 1})
+		add("killed while held 8 s", load.perSecond, load.budget, Storm{Held: 8 * time.Second, KilledWhileHeld: true})
 	}
 	return all
 }
