First lists of gateways give no part of the slack of a retry budget

Cause: the slack is divided by the gateways of the last list, and the first list of a process may have itself alone, as the others have not registered yet. Without the store it stays the last one, and the gateway uses the whole slack next to the parts of the others. The class: a limit that is divided by a view that nobody has found complete.

Now the number is unknown, so that there is no slack, until a list was read six seconds after the start, or another gateway has handed over its own. It costs nothing while the store answers, as there is no slack for a window anyway.

Evidence: "is unknown after the first lists of a process" failed before.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -103,6 +103,10 @@
 	// listed says that others has been set, and ownListed that a list had this gateway too.
 	// membershipVersion counts the changes of others and group.
 	listed, ownListed bool
+	// settled says that a list was read late enough, or by another gateway, to have those
+	// that started at the same time as this one, at startedAt.
+	settled   bool
+	startedAt time.Duration
 	// firstProcess says that this process created the gateway's object.
 	firstProcess bool
 	// unreadable is the number of gateways whose addresses could not be read.
@@ -129,6 +133,8 @@
 	StartID uint64
 	// Address is the IP:PORT on which to receive datagrams.
 	Address string
+	// StartedAt is when the process started, in time since boot; 0 means now.
+	StartedAt time.Duration
 	// TrueTime gets the clocks of the other gateways; nil for one of its own.
 	TrueTime *truetime.Estimator
 }
@@ -147,17 +153,18 @@
 		c.TrueTime = truetime.New(boottime.Now(), time.Now())
 	}
 	p := &Peers{
-		trueTime: c.TrueTime,
-		name:     c.Name,
-		startID:  c.StartID,
-		conn:     conn,
-		receiver: r,
-		delays:   newDelayEstimator(),
-		others:   make(map[string]netip.AddrPort),
-		sent:     metrics.GetOrRegisterCounter("peers.datagrams_sent", nil),
-		received: metrics.GetOrRegisterCounter("peers.datagrams_received", nil),
-		dropped:  metrics.GetOrRegisterCounter("peers.messages_dropped", nil),
-		late:     metrics.GetOrRegisterCounter("peers.confirmations_late", nil),
+		trueTime:  c.TrueTime,
+		name:      c.Name,
+		startID:   c.StartID,
+		startedAt: cmp.Or(c.StartedAt, boottime.Now()),
+		conn:      conn,
+		receiver:  r,
+		delays:    newDelayEstimator(),
+		others:    make(map[string]netip.AddrPort),
+		sent:      metrics.GetOrRegisterCounter("peers.datagrams_sent", nil),
+		received:  metrics.GetOrRegisterCounter("peers.datagrams_received", nil),
+		dropped:   metrics.GetOrRegisterCounter("peers.messages_dropped", nil),
+		late:      metrics.GetOrRegisterCounter("peers.confirmations_late", nil),
 	}
 	return p, nil
 }
@@ -176,12 +183,12 @@
 	return p.listed
 }
 
-// GatewaysSharing implements gateway.Gossip. It is 0 while no list has this gateway: the
-// others then divide limits without it.
+// GatewaysSharing implements gateway.Gossip. It is 0 while no list has this gateway, as the
+// others then divide limits without it, and until one may be taken for complete.
 func (p *Peers) GatewaysSharing() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.ownListed {
+	if !p.ownListed || !p.settled {
 		return 0
 	}
 	return len(p.others) + p.unreadable + 1
@@ -241,10 +248,16 @@
 	return all
 }
 
-// SetPeers replaces the addresses of the gateways, by VM. This one may be among them.
-func (p *Peers) SetPeers(gateways map[string]netip.AddrPort) {
+// SetPeers replaces the addresses of the gateways, by VM, with those that another gateway
+// knows. This one may be among them.
+func (p *Peers) SetPeers(gateways map[string]netip.AddrPort) { p.setPeers(gateways, true) }
+
+// setPeers replaces the addresses of the gateways. settled says that the list has those that
+// started at the same time as this one.
+func (p *Peers) setPeers(gateways map[string]netip.AddrPort, settled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.settled = p.settled || settled
 	if _, ok := gateways[p.name]; ok {
 		p.ownListed = true
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -176,7 +176,7 @@
 }
 
 func start(name string, client *platform.Store, r peers.Receiver) *peers.Peers {
-	p, err := peers.New(peers.Config{Name: name, StartID: rand.Uint64(), Address: "127.0.0.1:0"}, r)
+	p, err := peers.New(peers.Config{Name: name, StartID: rand.Uint64(), Address: "127.0.0.1:0", StartedAt: boottime.Now() - time.Minute}, r)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
@@ -467,6 +467,21 @@
 		Expect(p.GatewaysSharing()).To(Equal(3))
 	})
 
+	// Guards against a gateway that takes all of a limit: it lists itself before the others
+	// have registered, and then loses the store.
+	It("is unknown after the first lists of a process", func() {
+		objects := objectstore.New()
+		server := httptest.NewServer(objects)
+		DeferCleanup(server.CloseClientConnections)
+		p, err := peers.New(peers.Config{Name: "f-0", StartID: rand.Uint64(), Address: "127.0.0.1:0"}, newRecorder())
+		Expect(err).NotTo(HaveOccurred())
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go func() { _ = p.Register(ctx, platform.NewStore(strings.TrimPrefix(server.URL, "http://"))) }()
+		Eventually(p.GatewaysKnown).Should(BeTrue())
+		Consistently(p.GatewaysSharing).Should(BeZero())
+	})
+
 	// Guards against parts that are too large: the object of one gateway cannot be read.
 	It("has gateways whose objects cannot be read", func() {
 		objects := objectstore.New()
--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -25,6 +25,9 @@
 	// of a deployment start.
 	startupListInterval = 500 * time.Millisecond
 	startupRounds       = 6
+	// listSettleTime is the time from the start of a process after which a list has all
+	// gateways that started at the same time. Stale reads may be seconds old.
+	listSettleTime = 6 * time.Second
 )
 
 // registration is the content of a gateway's object.
@@ -101,7 +104,8 @@
 		gateways[o.Name] = address
 	}
 	p.setUnreadable(len(l.Objects) - len(gateways))
-	p.SetPeers(recent.add(boottime.Now(), gateways))
+	now := boottime.Now()
+	p.setPeers(recent.add(now, gateways), now-p.startedAt >= listSettleTime)
 }
 
 func decodeRegistration(o store.Object) (netip.AddrPort, error) {
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -6,6 +6,7 @@
 package soakproc
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -120,12 +121,20 @@
 // the seed and the process id, so that concurrent runs rarely collide. A run whose
 // store finds its port taken uses the next subnet.
 func start(seed uint64, bin, dir string) (*environment, error) {
-	return startWith(seed, bin, dir, retryBudgets[seed/2%uint64(len(retryBudgets))], seed%4 < 2)
+	return startWith(seed, bin, dir, options{budget: retryBudgets[seed/2%uint64(len(retryBudgets))], bootstrap: seed%4 < 2})
 }
 
-// startWith is like start for a given retry budget and settings.
-func startWith(seed uint64, bin, dir string, budget retryBudget, bootstrap bool) (*environment, error) {
-	env := &environment{store: objectstore.New(), budget: budget, bootstrap: bootstrap, idleTimeout: maxIdleTimeout}
+// options are what differs between environments.
+type options struct {
+	budget    retryBudget
+	bootstrap bool
+	// firstAlone makes the first gateway lose the store for good before the others start.
+	firstAlone bool
+}
+
+// startWith is like start with the given options.
+func startWith(seed uint64, bin, dir string, o options) (*environment, error) {
+	env := &environment{store: objectstore.New(), budget: o.budget, bootstrap: o.bootstrap, idleTimeout: maxIdleTimeout}
 	env.timeouts.set(callerTimeout)
 	if err := errors.Join(env.serveStore(seed), env.serveReports()); err != nil {
 		return env, err
@@ -144,10 +153,25 @@
 		if err := env.addGateway(100+i, bin, dir); err != nil {
 			return env, err
 		}
+		if i == 0 && o.firstAlone {
+			if err := env.cutFirst(); err != nil {
+				return env, err
+			}
+		}
 	}
 	return env, nil
 }
 
+// cutFirst cuts the first gateway from the store once it is ready.
+func (env *environment) cutFirst() error {
+	first := env.gateways[0]
+	if err := first.process.WaitReady(context.Background()); err != nil {
+		return err
+	}
+	first.store.Set(faultproxy.Mode{Cut: true})
+	return nil
+}
+
 // serveStore chooses the subnet of the run and serves the store there.
 func (env *environment) serveStore(seed uint64) (err error) {
 	for n := range maxSubnets {
