The soak of processes holds whole services, bounds each window by its own budget, checks what servers are handed

- Faults: the links to all servers of a service but one are held, and then the servers shed.
- A window is bounded by the largest budget in force at any time within it.

--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -91,8 +91,11 @@
 	version  int64
 	closers  []func()
 	crashes  crashTimes
-	// budget is the retry budget of a service, idleTimeout that of callers' connections.
-	budget      retryBudget
+	// budget is the retry budget of a service in the newest settings file, and budgetChanges
+	// has all that there have been, in order.
+	budget        retryBudget
+	budgetChanges []budgetChange
+	// idleTimeout is that of callers' connections.
 	idleTimeout time.Duration
 	// bootstrap is what the settings files say of the first start of the system. They are
 	// written once, so that a process that is started again reads the same.
@@ -110,6 +113,31 @@
 	slack int
 }
 
+// budgetChange is a retry budget that settings files have from a time on.
+type budgetChange struct {
+	retryBudget
+	from time.Time
+}
+
+// setBudget changes the retry budget of the settings files that are written from now on.
+func (env *environment) setBudget(b retryBudget) {
+	env.budget = b
+	env.budgetChanges = append(env.budgetChanges, budgetChange{retryBudget: b, from: time.Now()})
+}
+
+// allowed returns how many extra arrivals the largest retry budget in force at any time in a
+// window allows, with a number of requests.
+func (env *environment) allowed(begin time.Time, requests int) float64 {
+	most := 0.0
+	for i, c := range env.budgetChanges {
+		replaced := i+1 < len(env.budgetChanges) && !env.budgetChanges[i+1].from.After(begin)
+		if !replaced && c.from.Before(begin.Add(retryWindow)) {
+			most = max(most, c.share*float64(requests)+float64(c.slack))
+		}
+	}
+	return most
+}
+
 // retryBudgets are the budgets of the runs in turn: with the first one, a service that sheds
 // most requests uses up the budget, with the last one, a pause of one server does.
 var retryBudgets = []retryBudget{{share: 0.05, slack: 20}, {share: 0.5, slack: 300}, {share: 0.002, slack: 5}}
@@ -136,7 +164,8 @@
 
 // startWith is like start with the given options.
 func startWith(seed uint64, bin, dir string, o options) (*environment, error) {
-	env := &environment{store: objectstore.New(), budget: o.budget, bootstrap: o.bootstrap, idleTimeout: maxIdleTimeout}
+	env := &environment{store: objectstore.New(), bootstrap: o.bootstrap, idleTimeout: maxIdleTimeout}
+	env.setBudget(o.budget)
 	env.timeouts.set(callerTimeout)
 	if err := errors.Join(env.serveStore(seed), env.serveReports()); err != nil {
 		return env, err
--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -124,6 +124,8 @@
 	{name: "server sheds", begin: serverFault(runner.Shedding)},
 	{name: "engines shed most", begin: serviceFault(modelService, runner.SheddingMost)},
 	{name: "plain servers shed most", begin: serviceFault(plainService, runner.SheddingMost)},
+	{name: "engines held, then shed most", begin: heldThenShedding(modelService)},
+	{name: "plain servers held, then shed most", begin: heldThenShedding(plainService)},
 	{name: "server loses answers", begin: serverFault(runner.DroppingAnswers)},
 	{name: "server breaks off", begin: serverFault(runner.TruncatingStream)},
 	{name: "server fails", begin: serverFault(runner.Failing)},
@@ -190,6 +192,38 @@
 	}
 }
 
+// heldThenShedding makes the links to all servers of a service but one hold all bytes back.
+// When they recover, the servers shed most requests for shedAfterHold.
+func heldThenShedding(service string) func(*environment, *rand.Rand) func() {
+	return func(env *environment, _ *rand.Rand) func() {
+		var held []*server
+		for _, s := range env.servers {
+			if s.service == service && !s.silent {
+				held = append(held, s)
+			}
+		}
+		if len(held) < 2 {
+			return nil
+		}
+		held = held[1:]
+		for _, s := range held {
+			s.silent = true
+			s.proxy.Set(faultproxy.Mode{Hold: true})
+		}
+		return func() {
+			for _, s := range held {
+				s.silent = false
+				s.proxy.Set(faultproxy.Mode{})
+				s.SetFault(runner.SheddingMost)
+				time.AfterFunc(shedAfterHold, func() { s.SetFault(runner.Healthy) })
+			}
+		}
+	}
+}
+
+// shedAfterHold is how long servers shed requests once the links to them have recovered.
+const shedAfterHold = 1500 * time.Millisecond
+
 func serverFault(f runner.Fault) func(*environment, *rand.Rand) func() {
 	return func(env *environment, r *rand.Rand) func() {
 		s := env.randomServer(r)
--- a/test/soakproc/pauses.go
+++ b/test/soakproc/pauses.go
@@ -99,7 +99,7 @@
 	if g.paused || g.down || g.process.WaitReady(ctx) != nil {
 		return nil
 	}
-	env.budget.slack++
+	env.setBudget(retryBudget{share: env.budget.share, slack: env.budget.slack + 1})
 	if err := g.writeSettings(); err != nil {
 		return nil
 	}
--- a/test/soakproc/retries.go
+++ b/test/soakproc/retries.go
@@ -33,7 +33,7 @@
 	requests := requestTimes(arrivals, l, service)
 	for _, t := range times {
 		n := countWithin(times, t, retryWindow)
-		bound := env.budget.share*float64(mostRequests(requests, t)) + float64(env.budget.slack)
+		bound := env.allowed(t, mostRequests(requests, t))
 		if fraction := float64(n) / bound; fraction > used {
 			used, begin, extra, allowed = fraction, t, n, bound
 		}
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -67,6 +67,8 @@
 	stopCallers()
 	env.usage.checkComplete(recovered, time.Now(), l)
 	l.check(env)
+	env.checkAttempts(l)
+	env.checkHandedTime(l)
 	report.RetriesUsed = slices.Max(lo.Values(env.checkRetryBudgets(l)))
 	report.Violations = l.violations
 	report.Answers, report.TakeUps = l.statuses, l.takeUps
--- a/test/soakproc/storm.go
+++ b/test/soakproc/storm.go
@@ -36,6 +36,9 @@
 	// before the storm ends.
 	Kills           int
 	KilledWhileHeld bool
+	// Paused is for how long three gateways stand still before the servers shed, 0 for not at
+	// all.
+	Paused time.Duration
 	// Rounds is the number of storms.
 	Rounds int
 }
@@ -97,15 +100,20 @@
 	}
 	stop()
 	report.Used = env.checkRetryBudgets(l)
+	env.checkHandedTime(l)
+	env.checkAttempts(l)
 	report.Answers, report.Violations = l.statuses, l.violations
-	env.countHandedTime(l, &report)
+	report.LateDeadlines, report.LateArrivals = env.lateDeadlines(l)
+	report.BeyondAttempts = len(env.beyondAttempts(l))
 	return report, nil
 }
 
 // storm makes the servers shed for a while.
 func (env *environment) storm(s Storm) {
 	env.hold(s)
+	resume := env.pause(s)
 	env.setFault(runner.SheddingMost)
+	resume()
 	ended := time.After(stormDuration)
 	time.Sleep(stormKillDelay)
 	for range s.Kills {
@@ -141,6 +149,25 @@
 	}
 }
 
+// pausedGateways is the number of gateways that stand still in a storm with pauses.
+const pausedGateways = 3
+
+// pause makes some gateways stand still for a while. The returned function ends that.
+func (env *environment) pause(s Storm) (resume func()) {
+	if s.Paused == 0 {
+		return noop
+	}
+	for _, g := range env.gateways[:pausedGateways] {
+		g.process.Pause()
+	}
+	time.Sleep(s.Paused)
+	return func() {
+		for _, g := range env.gateways[:pausedGateways] {
+			g.process.Resume()
+		}
+	}
+}
+
 // restartAll kills all gateways and starts them again.
 func (env *environment) restartAll() {
 	for _, g := range env.gateways {
@@ -191,43 +218,6 @@
 	}
 }
 
-// lateArrival is the time after which an arrival of a request that has arrived before counts
-// as late, and by which a deadline may exceed the caller's.
-const lateArrival = 500 * time.Millisecond
-
-// countHandedTime counts what servers were handed beyond what the callers allow.
-func (env *environment) countHandedTime(l *requestLog, report *StormReport) {
-	runs := map[string]int{}
-	for _, s := range env.servers {
-		for _, run := range s.Runs() {
-			runs[run.ID]++
-		}
-	}
-	const maxAttempts = 2
-	for _, n := range runs {
-		if n > maxAttempts {
-			report.BeyondAttempts++
-		}
-	}
-	for _, service := range []string{plainService, modelService} {
-		first := map[string]time.Time{}
-		for _, a := range env.arrivals(service) {
-			begun, again := first[a.id]
-			if !again {
-				first[a.id] = a.at
-				continue
-			}
-			if a.at.Sub(begun) <= lateArrival {
-				continue
-			}
-			report.LateArrivals++
-			if ends := a.at.Add(a.deadline); ends.Sub(l.outcomes[a.id].sent.Add(callerTimeout)) > lateArrival {
-				report.LateDeadlines++
-			}
-		}
-	}
-}
-
 // String returns one line on the storm.
 func (r StormReport) String() string {
 	return fmt.Sprintf("%s, seed %d: retry budget used %.2f (%s) and %.2f (%s), answers %v, %d beyond the attempts, %d of %d late arrivals past the deadline",
@@ -259,6 +249,8 @@
 		add("restarts as at a first start", load.perSecond, load.budget, Storm{Kills: 2, Bootstrap: true})
 		add("first gateway alone", load.perSecond, load.budget, Storm{FirstAlone: true})
 		add("gateways join one without the store", load.perSecond, load.budget, Storm{FirstAlone: true, AloneFor: 8 * time.Second})
+		add("gateways paused 14 s", load.perSecond, load.budget, Storm{Paused: 14 * time.Second})
+		add("gateways paused 30 s", load.perSecond, load.budget, Storm{Paused: 30 * time.Second})
 		add("held 4 s", load.perSecond, load.budget, Storm{Held: 4 * time.Second})
 		add("held 8 s", load.perSecond, load.budget, Storm{Held: 8 * time.Second})
 		add("killed while held 8 s", load.perSecond, load.budget, Storm{Held: 8 * time.Second, KilledWhileHeld: true})
