Gateways that announce themselves are known by name: limits of servers are shared with them too

What servers would see: more requests than the limit that they state, from a gateway that does not know of those that joined since it lost the store. Same cause as for retry budgets, found by looking for it elsewhere: the limits that servers state are shared by ranks among the gateways of the lists.

Now the announcement has the name of the VM, and a gateway that announces itself is known as if a list had had it: for retry budgets, ranks, watchers of the store, records of streams. So there is one count of gateways.

The assertion on the rank failed before (1 of 1, want one of 5).

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -109,10 +109,8 @@
 	startedAt time.Duration
 	// firstProcess says that this process created the gateway's object.
 	firstProcess bool
-	// listedAddresses are those of others, and heardAt is when gateways that no list has last
-	// sent a datagram, in time since boot.
-	listedAddresses map[netip.AddrPort]bool
-	heardAt         map[netip.AddrPort]time.Duration
+	// recent has the gateways of the last lists and announcements.
+	recent *recentLists
 	// unreadable is the number of gateways whose addresses could not be read.
 	unreadable        int
 	membershipVersion uint64
@@ -165,7 +163,7 @@
 		receiver:  r,
 		delays:    newDelayEstimator(),
 		others:    make(map[string]netip.AddrPort),
-		heardAt:   make(map[netip.AddrPort]time.Duration),
+		recent:    newRecentLists(),
 		sent:      metrics.GetOrRegisterCounter("peers.datagrams_sent", nil),
 		received:  metrics.GetOrRegisterCounter("peers.datagrams_received", nil),
 		dropped:   metrics.GetOrRegisterCounter("peers.messages_dropped", nil),
@@ -196,7 +194,7 @@
 	if !p.ownListed || !p.settled {
 		return 0
 	}
-	return len(p.others) + p.unreadable + p.unlisted(boottime.Now()) + 1
+	return len(p.others) + p.unreadable + 1
 }
 
 // FirstProcess implements gateway.Gossip. It is false unless this process surely created the
@@ -255,27 +253,36 @@
 
 // SetPeers replaces the addresses of the gateways, by VM, with those that another gateway
 // knows. This one may be among them.
-func (p *Peers) SetPeers(gateways map[string]netip.AddrPort) { p.setPeers(gateways, true) }
+func (p *Peers) SetPeers(gateways map[string]netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setPeers(gateways, true)
+}
 
 // setPeers replaces the addresses of the gateways. settled says that the list has those that
-// started at the same time as this one.
+// started at the same time as this one. p.mu must be held.
 func (p *Peers) setPeers(gateways map[string]netip.AddrPort, settled bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.settled = p.settled || settled
 	if _, ok := gateways[p.name]; ok {
 		p.ownListed = true
 	}
 	others := lo.OmitByKeys(gateways, []string{p.name})
+	if !p.listed {
+		p.listed = true
+		p.membershipVersion++
+	}
+	p.setOthers(others)
+}
+
+// setOthers sets the addresses of the other gateways. p.mu must be held.
+func (p *Peers) setOthers(others map[string]netip.AddrPort) {
 	if len(others) != len(p.others) {
 		log.WithField("peers", len(others)).Info("peers changed")
 	}
-	if !p.listed || !maps.Equal(others, p.others) {
+	if !maps.Equal(others, p.others) {
 		p.membershipVersion++
 	}
 	p.others = others
-	p.listedAddresses = lo.SliceToMap(lo.Values(others), func(a netip.AddrPort) (netip.AddrPort, bool) { return a, true })
-	p.listed = true
 	p.rank = rankByHash(p.name, others)
 	p.streamRanking = streamversion.NewGateways(append(lo.Keys(others), p.name))
 	p.collectors = lo.PickByKeys(others, firstByHash(append(lo.Keys(others), p.name), report.Candidates))
@@ -481,7 +488,9 @@
 			p.dropped.Inc(1)
 			continue
 		}
-		p.hear(from, boottime.Now())
+		if s.Gateway != "" {
+			p.join(s.Gateway, from, boottime.Now())
+		}
 		p.dispatch(&s)
 		p.answerStreamQueries(&s, from)
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -499,6 +499,8 @@
 		}
 		Eventually(cut.GatewaysSharing, 5).Should(Equal(5))
 		Consistently(cut.GatewaysSharing).Should(Equal(5))
+		Expect(cut.RankFor("server", 0).Total).To(Equal(5), "the limits that servers state are shared by the same gateways")
+		Expect(cut.Addresses()).To(HaveLen(5))
 	})
 
 	// Guards against parts that are too large: the object of one gateway cannot be read.
--- a/internal/peers/recent.go
+++ b/internal/peers/recent.go
@@ -20,11 +20,16 @@
 	return &recentLists{addresses: make(map[string]netip.AddrPort), listedAt: make(map[string]time.Duration)}
 }
 
+// refresh records that a gateway is known at an address.
+func (r *recentLists) refresh(now time.Duration, name string, address netip.AddrPort) {
+	r.addresses[name], r.listedAt[name] = address, now
+}
+
 // add adds a list and returns the gateways that any recent list had, with their latest
 // addresses.
 func (r *recentLists) add(now time.Duration, list map[string]netip.AddrPort) map[string]netip.AddrPort {
 	for name, address := range list {
-		r.addresses[name], r.listedAt[name] = address, now
+		r.refresh(now, name, address)
 	}
 	merged := make(map[string]netip.AddrPort, len(r.addresses))
 	for name, address := range r.addresses {
--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -38,12 +38,11 @@
 // Register stores this gateway's address and discovers the others until ctx is done.
 func (p *Peers) Register(ctx context.Context, s store.Store) error {
 	registered := false
-	recent := newRecentLists()
 	for round := 0; ; round++ {
 		if !registered {
 			registered = p.register(ctx, s)
 		}
-		p.listPeers(ctx, s, recent)
+		p.listPeers(ctx, s)
 		p.announcePresence(round)
 		wait := listInterval
 		if round < startupRounds {
@@ -89,7 +88,7 @@
 }
 
 // listPeers lists the gateways and sets them to those of the recent lists.
-func (p *Peers) listPeers(ctx context.Context, s store.Store, recent *recentLists) {
+func (p *Peers) listPeers(ctx context.Context, s store.Store) {
 	l, err := s.List(ctx, Kind, store.Stale)
 	if err != nil {
 		log.WithField("error", err.Error()).Debug("listing gateways failed, keeping the known ones")
@@ -106,7 +105,9 @@
 	}
 	p.setUnreadable(len(l.Objects) - len(gateways))
 	now := boottime.Now()
-	p.setPeers(recent.add(now, gateways), now-p.startedAt >= listSettleTime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setPeers(p.recent.add(now, gateways), now-p.startedAt >= listSettleTime)
 }
 
 func decodeRegistration(o store.Object) (netip.AddrPort, error) {
