--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SEED     ?= 1
 RUNS     ?= 20
 SCENARIO ?= all
+STORM    ?= all
 export CGO_ENABLED = 1
 
 .PHONY: help
@@ -46,6 +47,10 @@
 soak-processes: build ## seeded runs of real gateway processes under injected faults (SEED=n RUNS=m)
 	$(BIN)/soak-processes -bin $(BIN) -seed $(SEED) -runs $(RUNS)
 
+.PHONY: storms
+storms: build ## retry storms of real gateway processes (STORM=text in the name, SEED=n)
+	$(BIN)/soak-processes -bin $(BIN) -storms "$(STORM)" -seed $(SEED) -runs 1
+
 .PHONY: experiment
 experiment: ## goodput and role changes per scenario and policy (SCENARIO=all SEED=n)
 	$(GO) run ./test/cmd/experiment -scenario $(SCENARIO) -seed $(SEED)
