Requests that were sent while a gateway stood still pay for no retries

Callers' repeats come close to the operators' limit, beyond the nine tenths that gateways keep to, where gateways stood still and servers reject when they go on.

Cause: the limit's share is one of the requests in a window, which the operators count when they were sent and a gateway when it reads them. What lay in sockets during a standstill paid for retries of another window. The class: one quantity counted at two times.

A gateway that has not looked at the clock for 1.5 s takes the requests of the next second for sent before. It looks every half second. What it loses is the share of a second's requests after a standstill. Requests that a link held back look like a burst and still count (postmortem).

Evidence: TestRequestsSentDuringAStandstillPayForNoRetries failed before (16 retries, want none).

--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -117,6 +117,7 @@
 	root.Add(duty(p.announceConfirmations))
 	root.Add(duty(p.reannounceTerminations))
 	root.Add(duty(p.reannounceServerLimits))
+	root.Add(duty(func(ctx context.Context) error { return periodic.Run(ctx, gateway.ClockInterval, g.ObserveClock) }))
 	root.Add(duty(p.loadCacheContents))
 	root.Add(duty(p.restoreLearned))
 	root.Add(duty(p.saveLearned))
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -53,6 +53,8 @@
 	startedAt time.Duration
 	// now returns the time since boot.
 	now func() time.Duration
+	// standstill notices that this process stood still.
+	standstill standstill
 }
 
 // serviceBudget is the budget of one service.
@@ -89,7 +91,28 @@
 	if b.transit.Len() > 0 {
 		b.spendArrived(b.transit.Expire(time.Now()))
 	}
-	b.service(service).limiter.CountRequest(b.now(), b.gateways())
+	now := b.now()
+	b.look(now)
+	if b.standstill.backlog(now) {
+		// It counts for the operators when it was sent, in a window that has passed.
+		return
+	}
+	b.service(service).limiter.CountRequest(now, b.gateways())
+}
+
+// ObserveClock notices that the process stood still. It must be called every ClockInterval.
+func (g *Gateway) ObserveClock(time.Time) {
+	b := g.retryBudgets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.look(b.now())
+}
+
+// look records a look at the clock. b.mu must be held.
+func (b *retryBudgets) look(now time.Duration) {
+	if stood := b.standstill.look(now); stood > 0 {
+		log.WithField("stood_ms", stood.Milliseconds()).Info("process stood still")
+	}
 }
 
 // hold reports whether the budget of a service allows one more extra attempt, and holds a
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -219,3 +219,36 @@
 		t.Errorf("%d hedges in the next window, want 9", n)
 	}
 }
+
+// Guards against requests that pay for retries in another window than the one in which they
+// were sent: they lay in sockets while the gateway stood still.
+func TestRequestsSentDuringAStandstillPayForNoRetries(t *testing.T) {
+	b := newTestBudgets(0.2, 0)
+	g := &Gateway{retryBudgets: b}
+	at := func(d time.Duration) { b.now = func() time.Duration { return d } }
+	serve := func(requests int) (retries int) {
+		for range requests {
+			b.countRequest("stood")
+			if b.hold("stood", sendAttempt) {
+				b.spend("stood")
+				retries++
+			}
+		}
+		return retries
+	}
+	for d := time.Second; d < 11*time.Second; d += ClockInterval {
+		at(d)
+		g.ObserveClock(time.Time{})
+	}
+	at(17 * time.Second)
+	if retries := serve(100); retries > 0 {
+		t.Errorf("%d retries paid by requests that were read after a standstill of 6 s, want none", retries)
+	}
+	for d := 17 * time.Second; d < 19*time.Second; d += ClockInterval {
+		at(d)
+		g.ObserveClock(time.Time{})
+	}
+	if retries := serve(100); retries != 16 {
+		t.Errorf("%d retries paid by 100 later requests, want one for each six", retries)
+	}
+}
--- a/test/soakproc/storm.go
+++ b/test/soakproc/storm.go
@@ -36,9 +36,10 @@
 	// before the storm ends.
 	Kills           int
 	KilledWhileHeld bool
-	// Paused is for how long three gateways stand still before the servers shed, 0 for not at
+	// Paused is for how long PausedGateways stand still before the servers shed, 0 for not at
 	// all.
-	Paused time.Duration
+	Paused         time.Duration
+	PausedGateways int
 	// Rounds is the number of storms.
 	Rounds int
 }
@@ -149,20 +150,17 @@
 	}
 }
 
-// pausedGateways is the number of gateways that stand still in a storm with pauses.
-const pausedGateways = 3
-
 // pause makes some gateways stand still for a while. The returned function ends that.
 func (env *environment) pause(s Storm) (resume func()) {
 	if s.Paused == 0 {
 		return noop
 	}
-	for _, g := range env.gateways[:pausedGateways] {
+	for _, g := range env.gateways[:s.PausedGateways] {
 		g.process.Pause()
 	}
 	time.Sleep(s.Paused)
 	return func() {
-		for _, g := range env.gateways[:pausedGateways] {
+		for _, g := range env.gateways[:s.PausedGateways] {
 			g.process.Resume()
 		}
 	}
@@ -249,8 +247,9 @@
 		add("restarts as at a first start", load.perSecond, load.budget, Storm{Kills: 2, Bootstrap: true})
 		add("first gateway alone", load.perSecond, load.budget, Storm{FirstAlone: true})
 		add("gateways join one without the store", load.perSecond, load.budget, Storm{FirstAlone: true, AloneFor: 8 * time.Second})
-		add("gateways paused 14 s", load.perSecond, load.budget, Storm{Paused: 14 * time.Second})
-		add("gateways paused 30 s", load.perSecond, load.budget, Storm{Paused: 30 * time.Second})
+		add("gateways paused 14 s", load.perSecond, load.budget, Storm{Paused: 14 * time.Second, PausedGateways: 3})
+		add("gateways paused 30 s", load.perSecond, load.budget, Storm{Paused: 30 * time.Second, PausedGateways: 3})
+		add("all gateways paused 6 s", load.perSecond, load.budget, Storm{Paused: 6 * time.Second, PausedGateways: gatewayCount})
 		add("held 4 s", load.perSecond, load.budget, Storm{Held: 4 * time.Second})
 		add("held 8 s", load.perSecond, load.budget, Storm{Held: 8 * time.Second})
 		add("killed while held 8 s", load.perSecond, load.budget, Storm{Held: 8 * time.Second, KilledWhileHeld: true})
