--- a/internal/decide/retry/attempts.go
+++ b/internal/decide/retry/attempts.go
@@ -24,9 +24,10 @@
 // need not know how many attempts the others make. Nor need it know what the process before
 // it has used: in any span up to the length of the window, a process uses at most the share
 // of its requests in that span and its part of the slack, and after its start no slack for
-// one window, or two after another process of the VM. So processes that follow each other are together within the limit, however
-// often they are killed. A limit on the whole window alone would not do: what one process
-// has saved up and used in a moment, the next one could use again.
+// one window, or two after another process of the VM. So processes that follow each other
+// are together within the limit, however often they are killed. A limit on the whole window
+// alone would not do: what one process has saved up and used in a moment, the next one
+// could use again.
 type AttemptLimiter struct {
 	limit AttemptLimit
 	// startedAt is when the process started, and first says that no other process of the VM
--- a/internal/decide/retry/transit.go
+++ b/internal/decide/retry/transit.go
@@ -11,8 +11,8 @@
 
 // Transit has requests with attempts that were given up before their servers had answered. A
 // link, or a proxy on it, may have taken the bytes of such an attempt and deliver them at any
-// later time. It has delivered them once the server answers an attempt that was sent later, so
-// that extra attempts count as made then, and as about to be made until then.
+// later time. It has delivered them once the server answers an attempt that was sent later:
+// extra attempts count as made then, and until then as if they could be made at any moment.
 type Transit struct {
 	// byServer has the attempts by the address of their server.
 	byServer map[string][]transitAttempt
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -94,7 +94,7 @@
 	now := b.now()
 	b.look(now)
 	if b.standstill.backlog(now) {
-		// It counts for the operators when it was sent, in a window that has passed.
+		// Operators count it when it was sent, in a window that has passed.
 		return
 	}
 	b.service(service).limiter.CountRequest(now, b.gateways())
@@ -141,7 +141,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.transit.Add(service, extra, attempts)
-	b.spendArrived(nil)
+	b.publishTransit()
 }
 
 // observe processes that a server has responded: what was on its way to it has arrived.
@@ -160,6 +160,11 @@
 	for _, service := range services {
 		b.service(service).limiter.Spend(b.now())
 	}
+	b.publishTransit()
+}
+
+// publishTransit publishes the number of attempts in transit. b.mu must be held.
+func (b *retryBudgets) publishTransit() {
 	b.inTransit.Store(int32(b.transit.Len()))
 	b.inTransitGauge.Update(int64(b.transit.Len()))
 }
