A list of gateways that was handed over is complete only if it was so where it comes from

What callers would see: repeats beyond the operators' limit, from a gateway that starts without the store beside one that has just started, and takes too large a part of the slack.

Cause, found in the last reading: a first list gives no part of the slack, but the gateway that is handed one took it for complete, whoever handed it over and however soon after its start. The class is that of first lists: a limit divided by a view that nobody has found complete.

Now a gateway hands over with its list whether it may be taken for complete. The list itself is handed over as before, since announcements of configurations and servers need it at once. A gateway of an earlier version does not say so, which counts as no.

"takes over no number of gateways from one that has just started" failed before (2 gateways share, want unknown).

--- a/internal/gateway/process/bootstrap.go
+++ b/internal/gateway/process/bootstrap.go
@@ -35,6 +35,9 @@
 	// Gateways are the gateways' addresses for datagrams, by VM. They are absent if this
 	// gateway does not know the others.
 	Gateways map[string]netip.AddrPort `json:"gateways,omitempty"`
+	// GatewaysComplete says that they may be taken for all gateways. A gateway that has just
+	// started may know some only.
+	GatewaysComplete bool `json:"gateways_complete,omitempty"`
 }
 
 // serveBootstrap serves this gateway's state to new gateways.
@@ -53,7 +56,7 @@
 	}
 	state := bootstrapState{Snapshot: snapshot}
 	if p.peers.GatewaysKnown() {
-		state.Gateways = p.peers.Addresses()
+		state.Gateways, state.GatewaysComplete = p.peers.Addresses(), p.peers.ListComplete()
 	}
 	writeJSON(w, state)
 }
@@ -92,15 +95,20 @@
 				log.WithField("neighbour", seed).WithField("error", err.Error()).Debug("bootstrap from peer failed")
 				continue
 			}
-			p.directory.Adopt(time.Now(), state.Snapshot)
-			if len(state.Gateways) > 0 {
-				p.peers.SetPeers(state.Gateways)
-			}
+			p.adopt(state)
 			break
 		}
 	}
 }
 
+// adopt adopts the state of another gateway.
+func (p *components) adopt(state bootstrapState) {
+	p.directory.Adopt(time.Now(), state.Snapshot)
+	if len(state.Gateways) > 0 {
+		p.peers.SetPeers(state.Gateways, state.GatewaysComplete)
+	}
+}
+
 // fetchJSON requests the state of the gateway at address and decodes it into result.
 func fetchJSON(ctx context.Context, client *http.Client, address, path string, result any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
--- a/internal/gateway/process/handover_test.go
+++ b/internal/gateway/process/handover_test.go
@@ -27,6 +27,7 @@
 	const twoKeys = `{"version":1,"tenants":[{"name":"a","apiKeys":["kept-key","removed-key"]}]}`
 	var (
 		objects     *objectstore.Store
+		store       *platform.Store
 		cut, served *directory.Directory
 		stateServer *httptest.Server
 		known       *components
@@ -42,8 +43,9 @@
 		objects.PutRaw("config", "main", []byte(twoKeys))
 		server := httptest.NewServer(objects)
 		DeferCleanup(server.CloseClientConnections)
+		store = platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 		newDirectory := func() *directory.Directory {
-			return directory.New(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), platform.Codec{}, platform.ObjectKinds)
+			return directory.New(store, platform.Codec{}, platform.ObjectKinds)
 		}
 		cut, served = newDirectory(), newDirectory()
 		stop := follow(cut)
@@ -60,7 +62,7 @@
 		g := gateway.New(gateway.Config{Codec: platform.Codec{}, Directory: cut})
 		gateways, err := peers.New(peers.Config{Name: "cut", StartID: rand.Uint64(), Address: "127.0.0.1:0"}, g)
 		Expect(err).NotTo(HaveOccurred())
-		gateways.SetPeers(map[string]netip.AddrPort{"served": netip.MustParseAddrPort("127.0.0.1:9")})
+		gateways.SetPeers(map[string]netip.AddrPort{"served": netip.MustParseAddrPort("127.0.0.1:9")}, true)
 		p := &components{
 			config: Config{Deployment: deployment.Deployment{Name: "cut", StateAddress: net.JoinHostPort("127.0.0.1", port)}}, directory: cut, peers: gateways,
 		}
@@ -115,7 +117,33 @@
 		}
 		Eventually(func() bool { _, ok := served.Snapshot(); return ok }).Should(BeTrue())
 		Expect(received().Gateways).To(BeEmpty())
-		gateways.SetPeers(map[string]netip.AddrPort{"cut": netip.MustParseAddrPort("127.0.0.1:9")})
+		gateways.SetPeers(map[string]netip.AddrPort{"cut": netip.MustParseAddrPort("127.0.0.1:9")}, true)
 		Expect(received().Gateways).To(HaveLen(2))
 	})
+
+	// Guards against a new gateway that takes the first list of another one for complete, and
+	// then uses a part of what all gateways share that is too large.
+	It("takes over no number of gateways from one that has just started", func() {
+		newPeers := func(name string) *peers.Peers {
+			p, err := peers.New(peers.Config{Name: name, StartID: rand.Uint64(), Address: "127.0.0.1:0"}, gateway.New(gateway.Config{Codec: platform.Codec{}, Directory: served}))
+			Expect(err).NotTo(HaveOccurred())
+			return p
+		}
+		known.peers = newPeers("served")
+		objects.PutRaw(peers.Kind, "cut", []byte(`{"address":"127.0.0.1:9"}`))
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() { _ = known.peers.Register(ctx, store) }()
+		Eventually(known.peers.GatewaysKnown).Should(BeTrue())
+		Eventually(func() bool { _, ok := served.Snapshot(); return ok }).Should(BeTrue())
+		recorder := httptest.NewRecorder()
+		known.serveState(recorder, nil)
+		var state bootstrapState
+		Expect(json.Unmarshal(recorder.Body.Bytes(), &state)).To(Succeed())
+		Expect(state.Gateways).To(HaveLen(2))
+		starting := &components{directory: cut, peers: newPeers("cut")}
+		starting.adopt(state)
+		Expect(starting.peers.GatewaysKnown()).To(BeTrue())
+		Expect(starting.peers.GatewaysSharing()).To(BeZero())
+	})
 })
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -103,10 +103,10 @@
 	// listed says that a list was read or handed over, and ownListed that one had this gateway.
 	// membershipVersion counts the changes of others and group.
 	listed, ownListed bool
-	// settled says that a list may be taken for complete: it was read listSettleTime after
-	// startedAt, when the process started, or handed over by a gateway whose list is settled.
-	settled   bool
-	startedAt time.Duration
+	// listComplete says that a list may be taken for complete: it was read listSettleTime after
+	// startedAt, when the process started, or handed over by a gateway whose list is complete.
+	listComplete bool
+	startedAt    time.Duration
 	// firstProcess says that this process created the gateway's object.
 	firstProcess bool
 	// recent has the gateways of the last lists and announcements.
@@ -186,12 +186,19 @@
 	return p.listed
 }
 
+// ListComplete reports whether the known gateways may be taken for all.
+func (p *Peers) ListComplete() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listComplete
+}
+
 // GatewaysSharing implements gateway.Gossip. It is 0 while no list has this gateway, as the
 // others then divide limits without it, and until one may be taken for complete.
 func (p *Peers) GatewaysSharing() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.ownListed || !p.settled {
+	if !p.ownListed || !p.listComplete {
 		return 0
 	}
 	return len(p.others) + p.unreadable + 1
@@ -252,17 +259,16 @@
 }
 
 // SetPeers replaces the addresses of the gateways, by VM, with those that another gateway
-// knows. This one may be among them.
-func (p *Peers) SetPeers(gateways map[string]netip.AddrPort) {
+// knows. This one may be among them. complete says that they may be taken for all gateways.
+func (p *Peers) SetPeers(gateways map[string]netip.AddrPort, complete bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.setPeers(gateways, true)
+	p.setPeers(gateways, complete)
 }
 
-// setPeers replaces the addresses of the gateways. settled says that the list has those that
-// started at the same time as this one. p.mu must be held.
-func (p *Peers) setPeers(gateways map[string]netip.AddrPort, settled bool) {
-	p.settled = p.settled || settled
+// setPeers is SetPeers. p.mu must be held.
+func (p *Peers) setPeers(gateways map[string]netip.AddrPort, complete bool) {
+	p.listComplete = p.listComplete || complete
 	if _, ok := gateways[p.name]; ok {
 		p.ownListed = true
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -201,7 +201,7 @@
 				Expect(u.Total).To(BeEquivalentTo(400))
 				maps.Copy(received[n], u.Counts)
 			}
-			p.SetPeers(maps.Clone(addresses))
+			p.SetPeers(maps.Clone(addresses), true)
 		}
 		counts := usage.Counts{}
 		for n := range 400 {
@@ -265,7 +265,7 @@
 		DeferCleanup(listener.Close)
 		p, err := peers.New(peers.Config{Name: "f-1", StartID: rand.Uint64(), Address: "127.0.0.1:0"}, newRecorder())
 		Expect(err).NotTo(HaveOccurred())
-		p.SetPeers(map[string]netip.AddrPort{"f-2": listener.LocalAddr().(*net.UDPAddr).AddrPort()})
+		p.SetPeers(map[string]netip.AddrPort{"f-2": listener.LocalAddr().(*net.UDPAddr).AddrPort()}, true)
 
 		placement := place.Placement{ID: 1 << 60, Remaining: 2 * time.Second}
 		placement.Prompt.ExpectedOutputTokens = 90
@@ -296,7 +296,7 @@
 		go func() { _ = receiver.Receive(ctx) }()
 		p, err := peers.New(peers.Config{Name: "f-1", StartID: rand.Uint64(), Address: "127.0.0.1:0"}, newRecorder())
 		Expect(err).NotTo(HaveOccurred())
-		p.SetPeers(map[string]netip.AddrPort{"f-2": receiver.Addresses()["f-2"]})
+		p.SetPeers(map[string]netip.AddrPort{"f-2": receiver.Addresses()["f-2"]}, true)
 		p.JoinGroup(1)
 		prefill := func(id place.JobID) {
 			p.AnnouncePlacement(place.Placement{ID: id, Plan: place.Plan{PrefillEngine: "i-p", DecodeEngine: "i-p"}})
@@ -318,7 +318,7 @@
 	It("announce a termination to all gateways, and reannounce it to a few", func() {
 		all, recorders, addresses := startGateways(7)
 		sender := all[6]
-		sender.SetPeers(maps.Clone(addresses))
+		sender.SetPeers(maps.Clone(addresses), true)
 		evidence := quarantine.Evidence{
 			Request: 1 << 63, Instance: backend.Instance{ID: "i-9a340f44e5", Incarnation: 1776457240515},
 			SentAt: time.Now().Add(-1100 * time.Millisecond), ObservedAt: time.Now().Add(-time.Second),
@@ -351,12 +351,12 @@
 		Expect(all[0].RankFor("s", 0)).To(Equal(ratelimit.Rank{}))
 		positions := map[int]bool{}
 		for _, p := range all {
-			p.SetPeers(maps.Clone(addresses))
+			p.SetPeers(maps.Clone(addresses), true)
 			rank := p.RankFor("s", 0)
 			Expect(rank.Total).To(Equal(7))
 			positions[rank.Position] = true
 			before := p.MembershipVersion()
-			p.SetPeers(maps.Clone(addresses))
+			p.SetPeers(maps.Clone(addresses), true)
 			Expect(p.MembershipVersion()).To(Equal(before))
 		}
 		Expect(positions).To(HaveLen(7))
@@ -404,7 +404,7 @@
 			addresses[name] = p.Addresses()[name]
 		}
 		sender := gateways["f-1"]
-		sender.SetPeers(maps.Clone(addresses))
+		sender.SetPeers(maps.Clone(addresses), true)
 		own := sender.JoinGroup(2)
 		sender.AnnouncePlacement(place.Placement{ID: 1, Plan: place.Plan{PrefillEngine: "i-p", DecodeEngine: "i-p"}})
 		sender.AnnounceAvoid("llm", "i-1", time.Second)
@@ -461,9 +461,9 @@
 		Expect(p.GatewaysSharing()).To(BeZero())
 		others := maps.Clone(addresses)
 		delete(others, "f-0")
-		p.SetPeers(others)
+		p.SetPeers(others, true)
 		Expect(p.GatewaysSharing()).To(BeZero())
-		p.SetPeers(maps.Clone(addresses))
+		p.SetPeers(maps.Clone(addresses), true)
 		Expect(p.GatewaysSharing()).To(Equal(3))
 	})
 
@@ -491,7 +491,7 @@
 		client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 		all, _, addresses := startGateways(1)
 		cut := all[0]
-		cut.SetPeers(addresses)
+		cut.SetPeers(addresses, true)
 		Expect(cut.GatewaysSharing()).To(Equal(1))
 		objects.PutRaw(peers.Kind, "f-0", []byte(`{"address":"`+addresses["f-0"].String()+`"}`))
 		for _, name := range []string{"f-1", "f-2", "f-3", "f-4"} {
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -26,7 +26,7 @@
 	BeforeEach(func() {
 		all, recorders, addresses = startGateways(gateways)
 		for _, p := range all {
-			p.SetPeers(maps.Clone(addresses))
+			p.SetPeers(maps.Clone(addresses), true)
 		}
 	})
 	recorderOf := func(n int) *recorder { return recorders["f-"+strconv.Itoa(n)] }
@@ -68,7 +68,7 @@
 		}
 		joined, _, more := startGateways(gateways + 1)
 		addresses["f-8"] = more["f-8"]
-		all[1].SetPeers(maps.Clone(addresses))
+		all[1].SetPeers(maps.Clone(addresses), true)
 		Expect(joined).To(HaveLen(gateways + 1))
 		for id := streamversion.StreamID(1); id <= 20; id++ {
 			Eventually(func() bool {
