Attempts whose connection was closed without an answer are in transit too

Callers' repeats exceed the operators' limit where a middlebox closes the connections to gateways after a short time-out, and delivers the requests that it has taken once the link to the servers recovers, while these reject.

Who is on the other side is not known. The class is that of the attempts given up: a limit on what others see that counts what is believed here.

Now each attempt that was sent and has no answer holds its part. A server that has crashed holds it until it answers again, or for 30 s.

--- a/internal/decide/retry/play_test.go
+++ b/internal/decide/retry/play_test.go
@@ -156,7 +156,7 @@
 		return
 	}
 	p.stuck++
-	g.transit.Add("s", 1, []retry.Unanswered{{Address: heldAddress, GivenUpAt: at(now + playGiveUp)}})
+	g.transit.Add("s", 1, []retry.Unanswered{{Address: heldAddress, EndedAt: at(now + playGiveUp)}})
 }
 
 // hold makes links hold bytes back from now on.
--- a/internal/decide/retry/transit.go
+++ b/internal/decide/retry/transit.go
@@ -10,9 +10,9 @@
 // limit held.
 const maxTransit = 30 * time.Second
 
-// Transit has requests with attempts that were given up before their servers had answered. A
-// link, or a proxy on it, may have taken the bytes of such an attempt and deliver them at any
-// later time. It has delivered them once the server answers an attempt that was sent later:
+// Transit has requests with attempts that ended before their servers had answered, whoever
+// closed the connection. A link, or a proxy on it, may have taken the bytes of such an attempt
+// and deliver them at any later time. It has delivered them once the server answers an attempt that was sent later:
 // extra attempts count as made then, and until then as if they could be made at any moment.
 type Transit struct {
 	// byServer has the attempts by the address of their server.
@@ -20,17 +20,17 @@
 	count    int
 }
 
-// Unanswered is an attempt that was given up before its server had answered.
+// Unanswered is an attempt that ended before its server had answered.
 type Unanswered struct {
 	// Address is that of the server, IP:PORT.
 	Address string
-	// GivenUpAt is when the attempt ended.
-	GivenUpAt time.Time
+	// EndedAt is when the attempt ended.
+	EndedAt time.Time
 }
 
 type transitAttempt struct {
-	givenUpAt time.Time
-	request   *transitRequest
+	endedAt time.Time
+	request *transitRequest
 }
 
 // transitRequest is a request with attempts in transit.
@@ -57,7 +57,7 @@
 	}
 	r := &transitRequest{service: service, extra: extra, attempts: len(attempts)}
 	for _, a := range attempts {
-		t.byServer[a.Address] = append(t.byServer[a.Address], transitAttempt{givenUpAt: a.GivenUpAt, request: r})
+		t.byServer[a.Address] = append(t.byServer[a.Address], transitAttempt{endedAt: a.EndedAt, request: r})
 		t.count++
 	}
 }
@@ -69,14 +69,14 @@
 // time. It returns the services of the extra attempts that have been made with that, one entry
 // for each.
 func (t *Transit) Answered(address string, sent time.Time) (services []string) {
-	return t.remove(address, func(a transitAttempt) bool { return !a.givenUpAt.After(sent) })
+	return t.remove(address, func(a transitAttempt) bool { return !a.endedAt.After(sent) })
 }
 
 // Expire takes attempts for made that have been in transit for maxTransit. It returns what
 // Answered does.
 func (t *Transit) Expire(now time.Time) (services []string) {
 	for address := range t.byServer {
-		services = append(services, t.remove(address, func(a transitAttempt) bool { return now.Sub(a.givenUpAt) >= maxTransit })...)
+		services = append(services, t.remove(address, func(a transitAttempt) bool { return now.Sub(a.endedAt) >= maxTransit })...)
 	}
 	return services
 }
--- a/internal/decide/retry/transit_test.go
+++ b/internal/decide/retry/transit_test.go
@@ -23,7 +23,7 @@
 			if random.IntN(3) > 0 {
 				var given []retry.Unanswered
 				for n := range 1 + random.IntN(3) {
-					given = append(given, retry.Unanswered{Address: strconv.Itoa(n), GivenUpAt: now})
+					given = append(given, retry.Unanswered{Address: strconv.Itoa(n), EndedAt: now})
 					unanswered[strconv.Itoa(n)]++
 				}
 				extra := len(given) - random.IntN(2)
@@ -53,7 +53,7 @@
 // against one that is held for ever.
 func TestAttemptsInTransitExpire(t *testing.T) {
 	var transit retry.Transit
-	transit.Add("s", 1, []retry.Unanswered{{Address: "a", GivenUpAt: at(0)}})
+	transit.Add("s", 1, []retry.Unanswered{{Address: "a", EndedAt: at(0)}})
 	if made := transit.Expire(at(29 * time.Second)); len(made) > 0 {
 		t.Error("taken for made after 29 s")
 	}
--- a/internal/direct/abort_test.go
+++ b/internal/direct/abort_test.go
@@ -14,6 +14,7 @@
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/platform"
 )
 
@@ -69,3 +70,27 @@
 	}()
 	return l.Addr().String(), ended
 }
+
+// Guards against taking the end of a connection for the end of its request: a middlebox closes
+// the connection to this side and delivers the request later.
+func TestRequestWithoutAnAnswerIsUnanswered(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		c.Close()
+	}()
+	r := request.Request{ID: "r1", Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}}
+	o := request.Options{Server: backend.Server{ID: "s", Address: l.Addr().String()}, Remaining: time.Minute}
+	_, err = direct.New(platform.Codec{}).Send(t.Context(), &r, o)
+	if e := verdict.Of(err); err == nil || e.Verdict != verdict.MayHaveRun || !e.Unanswered {
+		t.Errorf("error %v, unanswered %v, want one of an unanswered attempt", err, verdict.Of(err).Unanswered)
+	}
+}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -280,17 +280,12 @@
 func (x *exchange) fail(v verdict.Verdict, step string, err error) error {
 	x.end(false)
 	e := verdict.New(v, verdict.CodeBackendFailed, step+": "+err.Error())
-	e.Unanswered = v == verdict.MayHaveRun && endedHere(err)
+	// Also if the connection was closed by the other side: that may be a middlebox, which can
+	// deliver the request later.
+	e.Unanswered = v == verdict.MayHaveRun
 	return e
 }
 
-// endedHere reports whether err shows that this side ended the connection: after a timeout
-// or because the attempt was canceled.
-func endedHere(err error) bool {
-	var timeout net.Error
-	return errors.Is(err, net.ErrClosed) || (errors.As(err, &timeout) && timeout.Timeout())
-}
-
 // end returns the connection to the pool if it is reusable, and otherwise closes it, with a
 // reset if the response is incomplete.
 func (x *exchange) end(complete bool) {
--- a/internal/gateway/call_retries.go
+++ b/internal/gateway/call_retries.go
@@ -25,12 +25,12 @@
 }
 
 // endArrival records the outcome of an attempt at a server that has ended with err or a
-// response. If it was an extra one, the part that is held for it is spent. An attempt that was
-// given up before the server had answered counts as pending: it may arrive later.
+// response. If it was an extra one, the part that is held for it is spent. An attempt that
+// ended before the server had answered counts as pending: it may arrive later.
 func (c *call) endArrival(server backend.Server, err error, prefillAccepted bool) {
 	switch {
 	case err != nil && verdict.Of(err).Unanswered:
-		c.unanswered = append(c.unanswered, retry.Unanswered{Address: server.Address, GivenUpAt: time.Now()})
+		c.unanswered = append(c.unanswered, retry.Unanswered{Address: server.Address, EndedAt: time.Now()})
 		c.trace.unanswered = append(c.trace.unanswered, server.ID)
 		c.gateway.retryBudgets.countUnanswered(c.service.Name)
 	case err != nil && verdict.Of(err).Verdict == verdict.NotRun:
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -121,7 +121,7 @@
 	// spentRetries those that are spent.
 	arrivals                  retry.Arrivals
 	heldRetries, spentRetries int
-	// unanswered are the attempts that were given up before their servers had answered.
+	// unanswered are the attempts that ended before their servers had answered.
 	unanswered []retry.Unanswered
 	// possibleRuns counts the attempts whose server ran, or may have run, the request,
 	// and pendingRuns those whose server has not responded.
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -51,7 +51,7 @@
 	unframed bool
 	// silent are the servers that sent no data for silenceTimeout.
 	silent []string
-	// unanswered are the servers at which an attempt was given up before they answered.
+	// unanswered are the servers at which an attempt ended before they had answered.
 	unanswered []string
 	// connectionBroken is set if a server's connection broke while the server may
 	// have been running the request.
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -38,7 +38,7 @@
 type retryBudgets struct {
 	mu       sync.Mutex
 	services map[string]*serviceBudget
-	// transit has the attempts that were given up and may still arrive, and inTransit is
+	// transit has the attempts that ended unanswered and may still arrive, and inTransit is
 	// their number: while it is 0, responses skip the lock.
 	transit   retry.Transit
 	inTransit atomic.Int32
@@ -64,7 +64,7 @@
 	// allowed, refused and released count the decisions, and the attempts that were
 	// allowed and not made.
 	allowed, refused, released metrics.Counter
-	// unanswered counts the attempts that were given up before the server answered, and
+	// unanswered counts the attempts that ended before the server had answered, and
 	// unansweredPending those since the last log line.
 	unanswered        metrics.Counter
 	unansweredPending int
@@ -170,7 +170,7 @@
 	b.inTransitGauge.Update(int64(b.transit.Len()))
 }
 
-// countUnanswered counts an attempt that was given up before the server answered.
+// countUnanswered counts an attempt that ended before the server had answered.
 func (b *retryBudgets) countUnanswered(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -91,8 +91,8 @@
 	Message string
 	// RetryAfter is the delay after which a retry is useful; zero if it is not.
 	RetryAfter time.Duration
-	// Unanswered is set if the attempt was ended on this side before the server had
-	// answered, so that bytes still in transit may reach the server later.
+	// Unanswered is set if the request was sent and the server has not answered it, so that
+	// bytes still in transit may reach the server later.
 	Unanswered bool
 }
 
--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// CloseClients closes the clients' ends of all connections, as a middlebox does after a
+// time-out of its own. Bytes that are held back still reach the server.
+func (p *Proxy) CloseClients() {
+	p.mu.Lock()
+	conns := p.openConns()
+	p.mu.Unlock()
+	for _, c := range conns {
+		_ = c.client.Close()
+	}
+}
+
 // Close closes the listener and all connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
--- a/test/soakproc/storm.go
+++ b/test/soakproc/storm.go
@@ -30,6 +30,10 @@
 	// Held is for how long the links of most servers hold all bytes back before the servers
 	// shed, 0 for not at all.
 	Held time.Duration
+	// ClosedWhileHeld makes the links close the connections to the gateways every
+	// stormCloseInterval meanwhile, as a middlebox with a short time-out does. What they hold
+	// still arrives.
+	ClosedWhileHeld bool
 	// Kills is how often all gateways are killed and started again while the servers shed.
 	// With KilledWhileHeld, they are also killed in the middle of the time for which links are
 	// held, so that processes which know nothing of the held requests have run for a window
@@ -54,8 +58,9 @@
 	stormPause    = 2 * time.Second
 	// stormKillDelay is the time from the beginning of a storm to the first kill, and
 	// stormKillInterval the time between two kills.
-	stormKillDelay    = 1500 * time.Millisecond
-	stormKillInterval = 3500 * time.Millisecond
+	stormKillDelay     = 1500 * time.Millisecond
+	stormKillInterval  = 3500 * time.Millisecond
+	stormCloseInterval = 500 * time.Millisecond
 	// stormRounds is the number of storms of a play.
 	stormRounds = 2
 	// stormConns limits the connections of a caller.
@@ -140,16 +145,39 @@
 			spared[role] = true
 		}
 	}
+	stopClosing := noop
+	if s.ClosedWhileHeld {
+		stopClosing = env.keepClosing()
+	}
 	time.Sleep(s.Held / 2)
 	if s.KilledWhileHeld {
 		env.restartAll()
 	}
 	time.Sleep(s.Held / 2)
+	stopClosing()
 	for _, server := range env.servers {
 		server.proxy.Set(faultproxy.Mode{})
 	}
 }
 
+// keepClosing has the links to servers close the connections to the gateways every
+// stormCloseInterval, until the returned function is called.
+func (env *environment) keepClosing() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var closing sync.WaitGroup
+	closing.Go(func() {
+		for wait(ctx, stormCloseInterval) {
+			for _, server := range env.servers {
+				server.proxy.CloseClients()
+			}
+		}
+	})
+	return func() {
+		cancel()
+		closing.Wait()
+	}
+}
+
 // pause makes some gateways stand still for a while. The returned function ends that.
 func (env *environment) pause(s Storm) (resume func()) {
 	if s.Paused == 0 {
@@ -252,6 +280,7 @@
 		add("all gateways paused 6 s", load.perSecond, load.budget, Storm{Paused: 6 * time.Second, PausedGateways: gatewayCount})
 		add("held 4 s", load.perSecond, load.budget, Storm{Held: 4 * time.Second})
 		add("held 8 s", load.perSecond, load.budget, Storm{Held: 8 * time.Second})
+		add("closed while held 8 s", load.perSecond, load.budget, Storm{Held: 8 * time.Second, ClosedWhileHeld: true})
 		add("killed while held 8 s", load.perSecond, load.budget, Storm{Held: 8 * time.Second, KilledWhileHeld: true})
 	}
 	return all
--- a/test/soakproc/storm_test.go
+++ b/test/soakproc/storm_test.go
@@ -33,6 +33,12 @@
 	playStorm(t, soakproc.Storm{PerSecond: 120, Share: 0.2, Slack: 108, FirstAlone: true, AloneFor: 8 * time.Second, Rounds: 1})
 }
 
+// Guards against requests that a middlebox delivers after it has closed the connection to the
+// gateway, once their part of the retry budget has been spent again.
+func TestRequestsWhoseConnectionIsClosedOnTheWayStayWithinTheRetryBudget(t *testing.T) {
+	playStorm(t, soakproc.Storm{PerSecond: 120, Share: 0.002, Slack: 20, Held: 8 * time.Second, ClosedWhileHeld: true, Rounds: 1})
+}
+
 // minUsed is the least fraction of a retry budget that a play must use.
 const minUsed = 0.5
 
