Request lines name every attempt that ended while its server may have run the request

Now each attempt is open from its sending to a rejection or a complete answer; those that end otherwise are listed as server:end (broken, canceled, unframed) beside the fingerprint. No decision uses it yet. The test of cut prefills reads the new list.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,27 +70,22 @@
 	o.Server = server
 	o.Remaining = c.remaining()
 	c.trace.server = server.ID
-	c.recordSend(server)
+	c.beginOpen(server)
 	if !c.usesEngines() {
 		c.countRun(time.Now())
 	}
 	return nil
 }
 
-// recordSend records when the request was last sent to a server.
-func (c *call) recordSend(server backend.Server) {
-	if c.sentAt == nil {
-		c.sentAt = make(map[string]time.Time)
-	}
-	c.sentAt[server.ID] = time.Now()
-}
-
 // endAttempt records the outcome of an attempt. It returns the response if the server
 // ran the request, and an error otherwise.
 func (c *call) endAttempt(ctx context.Context, server backend.Server, reply *direct.Reply, err error) (*direct.Reply, *verdict.Error) {
 	if err != nil {
 		e := verdict.Of(err)
-		if e.Verdict != verdict.NotRun && ctx.Err() == nil {
+		switch {
+		case e.Verdict == verdict.NotRun:
+			c.finishAttempt(server)
+		case ctx.Err() == nil:
 			c.reportBrokenConnection(server)
 		}
 		c.recordFailure(server, e.Verdict)
@@ -98,6 +93,7 @@
 	}
 	if reply.NotRun {
 		reply.Body.Close()
+		c.finishAttempt(server)
 		c.recordFailure(server, verdict.NotRun)
 		return nil, verdict.NewRejection(verdict.CodeOverloaded, "the backend server did not run it", minRetryAfter)
 	}
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -112,11 +112,12 @@
 	} {
 		g := New(Config{Codec: prefillCodec{}, Directory: directory.New(nil, nil, directory.Kinds{})})
 		c := &call{gateway: g, ctx: context.Background(), service: routes.Service{Name: "llm"}}
+		c.beginOpen(backend.Server{ID: "s"})
 		reply := &direct.Reply{Unframed: test.unframed, Body: io.NopCloser(strings.NewReader(test.body))}
 		reply.Status = http.StatusOK
 		handle, failed := c.endPrefill(c.ctx, backend.Server{ID: "s"}, reply, nil)
-		if handle != test.handle || (failed == nil) != (handle != "") || c.trace.connectionBroken != test.broken {
-			t.Errorf("%q, unframed %v: handle %q, error %v, broken %v", test.body, test.unframed, handle, failed, c.trace.connectionBroken)
+		if handle != test.handle || (failed == nil) != (handle != "") || (len(c.trace.unfinished) > 0) != test.broken {
+			t.Errorf("%q, unframed %v: handle %q, error %v, broken %v", test.body, test.unframed, handle, failed, c.trace.unfinished)
 		}
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -53,6 +53,7 @@
 	c := &call{gateway: g, writer: &callerWriter{ResponseWriter: w, stopping: &g.stopping}, received: now, id: g.codec.RequestID(r.Header)}
 	defer c.logRequest()
 	defer c.settleRetries()
+	defer c.leaveOpenAttempts()
 	defer func() { g.bodies.release(c.reservedBodyBytes) }()
 	if !c.prepare(r) {
 		return
@@ -106,8 +107,8 @@
 	// quarantineStatus is the result of the last quarantine check. It lists the
 	// servers that terminated while they ran the request.
 	quarantineStatus quarantine.Status
-	// sentAt is when the request was last sent to each server.
-	sentAt map[string]time.Time
+	// open has the attempts whose servers may be running the request.
+	open []openAttempt
 
 	// verdict is the worst verdict of all attempts.
 	verdict  verdict.Verdict
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -201,7 +201,7 @@
 	}
 	c.prefillAttempts++
 	c.arrivals.Begin()
-	c.recordSend(prefillEngine)
+	c.beginOpen(prefillEngine)
 	o := request.Options{Server: prefillEngine, Remaining: c.remaining(), Stage: request.PrefillOnly, Priority: c.priority}
 	var reply *direct.Reply
 	var err error
@@ -234,6 +234,7 @@
 		return "", c.prefillFailed(prefillEngine, "answer broke off: "+err.Error())
 	}
 	if reply.Status != http.StatusOK {
+		c.finishAttempt(prefillEngine)
 		g.engines.avoidEverywhere(c.service.Name, prefillEngine.ID, rejectionAvoidTime)
 		return "", c.prefillFailed(prefillEngine, http.StatusText(reply.Status))
 	}
@@ -242,8 +243,10 @@
 		if reply.Unframed {
 			c.avoidBroken(ctx, prefillEngine, verdict.MayHaveRun)
 		}
+		c.finishAttempt(prefillEngine)
 		return "", c.prefillFailed(prefillEngine, err.Error())
 	}
+	c.finishAttempt(prefillEngine)
 	return p.Handle, nil
 }
 
@@ -255,9 +258,11 @@
 		return
 	}
 	c.gateway.engines.avoid(c.service.Name, prefillEngine.ID, failureAvoidTime)
-	if v != verdict.NotRun {
-		c.reportBrokenConnection(prefillEngine)
+	if v == verdict.NotRun {
+		c.finishAttempt(prefillEngine)
+		return
 	}
+	c.reportBrokenConnection(prefillEngine)
 }
 
 func (c *call) prefillFailed(prefillEngine backend.Server, why string) *verdict.Error {
@@ -302,7 +307,12 @@
 		h.onSilence = nil
 	}
 	body := &hedgedBody{body: reply.Body, hedge: h}
-	if failed := c.copyEvents(decodeEngine, body, id); failed == nil || body.other == nil {
+	failed := c.copyEvents(decodeEngine, body, id)
+	if failed == nil {
+		c.finishAnswer(decodeEngine, reply)
+		return nil
+	}
+	if body.other == nil {
 		return failed
 	}
 	g.engines.finished(c.service.Name, id)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -249,6 +249,8 @@
 	c.exclude(server)
 	if _, err := io.Copy(io.Discard, io.LimitReader(reply.Body, copyBufferSize)); err != nil {
 		c.trace.message = "discard error response: " + err.Error()
+	} else {
+		c.finishAttempt(server)
 	}
 	reply.Body.Close()
 }
@@ -271,4 +273,5 @@
 		c.reportBrokenConnection(server)
 		c.abort("response from the backend server interrupted: " + err.Error())
 	}
+	c.finishAnswer(server, reply)
 }
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -53,9 +53,9 @@
 	silent []string
 	// unanswered are the servers at which an attempt ended before they had answered.
 	unanswered []string
-	// connectionBroken is set if a server's connection broke while the server may
-	// have been running the request.
-	connectionBroken bool
+	// unfinished are the attempts that ended while their servers may have been running the
+	// request, as server:end.
+	unfinished []string
 }
 
 // respondError sends an error response made by the gateway itself.
@@ -209,8 +209,9 @@
 	if c.retryBudgetSpent {
 		fields["retry_refused"] = true
 	}
-	if c.trace.connectionBroken {
+	if len(c.trace.unfinished) > 0 {
 		fields["fingerprint"], fields["caller"] = c.fingerprint().String(), c.request.Caller
+		fields["unfinished"] = strings.Join(c.trace.unfinished, " ")
 	}
 	if c.trace.unframed {
 		fields["unframed"] = true
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -225,16 +225,24 @@
 // server may have been running the request. The termination of a draining or
 // replaced server is expected and no evidence against the request.
 func (c *call) reportBrokenConnection(s backend.Server) {
+	end := broken
 	if c.ctx.Err() != nil {
+		end = canceled
+	}
+	a, open := c.takeOpen(s)
+	if !open {
+		return
+	}
+	c.trace.unfinished = append(c.trace.unfinished, s.ID+":"+string(end))
+	if end == canceled {
 		return
 	}
-	c.trace.connectionBroken = true
 	at := time.Now()
 	current, ok := c.gateway.directory.View().Servers[s.ID]
 	if !ok || current.Draining || current.Incarnation != s.Incarnation {
 		return
 	}
-	if c.gateway.terminations.addPending(s, c.fingerprint(), c.sentAt[s.ID]) {
+	if c.gateway.terminations.addPending(s, c.fingerprint(), a.sentAt) {
 		go c.gateway.watchTermination(s, at)
 	}
 }
--- /dev/null
+++ b/internal/gateway/unfinished.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/direct"
+)
+
+// attemptEnd is how an attempt ended whose server may have been running the request.
+type attemptEnd string
+
+const (
+	// broken attempts failed while their answer was awaited.
+	broken attemptEnd = "broken"
+	// canceled attempts were given up by this gateway: the caller left, the deadline passed
+	// or another attempt won.
+	canceled attemptEnd = "canceled"
+	// unframed answers ended with their connection, which a crash ends in the same way.
+	unframed attemptEnd = "unframed"
+)
+
+// openAttempt is an attempt whose server may be running the request.
+type openAttempt struct {
+	server backend.Server
+	sentAt time.Time
+}
+
+// beginOpen records that the request is about to be sent to a server.
+func (c *call) beginOpen(server backend.Server) {
+	c.open = append(c.open, openAttempt{server: server, sentAt: time.Now()})
+}
+
+// takeOpen removes the latest open attempt at a server. It returns false if there is none.
+func (c *call) takeOpen(server backend.Server) (openAttempt, bool) {
+	for i, a := range slices.Backward(c.open) {
+		if a.server.Instance() == server.Instance() {
+			c.open = slices.Delete(c.open, i, i+1)
+			return a, true
+		}
+	}
+	return openAttempt{}, false
+}
+
+// finishAttempt records that an attempt at a server was rejected or answered completely.
+func (c *call) finishAttempt(server backend.Server) { c.takeOpen(server) }
+
+// finishAnswer records that the answer of a server has been read to its end.
+func (c *call) finishAnswer(server backend.Server, reply *direct.Reply) {
+	if reply.Unframed && reply.Status < http.StatusInternalServerError {
+		c.leaveAttempt(server, unframed)
+		return
+	}
+	c.finishAttempt(server)
+}
+
+// leaveAttempt records that an attempt at a server ended while the server may have been
+// running the request.
+func (c *call) leaveAttempt(server backend.Server, end attemptEnd) {
+	if _, ok := c.takeOpen(server); !ok {
+		return
+	}
+	c.trace.unfinished = append(c.trace.unfinished, server.ID+":"+string(end))
+}
+
+// leaveOpenAttempts records at the end of the call that its other attempts are given up.
+func (c *call) leaveOpenAttempts() {
+	for len(c.open) > 0 {
+		c.leaveAttempt(c.open[0].server, canceled)
+	}
+}
