--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -42,13 +41,20 @@
 	gateways []*testGateway
 	// fatalEnd is how the answer to a fatal request ends at a crash.
 	fatalEnd runner.StreamEnd
+	// isFatal reports whether a run crashes its engine, by default one with the body fatal.
+	isFatal func(runner.Run) bool
+	// lateTime is how long fatal requests go on, if that is more than the default.
+	lateTime time.Duration
+	// beforeCrash is called before an engine's connections end.
+	beforeCrash func(r *runner.BackendServer, address string)
 	// version is the software version of the engines that start from now on, v1 if empty.
 	version string
 
 	mu sync.Mutex
-	// crashes holds the times of engine crashes, starts counts engine starts.
-	crashes []time.Time
-	starts  int
+	// crashes holds the times of engine crashes, fatalRuns those at which fatal requests
+	// reached engines; starts counts engine starts.
+	crashes, fatalRuns []time.Time
+	starts             int
 	// engines holds the engine of each start, in order.
 	engines []*runner.BackendServer
 	// ended is set at the end of the test. Engines then stay down.
@@ -153,15 +159,18 @@
 	f.mu.Unlock()
 	server := &http.Server{Handler: r}
 	address = listener.Addr().String()
-	r.FatalBody, r.Crash = fatal, func() {
+	r.Fatal = func(run runner.Run) bool {
+		if !f.fatal(run) {
+			return false
+		}
 		f.mu.Lock()
-		f.crashes = append(f.crashes, time.Now())
-		f.mu.Unlock()
-		server.Close()
-		time.AfterFunc(restartDelay, func() {
-			f.store.Remove("servers", r.ID)
-			f.startEngine(address)
-		})
+		defer f.mu.Unlock()
+		f.fatalRuns = append(f.fatalRuns, time.Now())
+		return true
+	}
+	var crash sync.Once
+	r.Crash = func() {
+		crash.Do(func() { f.crash(r, server, address) })
 	}
 	r.RegisterKVSource(address)
 	f.store.Put("servers", r.ID, r.Registration("llm", address, "z", "ready"))
@@ -169,6 +178,29 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
+// fatal reports whether a run crashes its engine.
+func (f *clusterFixture) fatal(run runner.Run) bool {
+	if f.isFatal != nil {
+		return f.isFatal(run)
+	}
+	return run.Body == fatal
+}
+
+// crash ends an engine and starts another one at its address after restartDelay.
+func (f *clusterFixture) crash(r *runner.BackendServer, server *http.Server, address string) {
+	if f.beforeCrash != nil {
+		f.beforeCrash(r, address)
+	}
+	f.mu.Lock()
+	f.crashes = append(f.crashes, time.Now())
+	f.mu.Unlock()
+	server.Close()
+	time.AfterFunc(restartDelay, func() {
+		f.store.Remove("servers", r.ID)
+		f.startEngine(address)
+	})
+}
+
 func (f *clusterFixture) startGateway(n int) *testGateway {
 	g := &testGateway{dir: directory.New(f.client, platform.Codec{}, platform.ObjectKinds)}
 	g.Gateway = gateway.New(gateway.Config{
@@ -237,24 +269,7 @@
 }
 
 func (f *clusterFixture) sendFrom(client *http.Client, g *testGateway, id, body string) (status int, header http.Header) {
-	req, err := http.NewRequest(http.MethodPost, g.url+"/stream-again/x", strings.NewReader(body))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	req.Host = "h.example"
-	req.Close = true
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", "2000")
-	req.Header.Set("Authorization", "Bearer "+deskKey)
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, resp.Header
+	return f.sendRequest(client, context.Background(), g, id, http.MethodPost, "/stream-again/x", body)
 }
 
 // crashesAfter counts the engine crashes after the given time.
--- a/test/soakproc/fatal.go
+++ b/test/soakproc/fatal.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"pistachioroad.dev/pistachioroad/test/standin/runner"
 )
 
 const (
@@ -46,7 +48,7 @@
 // crashOnFatal lets a server crash on the fatal request and restarts it after
 // restartDelay.
 func (env *environment) crashOnFatal(s *server) {
-	s.FatalBody = fatalBody
+	s.Fatal = func(r runner.Run) bool { return r.Body == fatalBody }
 	s.Crash = func() {
 		env.crashes.add()
 		s.proxy.Down()
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -73,11 +73,11 @@
 	// Events is the number of events of a stream, EventInterval the pause between them.
 	Events        int
 	EventInterval time.Duration
-	// FatalBody is the body of requests that crash the server an EventInterval after they
-	// started to run; Crash is called then. Both are set before it serves.
-	FatalBody string
-	Crash     func()
-	// FatalEnd is how the answer to such a request ends. Unless it is Framed, the answer
+	// Fatal reports whether a run crashes the server an EventInterval after it started; Crash
+	// is called then. Both are set before the server serves.
+	Fatal func(Run) bool
+	Crash func()
+	// FatalEnd is how the answer to such a run ends. Unless it is Framed, the answer
 	// begins before the crash.
 	FatalEnd StreamEnd
 	// PhaseChanged, if it is set before the server serves, is called after an order has
@@ -333,7 +333,7 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
-	if s.FatalBody != "" && run.Body == s.FatalBody {
+	if s.Fatal != nil && s.Fatal(run) {
 		time.Sleep(s.EventInterval)
 		if s.FatalEnd != Framed {
 			w.Header().Set("Response-Seal", Seal(id))
