Attempts that are given up before their server crashes are evidence

What callers saw: a request goes on from engine to engine and crashes each one, because its caller leaves, or a silent engine is given up, before the crash. Cause: only a connection that broke while the caller waited was watched. Now every attempt that ends while its server may be running the request is watched: a canceled one until the server has answered a request that was sent half a second later, for 6 s at most, with a few probes (0.25, 0.75, 1.75 s ...) of servers that answer nothing.

Probes that found an attempt's server listening count from that attempt on; before, they counted for attempts that ended later.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,7 +43,7 @@
 		if reply != nil {
 			reply.Body.Close()
 		}
-		c.reportBrokenConnection(server)
+		c.leaveAttempt(server, canceled)
 		c.recordFailure(server, verdict.MayHaveRun)
 		return nil, other, nil
 	}
@@ -86,7 +86,9 @@
 		case e.Verdict == verdict.NotRun:
 			c.finishAttempt(server)
 		case ctx.Err() == nil:
-			c.reportBrokenConnection(server)
+			c.breakAttempt(server)
+		default:
+			c.leaveAttempt(server, canceled)
 		}
 		c.recordFailure(server, e.Verdict)
 		return nil, e
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	engines      *engines
 	plain        *plainBalancer
 	terminations *terminations
+	watches      watches
 	streams      *streamVersions
 	statements   *serverStatements
 
@@ -99,6 +100,7 @@
 	}
 	g.transport.OnResponse = func(info direct.ResponseInfo) {
 		g.statements.observe(info)
+		g.watches.answered(info.Server.Instance(), info.Sent)
 		g.retryBudgets.observe(info)
 	}
 	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -214,7 +214,7 @@
 		if reply != nil {
 			go c.gateway.freeReply(prefillEngine, reply)
 		}
-		c.reportBrokenConnection(prefillEngine)
+		c.leaveAttempt(prefillEngine, canceled)
 		return "", other, nil
 	}
 	handle, failed := c.endPrefill(ctx, prefillEngine, reply, err)
@@ -262,7 +262,7 @@
 		c.finishAttempt(prefillEngine)
 		return
 	}
-	c.reportBrokenConnection(prefillEngine)
+	c.breakAttempt(prefillEngine)
 }
 
 func (c *call) prefillFailed(prefillEngine backend.Server, why string) *verdict.Error {
@@ -359,7 +359,7 @@
 func (c *call) copyStream(decodeEngine backend.Server, source io.Reader) *verdict.Error {
 	if !c.route.Resumable {
 		if err := c.copyBody(source); err != nil {
-			c.reportBrokenConnection(decodeEngine)
+			c.breakAttempt(decodeEngine)
 			c.abort("stream from the engine interrupted: " + err.Error())
 		}
 		return nil
@@ -371,7 +371,11 @@
 	if err == nil {
 		return nil
 	}
-	c.reportBrokenConnection(decodeEngine)
+	if errors.Is(err, errMoved) {
+		c.leaveAttempt(decodeEngine, canceled)
+	} else {
+		c.breakAttempt(decodeEngine)
+	}
 	c.exclude(decodeEngine)
 	return verdict.New(verdict.MayHaveRun, verdict.CodeAnswerBroken, "stream from the engine interrupted: "+err.Error())
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -270,7 +270,7 @@
 	defer c.gateway.plain.done(server.ID, reply, verdict.Ran)
 	c.writeHead(reply)
 	if err := c.copyBody(c.answerBody(reply, server)); err != nil {
-		c.reportBrokenConnection(server)
+		c.breakAttempt(server)
 		c.abort("response from the backend server interrupted: " + err.Error())
 	}
 	c.finishAnswer(server, reply)
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,30 +12,11 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
-	"pistachioroad.dev/pistachioroad/internal/direct"
-	"pistachioroad.dev/pistachioroad/internal/directory"
-	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
 const (
-	// probeTimeout limits the connection attempt that probes a server.
-	probeTimeout = 500 * time.Millisecond
-	// terminationWatchTime is how long a server is watched for termination after a
-	// connection to it broke. The object of a crashed server expires after some
-	// missed heartbeats.
-	terminationWatchTime = 6 * time.Second
-	// probeInterval is the pause between two probes of a server.
-	probeInterval = 250 * time.Millisecond
-	// aliveProbes is how many consecutive probes must find a server listening before
-	// its broken connections count as a fault of the server or the network instead of
-	// a termination.
-	aliveProbes = 2
-	// maxPendingServers limits the servers watched at a time, maxPendingRequests the
-	// requests recorded for each.
-	maxPendingServers  = 64
-	maxPendingRequests = 256
 	// suspectRetryAfter is the Retry-After for a suspected request that is already running.
 	suspectRetryAfter = time.Second
 	// maxLogged limits the requests or servers listed in one log line.
@@ -50,9 +30,6 @@
 type terminations struct {
 	mu   sync.Mutex
 	list *quarantine.List
-	// pending holds, for instances that may have terminated, the requests whose
-	// connections broke there, with the times at which they were sent.
-	pending map[backend.Instance]map[request.Fingerprint]time.Time
 	// running holds the suspected requests that are running at a server.
 	running map[request.Fingerprint]struct{}
 	gossip  Gossip
@@ -64,7 +41,6 @@
 func newTerminations() *terminations {
 	return &terminations{
 		list:       quarantine.New(),
-		pending:    make(map[backend.Instance]map[request.Fingerprint]time.Time),
 		running:    make(map[request.Fingerprint]struct{}),
 		gossip:     noGossip{},
 		terminated: metrics.GetOrRegisterCounter("gateway.servers_ended_under_requests", nil),
@@ -79,47 +55,38 @@
 	return t.list.Len() == 0
 }
 
-// addPending records that a request's connection to a server broke. It returns true
-// for the first one of an instance, which the caller must then watch.
-func (t *terminations) addPending(s backend.Server, f request.Fingerprint, sentAt time.Time) bool {
+// resolve records the outcome of attempts that ended at a server. If it terminated, they
+// become evidence.
+func (t *terminations) resolve(s backend.Server, o outcome) {
+	logOutcome("server terminated while it ran requests", s, o.ended, o.at)
+	logOutcome("connections to the server broke, it did not terminate", s, lo.Filter(o.survived, func(a *endedAttempt, _ int) bool {
+		return a.end != canceled
+	}), time.Now())
+	if len(o.ended) == 0 {
+		return
+	}
+	t.terminated.Inc(1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	requests, ok := t.pending[s.Instance()]
-	if !ok {
-		if len(t.pending) >= maxPendingServers {
-			return false
-		}
-		requests = make(map[request.Fingerprint]time.Time)
-		t.pending[s.Instance()] = requests
-	}
-	if len(requests) < maxPendingRequests && sentAt.After(requests[f]) {
-		requests[f] = sentAt
+	for _, a := range o.ended {
+		t.addEvidence(quarantine.Evidence{Request: a.request, Instance: s.Instance(), SentAt: a.sentAt, ObservedAt: o.at})
 	}
-	return !ok
 }
 
-// resolve ends the watch of an instance. If it terminated, its pending requests
-// become evidence; otherwise they are dropped.
-func (t *terminations) resolve(s backend.Server, at time.Time, terminated bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	sentAt := t.pending[s.Instance()]
-	requests := lo.Keys(sentAt)
-	delete(t.pending, s.Instance())
-	names := lo.Map(requests[:min(maxLogged, len(requests))], func(f request.Fingerprint, _ int) string { return f.String() })
-	line := log.WithFields(log.Fields{
-		"server": s.ID, "incarnation": s.Incarnation, "requests": len(requests), "fingerprints": strings.Join(names, " "),
-		"after_ms": time.Since(at).Milliseconds(),
-	})
-	if !terminated {
-		line.Info("connections to the server broke, it did not terminate")
+// logOutcome logs the outcome of attempts, if there are any. at is when the server terminated.
+func logOutcome(message string, s backend.Server, attempts []*endedAttempt, at time.Time) {
+	if len(attempts) == 0 {
 		return
 	}
-	line.Info("server terminated while it ran requests")
-	t.terminated.Inc(1)
-	for _, f := range requests {
-		t.addEvidence(quarantine.Evidence{Request: f, Instance: s.Instance(), SentAt: sentAt[f], ObservedAt: at})
+	names := lo.Map(attempts[:min(maxLogged, len(attempts))], func(a *endedAttempt, _ int) string { return a.request.String() })
+	fields := log.Fields{
+		"server": s.ID, "incarnation": s.Incarnation, "requests": len(attempts), "fingerprints": strings.Join(names, " "),
+		"after_ms": time.Since(at).Milliseconds(),
 	}
+	for end, n := range lo.CountValuesBy(attempts, func(a *endedAttempt) attemptEnd { return a.end }) {
+		fields[string(end)] = n
+	}
+	log.WithFields(fields).Info(message)
 }
 
 // addEvidence adds evidence found by this gateway and announces it if it is new.
@@ -180,73 +147,6 @@
 	}
 }
 
-// watchTermination probes a server whose connections broke at the given time until
-// it has terminated, proves to be alive or terminationWatchTime has elapsed.
-func (g *Gateway) watchTermination(s backend.Server, at time.Time) {
-	alive := 0
-	for time.Since(at) < terminationWatchTime {
-		switch g.probeInstance(s) {
-		case direct.Absent:
-			g.terminations.resolve(s, at, true)
-			return
-		case direct.Listening:
-			if alive++; alive >= aliveProbes {
-				g.terminations.resolve(s, at, false)
-				return
-			}
-		case direct.Unknown:
-			alive = 0
-		}
-		if !pause.Sleep(context.Background(), probeInterval) {
-			break
-		}
-	}
-	g.terminations.resolve(s, at, false)
-}
-
-// probeInstance checks whether an instance is there: by its object in the
-// store, by whether another server has its address, and by a connection.
-func (g *Gateway) probeInstance(s backend.Server) direct.Presence {
-	v := g.directory.View()
-	if current, ok := v.Servers[s.ID]; !ok || current.Incarnation != s.Incarnation || addressTaken(v, s) {
-		return direct.Absent
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	return direct.Probe(ctx, s)
-}
-
-// addressTaken reports whether another server is registered at a server's address.
-func addressTaken(v *directory.View, s backend.Server) bool {
-	return lo.ContainsBy(lo.Values(v.Servers), func(o backend.Server) bool { return o.Address == s.Address && o.ID != s.ID })
-}
-
-// reportBrokenConnection records that the connection to a server broke while the
-// server may have been running the request. The termination of a draining or
-// replaced server is expected and no evidence against the request.
-func (c *call) reportBrokenConnection(s backend.Server) {
-	end := broken
-	if c.ctx.Err() != nil {
-		end = canceled
-	}
-	a, open := c.takeOpen(s)
-	if !open {
-		return
-	}
-	c.trace.unfinished = append(c.trace.unfinished, s.ID+":"+string(end))
-	if end == canceled {
-		return
-	}
-	at := time.Now()
-	current, ok := c.gateway.directory.View().Servers[s.ID]
-	if !ok || current.Draining || current.Incarnation != s.Incarnation {
-		return
-	}
-	if c.gateway.terminations.addPending(s, c.fingerprint(), a.sentAt) {
-		go c.gateway.watchTermination(s, at)
-	}
-}
-
 // fingerprint returns the request's fingerprint. It is computed once, on first use.
 func (c *call) fingerprint() request.Fingerprint {
 	if c.cachedFingerprint == 0 {
--- a/internal/gateway/unfinished.go
+++ b/internal/gateway/unfinished.go
@@ -59,10 +59,38 @@
 // leaveAttempt records that an attempt at a server ended while the server may have been
 // running the request.
 func (c *call) leaveAttempt(server backend.Server, end attemptEnd) {
-	if _, ok := c.takeOpen(server); !ok {
+	a, open := c.takeOpen(server)
+	if !open {
 		return
 	}
 	c.trace.unfinished = append(c.trace.unfinished, server.ID+":"+string(end))
+	if end == unframed || !c.countsTermination(server, end) {
+		return
+	}
+	ended := endedAttempt{request: c.fingerprint(), sentAt: a.sentAt, endedAt: time.Now(), end: end}
+	if watch := c.gateway.watches.add(server, ended); watch != nil {
+		go c.gateway.watchServer(watch)
+	}
+}
+
+// countsTermination reports whether the termination of a server counts against the request.
+// That of a draining or replaced server whose connection broke is expected.
+func (c *call) countsTermination(server backend.Server, end attemptEnd) bool {
+	if end == canceled {
+		return true
+	}
+	current, ok := c.gateway.directory.View().Servers[server.ID]
+	return ok && !current.Draining && current.Incarnation == server.Incarnation
+}
+
+// breakAttempt records that an attempt at a server failed while the server may have been
+// running the request. If the request was given up, that is no fault of the server.
+func (c *call) breakAttempt(server backend.Server) {
+	if c.ctx.Err() != nil {
+		c.leaveAttempt(server, canceled)
+		return
+	}
+	c.leaveAttempt(server, broken)
 }
 
 // leaveOpenAttempts records at the end of the call that its other attempts are given up.
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+
+	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/direct"
+	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/pause"
+	"pistachioroad.dev/pistachioroad/internal/request"
+)
+
+const (
+	// probeTimeout limits the connection attempt that probes a server.
+	probeTimeout = 500 * time.Millisecond
+	// watchTime is how long a server is watched for termination after an attempt there has
+	// ended. The object of a crashed server expires after some missed heartbeats.
+	watchTime = 6 * time.Second
+	// watchInterval is the pause between two looks at a server that is watched, and between
+	// two probes after a broken connection.
+	watchInterval = 250 * time.Millisecond
+	// aliveProbes is how many probes must find a server listening before a broken
+	// connection counts as a fault of the server or the network instead of a termination.
+	aliveProbes = 2
+	// aliveAfter is how long after the end of a canceled attempt a server must have been sent
+	// a request that it has answered to be known to have survived the attempt: it may be
+	// listening and silent, and may work on for a while.
+	aliveAfter = 500 * time.Millisecond
+	// maxWatchedServers limits the servers watched at a time for canceled attempts, and half
+	// of those watched at all; maxWatchedRequests limits the requests recorded for each.
+	maxWatchedServers  = 64
+	maxWatchedRequests = 256
+)
+
+// endedAttempt is an attempt that ended while its server may have been running the request.
+type endedAttempt struct {
+	request         request.Fingerprint
+	sentAt, endedAt time.Time
+	end             attemptEnd
+	// listening counts the probes since its end that found the server listening.
+	listening int
+}
+
+// survived reports whether the server is known to have survived the attempt. answered is
+// when the latest request that the server has answered was sent.
+func (a *endedAttempt) survived(answered time.Time) bool {
+	if a.end == canceled {
+		return !answered.Before(a.endedAt.Add(aliveAfter))
+	}
+	return a.listening >= aliveProbes
+}
+
+// serverWatch is the watch of a server where attempts have ended.
+type serverWatch struct {
+	server   backend.Server
+	attempts map[request.Fingerprint]*endedAttempt
+	// answered is when the latest request that the server has answered was sent.
+	answered time.Time
+	// broke has an element after an attempt was added that was not canceled.
+	broke chan struct{}
+	// probeAt is when a canceled attempt next calls for a probe, and probePause the pause
+	// after that.
+	probeAt    time.Time
+	probePause time.Duration
+}
+
+// outcome is what became of the attempts of a watch.
+type outcome struct {
+	// ended are the attempts at a server that has terminated, at the given time; survived
+	// those that the server is known to have survived or that were watched for watchTime.
+	ended, survived []*endedAttempt
+	at              time.Time
+}
+
+// add records an attempt. Of several attempts of a request, the latest counts.
+func (w *serverWatch) add(a endedAttempt) {
+	if o, ok := w.attempts[a.request]; ok && !a.sentAt.After(o.sentAt) {
+		return
+	}
+	if len(w.attempts) >= maxWatchedRequests {
+		return
+	}
+	w.attempts[a.request] = &a
+	if a.end == canceled {
+		w.probeAt, w.probePause = a.endedAt.Add(watchInterval), watchInterval
+		return
+	}
+	select {
+	case w.broke <- struct{}{}:
+	default:
+	}
+}
+
+// needsProbe reports whether the server must be probed now.
+func (w *serverWatch) needsProbe(now time.Time) bool {
+	for _, a := range w.attempts {
+		if a.end != canceled {
+			return true
+		}
+	}
+	if now.Before(w.probeAt) {
+		return false
+	}
+	w.probePause *= 2
+	w.probeAt = now.Add(w.probePause)
+	return true
+}
+
+// look is a look at a server.
+type look struct {
+	// began is when it began.
+	began    time.Time
+	presence direct.Presence
+	// probed is set if the server was probed.
+	probed bool
+}
+
+// observe applies what a look at the server has found, and removes the attempts whose
+// outcome is known by that.
+func (w *serverWatch) observe(now time.Time, l look) outcome {
+	if l.presence == direct.Absent {
+		o := outcome{ended: lo.Values(w.attempts), at: w.terminatedAt(now)}
+		clear(w.attempts)
+		return o
+	}
+	var o outcome
+	for f, a := range w.attempts {
+		switch {
+		case !l.probed || a.endedAt.After(l.began):
+		case l.presence == direct.Listening:
+			a.listening++
+		default:
+			a.listening = 0
+		}
+		if a.survived(w.answered) || now.Sub(a.endedAt) >= watchTime {
+			o.survived = append(o.survived, a)
+			delete(w.attempts, f)
+		}
+	}
+	return o
+}
+
+// terminatedAt returns when a server terminated that was found absent: when its first
+// connection broke, or now if none did.
+func (w *serverWatch) terminatedAt(now time.Time) time.Time {
+	at := now
+	for _, a := range w.attempts {
+		if a.end != canceled && a.endedAt.Before(at) {
+			at = a.endedAt
+		}
+	}
+	return at
+}
+
+// watches are the servers watched for termination.
+type watches struct {
+	mu       sync.Mutex
+	byServer map[backend.Instance]*serverWatch
+	// count is len(byServer): while it is 0, responses skip the lock.
+	count atomic.Int32
+}
+
+// add records an attempt at a server. It returns a watch that the caller must run if the
+// server was not watched.
+func (w *watches) add(s backend.Server, a endedAttempt) (begun *serverWatch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	watch, ok := w.byServer[s.Instance()]
+	if !ok {
+		if len(w.byServer) >= maxWatchedServers && (a.end == canceled || len(w.byServer) >= 2*maxWatchedServers) {
+			return nil
+		}
+		watch = &serverWatch{server: s, attempts: make(map[request.Fingerprint]*endedAttempt), broke: make(chan struct{}, 1)}
+		if w.byServer == nil {
+			w.byServer = make(map[backend.Instance]*serverWatch)
+		}
+		w.byServer[s.Instance()] = watch
+		w.count.Add(1)
+		begun = watch
+	}
+	watch.add(a)
+	return begun
+}
+
+// answered records that a server has answered a request that was sent at the given time.
+func (w *watches) answered(s backend.Instance, sent time.Time) {
+	if w.count.Load() == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if watch, ok := w.byServer[s]; ok && sent.After(watch.answered) {
+		watch.answered = sent
+	}
+}
+
+func (w *watches) needsProbe(watch *serverWatch, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return watch.needsProbe(now)
+}
+
+// observe is serverWatch.observe. It ends the watch, and reports that, if no attempt is left.
+func (w *watches) observe(watch *serverWatch, l look) (o outcome, done bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o = watch.observe(time.Now(), l)
+	if len(watch.attempts) > 0 {
+		return o, false
+	}
+	delete(w.byServer, watch.server.Instance())
+	w.count.Add(-1)
+	return o, true
+}
+
+// watchServer looks at a server until the outcome of all attempts that ended there is known.
+func (g *Gateway) watchServer(watch *serverWatch) {
+	for {
+		o, done := g.watches.observe(watch, g.lookAt(watch))
+		g.terminations.resolve(watch.server, o)
+		if done {
+			return
+		}
+		pause.SleepOrSignal(context.Background(), watchInterval, watch.broke)
+	}
+}
+
+// lookAt checks whether a server is there: by its object in the store, by whether another
+// server has its address, and by a connection if one is needed.
+func (g *Gateway) lookAt(watch *serverWatch) look {
+	s, l := watch.server, look{began: time.Now()}
+	v := g.directory.View()
+	if current, ok := v.Servers[s.ID]; !ok || current.Incarnation != s.Incarnation || addressTaken(v, s) {
+		l.presence = direct.Absent
+		return l
+	}
+	if !g.watches.needsProbe(watch, l.began) {
+		return l
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	l.presence, l.probed = direct.Probe(ctx, s), true
+	return l
+}
+
+// addressTaken reports whether another server is registered at a server's address.
+func addressTaken(v *directory.View, s backend.Server) bool {
+	return lo.ContainsBy(lo.Values(v.Servers), func(o backend.Server) bool { return o.Address == s.Address && o.ID != s.ID })
+}
