Engines that crash while they drain or after their objects have gone are evidence

What callers saw: a request goes on from engine to engine where each one's object goes just before its connections, or says that it drains. Cause: the end of a server that the store does not list, or lists as draining, counted as expected. Now only what becomes of the attempts counts: a connection that breaks at a server without an object is its termination; a canceled attempt there needs a refused probe, as the server may finish its work.

--- a/internal/gateway/crash_ends_test.go
+++ b/internal/gateway/crash_ends_test.go
@@ -83,8 +83,10 @@
 	if third.IsZero() {
 		f.t.Fatal("fewer than three engines crashed")
 	}
-	if late := f.runsAfter(third.Add(contactTime)); late > maxLateRuns {
-		f.t.Errorf("reached %d engines later than %v after the third crash, want at most %d; %d in all", late, contactTime, maxLateRuns, f.runsAfter(time.Time{}))
+	late := f.runsAfter(third.Add(contactTime))
+	f.t.Logf("reached %d engines later than %v after the third crash, %d in all", late, contactTime, f.runsAfter(time.Time{}))
+	if late > maxLateRuns {
+		f.t.Errorf("want at most %d", maxLateRuns)
 	}
 }
 
--- a/internal/gateway/unfinished.go
+++ b/internal/gateway/unfinished.go
@@ -64,7 +64,7 @@
 		return
 	}
 	c.trace.unfinished = append(c.trace.unfinished, server.ID+":"+string(end))
-	if end == unframed || !c.countsTermination(server, end) {
+	if end == unframed {
 		return
 	}
 	ended := endedAttempt{request: c.fingerprint(), sentAt: a.sentAt, endedAt: time.Now(), end: end}
@@ -73,16 +73,6 @@
 	}
 }
 
-// countsTermination reports whether the termination of a server counts against the request.
-// That of a draining or replaced server whose connection broke is expected.
-func (c *call) countsTermination(server backend.Server, end attemptEnd) bool {
-	if end == canceled {
-		return true
-	}
-	current, ok := c.gateway.directory.View().Servers[server.ID]
-	return ok && !current.Draining && current.Incarnation == server.Incarnation
-}
-
 // breakAttempt records that an attempt at a server failed while the server may have been
 // running the request. If the request was given up, that is no fault of the server.
 func (c *call) breakAttempt(server backend.Server) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -96,12 +96,15 @@
 	}
 }
 
+// broken reports whether an attempt was not given up by this gateway.
+func (w *serverWatch) broken() bool {
+	return lo.SomeBy(lo.Values(w.attempts), func(a *endedAttempt) bool { return a.end != canceled })
+}
+
 // needsProbe reports whether the server must be probed now.
 func (w *serverWatch) needsProbe(now time.Time) bool {
-	for _, a := range w.attempts {
-		if a.end != canceled {
-			return true
-		}
+	if w.broken() {
+		return true
 	}
 	if now.Before(w.probeAt) {
 		return false
@@ -205,6 +208,12 @@
 	return watch.needsProbe(now)
 }
 
+func (w *watches) broken(watch *serverWatch) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return watch.broken()
+}
+
 // observe is serverWatch.observe. It ends the watch, and reports that, if no attempt is left.
 func (w *watches) observe(watch *serverWatch, l look) (o outcome, done bool) {
 	w.mu.Lock()
@@ -231,11 +240,14 @@
 }
 
 // lookAt checks whether a server is there: by its object in the store, by whether another
-// server has its address, and by a connection if one is needed.
+// server has its address, and by a connection if one is needed. A server without an object may
+// still finish its requests: only one whose connections broke is then absent.
 func (g *Gateway) lookAt(watch *serverWatch) look {
 	s, l := watch.server, look{began: time.Now()}
 	v := g.directory.View()
-	if current, ok := v.Servers[s.ID]; !ok || current.Incarnation != s.Incarnation || addressTaken(v, s) {
+	current, registered := v.Servers[s.ID]
+	replaced := addressTaken(v, s) || (registered && current.Incarnation != s.Incarnation)
+	if replaced || (!registered && g.watches.broken(watch)) {
 		l.presence = direct.Absent
 		return l
 	}
