Terminations at different times count although the attempts overlapped

What callers saw: a request that keeps each engine silent for seconds before it crashes reaches many, sent by gateways that have not seen the first crash. Cause: an attempt counted only if it began after the termination before. Now four terminations that are half a second apart quarantine as well; servers lost together end within less, also by their objects.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -8,9 +8,9 @@
 //
 // All requests that ran at a terminated server are suspected, all but one of them
 // wrongly. A request is therefore quarantined only after several servers terminated
-// while running it, each in an attempt that began after the previous termination, and
-// is cleared when it completes. Servers that are lost together are no evidence against
-// a request that many callers send to all of them.
+// while running it, each in an attempt that began after the previous termination or, with
+// more of them, at different times, and is cleared when it completes. Servers that are lost
+// together are no evidence against a request that many callers send to all of them.
 //
 // Evidence is a set that merges in any order and tolerates duplicates, so that gateways
 // need no agreement. The package does no I/O; the caller passes the time.
@@ -29,6 +29,11 @@
 	// TerminationThreshold is the number of terminations from which a request is
 	// quarantined.
 	TerminationThreshold = 3
+	// OverlapThreshold is the number of terminations at least overlapGap apart from which a
+	// request is quarantined though the attempts overlapped. The objects of servers that are
+	// lost together expire within less time.
+	OverlapThreshold = 4
+	overlapGap       = 500 * time.Millisecond
 	// evidenceTTL is how long evidence counts. After that, a fixed version of the server
 	// may be able to run the request.
 	evidenceTTL = 10 * time.Minute
@@ -138,7 +143,7 @@
 	if len(r.terminations) <= maxInstances {
 		return backend.Instance{}
 	}
-	counted := r.sequential()
+	counted := append(r.sequential(), r.spaced()...)
 	i := slices.IndexFunc(r.terminations, func(e Evidence) bool { return !slices.Contains(counted, e) })
 	dropped := r.terminations[max(0, i)].Instance
 	r.terminations = slices.Delete(r.terminations, max(0, i), max(0, i)+1)
@@ -156,14 +161,26 @@
 		return Status{}
 	}
 	s := Status{Terminations: r.sequential()}
-	if len(s.Terminations) >= TerminationThreshold {
-		s.Quarantined = true
-		// The request is admitted again once fewer than TerminationThreshold count.
-		s.RetryAfter = s.Terminations[len(s.Terminations)-TerminationThreshold].ObservedAt.Add(evidenceTTL).Sub(now)
+	s.quarantine(now, TerminationThreshold)
+	if s.Quarantined {
+		return s
+	}
+	if spaced := r.spaced(); len(spaced) >= OverlapThreshold {
+		s.Terminations = spaced
+		s.quarantine(now, OverlapThreshold)
 	}
 	return s
 }
 
+// quarantine quarantines the request while at least threshold of its terminations count.
+func (s *Status) quarantine(now time.Time, threshold int) {
+	if len(s.Terminations) < threshold {
+		return
+	}
+	s.Quarantined = true
+	s.RetryAfter = s.Terminations[len(s.Terminations)-threshold].ObservedAt.Add(evidenceTTL).Sub(now)
+}
+
 // sequential returns the terminations that count: those of attempts that each began
 // after the previous termination that counts.
 func (r *record) sequential() []Evidence {
@@ -178,6 +195,17 @@
 	return counted
 }
 
+// spaced returns terminations that are at least overlapGap apart.
+func (r *record) spaced() []Evidence {
+	var counted []Evidence
+	for _, e := range r.terminations {
+		if len(counted) == 0 || e.ObservedAt.Sub(counted[len(counted)-1].ObservedAt) >= overlapGap {
+			counted = append(counted, e)
+		}
+	}
+	return counted
+}
+
 func (r *record) expire(now time.Time) {
 	r.terminations = slices.DeleteFunc(r.terminations, func(e Evidence) bool { return now.Sub(e.ObservedAt) >= evidenceTTL })
 }
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -82,6 +82,22 @@
 		Expect(l.Status(at(1), 1).Suspected()).To(BeTrue())
 	})
 
+	// Guards against a request that is sent on while its attempts overlap: each of them keeps its
+	// server busy for seconds before it terminates.
+	It("is quarantined after four terminations at different times of attempts that overlapped", func() {
+		l := quarantine.New()
+		for i := range 4 {
+			Expect(l.Status(at(5), 1).Quarantined).To(BeFalse())
+			e := terminated(1, strconv.Itoa(i), 3+0.5*float64(i))
+			e.SentAt = at(0.2 * float64(i))
+			l.Add(at(5), e)
+		}
+		s := l.Status(at(5), 1)
+		Expect(s.Quarantined).To(BeTrue())
+		Expect(s.Terminations).To(HaveLen(4))
+		Expect(s.RetryAfter).To(Equal(10*time.Minute - 2*time.Second))
+	})
+
 	// Guards against later terminations being dropped: the loss of a rack fills the
 	// record of a request.
 	It("is quarantined after three further terminations when a rack was lost before", func() {
