An answer that a crash can end completes a request only once its server is seen alive

What callers saw: a request whose answer has neither a length nor chunks crashes engine after engine, each time between two events. Cause: the answer was taken for complete, so that it was no evidence and even cleared what there was. Now such an answer is watched: two probes, or an answer to a request that was sent 0.1 s later, make it complete; the end of the server makes it evidence.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -353,7 +353,6 @@
 	} else {
 		c.dispatch()
 	}
-	c.clearSuspicion()
 }
 
 // dispatch serves the request by the kind of its service.
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -60,8 +59,13 @@
 func (t *terminations) resolve(s backend.Server, o outcome) {
 	logOutcome("server terminated while it ran requests", s, o.ended, o.at)
 	logOutcome("connections to the server broke, it did not terminate", s, lo.Filter(o.survived, func(a *endedAttempt, _ int) bool {
-		return a.end != canceled
+		return a.end == broken
 	}), time.Now())
+	for _, a := range o.survived {
+		if a.success {
+			t.clearSuspicion(a.request, a.endedAt)
+		}
+	}
 	if len(o.ended) == 0 {
 		return
 	}
@@ -120,12 +124,13 @@
 	delete(t.running, f)
 }
 
-// clearSuspicion records that a suspected request completed, which clears it.
-func (t *terminations) clearSuspicion(f request.Fingerprint) {
+// clearSuspicion records that a request completed at the given time, which clears it if it was
+// suspected.
+func (t *terminations) clearSuspicion(f request.Fingerprint, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.list.Status(time.Now(), f).Suspected() {
-		t.addEvidence(quarantine.Evidence{Request: f, ObservedAt: time.Now()})
+		t.addEvidence(quarantine.Evidence{Request: f, ObservedAt: at})
 	}
 }
 
@@ -189,10 +194,9 @@
 	c.dispatch()
 }
 
-// clearSuspicion records that the request completed, if it did.
+// clearSuspicion records that the request completed.
 func (c *call) clearSuspicion() {
-	t := c.gateway.terminations
-	if c.verdict == verdict.Ran && c.trace.status < http.StatusInternalServerError && !t.empty() {
-		t.clearSuspicion(c.fingerprint())
+	if t := c.gateway.terminations; !t.empty() {
+		t.clearSuspicion(c.fingerprint(), time.Now())
 	}
 }
--- a/internal/gateway/unfinished.go
+++ b/internal/gateway/unfinished.go
@@ -49,25 +49,34 @@
 
 // finishAnswer records that the answer of a server has been read to its end.
 func (c *call) finishAnswer(server backend.Server, reply *direct.Reply) {
-	if reply.Unframed && reply.Status < http.StatusInternalServerError {
-		c.leaveAttempt(server, unframed)
+	if reply.Unframed {
+		c.endAttemptAs(server, unframed, completes(reply))
 		return
 	}
 	c.finishAttempt(server)
+	if completes(reply) {
+		c.clearSuspicion()
+	}
 }
 
+// completes reports whether a whole answer shows that the request ran to completion.
+func completes(reply *direct.Reply) bool { return reply.Status < http.StatusInternalServerError }
+
 // leaveAttempt records that an attempt at a server ended while the server may have been
 // running the request.
 func (c *call) leaveAttempt(server backend.Server, end attemptEnd) {
+	c.endAttemptAs(server, end, false)
+}
+
+// endAttemptAs is leaveAttempt. success says that the answer is complete unless the server has
+// crashed.
+func (c *call) endAttemptAs(server backend.Server, end attemptEnd, success bool) {
 	a, open := c.takeOpen(server)
 	if !open {
 		return
 	}
 	c.trace.unfinished = append(c.trace.unfinished, server.ID+":"+string(end))
-	if end == unframed {
-		return
-	}
-	ended := endedAttempt{request: c.fingerprint(), sentAt: a.sentAt, endedAt: time.Now(), end: end}
+	ended := endedAttempt{request: c.fingerprint(), sentAt: a.sentAt, endedAt: time.Now(), end: end, success: success}
 	if watch := c.gateway.watches.add(server, ended); watch != nil {
 		go c.gateway.watchServer(watch)
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -27,6 +27,8 @@
 	// aliveProbes is how many probes must find a server listening before a broken
 	// connection counts as a fault of the server or the network instead of a termination.
 	aliveProbes = 2
+	// unframedAliveAfter is the same for answers that ended with their connection.
+	unframedAliveAfter = 100 * time.Millisecond
 	// aliveAfter is how long after the end of a canceled attempt a server must have been sent
 	// a request that it has answered to be known to have survived the attempt: it may be
 	// listening and silent, and may work on for a while.
@@ -42,6 +44,8 @@
 	request         request.Fingerprint
 	sentAt, endedAt time.Time
 	end             attemptEnd
+	// success is set if the answer is complete unless the server has crashed.
+	success bool
 	// listening counts the probes since its end that found the server listening.
 	listening int
 }
@@ -49,10 +53,14 @@
 // survived reports whether the server is known to have survived the attempt. answered is
 // when the latest request that the server has answered was sent.
 func (a *endedAttempt) survived(answered time.Time) bool {
-	if a.end == canceled {
+	switch a.end {
+	case canceled:
 		return !answered.Before(a.endedAt.Add(aliveAfter))
+	case unframed:
+		return a.listening >= aliveProbes || !answered.Before(a.endedAt.Add(unframedAliveAfter))
+	default:
+		return a.listening >= aliveProbes
 	}
-	return a.listening >= aliveProbes
 }
 
 // serverWatch is the watch of a server where attempts have ended.
@@ -61,10 +69,10 @@
 	attempts map[request.Fingerprint]*endedAttempt
 	// answered is when the latest request that the server has answered was sent.
 	answered time.Time
-	// broke has an element after an attempt was added that was not canceled.
+	// broke has an element after the connection of an attempt broke.
 	broke chan struct{}
-	// probeAt is when a canceled attempt next calls for a probe, and probePause the pause
-	// after that.
+	// probeAt is when attempts that did not break next call for a probe, and probePause the
+	// pause after that.
 	probeAt    time.Time
 	probePause time.Duration
 }
@@ -86,7 +94,7 @@
 		return
 	}
 	w.attempts[a.request] = &a
-	if a.end == canceled {
+	if a.end != broken {
 		w.probeAt, w.probePause = a.endedAt.Add(watchInterval), watchInterval
 		return
 	}
@@ -96,14 +104,14 @@
 	}
 }
 
-// broken reports whether an attempt was not given up by this gateway.
-func (w *serverWatch) broken() bool {
-	return lo.SomeBy(lo.Values(w.attempts), func(a *endedAttempt) bool { return a.end != canceled })
+// has reports whether an attempt ended in a given way.
+func (w *serverWatch) has(end attemptEnd) bool {
+	return lo.SomeBy(lo.Values(w.attempts), func(a *endedAttempt) bool { return a.end == end })
 }
 
 // needsProbe reports whether the server must be probed now.
 func (w *serverWatch) needsProbe(now time.Time) bool {
-	if w.broken() {
+	if w.has(broken) {
 		return true
 	}
 	if now.Before(w.probeAt) {
@@ -208,10 +216,11 @@
 	return watch.needsProbe(now)
 }
 
-func (w *watches) broken(watch *serverWatch) bool {
+// endedByServer reports whether the server ended a connection.
+func (w *watches) endedByServer(watch *serverWatch) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return watch.broken()
+	return watch.has(broken) || watch.has(unframed)
 }
 
 // observe is serverWatch.observe. It ends the watch, and reports that, if no attempt is left.
@@ -247,7 +256,7 @@
 	v := g.directory.View()
 	current, registered := v.Servers[s.ID]
 	replaced := addressTaken(v, s) || (registered && current.Incarnation != s.Incarnation)
-	if replaced || (!registered && g.watches.broken(watch)) {
+	if replaced || (!registered && g.watches.endedByServer(watch)) {
 		l.presence = direct.Absent
 		return l
 	}
