An answer with an error of the caller clears no evidence

Callers may see a request that has crashed two servers sent on and on: a server that rejects it early, with a 4xx and without running it, cleared it. Read in the code; no test and no run shows it.

--- a/internal/gateway/unfinished.go
+++ b/internal/gateway/unfinished.go
@@ -59,8 +59,9 @@
 	}
 }
 
-// completes reports whether a whole answer shows that the request ran to completion.
-func completes(reply *direct.Reply) bool { return reply.Status < http.StatusInternalServerError }
+// completes reports whether a whole answer shows that the request ran to completion. A server
+// may reject a request with an error of the caller without running it.
+func completes(reply *direct.Reply) bool { return reply.Status < http.StatusBadRequest }
 
 // leaveAttempt records that an attempt at a server ended while the server may have been
 // running the request.
