A request without a body has one fingerprint, whoever sends it

What callers saw: a request without a body crashes engine after engine, sent from many addresses. Cause: its fingerprint had the caller's address. Now the prompt stands in for the body. As many callers send one target, such a request is kept to one server at a time only from two terminations on; otherwise one crash kept its readers apart (a test shows that: it fails with the guard of one termination).

--- a/internal/gateway/crash_ends_test.go
+++ b/internal/gateway/crash_ends_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -227,3 +228,35 @@
 	}
 	return resp.StatusCode, resp.Header
 }
+
+// Guards against callers of one target who are kept apart because one server crashed under it.
+func TestReadersOfOneTargetAreServedAfterOneCrash(t *testing.T) {
+	f := newCrashFixture(t, &clusterFixture{eventInterval: 300 * time.Millisecond}, 8)
+	read := func(n int) int {
+		status, _ := f.sendRequest(clientFrom(n), context.Background(), f.gateway(0), fmt.Sprintf("r%d", n), http.MethodGet, "/stream-once/x", "")
+		return status
+	}
+	var running sync.WaitGroup
+	var cut atomic.Int32
+	for n := range 16 {
+		running.Go(func() {
+			if read(n) != http.StatusOK {
+				cut.Add(1)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.engines[0].Crash()
+	time.Sleep(100 * time.Millisecond)
+	if cut.Load() == 0 {
+		t.Fatal("no reader was at the engine that crashed")
+	}
+	for n := range 16 {
+		running.Go(func() {
+			if status := read(n); status != http.StatusOK {
+				t.Errorf("reader %d got status %d after one crash, want 200", n, status)
+			}
+		})
+	}
+	running.Wait()
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -348,7 +348,7 @@
 		c.fail(rejection)
 		return
 	}
-	if c.quarantineStatus.Suspected() {
+	if c.runsAlone() {
 		c.runSuspected()
 	} else {
 		c.dispatch()
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -182,6 +182,13 @@
 	}), ", ")
 }
 
+// runsAlone reports whether the request may be at one server at a time only. Without a body, many
+// callers send the same request, which one termination must not keep apart.
+func (c *call) runsAlone() bool {
+	terminations := len(c.quarantineStatus.Terminations)
+	return terminations > 1 || (terminations == 1 && len(c.request.Body) > 0)
+}
+
 // runSuspected dispatches a suspected request unless it is already running. At two
 // servers at a time, it could terminate both.
 func (c *call) runSuspected() {
--- a/internal/request/fingerprint.go
+++ b/internal/request/fingerprint.go
@@ -7,18 +7,20 @@
 	"strconv"
 )
 
-// Fingerprint identifies a request across its attempts, independent of its id: it is a
-// cryptographic hash of method, host, target and body, so that no caller can forge
-// a request with the fingerprint of another.
+// Fingerprint identifies a request across its attempts, independent of its id and its caller,
+// who may retry from several addresses: it is a cryptographic hash of method, host, target and
+// body, so that no caller can forge a request with the fingerprint of another. Without a body
+// the prompt's segments take its place.
 type Fingerprint uint64
 
-// Fingerprint returns the fingerprint of r. Without a body it includes the caller's IP
-// address, as many callers request the same target. With a body it does not, as a
-// caller may retry from several addresses.
+// Fingerprint returns the fingerprint of r.
 func (r *Request) Fingerprint() Fingerprint {
 	fields := []string{r.Method, r.Host, r.Target}
 	if len(r.Body) == 0 {
-		fields = append(fields, r.Caller)
+		fields = append(fields, r.Prompt.Model)
+		for _, s := range r.Prompt.Segments {
+			fields = append(fields, strconv.FormatUint(s.ID, 16))
+		}
 	}
 	h := sha256.New()
 	for _, field := range fields {
