The quarantine is checked right before each send

What callers saw: a request that was planned, or whose prompt was being prefilled, when the third termination became known is sent all the same. Cause: the check stood before the first plan and before each retry only. Now it stands before each prefill and send; engines are not avoided for it.

--- a/internal/gateway/crash_ends_test.go
+++ b/internal/gateway/crash_ends_test.go
@@ -11,6 +11,9 @@
 	"testing"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
+	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
 )
@@ -260,3 +263,29 @@
 	}
 	running.Wait()
 }
+
+// Guards against a request that was planned before the third termination became known and is
+// sent after that.
+func TestRequestIsNotSentOnceItIsQuarantinedWhileItIsPrefilled(t *testing.T) {
+	f := newNoticesFixture(t)
+	prefiller := f.start("p", "prefill")
+	decoder := f.start("d", "decode")
+	prompt := []string{"Token-Count", "20000,20", "Prefix-Hash", "aa:15000,bb:5000"}
+	release := prefiller.HoldPrefills()
+	var answer response
+	var running sync.WaitGroup
+	running.Go(func() { answer = f.send(streamTarget, "planned", prompt...) })
+	f.waitFor("the prompt is at the prefill engine", func() bool { return len(prefiller.RequestTimes()) == 1 })
+	r := request.Request{Method: http.MethodPost, Host: "h.example", Target: streamTarget, Body: []byte("planned")}
+	for n := range 3 {
+		at := time.Now().Add(time.Duration(n-3) * time.Second)
+		f.gateway.RemoteTermination(quarantine.Evidence{
+			Request: r.Fingerprint(), Instance: backend.Instance{ID: fmt.Sprintf("gone-%d", n)}, SentAt: at.Add(-time.Millisecond), ObservedAt: at,
+		})
+	}
+	release()
+	running.Wait()
+	if answer.status != http.StatusServiceUnavailable || len(decoder.Runs()) > 0 {
+		t.Errorf("status %d, %d runs at the engine that generates, want 503 and none", answer.status, len(decoder.Runs()))
+	}
+}
--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -53,10 +53,13 @@
 	c.skipped[server] = reason
 }
 
-// checkBeforeSend returns an error if a server has stated since it was chosen that it
-// wants no requests. The request is then not sent, which is no attempt, and is planned
-// again without the server.
+// checkBeforeSend returns an error if the request has been quarantined since it was planned, or
+// if a server has stated since it was chosen that it wants no requests. The request is then not
+// sent, which is no attempt, and in the latter case planned again without the server.
 func (c *call) checkBeforeSend(server backend.Server) *verdict.Error {
+	if e := c.checkQuarantine(); e != nil {
+		return e
+	}
 	reason := c.gateway.statements.withdrawn(server.Instance()).Reason
 	if reason == availability.Available {
 		return nil
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -399,7 +399,7 @@
 func (c *call) avoidFailed(ctx context.Context, s backend.Server, o request.Options, err *verdict.Error) {
 	engines := c.gateway.engines
 	switch {
-	case ctx.Err() != nil || c.retryBudgetSpent || withheld(err):
+	case ctx.Err() != nil || c.retryBudgetSpent || withheld(err) || err.Code == verdict.CodeQuarantined:
 	case err.Verdict != verdict.NotRun || err.Code == verdict.CodeNoBackend:
 		engines.avoid(c.service.Name, s.ID, failureAvoidTime)
 	case o.KVSource == "":
