Evidence keeps its times when gateways pass it on

Cause: an attempt's time was raised whenever another gateway reported a later one, and each hop makes it later by the delay of a datagram. After some repeats attempts that overlapped count as sequential, so a request could be quarantined for servers that were lost together. Now the delay of the datagram is subtracted and only an attempt that is 50 ms later counts as another one. The new spec fails without the tolerance.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -41,6 +41,9 @@
 	// recorded for each.
 	maxRequests  = 2_048
 	maxInstances = 8
+	// sentAtTolerance is how much later than known an attempt must have been sent to count as
+	// a later attempt: times of other gateways are estimates, and evidence travels over many.
+	sentAtTolerance = 50 * time.Millisecond
 	// announceFor is how long evidence is announced repeatedly, to make up for lost
 	// messages. Evidence on a request with more than one termination is announced for
 	// as long as it counts.
@@ -122,7 +125,7 @@
 	switch {
 	case i >= 0:
 		// Of several attempts at an instance, the latest counts.
-		if !e.SentAt.After(r.terminations[i].SentAt) {
+		if e.SentAt.Sub(r.terminations[i].SentAt) <= sentAtTolerance {
 			return false
 		}
 		r.terminations[i].SentAt = e.SentAt
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -159,6 +159,26 @@
 		}
 	})
 
+	// Guards against attempts that overlapped and count as sequential because each gateway that
+	// passes evidence on makes its times a little later.
+	It("does not drift when it is passed on many times", func() {
+		from, to := quarantine.New(), quarantine.New()
+		for i := range 3 {
+			e := terminated(1, strconv.Itoa(i), 0.3*float64(i))
+			e.SentAt = at(0)
+			from.Add(at(1), e)
+		}
+		for range 500 {
+			for _, e := range from.PendingAnnouncements(at(1), 100) {
+				e.SentAt, e.ObservedAt = e.SentAt.Add(5*time.Millisecond), e.ObservedAt.Add(5*time.Millisecond)
+				to.Add(at(1), e)
+			}
+			from, to = to, from
+		}
+		Expect(from.Status(at(1), 1).Quarantined).To(BeFalse())
+		Expect(to.Status(at(1), 1).Quarantined).To(BeFalse())
+	})
+
 	It("is announced while it is recent, and longer for requests with two terminations", func() {
 		l := quarantine.New()
 		l.Add(at(0), terminated(1, "a", 0))
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -354,7 +354,7 @@
 	p.enqueue(to, flushDelay, proto.Size(m), func(s *wire.Share) { s.ServersEnded = append(s.ServersEnded, m) })
 }
 
-// decodeTermination decodes the evidence of another gateway.
+// decodeTermination decodes the evidence of another gateway that was sent at now.
 func decodeTermination(now time.Time, m *wire.ServerEnded) quarantine.Evidence {
 	at := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
 	return quarantine.Evidence{
@@ -584,7 +584,7 @@
 		p.receiver.RemoteAvoid(m.Service, m.Engine, time.Duration(m.ForMs)*time.Millisecond)
 	}
 	for _, m := range s.ServersEnded {
-		p.receiver.RemoteTermination(decodeTermination(now, m))
+		p.receiver.RemoteTermination(decodeTermination(now.Add(-delay), m))
 	}
 	for _, m := range s.ServerLimits {
 		if math.IsNaN(m.PerSecond) || math.IsInf(m.PerSecond, 0) || m.PerSecond < 0 {
