Repeats of evidence take turns

Cause: each half second the same 48 pieces were repeated, those with the most terminations; with more of them than that a gateway that started later never learned the rest. Now the pieces that were repeated the longest ago go first, and lasting evidence every 2 s. The new spec fails before.

What callers would see: a fatal request sent on by gateways that started later.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -48,6 +48,9 @@
 	// messages. Evidence on a request with more than one termination is announced for
 	// as long as it counts.
 	announceFor = 3 * time.Second
+	// repeatInterval is the least pause between two repeats of evidence that is announced for
+	// as long as it counts.
+	repeatInterval = 2 * time.Second
 )
 
 // Evidence records that an instance terminated while it ran a request, or, with a zero
@@ -86,6 +89,8 @@
 	terminations []Evidence
 	// clearedAt is when the request last completed.
 	clearedAt time.Time
+	// repeatedAt is when the evidence was last repeated.
+	repeatedAt time.Time
 }
 
 // New returns an empty List.
@@ -214,7 +219,8 @@
 }
 
 // PendingAnnouncements returns up to limit pieces of evidence that other gateways may not
-// know yet, starting with the requests that have the most terminations.
+// know yet, starting with the requests whose evidence was repeated the longest ago, and among
+// these with those that have the most terminations.
 func (l *List) PendingAnnouncements(now time.Time, limit int) []Evidence {
 	var records []*record
 	for f, r := range l.records {
@@ -227,10 +233,11 @@
 		}
 	}
 	slices.SortFunc(records, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(len(b.terminations), len(a.terminations)), b.lastObserved().Compare(a.lastObserved()))
+		return cmp.Or(a.repeatedAt.Compare(b.repeatedAt), cmp.Compare(len(b.terminations), len(a.terminations)), b.lastObserved().Compare(a.lastObserved()))
 	})
 	var all []Evidence
 	for _, r := range records {
+		r.repeatedAt = now
 		all = append(all, r.terminations...)
 		if len(r.terminations) == 0 {
 			all = append(all, Evidence{Request: r.request, ObservedAt: r.clearedAt})
@@ -249,7 +256,10 @@
 
 // pending reports whether the record is still to be announced.
 func (r *record) pending(now time.Time) bool {
-	return len(r.terminations) > 1 || now.Sub(r.lastObserved()) < announceFor
+	if now.Sub(r.lastObserved()) < announceFor {
+		return true
+	}
+	return len(r.terminations) > 1 && now.Sub(r.repeatedAt) >= repeatInterval
 }
 
 // lastObserved returns when the last termination, or else the completion, was observed.
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -190,6 +190,23 @@
 		Expect(l.PendingAnnouncements(at(60), 100)).To(ConsistOf(terminated(2, "a", 0), terminated(2, "b", 0)))
 	})
 
+	// Guards against evidence that never reaches a gateway that missed it, because repeats of other
+	// evidence take all the room.
+	It("is repeated in turn", func() {
+		l := quarantine.New()
+		for f := range request.Fingerprint(40) {
+			l.Add(at(0), terminated(f, "a", 0))
+			l.Add(at(0), terminated(f, "b", 0))
+		}
+		repeated := map[request.Fingerprint]bool{}
+		for second := range 10 {
+			for _, e := range l.PendingAnnouncements(at(float64(10+2*second)), 8) {
+				repeated[e.Request] = true
+			}
+		}
+		Expect(repeated).To(HaveLen(40))
+	})
+
 	// Guards against unbounded memory when a caller sends many different requests that
 	// each crash a server. Requests with several terminations stay recorded.
 	It("is bounded, and the least suspected request is evicted", func() {
