Evidence against requests outlives the processes that have it

What callers saw: after all gateways were killed a request that had crashed three servers is sent on, and again after each kill. Cause: evidence was in memory only. Requests with one termination are not written: they are many, and each kill loses one crash at most by that. Times are clamped to the reader's now.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -45,8 +45,7 @@
 	// a later attempt: times of other gateways are estimates, and evidence travels over many.
 	sentAtTolerance = 50 * time.Millisecond
 	// announceFor is how long evidence is announced repeatedly, to make up for lost
-	// messages. Evidence on a request with more than one termination is announced for
-	// as long as it counts.
+	// messages. Lasting evidence is announced for as long as it counts.
 	announceFor = 3 * time.Second
 	// repeatInterval is the least pause between two repeats of evidence that is announced for
 	// as long as it counts.
@@ -81,6 +80,8 @@
 // List holds the evidence that one gateway knows. It is not safe for concurrent use.
 type List struct {
 	records map[request.Fingerprint]*record
+	// version changes with the lasting evidence.
+	version uint64
 }
 
 // record holds the evidence on one request.
@@ -110,6 +111,15 @@
 		r = &record{request: e.Request}
 		l.records[e.Request] = r
 	}
+	lasting := r.lasting()
+	changed := r.merge(e)
+	if changed && (lasting || r.lasting()) {
+		l.version++
+	}
+	return changed
+}
+
+func (r *record) merge(e Evidence) bool {
 	if e.completed() {
 		return r.clear(e)
 	}
@@ -259,7 +269,7 @@
 	if now.Sub(r.lastObserved()) < announceFor {
 		return true
 	}
-	return len(r.terminations) > 1 && now.Sub(r.repeatedAt) >= repeatInterval
+	return r.lasting() && now.Sub(r.repeatedAt) >= repeatInterval
 }
 
 // lastObserved returns when the last termination, or else the completion, was observed.
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -207,6 +207,30 @@
 		Expect(repeated).To(HaveLen(40))
 	})
 
+	// Guards against evidence that is lost when all gateways are killed, and against a reader whose
+	// clock is behind that takes it for later than what it sees itself.
+	It("is restored from a snapshot, never as later than now", func() {
+		l := quarantine.New()
+		Expect(l.Version()).To(BeZero())
+		for i := range 3 {
+			l.Add(at(1), terminated(1<<63+1, strconv.Itoa(i), 0.3*float64(i)))
+		}
+		l.Add(at(1), terminated(2, "single", 0))
+		Expect(l.Version()).NotTo(BeZero())
+		s := l.Snapshot(at(1))
+		Expect(s.Requests).To(HaveLen(1))
+		later, behind := quarantine.New(), quarantine.New()
+		later.Restore(at(2), s)
+		Expect(later.Status(at(2), 1<<63+1).Quarantined).To(BeTrue())
+		Expect(later.Status(at(2), 1<<63+1).Terminations).To(HaveLen(3))
+		behind.Restore(at(-5), s)
+		for _, e := range behind.Status(at(-5), 1<<63+1).Terminations {
+			Expect(e.ObservedAt.After(at(-5))).To(BeFalse())
+		}
+		Expect(later.Add(at(3), completed(1<<63+1, 3))).To(BeTrue())
+		Expect(later.Snapshot(at(3)).Requests).To(BeEmpty())
+	})
+
 	// Guards against unbounded memory when a caller sends many different requests that
 	// each crash a server. Requests with several terminations stay recorded.
 	It("is bounded, and the least suspected request is evicted", func() {
--- /dev/null
+++ b/internal/decide/quarantine/snapshot.go
@@ -0,0 +1,101 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/request"
+)
+
+const (
+	// lastingTerminations is the number of terminations from which the evidence on a request
+	// is announced for as long as it counts, and is part of a Snapshot.
+	lastingTerminations = 2
+	// maxSnapshotRequests bounds the requests of a Snapshot.
+	maxSnapshotRequests = 64
+)
+
+// Snapshot is the lasting evidence of a List, for processes that start later.
+type Snapshot struct {
+	Requests []RequestSnapshot `json:"requests"`
+}
+
+// RequestSnapshot is the evidence on one request, oldest first.
+type RequestSnapshot struct {
+	// Fingerprint is that of the request, in hexadecimal.
+	Fingerprint  string                `json:"fingerprint"`
+	Terminations []TerminationSnapshot `json:"terminations"`
+}
+
+// TerminationSnapshot is one termination. Its times are times of day of the writer, in
+// milliseconds since the start of 1970.
+type TerminationSnapshot struct {
+	Server      string `json:"server"`
+	Incarnation int64  `json:"incarnation"`
+	SentMS      int64  `json:"sent_ms"`
+	ObservedMS  int64  `json:"observed_ms"`
+}
+
+// lasting reports whether the evidence is kept beyond the process.
+func (r *record) lasting() bool { return len(r.terminations) >= lastingTerminations }
+
+// Version returns a number that changes whenever the Snapshot may have changed other than by
+// the passage of time. It is 0 while there has been no lasting evidence.
+func (l *List) Version() uint64 { return l.version }
+
+// Snapshot returns the lasting evidence on the requests with the most terminations.
+func (l *List) Snapshot(now time.Time) Snapshot {
+	var records []*record
+	for _, r := range l.records {
+		r.expire(now)
+		if r.lasting() {
+			records = append(records, r)
+		}
+	}
+	slices.SortFunc(records, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(len(b.terminations), len(a.terminations)), cmp.Compare(a.request, b.request))
+	})
+	s := Snapshot{Requests: []RequestSnapshot{}}
+	for _, r := range records[:min(maxSnapshotRequests, len(records))] {
+		s.Requests = append(s.Requests, r.snapshot())
+	}
+	return s
+}
+
+func (r *record) snapshot() RequestSnapshot {
+	s := RequestSnapshot{Fingerprint: r.request.String()}
+	for _, e := range r.terminations {
+		s.Terminations = append(s.Terminations, TerminationSnapshot{
+			Server: e.Instance.ID, Incarnation: e.Instance.Incarnation, SentMS: e.SentAt.UnixMilli(), ObservedMS: e.ObservedAt.UnixMilli(),
+		})
+	}
+	return s
+}
+
+// Restore merges a Snapshot that was written before now. It skips invalid fingerprints.
+func (l *List) Restore(now time.Time, s Snapshot) {
+	for _, r := range s.Requests {
+		f, err := strconv.ParseUint(r.Fingerprint, 16, 64)
+		if err != nil {
+			continue
+		}
+		for _, t := range r.Terminations {
+			l.Add(now, t.evidence(now, request.Fingerprint(f)))
+		}
+	}
+}
+
+// evidence returns the termination as evidence. Its times are earlier than now, whatever the
+// writer's clock says.
+func (t TerminationSnapshot) evidence(now time.Time, f request.Fingerprint) Evidence {
+	sent, observed := time.UnixMilli(t.SentMS), time.UnixMilli(t.ObservedMS)
+	if ahead := observed.Sub(now); ahead > 0 {
+		sent, observed = sent.Add(-ahead), now
+	}
+	return Evidence{
+		Request: f, Instance: backend.Instance{ID: t.Server, Incarnation: t.Incarnation}, SentAt: sent, ObservedAt: observed,
+	}
+}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -16,6 +16,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/evidence"
 	"pistachioroad.dev/pistachioroad/internal/gateway"
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/periodic"
@@ -224,6 +225,7 @@
 	f.t.Cleanup(stop)
 	for _, duty := range []func(context.Context) error{
 		g.dir.FollowConfig, g.dir.FollowServers, g.dir.Expire, p.Receive,
+		(&evidence.Keeper{Store: f.client, Source: g.Gateway, Rank: p.Rank}).Run,
 		func(ctx context.Context) error { return p.Register(ctx, f.client) },
 		func(ctx context.Context) error {
 			return periodic.Run(ctx, 500*time.Millisecond, g.ReannounceTerminations)
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -25,6 +25,7 @@
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/evidence"
 	"pistachioroad.dev/pistachioroad/internal/gateway"
 	"pistachioroad.dev/pistachioroad/internal/lease"
 	"pistachioroad.dev/pistachioroad/internal/operator"
@@ -121,6 +122,7 @@
 	root.Add(duty(p.loadCacheContents))
 	root.Add(duty(p.restoreLearned))
 	root.Add(duty(p.saveLearned))
+	root.Add(duty((&evidence.Keeper{Store: p.store, Source: g, Rank: p.peers.Rank}).Run))
 	root.Add(duty(func(ctx context.Context) error { return p.peers.Register(ctx, p.store) }))
 	root.Add(duty(func(ctx context.Context) error { return serveReadiness(ctx, c.Deployment, g) }))
 	root.Add(duty(func(ctx context.Context) error { return reload(ctx, c, g) }))
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// EvidenceVersion implements evidence.Source.
+func (g *Gateway) EvidenceVersion() uint64 {
+	t := g.terminations
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.list.Version()
+}
+
+// EvidenceSnapshot implements evidence.Source.
+func (g *Gateway) EvidenceSnapshot() quarantine.Snapshot {
+	t := g.terminations
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.list.Snapshot(time.Now())
+}
+
+// RestoreEvidence implements evidence.Source.
+func (g *Gateway) RestoreEvidence(s quarantine.Snapshot) {
+	t := g.terminations
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.list.Restore(time.Now(), s)
+}
+
 // RemoteTermination adds evidence that another gateway announced.
 func (g *Gateway) RemoteTermination(evidence quarantine.Evidence) {
 	t := g.terminations
