--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -29,6 +29,9 @@
 	// TerminationThreshold is the number of terminations from which a request is
 	// quarantined.
 	TerminationThreshold = 3
+	// minGap is the time within which terminations count once: a server that crashes hands its
+	// requests to others, of which the next crashes for the same reason.
+	minGap = 100 * time.Millisecond
 	// OverlapThreshold is the number of terminations at least overlapGap apart from which a
 	// request is quarantined though the attempts overlapped. The objects of servers that are
 	// lost together expire within less time.
@@ -200,12 +203,12 @@
 }
 
 // sequential returns the terminations that count: those of attempts that each began
-// after the previous termination that counts.
+// after the previous termination that counts, and at least minGap after it.
 func (r *record) sequential() []Evidence {
 	var counted []Evidence
 	var last time.Time
 	for _, e := range r.terminations {
-		if e.SentAt.After(last) {
+		if e.SentAt.After(last) && e.ObservedAt.Sub(last) >= minGap {
 			counted = append(counted, e)
 			last = e.ObservedAt
 		}
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -82,6 +82,19 @@
 		Expect(l.Status(at(1), 1).Suspected()).To(BeTrue())
 	})
 
+	// Guards against a harmless request that is at three servers in turn while these crash within a
+	// moment for another reason.
+	It("counts terminations within a moment once", func() {
+		l := quarantine.New()
+		for i := range 3 {
+			e := terminated(1, strconv.Itoa(i), 0.07*float64(i))
+			e.SentAt = e.ObservedAt.Add(-10 * time.Millisecond)
+			l.Add(at(1), e)
+		}
+		Expect(l.Status(at(1), 1).Terminations).To(HaveLen(2))
+		Expect(l.Status(at(1), 1).Quarantined).To(BeFalse())
+	})
+
 	// Guards against a request that is sent on while its attempts overlap: each of them keeps its
 	// server busy for seconds before it terminates.
 	It("is quarantined after four terminations at different times of attempts that overlapped", func() {
