--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -11,10 +11,12 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -169,6 +171,13 @@
 	panic(http.ErrAbortHandler)
 }
 
+// segmentNames returns the IDs of up to maxLogged segments in hexadecimal.
+func segmentNames(segments []request.Segment) string {
+	return strings.Join(lo.Map(segments[:min(maxLogged, len(segments))], func(s request.Segment, _ int) string {
+		return strconv.FormatUint(s.ID, 16)
+	}), " ")
+}
+
 // logRequest logs the request and records its metrics.
 func (c *call) logRequest() {
 	fields := log.Fields{
@@ -212,6 +221,9 @@
 	if len(c.trace.unfinished) > 0 {
 		fields["fingerprint"], fields["caller"] = c.fingerprint().String(), c.request.Caller
 		fields["unfinished"] = strings.Join(c.trace.unfinished, " ")
+		if shared := c.request.Prompt.Shared(); len(shared) > 0 {
+			fields["segments"] = segmentNames(shared)
+		}
 	}
 	if c.trace.unframed {
 		fields["unframed"] = true
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -69,6 +69,9 @@
 	Segments []Segment
 }
 
+// Shared returns the segments that other prompts may have too: all but the last.
+func (p *Prompt) Shared() []Segment { return p.Segments[:max(0, len(p.Segments)-1)] }
+
 // Segment is a sequence of prompt tokens. It has the same ID in every prompt that
 // contains it.
 type Segment struct {
