--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -45,6 +45,8 @@
 	fatalEnd runner.StreamEnd
 	// isFatal reports whether a run crashes its engine, by default one with the body fatal.
 	isFatal func(runner.Run) bool
+	// prefillEngines is how many of the engines are started as prefill engines.
+	prefillEngines int
 	// eventInterval is the pause between two events of an answer, 20 ms if it is 0.
 	eventInterval time.Duration
 	// lateTime is how long fatal requests go on, if that is more than the default.
@@ -89,8 +91,12 @@
 	t.Cleanup(server.CloseClientConnections)
 	f.client = platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	f.store.PutRaw("config", "main", []byte(strings.ReplaceAll(configuration, "%VERSION%", "1")))
-	for range engines {
-		f.startEngine("127.0.0.1:0")
+	for n := range engines {
+		role := "decode"
+		if n < f.prefillEngines {
+			role = "prefill"
+		}
+		f.startEngine("127.0.0.1:0", role)
 	}
 	for n := range gateways {
 		f.gateways = append(f.gateways, f.startGateway(n))
@@ -141,8 +147,8 @@
 	}
 }
 
-// startEngine starts an engine at an address and registers it in the store.
-func (f *clusterFixture) startEngine(address string) {
+// startEngine starts an engine with a role at an address and registers it in the store.
+func (f *clusterFixture) startEngine(address, role string) {
 	listener := f.listen(address)
 	if listener == nil {
 		return
@@ -154,7 +160,7 @@
 		return
 	}
 	f.starts++
-	r := runner.New("i-"+strconv.Itoa(f.starts), "decode")
+	r := runner.New("i-"+strconv.Itoa(f.starts), role)
 	r.Events, r.EventInterval, r.FatalEnd = 3, cmp.Or(f.eventInterval, 20*time.Millisecond), f.fatalEnd
 	if f.version != "" {
 		r.Version = f.version
@@ -201,7 +207,7 @@
 	server.Close()
 	time.AfterFunc(restartDelay, func() {
 		f.store.Remove("servers", r.ID)
-		f.startEngine(address)
+		f.startEngine(address, r.Phase)
 	})
 }
 
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -88,7 +88,7 @@
 	f := startClusterFixture(&clusterFixture{t: t, store: objectstore.New()}, 4, 2)
 	f.version = "v2"
 	for range 2 {
-		f.startEngine("127.0.0.1:0")
+		f.startEngine("127.0.0.1:0", "decode")
 	}
 	f.waitFor("gateways know four engines", func() bool {
 		for _, g := range f.gateways {
