Prompts with a segment that crashes engines are rejected

What callers saw: prompts of one kind crash engine after engine, each with the answers that run there. Cause: evidence links attempts by their fingerprint, and no two of these prompts are alike. Class of fault: blame is looked for in one kind of subject only.

Now each crash has the segments (all but the last) of the prompts that an engine may have been generating on. Crashes and what clears segments go to all gateways at once and again; the check stands before each prefill and send; suspected prompts are not hedged.

--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -112,7 +112,7 @@
 	} {
 		g := New(Config{Codec: prefillCodec{}, Directory: directory.New(nil, nil, directory.Kinds{})})
 		c := &call{gateway: g, ctx: context.Background(), service: routes.Service{Name: "llm"}}
-		c.beginOpen(backend.Server{ID: "s"})
+		c.beginOpen(backend.Server{ID: "s"}, request.PrefillOnly)
 		reply := &direct.Reply{Unframed: test.unframed, Body: io.NopCloser(strings.NewReader(test.body))}
 		reply.Status = http.StatusOK
 		handle, failed := c.endPrefill(c.ctx, backend.Server{ID: "s"}, reply, nil)
--- a/internal/gateway/crash_segments_test.go
+++ b/internal/gateway/crash_segments_test.go
@@ -42,8 +42,8 @@
 	soundInterval time.Duration
 	crashBound    int
 	maxLate       int
-	// atBound is called once crashBound engines have crashed, unless it is nil.
-	atBound func()
+	// kills is how often all gateways are killed, from the bound on.
+	kills int
 
 	served, failed atomic.Int64
 }
@@ -124,17 +124,18 @@
 		// Fewer crashes than the bound: the prompts are recognized before.
 		bound = time.Now()
 	}
-	if p.atBound != nil {
-		p.atBound()
+	var before atomic.Int64
+	time.AfterFunc(time.Until(bound.Add(contactTime)), func() { before.Store(int64(p.fatalArrivals())) })
+	for n := range p.kills {
+		time.Sleep(time.Until(bound.Add(time.Duration(n) * contactTime / 2)))
+		p.restartGateways()
 	}
-	time.Sleep(time.Until(bound.Add(contactTime)))
-	before := p.fatalArrivals()
 	time.Sleep(time.Until(bound.Add(2 * contactTime)))
 	comparing.Store(true)
 	for p.served.Load()+p.failed.Load() < minSound || time.Since(bound) < 2*contactTime+compareTime {
 		time.Sleep(soundInterval)
 	}
-	late := p.fatalArrivals() - before
+	late := p.fatalArrivals() - int(before.Load())
 	t.Logf("%d late fatal prompts, %d crashes, sound prompts %d served and %d not", late, p.crashesAfter(time.Time{}), p.served.Load(), p.failed.Load())
 	if late > p.maxLate {
 		t.Errorf("%d fatal prompts reach engines later than %v after the bound, want at most %d", late, contactTime, p.maxLate)
@@ -200,7 +201,7 @@
 // Guards against evidence on segments that is lost with the processes that have it.
 func TestPromptsWithASegmentThatEndsEnginesAreNotSentOnAfterAllGatewaysWereKilled(t *testing.T) {
 	p := newSegmentsPlay(t, &clusterFixture{})
-	p.atBound = p.restartGateways
+	p.kills = 4
 	p.run()
 }
 
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -32,6 +32,10 @@
 	// request, or that the request completed; ReannounceTermination repeats that to some.
 	AnnounceTermination(e quarantine.Evidence)
 	ReannounceTermination(e quarantine.Evidence)
+	// AnnounceCrash announces to all gateways that a server terminated while it ran prompts with
+	// some segments, or that such prompts completed; ReannounceCrash repeats that to some.
+	AnnounceCrash(c quarantine.Crash)
+	ReannounceCrash(c quarantine.Crash)
 	// AnnounceServerLimit announces to all gateways the limit that a server stated, or
 	// that it has none; ReannounceServerLimit repeats that to some.
 	AnnounceServerLimit(n ratelimit.Notice)
@@ -69,6 +73,8 @@
 func (noGossip) AnnounceAvoid(string, string, time.Duration) {}
 func (noGossip) AnnounceTermination(quarantine.Evidence)     {}
 func (noGossip) ReannounceTermination(quarantine.Evidence)   {}
+func (noGossip) AnnounceCrash(quarantine.Crash)              {}
+func (noGossip) ReannounceCrash(quarantine.Crash)            {}
 func (noGossip) AnnounceServerLimit(ratelimit.Notice)        {}
 func (noGossip) ReannounceServerLimit(ratelimit.Notice)      {}
 func (noGossip) GatewaysKnown() bool                         { return true }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -261,6 +261,8 @@
 func (p *placementCounter) GatewayCount() int                           { return 1 }
 func (p *placementCounter) AnnounceTermination(quarantine.Evidence)     {}
 func (p *placementCounter) ReannounceTermination(quarantine.Evidence)   {}
+func (p *placementCounter) AnnounceCrash(quarantine.Crash)              {}
+func (p *placementCounter) ReannounceCrash(quarantine.Crash)            {}
 func (p *placementCounter) AnnounceServerLimit(ratelimit.Notice)        {}
 func (p *placementCounter) ReannounceServerLimit(ratelimit.Notice)      {}
 func (p *placementCounter) GatewaysKnown() bool                         { return true }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -107,6 +107,10 @@
 	// quarantineStatus is the result of the last quarantine check. It lists the
 	// servers that terminated while they ran the request.
 	quarantineStatus quarantine.Status
+	// cachedSegments are the IDs of the prompt's shared segments, nil until they are first
+	// needed, and segmentsSuspected says that one of them may crash engines.
+	cachedSegments    []quarantine.Segment
+	segmentsSuspected bool
 	// open has the attempts whose servers may be running the request.
 	open []openAttempt
 
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -116,7 +116,7 @@
 // a time, as it could terminate both.
 func (h *hedge) allowed() bool {
 	c := h.call
-	return c.possibleRuns+c.pendingRuns < c.route.MaxAttempts && c.mayRetry() && !c.quarantineStatus.Suspected()
+	return c.possibleRuns+c.pendingRuns < c.route.MaxAttempts && c.mayRetry() && !c.suspected()
 }
 
 // race is a wait for the first server, with a timer that starts the search for another
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -74,7 +74,7 @@
 		Route:      c.route.Name,
 		DataCentre: c.gateway.deployment.Load().DataCentre,
 		Exclude:    c.excluded,
-		Suspect:    c.quarantineStatus.Suspected(),
+		Suspect:    c.suspected(),
 		Version:    c.streamVersion,
 	}
 	job.Prompt.DeliveredEvents += c.events()
@@ -201,7 +201,7 @@
 	}
 	c.prefillAttempts++
 	c.arrivals.Begin()
-	c.beginOpen(prefillEngine)
+	c.beginOpen(prefillEngine, request.PrefillOnly)
 	o := request.Options{Server: prefillEngine, Remaining: c.remaining(), Stage: request.PrefillOnly, Priority: c.priority}
 	var reply *direct.Reply
 	var err error
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -27,22 +27,29 @@
 // terminations records which requests were running when servers terminated. A
 // request that terminates the servers that run it (a query of death) is quarantined.
 type terminations struct {
-	mu   sync.Mutex
-	list *quarantine.List
+	mu       sync.Mutex
+	list     *quarantine.List
+	segments *quarantine.Segments
+	// blamed are the sets of segments that were blamed at the last log line, by their names.
+	blamed map[string]quarantine.Blame
 	// running holds the suspected requests that are running at a server.
 	running map[request.Fingerprint]struct{}
 	gossip  Gossip
 
 	// terminated counts the terminations that this gateway found.
 	terminated metrics.Counter
+	// blames is the number of sets of segments that are blamed.
+	blames metrics.Gauge
 }
 
 func newTerminations() *terminations {
 	return &terminations{
 		list:       quarantine.New(),
+		segments:   quarantine.NewSegments(),
 		running:    make(map[request.Fingerprint]struct{}),
 		gossip:     noGossip{},
 		terminated: metrics.GetOrRegisterCounter("gateway.servers_ended_under_requests", nil),
+		blames:     metrics.GetOrRegisterGauge("gateway.segment_sets_quarantined", nil),
 	}
 }
 
@@ -51,7 +58,7 @@
 func (t *terminations) empty() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.list.Len() == 0
+	return t.list.Len() == 0 && t.segments.Empty()
 }
 
 // resolve records the outcome of attempts that ended at a server. If it terminated, they
@@ -64,6 +71,7 @@
 	for _, a := range o.survived {
 		if a.success {
 			t.clearSuspicion(a.request, a.endedAt)
+			t.completeSegments(a.segments)
 		}
 	}
 	if len(o.ended) == 0 {
@@ -75,6 +83,7 @@
 	for _, a := range o.ended {
 		t.addEvidence(quarantine.Evidence{Request: a.request, Instance: s.Instance(), SentAt: a.sentAt, ObservedAt: o.at})
 	}
+	t.addCrash(s, o.at, o.ended)
 }
 
 // logOutcome logs the outcome of attempts, if there are any. at is when the server terminated.
@@ -174,6 +183,9 @@
 	for _, evidence := range t.list.PendingAnnouncements(now, maxReannounced) {
 		t.gossip.ReannounceTermination(evidence)
 	}
+	for _, crash := range t.segments.PendingAnnouncements(now, maxReannouncedCrashes) {
+		t.gossip.ReannounceCrash(crash)
+	}
 }
 
 // fingerprint returns the request's fingerprint. It is computed once, on first use.
@@ -193,7 +205,7 @@
 	}
 	c.quarantineStatus = t.status(c.fingerprint())
 	if !c.quarantineStatus.Quarantined {
-		return nil
+		return c.checkSegments()
 	}
 	return verdict.NewRejection(verdict.CodeQuarantined, "servers ended under this request: "+c.terminatedServers(), c.quarantineStatus.RetryAfter)
 }
--- a/internal/gateway/unfinished.go
+++ b/internal/gateway/unfinished.go
@@ -7,6 +7,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/direct"
+	"pistachioroad.dev/pistachioroad/internal/request"
 )
 
 // attemptEnd is how an attempt ended whose server may have been running the request.
@@ -25,12 +26,13 @@
 // openAttempt is an attempt whose server may be running the request.
 type openAttempt struct {
 	server backend.Server
+	stage  request.Stage
 	sentAt time.Time
 }
 
 // beginOpen records that the request is about to be sent to a server.
-func (c *call) beginOpen(server backend.Server) {
-	c.open = append(c.open, openAttempt{server: server, sentAt: time.Now()})
+func (c *call) beginOpen(server backend.Server, stage request.Stage) {
+	c.open = append(c.open, openAttempt{server: server, stage: stage, sentAt: time.Now()})
 }
 
 // takeOpen removes the latest open attempt at a server. It returns false if there is none.
@@ -57,6 +59,7 @@
 	if completes(reply) {
 		c.clearSuspicion()
 	}
+	c.completeSegments(reply)
 }
 
 // completes reports whether a whole answer shows that the request ran to completion. A server
@@ -78,6 +81,9 @@
 	}
 	c.trace.unfinished = append(c.trace.unfinished, server.ID+":"+string(end))
 	ended := endedAttempt{request: c.fingerprint(), sentAt: a.sentAt, endedAt: time.Now(), end: end, success: success}
+	if a.stage == request.FullRequest {
+		ended.segments = c.sharedSegments()
+	}
 	if watch := c.gateway.watches.add(server, ended); watch != nil {
 		go c.gateway.watchServer(watch)
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/pause"
@@ -41,7 +42,9 @@
 
 // endedAttempt is an attempt that ended while its server may have been running the request.
 type endedAttempt struct {
-	request         request.Fingerprint
+	request request.Fingerprint
+	// segments are those of a prompt on which the server may have been generating.
+	segments        []quarantine.Segment
 	sentAt, endedAt time.Time
 	end             attemptEnd
 	// success is set if the answer is complete unless the server has crashed.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -68,6 +68,7 @@
 	RemoteFinished(id place.JobID)
 	RemoteAvoid(service, engine string, d time.Duration)
 	RemoteTermination(e quarantine.Evidence)
+	RemoteCrash(c quarantine.Crash)
 	// RemoteServerLimit handles the limit that a server stated to another gateway. from is
 	// the start ID of the gateway that announced it.
 	RemoteServerLimit(from string, n ratelimit.Notice)
@@ -354,6 +355,29 @@
 	p.enqueue(to, flushDelay, proto.Size(m), func(s *wire.Share) { s.ServersEnded = append(s.ServersEnded, m) })
 }
 
+// AnnounceCrash implements gateway.Gossip.
+func (p *Peers) AnnounceCrash(c quarantine.Crash) { p.sendCrash(allPeers, c) }
+
+// ReannounceCrash implements gateway.Gossip.
+func (p *Peers) ReannounceCrash(c quarantine.Crash) { p.sendCrash(randomPeers, c) }
+
+func (p *Peers) sendCrash(to audience, c quarantine.Crash) {
+	m := &wire.ServerEnded{
+		Server: c.Instance.ID, Incarnation: c.Instance.Incarnation, AgeMs: uint32(max(0, time.Since(c.ObservedAt).Milliseconds())),
+		Fresh: c.Fresh, Reused: c.Reused,
+	}
+	p.enqueue(to, flushDelay, proto.Size(m), func(s *wire.Share) { s.ServersEnded = append(s.ServersEnded, m) })
+}
+
+// decodeCrash decodes the crash of another gateway that was sent at now.
+func decodeCrash(now time.Time, m *wire.ServerEnded) quarantine.Crash {
+	return quarantine.Crash{
+		Instance:   backend.Instance{ID: m.Server, Incarnation: m.Incarnation},
+		ObservedAt: now.Add(-time.Duration(m.AgeMs) * time.Millisecond),
+		Fresh:      m.Fresh, Reused: m.Reused,
+	}
+}
+
 // decodeTermination decodes the evidence of another gateway that was sent at now.
 func decodeTermination(now time.Time, m *wire.ServerEnded) quarantine.Evidence {
 	at := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
@@ -584,6 +608,10 @@
 		p.receiver.RemoteAvoid(m.Service, m.Engine, time.Duration(m.ForMs)*time.Millisecond)
 	}
 	for _, m := range s.ServersEnded {
+		if len(m.Fresh)+len(m.Reused) > 0 {
+			p.receiver.RemoteCrash(decodeCrash(now.Add(-delay), m))
+			continue
+		}
 		p.receiver.RemoteTermination(decodeTermination(now.Add(-delay), m))
 	}
 	for _, m := range s.ServerLimits {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -47,6 +47,7 @@
 	// blocks makes RemoteAvoid block for the announced time.
 	blocks   bool
 	evidence []quarantine.Evidence
+	crashes  []quarantine.Crash
 	limits   []ratelimit.Notice
 
 	streams *streamversion.Records
@@ -124,6 +125,12 @@
 	r.avoids++
 }
 
+func (r *recorder) RemoteCrash(c quarantine.Crash) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashes = append(r.crashes, c)
+}
+
 func (r *recorder) RemoteTermination(e quarantine.Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -344,6 +351,33 @@
 		Eventually(func() int { _, announcements := received(); return announcements }).Should(Equal(9))
 	})
 
+	// Guards against crashes and completions that others receive as evidence on a request.
+	It("announce which segments prompts had where a server crashed, and which completed", func() {
+		all, recorders, addresses := startGateways(2)
+		all[0].SetPeers(maps.Clone(addresses), true)
+		crash := quarantine.Crash{
+			Instance: backend.Instance{ID: "i-1", Incarnation: 7}, ObservedAt: time.Now().Add(-time.Second), Fresh: []uint64{1 << 63, 2}, Reused: []uint64{3},
+		}
+		all[0].AnnounceCrash(crash)
+		all[0].AnnounceCrash(quarantine.Crash{ObservedAt: time.Now(), Reused: []uint64{4}})
+		received := func() (crashes []quarantine.Crash) {
+			for _, rec := range recorders {
+				rec.mu.Lock()
+				crashes = append(crashes, rec.crashes...)
+				Expect(rec.evidence).To(BeEmpty())
+				rec.mu.Unlock()
+			}
+			return crashes
+		}
+		Eventually(received).Should(HaveLen(2))
+		got := received()
+		Expect(got[0].ObservedAt).To(BeTemporally("~", crash.ObservedAt, 500*time.Millisecond))
+		got[0].ObservedAt = crash.ObservedAt
+		Expect(got[0]).To(Equal(crash))
+		Expect(got[1].Instance).To(BeZero())
+		Expect(got[1].Reused).To(Equal([]uint64{4}))
+	})
+
 	// Guards against limits that others receive with a wrong age, and against gateways that
 	// disagree on the senders.
 	It("announce the limits of servers with their ages, and agree on their ranks", func() {
