Restored evidence on requests keeps the order of its times

Cause: times of a writer whose clock is ahead of the reader's were set to the reader's now one by one, so that they coincided, counted once, and a quarantined request was sent on after a restart. They are shifted together now. The spec (a reader six seconds behind) fails before.

What callers would see: one more server crashed after each restart.

--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -237,6 +237,7 @@
 		Expect(later.Status(at(2), 1<<63+1).Quarantined).To(BeTrue())
 		Expect(later.Status(at(2), 1<<63+1).Terminations).To(HaveLen(3))
 		behind.Restore(at(-5), s)
+		Expect(behind.Status(at(-5), 1<<63+1).Quarantined).To(BeTrue())
 		for _, e := range behind.Status(at(-5), 1<<63+1).Terminations {
 			Expect(e.ObservedAt.After(at(-5))).To(BeFalse())
 		}
--- a/internal/decide/quarantine/snapshot.go
+++ b/internal/decide/quarantine/snapshot.go
@@ -77,25 +77,34 @@
 
 // Restore merges a Snapshot that was written before now. It skips invalid fingerprints.
 func (l *List) Restore(now time.Time, s Snapshot) {
+	var latest int64
+	for _, r := range s.Requests {
+		for _, t := range r.Terminations {
+			latest = max(latest, t.ObservedMS)
+		}
+	}
+	ahead := clockAhead(now, latest)
 	for _, r := range s.Requests {
 		f, err := strconv.ParseUint(r.Fingerprint, 16, 64)
 		if err != nil {
 			continue
 		}
 		for _, t := range r.Terminations {
-			l.Add(now, t.evidence(now, request.Fingerprint(f)))
+			l.Add(now, t.evidence(ahead, request.Fingerprint(f)))
 		}
 	}
 }
 
-// evidence returns the termination as evidence. Its times are earlier than now, whatever the
-// writer's clock says.
-func (t TerminationSnapshot) evidence(now time.Time, f request.Fingerprint) Evidence {
-	sent, observed := time.UnixMilli(t.SentMS), time.UnixMilli(t.ObservedMS)
-	if ahead := observed.Sub(now); ahead > 0 {
-		sent, observed = sent.Add(-ahead), now
-	}
+// clockAhead returns by how much the writer's clock is at least ahead of this one, if its latest
+// time, in milliseconds since the start of 1970, is later than now.
+func clockAhead(now time.Time, latest int64) time.Duration {
+	return max(0, time.UnixMilli(latest).Sub(now))
+}
+
+// evidence returns the termination as evidence, for a writer's clock that is ahead.
+func (t TerminationSnapshot) evidence(ahead time.Duration, f request.Fingerprint) Evidence {
 	return Evidence{
-		Request: f, Instance: backend.Instance{ID: t.Server, Incarnation: t.Incarnation}, SentAt: sent, ObservedAt: observed,
+		Request: f, Instance: backend.Instance{ID: t.Server, Incarnation: t.Incarnation},
+		SentAt: time.UnixMilli(t.SentMS).Add(-ahead), ObservedAt: time.UnixMilli(t.ObservedMS).Add(-ahead),
 	}
 }
