Evidence against prompt segments outlives the processes that have it

What callers saw: after all gateways were killed, prompts with a segment that had crashed five engines are sent on, three times after each kill. Cause: crashes were in memory only. Those that have segments in common are now in the object of the store that the evidence on requests has; blame from them says so (restored).

--- a/internal/decide/quarantine/segments_test.go
+++ b/internal/decide/quarantine/segments_test.go
@@ -118,6 +118,27 @@
 		Expect(s.PendingAnnouncements(at(61), 10)).To(BeEmpty())
 	})
 
+	// Guards against evidence that is lost when all gateways are killed.
+	It("is restored from a snapshot", func() {
+		s := quarantine.NewSegments()
+		s.Add(at(1), crashed("alone", 0, other))
+		Expect(s.Version()).To(BeZero())
+		for i := range 3 {
+			c := crashed(strconv.Itoa(i), 0.2*float64(i), fatal)
+			c.Reused = []quarantine.Segment{owner}
+			s.Add(at(1), c)
+		}
+		Expect(s.Version()).NotTo(BeZero())
+		later := quarantine.NewSegments()
+		later.Restore(at(-5), s.Snapshot(at(1)))
+		Expect(blamed(later, -5, fatal)).To(Equal([]quarantine.Segment{fatal}))
+		Expect(blamed(later, -5, owner, other)).To(BeNil())
+		b, _ := later.Blamed(at(-5), []quarantine.Segment{fatal})
+		Expect(b.Restored).To(BeTrue())
+		Expect(later.Complete(at(2), []quarantine.Segment{owner, fatal})).To(HaveLen(2))
+		Expect(later.Snapshot(at(2))).To(BeEmpty())
+	})
+
 	// Guards against unbounded memory, and against blame that is lost to later crashes.
 	It("is bounded, and crashes that explain blame are kept", func() {
 		s := quarantine.NewSegments()
--- a/internal/decide/quarantine/snapshot.go
+++ b/internal/decide/quarantine/snapshot.go
@@ -18,9 +18,10 @@
 	maxSnapshotRequests = 64
 )
 
-// Snapshot is the lasting evidence of a List, for processes that start later.
+// Snapshot is the lasting evidence of a List and of Segments, for processes that start later.
 type Snapshot struct {
 	Requests []RequestSnapshot `json:"requests"`
+	Crashes  []CrashSnapshot   `json:"crashes"`
 }
 
 // RequestSnapshot is the evidence on one request, oldest first.
@@ -108,3 +109,75 @@
 		SentAt: time.UnixMilli(t.SentMS).Add(-ahead), ObservedAt: time.UnixMilli(t.ObservedMS).Add(-ahead),
 	}
 }
+
+// CrashSnapshot is one crash with the segments that count in others too. Segments are in
+// hexadecimal; ObservedMS is like that of TerminationSnapshot.
+type CrashSnapshot struct {
+	Server      string   `json:"server"`
+	Incarnation int64    `json:"incarnation"`
+	ObservedMS  int64    `json:"observed_ms"`
+	Fresh       []string `json:"fresh"`
+	Reused      []string `json:"reused"`
+}
+
+// Snapshot returns the crashes that have segments in common, with these.
+func (s *Segments) Snapshot(now time.Time) []CrashSnapshot {
+	s.expire(now)
+	count := make(map[Segment]int)
+	for _, r := range s.crashes {
+		for id := range r.segments {
+			if s.counts(r, id) {
+				count[id]++
+			}
+		}
+	}
+	var all []CrashSnapshot
+	for _, r := range s.crashes {
+		c := s.announcement(r)
+		once := func(id Segment) bool { return count[id] < lastingTerminations }
+		fresh, reused := slices.DeleteFunc(c.Fresh, once), slices.DeleteFunc(c.Reused, once)
+		if len(fresh)+len(reused) == 0 {
+			continue
+		}
+		all = append(all, CrashSnapshot{
+			Server: r.instance.ID, Incarnation: r.instance.Incarnation, ObservedMS: r.observedAt.UnixMilli(), Fresh: hex(fresh), Reused: hex(reused),
+		})
+	}
+	slices.SortFunc(all, func(a, b CrashSnapshot) int {
+		return cmp.Or(cmp.Compare(a.ObservedMS, b.ObservedMS), cmp.Compare(a.Server, b.Server))
+	})
+	return all
+}
+
+// Restore merges crashes of a Snapshot that was written before now. It skips invalid segments.
+func (s *Segments) Restore(now time.Time, crashes []CrashSnapshot) {
+	var latest int64
+	for _, c := range crashes {
+		latest = max(latest, c.ObservedMS)
+	}
+	ahead := clockAhead(now, latest)
+	for _, c := range crashes {
+		s.addCrash(now, Crash{
+			Instance: backend.Instance{ID: c.Server, Incarnation: c.Incarnation}, ObservedAt: time.UnixMilli(c.ObservedMS).Add(-ahead),
+			Fresh: unhex(c.Fresh), Reused: unhex(c.Reused),
+		}, true)
+	}
+}
+
+func hex(segments []Segment) []string {
+	names := make([]string, 0, len(segments))
+	for _, s := range segments {
+		names = append(names, strconv.FormatUint(s, 16))
+	}
+	return names
+}
+
+func unhex(names []string) []Segment {
+	var segments []Segment
+	for _, name := range names {
+		if id, err := strconv.ParseUint(name, 16, 64); err == nil {
+			segments = append(segments, id)
+		}
+	}
+	return segments
+}
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -1,5 +1,5 @@
-// Package evidence keeps the lasting evidence against requests in an object of the store, so
-// that it outlives the processes that have it.
+// Package evidence keeps the lasting evidence against requests and prompt segments in an object
+// of the store, so that it outlives the processes that have it.
 package evidence
 
 import (
@@ -106,7 +106,7 @@
 	}
 	k.revision, k.value = o.Revision, o.Spec
 	k.Source.RestoreEvidence(s)
-	log.WithField("revision", o.Revision).WithField("requests", len(s.Requests)).Info("restored evidence")
+	log.WithField("revision", o.Revision).WithField("requests", len(s.Requests)).WithField("crashes", len(s.Crashes)).Info("restored evidence")
 	return nil
 }
 
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -148,7 +148,7 @@
 	t := g.terminations
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.list.Version()
+	return t.list.Version() + t.segments.Version()
 }
 
 // EvidenceSnapshot implements evidence.Source.
@@ -156,7 +156,9 @@
 	t := g.terminations
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.list.Snapshot(time.Now())
+	s := t.list.Snapshot(time.Now())
+	s.Crashes = t.segments.Snapshot(time.Now())
+	return s
 }
 
 // RestoreEvidence implements evidence.Source.
@@ -165,6 +167,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.list.Restore(time.Now(), s)
+	t.segments.Restore(time.Now(), s.Crashes)
+	t.logBlames()
 }
 
 // RemoteTermination adds evidence that another gateway announced.
