A second prefill without a request for the answer costs the retry budget a part

Cause: of prefills without a send the accepted one and the first arrival were both free, so two of them cost nothing.

Now the accepted prefill is free only once the request has been sent for generation; what was held for both is spent with the second prefill. The count of one request never decreases (20,000 random series). The new cases of the table fail before (two accepted prefills: 0). The soak's count of arrivals is as strict now.

--- a/internal/decide/retry/arrivals_test.go
+++ b/internal/decide/retry/arrivals_test.go
@@ -24,6 +24,10 @@
 		"two rejected prefills and a send":       {"rrs", 2},
 		"an accepted prefill after two rejected": {"rras", 2},
 		"a second accepted prefill":              {"asas", 2},
+		"two accepted prefills":                  {"aa", 1},
+		"three accepted prefills":                {"aaa", 2},
+		"two accepted prefills and a send":       {"aas", 1},
+		"a prefill rejected after an accepted":   {"ar", 1},
 		"a send that was not sent":               {"sn", 0},
 		"a prefill that was not sent":            {"nas", 0},
 	} {
@@ -40,14 +44,18 @@
 // record records an attempt: s a send, a and r a prefill that is accepted or rejected, n
 // one that is not sent.
 func record(a *retry.Arrivals, attempt rune) {
-	a.Begin()
+	kind := retry.Prefill
+	if attempt == 's' || attempt == 'n' {
+		kind = retry.Send
+	}
+	a.Begin(kind)
 	switch attempt {
 	case 'a':
-		a.End(retry.PrefillAccepted)
+		a.End(kind, retry.PrefillAccepted)
 	case 'n':
-		a.End(retry.NotSent)
+		a.End(kind, retry.NotSent)
 	default:
-		a.End(retry.Arrived)
+		a.End(kind, retry.Arrived)
 	}
 }
 
@@ -56,33 +64,40 @@
 // taken back after they were spent.
 func TestArrivalsWithUnknownOutcomesAreNeverUndercounted(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
+	kinds := []retry.Kind{retry.Send, retry.Prefill}
 	for range 20_000 {
 		var a retry.Arrivals
-		arrived, accepted, pending := 0, 0, 0
+		arrived, pending := map[retry.Kind]int{}, map[retry.Kind]int{}
+		accepted := false
 		for range random.IntN(12) {
 			reserved, ended := a.ExtraAfterPrefill(), a.ExtraEnded()
+			kind := kinds[random.IntN(2)]
 			switch {
-			case pending == 0 || random.IntN(2) == 0:
-				a.Begin()
-				pending++
-				arrived++
+			case pending[kind] == 0 || random.IntN(2) == 0:
+				a.Begin(kind)
+				pending[kind]++
+				arrived[kind]++
 			case random.IntN(3) == 0:
-				a.End(retry.NotSent)
-				pending--
-				arrived--
-			case random.IntN(2) == 0:
-				a.End(retry.Arrived)
-				pending--
+				a.End(kind, retry.NotSent)
+				pending[kind]--
+				arrived[kind]--
+			case random.IntN(2) == 0 || kind == retry.Send:
+				a.End(kind, retry.Arrived)
+				pending[kind]--
 			default:
-				a.End(retry.PrefillAccepted)
-				pending--
-				accepted++
-				if after := a.ExtraAfter(1); after > reserved {
-					t.Fatalf("the send after an accepted prefill makes %d extra attempts, %d were reserved", after, reserved)
+				a.End(kind, retry.PrefillAccepted)
+				pending[kind]--
+				accepted = true
+				if after := max(a.Extra(), a.ExtraAfterSend()); after > reserved {
+					t.Fatalf("an accepted prefill and its send make %d extra attempts, %d were reserved", after, reserved)
 				}
 			}
-			if extra := max(0, arrived-min(1, accepted)-1); a.Extra() != extra {
-				t.Fatalf("%d extra attempts of %d arrivals, %d of them accepted prefills, want %d", a.Extra(), arrived, accepted, extra)
+			extra := arrived[retry.Send] + arrived[retry.Prefill] - 1
+			if accepted && arrived[retry.Send] > 0 {
+				extra--
+			}
+			if extra = max(0, extra); a.Extra() != extra {
+				t.Fatalf("%d extra attempts of %d sends and %d prefills, accepted %v, want %d", a.Extra(), arrived[retry.Send], arrived[retry.Prefill], accepted, extra)
 			}
 			if a.ExtraEnded() < ended || a.ExtraEnded() > a.Extra() {
 				t.Fatalf("%d extra attempts have ended, before %d, of %d", a.ExtraEnded(), ended, a.Extra())
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -38,7 +39,7 @@
 		return err == nil && !reply.NotRun && reply.Status < http.StatusInternalServerError
 	})
 	c.pendingRuns--
-	c.endArrival(server, err, false)
+	c.endArrival(server, retry.Send, err, false)
 	if other != nil {
 		if reply != nil {
 			reply.Body.Close()
@@ -60,13 +61,13 @@
 	if e := c.checkVersion(server); e != nil {
 		return e
 	}
-	if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+	if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfterSend()) {
 		return c.retryBudgetError()
 	}
 	invariant.Check(c.verdict == verdict.NotRun || c.route.Repeatable(), "runs-at-most-once",
 		"request %s of route %s is sent again after %s", c.id, c.route.Name, c.verdict)
 	c.attempts++
-	c.arrivals.Begin()
+	c.arrivals.Begin(retry.Send)
 	o.Server = server
 	o.Remaining = c.remaining()
 	c.trace.server = server.ID
--- a/internal/gateway/call_retries.go
+++ b/internal/gateway/call_retries.go
@@ -27,18 +27,18 @@
 // endArrival records the outcome of an attempt at a server that has ended with err or a
 // response. If it was an extra one, the part that is held for it is spent. An attempt that
 // ended before the server had answered counts as pending: it may arrive later.
-func (c *call) endArrival(server backend.Server, err error, prefillAccepted bool) {
+func (c *call) endArrival(server backend.Server, kind retry.Kind, err error, prefillAccepted bool) {
 	switch {
 	case err != nil && verdict.Of(err).Unanswered:
 		c.unanswered = append(c.unanswered, retry.Unanswered{Address: server.Address, EndedAt: time.Now()})
 		c.trace.unanswered = append(c.trace.unanswered, server.ID)
 		c.gateway.retryBudgets.countUnanswered(c.service.Name)
 	case err != nil && verdict.Of(err).Verdict == verdict.NotRun:
-		c.arrivals.End(retry.NotSent)
+		c.arrivals.End(kind, retry.NotSent)
 	case prefillAccepted:
-		c.arrivals.End(retry.PrefillAccepted)
+		c.arrivals.End(kind, retry.PrefillAccepted)
 	default:
-		c.arrivals.End(retry.Arrived)
+		c.arrivals.End(kind, retry.Arrived)
 	}
 	invariant.Check(c.heldRetries+c.spentRetries >= c.arrivals.Extra(), "extra-attempts-are-paid-for",
 		"request %s has made %d extra attempts, %d parts of the retry budget are held and %d spent", c.id, c.arrivals.Extra(), c.heldRetries, c.spentRetries)
@@ -55,9 +55,7 @@
 // settleRetries gives back what is held at the end of the call for attempts that were not
 // made. What is held for unanswered attempts stays so until they have arrived.
 func (c *call) settleRetries() {
-	for c.arrivals.Pending() > len(c.unanswered) {
-		c.arrivals.End(retry.Arrived)
-	}
+	c.arrivals.EndAll(len(c.unanswered))
 	c.spendRetries(c.arrivals.ExtraEnded())
 	late := c.arrivals.Extra() - c.spentRetries
 	for ; c.heldRetries > late; c.heldRetries-- {
--- a/internal/gateway/hedge_model.go
+++ b/internal/gateway/hedge_model.go
@@ -77,7 +77,7 @@
 // of its own.
 func (c *call) tryOtherEngine(search context.Context) (a *hedgedAttempt, again bool) {
 	// Without retry budget for the attempt, the prompt is not placed and prefilled for it.
-	if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+	if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfterSend()) {
 		return nil, true
 	}
 	return c.placeHedged(search, c.runHedged), true
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -13,6 +13,7 @@
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/eventstream"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -200,7 +201,7 @@
 		return "", nil, c.retryBudgetError()
 	}
 	c.prefillAttempts++
-	c.arrivals.Begin()
+	c.arrivals.Begin(retry.Prefill)
 	c.beginOpen(prefillEngine, request.PrefillOnly)
 	o := request.Options{Server: prefillEngine, Remaining: c.remaining(), Stage: request.PrefillOnly, Priority: c.priority}
 	var reply *direct.Reply
@@ -209,7 +210,7 @@
 		reply, err = c.gateway.transport.Send(ctx, &c.request, o)
 		return err == nil && reply.Status == http.StatusOK
 	})
-	c.endArrival(prefillEngine, err, err == nil && reply.Status == http.StatusOK)
+	c.endArrival(prefillEngine, retry.Prefill, err, err == nil && reply.Status == http.StatusOK)
 	if other != nil {
 		if reply != nil {
 			go c.gateway.freeReply(prefillEngine, reply)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -217,7 +217,7 @@
 // tryOtherServer makes one attempt at another server, with a hedge of its own.
 func (c *call) tryOtherServer(search context.Context) (a *hedgedAttempt, again bool) {
 	g := c.gateway
-	if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+	if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfterSend()) {
 		return nil, true
 	}
 	server, ok := c.choosePlain()
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -89,8 +90,8 @@
 	at := func(d time.Duration) { b.now = func() time.Duration { return d } }
 	begin := func() *call {
 		c := &call{gateway: g, service: routes.Service{Name: "late"}}
-		c.arrivals.Begin()
-		if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+		c.arrivals.Begin(retry.Send)
+		if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfterSend()) {
 			return nil
 		}
 		return c
@@ -102,9 +103,9 @@
 	}
 	at(8 * time.Second)
 	for _, c := range calls {
-		c.arrivals.Begin()
-		c.endArrival(backend.Server{}, nil, false)
-		c.endArrival(backend.Server{}, nil, false)
+		c.arrivals.Begin(retry.Send)
+		c.endArrival(backend.Server{}, retry.Send, nil, false)
+		c.endArrival(backend.Server{}, retry.Send, nil, false)
 		c.settleRetries()
 	}
 	late := len(calls)
@@ -123,14 +124,14 @@
 	b := newTestBudgets(0, 10)
 	for range 100 {
 		c := &call{gateway: &Gateway{retryBudgets: b}, service: routes.Service{Name: "refused"}}
-		c.arrivals.Begin()
-		c.endArrival(backend.Server{}, nil, false)
+		c.arrivals.Begin(retry.Send)
+		c.endArrival(backend.Server{}, retry.Send, nil, false)
 		for range 3 {
-			if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+			if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfterSend()) {
 				t.Fatal("no budget is left")
 			}
-			c.arrivals.Begin()
-			c.endArrival(backend.Server{}, verdict.New(verdict.NotRun, verdict.CodeNoBackend, "connect"), false)
+			c.arrivals.Begin(retry.Send)
+			c.endArrival(backend.Server{}, retry.Send, verdict.New(verdict.NotRun, verdict.CodeNoBackend, "connect"), false)
 		}
 		c.settleRetries()
 	}
@@ -184,13 +185,13 @@
 	givenUp.Unanswered = true
 	hedge := func() bool {
 		c := &call{gateway: g, service: routes.Service{Name: "held"}}
-		c.arrivals.Begin()
-		if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfter(1)) {
+		c.arrivals.Begin(retry.Send)
+		if !c.holdRetries(sendAttempt, c.arrivals.ExtraAfterSend()) {
 			return false
 		}
-		c.arrivals.Begin()
-		c.endArrival(silent, givenUp, false)
-		c.endArrival(sound, nil, false)
+		c.arrivals.Begin(retry.Send)
+		c.endArrival(silent, retry.Send, givenUp, false)
+		c.endArrival(sound, retry.Send, nil, false)
 		c.settleRetries()
 		return true
 	}
--- a/test/soakproc/retries.go
+++ b/test/soakproc/retries.go
@@ -67,7 +67,8 @@
 }
 
 // extraTimes returns the times of the arrivals beyond the first of each request, without
-// the first prefill that a server accepted.
+// the first prefill that a server accepted. Each prefill after that is one, also before the
+// request is sent for generation.
 func extraTimes(arrivals []arrival) []time.Time {
 	var times []time.Time
 	arrived, prefilled := map[string]bool{}, map[string]bool{}
@@ -75,7 +76,7 @@
 		switch {
 		case a.prefilled && !prefilled[a.id]:
 			prefilled[a.id] = true
-		case arrived[a.id]:
+		case a.prefilled, arrived[a.id]:
 			times = append(times, a.at)
 		default:
 			arrived[a.id] = true
