Among segments with three crashes the one with the most crashes is blamed

What callers would see: fatal prompts are sent on while a segment that was in as many crashes by chance is blamed, by the order of their IDs. Cause: crashes within 0.1 s counted once also in the comparison.

--- a/internal/decide/quarantine/segments.go
+++ b/internal/decide/quarantine/segments.go
@@ -252,17 +252,18 @@
 // Segments that prompts have completed with come last.
 func (s *Segments) explain(crashes []*crash) (b Blame, explained []*crash, ok bool) {
 	for _, reused := range []bool{false, true} {
+		b = Blame{Reused: reused}
 		byCrashes := s.explained(crashes, reused)
 		best := Segment(0)
 		for id, of := range byCrashes {
-			more := cmp.Compare(distinct(of), distinct(byCrashes[best]))
-			if more > 0 || (more == 0 && id < best) {
+			if distinct(of) < b.threshold() {
+				continue
+			}
+			if more := cmp.Or(cmp.Compare(len(of), len(byCrashes[best])), cmp.Compare(distinct(of), distinct(byCrashes[best])), cmp.Compare(best, id)); more > 0 {
 				best = id
 			}
 		}
-		explained = byCrashes[best]
-		b = Blame{Reused: reused}
-		if len(explained) == 0 || distinct(explained) < b.threshold() {
+		if explained = byCrashes[best]; len(explained) == 0 {
 			continue
 		}
 		for id, of := range byCrashes {
