Segments that are blamed wrongly are admitted after a trial

Cause: prompts with a blamed segment are rejected, so none could complete and clear it: a segment blamed by chance stayed so for ten minutes. What callers would see: sound prompts of one kind rejected for ten minutes.

Now the gateway whose turn it is sends one prompt, with no other suspected segment, 3 s after the last crash, and if that crashes a server another one 10 s after it; no more. The turn moves every 5 s without an outcome.

Evidence: the new test of the gateway fails before (0 of 20 served in 6 s). Cost: up to two more engines that crash for a segment that is really fatal.

--- a/internal/decide/quarantine/segments.go
+++ b/internal/decide/quarantine/segments.go
@@ -21,6 +21,17 @@
 	completedGeneration = 4_096
 	// maxBlames bounds the sets of segments that are blamed.
 	maxBlames = 8
+	// A prompt that would be rejected is sent as a trial once no server has crashed for
+	// firstTrialDelay, and if that one crashes too, once more after laterTrialDelay: a set of
+	// segments that is blamed wrongly would be rejected without ever being cleared.
+	firstTrialDelay = 3 * time.Second
+	laterTrialDelay = 10 * time.Second
+	maxTrials       = 2
+	// trialRotation is how long one gateway has for a trial before it is another one's turn.
+	trialRotation = 5 * time.Second
+	// settleTime is how long after segments could be blamed crashes may be those of prompts
+	// that were sent before. Later ones are those of trials.
+	settleTime = 2500 * time.Millisecond
 )
 
 // Segment is the ID of a prompt segment that prompts share.
@@ -63,6 +74,25 @@
 	return TerminationThreshold
 }
 
+// TrialRound returns whether a trial is due. One gateway has the turn in each round.
+func (b Blame) TrialRound(now time.Time) (round uint64, due bool) {
+	blamableAt, last := b.Crashes[b.threshold()-1].ObservedAt, b.Crashes[len(b.Crashes)-1].ObservedAt
+	trials := 0
+	for _, c := range b.Crashes {
+		if c.ObservedAt.Sub(blamableAt) > settleTime {
+			trials++
+		}
+	}
+	from := last.Add(firstTrialDelay)
+	if trials > 0 {
+		from = last.Add(laterTrialDelay)
+	}
+	if trials >= maxTrials || now.Before(from) {
+		return 0, false
+	}
+	return uint64(len(b.Crashes))<<32 | uint64(now.Sub(from)/trialRotation), true
+}
+
 // matches reports whether a prompt has all segments of the set.
 func (b Blame) matches(segments []Segment) bool {
 	for _, s := range b.Segments {
@@ -225,6 +255,12 @@
 	return Blame{}, false
 }
 
+// MayTry reports whether a prompt for which a set is blamed is fit for a trial: it has no other
+// segment that may crash servers.
+func (s *Segments) MayTry(segments []Segment, b Blame) bool {
+	return !s.Suspected(slices.DeleteFunc(slices.Clone(segments), func(id Segment) bool { return slices.Contains(b.Segments, id) }))
+}
+
 // Blames returns all sets of segments that are blamed.
 func (s *Segments) Blames() []Blame { return s.blames }
 
--- a/internal/gateway/crash_segments_test.go
+++ b/internal/gateway/crash_segments_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
 )
@@ -212,3 +214,28 @@
 	p.crashBound, p.maxLate = 2*crashBound, 6
 	p.run()
 }
+
+// Guards against segments that are blamed wrongly and never admitted again, as all prompts that
+// could clear them are rejected.
+func TestSegmentsThatAreBlamedWronglyAreAdmittedAfterATrial(t *testing.T) {
+	p := newSegmentsPlay(t, &clusterFixture{})
+	for n := range 3 {
+		for _, g := range p.gateways {
+			g.RemoteCrash(quarantine.Crash{
+				Instance: backend.Instance{ID: fmt.Sprintf("gone-%d", n)}, ObservedAt: time.Now().Add(time.Duration(n-3) * time.Second), Fresh: []uint64{0xa1},
+			})
+		}
+	}
+	if status := p.prompt(p.sound); status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d with a segment that is blamed, want 503", status)
+	}
+	served := 0
+	for end := time.Now().Add(2 * contactTime); time.Now().Before(end) && served < minSound; time.Sleep(soundInterval) {
+		if p.prompt(p.sound) == http.StatusOK {
+			served++
+		}
+	}
+	if served < minSound {
+		t.Errorf("%d prompts served within %v, want %d", served, 2*contactTime, minSound)
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -111,6 +111,8 @@
 	// needed, and segmentsSuspected says that one of them may crash engines.
 	cachedSegments    []quarantine.Segment
 	segmentsSuspected bool
+	// trialOf names the segments of which the request is a trial, empty if it is none.
+	trialOf string
 	// open has the attempts whose servers may be running the request.
 	open []openAttempt
 
--- a/internal/gateway/segments.go
+++ b/internal/gateway/segments.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -43,12 +44,31 @@
 	now := time.Now()
 	c.segmentsSuspected = t.segments.Suspected(segments)
 	b, blamed := t.segments.Blamed(now, segments)
-	if !blamed {
+	if !blamed || c.isTrial(now, b) {
 		return nil
 	}
 	return verdict.NewRejection(verdict.CodeQuarantined, "servers ended under prompts with the segments "+blameNames(b)+": "+crashNames(now, b), b.RetryAfter(now))
 }
 
+// isTrial reports whether the prompt is sent though a set of segments is blamed. t.mu must be held.
+func (c *call) isTrial(now time.Time, b quarantine.Blame) bool {
+	t := c.gateway.terminations
+	name := blameNames(b)
+	if c.trialOf == name {
+		return true
+	}
+	round, due := b.TrialRound(now)
+	if !due || t.trials[name] == round || !t.segments.MayTry(c.sharedSegments(), b) {
+		return false
+	}
+	if rank := t.gossip.RankFor(name, round); rank.Total == 0 || rank.Position != 0 {
+		return false
+	}
+	t.trials[name], c.trialOf = round, name
+	log.WithFields(log.Fields{"request": c.id, "segments": name, "crashes": len(b.Crashes)}).Info("prompt sent as a trial of quarantined segments")
+	return true
+}
+
 // suspected reports whether a server terminated while it ran the request, or prompts with a
 // segment that none has completed with. At two servers, it could terminate both.
 func (c *call) suspected() bool { return c.quarantineStatus.Suspected() || c.segmentsSuspected }
@@ -115,6 +135,7 @@
 		}
 	}
 	t.blamed = blames
+	maps.DeleteFunc(t.trials, func(name string, _ uint64) bool { return !lo.HasKey(blames, name) })
 	t.blames.Update(int64(len(blames)))
 }
 
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -32,6 +32,8 @@
 	segments *quarantine.Segments
 	// blamed are the sets of segments that were blamed at the last log line, by their names.
 	blamed map[string]quarantine.Blame
+	// trials are the last rounds in which this gateway made a trial of each of them.
+	trials map[string]uint64
 	// running holds the suspected requests that are running at a server.
 	running map[request.Fingerprint]struct{}
 	gossip  Gossip
@@ -46,6 +48,7 @@
 	return &terminations{
 		list:       quarantine.New(),
 		segments:   quarantine.NewSegments(),
+		trials:     make(map[string]uint64),
 		running:    make(map[request.Fingerprint]struct{}),
 		gossip:     noGossip{},
 		terminated: metrics.GetOrRegisterCounter("gateway.servers_ended_under_requests", nil),
