A frequent segment no longer hides a fatal one

A frequent segment, of which no prompt had completed while all engines crashed, was in more of the crashes than the fatal one and explained them. Now a segment with five crashes that no prompt has completed with is blamed whatever else explains them; a trial admits one that was blamed wrongly.

--- a/internal/decide/quarantine/segments.go
+++ b/internal/decide/quarantine/segments.go
@@ -11,7 +11,7 @@
 
 const (
 	// ReusedThreshold is the number of crashes from which a segment is blamed that prompts have
-	// completed with before.
+	// completed with before, and any other although a second segment explains its crashes.
 	ReusedThreshold = 5
 	// maxCrashes bounds the recorded crashes, and MaxCrashSegments the segments of each.
 	maxCrashes       = 64
@@ -20,7 +20,7 @@
 	// that prompts have completed with.
 	completedGeneration = 4_096
 	// maxBlames bounds the sets of segments that are blamed.
-	maxBlames = 8
+	maxBlames = 16
 	// A prompt that would be rejected is sent as a trial once no server has crashed for
 	// firstTrialDelay, and if that one crashes too, once more after laterTrialDelay: a set of
 	// segments that is blamed wrongly would be rejected without ever being cleared.
@@ -274,45 +274,67 @@
 		s.version++
 	}
 	s.blames = nil
+	all := slices.Clone(remaining)
 	for len(s.blames) < maxBlames {
 		b, explained, ok := s.explain(remaining)
 		if !ok {
-			return
+			break
 		}
 		s.blames = append(s.blames, b)
 		remaining = slices.DeleteFunc(remaining, func(r *crash) bool { return slices.Contains(explained, r) })
 	}
+	s.blameFrequent(all)
+}
+
+// blameFrequent blames the segments that have ReusedThreshold crashes and that no prompt has
+// completed with, whatever explains these crashes as well: a frequent segment that ran everywhere
+// must not hide a fatal one for long.
+func (s *Segments) blameFrequent(crashes []*crash) {
+	byCrashes := s.explained(crashes, false)
+	for _, id := range slices.Sorted(maps.Keys(byCrashes)) {
+		if len(s.blames) >= maxBlames {
+			return
+		}
+		known := slices.ContainsFunc(s.blames, func(b Blame) bool { return slices.Contains(b.Segments, id) })
+		if !known && len(byCrashes[id]) >= ReusedThreshold && distinct(byCrashes[id]) >= TerminationThreshold {
+			s.blames = append(s.blames, newBlame(byCrashes, byCrashes[id], false))
+		}
+	}
+}
+
+// newBlame returns the set of segments whose crashes are the given ones.
+func newBlame(byCrashes map[Segment][]*crash, crashes []*crash, reused bool) Blame {
+	b := Blame{Reused: reused}
+	for id, of := range byCrashes {
+		if slices.Equal(of, crashes) {
+			b.Segments = append(b.Segments, id)
+		}
+	}
+	slices.Sort(b.Segments)
+	for _, r := range crashes {
+		b.Crashes = append(b.Crashes, Crash{Instance: r.instance, ObservedAt: r.observedAt})
+		b.Restored = b.Restored || r.restored
+	}
+	return b
 }
 
 // explain returns the set of segments that explains the most of the crashes, with these crashes.
 // Segments that prompts have completed with come last.
 func (s *Segments) explain(crashes []*crash) (b Blame, explained []*crash, ok bool) {
 	for _, reused := range []bool{false, true} {
-		b = Blame{Reused: reused}
 		byCrashes := s.explained(crashes, reused)
 		best := Segment(0)
 		for id, of := range byCrashes {
-			if distinct(of) < b.threshold() {
+			if distinct(of) < (Blame{Reused: reused}).threshold() {
 				continue
 			}
 			if more := cmp.Or(cmp.Compare(len(of), len(byCrashes[best])), cmp.Compare(distinct(of), distinct(byCrashes[best])), cmp.Compare(best, id)); more > 0 {
 				best = id
 			}
 		}
-		if explained = byCrashes[best]; len(explained) == 0 {
-			continue
-		}
-		for id, of := range byCrashes {
-			if slices.Equal(of, explained) {
-				b.Segments = append(b.Segments, id)
-			}
-		}
-		slices.Sort(b.Segments)
-		for _, r := range explained {
-			b.Crashes = append(b.Crashes, Crash{Instance: r.instance, ObservedAt: r.observedAt})
-			b.Restored = b.Restored || r.restored
+		if explained = byCrashes[best]; len(explained) > 0 {
+			return newBlame(byCrashes, explained, reused), explained, true
 		}
-		return b, explained, true
 	}
 	return Blame{}, nil, false
 }
