--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -25,10 +25,30 @@
 	Usage *UsageDump `json:"usage,omitempty"`
 	// RecordedStreams is how many streams this gateway knows the software version of.
 	RecordedStreams int `json:"recorded_streams"`
+	// Quarantine is what is known of requests and prompts that crash servers.
+	Quarantine QuarantineDump `json:"quarantine"`
 	// BodyBytes is the memory currently reserved for request bodies.
 	BodyBytes int64 `json:"body_bytes"`
 }
 
+// QuarantineDump is what a gateway knows of requests and prompts that crash servers.
+type QuarantineDump struct {
+	// Requests is the number of requests with evidence, WatchedServers how many servers are
+	// watched because attempts ended there.
+	Requests       int `json:"requests"`
+	WatchedServers int `json:"watched_servers"`
+	// Segments are the sets of prompt segments that are rejected, with their crashes.
+	Segments []BlameDump `json:"segments"`
+}
+
+// BlameDump is a set of prompt segments that is rejected.
+type BlameDump struct {
+	Segments string `json:"segments"`
+	Crashes  string `json:"crashes"`
+	// Reused says that prompts had completed with the segments before.
+	Reused bool `json:"reused"`
+}
+
 // UsageDump is what a gateway has counted in the current window.
 type UsageDump struct {
 	Window   int64 `json:"window"`
@@ -72,6 +92,7 @@
 		RecordedStreams: g.streams.recorded(),
 		Gateways:        g.gatewayCount(),
 		RetryBudgets:    g.retryBudgets.dump(),
+		Quarantine:      g.dumpQuarantine(now),
 		BodyBytes:       g.bodies.reserved.Load(),
 	}
 	if v.Table != nil {
@@ -87,6 +108,17 @@
 	return d
 }
 
+func (g *Gateway) dumpQuarantine(now time.Time) QuarantineDump {
+	t := g.terminations
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := QuarantineDump{Requests: t.list.Len(), WatchedServers: int(g.watches.count.Load())}
+	for _, b := range t.segments.Blames() {
+		d.Segments = append(d.Segments, BlameDump{Segments: blameNames(b), Crashes: crashNames(now, b), Reused: b.Reused})
+	}
+	return d
+}
+
 func (g *Gateway) dumpServer(now time.Time, s backend.Server) ServerDump {
 	d := ServerDump{
 		Server:    s,
--- a/internal/gateway/segments.go
+++ b/internal/gateway/segments.go
@@ -18,7 +18,7 @@
 )
 
 // maxReannouncedCrashes limits the crashes that are announced again at a time.
-const maxReannouncedCrashes = 8
+const maxReannouncedCrashes = 2
 
 // sharedSegments returns the IDs of the prompt's segments that other prompts may have, none for a
 // request to a plain service.
