--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -28,12 +28,14 @@
 	// than the one before for it to do so.
 	writers     = 3
 	writerDelay = time.Second
+	// retryDelay is the pause after a write that failed.
+	retryDelay = time.Second
 	// maxBytes limits the size of the object's value.
-	maxBytes = 64 << 10
+	maxBytes = 256 << 10
 )
 
 // errTooLarge is returned if the evidence exceeds maxBytes.
-var errTooLarge = eris.New("evidence exceeds 64 KiB")
+var errTooLarge = eris.New("evidence exceeds 256 KiB")
 
 // Source has the evidence of a gateway.
 type Source interface {
@@ -82,6 +84,7 @@
 		if err := k.save(ctx); err != nil {
 			k.revision = 0
 			log.WithField("error", err.Error()).Info("save of evidence failed, retrying")
+			pause.Sleep(ctx, retryDelay)
 			continue
 		}
 		saved, changedAt = version, time.Time{}
