Probes of servers back off for each attempt

Under steady cancellations the next probe of a silent server was put off with each of them. Each attempt now has its own schedule, from 0.4 s on, and an answer to a request sent 0.3 s later proves survival, so that a busy server is not probed at all.

What callers would see: more servers crashed by a request whose callers keep leaving, as the first crash is noticed late. Read in the code.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -33,7 +33,10 @@
 	// aliveAfter is how long after the end of a canceled attempt a server must have been sent
 	// a request that it has answered to be known to have survived the attempt: it may be
 	// listening and silent, and may work on for a while.
-	aliveAfter = 500 * time.Millisecond
+	aliveAfter = 300 * time.Millisecond
+	// firstProbe is when a server is probed that has not answered a later request; the pause to
+	// each further probe is twice as long.
+	firstProbe = 400 * time.Millisecond
 	// maxWatchedServers limits the servers watched at a time for canceled attempts, and half
 	// of those watched at all; maxWatchedRequests limits the requests recorded for each.
 	maxWatchedServers  = 64
@@ -49,6 +52,10 @@
 	end             attemptEnd
 	// success is set if the answer is complete unless the server has crashed.
 	success bool
+	// probeAt is when the server is probed next, probePause after the probe before. They are not
+	// used for broken connections, after which it is probed at once and again.
+	probeAt    time.Time
+	probePause time.Duration
 	// listening counts the probes since its end that found the server listening.
 	listening int
 }
@@ -74,10 +81,6 @@
 	answered time.Time
 	// broke has an element after the connection of an attempt broke.
 	broke chan struct{}
-	// probeAt is when attempts that did not break next call for a probe, and probePause the
-	// pause after that.
-	probeAt    time.Time
-	probePause time.Duration
 }
 
 // outcome is what became of the attempts of a watch.
@@ -96,9 +99,9 @@
 	if len(w.attempts) >= maxWatchedRequests {
 		return
 	}
+	a.probeAt, a.probePause = a.endedAt.Add(firstProbe), firstProbe
 	w.attempts[a.request] = &a
 	if a.end != broken {
-		w.probeAt, w.probePause = a.endedAt.Add(watchInterval), watchInterval
 		return
 	}
 	select {
@@ -117,12 +120,16 @@
 	if w.has(broken) {
 		return true
 	}
-	if now.Before(w.probeAt) {
-		return false
+	due := false
+	for _, a := range w.attempts {
+		if now.Before(a.probeAt) {
+			continue
+		}
+		due = true
+		a.probePause *= 2
+		a.probeAt = now.Add(a.probePause)
 	}
-	w.probePause *= 2
-	w.probeAt = now.Add(w.probePause)
-	return true
+	return due
 }
 
 // look is a look at a server.
