An unframed answer whose server stays unreachable proves nothing

Read in the code: an answer without a length cleared its request after 6 s without a proof that its server lives.

What callers would see: a request that crashes servers sent on after six seconds.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -28,17 +28,18 @@
 	// aliveProbes is how many probes must find a server listening before a broken
 	// connection counts as a fault of the server or the network instead of a termination.
 	aliveProbes = 2
-	// unframedAliveAfter is the same for answers that ended with their connection.
-	unframedAliveAfter = 100 * time.Millisecond
 	// aliveAfter is how long after the end of a canceled attempt a server must have been sent
 	// a request that it has answered to be known to have survived the attempt: it may be
-	// listening and silent, and may work on for a while.
-	aliveAfter = 300 * time.Millisecond
+	// listening and silent, and may work on for a while. unframedAliveAfter is the same after an
+	// answer that ended with its connection.
+	aliveAfter         = 300 * time.Millisecond
+	unframedAliveAfter = 100 * time.Millisecond
 	// firstProbe is when a server is probed that has not answered a later request; the pause to
 	// each further probe is twice as long.
 	firstProbe = 400 * time.Millisecond
-	// maxWatchedServers limits the servers watched at a time for canceled attempts, and half
-	// of those watched at all; maxWatchedRequests limits the requests recorded for each.
+	// maxWatchedServers is the number of watched servers from which canceled attempts begin no
+	// watch of another one, and from twice as many no attempts do; maxWatchedRequests limits
+	// the requests recorded for each.
 	maxWatchedServers  = 64
 	maxWatchedRequests = 256
 )
@@ -158,10 +159,13 @@
 		default:
 			a.listening = 0
 		}
-		if a.survived(w.answered) || now.Sub(a.endedAt) >= watchTime {
-			o.survived = append(o.survived, a)
-			delete(w.attempts, f)
+		survived := a.survived(w.answered)
+		if !survived && now.Sub(a.endedAt) < watchTime {
+			continue
 		}
+		a.success = a.success && survived
+		o.survived = append(o.survived, a)
+		delete(w.attempts, f)
 	}
 	return o
 }
