A trial is one send

Read in the code: a trial that crashed its engine could be sent once more by the same request, as the trial was remembered for all its attempts.

What callers saw: answers of one more engine cut by each trial.

--- a/internal/gateway/segments.go
+++ b/internal/gateway/segments.go
@@ -50,12 +50,13 @@
 	return verdict.NewRejection(verdict.CodeQuarantined, "servers ended under prompts with the segments "+blameNames(b)+": "+crashNames(now, b), b.RetryAfter(now))
 }
 
-// isTrial reports whether the prompt is sent though a set of segments is blamed. t.mu must be held.
+// isTrial reports whether the prompt is sent, to one server, though a set of segments is blamed.
+// t.mu must be held.
 func (c *call) isTrial(now time.Time, b quarantine.Blame) bool {
 	t := c.gateway.terminations
 	name := blameNames(b)
 	if c.trialOf == name {
-		return true
+		return c.possibleRuns == 0
 	}
 	round, due := b.TrialRound(now)
 	if !due || t.trials[name] == round || !t.segments.MayTry(c.sharedSegments(), b) {
