Test of suspected requests at silent servers: evidence on the prompt that it sends

It failed since a fingerprint without a body has the prompt in place of the caller's address: the evidence it announces named neither. Seen when the whole package ran; the test checks the same as before.

--- a/internal/gateway/silence_accounting_test.go
+++ b/internal/gateway/silence_accounting_test.go
@@ -186,7 +186,7 @@
 // at one server at a time, also while that one is silent.
 func TestSilentServersDoNotSpreadSuspectedRequests(t *testing.T) {
 	f, decode, _ := newSilenceFixture(t, enoughSlack, 3, 0)
-	suspect := request.Request{Method: http.MethodPost, Host: "h.example", Target: "/stream-again/1", Caller: "127.0.0.1"}
+	suspect := request.Request{Method: http.MethodPost, Host: "h.example", Target: "/stream-again/1", Prompt: request.Prompt{Segments: []request.Segment{{ID: 0xaa, Tokens: 200}}}}
 	now := time.Now()
 	f.gateway.RemoteTermination(quarantine.Evidence{
 		Request: suspect.Fingerprint(), Instance: backend.Instance{ID: "gone", Incarnation: 1},
