--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -1,5 +1,6 @@
 // Package quarantine decides which requests are no longer sent to any backend server
-// because servers terminated while running them.
+// because servers terminated while running them (List), and which prompts because they have
+// segments under which servers crashed (Segments).
 //
 // It guards against a query of death: a request that crashes every server that runs it
 // and is retried under another id and at any gateway. Forwarded each time, it takes down
