Reads of the evidence back off while the store is away

Read in the code: after all gateways were killed while the store was away, each would have asked it five times a second until it came back (350 gateways: 1,750 calls a second, worked out). The pause grows to 2 s now.

--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -21,9 +22,11 @@
 	// kind and name identify the store object.
 	kind = "pistachioroad-evidence"
 	name = "terminations"
-	// checkInterval is how often a gateway looks for evidence to save, and the pause between
-	// two tries of reading the object.
+	// checkInterval is how often a gateway looks for evidence to save, and the first pause
+	// between two tries of reading the object. Later ones grow to maxReadPause: after all
+	// gateways were killed, each reads it.
 	checkInterval = 200 * time.Millisecond
+	maxReadPause  = 2 * time.Second
 	// writers is the number of gateways that write the object. Each waits writerDelay longer
 	// than the one before for it to do so.
 	writers     = 3
@@ -62,8 +65,10 @@
 // Run restores the evidence as soon as the store can be read, and then saves what changes until
 // ctx is done.
 func (k *Keeper) Run(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	backoff := pause.Backoff{Initial: checkInterval, Max: maxReadPause}
 	for k.read(ctx) != nil {
-		if !pause.Sleep(ctx, checkInterval) {
+		if !pause.Sleep(ctx, backoff.Next(random)) {
 			return ctx.Err()
 		}
 	}
