An unframed answer proves nothing before the list of servers is confirmed after it

Now such an answer completes its request and clears its segments only once the store has confirmed the list of servers half a second after the server was found alive; without that it proves nothing.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -34,6 +34,10 @@
 	// answer that ended with its connection.
 	aliveAfter         = 300 * time.Millisecond
 	unframedAliveAfter = 100 * time.Millisecond
+	// registrationTime is how long after it begins to listen a server that has started again
+	// may take to be listed with its new start. An answer that a crash can end in the same way
+	// proves nothing before the store has confirmed the list of servers after that.
+	registrationTime = 500 * time.Millisecond
 	// firstProbe is when a server is probed that has not answered a later request; the pause to
 	// each further probe is twice as long.
 	firstProbe = 400 * time.Millisecond
@@ -59,11 +63,25 @@
 	probePause time.Duration
 	// listening counts the probes since its end that found the server listening.
 	listening int
+	// aliveAt is when the server was first known to listen or answer after the end, zero before.
+	aliveAt time.Time
 }
 
-// survived reports whether the server is known to have survived the attempt. answered is
-// when the latest request that the server has answered was sent.
-func (a *endedAttempt) survived(answered time.Time) bool {
+// survived reports whether the server is known to have survived the attempt. answered is when
+// the latest request that the server has answered was sent, and confirmed when the store last
+// confirmed the list of servers.
+func (a *endedAttempt) survived(now, answered, confirmed time.Time) bool {
+	if !a.alive(answered) {
+		return false
+	}
+	if a.aliveAt.IsZero() {
+		a.aliveAt = now
+	}
+	return !a.success || !confirmed.Before(a.aliveAt.Add(registrationTime))
+}
+
+// alive reports whether a server listens, or answers, at the server's address after the attempt.
+func (a *endedAttempt) alive(answered time.Time) bool {
 	switch a.end {
 	case canceled:
 		return !answered.Before(a.endedAt.Add(aliveAfter))
@@ -123,7 +141,7 @@
 	}
 	due := false
 	for _, a := range w.attempts {
-		if now.Before(a.probeAt) {
+		if now.Before(a.probeAt) || !a.aliveAt.IsZero() {
 			continue
 		}
 		due = true
@@ -140,6 +158,8 @@
 	presence direct.Presence
 	// probed is set if the server was probed.
 	probed bool
+	// confirmed is when the store last confirmed the list of servers that was looked at.
+	confirmed time.Time
 }
 
 // observe applies what a look at the server has found, and removes the attempts whose
@@ -159,7 +179,7 @@
 		default:
 			a.listening = 0
 		}
-		survived := a.survived(w.answered)
+		survived := a.survived(now, w.answered, l.confirmed)
 		if !survived && now.Sub(a.endedAt) < watchTime {
 			continue
 		}
@@ -268,6 +288,7 @@
 func (g *Gateway) lookAt(watch *serverWatch) look {
 	s, l := watch.server, look{began: time.Now()}
 	v := g.directory.View()
+	l.confirmed = v.ServersConfirmedAt
 	current, registered := v.Servers[s.ID]
 	replaced := addressTaken(v, s) || (registered && current.Incarnation != s.Incarnation)
 	if replaced || (!registered && g.watches.endedByServer(watch)) {
