Soak: only answers of engines may be cut by a crash in the graceful stop

The exception held for all answers while an engine crashed, also for those of the plain service, whose servers don't crash: the run loosened its own check.

--- a/test/soakproc/callers.go
+++ b/test/soakproc/callers.go
@@ -115,7 +115,7 @@
 				gracefulStopOnly, pausesOnly := l.gracefulStopOnly.Load(), l.pausesOnly.Load()
 				l.gatewayOf.Store(req.id, env.gateways[n%len(env.gateways)].process.Name)
 				got := send(client, env.gateways[n%len(env.gateways)].address, req)
-				l.record(req, got, gracefulStopOnly && l.gracefulStopOnly.Load() && !env.crashedSince(got.sent))
+				l.record(req, got, gracefulStopOnly && l.gracefulStopOnly.Load() && !env.maybeCrashed(req, got))
 				if req.kind == "again" {
 					env.takeUps(l, client, req, got, n)
 				}
--- a/test/soakproc/fatal.go
+++ b/test/soakproc/fatal.go
@@ -158,10 +158,11 @@
 	}
 }
 
-// crashedSince reports whether an engine has crashed since a time, or was about to.
-func (env *environment) crashedSince(t time.Time) bool {
-	since := t.Add(-silentBefore)
-	return env.crashes.after(since)+env.segmentCrashes.after(since) > 0
+// maybeCrashed reports whether the answer to a request may have been cut by the crash of an engine.
+// Servers of the plain service don't crash.
+func (env *environment) maybeCrashed(req request, got outcome) bool {
+	since := got.sent.Add(-silentBefore)
+	return serviceOf(req) == modelService && env.crashes.after(since)+env.segmentCrashes.after(since) > 0
 }
 
 // startFatalCallers sends the fatal request, and prompts with the fatal segment, repeatedly until
