--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -200,6 +200,7 @@
 		return
 	}
 	s.Quarantined = true
+	// The request is admitted again once fewer than threshold count.
 	s.RetryAfter = s.Terminations[len(s.Terminations)-threshold].ObservedAt.Add(evidenceTTL).Sub(now)
 }
 
--- a/internal/decide/quarantine/snapshot.go
+++ b/internal/decide/quarantine/snapshot.go
@@ -76,8 +76,9 @@
 	return s
 }
 
-// Restore merges a Snapshot that was written before now. It skips invalid fingerprints.
-func (l *List) Restore(now time.Time, s Snapshot) {
+// Restore merges a Snapshot that was written before now. It returns how many requests it skipped
+// because their fingerprints are invalid.
+func (l *List) Restore(now time.Time, s Snapshot) (skipped int) {
 	var latest int64
 	for _, r := range s.Requests {
 		for _, t := range r.Terminations {
@@ -88,12 +89,14 @@
 	for _, r := range s.Requests {
 		f, err := strconv.ParseUint(r.Fingerprint, 16, 64)
 		if err != nil {
+			skipped++
 			continue
 		}
 		for _, t := range r.Terminations {
 			l.Add(now, t.evidence(ahead, request.Fingerprint(f)))
 		}
 	}
+	return skipped
 }
 
 // clockAhead returns by how much the writer's clock is at least ahead of this one, if its latest
@@ -149,19 +152,23 @@
 	return all
 }
 
-// Restore merges crashes of a Snapshot that was written before now. It skips invalid segments.
-func (s *Segments) Restore(now time.Time, crashes []CrashSnapshot) {
+// Restore merges crashes of a Snapshot that was written before now. It returns how many segments
+// it skipped because they are invalid.
+func (s *Segments) Restore(now time.Time, crashes []CrashSnapshot) (skipped int) {
 	var latest int64
 	for _, c := range crashes {
 		latest = max(latest, c.ObservedMS)
 	}
 	ahead := clockAhead(now, latest)
 	for _, c := range crashes {
+		fresh, reused := unhex(c.Fresh), unhex(c.Reused)
+		skipped += len(c.Fresh) + len(c.Reused) - len(fresh) - len(reused)
 		s.addCrash(now, Crash{
 			Instance: backend.Instance{ID: c.Server, Incarnation: c.Incarnation}, ObservedAt: time.UnixMilli(c.ObservedMS).Add(-ahead),
-			Fresh: unhex(c.Fresh), Reused: unhex(c.Reused),
+			Fresh: fresh, Reused: reused,
 		}, true)
 	}
+	return skipped
 }
 
 func hex(segments []Segment) []string {
@@ -172,6 +179,7 @@
 	return names
 }
 
+// unhex returns the segments whose names are valid.
 func unhex(names []string) []Segment {
 	var segments []Segment
 	for _, name := range names {
--- a/internal/gateway/terminations.go
+++ b/internal/gateway/terminations.go
@@ -169,8 +169,10 @@
 	t := g.terminations
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.list.Restore(time.Now(), s)
-	t.segments.Restore(time.Now(), s.Crashes)
+	requests, segments := t.list.Restore(time.Now(), s), t.segments.Restore(time.Now(), s.Crashes)
+	if requests+segments > 0 {
+		log.WithField("requests", requests).WithField("segments", segments).Warn("invalid evidence of the store skipped")
+	}
 	t.logBlames()
 }
 
