Attempts that are not watched are counted; names; what remains

Attempts beyond the limits of watches were dropped without a trace. endAttemptAs stood beside endAttempt for another thing.

--- a/internal/gateway/unfinished.go
+++ b/internal/gateway/unfinished.go
@@ -52,7 +52,7 @@
 // finishAnswer records that the answer of a server has been read to its end.
 func (c *call) finishAnswer(server backend.Server, reply *direct.Reply) {
 	if reply.Unframed {
-		c.endAttemptAs(server, unframed, completes(reply))
+		c.leaveAttemptAs(server, unframed, completes(reply))
 		return
 	}
 	c.finishAttempt(server)
@@ -69,12 +69,12 @@
 // leaveAttempt records that an attempt at a server ended while the server may have been
 // running the request.
 func (c *call) leaveAttempt(server backend.Server, end attemptEnd) {
-	c.endAttemptAs(server, end, false)
+	c.leaveAttemptAs(server, end, false)
 }
 
-// endAttemptAs is leaveAttempt. success says that the answer is complete unless the server has
+// leaveAttemptAs is leaveAttempt. success says that the answer is complete unless the server has
 // crashed.
-func (c *call) endAttemptAs(server backend.Server, end attemptEnd, success bool) {
+func (c *call) leaveAttemptAs(server backend.Server, end attemptEnd, success bool) {
 	a, open := c.takeOpen(server)
 	if !open {
 		return
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
@@ -116,6 +117,7 @@
 		return
 	}
 	if len(w.attempts) >= maxWatchedRequests {
+		countUnwatched()
 		return
 	}
 	a.probeAt, a.probePause = a.endedAt.Add(firstProbe), firstProbe
@@ -129,6 +131,10 @@
 	}
 }
 
+// countUnwatched counts an attempt that is no evidence, whatever becomes of its server, because
+// too many are watched.
+func countUnwatched() { metrics.GetOrRegisterCounter("gateway.attempts_unwatched", nil).Inc(1) }
+
 // has reports whether an attempt ended in a given way.
 func (w *serverWatch) has(end attemptEnd) bool {
 	return lo.SomeBy(lo.Values(w.attempts), func(a *endedAttempt) bool { return a.end == end })
@@ -218,6 +224,7 @@
 	watch, ok := w.byServer[s.Instance()]
 	if !ok {
 		if len(w.byServer) >= maxWatchedServers && (a.end == canceled || len(w.byServer) >= 2*maxWatchedServers) {
+			countUnwatched()
 			return nil
 		}
 		watch = &serverWatch{server: s, attempts: make(map[request.Fingerprint]*endedAttempt), broke: make(chan struct{}, 1)}
