Test of entries: addresses at a loopback IP of its own

Traced: 'listen tcp 127.0.0.1:33673: bind: address already in use' for 30 s. The test takes a free port, closes it and hands it to the process; another process took it in between. At an IP that only this process uses nobody else does. The test checks the same.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -141,9 +141,12 @@
 	return s.Listen.Links
 }
 
+// freeAddress returns a free address at a loopback IP of this process. At 127.0.0.1 another process
+// might take the port before it is used.
 func freeAddress() string {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", net.IPv4(127, 77, byte(pid>>8), byte(pid)).String()+":0")
 	Expect(err).NotTo(HaveOccurred())
 	defer listener.Close()
 	return listener.Addr().String()
