--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -35,6 +35,10 @@
 	// Usage is where the usage of client accounts is reported.
 	Usage  Usage
 	Bounds Bounds
+	// MemoryPressure is set if client accounts compete for the memory of model engines, which
+	// crash if they hold more than fits. Memory is then reserved for each request and shared
+	// fairly among the accounts.
+	MemoryPressure bool
 }
 
 // Usage says where and how the usage of client accounts is reported. The zero value means
