Gateway: an engine's error answer is no first token, and is repeated where that is safe

Cause: forward copied a 5xx of an engine like an answer. Its first bytes counted as a first token, so that an engine that failed at once was learned to be fast and attracted requests, and a resumable stream with attempts left was not sent to another engine.

Change: error answers are forwarded without sampling, or dropped and the request placed again where it may be repeated, the retry budget allows it and another server is eligible (for plain services as well, which until now dropped the answer even without another server). KV cache that a failed engine may not have fetched is freed.

--- a/internal/gateway/hedge_model.go
+++ b/internal/gateway/hedge_model.go
@@ -161,8 +161,7 @@
 		return nil, failed
 	}
 	if reply.Status != http.StatusOK || (c.headSent && !continuesStream(reply)) {
-		c.exclude(a.server)
-		reply.Body.Close()
+		c.discardAnswer(a.server, reply)
 		return nil, verdict.New(verdict.Ran, verdict.CodeBackendFailed, "response does not continue the stream: "+http.StatusText(reply.Status))
 	}
 	a.reply = reply
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -156,7 +156,8 @@
 	}
 	c.freePrefilled = func() { g.freeKV(prefillEngine, handle) }
 	failed := c.generateWithFallback(plan, job, options)
-	if failed != nil && failed.Verdict == verdict.NotRun {
+	// An engine that failed may not have fetched the KV cache.
+	if failed != nil && (failed.Verdict == verdict.NotRun || failed.Verdict == verdict.Ran) {
 		go g.freeKV(prefillEngine, handle)
 	}
 	return failed
@@ -296,8 +297,11 @@
 func (c *call) forward(decodeEngine backend.Server, reply *direct.Reply, id place.JobID, h *hedge) *verdict.Error {
 	g := c.gateway
 	defer reply.Body.Close()
+	if !c.headSent && !completes(reply) {
+		return c.forwardError(decodeEngine, reply)
+	}
 	if c.headSent && !continuesStream(reply) {
-		c.exclude(decodeEngine)
+		c.discardAnswer(decodeEngine, reply)
 		return verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "response does not continue the stream: "+http.StatusText(reply.Status))
 	}
 	if !c.headSent {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -185,8 +185,7 @@
 		g.plain.done(server.ID, nil, err.Verdict)
 		return err
 	}
-	if reply.Status >= http.StatusInternalServerError && c.mayRetry() {
-		// The server itself failed: retry at another one where that is safe.
+	if c.repeatsAfter(server, reply) {
 		c.discard(reply, server)
 		return verdict.New(verdict.Ran, verdict.CodeBackendFailed, "the backend server failed")
 	}
@@ -246,13 +245,7 @@
 // discard drops a response because the request is retried at another server.
 func (c *call) discard(reply *direct.Reply, server backend.Server) {
 	c.gateway.plain.done(server.ID, reply, verdict.Ran)
-	c.exclude(server)
-	if _, err := io.Copy(io.Discard, io.LimitReader(reply.Body, copyBufferSize)); err != nil {
-		c.trace.message = "discard error response: " + err.Error()
-	} else {
-		c.finishAttempt(server)
-	}
-	reply.Body.Close()
+	c.discardAnswer(server, reply)
 }
 
 // answerBody returns the body to forward. Of a stream that may be taken up, only whole
