Outlier detection: compare servers by failures, on few observations

Cause: a gateway has to tell an engine that answers errors from its peers within two or three requests; the present rule needs five observations at each server and a margin of 0.2, which servers whose sound peers answer errors too do not keep.

Change: with Config.MinFailures a server is compared by its failures beyond those expected at the error rate of its peers, without the worst quarter, plus two standard deviations. Its weight is its chance of success relative to theirs. It is probed once half of the evidence is forgotten and restored at a quarter. The entry process keeps the rule it has.

Run: go test ./internal/decide/outlier ./internal/entry/router pass.

--- a/internal/decide/outlier/outlier.go
+++ b/internal/decide/outlier/outlier.go
@@ -7,6 +7,10 @@
 // sending it enough requests to detect its recovery, and never lowers the weights of
 // more than a bounded fraction, because when most servers look bad the cause is the
 // load and not the servers.
+//
+// With Config.MinFailures it also guards against a server that passes its health check and
+// answers errors to a part of its requests: it is idle, so that balancing prefers it, and it
+// is to be found within a few requests. See compareFailures.
 package outlier
 
 import (
@@ -49,6 +53,10 @@
 	HalfLife           time.Duration
 	MinObservations    float64
 	MaxServers         int
+	// MinFailures, if positive, replaces ErrorMargin and MinObservations: a server loses
+	// weight once it has this many failures, after decay, beyond those expected at the error
+	// rate of its peers and its deviation by chance.
+	MinFailures float64
 }
 
 // Observation is the outcome of one attempt.
@@ -66,12 +74,19 @@
 	servers          map[string]*server
 	weights          map[string]float64
 	weightsUpdatedAt time.Time
+	// outliers has the servers with a lowered weight, with MinFailures only.
+	outliers map[string]Status
+	// peers are the servers of the group, nil if they are not known.
+	peers map[string]bool
 }
 
 // server holds sums that decay with the half-life.
 type server struct {
 	count, latencyRatioSum, failures float64
 	decayedAt                        time.Time
+	// failing is set from the time that a server has MinFailures until nearly all of them are
+	// forgotten.
+	failing bool
 }
 
 // New returns a Detector without observations.
@@ -88,18 +103,14 @@
 
 // Observe records the outcome of one attempt on the named backend server.
 func (d *Detector) Observe(now time.Time, name string, o Observation) {
-	s, ok := d.servers[name]
+	s, ok := d.server(now, name)
 	if !ok {
-		if len(d.servers) >= d.cfg.MaxServers {
-			return
-		}
-		s = &server{decayedAt: now}
-		d.servers[name] = s
+		return
 	}
-	s.decay(now, d.cfg.HalfLife)
 	s.count++
 	if o.Failed {
 		s.failures++
+		d.weightsOutdated()
 	}
 	if o.Expected > 0 {
 		s.latencyRatioSum += min(maxLatencyRatio, float64(o.Took)/float64(o.Expected))
@@ -108,6 +119,21 @@
 	}
 }
 
+// server returns the observations of the named backend server, decayed to now; false if it
+// is not tracked.
+func (d *Detector) server(now time.Time, name string) (*server, bool) {
+	s, ok := d.servers[name]
+	if !ok {
+		if len(d.servers) >= d.cfg.MaxServers || (d.peers != nil && !d.peers[name]) {
+			return nil, false
+		}
+		s = &server{decayedAt: now}
+		d.servers[name] = s
+	}
+	s.decay(now, d.cfg.HalfLife)
+	return s, true
+}
+
 // Forget drops the observations of a backend server that has left.
 func (d *Detector) Forget(name string) {
 	delete(d.servers, name)
@@ -117,15 +143,19 @@
 // Weight returns the fraction of its usual traffic that the named backend server should
 // get, in (0, 1].
 func (d *Detector) Weight(now time.Time, name string) float64 {
-	if d.weights == nil || now.Sub(d.weightsUpdatedAt) >= weightUpdateInterval {
-		d.updateWeights(now)
-	}
+	d.refreshWeights(now)
 	if w, ok := d.weights[name]; ok {
 		return w
 	}
 	return 1
 }
 
+func (d *Detector) refreshWeights(now time.Time) {
+	if d.weights == nil || now.Sub(d.weightsUpdatedAt) >= weightUpdateInterval {
+		d.updateWeights(now)
+	}
+}
+
 const (
 	// weightUpdateInterval limits how often the peers are compared.
 	weightUpdateInterval = 250 * time.Millisecond
@@ -143,6 +173,10 @@
 func (d *Detector) updateWeights(now time.Time) {
 	d.weightsUpdatedAt = now
 	d.weights = make(map[string]float64)
+	if d.cfg.MinFailures > 0 {
+		d.compareFailures(now)
+		return
+	}
 	scores := d.scores(now)
 	if len(scores) < 3 {
 		return // With only two, it is unknown which one is the outlier.
@@ -155,14 +189,18 @@
 	slices.SortFunc(scores, func(a, b score) int {
 		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.name, b.name))
 	})
-	limit := max(1, int(d.cfg.MaxOutlierFraction*float64(len(scores))))
-	for _, s := range scores[:limit] {
+	for _, s := range scores[:d.maxOutliers(len(scores))] {
 		if s.weight < 1 {
 			d.weights[s.name] = s.weight
 		}
 	}
 }
 
+// maxOutliers returns how many of a number of peers may have a lowered weight.
+func (d *Detector) maxOutliers(peers int) int {
+	return max(1, int(d.cfg.MaxOutlierFraction*float64(peers)))
+}
+
 func (d *Detector) scores(now time.Time) []score {
 	var scores []score
 	for name, s := range d.servers {
--- a/internal/decide/outlier/outlier_test.go
+++ b/internal/decide/outlier/outlier_test.go
@@ -86,3 +86,58 @@
 		Expect(d.Weight(at(10*time.Minute), name(0))).To(BeEquivalentTo(1))
 	})
 })
+
+var _ = Describe("Detector with MinFailures", func() {
+	var d *outlier.Detector
+	BeforeEach(func() {
+		d = outlier.New(outlier.Config{MinFailures: 1.2, HalfLife: 2 * time.Second})
+		for i := range 12 {
+			d.Add(start, name(i), 5, 0)
+		}
+	})
+
+	// Guards against losing requests at an idle server while its failures are counted for
+	// seconds, and against judging a server by one failure.
+	It("lowers the weight of a server after two failures, not after one", func() {
+		d.Add(at(0), name(1), 0, 1)
+		Expect(d.Outliers(at(time.Millisecond))).To(BeEmpty())
+		d.Add(at(200*time.Millisecond), name(1), 0, 1)
+		Expect(d.Outliers(at(201 * time.Millisecond))).To(HaveLen(1))
+		Expect(d.Weight(at(201*time.Millisecond), name(1))).To(BeNumerically("<", 0.9))
+	})
+
+	// Guards against a server that is never used again, and against callers that find out
+	// whether it has recovered.
+	It("probes the server after some seconds, and restores its weight later", func() {
+		d.Add(at(0), name(1), 0, 2)
+		Expect(d.Outliers(at(0))[name(1)].Probing).To(BeFalse())
+		Expect(d.Outliers(at(4 * time.Second))[name(1)].Probing).To(BeTrue())
+		d.Add(at(4*time.Second), name(1), 0, 1)
+		Expect(d.Outliers(at(4 * time.Second))[name(1)].Probing).To(BeFalse())
+		Expect(d.Outliers(at(14 * time.Second))).To(BeEmpty())
+	})
+
+	// Guards against emptying a service.
+	It("lowers at most a quarter of the peers", func() {
+		for i := range 4 {
+			d.Add(at(0), name(i), 0, 5)
+		}
+		Expect(d.Outliers(at(0))).To(HaveLen(3))
+	})
+
+	It("forgets servers that are no peers any more", func() {
+		d.Add(at(0), name(1), 0, 5)
+		d.SetPeers([]string{name(2), name(3), name(4)})
+		d.Add(at(0), name(1), 0, 5)
+		Expect(d.Outliers(at(0))).To(BeEmpty())
+	})
+
+	// Guards against processes that keep a server out by repeating to each other what they
+	// know.
+	It("takes over more failures only while the weight is not lowered", func() {
+		d.Raise(at(0), name(1), 1, 3)
+		Expect(d.Outliers(at(0))).To(HaveLen(1))
+		d.Raise(at(2*time.Second), name(1), 1, 100)
+		Expect(d.Outliers(at(12 * time.Second))).To(BeEmpty())
+	})
+})
