Gateways share the outcomes of attempts and spare requests failing servers

Cause: nothing kept a gateway from sending requests to a server that answers errors while its health check passes. Such a server is idle, so that placement and least-load balancing prefer it.

Change: serverhealth tracks the outcomes of all gateways (Share field 22) by service and role and decides with decide/outlier. Placement adds the failure probability as a cost, plain balancing adds it to the load, less for requests that may be repeated, which so probe a server first. Successes are announced only while failures are known. A summary to three random gateways, twice a second, makes up for lost datagrams and cold gateways. Weights that drop or recover are logged once and are in the dump.

--- a/internal/decide/place/decode_engine.go
+++ b/internal/decide/place/decode_engine.go
@@ -35,7 +35,7 @@
 		}
 		d := decodeCandidate{engine: e, handoverTime: f.handoverTime(now, e)}
 		d.answerCost, d.missProbability = f.answerCost(now, j, c, e)
-		d.answerCost += terminationCost(j, e)
+		d.answerCost += terminationCost(j, e) + failureCost(j, e)
 		if best, ok := candidates[e.DataCentre]; !ok || d.cost() < best.cost() {
 			candidates[e.DataCentre] = d
 		}
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -72,6 +72,10 @@
 	// Version limits the engines that may generate the answer, or the rest of it. Any
 	// engine may prefill the prompt.
 	Version streamversion.Constraint
+	// FailureRates are the probabilities with which engines fail the request, of those that
+	// fail more often than their peers. Repeatable is set if it may then be sent to another.
+	FailureRates map[string]float64
+	Repeatable   bool
 }
 
 // Plan is the choice of engines for a request, with its expected latency and cost.
@@ -280,7 +284,7 @@
 	}
 	if prefillEngine.Role != backend.Prefill {
 		p.AnswerCost, p.MissProbability = f.answerCost(now, j, c, prefillEngine)
-		p.AnswerCost += prefillEngine.delayCost(p.PrefillTime) + f.handoverCost(now, prefillEngine, p) + terminationCost(j, prefillEngine)
+		p.AnswerCost += prefillEngine.delayCost(p.PrefillTime) + f.handoverCost(now, prefillEngine, p) + terminationCost(j, prefillEngine) + failureCost(j, prefillEngine)
 		return p, true
 	}
 	d, transfer, ok := candidates.bestFor(f, j, prefillEngine)
@@ -289,7 +293,7 @@
 	}
 	p.DecodeEngine = d.ID
 	p.Overhead += transfer + d.handoverTime
-	p.AnswerCost, p.MissProbability = d.answerCost, d.missProbability
+	p.AnswerCost, p.MissProbability = d.answerCost+failureCost(j, prefillEngine), d.missProbability
 	return p, true
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,6 +87,7 @@
 		case e.Verdict == verdict.NotRun:
 			c.finishAttempt(server)
 		case ctx.Err() == nil:
+			c.gateway.health.ObserveUnanswered(time.Now(), server.ID)
 			c.breakAttempt(server)
 		default:
 			c.leaveAttempt(server, canceled)
@@ -102,9 +103,13 @@
 	}
 	if e := checkReply(reply); e != nil {
 		reply.Body.Close()
+		c.observeFailure(server)
 		c.recordFailure(server, verdict.MayHaveRun)
 		return nil, e
 	}
+	if isServerError(reply) {
+		c.observeFailure(server)
+	}
 	c.trace.server = server.ID
 	c.trace.unframed = c.trace.unframed || reply.Unframed
 	c.verdict = verdict.Ran
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/outlier"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 )
@@ -69,6 +70,9 @@
 	// wants no requests from this gateway, absent if it does not rest.
 	Leaving bool   `json:"leaving,omitempty"`
 	Rest    string `json:"rest,omitempty"`
+	// Failing is how the server compares with its peers, absent unless it gets fewer requests
+	// because it fails more often.
+	Failing *outlier.Status `json:"failing,omitempty"`
 }
 
 // LimitDump is the limit that a server states.
@@ -125,6 +129,7 @@
 		InFlight:  g.EngineInFlight(s.Service, s.ID),
 		Estimates: g.engineEstimates(now, s),
 		Limit:     g.statements.dumpLimit(s.ID),
+		Failing:   g.health.Status(now, s.ID),
 	}
 	leaving, rest := g.statements.dumpStatements(s.Instance())
 	d.Leaving = leaving
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -15,6 +15,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/serverhealth"
 )
 
 // Gossip announces to the other gateways what this one does at engines and what it
@@ -62,28 +63,32 @@
 	// versions that have served, and returns how many it has asked.
 	AnnounceStreamVersion(id streamversion.StreamID, v streamversion.Version)
 	QueryStreamVersion(q streamversion.Query) (asked int)
+	// AnnounceOutcomes announces the outcomes of attempts at servers, urgently if there are
+	// failures.
+	AnnounceOutcomes(outcomes []serverhealth.Outcome, urgent bool)
 }
 
 // noGossip is the Gossip of a gateway without peers.
 type noGossip struct{}
 
-func (noGossip) AnnouncePlacement(place.Placement)           {}
-func (noGossip) AnnouncePrefillDone(place.JobID)             {}
-func (noGossip) AnnounceFinished(place.JobID)                {}
-func (noGossip) AnnounceAvoid(string, string, time.Duration) {}
-func (noGossip) AnnounceTermination(quarantine.Evidence)     {}
-func (noGossip) ReannounceTermination(quarantine.Evidence)   {}
-func (noGossip) AnnounceCrash(quarantine.Crash)              {}
-func (noGossip) ReannounceCrash(quarantine.Crash)            {}
-func (noGossip) AnnounceServerLimit(ratelimit.Notice)        {}
-func (noGossip) ReannounceServerLimit(ratelimit.Notice)      {}
-func (noGossip) GatewaysKnown() bool                         { return true }
-func (noGossip) GatewaysSharing() int                        { return 1 }
-func (noGossip) FirstProcess() bool                          { return false }
-func (noGossip) RankFor(string, uint64) ratelimit.Rank       { return ratelimit.Rank{Total: 1} }
-func (noGossip) MembershipVersion() uint64                   { return 0 }
-func (noGossip) GatewayCount() int                           { return 1 }
-func (noGossip) JoinGroup(uint64) place.Group                { return place.Group{} }
+func (noGossip) AnnouncePlacement(place.Placement)             {}
+func (noGossip) AnnouncePrefillDone(place.JobID)               {}
+func (noGossip) AnnounceFinished(place.JobID)                  {}
+func (noGossip) AnnounceAvoid(string, string, time.Duration)   {}
+func (noGossip) AnnounceTermination(quarantine.Evidence)       {}
+func (noGossip) ReannounceTermination(quarantine.Evidence)     {}
+func (noGossip) AnnounceCrash(quarantine.Crash)                {}
+func (noGossip) ReannounceCrash(quarantine.Crash)              {}
+func (noGossip) AnnounceServerLimit(ratelimit.Notice)          {}
+func (noGossip) ReannounceServerLimit(ratelimit.Notice)        {}
+func (noGossip) GatewaysKnown() bool                           { return true }
+func (noGossip) GatewaysSharing() int                          { return 1 }
+func (noGossip) FirstProcess() bool                            { return false }
+func (noGossip) RankFor(string, uint64) ratelimit.Rank         { return ratelimit.Rank{Total: 1} }
+func (noGossip) MembershipVersion() uint64                     { return 0 }
+func (noGossip) GatewayCount() int                             { return 1 }
+func (noGossip) AnnounceOutcomes([]serverhealth.Outcome, bool) {}
+func (noGossip) JoinGroup(uint64) place.Group                  { return place.Group{} }
 
 func (noGossip) AnnounceStreamVersion(streamversion.StreamID, streamversion.Version) {}
 
--- a/internal/gateway/failed_answer.go
+++ b/internal/gateway/failed_answer.go
@@ -61,7 +61,7 @@
 	c.writeHead(reply)
 	c.headSent = true
 	if err := c.copyBody(reply.Body); err != nil {
-		c.breakAttempt(engine)
+		c.breakAnswer(engine)
 		c.abort("response from the engine interrupted: " + err.Error())
 	}
 	c.finishAnswer(engine, reply)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/serverhealth"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 )
 
@@ -52,6 +53,8 @@
 	watches      watches
 	streams      *streamVersions
 	statements   *serverStatements
+	// health finds the servers that fail more often than their peers.
+	health *serverhealth.Tracker
 
 	retryBudgets *retryBudgets
 
@@ -98,6 +101,7 @@
 		streams:      newStreamVersions(c.Directory.View),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
+	g.health = serverhealth.New(func(o []serverhealth.Outcome, urgent bool) { g.engines.gossip.AnnounceOutcomes(o, urgent) })
 	g.transport.OnResponse = func(info direct.ResponseInfo) {
 		g.statements.observe(info)
 		g.watches.answered(info.Server.Instance(), info.Sent)
@@ -130,6 +134,7 @@
 func (g *Gateway) ViewChanged(v *directory.View) {
 	g.engines.update(v)
 	g.plain.prune(v)
+	g.health.Update(v.Servers)
 	g.statements.update(v)
 	g.streams.viewChanged()
 	g.transport.CloseServers(func(id string) bool {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/serverhealth"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
@@ -273,8 +274,9 @@
 func (p *placementCounter) AnnounceStreamVersion(streamversion.StreamID, streamversion.Version) {
 }
 
-func (p *placementCounter) QueryStreamVersion(streamversion.Query) int { return 0 }
-func (p *placementCounter) JoinGroup(uint64) place.Group               { return place.Group{} }
+func (p *placementCounter) QueryStreamVersion(streamversion.Query) int    { return 0 }
+func (p *placementCounter) AnnounceOutcomes([]serverhealth.Outcome, bool) {}
+func (p *placementCounter) JoinGroup(uint64) place.Group                  { return place.Group{} }
 
 var _ = Describe("a prompt", func() {
 	var (
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -77,6 +77,9 @@
 		Exclude:    c.excluded,
 		Suspect:    c.suspected(),
 		Version:    c.streamVersion,
+
+		FailureRates: c.failureRates(),
+		Repeatable:   c.mayRepeat(),
 	}
 	job.Prompt.DeliveredEvents += c.events()
 	return job
@@ -232,11 +235,17 @@
 	}
 	body, err := reply.ReadAll(maxPrefillResponse)
 	if err != nil {
+		if ctx.Err() == nil {
+			c.observeFailure(prefillEngine)
+		}
 		c.avoidBroken(ctx, prefillEngine, verdict.MayHaveRun)
 		return "", c.prefillFailed(prefillEngine, "answer broke off: "+err.Error())
 	}
 	if reply.Status != http.StatusOK {
 		c.finishAttempt(prefillEngine)
+		if isServerError(reply) && !reply.NotRun {
+			c.observeFailure(prefillEngine)
+		}
 		g.engines.avoidEverywhere(c.service.Name, prefillEngine.ID, rejectionAvoidTime)
 		return "", c.prefillFailed(prefillEngine, http.StatusText(reply.Status))
 	}
@@ -245,10 +254,12 @@
 		if reply.Unframed {
 			c.avoidBroken(ctx, prefillEngine, verdict.MayHaveRun)
 		}
+		c.observeFailure(prefillEngine)
 		c.finishAttempt(prefillEngine)
 		return "", c.prefillFailed(prefillEngine, err.Error())
 	}
 	c.finishAttempt(prefillEngine)
+	g.health.Observe(time.Now(), prefillEngine.ID, false)
 	return p.Handle, nil
 }
 
@@ -301,6 +312,9 @@
 		return c.forwardError(decodeEngine, reply)
 	}
 	if c.headSent && !continuesStream(reply) {
+		if !isServerError(reply) {
+			c.observeFailure(decodeEngine)
+		}
 		c.discardAnswer(decodeEngine, reply)
 		return verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "response does not continue the stream: "+http.StatusText(reply.Status))
 	}
@@ -364,7 +378,7 @@
 func (c *call) copyStream(decodeEngine backend.Server, source io.Reader) *verdict.Error {
 	if !c.route.Resumable {
 		if err := c.copyBody(source); err != nil {
-			c.breakAttempt(decodeEngine)
+			c.breakAnswer(decodeEngine)
 			c.abort("stream from the engine interrupted: " + err.Error())
 		}
 		return nil
@@ -379,7 +393,7 @@
 	if errors.Is(err, errMoved) {
 		c.leaveAttempt(decodeEngine, canceled)
 	} else {
-		c.breakAttempt(decodeEngine)
+		c.breakAnswer(decodeEngine)
 	}
 	c.exclude(decodeEngine)
 	return verdict.New(verdict.MayHaveRun, verdict.CodeAnswerBroken, "stream from the engine interrupted: "+err.Error())
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -29,6 +29,9 @@
 	// requests in flight: the distance adds a millisecond to requests that take
 	// tens of milliseconds.
 	remotePenalty = 0.3
+	// failurePenalty is what a certain failure adds to the load per slot of a server: a
+	// request waits behind four others per slot rather than being lost.
+	failurePenalty = 4
 )
 
 // plainBalancer balances requests over the servers of plain services, which are
@@ -71,7 +74,7 @@
 }
 
 // choose returns the eligible server with the lowest load and counts a request there.
-func (p *plainBalancer) choose(now time.Time, servers []backend.Server, dataCentre string, exclude func(id string) bool) (backend.Server, bool) {
+func (p *plainBalancer) choose(now time.Time, servers []backend.Server, dataCentre string, exclude func(id string) bool, failureRates map[string]float64) (backend.Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best backend.Server
@@ -80,7 +83,7 @@
 		if exclude(s.ID) {
 			continue
 		}
-		if load := p.server(s.ID).loadPerSlot(now, s, dataCentre); lowest < 0 || load < lowest {
+		if load := p.server(s.ID).loadPerSlot(now, s, dataCentre) + failurePenalty*failureRates[s.ID]; lowest < 0 || load < lowest {
 			best, lowest = s, load
 		}
 	}
@@ -164,7 +167,7 @@
 	servers := lo.Filter(g.directory.View().Service(c.service.Name), func(s backend.Server, _ int) bool {
 		return c.streamVersion.Allows(streamversion.Of(s))
 	})
-	return g.plain.choose(time.Now(), servers, g.deployment.Load().DataCentre, c.excluded)
+	return g.plain.choose(time.Now(), servers, g.deployment.Load().DataCentre, c.excluded, c.failureRates())
 }
 
 // attemptPlain makes one attempt at a server. It returns nil if a response has been
@@ -263,7 +266,7 @@
 	defer c.gateway.plain.done(server.ID, reply, verdict.Ran)
 	c.writeHead(reply)
 	if err := c.copyBody(c.answerBody(reply, server)); err != nil {
-		c.breakAttempt(server)
+		c.breakAnswer(server)
 		c.abort("response from the backend server interrupted: " + err.Error())
 	}
 	c.finishAnswer(server, reply)
--- a/internal/gateway/unfinished.go
+++ b/internal/gateway/unfinished.go
@@ -51,6 +51,9 @@
 
 // finishAnswer records that the answer of a server has been read to its end.
 func (c *call) finishAnswer(server backend.Server, reply *direct.Reply) {
+	if !isServerError(reply) {
+		c.gateway.health.Observe(time.Now(), server.ID, false)
+	}
 	if reply.Unframed {
 		c.leaveAttemptAs(server, unframed, completes(reply))
 		return
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -35,6 +35,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/serverhealth"
 	"pistachioroad.dev/pistachioroad/internal/store"
 	"pistachioroad.dev/pistachioroad/internal/truetime"
 	"pistachioroad.dev/pistachioroad/internal/usage"
@@ -67,6 +68,7 @@
 	RemotePrefillDone(id place.JobID)
 	RemoteFinished(id place.JobID)
 	RemoteAvoid(service, engine string, d time.Duration)
+	RemoteOutcome(o serverhealth.Outcome)
 	RemoteTermination(e quarantine.Evidence)
 	RemoteCrash(c quarantine.Crash)
 	// RemoteServerLimit handles the limit that a server stated to another gateway. from is
@@ -558,6 +560,7 @@
 	for _, m := range s.Avoid {
 		p.receiver.RemoteAvoid(m.Service, m.Engine, time.Duration(m.ForMs)*time.Millisecond)
 	}
+	p.receiveOutcomes(s, delay)
 	for _, m := range s.ServersEnded {
 		if len(m.Fresh)+len(m.Reused) > 0 {
 			p.receiver.RemoteCrash(decodeCrash(now.Add(-delay), m))
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
@@ -26,6 +28,7 @@
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/serverhealth"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
@@ -49,6 +52,7 @@
 	evidence []quarantine.Evidence
 	crashes  []quarantine.Crash
 	limits   []ratelimit.Notice
+	outcomes []serverhealth.Outcome
 
 	streams *streamversion.Records
 	// unknownAt are the gateways that had no record of a stream, with what they knew of its
@@ -125,6 +129,18 @@
 	r.avoids++
 }
 
+func (r *recorder) RemoteOutcome(o serverhealth.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, o)
+}
+
+func (r *recorder) receivedOutcomes() []serverhealth.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.outcomes)
+}
+
 func (r *recorder) RemoteCrash(c quarantine.Crash) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -308,6 +324,7 @@
 		prefill := func(id place.JobID) {
 			p.AnnouncePlacement(place.Placement{ID: id, Plan: place.Plan{PrefillEngine: "i-p", DecodeEngine: "i-p"}})
 			p.AnnouncePrefillDone(id)
+			p.AnnounceOutcomes([]serverhealth.Outcome{{Server: uint32(id), Failed: 1}}, true)
 		}
 		p.AnnounceAvoid("llm", "i-1", 1500*time.Millisecond)
 		time.Sleep(100 * time.Millisecond)
@@ -318,6 +335,35 @@
 		placed, _, finished := rec.jobs()
 		Expect(placed).To(Equal(1))
 		Expect(finished).To(Equal(1))
+		// An old outcome would count as one of now.
+		Eventually(rec.receivedOutcomes).Should(Equal([]serverhealth.Outcome{{Server: 2, Failed: 1}}))
+	})
+
+	// Guards against outcomes that cost more than the requests: each attempt at a server is
+	// counted for every other gateway of the group.
+	It("announce outcomes unchanged, in few bytes", func() {
+		rec := newRecorder()
+		receiver, err := peers.New(peers.Config{Name: "f-2", StartID: rand.Uint64(), Address: "127.0.0.1:0"}, rec)
+		Expect(err).NotTo(HaveOccurred())
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go func() { _ = receiver.Receive(ctx) }()
+		p, err := peers.New(peers.Config{Name: "f-1", StartID: rand.Uint64(), Address: "127.0.0.1:0"}, newRecorder())
+		Expect(err).NotTo(HaveOccurred())
+		p.SetPeers(map[string]netip.AddrPort{"f-2": receiver.Addresses()["f-2"]}, true)
+		p.JoinGroup(1)
+		var outcomes []serverhealth.Outcome
+		for i := range 200 {
+			outcomes = append(outcomes, serverhealth.Outcome{Server: rand.Uint32(), Succeeded: uint32(i), Failed: 1})
+		}
+		before := metrics.GetOrRegisterCounter("peers.datagrams_sent", nil).Count()
+		p.AnnounceOutcomes(outcomes, true)
+		p.AnnounceOutcomes([]serverhealth.Outcome{{Server: 1, Succeeded: 2, Failed: 3, Summary: true}}, false)
+		Eventually(func() int { return len(rec.receivedOutcomes()) }).Should(Equal(201))
+		Expect(rec.receivedOutcomes()).To(ContainElement(outcomes[7]))
+		Expect(rec.receivedOutcomes()).To(ContainElement(HaveField("Summary", true)))
+		// Twelve bytes each, in datagrams of 1,200 bytes, and one for the summary.
+		Expect(metrics.GetOrRegisterCounter("peers.datagrams_sent", nil).Count() - before).To(BeNumerically("<=", 4))
 	})
 
 	// Guards against gateways that miss a termination because a datagram was lost or they
