Failing servers: compare peers when weights are used, not for each announced failure

Cause: while all servers fail, each gateway hears of every failure of all gateways and compared all servers for each of them: 86 us, on a machine under load.

Change: the comparison is left to the next placement, and sorts values instead of map look-ups.

--- a/internal/decide/outlier/failures.go
+++ b/internal/decide/outlier/failures.go
@@ -103,6 +103,7 @@
 func (d *Detector) compareFailures(now time.Time) {
 	d.outliers = make(map[string]Status)
 	count, failures := 0.0, 0.0
+	servers := make([]compared, 0, len(d.servers))
 	for name, s := range d.servers {
 		if s.decay(now, d.cfg.HalfLife); s.count < minTrackedCount {
 			delete(d.servers, name)
@@ -110,39 +111,45 @@
 		}
 		count += s.count
 		failures += s.failures
+		servers = append(servers, compared{name: name, server: s})
 	}
 	peers := max(len(d.servers), len(d.peers))
 	if failures < minTrackedCount || peers < minPeers {
 		return
 	}
 	pooled := failures / count
-	names := slices.SortedFunc(maps.Keys(d.servers), func(a, b string) int {
-		return cmp.Or(-cmp.Compare(d.servers[a].excess(pooled), d.servers[b].excess(pooled)), cmp.Compare(a, b))
+	slices.SortFunc(servers, func(a, b compared) int {
+		return cmp.Or(-cmp.Compare(a.excess(pooled), b.excess(pooled)), cmp.Compare(a.name, b.name))
 	})
 	limit := d.maxOutliers(peers)
-	peerRate := d.errorRate(names[min(limit, len(names)):])
-	for _, name := range names {
-		s := d.servers[name]
+	peerRate := errorRate(servers[min(limit, len(servers)):])
+	for _, s := range servers {
 		excess := s.excess(peerRate)
 		if s.updateFailing(excess, d.cfg.MinFailures, peerRate); !s.failing || len(d.outliers) == limit {
 			continue
 		}
 		rate := (s.failures + peerRate) / (s.count + 1)
 		weight := max(d.cfg.MinWeight, min(1, (1-rate)/(1-peerRate)))
-		d.weights[name] = weight
-		d.outliers[name] = Status{
+		d.weights[s.name] = weight
+		d.outliers[s.name] = Status{
 			Weight: weight, ErrorRate: s.failures / s.count, PeerErrorRate: peerRate, Attempts: s.count,
 			Probing: excess < probingFraction*d.cfg.MinFailures,
 		}
 	}
 }
 
+// compared is a server that is compared with its peers.
+type compared struct {
+	name string
+	*server
+}
+
 // errorRate returns the error rate of some servers together.
-func (d *Detector) errorRate(names []string) float64 {
+func errorRate(servers []compared) float64 {
 	failures, count := priorFailures, priorCount
-	for _, name := range names {
-		failures += d.servers[name].failures
-		count += d.servers[name].count
+	for _, s := range servers {
+		failures += s.failures
+		count += s.count
 	}
 	return failures / count
 }
--- a/internal/serverhealth/serverhealth.go
+++ b/internal/serverhealth/serverhealth.go
@@ -188,9 +188,6 @@
 	case !g.quiet(now) && now.Sub(g.announcedAt) >= announceInterval:
 		t.flush(now, g, false)
 	}
-	if failed {
-		t.compare(now, t.servers[id], g)
-	}
 }
 
 // Remote records outcomes that another gateway announced.
@@ -217,7 +214,6 @@
 		// The other gateways need the successes to judge the failure.
 		t.flush(now, g, false)
 	}
-	t.compare(now, t.servers[id], g)
 }
 
 // quiet reports whether no failure is known that still counts.
@@ -293,7 +289,8 @@
 	return nil
 }
 
-// compare returns the servers of a group whose weights are lowered and logs the changes.
+// compare returns the servers of a group whose weights are lowered and logs the changes. It
+// runs when the weights are used: a gateway hears of more failures than it sends requests.
 func (t *Tracker) compare(now time.Time, key groupKey, g *group) map[string]outlier.Status {
 	current := g.detector.Outliers(now)
 	for id, s := range current {
