--- a/internal/decide/outlier/failures.go
+++ b/internal/decide/outlier/failures.go
@@ -113,15 +113,15 @@
 		failures += s.failures
 		servers = append(servers, compared{name: name, server: s})
 	}
-	peers := max(len(d.servers), len(d.peers))
-	if failures < minTrackedCount || peers < minPeers {
+	if failures < minTrackedCount || max(len(servers), len(d.peers)) < minPeers {
 		return
 	}
 	pooled := failures / count
 	slices.SortFunc(servers, func(a, b compared) int {
 		return cmp.Or(-cmp.Compare(a.excess(pooled), b.excess(pooled)), cmp.Compare(a.name, b.name))
 	})
-	limit := d.maxOutliers(peers)
+	// Of the peers without observations it is unknown whether they are better.
+	limit := d.maxOutliers(len(servers))
 	peerRate := errorRate(servers[min(limit, len(servers)):])
 	for _, s := range servers {
 		excess := s.excess(peerRate)
