--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -35,6 +35,8 @@
 	TruncatingStream
 	// Failing runs the request and answers 500.
 	Failing
+	// FailingSome runs all requests and answers 500 to two of five.
+	FailingSome
 	// Unsealed answers without the Response-Seal header.
 	Unsealed
 	// MalformedAnswer answers with bytes that are not HTTP.
@@ -438,6 +440,9 @@
 		writeRaw(w, one+one)
 		return
 	}
+	if fault == FailingSome {
+		fault = s.failsSome(run)
+	}
 	w.Header().Set("Server-Load", "1,0,6")
 	s.addLimitHeader(w, AllAnswers)
 	s.addNotices(w, kindOf(run, fault))
@@ -456,6 +461,16 @@
 	_, _ = io.WriteString(w, Body(run.ID))
 }
 
+// failsSome returns Failing for two of five requests, by a hash of the request and the server.
+func (s *BackendServer) failsSome(run Run) Fault {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, s.ID+"/"+run.ID)
+	if h.Sum32()%5 < 2 {
+		return Failing
+	}
+	return Healthy
+}
+
 // writeRaw writes text directly to the connection and closes it.
 func writeRaw(w http.ResponseWriter, text string) {
 	c, _, err := w.(http.Hijacker).Hijack()
