Garbled answers count as failures of their server for all gateways

Cause: bytes that are no answer ended an attempt like a broken connection, which is known to one gateway only, as it may be the network's fault.

Change: the transport says which of the two it was.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -283,6 +283,7 @@
 	// Also if the connection was closed by the other side: that may be a middlebox, which can
 	// deliver the request later.
 	e.Unanswered = v == verdict.MayHaveRun
+	e.Garbled = v == verdict.MayHaveRun && isGarbled(err)
 	return e
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,7 +87,7 @@
 		case e.Verdict == verdict.NotRun:
 			c.finishAttempt(server)
 		case ctx.Err() == nil:
-			c.gateway.health.ObserveUnanswered(time.Now(), server.ID)
+			c.observeUnanswered(server, e)
 			c.breakAttempt(server)
 		default:
 			c.leaveAttempt(server, canceled)
--- a/internal/gateway/failed_answer_test.go
+++ b/internal/gateway/failed_answer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +14,25 @@
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
 )
 
+// outcomeRecorder is a Gossip that records the announced outcomes.
+type outcomeRecorder struct {
+	placementCounter
+	mu       sync.Mutex
+	outcomes []serverhealth.Outcome
+}
+
+func (r *outcomeRecorder) AnnounceOutcomes(outcomes []serverhealth.Outcome, _ bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, outcomes...)
+}
+
+func (r *outcomeRecorder) all() []serverhealth.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.outcomes)
+}
+
 // Guards against idle servers that attract requests because they fail at once: one of four
 // servers of a plain service and one of four engines answer errors.
 var _ = Describe("a server that fails more often than its peers", func() {
@@ -50,6 +71,30 @@
 		}
 	})
 
+	// Guards against servers whose answers are no errors and reach no caller.
+	DescribeTable("is announced to the other gateways",
+		func(fault runner.Fault, announced bool) {
+			f := newFixture()
+			f.configure("1")
+			f.add("plain", runner.New("i-a", "decode")).SetFault(fault)
+			gossip := &outcomeRecorder{}
+			f.gateway.SetGossip(gossip)
+			f.followUntilKnown(1)
+			Expect(f.send(http.MethodPost, "/hold/1", "r1").status).NotTo(Equal(http.StatusOK))
+			if !announced {
+				Expect(gossip.all()).To(BeEmpty())
+				return
+			}
+			Expect(gossip.all()).To(Equal([]serverhealth.Outcome{{Server: serverhealth.Hash("i-a"), Failed: 1}}))
+		},
+		Entry("if it answers errors", runner.Failing, true),
+		Entry("if its answers are no HTTP", runner.MalformedAnswer, true),
+		Entry("if its answers have no authentication code", runner.Unsealed, true),
+		Entry("not if the connection breaks, which may be the network", runner.DroppingAnswers, false),
+		Entry("not if it rejects requests", runner.Shedding, false),
+		Entry("not if the caller times out", runner.Unresponsive, false),
+	)
+
 	// Guards against needing failures of its own: another gateway has announced them.
 	It("is known from the announcements of other gateways", func() {
 		f := newFixture()
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -230,6 +230,9 @@
 func (c *call) endPrefill(ctx context.Context, prefillEngine backend.Server, reply *direct.Reply, err error) (string, *verdict.Error) {
 	g := c.gateway
 	if err != nil {
+		if e := verdict.Of(err); e.Verdict != verdict.NotRun && ctx.Err() == nil {
+			c.observeUnanswered(prefillEngine, e)
+		}
 		c.avoidBroken(ctx, prefillEngine, verdict.Of(err).Verdict)
 		return "", c.prefillFailed(prefillEngine, err.Error())
 	}
--- a/internal/gateway/server_health.go
+++ b/internal/gateway/server_health.go
@@ -5,6 +5,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/serverhealth"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
 // observeFailure records that a server failed an attempt: it answered an error though it ran
@@ -13,6 +14,15 @@
 	c.gateway.health.Observe(time.Now(), server.ID, true)
 }
 
+// observeUnanswered records that the connection of an attempt ended before an answer.
+func (c *call) observeUnanswered(server backend.Server, e *verdict.Error) {
+	if e.Garbled {
+		c.observeFailure(server)
+		return
+	}
+	c.gateway.health.ObserveUnanswered(time.Now(), server.ID)
+}
+
 // breakAnswer is breakAttempt for an attempt whose server had begun to answer.
 func (c *call) breakAnswer(server backend.Server) {
 	if c.ctx.Err() == nil {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -94,6 +94,9 @@
 	// Unanswered is set if the request was sent and the server has not answered it, so that
 	// bytes still in transit may reach the server later.
 	Unanswered bool
+	// Garbled is set if the server sent bytes that are no answer to the request. That is the
+	// server's fault and not the network's.
+	Garbled bool
 }
 
 // Error returns the code, the verdict and the message.
