Fair shares: what entry and gateway both need is a package of its own

Cause: weighted max-min shares exist only in the admission of the entry process; the gateway's request path needs them too.

--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -16,6 +16,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/fairshare"
 )
 
 const (
@@ -30,7 +32,7 @@
 	// DefaultWindow is the time constant of a caller's rate. It is shorter than the changes
 	// in the traffic mix (minutes) and longer than the gaps between the requests of an
 	// active caller (seconds).
-	DefaultWindow = 5 * time.Second
+	DefaultWindow = fairshare.DefaultWindow
 	// DefaultMaxAccounts is the maximum number of accounts tracked.
 	DefaultMaxAccounts = 9_600
 	// DefaultRemoteTTL is how long usage received by gossip counts without renewal: a few
@@ -241,13 +243,13 @@
 	}
 	rate := a.rate(acc.admitted) + a.remote.rate(r.Caller)
 	if limit := a.cfg.Policies[r.Caller].Limit; limit > 0 && rate > limit {
-		return a.reject(OverLimit, a.decayTime(rate, limit))
+		return a.reject(OverLimit, fairshare.DecayTime(rate, limit, a.cfg.Window, maxRetryAfter))
 	}
 	delay := load.QueueDelay
 	if a.underShare(acc, r) {
 		delay = min(delay, a.fairQueueDelay(acc, r, load))
 	} else if share := a.admittedRateLimit(r, load); rate > share {
-		return a.reject(OverShare, a.decayTime(rate, share))
+		return a.reject(OverShare, fairshare.DecayTime(rate, share, a.cfg.Window, maxRetryAfter))
 	}
 	if late := delay + r.RunTime - r.Deadline; late > 0 {
 		return a.reject(PastDeadline, late)
@@ -300,14 +302,6 @@
 	return Decision{RetryAfter: after, Reason: reason}
 }
 
-// decayTime returns how long a rate takes to decay to the target.
-func (a *Admitter) decayTime(rate, target float64) time.Duration {
-	if target <= 0 {
-		return maxRetryAfter
-	}
-	return time.Duration(math.Log(rate/target) * float64(a.cfg.Window))
-}
-
 func (a *Admitter) weight(caller string) float64 {
 	if w := a.cfg.Policies[caller].Weight; w > 0 {
 		return w
@@ -331,30 +325,11 @@
 		a.fairShare = math.Inf(1) // No report received yet.
 		return
 	}
-	slices.SortFunc(demands, func(x, y demand) int {
-		return cmp.Or(cmp.Compare(x.rate/x.weight, y.rate/y.weight), cmp.Compare(x.rate, y.rate))
-	})
-	remaining := load.DrainRate
-	weights := 0.0
-	for _, d := range demands {
-		weights += d.weight
-	}
-	a.fairShare = math.Inf(1)
-	for _, d := range demands {
-		share := remaining / weights
-		if d.rate/d.weight > share {
-			a.fairShare = share
-			return
-		}
-		remaining -= d.rate
-		weights -= d.weight
-	}
+	a.fairShare = fairshare.MaxMin(load.DrainRate, demands)
 }
 
-type demand struct{ rate, weight float64 }
-
-func (a *Admitter) demands(now time.Time) []demand {
-	demands := make([]demand, 0, len(a.accounts))
+func (a *Admitter) demands(now time.Time) []fairshare.Demand {
+	demands := make([]fairshare.Demand, 0, len(a.accounts))
 	a.roundCost = 0
 	for caller, acc := range a.accounts {
 		acc.decay(now, a.cfg.Window)
@@ -365,11 +340,11 @@
 		// Rounded up to whole tokens: their sum does not depend on the map's order.
 		a.roundCost += min(acc.outstanding, math.Ceil(a.meanCost))
 		rate := a.rate(acc.offered) + a.remote.rate(caller)
-		demands = append(demands, demand{rate: rate, weight: a.weight(caller)})
+		demands = append(demands, fairshare.Demand{Rate: rate, Weight: a.weight(caller)})
 	}
 	for caller, rate := range a.remote.totals {
 		if _, ok := a.accounts[caller]; !ok {
-			demands = append(demands, demand{rate: rate, weight: a.weight(caller)})
+			demands = append(demands, fairshare.Demand{Rate: rate, Weight: a.weight(caller)})
 		}
 	}
 	return demands
@@ -417,7 +392,7 @@
 		return
 	}
 	acc.updatedAt = now
-	factor := math.Exp(-dt.Seconds() / window.Seconds())
+	factor := fairshare.DecayFactor(dt, window)
 	acc.offered *= factor
 	acc.admitted *= factor
 }
