Gateways limit client accounts to their shares of saturated engines

Cause: nothing on the gateway's request path shares the capacity of a service's engines among client accounts; a burst of the largest gets the requests of all others rejected as often as its own. Change: placements carry a hash of the account (Placed.account, 5 bytes), so that each gateway knows the admitted usage of all accounts of its group. While engines are saturated, an account above its max-min share is admitted only with a shorter queue. On with MemoryPressure and client accounts; account_limit, log fields account_rate and account_share, counter gateway.refused_over_share, account_shares in the dump.

--- a/internal/accounts/accounts.go
+++ b/internal/accounts/accounts.go
@@ -7,6 +7,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"strings"
 	"unicode"
 
@@ -108,3 +110,15 @@
 	}
 	return len(t.byKey)
 }
+
+// Names returns the names of the accounts that have keys, in no order.
+func (t *Table) Names() []string {
+	if t == nil {
+		return nil
+	}
+	names := make(map[string]bool)
+	for _, a := range t.byKey {
+		names[a.Name] = true
+	}
+	return slices.Collect(maps.Keys(names))
+}
--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/fairshare"
+)
 
 const (
 	// maxLateQueueFraction is the fraction of the remaining time for which a prompt
@@ -62,6 +66,10 @@
 	// BySize is set if it is admitted because prompts of its length were admitted too
 	// rarely.
 	BySize bool
+	// OverShare is set if it is rejected because its client account is above its share, with
+	// the Standing of the account.
+	OverShare bool
+	Standing  fairshare.Standing
 }
 
 // admit decides whether a planned request is admitted.
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -32,6 +32,8 @@
 	delayCostRate float64
 	// deadline is when its caller times out.
 	deadline time.Time
+	// cost is the cost that counts for its client account, 0 if accounts have no shares.
+	cost float64
 }
 
 // AddPlacement records that a request is placed as planned.
@@ -49,6 +51,7 @@
 	added := prefillEngine.cache.touch(p.Prompt.Segments)
 	j := &job{prefillEngine: prefillEngine, prefilling: true, addedSegments: added, contextTokens: tokens, answer: answerOf(p.Prompt), deadline: now.Add(p.Remaining)}
 	f.jobs[p.ID] = j
+	j.cost = f.chargeAccount(now, p, work)
 	if d, ok := f.engines[p.Plan.DecodeEngine]; ok {
 		f.moveStream(now, j, d)
 		f.recordExpectedMiss(now, d, j.answer, p.Remaining)
@@ -114,6 +117,7 @@
 	if p := j.prefillEngine.queue.find(id); p != nil && !p.interrupted && j.prefillEngine.prefillModel.Calibrated() {
 		lag.Observe(now, p.expectedTime, now.Sub(p.sentAt))
 	}
+	f.completeWork(now, j)
 	j.prefilling = false
 	j.prefilledAt = now
 	j.prefillEngine.prefillDone(now, id)
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/fairshare"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -72,6 +73,8 @@
 	// Version limits the engines that may generate the answer, or the rest of it. Any
 	// engine may prefill the prompt.
 	Version streamversion.Constraint
+	// Account is the caller's client account, 0 if accounts have no shares.
+	Account fairshare.AccountID
 }
 
 // Plan is the choice of engines for a request, with its expected latency and cost.
@@ -107,6 +110,8 @@
 	Plan   Plan
 	// Remaining is how long its caller waits at most.
 	Remaining time.Duration
+	// Account is the caller's client account, 0 if accounts have no shares.
+	Account fairshare.AccountID
 }
 
 // ExpectedTTFT returns the expected time to first token.
@@ -142,6 +147,8 @@
 	rejectionRate float64
 	// sizes tracks the admission of prompts by their length.
 	sizes sizesByRoute
+	// shares limits client accounts to their shares.
+	shares accountShares
 	// restoredEngines is what another process has learned of engines.
 	restoredEngines map[string]EngineSnapshot
 	// kvTransferPerToken is the transfer time of one token's KV cache.
@@ -159,6 +166,7 @@
 		engines: make(map[string]*engine),
 		jobs:    make(map[JobID]*job),
 		sizes:   make(sizesByRoute),
+		shares:  newAccountShares(),
 		prefillModels: map[backend.Role]*predict.PrefillModel{
 			backend.Prefill: predict.NewPrefillModel(1), backend.Decode: predict.NewPrefillModel(priorDecodeSlowdown),
 		},
@@ -209,7 +217,7 @@
 		if p, ok := f.plan(now, j, c, s); ok {
 			a := f.admitBySize(now, j, p, c, admit(p, c, f.rejectionRate))
 			f.updateRejectionRate(!a.Admit)
-			return p, a, true
+			return p, f.limitToShare(now, j, p, c, a), true
 		}
 	}
 	return Plan{}, Admission{}, false
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -21,6 +21,8 @@
 	Servers      []ServerDump      `json:"servers"`
 	// ClientKeys is the number of API keys that the configuration has.
 	ClientKeys int `json:"client_keys"`
+	// AccountShares is the usage of client accounts by service, absent if they have no shares.
+	AccountShares []AccountSharesDump `json:"account_shares,omitempty"`
 	// Usage is what this gateway has counted, absent if it counts nothing.
 	Usage *UsageDump `json:"usage,omitempty"`
 	// RecordedStreams is how many streams this gateway knows the software version of.
@@ -98,6 +100,7 @@
 	if v.Table != nil {
 		d.ConfigVersion = v.Table.Version
 		d.ClientKeys = v.Table.Accounts.Len()
+		d.AccountShares = g.dumpAccountShares(now, v.Table)
 	}
 	if g.usage != nil {
 		d.Usage = dumpUsage(now, g.usage)
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -176,7 +176,7 @@
 	j.Group = e.group()
 	p, a, ok := f.Plan(now, j, constraints)
 	if ok && a.Admit {
-		placement := place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Remaining: constraints.Remaining}
+		placement := place.Placement{ID: j.ID, Prompt: j.Prompt, Plan: p, Remaining: constraints.Remaining, Account: j.Account}
 		f.AddPlacement(now, placement)
 		e.gossip.AnnouncePlacement(placement)
 		e.countSends(p)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
 // recordMetrics updates the metrics for a finished request.
@@ -33,6 +35,9 @@
 	if c.trace.bySize {
 		metrics.GetOrRegisterCounter("gateway.admitted_by_size", nil).Inc(1)
 	}
+	if c.trace.code == verdict.CodeAccountLimit {
+		metrics.GetOrRegisterCounter("gateway.refused_over_share", nil).Inc(1)
+	}
 	if c.attempts > 1 {
 		metrics.GetOrRegisterCounter("gateway.repeated_sends", nil).Inc(int64(c.attempts - 1))
 	}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/samber/lo"
 
+	"pistachioroad.dev/pistachioroad/internal/decide/fairshare"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
@@ -43,6 +44,8 @@
 	// bySize is set if the prompt was admitted because too few prompts of its
 	// length had been.
 	bySize bool
+	// standing is that of the client account if it was above its share.
+	standing fairshare.Standing
 	// plannedAfter is the time from the receipt of the request to the last plan.
 	plannedAfter time.Duration
 	// events counts the stream events that were forwarded.
@@ -204,6 +207,9 @@
 		if c.trace.bySize {
 			fields["admitted_by_size"] = true
 		}
+		if c.trace.code == verdict.CodeAccountLimit {
+			fields["account_rate"], fields["account_share"] = int(c.trace.standing.Rate), int(c.trace.standing.Share)
+		}
 		c.logStreamVersion(fields)
 		if len(c.trace.versions) > 0 {
 			fields["versions"] = strings.Join(c.trace.versions, " ")
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -29,6 +29,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/fairshare"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -305,6 +306,8 @@
 		LeftMs: uint32(max(0, placement.Remaining.Milliseconds())),
 		Length: uint32(max(0, placement.Prompt.ExpectedOutputTokens)),
 		Done:   uint32(max(0, placement.Prompt.DeliveredEvents)),
+
+		Account: uint32(placement.Account),
 	}
 	if placement.Plan.Split() {
 		m.Decoder = place.EngineHash(placement.Plan.DecodeEngine)
@@ -494,6 +497,7 @@
 		Plan:      place.Plan{PrefillEngine: prefillEngine, DecodeEngine: decodeEngine, CachedTokens: int(m.Kept)},
 		Remaining: time.Duration(m.LeftMs) * time.Millisecond,
 		Prompt:    decodePrompt(m),
+		Account:   fairshare.AccountID(m.Account),
 	}
 	p.receiver.RemotePlacement(service, placement)
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -19,6 +19,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/fairshare"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -245,7 +246,7 @@
 		Eventually(a.GatewayCount).WithTimeout(5 * time.Second).Should(Equal(2))
 		Eventually(b.GatewayCount).WithTimeout(5 * time.Second).Should(Equal(2))
 
-		placement := place.Placement{Remaining: 5 * time.Second}
+		placement := place.Placement{Remaining: 5 * time.Second, Account: fairshare.AccountIDOf("desk")}
 		placement.Prompt.ExpectedOutputTokens, placement.Prompt.DeliveredEvents = 300, 20
 		placement.Prompt.Segments = []request.Segment{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}}
 		placement.Prompt.Tokens = 150
@@ -279,16 +280,21 @@
 		placement.Prompt.Segments = []request.Segment{{ID: 0x5c1e07a2, Tokens: 2_520}, {ID: 0x91bd3f06, Tokens: 3_780}, {ID: 0xe4402b7d, Tokens: 2_890}}
 		placement.Prompt.Tokens = 9_190
 		placement.Plan = place.Plan{PrefillEngine: "i-7f3a91c2aa", DecodeEngine: "i-8f3a91c2aa", CachedTokens: 6_300}
-		p.AnnouncePlacement(placement)
-		p.AnnouncePrefillDone(placement.ID)
-		p.AnnounceFinished(placement.ID)
-
-		const maxBytes = 90
 		buf := make([]byte, 64<<10)
-		Expect(listener.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
-		n, err := listener.Read(buf)
-		Expect(err).NotTo(HaveOccurred())
+		datagramBytes := func() int {
+			p.AnnouncePlacement(placement)
+			p.AnnouncePrefillDone(placement.ID)
+			p.AnnounceFinished(placement.ID)
+			Expect(listener.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			n, err := listener.Read(buf)
+			Expect(err).NotTo(HaveOccurred())
+			return n
+		}
+		const maxBytes, accountBytes = 90, 5
+		n := datagramBytes()
 		Expect(n).To(BeNumerically("<=", maxBytes))
+		placement.Account = fairshare.AccountIDOf("desk")
+		Expect(datagramBytes()).To(BeNumerically("~", n+accountBytes, 3), "the time of sending takes some bytes more or less")
 	})
 
 	// Guards against learning that prefills take no time: after a VM was suspended for
