--- a/internal/decide/place/fair_test.go
+++ b/internal/decide/place/fair_test.go
@@ -18,6 +18,8 @@
 type sharedLoad struct {
 	gateways                      int
 	perSecond, seconds, burstFrom int
+	// skew is the exponent of the accounts' sizes.
+	skew float64
 	// burst is the factor of the largest account's load from burstFrom on.
 	burst float64
 	// blind leaves the accounts out, fresh has the first gateway start without estimates at
@@ -73,7 +75,7 @@
 	weights := make([]float64, 83)
 	total := 0.0
 	for i := range weights {
-		weights[i] = math.Pow(float64(i+1), -1.2)
+		weights[i] = math.Pow(float64(i+1), -l.skew)
 		total += weights[i]
 	}
 	largest := weights[0] / total
@@ -171,7 +173,7 @@
 }
 
 var _ = Describe("fair shares", func() {
-	base := sharedLoad{gateways: 16, perSecond: 130, seconds: 40, burstFrom: 20, burst: 1, late: 10}
+	base := sharedLoad{gateways: 16, perSecond: 130, seconds: 40, burstFrom: 20, skew: 1.2, burst: 1, late: 10}
 	with := func(change func(*sharedLoad)) result {
 		l := base
 		change(&l)
@@ -215,6 +217,17 @@
 		}
 	})
 
+	// Guards against shares that leave engines idle when all accounts are alike and ask for
+	// more than there is.
+	It("serve as many in time as without shares if all accounts are of one size", func() {
+		overload := func(l *sharedLoad) { l.perSecond, l.skew = 280, 0 }
+		r, blind := with(overload), with(func(l *sharedLoad) {
+			overload(l)
+			l.blind = true
+		})
+		Expect(r.small.share()).To(BeNumerically(">", blind.small.share()-0.02))
+	})
+
 	DescribeTable("protect small accounts in a burst with a fault", func(change func(*sharedLoad), refused float64) {
 		r := with(func(l *sharedLoad) {
 			l.burst = 5
