--- a/internal/gateway/account_shares_test.go
+++ b/internal/gateway/account_shares_test.go
@@ -21,20 +21,21 @@
 			Bounds: deployment.Bounds{RetryShare: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, GracePeriod: 8 * time.Second, DrainTimeout: 2 * time.Second},
 		})
 	}
-	start := func(configure func(*fixture), pressure bool) *fixture {
+	start := func(configure func(*fixture), pressure bool, roles ...string) *fixture {
 		f := newFixture()
 		reload(f, pressure)
 		configure(f)
-		f.add("llm", runner.New("i-p", "prefill"))
-		f.add("llm", runner.New("i-d", "decode"))
-		f.followUntilKnown(2)
+		for _, role := range roles {
+			f.add("llm", runner.New("i-"+role[:1], role))
+		}
+		f.followUntilKnown(len(roles))
 		Expect(f.send(http.MethodPost, "/stream-once/1", "r1", prompt...).status).To(Equal(http.StatusOK))
 		return f
 	}
 	withAccounts := func(f *fixture) { f.configureAccounts("1", bothAccounts) }
 
 	It("count the requests of this gateway and of others", func() {
-		f := start(withAccounts, true)
+		f := start(withAccounts, true, "prefill", "decode")
 		f.gateway.RemotePlacement("llm", place.Placement{
 			ID: 1, Account: fairshare.AccountIDOf("brand"), Remaining: time.Second,
 			Plan: place.Plan{PrefillEngine: "i-p", DecodeEngine: "i-d"},
@@ -51,9 +52,63 @@
 		Expect(shares[0].Heaviest[1:]).To(ConsistOf(HaveField("Account", "brand"), HaveField("Account", "7")))
 	})
 
+	// Guards against a rejection that callers and operators cannot tell from overload: the
+	// queue is just short enough for everybody's objective, and only the account with most of
+	// the usage is rejected.
+	It("reject the account above its share with a code of its own", func() {
+		f := start(withAccounts, true, "decode")
+		next := place.JobID(100)
+		remote := func(tokens int) place.JobID {
+			next++
+			p := place.Placement{
+				ID: next, Account: fairshare.AccountIDOf("desk"), Remaining: time.Minute,
+				Plan: place.Plan{PrefillEngine: "i-d", DecodeEngine: "i-d"},
+			}
+			p.Prompt.Tokens = tokens
+			f.gateway.RemotePlacement("llm", p)
+			return next
+		}
+		finish := func(id place.JobID) {
+			f.gateway.RemotePrefillDone(id)
+			f.gateway.RemoteFinished(id)
+		}
+		for range 60 {
+			id := remote(1_000)
+			time.Sleep(5 * time.Millisecond)
+			finish(id)
+		}
+		firstToken := func() float64 {
+			for _, s := range f.gateway.Dump(time.Now()).Servers {
+				return s.Estimates.QueueDelayMS + s.Estimates.PrefillLatencyMS
+			}
+			return 0
+		}
+		lines := captureLog()
+		var waiting []place.JobID
+		ask := func(key string) response {
+			for _, id := range waiting {
+				f.gateway.RemoteFinished(id)
+			}
+			waiting = nil
+			for firstToken() < 370 {
+				waiting = append(waiting, remote(100))
+			}
+			return f.send(http.MethodPost, "/stream-once/1", "r2", "Token-Count", "16,0", "Prefix-Hash", "cc:16", "Deadline-Ms", "5000", "Authorization", "Bearer "+key)
+		}
+		var got response
+		Eventually(func() string {
+			got = ask(deskKey)
+			return got.body
+		}).WithTimeout(10 * time.Second).Should(ContainSubstring("account_limit"))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(lines.String()).To(ContainSubstring(`"account_share"`))
+		Expect(ask(brandKey).status).To(Equal(http.StatusOK))
+	})
+
 	// Guards against limits in deployments that have not asked for them.
 	DescribeTable("are off", func(configure func(*fixture), pressure bool) {
-		f := start(configure, pressure)
+		f := start(configure, pressure, "prefill", "decode")
 		Expect(f.gateway.Dump(time.Now()).AccountShares).To(BeEmpty())
 		// Nothing was counted meanwhile.
 		reload(f, true)
