KV memory of engines is reserved for each placement

Cause: placement counted streams at engines and not the tokens of their contexts, so that an engine whose memory was full got more requests, and crashed.

Change: internal/decide/kvmemory keeps reservations in tokens, internal/decide/place/memory.go follows the life of jobs with them: engines without room are not eligible, a request that fits nowhere is rejected with the time when room is expected. Margins for placements of other gateways that are late, lost or older than this process; the last tenth of an engine is kept for requests with a better claim; small requests leave room while long ones are refused too often. Placements carry their announcement delay; the end of a prefill is announced a second time once the KV cache has been fetched (4 bytes). Enabled by deployment.MemoryPressure.

--- a/internal/decide/place/admit.go
+++ b/internal/decide/place/admit.go
@@ -62,6 +62,10 @@
 	// BySize is set if it is admitted because prompts of its length were admitted too
 	// rarely.
 	BySize bool
+	// Memory says why it is rejected for want of KV memory, and LongRoom that small
+	// requests begin to leave room for prompts of its length.
+	Memory   MemoryShortage
+	LongRoom bool
 }
 
 // admit decides whether a planned request is admitted.
@@ -81,7 +85,7 @@
 	if p.QueueDelay+p.PrefillLag <= scale(maxLateQueueFraction, c.Remaining) && p.canFinishInTime(c) {
 		return Admission{Admit: true, Priority: latePriority(p)}
 	}
-	return Admission{RetryAfter: max(minRetryAfter, retryAfter(expected, c, rejectionRate))}
+	return Admission{RetryAfter: max(minRetryAfter, retryAfter(expected-max(0, c.Objective), c, rejectionRate))}
 }
 
 // willMissDeadline reports whether the request is to be rejected because its answer
@@ -110,10 +114,10 @@
 // While few are rejected, a queue is slightly too long for a moment, and a caller that
 // retries as soon as it is shorter can still be in time. While many are, the burst
 // lasts for seconds, and callers that retry within it are rejected again, for good.
-// Their retry is delayed up to MaxRetryAfter.
-func retryAfter(expected time.Duration, c Constraints, rejectionRate float64) time.Duration {
+// Their retry is delayed from earliest up to MaxRetryAfter.
+func retryAfter(earliest time.Duration, c Constraints, rejectionRate float64) time.Duration {
 	latest := MaxRetryAfter(c.Remaining)
-	earliest := min(expected-max(0, c.Objective), latest)
+	earliest = min(earliest, latest)
 	sustained := rejectionRate / sustainedRejectionRate
 	return earliest + scale(min(1, sustained*sustained), latest-earliest)
 }
--- a/internal/decide/place/decode_engine.go
+++ b/internal/decide/place/decode_engine.go
@@ -30,7 +30,7 @@
 	candidates := make(decodeCandidates)
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
-		if e.Role == backend.Prefill || !e.eligible(now, j, s) || !e.fits(j) {
+		if e.Role == backend.Prefill || !e.eligible(now, j, s) || !e.fits(j) || !j.need.fitsDecode(e) {
 			continue
 		}
 		d := decodeCandidate{engine: e, handoverTime: f.handoverTime(now, e)}
@@ -95,11 +95,15 @@
 	if !ok {
 		return p, false
 	}
+	j.need = f.memoryNeed(now, j, c)
 	for _, s := range alternateDecodeScopes {
 		if best, _, ok := f.decodeCandidates(now, j, c, s).bestFor(f, j, prefillEngine); ok {
 			p.DecodeEngine = best.ID
 			return p, true
 		}
+		if j.need.refused() {
+			break
+		}
 	}
 	return p, false
 }
--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/kvmemory"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
@@ -55,6 +56,8 @@
 	delayCostRate float64
 	// avoidUntil is until when an engine that failed is avoided.
 	avoidUntil time.Time
+	// memory has the reservations in its KV memory.
+	memory kvmemory.Memory
 }
 
 // EngineHash returns the short identifier of an engine in messages between gateways.
--- a/internal/decide/place/estimate.go
+++ b/internal/decide/place/estimate.go
@@ -24,6 +24,10 @@
 	// and DecodeSlowdown that time relative to the average engine.
 	InterEventTimeMS float64 `json:"between_ms"`
 	DecodeSlowdown   float64 `json:"generate_slowness"`
+	// ReservedTokens is how many tokens of its KV memory are reserved, and TotalTokens its
+	// size; both are absent if memory is not reserved.
+	ReservedTokens int `json:"reserved_tokens,omitempty"`
+	TotalTokens    int `json:"total_tokens,omitempty"`
 }
 
 // EngineEstimate returns the estimate for an engine; false if the engine is unknown.
@@ -32,7 +36,12 @@
 	if !ok {
 		return EngineEstimate{}, false
 	}
+	reserved, total := 0, 0
+	if f.memory.enabled {
+		reserved, total = e.memory.Reserved(), e.KVTokens
+	}
 	return EngineEstimate{
+		ReservedTokens: reserved, TotalTokens: total,
 		Prefills:           e.prefillModel.Samples(),
 		PrefillTokensPerMS: e.prefillModel.TokenRate(),
 		PrefillLatencyMS:   predict.ToMillis(e.prefillModel.FixedLatency()),
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -32,6 +32,8 @@
 	delayCostRate float64
 	// deadline is when its caller times out.
 	deadline time.Time
+	// memory is what it has reserved.
+	memory jobMemory
 }
 
 // AddPlacement records that a request is placed as planned.
@@ -49,6 +51,7 @@
 	added := prefillEngine.cache.touch(p.Prompt.Segments)
 	j := &job{prefillEngine: prefillEngine, prefilling: true, addedSegments: added, contextTokens: tokens, answer: answerOf(p.Prompt), deadline: now.Add(p.Remaining)}
 	f.jobs[p.ID] = j
+	f.reserve(now, j, p)
 	if d, ok := f.engines[p.Plan.DecodeEngine]; ok {
 		f.moveStream(now, j, d)
 		f.recordExpectedMiss(now, d, j.answer, p.Remaining)
@@ -78,8 +81,10 @@
 		j.decodeEngine.delayCostRate = max(0, j.decodeEngine.delayCostRate-j.delayCostRate)
 		j.decodeEngine.endStream(j.streamStart, j.contextTokens)
 	}
+	f.releaseDecode(now, j)
 	j.decodeEngine, j.streamStart, j.delayCostRate = d, now, 0
 	if d != nil {
+		f.reserveDecode(now, j, d)
 		d.startStream(now, j.contextTokens)
 		j.delayCostRate = f.streamDelayCostRate(now, d, j.answer, j.deadline.Sub(now))
 		d.delayCostRate += j.delayCostRate
@@ -97,8 +102,19 @@
 func (f *Fleet) ObserveAnswerLength(hint, events int) { f.answerLengths.Observe(hint, events) }
 
 // PrefillDone records that the prompt of another gateway's job has been prefilled, and
-// learns from it.
-func (f *Fleet) PrefillDone(now time.Time, id JobID) { f.finishPrefill(now, id, &f.remoteLag) }
+// learns from it. It reports whether the job is known.
+func (f *Fleet) PrefillDone(now time.Time, id JobID) bool {
+	j, ok := f.jobs[id]
+	if ok && j.prefilling {
+		f.memory.unannounced.ObservePrefill(now, true)
+	}
+	f.finishPrefill(now, id, &f.remoteLag)
+	return ok
+}
+
+// UnknownPrefillDone records that a job that no Fleet knows has been prefilled: its
+// placement was made before this gateway started, or the announcement was lost.
+func (f *Fleet) UnknownPrefillDone(now time.Time) { f.memory.unannounced.ObservePrefill(now, false) }
 
 // LocalPrefillDone records that the prompt of a job of this gateway has been prefilled,
 // and learns from it.
@@ -109,8 +125,12 @@
 func (f *Fleet) finishPrefill(now time.Time, id JobID, lag *predict.PrefillLag) {
 	j, ok := f.jobs[id]
 	if !ok || !j.prefilling {
+		if ok {
+			f.kvFetched(now, j)
+		}
 		return
 	}
+	j.memory.heldUntil = now.Add(f.memory.handleTTL)
 	if p := j.prefillEngine.queue.find(id); p != nil && !p.interrupted && j.prefillEngine.prefillModel.Calibrated() {
 		lag.Observe(now, p.expectedTime, now.Sub(p.sentAt))
 	}
@@ -143,8 +163,9 @@
 	return max(0, f.localLag.Current(now)-f.remoteLag.Current(now))
 }
 
-// FirstToken records the first token of a job. It reports whether that was also the
-// first sign that its prompt has been prefilled.
+// FirstToken records the first token of a job. It reports whether other gateways are to be
+// told with PrefillDone: it was the first sign that the prompt has been prefilled, or a
+// second PrefillDone tells them that the KV cache has been fetched.
 func (f *Fleet) FirstToken(now time.Time, id JobID) bool {
 	j, ok := f.jobs[id]
 	if !ok {
@@ -158,7 +179,7 @@
 		f.handoverModel.Observe(j.handoverBacklog, max(0, now.Sub(j.prefilledAt)-j.kvTransfer))
 	}
 	j.prefilledAt = time.Time{}
-	return false
+	return f.kvFetched(now, j)
 }
 
 // JobFinished records that a job no longer runs anywhere.
@@ -175,6 +196,7 @@
 		}
 	}
 	delete(f.jobs, id)
+	f.releasePrefill(now, j)
 	f.moveStream(now, j, nil)
 }
 
@@ -192,6 +214,8 @@
 	for id, j := range f.jobs {
 		if now.After(j.deadline) {
 			f.JobFinished(now, id)
+		} else {
+			f.expireHandle(now, j)
 		}
 	}
 }
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -72,6 +72,11 @@
 	// Version limits the engines that may generate the answer, or the rest of it. Any
 	// engine may prefill the prompt.
 	Version streamversion.Constraint
+	// Priority is the priority of its route; 0 is the most urgent.
+	Priority int
+
+	// need is what it needs of the engines' memory, nil if memory is not reserved.
+	need *memoryNeed
 }
 
 // Plan is the choice of engines for a request, with its expected latency and cost.
@@ -107,6 +112,9 @@
 	Plan   Plan
 	// Remaining is how long its caller waits at most.
 	Remaining time.Duration
+	// AnnouncementDelay is how long after the placement another gateway's announcement
+	// arrived, 0 for a placement of this gateway.
+	AnnouncementDelay time.Duration
 }
 
 // ExpectedTTFT returns the expected time to first token.
@@ -151,6 +159,8 @@
 	placementCount int64
 	// jobsExpiredAt is when overdue jobs were last looked for.
 	jobsExpiredAt time.Time
+	// memory decides on the KV memory of engines, if it is reserved.
+	memory fleetMemory
 }
 
 // NewFleet returns a Fleet without engines.
@@ -189,6 +199,7 @@
 		tracked.cache.limit = e.KVTokens
 		f.engines[e.ID] = tracked
 	}
+	f.updateMemory()
 }
 
 // prefillModelFor returns the model of prefills by engines in a role. Engines without a
@@ -205,12 +216,21 @@
 // others.
 func (f *Fleet) Plan(now time.Time, j Job, c Constraints) (Plan, Admission, bool) {
 	f.expireJobs(now)
+	j.need = f.memoryNeed(now, j, c)
+	if j.need.tooLarge() {
+		return Plan{}, f.refuseTooLarge(now, j, c), true
+	}
 	for _, s := range planScopes {
 		if p, ok := f.plan(now, j, c, s); ok {
 			a := f.admitBySize(now, j, p, c, admit(p, c, f.rejectionRate))
 			f.updateRejectionRate(!a.Admit)
 			return p, a, true
 		}
+		if j.need.refused() {
+			// Other scopes have the engines of other groups, whose reservations are
+			// unknown, and those that failed.
+			return Plan{}, f.refuseForMemory(now, j, c), true
+		}
 	}
 	return Plan{}, Admission{}, false
 }
@@ -230,7 +250,7 @@
 	candidates := f.decodeCandidates(now, j, c, s)
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
-		if !e.eligible(now, j, s) || !e.fits(j) {
+		if !e.eligible(now, j, s) || !e.fits(j) || !j.need.fitsPrefill(e) {
 			continue
 		}
 		p, ok := f.planPrefillOn(now, j, c, e, candidates)
--- a/internal/decide/place/size.go
+++ b/internal/decide/place/size.go
@@ -10,6 +10,10 @@
 	// minAdmissionRatio is the minimum admission rate of long prompts relative to that
 	// of all prompts of their route. At least half is required.
 	minAdmissionRatio = 0.55
+	// minRoomRatio is the same for prompts that are rejected for want of memory, from which
+	// on room is kept for them. It is higher because room appears only as requests end, and
+	// because attempts are counted: callers of short prompts get in with a later one.
+	minRoomRatio = 0.7
 	// admissionHalfLife is the half-life of the admission counts.
 	admissionHalfLife = 20 * time.Second
 	// thresholdGain is the fraction by which a prompt moves a length threshold, and by
@@ -84,10 +88,11 @@
 	r.decayedAt = now
 }
 
-// underserved reports whether long prompts of a class were admitted too rarely.
-func (r *routeSizes) underserved(class int) bool {
+// underserved reports whether the admission rate of long prompts of a class is less than a
+// ratio of that of all.
+func (r *routeSizes) underserved(class int, ratio float64) bool {
 	long := r.long[class]
-	return long.admitted*r.all.requests < minAdmissionRatio*r.all.admitted*long.requests
+	return long.admitted*r.all.requests < ratio*r.all.admitted*long.requests
 }
 
 // sizesByRoute has the prompt lengths by the name of their route.
@@ -124,7 +129,7 @@
 	r := f.sizes.forRoute(now, j.Route, tokens)
 	class := r.sizeClass(tokens)
 	r.updateThresholds(tokens)
-	if !a.Admit && class >= 0 && r.underserved(class) && p.canFinishInTime(c) {
+	if !a.Admit && class >= 0 && r.underserved(class, minAdmissionRatio) && p.canFinishInTime(c) {
 		a = Admission{Admit: true, Priority: OnTimePriority, BySize: true}
 	}
 	r.all.add(a.Admit)
@@ -133,3 +138,21 @@
 	}
 	return a
 }
+
+// rejectedBySize counts a prompt that is rejected for want of memory, and reports whether
+// it is a long one and such were admitted too rarely.
+func (f *Fleet) rejectedBySize(now time.Time, j Job) bool {
+	if j.Prompt.Tokens <= 0 {
+		return false
+	}
+	tokens := float64(j.Prompt.Tokens)
+	r := f.sizes.forRoute(now, j.Route, tokens)
+	class := r.sizeClass(tokens)
+	r.updateThresholds(tokens)
+	r.all.add(false)
+	if class < 0 {
+		return false
+	}
+	r.long[class].add(false)
+	return r.underserved(class, minRoomRatio)
+}
--- a/internal/decide/predict/lengths.go
+++ b/internal/decide/predict/lengths.go
@@ -113,3 +113,7 @@
 	}
 	return max(minLogStdDev, math.Sqrt(l.variance))
 }
+
+// Spread returns the factor by which an answer exceeds the caller's hint at one standard
+// deviation.
+func (l *LengthModel) Spread() float64 { return math.Exp(l.logStdDev()) }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -99,6 +99,10 @@
 	// count is the number of engines of all services.
 	count      int
 	statements *serverStatements
+	// reserveMemory is set if the KV memory of engines is reserved, and handleTTLs is how
+	// long the engines of a service hold KV cache that is not fetched.
+	reserveMemory bool
+	handleTTLs    map[string]time.Duration
 }
 
 // engineKey identifies an engine.
@@ -117,11 +121,14 @@
 	defer e.mu.Unlock()
 	e.count = 0
 	e.byHash = make(map[uint32]engineKey)
+	e.handleTTLs = make(map[string]time.Duration)
 	for name, service := range v.Table.Services {
 		if service.Engine == nil {
 			continue
 		}
 		f := e.fleet(name)
+		e.handleTTLs[name] = service.Engine.HandleTTL
+		f.SetMemoryReservation(e.reserveMemory, service.Engine.HandleTTL)
 		var list []place.Engine
 		for _, s := range v.Service(name) {
 			e.byHash[place.EngineHash(s.ID)] = engineKey{service: name, id: s.ID}
@@ -181,6 +188,9 @@
 		e.gossip.AnnouncePlacement(placement)
 		e.countSends(p)
 	}
+	if a.LongRoom {
+		logLongRoom(service, j)
+	}
 	return p, a, ok
 }
 
@@ -369,8 +379,15 @@
 func (g *Gateway) RemotePrefillDone(id place.JobID) {
 	g.engines.mu.Lock()
 	defer g.engines.mu.Unlock()
+	now, known := time.Now(), false
+	for _, f := range g.engines.fleets {
+		known = f.PrefillDone(now, id) || known
+	}
+	if known {
+		return
+	}
 	for _, f := range g.engines.fleets {
-		f.PrefillDone(time.Now(), id)
+		f.UnknownPrefillDone(now)
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,7 @@
 		metrics.GetOrRegisterCounter("gateway.requests_quarantined", nil).Inc(1)
 	}
 	c.countSkipped()
+	c.countMemoryShortage()
 	c.countStream()
 	if c.trace.bySize {
 		metrics.GetOrRegisterCounter("gateway.admitted_by_size", nil).Inc(1)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -49,7 +49,7 @@
 		}
 		c.trace.plan, c.trace.plannedAfter = plan, now.Sub(c.received)
 		if !admission.Admit {
-			last = verdict.NewRejection(verdict.CodeOverloaded, "the answer would come too late", admission.RetryAfter)
+			last = c.rejected(admission)
 			break
 		}
 		c.priority, c.trace.bySize = admission.Priority, admission.BySize
@@ -77,6 +77,7 @@
 		Exclude:    c.excluded,
 		Suspect:    c.suspected(),
 		Version:    c.streamVersion,
+		Priority:   c.route.Priority,
 	}
 	job.Prompt.DeliveredEvents += c.events()
 	return job
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -43,6 +43,8 @@
 	// bySize is set if the prompt was admitted because too few prompts of its
 	// length had been.
 	bySize bool
+	// memory is why the last plan was rejected for want of engine memory.
+	memory place.MemoryShortage
 	// plannedAfter is the time from the receipt of the request to the last plan.
 	plannedAfter time.Duration
 	// events counts the stream events that were forwarded.
@@ -204,6 +206,9 @@
 		if c.trace.bySize {
 			fields["admitted_by_size"] = true
 		}
+		if c.trace.memory != place.NoShortage {
+			fields["memory"] = c.trace.memory.String()
+		}
 		c.logStreamVersion(fields)
 		if len(c.trace.versions) > 0 {
 			fields["versions"] = strings.Join(c.trace.versions, " ")
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -479,7 +479,7 @@
 
 // receivePlacement handles a placement by another gateway. It drops one whose prefill
 // engine is unknown here.
-func (p *Peers) receivePlacement(m *wire.Placed) {
+func (p *Peers) receivePlacement(m *wire.Placed, delay time.Duration) {
 	service, prefillEngine, ok := p.receiver.EngineByHash(m.Reader)
 	if !ok {
 		p.dropped.Inc(1)
@@ -494,6 +494,8 @@
 		Plan:      place.Plan{PrefillEngine: prefillEngine, DecodeEngine: decodeEngine, CachedTokens: int(m.Kept)},
 		Remaining: time.Duration(m.LeftMs) * time.Millisecond,
 		Prompt:    decodePrompt(m),
+
+		AnnouncementDelay: flushDelay + delay,
 	}
 	p.receiver.RemotePlacement(service, placement)
 }
@@ -598,7 +600,7 @@
 	late := delay > maxPlacementDelay
 	for _, m := range s.Placed {
 		if !late {
-			p.receivePlacement(m)
+			p.receivePlacement(m, delay)
 		}
 	}
 	for _, id := range s.ReadDone {
