--- a/internal/decide/place/memory.go
+++ b/internal/decide/place/memory.go
@@ -19,6 +19,9 @@
 	// maxAnswerFraction bounds what is reserved for one answer, as a fraction of an
 	// engine's memory: the lengths that callers expect may be false.
 	maxAnswerFraction = 0.25
+	// meanHintGain is the EWMA weight of an answer in the mean expected length: a hundred
+	// count.
+	meanHintGain = 0.01
 	// longRoomTime is for how long small requests leave room for a long prompt after
 	// one was refused. While long ones are refused too often, that is renewed.
 	longRoomTime = time.Second
@@ -64,6 +67,8 @@
 	// answers.
 	prefillHolding, decodeHolding kvmemory.HoldingTime
 	claims                        kvmemory.Claims
+	// meanHint is the mean length of answers that callers expect.
+	meanHint float64
 	// longRoom is how many tokens small requests leave free until longRoomUntil.
 	longRoom      int
 	longRoomUntil time.Time
@@ -134,7 +139,7 @@
 }
 
 // expectedAnswerTokens returns how many tokens are reserved for the rest of an answer: one
-// standard deviation more than the caller expects, but not more than can be generated
+// standard deviation more than the caller expects, or others if it does not say, but not more than can be generated
 // until its deadline.
 func (f *Fleet) expectedAnswerTokens(j Job, remaining time.Duration) int {
 	limit := float64(math.MaxInt32)
@@ -146,7 +151,14 @@
 		events := min(int(max(0, remaining)/interEvent)+1, math.MaxInt32)
 		limit = min(limit, float64(f.answerLengths.Tokens(events)))
 	}
-	expected := float64(j.Prompt.ExpectedOutputTokens)*f.answerLengths.Spread() - float64(f.answerLengths.Tokens(j.Prompt.DeliveredEvents))
+	if j.Prompt.MaxOutputTokens > 0 {
+		limit = min(limit, float64(j.Prompt.MaxOutputTokens))
+	}
+	hint := float64(j.Prompt.ExpectedOutputTokens)
+	if hint <= 0 {
+		hint = f.memory.meanHint
+	}
+	expected := hint*f.answerLengths.Spread() - float64(f.answerLengths.Tokens(j.Prompt.DeliveredEvents))
 	return int(max(0, min(expected, limit)))
 }
 
@@ -291,6 +303,13 @@
 		return
 	}
 	m := &j.memory
+	if hint := float64(p.Prompt.ExpectedOutputTokens); hint > 0 {
+		hint = min(hint, maxAnswerFraction*float64(j.prefillEngine.KVTokens))
+		if f.memory.meanHint == 0 {
+			f.memory.meanHint = hint
+		}
+		f.memory.meanHint += meanHintGain * (hint - f.memory.meanHint)
+	}
 	m.prefill, m.decode = f.demands(Job{Prompt: p.Prompt}, p.Remaining)
 	if m.decode.Tokens() > j.prefillEngine.KVTokens {
 		return
--- a/internal/decide/place/memory_test.go
+++ b/internal/decide/place/memory_test.go
@@ -387,6 +387,24 @@
 		}
 	})
 
+	It("include the expected answer, and that of others where the caller does not say", func() {
+		f := fleet()
+		for id, hint := range []int{1_000, 0, 1 << 30} {
+			p := prompt(7, 0, 1_600, uint64(id))
+			p.ExpectedOutputTokens = hint
+			before := reserved(f, at(0), "e1")
+			f.AddPlacement(at(0), place.Placement{ID: place.JobID(id), Prompt: p, Plan: place.Plan{PrefillEngine: "e0", DecodeEngine: "e1"}, Remaining: time.Hour})
+			added := reserved(f, at(0), "e1") - before
+			if hint <= 1_000 {
+				// One standard deviation of 0.5 is 1.65 times as long.
+				Expect(added).To(BeNumerically("~", 1_600+1_650, 16))
+			} else {
+				Expect(added).To(Equal(1_600 + 800_000/4))
+			}
+		}
+		Expect(reserved(f, at(0), "e0")).To(Equal(3 * 1_600))
+	})
+
 	It("move with the decode engine and end with a restarted engine", func() {
 		f := fleet()
 		add(f, 1, 0, 1_600, "e0")
