Margin for placements that are not known yet: up to half of an engine's memory

Cause: in 3 of 8 simulated bursts with an announcement delay of 200 ms engines crashed, 54 times, each of them attracting the requests of all gateways once it had restarted. Change: the margin may take half of an engine instead of a quarter.

--- a/internal/decide/place/memory.go
+++ b/internal/decide/place/memory.go
@@ -11,8 +11,9 @@
 
 const (
 	// maxMarginFraction bounds the margin for unknown placements as a fraction of an
-	// engine's memory, so that a late link does not close all engines.
-	maxMarginFraction = 0.25
+	// engine's memory, so that a late link does not close all engines. With a quarter,
+	// engines crashed in 3 of 8 simulated bursts at an announcement delay of 200 ms.
+	maxMarginFraction = 0.5
 	// keptFraction is the last part of an engine's memory, in which requests with a
 	// better claim go first.
 	keptFraction = 0.1
--- a/internal/decide/place/memory_test.go
+++ b/internal/decide/place/memory_test.go
@@ -289,7 +289,7 @@
 	unreserved := newMemorySim(8, false, 5*time.Millisecond, 1)
 	unreserved.burst()
 	Expect(unreserved.crashes).To(BeNumerically(">", 5))
-	for _, delay := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond} {
+	for _, delay := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond} {
 		for _, loss := range []float64{0, 0.03} {
 			s := newMemorySim(8, true, delay, 1)
 			s.loss = loss
