--- a/internal/decide/place/memory.go
+++ b/internal/decide/place/memory.go
@@ -119,7 +119,9 @@
 		return nil
 	}
 	n := &memoryNeed{margin: f.memory.unannounced.Margin(now), largest: f.memory.largest}
-	n.earlier = f.memory.unannounced.Earlier(now, &f.memory.decodeHolding) / max(1, f.memory.decodeEngines)
+	// Only the placements of the gateway's group are known, and they are at its engines.
+	groups := max(1, int(j.Group.Count))
+	n.earlier = groups * f.memory.unannounced.Earlier(now, &f.memory.decodeHolding) / max(1, f.memory.decodeEngines)
 	n.lost = f.memory.unannounced.Lost()
 	n.prefill, n.decode = f.demands(j, c.Remaining)
 	n.keptShare = f.memory.claims.Observe(now, j.Priority, n.decode.Tokens(), c.Remaining)
