Retry-After of requests without room: both an engine that generates and one that prefills

Cause: the earliest engine of any role counted, also where all engines of the other role were full for longer. Result: go test ./internal/decide/place; a table of expected times.

--- a/internal/decide/kvmemory/rates.go
+++ b/internal/decide/kvmemory/rates.go
@@ -146,8 +146,8 @@
 func (h *HoldingTime) Release(now time.Time, tokens int) {
 	h.update(now)
 	h.reserved -= tokens
-	h.released += float64(tokens) - holdingGain*h.released
-	h.tokenSeconds -= holdingGain * h.tokenSeconds
+	h.released = (1 - holdingGain) * (h.released + float64(tokens))
+	h.tokenSeconds *= 1 - holdingGain
 }
 
 // Until returns when an engine is expected to have released some tokens, given how many
--- a/internal/decide/place/memory.go
+++ b/internal/decide/place/memory.go
@@ -142,8 +142,8 @@
 }
 
 // expectedAnswerTokens returns how many tokens are reserved for the rest of an answer: one
-// standard deviation more than the caller expects, or others if it does not say, but not more than can be generated
-// until its deadline.
+// standard deviation more than the caller expects, or others if it does not say, but not
+// more than can be generated until its deadline.
 func (f *Fleet) expectedAnswerTokens(j Job, remaining time.Duration) int {
 	limit := float64(math.MaxInt32)
 	if largest := f.memory.largest; largest > 0 {
@@ -231,7 +231,7 @@
 
 // refuseTooLarge rejects a job that exceeds the memory of each engine. It counts neither
 // as a rejection of its size nor as overload: a retry meets the same engines.
-func (f *Fleet) refuseTooLarge(_ time.Time, _ Job, c Constraints) Admission {
+func refuseTooLarge(c Constraints) Admission {
 	return Admission{RetryAfter: max(minRetryAfter, MaxRetryAfter(c.Remaining)), Memory: TooLarge}
 }
 
@@ -246,25 +246,32 @@
 	return a
 }
 
-// roomExpected returns when an engine is expected to have room for a job, at most latest.
+// roomExpected returns when engines are expected to have room for a job, at most latest: one
+// that generates the answer and one that prefills, which may be the same.
 func (f *Fleet) roomExpected(j Job, latest time.Duration) time.Duration {
-	earliest := latest
+	prefill, decode := latest, latest
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
-		d, holding := j.need.decode, &f.memory.decodeHolding
 		if e.Role == backend.Prefill {
-			d, holding = j.need.prefill, &f.memory.prefillHolding
-		}
-		missing := j.need.missing(e, d)
-		if missing <= 0 {
-			// The other role is the one without room.
+			prefill = min(prefill, j.need.roomAt(e, j.need.prefill, &f.memory.prefillHolding, latest))
 			continue
 		}
-		if t, ok := holding.Until(missing, e.memory.Reserved()); ok {
-			earliest = min(earliest, t)
-		}
+		t := j.need.roomAt(e, j.need.decode, &f.memory.decodeHolding, latest)
+		prefill, decode = min(prefill, t), min(decode, t)
+	}
+	return max(prefill, decode)
+}
+
+// roomAt returns when an engine is expected to have room for a demand, at most latest.
+func (n *memoryNeed) roomAt(e *engine, d kvmemory.Demand, h *kvmemory.HoldingTime, latest time.Duration) time.Duration {
+	missing := n.missing(e, d)
+	if missing <= 0 {
+		return 0
+	}
+	if t, ok := h.Until(missing, e.memory.Reserved()); ok {
+		return min(t, latest)
 	}
-	return earliest
+	return latest
 }
 
 // keepLongRoom makes small requests leave room for long prompts like the one that needs n.
--- a/internal/decide/place/memory_test.go
+++ b/internal/decide/place/memory_test.go
@@ -445,6 +445,31 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against callers that return long before or after there is room: reservations
+	// are held for 2 s on average.
+	DescribeTable("tell a rejected caller when what it lacks is expected to be released",
+		func(tokens int, seconds float64) {
+			f := newFleet(0, 1)
+			f.SetMemoryReservation(true, memoryHandleTTL)
+			hold := func(id place.JobID, from, tokens int) {
+				f.AddPlacement(at(from), place.Placement{
+					ID: id, Prompt: prompt(7, 0, tokens, uint64(id)), Remaining: time.Hour, Plan: place.Plan{PrefillEngine: "e0", DecodeEngine: "e0"},
+				})
+			}
+			for id := range place.JobID(100) {
+				hold(id, 2_000*int(id), 100_000)
+				f.JobFinished(at(2_000*int(id)+2_000), id)
+			}
+			hold(1_000, 200_000, 720_000)
+			_, a, _ := f.Plan(at(200_000), place.Job{Prompt: prompt(1, 0, tokens, 1)}, place.Constraints{Objective: time.Minute, Remaining: time.Minute, Committed: true})
+			Expect(a.Memory).To(Equal(place.NoRoom))
+			Expect(a.RetryAfter.Seconds()).To(BeNumerically("~", seconds, 0.02))
+		},
+		Entry("half of what is held", 440_000, 1.0),
+		Entry("a tenth of it", 152_000, 0.2),
+		Entry("next to nothing: not at once", 80_016, 0.1),
+	)
+
 	It("change nothing where they are off", func() {
 		f := newFleet(1, 1)
 		add(f, 1, 0, 700_000, "e1")
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -218,7 +218,7 @@
 	f.expireJobs(now)
 	j.need = f.memoryNeed(now, j, c)
 	if j.need.tooLarge() {
-		return Plan{}, f.refuseTooLarge(now, j, c), true
+		return Plan{}, refuseTooLarge(c), true
 	}
 	for _, s := range planScopes {
 		if p, ok := f.plan(now, j, c, s); ok {
