Reservations end after the longest timeout of a service's routes

Cause: an announcement with a false remaining time kept its reservation for as long as it stated if its end was lost. Result: go test ./internal/decide/place; go test -race ./internal/gateway -ginkgo.focus 'KV memory'.

--- a/internal/decide/place/bench_test.go
+++ b/internal/decide/place/bench_test.go
@@ -28,7 +28,7 @@
 	for _, reserve := range []bool{false, true} {
 		b.Run("reserve="+strconv.FormatBool(reserve), func(b *testing.B) {
 			f := newFleet(26, 26)
-			f.SetMemoryReservation(reserve, memoryHandleTTL)
+			f.SetMemoryReservation(place.MemoryReservation{Enabled: reserve, HandleTTL: memoryHandleTTL})
 			now := 0
 			placeAndAdd := func(id place.JobID) {
 				j := place.Job{ID: id, Prompt: prompt(uint64(id%300), 4_000, 13_000, uint64(id))}
--- a/internal/decide/place/estimate.go
+++ b/internal/decide/place/estimate.go
@@ -37,7 +37,7 @@
 		return EngineEstimate{}, false
 	}
 	reserved, total := 0, 0
-	if f.memory.enabled {
+	if f.memory.Enabled {
 		reserved, total = e.memory.Reserved(), e.KVTokens
 	}
 	return EngineEstimate{
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -130,7 +130,7 @@
 		}
 		return
 	}
-	j.memory.heldUntil = now.Add(f.memory.handleTTL)
+	j.memory.heldUntil = now.Add(f.memory.HandleTTL)
 	if p := j.prefillEngine.queue.find(id); p != nil && !p.interrupted && j.prefillEngine.prefillModel.Calibrated() {
 		lag.Observe(now, p.expectedTime, now.Sub(p.sentAt))
 	}
--- a/internal/decide/place/memory.go
+++ b/internal/decide/place/memory.go
@@ -57,9 +57,7 @@
 
 // fleetMemory is the state of a Fleet for the reservation of KV memory.
 type fleetMemory struct {
-	enabled bool
-	// handleTTL is how long an engine holds KV cache that is not fetched.
-	handleTTL time.Duration
+	MemoryReservation
 	// largest is the memory of the largest engine, 0 if one has no known limit.
 	// decodeEngines is the number of engines that generate answers.
 	largest, decodeEngines int
@@ -107,15 +105,23 @@
 	noRoom bool
 }
 
-// SetMemoryReservation sets whether KV memory is reserved, and how long engines hold KV
-// cache that is not fetched. Jobs that were placed before are not counted.
-func (f *Fleet) SetMemoryReservation(enabled bool, handleTTL time.Duration) {
-	f.memory.enabled, f.memory.handleTTL = enabled, handleTTL
+// MemoryReservation says whether and for how long KV memory is reserved.
+type MemoryReservation struct {
+	Enabled bool
+	// HandleTTL is how long an engine holds KV cache that is not fetched.
+	HandleTTL time.Duration
+	// MaxRemaining is the longest time that callers wait, 0 if unknown. Announcements that
+	// state more are false.
+	MaxRemaining time.Duration
 }
 
+// SetMemoryReservation sets the reservation of KV memory. Jobs that were placed before are
+// not counted.
+func (f *Fleet) SetMemoryReservation(r MemoryReservation) { f.memory.MemoryReservation = r }
+
 // memoryNeed returns what a job needs, or nil if memory is not reserved.
 func (f *Fleet) memoryNeed(now time.Time, j Job, c Constraints) *memoryNeed {
-	if !f.memory.enabled {
+	if !f.memory.Enabled {
 		return nil
 	}
 	n := &memoryNeed{margin: f.memory.unannounced.Margin(now), largest: f.memory.largest}
@@ -309,9 +315,12 @@
 // reserve computes the demand of a job that is placed, and reserves its prefill. A demand
 // that exceeds the engine's memory is false, since no gateway places it.
 func (f *Fleet) reserve(now time.Time, j *job, p Placement) {
-	if !f.memory.enabled {
+	if !f.memory.Enabled {
 		return
 	}
+	if longest := f.memory.MaxRemaining; longest > 0 && p.Remaining > longest {
+		j.deadline = now.Add(longest)
+	}
 	m := &j.memory
 	if hint := float64(p.Prompt.ExpectedOutputTokens); hint > 0 {
 		hint = min(hint, maxAnswerFraction*float64(j.prefillEngine.KVTokens))
--- a/internal/decide/place/memory_test.go
+++ b/internal/decide/place/memory_test.go
@@ -79,7 +79,7 @@
 
 func (s *memorySim) addGateway() {
 	f := place.NewFleet()
-	f.SetMemoryReservation(s.reserve, memoryHandleTTL)
+	f.SetMemoryReservation(place.MemoryReservation{Enabled: s.reserve, HandleTTL: memoryHandleTTL})
 	s.gateways = append(s.gateways, f)
 	s.setEngines(f)
 }
@@ -340,7 +340,7 @@
 	hour := place.Constraints{Objective: time.Hour, Remaining: time.Hour}
 	fleet := func() *place.Fleet {
 		f := newFleet(1, 1)
-		f.SetMemoryReservation(true, memoryHandleTTL)
+		f.SetMemoryReservation(place.MemoryReservation{Enabled: true, HandleTTL: memoryHandleTTL})
 		return f
 	}
 	// add places a prompt with a shared segment at both engines.
@@ -380,7 +380,7 @@
 	It("announce the fetch of KV cache only where memory is reserved", func() {
 		for _, enabled := range []bool{false, true} {
 			f := fleet()
-			f.SetMemoryReservation(enabled, memoryHandleTTL)
+			f.SetMemoryReservation(place.MemoryReservation{Enabled: enabled, HandleTTL: memoryHandleTTL})
 			add(f, 1, 0, 1_600, "e1")
 			f.LocalPrefillDone(at(100), 1)
 			Expect(f.FirstToken(at(120), 1)).To(Equal(enabled))
@@ -428,6 +428,17 @@
 		Expect(reserved(f, at(1), "e1")).To(BeZero())
 	})
 
+	// Guards against an engine that seems full for weeks, since the end of a job was lost.
+	It("end when no caller waits any longer, whatever the announcement states", func() {
+		f := fleet()
+		f.SetMemoryReservation(place.MemoryReservation{Enabled: true, HandleTTL: memoryHandleTTL, MaxRemaining: 2 * time.Second})
+		add(f, 1, 0, 1_600, "e1")
+		f.Plan(at(1_500), place.Job{Prompt: prompt(1, 0, 1, 1)}, hour)
+		Expect(reserved(f, at(1_500), "e1")).To(Equal(1_600))
+		f.Plan(at(3_100), place.Job{Prompt: prompt(1, 0, 1, 1)}, hour)
+		Expect(reserved(f, at(3_100), "e1")).To(BeZero())
+	})
+
 	It("reject a prompt that exceeds every engine, and one for which there is no room now", func() {
 		f := fleet()
 		_, a, ok := f.Plan(at(0), place.Job{Prompt: prompt(1, 0, 800_001, 1)}, hour)
@@ -450,7 +461,7 @@
 	DescribeTable("tell a rejected caller when what it lacks is expected to be released",
 		func(tokens int, seconds float64) {
 			f := newFleet(0, 1)
-			f.SetMemoryReservation(true, memoryHandleTTL)
+			f.SetMemoryReservation(place.MemoryReservation{Enabled: true, HandleTTL: memoryHandleTTL})
 			hold := func(id place.JobID, from, tokens int) {
 				f.AddPlacement(at(from), place.Placement{
 					ID: id, Prompt: prompt(7, 0, tokens, uint64(id)), Remaining: time.Hour, Plan: place.Plan{PrefillEngine: "e0", DecodeEngine: "e0"},
--- a/internal/gateway/engine_memory.go
+++ b/internal/gateway/engine_memory.go
@@ -17,7 +17,9 @@
 	}
 	e.reserveMemory = enabled
 	for name, f := range e.fleets {
-		f.SetMemoryReservation(enabled, e.handleTTLs[name])
+		r := e.reservations[name]
+		r.Enabled = enabled
+		f.SetMemoryReservation(r)
 	}
 	log.WithField("enabled", enabled).Info("reservation of engine memory")
 }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -99,10 +99,10 @@
 	// count is the number of engines of all services.
 	count      int
 	statements *serverStatements
-	// reserveMemory is set if the KV memory of engines is reserved, and handleTTLs is how
-	// long the engines of a service hold KV cache that is not fetched.
+	// reserveMemory is set if the KV memory of engines is reserved, and reservations has
+	// the bounds of that by service.
 	reserveMemory bool
-	handleTTLs    map[string]time.Duration
+	reservations  map[string]place.MemoryReservation
 }
 
 // engineKey identifies an engine.
@@ -121,14 +121,16 @@
 	defer e.mu.Unlock()
 	e.count = 0
 	e.byHash = make(map[uint32]engineKey)
-	e.handleTTLs = make(map[string]time.Duration)
+	e.reservations = make(map[string]place.MemoryReservation)
 	for name, service := range v.Table.Services {
 		if service.Engine == nil {
 			continue
 		}
 		f := e.fleet(name)
-		e.handleTTLs[name] = service.Engine.HandleTTL
-		f.SetMemoryReservation(e.reserveMemory, service.Engine.HandleTTL)
+		e.reservations[name] = place.MemoryReservation{
+			Enabled: e.reserveMemory, HandleTTL: service.Engine.HandleTTL, MaxRemaining: v.Table.MaxTimeout(name),
+		}
+		f.SetMemoryReservation(e.reservations[name])
 		var list []place.Engine
 		for _, s := range v.Service(name) {
 			e.byHash[place.EngineHash(s.ID)] = engineKey{service: name, id: s.ID}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -157,6 +157,19 @@
 	return limit
 }
 
+// MaxTimeout returns the longest timeout of the routes to a service, 0 if there is none.
+func (t *Table) MaxTimeout(service string) time.Duration {
+	longest := time.Duration(0)
+	for _, rules := range t.byHost {
+		for _, r := range rules {
+			if r.hasTarget(service) {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
 func (r Route) hasTarget(service string) bool {
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
 }
