Room for long prompts is left by requests that are not more urgent, and for longer at quiet gateways

Cause: urgent short requests left room for long prompts of a less urgent route; at one gateway of 46 the room was gone before the next long prompt came.

--- a/internal/decide/kvmemory/rates.go
+++ b/internal/decide/kvmemory/rates.go
@@ -168,17 +168,20 @@
 	return h.tokenSeconds / h.released
 }
 
-// priorityClasses is the number of route priorities that are distinguished; less urgent
+// PriorityClasses is the number of route priorities that are distinguished; less urgent
 // ones count as the last.
-const priorityClasses = 8
+const PriorityClasses = 8
 
 // remainingGain is the weight of one request in the mean remaining time.
 const remainingGain = 0.02
 
+// PriorityClass returns the class of a route priority.
+func PriorityClass(priority int) int { return min(max(0, priority), PriorityClasses-1) }
+
 // Claims compares the claims of requests to the last part of an engine's memory.
 type Claims struct {
 	// demanded are the decayed sums of the demanded tokens by priority.
-	demanded  [priorityClasses]float64
+	demanded  [PriorityClasses]float64
 	decayedAt time.Time
 	// meanRemaining is the mean remaining time of requests, in seconds.
 	meanRemaining float64
@@ -195,7 +198,7 @@
 		}
 		c.decayedAt = now
 	}
-	class := min(max(0, priority), priorityClasses-1)
+	class := PriorityClass(priority)
 	c.demanded[class] += float64(max(1, tokens))
 	left := max(0, remaining.Seconds())
 	if c.meanRemaining == 0 {
--- a/internal/decide/place/memory.go
+++ b/internal/decide/place/memory.go
@@ -23,9 +23,11 @@
 	// meanHintGain is the EWMA weight of an answer in the mean expected length: a hundred
 	// count.
 	meanHintGain = 0.01
-	// longRoomTime is for how long small requests leave room for a long prompt after
-	// one was refused. While long ones are refused too often, that is renewed.
-	longRoomTime = time.Second
+	// minLongRoomTime and maxLongRoomTime bound for how long small requests leave room after
+	// a long prompt was rejected: as long as it took since the one before. A gateway among
+	// many sees few long prompts, and room for a second would be gone before the next one.
+	minLongRoomTime = time.Second
+	maxLongRoomTime = 5 * time.Second
 	// smallFraction is the largest fraction of the room for a long prompt that counts as
 	// small.
 	smallFraction = 0.5
@@ -68,9 +70,16 @@
 	claims                        kvmemory.Claims
 	// meanHint is the mean length of answers that callers expect.
 	meanHint float64
-	// longRoom is how many tokens small requests leave free until longRoomUntil.
-	longRoom      int
-	longRoomUntil time.Time
+	// longRooms is what small requests leave free for long prompts, by the priority of these.
+	longRooms [kvmemory.PriorityClasses]longRoom
+}
+
+// longRoom is how many tokens small requests leave free until a time.
+type longRoom struct {
+	tokens int
+	until  time.Time
+	// rejectedAt is when a long prompt was last rejected.
+	rejectedAt time.Time
 }
 
 // jobMemory is what a job has reserved.
@@ -134,12 +143,24 @@
 	if c.Committed {
 		n.keptShare = 0
 	}
-	if now.Before(f.memory.longRoomUntil) && float64(n.decode.Tokens()) <= smallFraction*float64(f.memory.longRoom) && !c.Committed {
-		n.longRoom = f.memory.longRoom
+	if !c.Committed {
+		n.longRoom = f.longRoomFor(now, j.Priority, n.decode.Tokens())
 	}
 	return n
 }
 
+// longRoomFor returns how many tokens a request leaves free for long prompts. It leaves none
+// for prompts of a less urgent priority.
+func (f *Fleet) longRoomFor(now time.Time, priority, tokens int) int {
+	room := 0
+	for _, r := range f.memory.longRooms[:kvmemory.PriorityClass(priority)+1] {
+		if now.Before(r.until) && float64(tokens) <= smallFraction*float64(r.tokens) {
+			room = max(room, r.tokens)
+		}
+	}
+	return room
+}
+
 // demands returns the demands of a job at a prefill engine and at its decode engine.
 func (f *Fleet) demands(j Job, remaining time.Duration) (prefill, decode kvmemory.Demand) {
 	context := f.contextTokens(j.Prompt)
@@ -247,7 +268,7 @@
 	a := Admission{RetryAfter: max(minRetryAfter, retryAfter(earliest, c, f.rejectionRate)), Memory: NoRoom}
 	f.updateRejectionRate(true)
 	if f.rejectedBySize(now, j) {
-		a.LongRoom = f.keepLongRoom(now, j.need)
+		a.LongRoom = f.keepLongRoom(now, j.Priority, j.need)
 	}
 	return a
 }
@@ -286,13 +307,15 @@
 // It guards against long prompts for which there is never room in a burst: short ones fill
 // what each finished request frees. Each gateway decides by itself, from its own refusals:
 // all of them see the same burst.
-func (f *Fleet) keepLongRoom(now time.Time, n *memoryNeed) bool {
-	begins := !now.Before(f.memory.longRoomUntil)
+func (f *Fleet) keepLongRoom(now time.Time, priority int, n *memoryNeed) bool {
+	r := &f.memory.longRooms[kvmemory.PriorityClass(priority)]
+	begins := !now.Before(r.until)
 	if begins {
-		f.memory.longRoom = 0
+		r.tokens = 0
 	}
-	f.memory.longRoom = max(f.memory.longRoom, n.decode.Tokens())
-	f.memory.longRoomUntil = now.Add(longRoomTime)
+	r.tokens = max(r.tokens, n.decode.Tokens())
+	r.until = now.Add(min(max(now.Sub(r.rejectedAt), minLongRoomTime), maxLongRoomTime))
+	r.rejectedAt = now
 	return begins
 }
 
--- a/internal/decide/place/memory_test.go
+++ b/internal/decide/place/memory_test.go
@@ -176,7 +176,7 @@
 	f := s.gateways[gateway]
 	s.jobs++
 	id := s.jobs
-	j := place.Job{ID: id, Prompt: r.prompt, Route: "review", Priority: r.priority}
+	j := place.Job{ID: id, Prompt: r.prompt, Route: "priority-" + strconv.Itoa(r.priority), Priority: r.priority}
 	c := place.Constraints{Objective: memoryObjective - (memoryTimeout - remaining), Remaining: remaining}
 	p, a, ok := f.Plan(s.now, j, c)
 	Expect(ok).To(BeTrue())
