--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -79,6 +79,11 @@
 	Repeatable   bool
 	// Account is the caller's client account, 0 if accounts have no shares.
 	Account fairshare.AccountID
+	// Priority is the priority of its route; 0 is the most urgent.
+	Priority int
+
+	// need is what it needs of the engines' memory, nil if memory is not reserved.
+	need *memoryNeed
 }
 
 // Plan is the choice of engines for a request, with its expected latency and cost.
@@ -116,6 +121,9 @@
 	Remaining time.Duration
 	// Account is the caller's client account, 0 if accounts have no shares.
 	Account fairshare.AccountID
+	// AnnouncementDelay is how long after the placement another gateway's announcement
+	// arrived, 0 for a placement of this gateway.
+	AnnouncementDelay time.Duration
 }
 
 // ExpectedTTFT returns the expected time to first token.
@@ -162,6 +170,8 @@
 	placementCount int64
 	// jobsExpiredAt is when overdue jobs were last looked for.
 	jobsExpiredAt time.Time
+	// memory decides on the KV memory of engines, if it is reserved.
+	memory fleetMemory
 }
 
 // NewFleet returns a Fleet without engines.
@@ -201,6 +211,7 @@
 		tracked.cache.limit = e.KVTokens
 		f.engines[e.ID] = tracked
 	}
+	f.updateMemory()
 }
 
 // prefillModelFor returns the model of prefills by engines in a role. Engines without a
@@ -217,12 +228,21 @@
 // others.
 func (f *Fleet) Plan(now time.Time, j Job, c Constraints) (Plan, Admission, bool) {
 	f.expireJobs(now)
+	j.need = f.memoryNeed(now, j, c)
+	if j.need.tooLarge() {
+		return Plan{}, refuseTooLarge(c), true
+	}
 	for _, s := range planScopes {
 		if p, ok := f.plan(now, j, c, s); ok {
 			a := f.admitBySize(now, j, p, c, admit(p, c, f.rejectionRate))
 			f.updateRejectionRate(!a.Admit)
 			return p, f.limitToShare(now, j, p, c, a), true
 		}
+		if j.need.refused() {
+			// Other scopes have the engines of other groups, whose reservations are
+			// unknown, and those that failed.
+			return Plan{}, f.refuseForMemory(now, j, c), true
+		}
 	}
 	return Plan{}, Admission{}, false
 }
@@ -242,7 +262,7 @@
 	candidates := f.decodeCandidates(now, j, c, s)
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
-		if !e.eligible(now, j, s) || !e.fits(j) {
+		if !e.eligible(now, j, s) || !e.fits(j) || !j.need.fitsPrefill(e) {
 			continue
 		}
 		p, ok := f.planPrefillOn(now, j, c, e, candidates)
--- a/internal/gateway/account_shares.go
+++ b/internal/gateway/account_shares.go
@@ -10,9 +10,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/accounts"
 	"pistachioroad.dev/pistachioroad/internal/decide/fairshare"
-	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/routes"
-	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
 // shareAccount returns the account that the request counts for, 0 if accounts have no
@@ -24,15 +22,6 @@
 	return fairshare.AccountIDOf(c.request.Account)
 }
 
-// notAdmitted returns the error of a request that is not admitted.
-func (c *call) notAdmitted(a place.Admission) *verdict.Error {
-	if a.OverShare {
-		c.trace.standing = a.Standing
-		return verdict.NewRejection(verdict.CodeAccountLimit, "the account is above its share of saturated engines", a.RetryAfter)
-	}
-	return verdict.NewRejection(verdict.CodeOverloaded, "the answer would come too late", a.RetryAfter)
-}
-
 // AccountSharesDump is the usage of client accounts at the engines of one service, by all
 // gateways. Rates are in tokens per second.
 type AccountSharesDump struct {
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -104,6 +104,10 @@
 	// count is the number of engines of all services.
 	count      int
 	statements *serverStatements
+	// reserveMemory is set if the KV memory of engines is reserved, and reservations has
+	// the bounds of that by service.
+	reserveMemory bool
+	reservations  map[string]place.MemoryReservation
 }
 
 // engineKey identifies an engine.
@@ -122,11 +126,16 @@
 	defer e.mu.Unlock()
 	e.count = 0
 	e.byHash = make(map[uint32]engineKey)
+	e.reservations = make(map[string]place.MemoryReservation)
 	for name, service := range v.Table.Services {
 		if service.Engine == nil {
 			continue
 		}
 		f := e.fleet(name)
+		e.reservations[name] = place.MemoryReservation{
+			Enabled: e.reserveMemory, HandleTTL: service.Engine.HandleTTL, MaxRemaining: v.Table.MaxTimeout(name),
+		}
+		f.SetMemoryReservation(e.reservations[name])
 		var list []place.Engine
 		for _, s := range v.Service(name) {
 			e.byHash[place.EngineHash(s.ID)] = engineKey{service: name, id: s.ID}
@@ -186,6 +195,9 @@
 		e.gossip.AnnouncePlacement(placement)
 		e.countSends(p)
 	}
+	if a.LongRoom {
+		logLongRoom(service, j)
+	}
 	return p, a, ok
 }
 
@@ -374,8 +386,15 @@
 func (g *Gateway) RemotePrefillDone(id place.JobID) {
 	g.engines.mu.Lock()
 	defer g.engines.mu.Unlock()
+	now, known := time.Now(), false
+	for _, f := range g.engines.fleets {
+		known = f.PrefillDone(now, id) || known
+	}
+	if known {
+		return
+	}
 	for _, f := range g.engines.fleets {
-		f.PrefillDone(time.Now(), id)
+		f.UnknownPrefillDone(now)
 	}
 }
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -67,6 +67,21 @@
 	c.fail(last)
 }
 
+// notAdmitted returns the error of a request that is not admitted.
+func (c *call) notAdmitted(a place.Admission) *verdict.Error {
+	c.trace.memory, c.trace.standing = a.Memory, a.Standing
+	code, message := verdict.CodeOverloaded, "the answer would come too late"
+	switch {
+	case a.OverShare:
+		code, message = verdict.CodeAccountLimit, "the account is above its share of saturated engines"
+	case a.Memory == place.NoRoom:
+		message = "no engine has enough free memory"
+	case a.Memory == place.TooLarge:
+		message = "the request exceeds the memory of every engine"
+	}
+	return verdict.NewRejection(code, message, a.RetryAfter)
+}
+
 // placeJob returns the rest of the request as a job to place.
 func (c *call) placeJob() place.Job {
 	job := place.Job{
@@ -81,6 +96,7 @@
 		FailureRates: c.failureRates(),
 		Repeatable:   c.mayRepeat(),
 		Account:      c.shareAccount(),
+		Priority:     c.route.Priority,
 	}
 	job.Prompt.DeliveredEvents += c.events()
 	return job
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -46,6 +46,8 @@
 	bySize bool
 	// standing is that of the client account if it was above its share.
 	standing fairshare.Standing
+	// memory is why the last plan was rejected for want of engine memory.
+	memory place.MemoryShortage
 	// plannedAfter is the time from the receipt of the request to the last plan.
 	plannedAfter time.Duration
 	// events counts the stream events that were forwarded.
@@ -210,6 +212,9 @@
 		if c.trace.code == verdict.CodeAccountLimit {
 			fields["account_rate"], fields["account_share"] = int(c.trace.standing.Rate), int(c.trace.standing.Share)
 		}
+		if c.trace.memory != place.NoShortage {
+			fields["memory"] = c.trace.memory.String()
+		}
 		c.logStreamVersion(fields)
 		if len(c.trace.versions) > 0 {
 			fields["versions"] = strings.Join(c.trace.versions, " ")
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -484,7 +484,7 @@
 
 // receivePlacement handles a placement by another gateway. It drops one whose prefill
 // engine is unknown here.
-func (p *Peers) receivePlacement(m *wire.Placed) {
+func (p *Peers) receivePlacement(m *wire.Placed, delay time.Duration) {
 	service, prefillEngine, ok := p.receiver.EngineByHash(m.Reader)
 	if !ok {
 		p.dropped.Inc(1)
@@ -500,6 +500,8 @@
 		Remaining: time.Duration(m.LeftMs) * time.Millisecond,
 		Prompt:    decodePrompt(m),
 		Account:   fairshare.AccountID(m.Account),
+
+		AnnouncementDelay: flushDelay + delay,
 	}
 	p.receiver.RemotePlacement(service, placement)
 }
@@ -605,7 +607,7 @@
 	late := delay > maxPlacementDelay
 	for _, m := range s.Placed {
 		if !late {
-			p.receivePlacement(m)
+			p.receivePlacement(m, delay)
 		}
 	}
 	for _, id := range s.ReadDone {
