Responses of backend servers are bounded before and beside their bodies

Cause: the client read heads, any number of 1xx responses and the body of an answer to another request without a limit, took the beginning of a longer body that is read as a whole for all of it, and waited for its end until the deadline.

Past a bound the connection is reset and the verdict is may-have-run. Counter direct.responses_endless.

--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -37,6 +37,8 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
+	// source reads from the connection, and reader from source.
+	source *boundedReader
 	reader *bufio.Reader
 	// idleSince is when the last response ended, and idleTimeout how long after that
 	// the server keeps the connection open, 0 if it did not state that.
@@ -72,7 +74,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), ackTimeout: ackTimeout}, nil
+	source := &boundedReader{Reader: c}
+	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBuffer), ackTimeout: ackTimeout}, nil
 }
 
 // abort closes the connection with a reset, which drops what has not been delivered. After
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -49,7 +50,7 @@
 	// must be set before the first Send and must not block.
 	OnResponse func(ResponseInfo)
 
-	opened, reused, unframed metrics.Counter
+	opened, reused, unframed, endless metrics.Counter
 }
 
 // New returns a Transport that uses codec.
@@ -61,6 +62,7 @@
 		opened:     metrics.GetOrRegisterCounter("direct.connections_opened", nil),
 		reused:     metrics.GetOrRegisterCounter("direct.connections_reused", nil),
 		unframed:   metrics.GetOrRegisterCounter("direct.responses_unframed", nil),
+		endless:    metrics.GetOrRegisterCounter("direct.responses_endless", nil),
 	}
 }
 
@@ -100,9 +102,10 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{transport: t, key: key, conn: c, request: r, options: &o, sent: time.Now()}
+	sent := time.Now()
+	x := &exchange{transport: t, key: key, conn: c, request: r, options: &o, sent: sent, deadline: sent.Add(o.Remaining + responseSlack)}
 	x.stopWatch = context.AfterFunc(ctx, c.abort)
-	deadlineErr := c.SetDeadline(time.Now().Add(o.Remaining + responseSlack))
+	deadlineErr := c.SetDeadline(x.deadline)
 	if err := errors.Join(deadlineErr, c.setAckTimeout(ackTimeoutOf(o.Stage))); err != nil {
 		return nil, x.fail(verdict.NotRun, "set timeouts", err)
 	}
@@ -173,8 +176,8 @@
 	conn      *conn
 	request   *request.Request
 	options   *request.Options
-	// sent is when the request was sent.
-	sent time.Time
+	// sent is when the request was sent, and deadline when its connection times out.
+	sent, deadline time.Time
 	// stopWatch stops closing the connection when the context is done.
 	stopWatch func() bool
 	// written is closed once the write of the request has ended. It is nil if the
@@ -211,8 +214,10 @@
 }
 
 // readHead reads the head of the response to this request. Responses to earlier
-// requests may precede it; they are recognized by their request IDs and skipped.
+// requests may precede it; they are recognized by their request IDs and skipped. The heads
+// of all of them, those of 1xx responses included, are limited together.
 func (x *exchange) readHead() (*Reply, error) {
+	x.conn.source.bound(maxHeadBytes)
 	for range maxResponsesRead {
 		resp, err := x.readResponse()
 		if err != nil {
@@ -221,12 +226,16 @@
 		head := x.transport.codec.ParseResponse(resp.StatusCode, resp.Header)
 		if head.RequestID == x.request.ID || (head.RequestID == "" && head.NotRun && !x.sawStale) {
 			x.transport.OnResponse(ResponseInfo{ResponseHead: head, Server: x.options.Server, Stage: x.options.Stage, SentID: x.request.ID, Sent: x.sent})
+			x.conn.source.unbound()
 			return x.reply(resp, head), nil
 		}
 		x.sawStale = true
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		if resp.Close || isUnframed(resp) {
 			return nil, x.fail(verdict.MayHaveRun, "read", errors.New("answer to another request"))
 		}
+		if err := x.skipBody(resp); err != nil {
+			return nil, x.fail(verdict.MayHaveRun, "read", fmt.Errorf("answer to another request: %w", err))
+		}
 	}
 	return nil, x.fail(verdict.MayHaveRun, "read", errors.New("answers to other requests only"))
 }
@@ -279,6 +288,7 @@
 // fail ends the exchange and returns an error with the given verdict.
 func (x *exchange) fail(v verdict.Verdict, step string, err error) error {
 	x.end(false)
+	x.countEndless(err)
 	e := verdict.New(v, verdict.CodeBackendFailed, step+": "+err.Error())
 	// Also if the connection was closed by the other side: that may be a middlebox, which can
 	// deliver the request later.
@@ -324,9 +334,3 @@
 		return false
 	}
 }
-
-// ReadAll reads and closes the body, up to limit bytes.
-func (r *Reply) ReadAll(limit int64) ([]byte, error) {
-	defer r.Body.Close()
-	return io.ReadAll(io.LimitReader(r.Body, limit))
-}
