Endless answers count as failures of their servers

Cause: an error answer that is retried elsewhere was read until the deadline if its body did not end; a server whose body failed was recorded as having answered, and an engine whose stream failed was not avoided.

Change: a discarded body is read for up to 64 KiB and 100 ms; a plain server whose body fails, also one without end at the deadline, and an engine whose stream fails are avoided through the same paths as a failed attempt (plain.done, engines.avoid).

Result: 5 of 8 cases of TestEndlessResponsesAreNoAnswers fail without this and the bounds of the client (the unsealed ones and 1xx responses passed); all pass with them, as does the rest of go test ./internal/gateway. Under -race that package reports only the race of its tests' log capture (captureLog), which the tests had before.

--- a/internal/direct/bounds.go
+++ b/internal/direct/bounds.go
@@ -17,6 +17,9 @@
 	// wholeBodyTimeout limits the time to read a body that is read as a whole before it is
 	// used. Such bodies are short, and servers send them together with their heads.
 	wholeBodyTimeout = time.Second
+	// discardTimeout limits the time to read a body that nobody needs, while the caller waits
+	// for the answer of another server.
+	discardTimeout = 100 * time.Millisecond
 )
 
 // ErrEndless is the error of a response that exceeds a bound. A faulty server may send
@@ -71,17 +74,17 @@
 // or does not end soon: a part of it is no answer.
 func (r *Reply) ReadAll(limit int64) ([]byte, error) {
 	var data bytes.Buffer
-	err := r.readTo(&data, limit)
+	err := r.readTo(&data, limit, wholeBodyTimeout)
 	return data.Bytes(), err
 }
 
 // Discard reads and closes the body, so that its connection can be reused. It returns an
 // error if the body is longer than limit or does not end soon.
-func (r *Reply) Discard(limit int64) error { return r.readTo(io.Discard, limit) }
+func (r *Reply) Discard(limit int64) error { return r.readTo(io.Discard, limit, discardTimeout) }
 
-func (r *Reply) readTo(w io.Writer, limit int64) error {
+func (r *Reply) readTo(w io.Writer, limit int64, timeout time.Duration) error {
 	defer r.Body.Close()
-	if err := r.expectEnd(); err != nil {
+	if err := r.expectEnd(timeout); err != nil {
 		return err
 	}
 	err := copyWhole(w, r.Body, limit, errLongBody)
@@ -101,23 +104,23 @@
 }
 
 // expectEnd limits the time until the end of the body.
-func (r *Reply) expectEnd() error {
+func (r *Reply) expectEnd(timeout time.Duration) error {
 	if b, ok := r.Body.(*replyBody); ok && b.exchange.conn != nil {
-		return b.exchange.expectEnd()
+		return b.exchange.expectEnd(timeout)
 	}
 	return nil
 }
 
 // expectEnd limits the time until the end of a body that is read as a whole.
-func (x *exchange) expectEnd() error {
-	return x.conn.SetReadDeadline(time.Now().Add(min(wholeBodyTimeout, time.Until(x.deadline))))
+func (x *exchange) expectEnd(timeout time.Duration) error {
+	return x.conn.SetReadDeadline(time.Now().Add(min(timeout, time.Until(x.deadline))))
 }
 
 // skipBody reads the body of a response to another request.
 func (x *exchange) skipBody(resp *http.Response) error {
 	headBytes := x.conn.source.remaining
 	x.conn.source.unbound()
-	err := errors.Join(x.expectEnd(), copyWhole(io.Discard, resp.Body, maxStaleBody, errLongStale), x.conn.SetReadDeadline(x.deadline))
+	err := errors.Join(x.expectEnd(wholeBodyTimeout), copyWhole(io.Discard, resp.Body, maxStaleBody, errLongStale), x.conn.SetReadDeadline(x.deadline))
 	x.conn.source.bound(headBytes)
 	return err
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -360,7 +360,7 @@
 func (c *call) copyStream(decodeEngine backend.Server, source io.Reader) *verdict.Error {
 	if !c.route.Resumable {
 		if err := c.copyBody(source); err != nil {
-			c.breakAttempt(decodeEngine)
+			c.breakAnswer(decodeEngine)
 			c.abort("stream from the engine interrupted: " + err.Error())
 		}
 		return nil
@@ -375,12 +375,21 @@
 	if errors.Is(err, errMoved) {
 		c.leaveAttempt(decodeEngine, canceled)
 	} else {
-		c.breakAttempt(decodeEngine)
+		c.breakAnswer(decodeEngine)
 	}
 	c.exclude(decodeEngine)
 	return verdict.New(verdict.MayHaveRun, verdict.CodeAnswerBroken, "stream from the engine interrupted: "+err.Error())
 }
 
+// breakAnswer records that the answer of an engine failed, and avoids the engine unless the
+// request was given up.
+func (c *call) breakAnswer(decodeEngine backend.Server) {
+	if c.ctx.Err() == nil {
+		c.gateway.engines.avoid(c.service.Name, decodeEngine.ID, failureAvoidTime)
+	}
+	c.breakAttempt(decodeEngine)
+}
+
 // resumePoint returns the ID of the last event that the caller has, empty for none.
 func (c *call) resumePoint() string {
 	if c.stream != nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -243,16 +243,21 @@
 	return other, true
 }
 
+// maxDiscardedBody limits how much of the body of a discarded response is read, so that its
+// connection can be reused.
+const maxDiscardedBody = 64 << 10
+
 // discard drops a response because the request is retried at another server.
 func (c *call) discard(reply *direct.Reply, server backend.Server) {
-	c.gateway.plain.done(server.ID, reply, verdict.Ran)
 	c.exclude(server)
-	if _, err := io.Copy(io.Discard, io.LimitReader(reply.Body, copyBufferSize)); err != nil {
+	if err := reply.Discard(maxDiscardedBody); err != nil {
 		c.trace.message = "discard error response: " + err.Error()
-	} else {
-		c.finishAttempt(server)
+		c.gateway.plain.done(server.ID, nil, verdict.MayHaveRun)
+		c.breakAttempt(server)
+		return
 	}
-	reply.Body.Close()
+	c.gateway.plain.done(server.ID, reply, verdict.Ran)
+	c.finishAttempt(server)
 }
 
 // answerBody returns the body to forward. Of a stream that may be taken up, only whole
@@ -267,9 +272,14 @@
 // deliver forwards a response to the caller.
 func (c *call) deliver(reply *direct.Reply, server backend.Server) {
 	defer reply.Body.Close()
-	defer c.gateway.plain.done(server.ID, reply, verdict.Ran)
+	outcome := reply
+	defer func() { c.gateway.plain.done(server.ID, outcome, verdict.Ran) }()
 	c.writeHead(reply)
 	if err := c.copyBody(c.answerBody(reply, server)); err != nil {
+		if c.callerCtx.Err() == nil {
+			// Also at the deadline: the body of a faulty server may have no end.
+			outcome = nil
+		}
 		c.breakAttempt(server)
 		c.abort("response from the backend server interrupted: " + err.Error())
 	}
