Little kernel memory is held for a caller that does not read

Cause: the kernel takes up to net.ipv4.tcp_wmem (4 MB) of a response for each connection whose peer does not read, beside what the gateway counts; 30 such callers are most of the memory of a VM of 136 MB.

Change: accepted connections get TCP_NOTSENT_LOWAT of 256 KiB. Data in transit does not count, so the throughput is not limited. The option is set on each connection: on the listening socket it had no effect in a trial.

--- a/internal/limitlistener/limitlistener.go
+++ b/internal/limitlistener/limitlistener.go
@@ -4,12 +4,20 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 
+	"github.com/apex/log"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/sys/unix"
 )
 
+// maxUnsentBytes limits what the kernel holds for a peer that does not read, per connection.
+// Without a limit that is up to 4 MB, the default of net.ipv4.tcp_wmem. Data in transit does
+// not count, so the throughput is the same.
+const maxUnsentBytes = 256 << 10
+
 // Listener accepts connections while fewer than its limit are open.
 type Listener struct {
 	*net.TCPListener
@@ -41,9 +49,24 @@
 		l.slots.Release(1)
 		return nil, err
 	}
+	if err := limitUnsent(c); err != nil {
+		log.WithField("error", err.Error()).Debug("limit of unsent data not set")
+	}
 	return &conn{TCPConn: c, release: sync.OnceFunc(func() { l.slots.Release(1) })}, nil
 }
 
+// limitUnsent limits what may be written beyond what has been sent.
+func limitUnsent(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
+	})
+	return errors.Join(controlErr, err)
+}
+
 // Close implements net.Listener. It does not close accepted connections.
 func (l *Listener) Close() error {
 	l.close()
--- a/internal/limitlistener/limitlistener_test.go
+++ b/internal/limitlistener/limitlistener_test.go
@@ -72,3 +72,27 @@
 		t.Errorf("error %v, want net.ErrClosed", err)
 	}
 }
+
+// Guards against megabytes of kernel memory for each peer that does not read.
+func TestLittleIsHeldForAPeerThatDoesNotRead(t *testing.T) {
+	l := listen(t, 1)
+	peer, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	if err := peer.(*net.TCPConn).SetReadBuffer(128 << 10); err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if n, _ := c.Write(make([]byte, 16<<20)); n > 1<<20 {
+		t.Errorf("%d bytes are held", n)
+	}
+}
