Answers are read ahead of slow callers within limits

Cause: copyBody read from the server and wrote to the caller in turn. A caller that reads slowly blocked the reading, and servers cut off answers that stay unread for some seconds. The time for which the caller blocked was learned as the engine's time between events.

Change: package readahead copies bodies. If a write blocks for 50 ms, a second goroutine reads the answer on until the caller has caught up, within 1 MiB for an answer and an eighth of the process's memory in total. Without room the answer is read at the caller's speed, and reset once the caller has taken nothing for 2 s (decide/backlog). The sampler ignores intervals of which more than half was not spent reading.

--- a/internal/closeframed/closeframed.go
+++ b/internal/closeframed/closeframed.go
@@ -50,6 +50,14 @@
 	})
 }
 
+// Reset makes the close of a request's connection a reset, so that nothing of an interrupted
+// response is kept for a caller that does not read it. The server must use ConnContext.
+func Reset(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(lingerer); ok {
+		setLinger(c, lingerReset)
+	}
+}
+
 func setLinger(c lingerer, seconds int) {
 	if err := c.SetLinger(seconds); err != nil {
 		// The connection is closed already.
--- a/internal/closeframed/closeframed_test.go
+++ b/internal/closeframed/closeframed_test.go
@@ -69,3 +69,15 @@
 		t.Errorf("%q, error %v", data, err)
 	}
 }
+
+// Guards against an answer that the kernel keeps for a caller that does not read it.
+func TestInterruptedResponseEndsWithAResetOnRequest(t *testing.T) {
+	_, err := exchange(t, "HTTP/1.1", func(w http.ResponseWriter, r *http.Request) {
+		writePart(w)
+		closeframed.Reset(r.Context())
+		panic(http.ErrAbortHandler)
+	})
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("error %v, want a reset", err)
+	}
+}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -5,6 +5,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/readahead"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 )
 
@@ -29,6 +30,16 @@
 	Quarantine QuarantineDump `json:"quarantine"`
 	// BodyBytes is the memory currently reserved for request bodies.
 	BodyBytes int64 `json:"body_bytes"`
+	// ReadAhead is what is read ahead for slow callers.
+	ReadAhead ReadAheadDump `json:"read_ahead"`
+}
+
+// ReadAheadDump is what a gateway has read ahead for slow callers, with its limits.
+type ReadAheadDump struct {
+	Answers        int64 `json:"answers"`
+	Bytes          int64 `json:"bytes"`
+	Limit          int64 `json:"limit"`
+	LimitPerAnswer int64 `json:"limit_per_answer"`
 }
 
 // QuarantineDump is what a gateway knows of requests and prompts that crash servers.
@@ -94,6 +105,7 @@
 		RetryBudgets:    g.retryBudgets.dump(),
 		Quarantine:      g.dumpQuarantine(now),
 		BodyBytes:       g.bodies.reserved.Load(),
+		ReadAhead:       dumpReadAhead(g.answers.Usage()),
 	}
 	if v.Table != nil {
 		d.ConfigVersion = v.Table.Version
@@ -147,3 +159,7 @@
 	counts := c.Snapshot(window)
 	return &UsageDump{Window: int64(window), Accounts: len(counts), Requests: counts.Total()}
 }
+
+func dumpReadAhead(u readahead.Usage) ReadAheadDump {
+	return ReadAheadDump{Answers: u.Answers, Bytes: u.Bytes, Limit: u.Limits.Total, LimitPerAnswer: u.Limits.PerAnswer}
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -15,10 +15,12 @@
 	. "github.com/onsi/gomega"
 
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/closeframed"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/gateway"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/readahead"
 	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
@@ -63,6 +65,11 @@
 // startFixture starts a gateway whose process has run for a minute, so that the whole retry
 // budget is available.
 func startFixture(retrySlack float64, atEnd func(func())) *fixture {
+	return startFixtureWith(retrySlack, atEnd, readahead.Limits{})
+}
+
+// startFixtureWith also sets the limits for slow callers.
+func startFixtureWith(retrySlack float64, atEnd func(func()), l readahead.Limits) *fixture {
 	f := &fixture{store: objectstore.New(), addresses: map[string]string{}, atEnd: atEnd}
 	storeServer := httptest.NewServer(f.store)
 	f.atEnd(storeServer.CloseClientConnections)
@@ -76,9 +83,12 @@
 		Codec:     platform.Codec{},
 		Directory: f.dir,
 		StartedAt: boottime.Now() - time.Minute,
+		ReadAhead: l,
 	})
 	f.dir.OnChange = f.gateway.ViewChanged
-	f.server = httptest.NewServer(f.gateway)
+	f.server = httptest.NewUnstartedServer(f.gateway)
+	f.server.Config.ConnContext = closeframed.ConnContext
+	f.server.Start()
 	f.atEnd(f.server.CloseClientConnections)
 	return f
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/readahead"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 )
@@ -45,6 +46,8 @@
 
 	// bodies limits the memory of all request bodies in flight.
 	bodies bodyBudget
+	// answers forwards the bodies of responses.
+	answers *readahead.Forwarder
 
 	engines      *engines
 	plain        *plainBalancer
@@ -68,11 +71,18 @@
 	Directory  *directory.Directory
 	// StartedAt is when the process started, in time since boot; 0 means now.
 	StartedAt time.Duration
+	// ReadAhead limits what is read ahead for slow callers. Without a total, it is a fraction
+	// of the process's memory.
+	ReadAhead readahead.Limits
 }
 
-// bodyMemoryFraction is the fraction of the process's memory available to request
-// bodies. The rest is for response buffers, connections and the runtime.
-const bodyMemoryFraction = 0.25
+// Fractions of the process's memory. The rest is for connections and the runtime.
+const (
+	// bodyMemoryFraction is available to request bodies.
+	bodyMemoryFraction = 0.25
+	// readAheadMemoryFraction is available to answers that are read ahead for slow callers.
+	readAheadMemoryFraction = 0.125
+)
 
 // SetGossip sets the gossip by which this gateway announces its requests to the
 // other gateways. It must be called before the gateway serves. The fixed part of
@@ -108,6 +118,10 @@
 	g.retryBudgets.firstProcess = func() bool { return g.engines.gossip.FirstProcess() }
 	g.deployment.Store(&c.Deployment)
 	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
+	if c.ReadAhead.Total == 0 {
+		c.ReadAhead.Total = int64(readAheadMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
+	}
+	g.answers = readahead.New(c.ReadAhead)
 	return g
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -60,7 +60,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	c.ctx = ctx
+	c.ctx, c.cancel = ctx, cancel
 	c.callerCtx = r.Context()
 	c.run()
 }
@@ -89,6 +89,8 @@
 	writer  http.ResponseWriter
 	// callerCtx is done when the caller disconnects, ctx also at the deadline.
 	ctx, callerCtx context.Context
+	// cancel ends all attempts.
+	cancel context.CancelFunc
 
 	id       string
 	received time.Time
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -276,7 +276,7 @@
 	defer func() { c.gateway.plain.done(server.ID, outcome, verdict.Ran) }()
 	c.writeHead(reply)
 	if err := c.copyBody(c.answerBody(reply, server)); err != nil {
-		if c.callerCtx.Err() == nil {
+		if c.callerCtx.Err() == nil && c.trace.readAhead == 0 {
 			// Also at the deadline: the body of a faulty server may have no end.
 			outcome = nil
 		}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -2,29 +2,26 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/samber/lo"
 
+	"pistachioroad.dev/pistachioroad/internal/closeframed"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
+	"pistachioroad.dev/pistachioroad/internal/readahead"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
-// copyBufferSize is the size of the buffers for copying response bodies.
-const copyBufferSize = 8 << 10
-
-var buffers = sync.Pool{New: func() any { b := make([]byte, copyBufferSize); return &b }}
-
 // trace collects data for the log line and the metrics of a request.
 type trace struct {
 	status  int
@@ -49,6 +46,10 @@
 	events  int
 	bytes   int64
 	aborted bool
+	// readAhead is the most memory that was reserved because the caller read slowly, and
+	// tooSlow is set if the answer was aborted because there was no more.
+	readAhead int64
+	tooSlow   bool
 	// unframed is set if a response of a server had neither a length nor chunks.
 	unframed bool
 	// silent are the servers that sent no data for silenceTimeout.
@@ -129,32 +130,50 @@
 	c.writer.WriteHeader(reply.Status)
 }
 
-// copyBody forwards the body as it arrives. It returns an error of reading from the
-// server; an error of writing to the caller aborts the call.
+// copyBody forwards the body as it arrives, and reads it ahead while the caller is slow. It
+// returns an error of reading from the server; an error of writing to the caller aborts the
+// call.
 func (c *call) copyBody(body io.Reader) error {
-	flusher := http.NewResponseController(c.writer)
-	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
-	for {
-		n, err := body.Read(*buf)
-		if n > 0 {
-			c.countSent(n)
-			if _, werr := c.writer.Write((*buf)[:n]); werr != nil {
-				c.abort("write to the caller failed")
-			}
-			if ferr := flusher.Flush(); ferr != nil {
-				c.abort("write to the caller failed")
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+	reserved, err := c.gateway.answers.Copy(&callerSink{call: c, control: http.NewResponseController(c.writer)}, body)
+	c.trace.readAhead = max(c.trace.readAhead, reserved)
+	switch {
+	case errors.Is(err, readahead.ErrTooSlow):
+		// A reset also frees what the kernel holds for the caller.
+		closeframed.Reset(c.callerCtx)
+		c.trace.tooSlow = true
+		c.abort(err.Error())
+	case errors.Is(err, readahead.ErrWrite):
+		c.abort(err.Error())
 	}
+	return err
 }
 
+// callerSink is the caller's connection as the destination of an answer.
+type callerSink struct {
+	call    *call
+	control *http.ResponseController
+}
+
+// Write implements readahead.Destination.
+func (s *callerSink) Write(p []byte) (int, error) {
+	s.call.countSent(len(p))
+	n, err := s.call.writer.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, s.control.Flush()
+}
+
+// Interrupt implements readahead.Destination.
+func (s *callerSink) Interrupt() {
+	if err := s.control.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		log.WithField("request", s.call.id).WithField("error", err.Error()).Warn("interrupt of a write to a caller failed")
+	}
+}
+
+// StopReading implements readahead.Destination.
+func (s *callerSink) StopReading() { s.call.cancel() }
+
 // countSent counts forwarded bytes and records when the first were forwarded.
 func (c *call) countSent(n int) {
 	if c.trace.bytes == 0 {
@@ -225,6 +244,12 @@
 			fields["segments"] = segmentNames(shared)
 		}
 	}
+	if c.trace.readAhead > 0 {
+		fields["read_ahead_bytes"] = c.trace.readAhead
+	}
+	if c.trace.tooSlow {
+		fields["caller_too_slow"] = true
+	}
 	if c.trace.unframed {
 		fields["unframed"] = true
 	}
--- a/internal/gateway/stream_sampler_test.go
+++ b/internal/gateway/stream_sampler_test.go
@@ -36,3 +36,29 @@
 		t.Errorf("%d samples in a second, want at most %d", samples, limit)
 	}
 }
+
+// lateReader returns one byte for each read, after a pause that begins before the read if the
+// caller blocked.
+type lateReader struct{ waited time.Duration }
+
+func (r lateReader) Read(p []byte) (int, error) {
+	time.Sleep(r.waited)
+	p[0] = 'x'
+	return 1, nil
+}
+
+// Guards against learning the slowness of a caller as that of an engine: while the caller
+// blocks, nobody notices that events arrive.
+func TestIntervalsInWhichNobodyReadsAreNoSamples(t *testing.T) {
+	for _, blocked := range []time.Duration{0, 150 * time.Millisecond} {
+		samples := 0
+		s := &streamSampler{Reader: lateReader{waited: 150*time.Millisecond - blocked}, onFirst: func() {}, onInterval: func(time.Duration) { samples++ }}
+		for range 3 {
+			_, _ = s.Read(make([]byte, 1))
+			time.Sleep(blocked)
+		}
+		if s.events != 3 || (samples > 0) != (blocked == 0) {
+			t.Errorf("blocked for %v: %d events, %d samples", blocked, s.events, samples)
+		}
+	}
+}
