Idle connections on which a server sends are reset; test of events without end

Cause: what a server sends on an idle connection stayed in the kernel's buffer until the connection was next used or expired.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -127,9 +127,11 @@
 	t.pool.closeIf(func(key string, _ *conn) bool { return gone(serverID(key)) })
 }
 
-// CloseExpired closes the idle connections that the servers are about to close.
+// CloseExpired closes the idle connections that the servers are about to close or have closed,
+// and those on which they send without a request: what a faulty server sends would occupy
+// memory of the kernel.
 func (t *Transport) CloseExpired(now time.Time) {
-	t.pool.closeIf(func(_ string, c *conn) bool { return !c.withinIdleTimeout(now) })
+	t.pool.closeIf(func(_ string, c *conn) bool { return !c.withinIdleTimeout(now) || !c.healthy() })
 }
 
 // CloseIdleBefore closes the connections that have been idle since before a given
--- a/internal/direct/endless_test.go
+++ b/internal/direct/endless_test.go
@@ -172,6 +172,45 @@
 	}
 }
 
+// Guards against kernel memory for what a faulty server sends on an idle connection.
+func TestIdleConnectionOnWhichAServerSendsIsReset(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	sent, ended := make(chan struct{}), make(chan error, 1)
+	idle := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(longEnough))
+		_ = respond(c, bufio.NewReader(c), completeResponse)
+		<-idle
+		_, _ = io.WriteString(c, "x")
+		close(sent)
+		_, err = io.Copy(io.Discard, c)
+		ended <- err
+	}()
+	transport := direct.New(platform.Codec{})
+	if _, err := send(transport, l.Addr().String(), "r1", nil); err != nil {
+		t.Fatal(err)
+	}
+	transport.CloseExpired(time.Now())
+	close(idle)
+	<-sent
+	for n := 0; n < 100 && len(ended) == 0; n++ {
+		transport.CloseExpired(time.Now())
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := <-ended; !isReset(err) {
+		t.Errorf("the server's connection ends with %v, want a reset", err)
+	}
+}
+
 // Guards against bounds that cut sound answers: with a large head after 1xx responses, an
 // answer to another request before, and a body larger than any bound.
 func TestLargeSoundAnswerPassesTheBounds(t *testing.T) {
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -134,3 +134,24 @@
 	}
 	Expect(s.requests.Load()).To(And(BeNumerically(">", 0), BeNumerically("<=", 2)))
 }
+
+// Guards against an event without end that reaches a caller in part, and against more streams
+// for the engine that sends it.
+func TestEndlessEventMovesTheStreamOn(t *testing.T) {
+	RegisterTestingT(t)
+	f := startFixture(100, t.Cleanup)
+	f.configure("1")
+	s := f.addEndless("llm", "e-1", "decode", &endlessServer{
+		start:    fmt.Sprintf(endlessHead, "200 OK", "Response-Seal: s\r\nContent-Type: text/event-stream\r\n") + "data: ",
+		repeated: block,
+	})
+	f.add("llm", runner.New("d-0", "decode"))
+	f.followUntilKnown(2)
+	for n := range 8 {
+		id := fmt.Sprintf("r%d", n)
+		got := f.send(http.MethodPost, "/stream-again/1", id, "Token-Count", "200,20")
+		Expect(got.body).To(Equal(streamEvents(id, 1, 3)), "%d %v", got.status, got.err)
+	}
+	Expect(s.requests.Load()).To(BeNumerically("<=", 2))
+	Eventually(s.ended.Load).Should(Equal(s.requests.Load()))
+}
