Soak: servers that answer without end

The stand-in server gets a fault Endless (bytes without a line end, a head, 1xx responses or an unsealed body without end), and the randomised runs inject it.

--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -130,6 +130,7 @@
 	{name: "server breaks off", begin: serverFault(runner.TruncatingStream)},
 	{name: "server fails", begin: serverFault(runner.Failing)},
 	{name: "server answers twice", begin: serverFault(runner.DuplicateAnswer)},
+	{name: "server answers without end", begin: serverFault(runner.Endless)},
 	{name: "server silent", begin: serverFault(runner.Unresponsive)},
 	{name: "server names a limit", begin: serverLimitFault(runner.AllAnswers)},
 	{name: "server names a limit in rejections", begin: serverLimitFault(runner.Rejections)},
--- a/test/soakproc/soakproc_test.go
+++ b/test/soakproc/soakproc_test.go
@@ -18,7 +18,7 @@
 
 // seeds are fixed. With seed 107, a gateway once appended a response that was no
 // stream to the events of an engine whose stream had been truncated.
-var seeds = []uint64{1, 107}
+var seeds = []uint64{1, 2, 107}
 
 var _ = Describe("Gateways as processes", Ordered, func() {
 	var bin string
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -46,8 +46,22 @@
 	Stalling
 	// DuplicateAnswer sends each response twice on the same connection.
 	DuplicateAnswer
+	// Endless runs the request and sends bytes that are no answer until the connection fails:
+	// in turn without a line end, within a head, as 1xx responses and as a body without a seal.
+	Endless
 )
 
+// endlessAnswers are what Endless servers send in turn: a beginning and what is repeated.
+var endlessAnswers = [][2]string{
+	{"", "x"},
+	{"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: s\r\n", "A: x\r\n"},
+	{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	{"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n\r\n", "x"},
+}
+
+// endlessTimeout is how long an Endless server sends at most.
+const endlessTimeout = 5 * time.Second
+
 // acceptedOneIn is how many requests a server that sheds most gets for each one that it
 // accepts.
 const acceptedOneIn = 10
@@ -433,6 +447,10 @@
 	case Unresponsive:
 		<-req.Context().Done()
 		return
+	case Endless:
+		answer := endlessAnswers[len(s.Runs())%len(endlessAnswers)]
+		writeEndless(w, strings.ReplaceAll(answer[0], "ID", run.ID), answer[1])
+		return
 	case DuplicateAnswer:
 		one := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok", run.ID)
 		writeRaw(w, one+one)
@@ -456,6 +474,22 @@
 	_, _ = io.WriteString(w, Body(run.ID))
 }
 
+// writeEndless writes to the connection until that fails.
+func writeEndless(w http.ResponseWriter, start, repeated string) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	err = c.SetDeadline(time.Now().Add(endlessTimeout))
+	if err == nil {
+		_, err = io.WriteString(c, start)
+	}
+	for block := strings.Repeat(repeated, 1000); err == nil; {
+		_, err = io.WriteString(c, block)
+	}
+}
+
 // writeRaw writes text directly to the connection and closes it.
 func writeRaw(w http.ResponseWriter, text string) {
 	c, _, err := w.(http.Hijacker).Hijack()
