--- a/internal/gateway/failed_answer.go
+++ b/internal/gateway/failed_answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -34,19 +33,26 @@
 	return true
 }
 
+// maxDiscardedBody limits how much of the body of a discarded response is read, so that its
+// connection can be reused.
+const maxDiscardedBody = 64 << 10
+
 // discardAnswer drops a response and excludes its server, because the request is sent to
 // another one. The body of an error is read, as its end shows that the server has not crashed.
-func (c *call) discardAnswer(server backend.Server, reply *direct.Reply) {
+// It returns false if that failed.
+func (c *call) discardAnswer(server backend.Server, reply *direct.Reply) bool {
 	c.exclude(server)
-	defer reply.Body.Close()
 	if !isServerError(reply) {
-		return
+		reply.Body.Close()
+		return true
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(reply.Body, copyBufferSize)); err != nil {
+	if err := reply.Discard(maxDiscardedBody); err != nil {
 		c.trace.message = "discard error response: " + err.Error()
-	} else {
-		c.finishAttempt(server)
+		c.breakAttempt(server)
+		return false
 	}
+	c.finishAttempt(server)
+	return true
 }
 
 // forwardError handles an error response of an engine: its bytes are no events, and the time
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -247,8 +247,11 @@
 
 // discard drops a response because the request is retried at another server.
 func (c *call) discard(reply *direct.Reply, server backend.Server) {
+	if !c.discardAnswer(server, reply) {
+		c.gateway.plain.done(server.ID, nil, verdict.MayHaveRun)
+		return
+	}
 	c.gateway.plain.done(server.ID, reply, verdict.Ran)
-	c.discardAnswer(server, reply)
 }
 
 // answerBody returns the body to forward. Of a stream that may be taken up, only whole
@@ -263,9 +266,14 @@
 // deliver forwards a response to the caller.
 func (c *call) deliver(reply *direct.Reply, server backend.Server) {
 	defer reply.Body.Close()
-	defer c.gateway.plain.done(server.ID, reply, verdict.Ran)
+	outcome := reply
+	defer func() { c.gateway.plain.done(server.ID, outcome, verdict.Ran) }()
 	c.writeHead(reply)
 	if err := c.copyBody(c.answerBody(reply, server)); err != nil {
+		if c.callerCtx.Err() == nil && c.trace.readAhead == 0 {
+			// Also at the deadline: the body of a faulty server may have no end.
+			outcome = nil
+		}
 		c.breakAnswer(server)
 		c.abort("response from the backend server interrupted: " + err.Error())
 	}
--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -133,6 +133,7 @@
 	{name: "engines fail some", begin: serviceFault(modelService, runner.FailingSome)},
 	{name: "plain servers fail some", begin: serviceFault(plainService, runner.FailingSome)},
 	{name: "server answers twice", begin: serverFault(runner.DuplicateAnswer)},
+	{name: "server answers without end", begin: serverFault(runner.Endless)},
 	{name: "server silent", begin: serverFault(runner.Unresponsive)},
 	{name: "server names a limit", begin: serverLimitFault(runner.AllAnswers)},
 	{name: "server names a limit in rejections", begin: serverLimitFault(runner.Rejections)},
