Load reports with a fourth field, the contention on the server's machine

Servers that share their machine add a contention in percent to the load that they report. decodeLoad expected exactly three fields and dropped the whole report.

Three or four fields are decoded. A positive contention up to 10000% is clamped to the factors 0.5 to 8; zero, negative, larger or malformed ones are unknown while the counts beside them are used. Any other number of fields, several headers and counts above 2^24 invalidate the report. The first invalid report is logged, all are counted (gateway.server_loads_invalid).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -52,6 +52,9 @@
 // Load is the load that a server reports.
 type Load struct {
 	Running, Waiting, Slots int
+	// Contention is how many times as long as usual work takes on the server's machine at
+	// this moment, because other workloads share it: 1 is as usual, 0 unknown.
+	Contention float64
 }
 
 // Order instructs an engine to change its role.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,7 @@
 	watches      watches
 	streams      *streamVersions
 	statements   *serverStatements
+	loads        *loadReports
 
 	retryBudgets *retryBudgets
 
@@ -95,11 +96,13 @@
 		plain:        newPlainBalancer(s),
 		terminations: newTerminations(),
 		statements:   s,
+		loads:        newLoadReports(),
 		streams:      newStreamVersions(c.Directory.View),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
 	g.transport.OnResponse = func(info direct.ResponseInfo) {
 		g.statements.observe(info)
+		g.loads.observe(info)
 		g.watches.answered(info.Server.Instance(), info.Sent)
 		g.retryBudgets.observe(info)
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -120,6 +120,8 @@
 	// Load is the reported load of the server, valid if LoadKnown.
 	Load      backend.Load
 	LoadKnown bool
+	// LoadInvalid is the text of a reported load of which some part could not be used.
+	LoadInvalid string
 	// IdleTimeout is how long the server keeps an idle connection open; 0 if unknown.
 	IdleTimeout time.Duration
 	// Limit is the rate limit that the server announces.
