Contention of engines is a factor on their expected times, known to all gateways

Machines of engines are contended for some tenths of a second at a time. Prompts were placed without regard to it, and every sample taken meanwhile changed the learned speed of the engine.

internal/decide/contention keeps the last report of each server. Its weight falls to 0 within 300 ms; it is relative to the mean of the service's reports, since samples without a report include the mean. place multiplies prefill time, queue delay and inter-event time by it (for the rest of an answer by its mean over that time) and divides observations by it. Each response head is a report; AnnouncePrefillDone carries a byte for jobs whose engine has just reported (read_contention, field 25), and the receiver subtracts the delay of the datagram.

Run: go test ./internal/peers ./internal/gateway ./internal/decide/... ./platform (pass).

--- a/internal/decide/place/answer.go
+++ b/internal/decide/place/answer.go
@@ -20,12 +20,12 @@
 		return 0, 0
 	}
 	added := predict.DecodeBatch{PromptTokens: float64(f.contextTokens(j.Prompt))}
-	interEvent := e.interEventTime(e.decodeBatch(now).Plus(added))
 	answer := answerOf(j.Prompt)
+	interEvent := f.answerInterEventTime(now, e, e.decodeBatch(now).Plus(added), answer)
 	duration := f.answerLengths.RemainingTime(answer, interEvent)
 	miss = f.answerLengths.MissProbability(answer, interEvent, c.Remaining)
 	added.TotalAge = duration / 2
-	slowdown := float64(e.interEventTime(added)-e.interEventTime(predict.DecodeBatch{})) / float64(interEvent)
+	slowdown := float64(e.usualInterEventTime(added)-e.usualInterEventTime(predict.DecodeBatch{})) / float64(interEvent)
 	return scale(miss, c.Remaining) + e.delayCost(scale(slowdown, duration)), miss
 }
 
@@ -50,16 +50,33 @@
 // delayCost returns the cost of delaying all streams of an engine by d.
 func (e *engine) delayCost(d time.Duration) time.Duration { return scale(e.delayCostRate, d) }
 
-// interEventTime returns the expected time between two events of a stream.
-func (e *engine) interEventTime(b predict.DecodeBatch) time.Duration {
+// usualInterEventTime returns the expected time between two events of a stream at the usual
+// contention.
+func (e *engine) usualInterEventTime(b predict.DecodeBatch) time.Duration {
 	return scale(e.decodeSpeed.Slowdown(), e.interEventModel.InterEventTime(b))
 }
 
+// interEventTime returns the expected time between two events of a stream at the moment.
+func (e *engine) interEventTime(now time.Time, b predict.DecodeBatch) time.Duration {
+	return scale(e.contention.At(now).Now(), e.usualInterEventTime(b))
+}
+
+// answerInterEventTime returns the expected time between two events of an answer, on average
+// over the rest of it: contention rarely lasts as long as an answer.
+func (f *Fleet) answerInterEventTime(now time.Time, e *engine, b predict.DecodeBatch, a predict.Answer) time.Duration {
+	usual := e.usualInterEventTime(b)
+	c := e.contention.At(now)
+	if c.Weight == 0 {
+		return usual
+	}
+	return scale(c.Over(f.answerLengths.RemainingTime(a, usual)), usual)
+}
+
 // streamDelayCostRate returns the cost of delaying an answer that starts at an engine,
 // per unit of delay.
 func (f *Fleet) streamDelayCostRate(now time.Time, e *engine, answer predict.Answer, remaining time.Duration) float64 {
 	if answer.HintTokens <= 0 || !f.decodeCalibrated() {
 		return 0
 	}
-	return f.answerLengths.MissSensitivity(answer, e.interEventTime(e.decodeBatch(now)), remaining)
+	return f.answerLengths.MissSensitivity(answer, f.answerInterEventTime(now, e, e.decodeBatch(now), answer), remaining)
 }
--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
@@ -53,6 +54,8 @@
 	decodeSpeed     predict.EngineSpeed
 	// delayCostRate is the cost of delaying all streams, per unit of delay.
 	delayCostRate float64
+	// contention is that of the engine's machine.
+	contention contention.State
 	// avoidUntil is until when an engine that failed is avoided.
 	avoidUntil time.Time
 }
@@ -64,8 +67,13 @@
 	return &engine{Engine: e, hash: xxhash.Sum64String(e.ID), cache: newPrefixCache(e.KVTokens)}
 }
 
-// prefillTime returns how long the engine takes for prefill work.
-func (e *engine) prefillTime(w predict.PrefillWork) time.Duration {
+// prefillTime returns how long the engine takes for prefill work at the moment.
+func (e *engine) prefillTime(now time.Time, w predict.PrefillWork) time.Duration {
+	return scale(e.contention.At(now).Now(), e.usualPrefillTime(w))
+}
+
+// usualPrefillTime returns the same at the usual contention.
+func (e *engine) usualPrefillTime(w predict.PrefillWork) time.Duration {
 	return time.Duration(e.prefillSpeed.Slowdown() * float64(e.prefillModel.ComputeTime(w)))
 }
 
@@ -85,7 +93,7 @@
 	if e.queue.empty() {
 		return 0
 	}
-	total := e.prefillTime(e.queue.work)
+	total := e.prefillTime(now, e.queue.work)
 	if overdue, stalled := e.overdue(now); stalled {
 		return total + overdue
 	}
@@ -98,7 +106,7 @@
 	if e.queue.empty() {
 		return 0, false
 	}
-	expected := e.prefillTime(e.queue.largest) + e.prefillModel.FixedLatency()
+	expected := e.prefillTime(now, e.queue.largest) + e.prefillModel.FixedLatency()
 	overdue := now.Sub(e.prefillingSince) - expected
 	return overdue, overdue > time.Duration(stallFactor*float64(expected))
 }
@@ -142,10 +150,11 @@
 
 // observeInterEventTime learns from the time between two events of a stream.
 func (e *engine) observeInterEventTime(now time.Time, gap time.Duration) {
+	gap = scale(1/e.contention.At(now).Now(), gap)
 	batch := e.decodeBatch(now)
 	slowdown := e.decodeSpeed.Slowdown()
 	if e.interEventModel.Calibrated() {
-		e.decodeSpeed.Observe(e.interEventTime(batch), gap)
+		e.decodeSpeed.Observe(e.usualInterEventTime(batch), gap)
 	}
 	e.interEventModel.Observe(batch, slowdown, gap)
 }
@@ -159,11 +168,13 @@
 	p.unrepresentative = e.slotsFull() || stalled
 	p.cumulativeWork = p.work
 	delay := e.queueDelay(now)
-	if total := e.prefillTime(e.queue.work); total > 0 {
+	if total := e.prefillTime(now, e.queue.work); total > 0 {
 		fraction := min(1, float64(delay)/float64(total))
 		p.cumulativeWork = e.queue.work.Scale(fraction).Plus(p.work)
 	}
-	p.expectedTime = delay + e.prefillTime(p.work) + e.prefillModel.FixedLatency()
+	p.contention = e.contention.At(now)
+	p.usualTime = scale(1/p.contention.Now(), delay) + e.usualPrefillTime(p.work) + e.prefillModel.FixedLatency()
+	p.expectedTime = delay + e.prefillTime(now, p.work) + e.prefillModel.FixedLatency()
 	if e.queue.empty() {
 		e.prefillingSince = now
 	}
@@ -182,7 +193,7 @@
 	if p == nil {
 		return
 	}
-	took := now.Sub(p.sentAt)
+	took := e.usualDuration(now, p)
 	if p.unrepresentative || e.slotsFull() {
 		if !e.prefillModel.Calibrated() {
 			e.prefillModel.Observe(p.cumulativeWork, 1, took)
@@ -190,11 +201,22 @@
 		return
 	}
 	if e.prefillModel.Calibrated() {
-		e.prefillSpeed.Observe(p.expectedTime, took)
+		e.prefillSpeed.Observe(p.usualTime, took)
 	}
 	e.prefillModel.Observe(p.cumulativeWork, e.prefillSpeed.Slowdown(), took)
 }
 
+// usualDuration returns how long a prefill that ends now would have taken at the usual
+// contention, which does not affect the network latency.
+func (e *engine) usualDuration(now time.Time, p *prefill) time.Duration {
+	took, latency := now.Sub(p.sentAt), e.prefillModel.FixedLatency()
+	factor := contention.During(p.contention, e.contention.At(now))
+	if factor == 1 || took <= latency {
+		return took
+	}
+	return latency + scale(1/factor, took-latency)
+}
+
 // removePrefill removes a prefill and returns it. The engine started on the next one
 // while the reply was in transit.
 func (e *engine) removePrefill(now time.Time, id JobID) *prefill {
--- a/internal/decide/place/estimate.go
+++ b/internal/decide/place/estimate.go
@@ -40,7 +40,7 @@
 		QueueDelayMS:       predict.ToMillis(e.queueDelay(now)),
 		Streams:            e.streams,
 
-		InterEventTimeMS: predict.ToMillis(e.interEventTime(e.decodeBatch(now))),
+		InterEventTimeMS: predict.ToMillis(e.interEventTime(now, e.decodeBatch(now))),
 		DecodeSlowdown:   e.decodeSpeed.Slowdown(),
 	}, true
 }
--- a/internal/decide/place/misses.go
+++ b/internal/decide/place/misses.go
@@ -53,7 +53,7 @@
 	if a.HintTokens <= 0 || !f.decodeCalibrated() {
 		return
 	}
-	interEvent := e.interEventTime(e.decodeBatch(now))
+	interEvent := f.answerInterEventTime(now, e, e.decodeBatch(now), a)
 	events := float64(a.EventsDone) + float64(f.answerLengths.RemainingTime(a, interEvent))/float64(max(1, interEvent))
 	f.expectedMisses.add(now, events, f.answerLengths.MissProbability(a, interEvent, remaining))
 }
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -129,6 +130,8 @@
 	handoverModel *predict.HandoverModel
 	// interEventModel predicts the time between two events of a stream.
 	interEventModel *predict.DecodeModel
+	// usualContention is the mean contention that the engines report.
+	usualContention *contention.Usual
 	// answerLengths predicts how many events an answer has.
 	answerLengths predict.LengthModel
 	// localLag and remoteLag are by how much the prefills of this gateway and of others
@@ -164,6 +167,7 @@
 		},
 		handoverModel:   predict.NewHandoverModel(priorHandoverTime),
 		interEventModel: predict.NewDecodeModel(),
+		usualContention: &contention.Usual{},
 	}
 }
 
@@ -272,7 +276,7 @@
 		DecodeEngine:  prefillEngine.ID,
 		CachedTokens:  cached,
 		QueueDelay:    prefillEngine.queueDelay(now),
-		PrefillTime:   prefillEngine.prefillTime(work),
+		PrefillTime:   prefillEngine.prefillTime(now, work),
 		PrefillLag:    f.prefillLag(now),
 		Overhead:      prefillEngine.prefillModel.FixedLatency(),
 		ShortPrefill:  work.Tokens <= shortPrefillFraction*f.meanPrefillTokens,
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 )
@@ -63,6 +64,8 @@
 	InFlight int `json:"work"`
 	// Estimates is what has been learned of a model engine, absent for others.
 	Estimates *place.EngineEstimate `json:"belief,omitempty"`
+	// Contention is what the server last reported of its machine, absent if it did not.
+	Contention *ContentionDump `json:"contention,omitempty"`
 	// Limit is the limit that the server states, absent if it states none.
 	Limit *LimitDump `json:"limit,omitempty"`
 	// Leaving says that the server states that it is leaving, and Rest how much longer it
@@ -71,6 +74,14 @@
 	Rest    string `json:"rest,omitempty"`
 }
 
+// ContentionDump is how contended the machine of a server is.
+type ContentionDump struct {
+	// Factor is how many times as long work takes as usual, AgeMS how old the report is. It
+	// counts for 300 ms, with a falling weight.
+	Factor float64 `json:"factor"`
+	AgeMS  int64   `json:"age_ms"`
+}
+
 // LimitDump is the limit that a server states.
 type LimitDump struct {
 	// PerSecond is how many requests a second the server accepts from all gateways
@@ -124,7 +135,9 @@
 		Server:    s,
 		InFlight:  g.EngineInFlight(s.Service, s.ID),
 		Estimates: g.engineEstimates(now, s),
-		Limit:     g.statements.dumpLimit(s.ID),
+
+		Contention: dumpContention(now, g.contention(s)),
+		Limit:      g.statements.dumpLimit(s.ID),
 	}
 	leaving, rest := g.statements.dumpStatements(s.Instance())
 	d.Leaving = leaving
@@ -134,6 +147,24 @@
 	return d
 }
 
+// contention returns the last report of a server, with Factor 0 if there is none.
+func (g *Gateway) contention(s backend.Server) contention.Report {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	f, ok := g.engines.fleets[s.Service]
+	if !ok {
+		return contention.Report{}
+	}
+	return f.Contention(s.ID)
+}
+
+func dumpContention(now time.Time, r contention.Report) *ContentionDump {
+	if r.Factor == 0 {
+		return nil
+	}
+	return &ContentionDump{Factor: r.Factor, AgeMS: now.Sub(r.At).Milliseconds()}
+}
+
 // age formats how long ago the store confirmed something, or "never" if it has not.
 func age(now, at time.Time) string {
 	if at.IsZero() {
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -22,9 +23,10 @@
 type Gossip interface {
 	// AnnouncePlacement announces that a request was assigned to engines,
 	// AnnouncePrefillDone that its prompt has been prefilled, and AnnounceFinished
-	// that it finished.
+	// that it finished. contention is the factor that the prefill engine has just reported,
+	// 0 if unknown.
 	AnnouncePlacement(p place.Placement)
-	AnnouncePrefillDone(id place.JobID)
+	AnnouncePrefillDone(id place.JobID, contention float64)
 	AnnounceFinished(id place.JobID)
 	// AnnounceAvoid announces that an engine rejects requests and is to be avoided for d.
 	AnnounceAvoid(service, engine string, d time.Duration)
@@ -68,7 +70,7 @@
 type noGossip struct{}
 
 func (noGossip) AnnouncePlacement(place.Placement)           {}
-func (noGossip) AnnouncePrefillDone(place.JobID)             {}
+func (noGossip) AnnouncePrefillDone(place.JobID, float64)    {}
 func (noGossip) AnnounceFinished(place.JobID)                {}
 func (noGossip) AnnounceAvoid(string, string, time.Duration) {}
 func (noGossip) AnnounceTermination(quarantine.Evidence)     {}
@@ -196,16 +198,20 @@
 func (e *engines) prefillDone(service string, id place.JobID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.fleet(service).LocalPrefillDone(time.Now(), id)
-	e.gossip.AnnouncePrefillDone(id)
+	now, f := time.Now(), e.fleet(service)
+	contended := f.PrefillContention(now, id)
+	f.LocalPrefillDone(now, id)
+	e.gossip.AnnouncePrefillDone(id, contended)
 }
 
 // firstToken records that the first token of a job has arrived.
 func (e *engines) firstToken(service string, id place.JobID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.fleet(service).FirstToken(time.Now(), id) {
-		e.gossip.AnnouncePrefillDone(id)
+	now, f := time.Now(), e.fleet(service)
+	contended := f.PrefillContention(now, id)
+	if f.FirstToken(now, id) {
+		e.gossip.AnnouncePrefillDone(id, contended)
 	}
 }
 
@@ -223,6 +229,15 @@
 	e.fleet(service).ObserveInterEventTime(time.Now(), id, interval)
 }
 
+// contended records the contention that an engine has reported.
+func (e *engines) contended(now time.Time, s backend.Server, factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f, ok := e.fleets[s.Service]; ok {
+		f.ObserveContention(now, s.ID, contention.Report{Factor: factor, At: now})
+	}
+}
+
 // finished removes a job from its engines and announces that it finished.
 func (e *engines) finished(service string, id place.JobID) {
 	e.mu.Lock()
@@ -374,6 +389,16 @@
 	}
 }
 
+// RemoteContention records the contention that the engine which prefills another gateway's
+// job has reported to that gateway.
+func (g *Gateway) RemoteContention(id place.JobID, r contention.Report) {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	for _, f := range g.engines.fleets {
+		f.ObserveJobContention(time.Now(), id, r)
+	}
+}
+
 // RemoteFinished records that another gateway's job has finished.
 func (g *Gateway) RemoteFinished(id place.JobID) {
 	g.engines.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,15 +88,16 @@
 // New returns a Gateway.
 func New(c Config) *Gateway {
 	s := newServerStatements()
+	e := newEngines(s)
 	g := &Gateway{
 		codec:        c.Codec,
 		transport:    direct.New(c.Codec),
 		directory:    c.Directory,
-		engines:      newEngines(s),
+		engines:      e,
 		plain:        newPlainBalancer(s),
 		terminations: newTerminations(),
 		statements:   s,
-		loads:        newLoadReports(),
+		loads:        newLoadReports(e),
 		streams:      newStreamVersions(c.Directory.View),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -255,7 +255,7 @@
 type placementCounter struct{ count atomic.Int64 }
 
 func (p *placementCounter) AnnouncePlacement(place.Placement)           { p.count.Add(1) }
-func (p *placementCounter) AnnouncePrefillDone(place.JobID)             {}
+func (p *placementCounter) AnnouncePrefillDone(place.JobID, float64)    {}
 func (p *placementCounter) AnnounceFinished(place.JobID)                {}
 func (p *placementCounter) AnnounceAvoid(string, string, time.Duration) {}
 func (p *placementCounter) GatewayCount() int                           { return 1 }
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -1,29 +1,50 @@
 package gateway
 
 import (
+	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 )
 
 // loadReports processes the load that servers report in the heads of their responses.
 type loadReports struct {
+	engines       *engines
+	contended     metrics.Histogram
 	invalid       metrics.Counter
 	loggedInvalid atomic.Bool
 }
 
-func newLoadReports() *loadReports {
-	return &loadReports{invalid: metrics.GetOrRegisterCounter("gateway.server_loads_invalid", nil)}
+func newLoadReports(e *engines) *loadReports {
+	return &loadReports{
+		engines:   e,
+		invalid:   metrics.GetOrRegisterCounter("gateway.server_loads_invalid", nil),
+		contended: metrics.GetOrRegisterHistogram("gateway.server_contention_percent", nil, metrics.NewUniformSample(contentionSamples)),
+	}
 }
 
+// contentionSamples is the size of the sample of reported contentions for the metric.
+const contentionSamples = 256
+
 // observe processes the load in the head of a response.
 func (l *loadReports) observe(info direct.ResponseInfo) {
 	if info.LoadInvalid != "" {
 		l.countInvalid(info)
 	}
+	// A misdirected request was answered by another server.
+	if info.Load.Contention == 0 || info.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	const percentPerUnit = 100
+	l.contended.Update(int64(percentPerUnit * info.Load.Contention))
+	if info.Server.Role != backend.NoRole {
+		l.engines.contended(time.Now(), info.Server, info.Load.Contention)
+	}
 }
 
 // countInvalid counts an invalid load. Only the first is logged: a server repeats it in each
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -29,6 +29,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -64,6 +65,9 @@
 	// EngineByHash returns the engine with a hash, and its service.
 	EngineByHash(hash uint32) (service, id string, ok bool)
 	RemotePlacement(service string, p place.Placement)
+	// RemoteContention handles the contention that the prefill engine of a job reported to
+	// another gateway. It is called before the end of the prefill.
+	RemoteContention(id place.JobID, r contention.Report)
 	RemotePrefillDone(id place.JobID)
 	RemoteFinished(id place.JobID)
 	RemoteAvoid(service, engine string, d time.Duration)
@@ -325,8 +329,16 @@
 const jobIDBytes = 4
 
 // AnnouncePrefillDone implements gateway.Gossip.
-func (p *Peers) AnnouncePrefillDone(id place.JobID) {
-	p.enqueue(ownGroup, flushDelay, jobIDBytes, func(s *wire.Share) { s.ReadDone = append(s.ReadDone, uint32(id)) })
+func (p *Peers) AnnouncePrefillDone(id place.JobID, factor float64) {
+	b := contention.Encode(factor)
+	p.enqueue(ownGroup, flushDelay, jobIDBytes+1, func(s *wire.Share) {
+		if b > 0 {
+			// Those before it that are not there are unknown.
+			unknown := make([]byte, len(s.ReadDone)-len(s.ReadContention))
+			s.ReadContention = append(append(s.ReadContention, unknown...), b)
+		}
+		s.ReadDone = append(s.ReadDone, uint32(id))
+	})
 }
 
 // AnnounceFinished implements gateway.Gossip.
@@ -601,11 +613,15 @@
 			p.receivePlacement(m)
 		}
 	}
-	for _, id := range s.ReadDone {
+	sent := time.Now().Add(-delay)
+	for i, id := range s.ReadDone {
 		if late {
 			p.receiver.RemoteFinished(place.JobID(id))
 			continue
 		}
+		if i < len(s.ReadContention) && s.ReadContention[i] > 0 {
+			p.receiver.RemoteContention(place.JobID(id), contention.Report{Factor: contention.Decode(s.ReadContention[i]), At: sent})
+		}
 		p.receiver.RemotePrefillDone(place.JobID(id))
 	}
 	for _, id := range s.Ended {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -19,6 +19,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -44,6 +45,8 @@
 	prefilled  map[place.JobID]bool
 	finished   map[place.JobID]bool
 	avoids     int
+	// contentions are the reports of prefill engines by job.
+	contentions map[place.JobID]contention.Report
 	// blocks makes RemoteAvoid block for the announced time.
 	blocks   bool
 	evidence []quarantine.Evidence
@@ -84,7 +87,8 @@
 func newRecorder() *recorder {
 	return &recorder{
 		placements: map[place.JobID]place.Placement{}, prefilled: map[place.JobID]bool{}, finished: map[place.JobID]bool{},
-		streams: streamversion.NewRecords(), unknownAt: map[uint32]streamversion.Served{},
+		contentions: map[place.JobID]contention.Report{},
+		streams:     streamversion.NewRecords(), unknownAt: map[uint32]streamversion.Served{},
 	}
 }
 
@@ -104,6 +108,18 @@
 	r.segments += len(p.Prompt.Segments)
 }
 
+func (r *recorder) RemoteContention(id place.JobID, c contention.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.contentions[id] = c
+}
+
+func (r *recorder) contention(id place.JobID) contention.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.contentions[id]
+}
+
 func (r *recorder) RemotePrefillDone(id place.JobID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -253,7 +269,7 @@
 		for id := range place.JobID(100) {
 			placement.ID = id
 			a.AnnouncePlacement(placement)
-			a.AnnouncePrefillDone(id)
+			a.AnnouncePrefillDone(id, 0)
 			a.AnnounceFinished(id)
 		}
 		Eventually(func() int { placed, _, _ := rec.jobs(); return placed }).Should(Equal(100))
@@ -280,7 +296,7 @@
 		placement.Prompt.Tokens = 9_190
 		placement.Plan = place.Plan{PrefillEngine: "i-7f3a91c2aa", DecodeEngine: "i-8f3a91c2aa", CachedTokens: 6_300}
 		p.AnnouncePlacement(placement)
-		p.AnnouncePrefillDone(placement.ID)
+		p.AnnouncePrefillDone(placement.ID, 2.5)
 		p.AnnounceFinished(placement.ID)
 
 		const maxBytes = 90
@@ -307,7 +323,7 @@
 		p.JoinGroup(1)
 		prefill := func(id place.JobID) {
 			p.AnnouncePlacement(place.Placement{ID: id, Plan: place.Plan{PrefillEngine: "i-p", DecodeEngine: "i-p"}})
-			p.AnnouncePrefillDone(id)
+			p.AnnouncePrefillDone(id, 2)
 		}
 		p.AnnounceAvoid("llm", "i-1", 1500*time.Millisecond)
 		time.Sleep(100 * time.Millisecond)
@@ -320,6 +336,35 @@
 		Expect(finished).To(Equal(1))
 	})
 
+	// Guards against factors that are taken for those of other jobs, and against old ones
+	// that a datagram brings back after it was queued.
+	It("announce how contended prefill engines are, with the time of the report", func() {
+		all, recorders, addresses := startGateways(2)
+		all[0].SetPeers(maps.Clone(addresses), true)
+		rec := recorders["f-1"]
+		rec.blocks = true
+		all[0].AnnouncePrefillDone(1, 0)
+		all[0].AnnouncePrefillDone(2, 2.5)
+		all[0].AnnouncePrefillDone(3, 0)
+		all[0].AnnouncePrefillDone(4, 1)
+		all[0].AnnouncePrefillDone(5, 0)
+		Eventually(func() int { _, prefilled, _ := rec.jobs(); return prefilled }).Should(Equal(5))
+		Expect(rec.contention(1)).To(BeZero())
+		Expect(rec.contention(2).Factor).To(BeNumerically("~", 2.5, 0.05))
+		Expect(rec.contention(3)).To(BeZero())
+		Expect(rec.contention(4).Factor).To(BeNumerically("~", 1, 0.05))
+		Expect(rec.contention(5)).To(BeZero())
+
+		const blocked = 400 * time.Millisecond
+		all[0].AnnounceAvoid("llm", "i-1", blocked)
+		all[0].Flush()
+		sent := time.Now()
+		all[0].AnnouncePrefillDone(6, 2.5)
+		all[0].Flush()
+		Eventually(func() int { _, prefilled, _ := rec.jobs(); return prefilled }).Should(Equal(6))
+		Expect(rec.contention(6).At).To(BeTemporally("~", sent, blocked/2))
+	})
+
 	// Guards against gateways that miss a termination because a datagram was lost or they
 	// were not running yet: any of the others reannounces it until all know it.
 	It("announce a termination to all gateways, and reannounce it to a few", func() {
