Plain services: choice by aged reports and contention, shared among gateways

A gateway saw the load of a plain server with each of its own answers only, used the report in full for 400 ms and then not at all, and knew nothing of contention: servers of four-field reports were chosen by this gateway's own requests.

The decision is now in internal/decide/balance. Where a server reports contention, the better of two random servers is chosen, by the contention and the load with this request; reports lose their weight with age, requests sent since count on top. Such reports are shared (server_reports, field 23), at most one in 20 ms times the number of such servers. With three fields the rule stays as it was (lowest load per slot); a report is recorded when the head arrives, no longer at the end of the body.

--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -152,8 +152,8 @@
 	g.engines.mu.Lock()
 	defer g.engines.mu.Unlock()
 	f, ok := g.engines.fleets[s.Service]
-	if !ok {
-		return contention.Report{}
+	if !ok || s.Role == backend.NoRole {
+		return g.plain.contention(s.ID)
 	}
 	return f.Contention(s.ID)
 }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/balance"
 	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
@@ -30,6 +31,8 @@
 	AnnounceFinished(id place.JobID)
 	// AnnounceAvoid announces that an engine rejects requests and is to be avoided for d.
 	AnnounceAvoid(service, engine string, d time.Duration)
+	// AnnounceServerReport announces what a server of a plain service has reported.
+	AnnounceServerReport(server string, r balance.Report)
 	// AnnounceTermination announces to all gateways that a server terminated while it ran a
 	// request, or that the request completed; ReannounceTermination repeats that to some.
 	AnnounceTermination(e quarantine.Evidence)
@@ -73,6 +76,7 @@
 func (noGossip) AnnouncePrefillDone(place.JobID, float64)    {}
 func (noGossip) AnnounceFinished(place.JobID)                {}
 func (noGossip) AnnounceAvoid(string, string, time.Duration) {}
+func (noGossip) AnnounceServerReport(string, balance.Report) {}
 func (noGossip) AnnounceTermination(quarantine.Evidence)     {}
 func (noGossip) ReannounceTermination(quarantine.Evidence)   {}
 func (noGossip) AnnounceCrash(quarantine.Crash)              {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 // each service's retry budget is divided by the number of gateways that it reports.
 func (g *Gateway) SetGossip(gossip Gossip) {
 	g.engines.gossip = gossip
+	g.plain.gossip = gossip
 	g.terminations.gossip = gossip
 	g.statements.gossip = gossip
 	g.streams.gossip = gossip
@@ -88,16 +89,16 @@
 // New returns a Gateway.
 func New(c Config) *Gateway {
 	s := newServerStatements()
-	e := newEngines(s)
+	e, plain := newEngines(s), newPlainBalancer(s)
 	g := &Gateway{
 		codec:        c.Codec,
 		transport:    direct.New(c.Codec),
 		directory:    c.Directory,
 		engines:      e,
-		plain:        newPlainBalancer(s),
+		plain:        plain,
 		terminations: newTerminations(),
 		statements:   s,
-		loads:        newLoadReports(e),
+		loads:        newLoadReports(e, plain),
 		streams:      newStreamVersions(c.Directory.View),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
@@ -133,7 +134,7 @@
 // ViewChanged updates the gateway to the servers and services of a new view.
 func (g *Gateway) ViewChanged(v *directory.View) {
 	g.engines.update(v)
-	g.plain.prune(v)
+	g.plain.update(v)
 	g.statements.update(v)
 	g.streams.viewChanged()
 	g.transport.CloseServers(func(id string) bool {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pistachioroad.dev/pistachioroad/internal/decide/balance"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -255,6 +256,7 @@
 type placementCounter struct{ count atomic.Int64 }
 
 func (p *placementCounter) AnnouncePlacement(place.Placement)           { p.count.Add(1) }
+func (p *placementCounter) AnnounceServerReport(string, balance.Report) {}
 func (p *placementCounter) AnnouncePrefillDone(place.JobID, float64)    {}
 func (p *placementCounter) AnnounceFinished(place.JobID)                {}
 func (p *placementCounter) AnnounceAvoid(string, string, time.Duration) {}
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -15,14 +15,16 @@
 // loadReports processes the load that servers report in the heads of their responses.
 type loadReports struct {
 	engines       *engines
+	plain         *plainBalancer
 	contended     metrics.Histogram
 	invalid       metrics.Counter
 	loggedInvalid atomic.Bool
 }
 
-func newLoadReports(e *engines) *loadReports {
+func newLoadReports(e *engines, p *plainBalancer) *loadReports {
 	return &loadReports{
 		engines:   e,
+		plain:     p,
 		invalid:   metrics.GetOrRegisterCounter("gateway.server_loads_invalid", nil),
 		contended: metrics.GetOrRegisterHistogram("gateway.server_contention_percent", nil, metrics.NewUniformSample(contentionSamples)),
 	}
@@ -37,13 +39,17 @@
 		l.countInvalid(info)
 	}
 	// A misdirected request was answered by another server.
-	if info.Load.Contention == 0 || info.Status == http.StatusMisdirectedRequest {
+	if !info.LoadKnown || info.Status == http.StatusMisdirectedRequest {
 		return
 	}
-	const percentPerUnit = 100
-	l.contended.Update(int64(percentPerUnit * info.Load.Contention))
-	if info.Server.Role != backend.NoRole {
-		l.engines.contended(time.Now(), info.Server, info.Load.Contention)
+	now := time.Now()
+	if info.Load.Contention > 0 {
+		const percentPerUnit = 100
+		l.contended.Update(int64(percentPerUnit * info.Load.Contention))
+		l.engines.contended(now, info.Server, info.Load.Contention)
+	}
+	if info.Server.Role == backend.NoRole {
+		l.plain.reported(now, info.Server.ID, info.Load)
 	}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/balance"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
+	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -19,115 +22,84 @@
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
-const (
-	// loadMaxAge is how long the load that a server reports is used.
-	loadMaxAge = 400 * time.Millisecond
-	// failureAvoidTime is how long a failed server is avoided if there are others:
-	// long enough to spare most requests, short enough to notice its recovery.
-	failureAvoidTime = 1500 * time.Millisecond
-	// remotePenalty is added to the load of a server in another data centre, in
-	// requests in flight: the distance adds a millisecond to requests that take
-	// tens of milliseconds.
-	remotePenalty = 0.3
-)
+// failureAvoidTime is how long a failed server is avoided if there are others: long enough to
+// spare most requests, short enough to notice its recovery.
+const failureAvoidTime = 1500 * time.Millisecond
 
 // plainBalancer balances requests over the servers of plain services, which are
 // those without model engines.
 type plainBalancer struct {
 	statements *serverStatements
+	gossip     Gossip
 	mu         sync.Mutex
-	servers    map[string]*plainServer
-}
+	balancer   *balance.Balancer
+	// byHash maps the hashes of servers in announcements to their IDs.
+	byHash map[uint32]string
 
-type plainServer struct {
-	inFlight   int
-	load       backend.Load
-	loadAt     time.Time
-	avoidUntil time.Time
+	announced, received metrics.Counter
 }
 
 func newPlainBalancer(s *serverStatements) *plainBalancer {
-	return &plainBalancer{statements: s, servers: make(map[string]*plainServer)}
-}
-
-func (p *plainBalancer) server(id string) *plainServer {
-	s, ok := p.servers[id]
-	if !ok {
-		s = &plainServer{}
-		p.servers[id] = s
+	return &plainBalancer{
+		statements: s, gossip: noGossip{}, balancer: balance.New(),
+		announced: metrics.GetOrRegisterCounter("gateway.server_reports_announced", nil),
+		received:  metrics.GetOrRegisterCounter("gateway.server_reports_received", nil),
 	}
-	return s
 }
 
-// prune removes servers that are gone and have no requests in flight. Without it,
-// the map would grow, because restarted servers get new names.
-func (p *plainBalancer) prune(v *directory.View) {
+// update sets the servers to those of a new view.
+func (p *plainBalancer) update(v *directory.View) {
+	byHash := make(map[uint32]string)
+	for id, s := range v.Servers {
+		if s.Role == backend.NoRole {
+			byHash[place.EngineHash(id)] = id
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.servers, func(id string, s *plainServer) bool {
+	p.byHash = byHash
+	p.balancer.Prune(func(id string) bool {
 		_, exists := v.Servers[id]
-		return !exists && s.inFlight == 0
+		return exists
 	})
 }
 
-// choose returns the eligible server with the lowest load and counts a request there.
+// choose chooses an eligible server and counts a request there.
 func (p *plainBalancer) choose(now time.Time, servers []backend.Server, dataCentre string, exclude func(id string) bool) (backend.Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best backend.Server
-	lowest := -1.0
-	for _, s := range servers {
-		if exclude(s.ID) {
-			continue
-		}
-		if load := p.server(s.ID).loadPerSlot(now, s, dataCentre); lowest < 0 || load < lowest {
-			best, lowest = s, load
-		}
-	}
-	if lowest < 0 {
+	servers = lo.Reject(servers, func(s backend.Server, _ int) bool { return exclude(s.ID) })
+	candidates := lo.Map(servers, func(s backend.Server, _ int) balance.Server {
+		return balance.Server{ID: s.ID, Slots: s.Slots, Remote: s.DataCentre != dataCentre}
+	})
+	chosen, ok := p.balancer.Choose(now, candidates, rand.Float64)
+	if !ok {
 		return backend.Server{}, false
 	}
-	p.server(best.ID).inFlight++
-	p.statements.countSend(best.ID)
-	return best, true
+	p.statements.countSend(servers[chosen].ID)
+	return servers[chosen], true
 }
 
-// loadPerSlot returns the load of a server in requests per slot, with penalties and a
-// random tie-breaker.
-func (s *plainServer) loadPerSlot(now time.Time, b backend.Server, dataCentre string) float64 {
-	load := float64(s.inFlight)
-	if now.Sub(s.loadAt) < loadMaxAge {
-		// The server's report includes the requests of all gateways.
-		load = max(load, float64(s.load.Running+s.load.Waiting))
-	}
-	if b.DataCentre != dataCentre {
-		load += remotePenalty
-	}
-	if now.Before(s.avoidUntil) {
-		load += avoidPenalty
+// reported records the load that a server has reported to this gateway, and announces it where
+// servers report contention.
+func (p *plainBalancer) reported(now time.Time, id string, l backend.Load) {
+	r := balance.Report{Busy: l.Running + l.Waiting, Contention: l.Contention, At: now}
+	p.mu.Lock()
+	share := p.balancer.Report(now, id, r)
+	p.mu.Unlock()
+	if share {
+		p.announced.Inc(1)
+		p.gossip.AnnounceServerReport(id, r)
 	}
-	return (load + rand.Float64()*tieBreakJitter) / float64(max(1, b.Slots))
 }
 
-const (
-	// avoidPenalty exceeds any load.
-	avoidPenalty = 1e6
-	// tieBreakJitter spreads the gateways over servers of equal load.
-	tieBreakJitter = 0.2
-)
-
 // done records the outcome of a request at a server.
 func (p *plainBalancer) done(id string, reply *direct.Reply, v verdict.Verdict) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.server(id)
-	s.inFlight--
-	now := time.Now()
-	if reply != nil && reply.LoadKnown {
-		s.load, s.loadAt = reply.Load, now
-	}
+	p.balancer.Done(id)
 	if reply == nil && v != verdict.NotRun {
-		s.avoidUntil = now.Add(failureAvoidTime)
+		p.balancer.Avoid(id, time.Now().Add(failureAvoidTime))
 	}
 }
 
@@ -135,7 +107,25 @@
 func (p *plainBalancer) avoid(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.server(id).avoidUntil = time.Now().Add(failureAvoidTime)
+	p.balancer.Avoid(id, time.Now().Add(failureAvoidTime))
+}
+
+// contention returns the last contention that a server has reported.
+func (p *plainBalancer) contention(id string) contention.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.Contention(id)
+}
+
+// RemoteServerReport records what a server, given by its hash, has reported to another gateway.
+func (g *Gateway) RemoteServerReport(hash uint32, r balance.Report) {
+	p := g.plain
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if id, ok := p.byHash[hash]; ok {
+		p.received.Inc(1)
+		p.balancer.RemoteReport(time.Now(), id, r)
+	}
 }
 
 // runPlain serves a request to a plain service. It chooses a server for each attempt.
--- a/internal/peers/outbox.go
+++ b/internal/peers/outbox.go
@@ -34,7 +34,9 @@
 type outbox struct {
 	pending *wire.Share
 	size    int
-	timer   *time.Timer
+	// reportedAt are the times of the pending reports of servers.
+	reportedAt []time.Time
+	timer      *time.Timer
 	// due is when the timer fires.
 	due time.Time
 }
@@ -146,6 +148,7 @@
 	}
 	box.timer.Stop()
 	p.stamp(box.pending)
+	box.stampReports(time.Now())
 	data, err := proto.Marshal(box.pending)
 	box.pending = nil
 	if err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -29,6 +29,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/balance"
 	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
@@ -71,6 +72,9 @@
 	RemotePrefillDone(id place.JobID)
 	RemoteFinished(id place.JobID)
 	RemoteAvoid(service, engine string, d time.Duration)
+	// RemoteServerReport handles what a server of a plain service, given by its hash, has
+	// reported to another gateway.
+	RemoteServerReport(hash uint32, r balance.Report)
 	RemoteTermination(e quarantine.Evidence)
 	RemoteCrash(c quarantine.Crash)
 	// RemoteServerLimit handles the limit that a server stated to another gateway. from is
@@ -551,6 +555,7 @@
 	}
 	delay := p.delays.estimate(uint64(s.Sender), time.Duration(s.SentMs)*time.Millisecond, boottime.Now())
 	p.receiveJobs(s, delay)
+	p.receiveServerReports(s, delay)
 	now := time.Now()
 	for _, m := range s.Entries {
 		p.receiver.RemoteServerChange(now, directory.ServerChange{
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -16,9 +16,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/balance"
 	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
@@ -28,6 +30,7 @@
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/usage"
+	"pistachioroad.dev/pistachioroad/internal/wire"
 	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
@@ -47,6 +50,8 @@
 	avoids     int
 	// contentions are the reports of prefill engines by job.
 	contentions map[place.JobID]contention.Report
+	// serverReports are the reports of plain servers by hash.
+	serverReports map[uint32]balance.Report
 	// blocks makes RemoteAvoid block for the announced time.
 	blocks   bool
 	evidence []quarantine.Evidence
@@ -87,8 +92,8 @@
 func newRecorder() *recorder {
 	return &recorder{
 		placements: map[place.JobID]place.Placement{}, prefilled: map[place.JobID]bool{}, finished: map[place.JobID]bool{},
-		contentions: map[place.JobID]contention.Report{},
-		streams:     streamversion.NewRecords(), unknownAt: map[uint32]streamversion.Served{},
+		contentions: map[place.JobID]contention.Report{}, serverReports: map[uint32]balance.Report{},
+		streams: streamversion.NewRecords(), unknownAt: map[uint32]streamversion.Served{},
 	}
 }
 
@@ -120,6 +125,18 @@
 	return r.contentions[id]
 }
 
+func (r *recorder) RemoteServerReport(hash uint32, report balance.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.serverReports[hash] = report
+}
+
+func (r *recorder) serverReport(hash uint32) balance.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.serverReports[hash]
+}
+
 func (r *recorder) RemotePrefillDone(id place.JobID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -365,6 +382,25 @@
 		Expect(rec.contention(6).At).To(BeTemporally("~", sent, blocked/2))
 	})
 
+	// Guards against reports of plain servers that are taken for newer than they are, and
+	// against their cost: each is sent to all gateways.
+	It("announce the load of plain servers with its age, in few bytes", func() {
+		all, recorders, addresses := startGateways(2)
+		all[0].SetPeers(maps.Clone(addresses), true)
+		reported := time.Now().Add(-120 * time.Millisecond)
+		all[0].AnnounceServerReport("lookup-1", balance.Report{Busy: 4, Contention: 2.5, At: reported})
+		all[0].AnnounceServerReport("lookup-2", balance.Report{Busy: 0, Contention: 1, At: reported})
+		received := func(id string) balance.Report { return recorders["f-1"].serverReport(place.EngineHash(id)) }
+		Eventually(func() time.Time { return received("lookup-2").At }).ShouldNot(BeZero())
+		Expect(received("lookup-1").Busy).To(Equal(4))
+		Expect(received("lookup-1").Contention).To(BeNumerically("~", 2.5, 0.05))
+		Expect(received("lookup-1").At).To(BeTemporally("~", reported, 80*time.Millisecond))
+
+		const maxBytes = 15
+		m := &wire.ServerReport{Server: place.EngineHash("lookup-1"), Busy: 6, Contention: 78, AgeMs: 100}
+		Expect(proto.Size(&wire.Share{ServerReports: []*wire.ServerReport{m}})).To(BeNumerically("<=", maxBytes))
+	})
+
 	// Guards against gateways that miss a termination because a datagram was lost or they
 	// were not running yet: any of the others reannounces it until all know it.
 	It("announce a termination to all gateways, and reannounce it to a few", func() {
--- a/test/standin/runner/notices.go
+++ b/test/standin/runner/notices.go
@@ -109,6 +109,19 @@
 	s.notices.rest = retryAfter
 }
 
+// SetLoad makes the server report a load with each answer, prefills included.
+func (s *BackendServer) SetLoad(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load = text
+}
+
+func (s *BackendServer) reportedLoad() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load
+}
+
 // HoldPrefills delays prefills until release is called.
 func (s *BackendServer) HoldPrefills() (release func()) {
 	gate := make(chan struct{})
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -86,11 +87,13 @@
 
 	silence silence
 
-	mu             sync.Mutex
-	fault          Fault
-	streamEnd      StreamEnd
-	limit          string
-	limitScope     LimitScope
+	mu         sync.Mutex
+	fault      Fault
+	streamEnd  StreamEnd
+	limit      string
+	limitScope LimitScope
+	// load is the value of Server-Load, empty for the default of answers.
+	load           string
 	requestTimes   []time.Time
 	runs           []Run
 	prefills       []Run
@@ -364,6 +367,9 @@
 	s.waitForPrefillGate()
 	s.addLimitHeader(w, PrefillAnswers)
 	s.addNotices(w, Prefills)
+	if load := s.reportedLoad(); load != "" {
+		w.Header().Set("Server-Load", load)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Phase != "prefill" {
@@ -438,7 +444,7 @@
 		writeRaw(w, one+one)
 		return
 	}
-	w.Header().Set("Server-Load", "1,0,6")
+	w.Header().Set("Server-Load", cmp.Or(s.reportedLoad(), "1,0,6"))
 	s.addLimitHeader(w, AllAnswers)
 	s.addNotices(w, kindOf(run, fault))
 	if fault != Unsealed {
