--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -6,7 +6,7 @@
 // A report of a server's load therefore loses its weight with its age, requests that this
 // gateway has sent since count on top, and the better of two random servers is chosen. A
 // server whose machine is contended has slower slots. Symptom without: requests queue at one
-// server while others are idle, and half of the slow answers come from contended machines.
+// server, or run at a contended one, while others are idle.
 //
 // Where no server reports contention, the server with the lowest load is chosen, by reports
 // of the last 400 ms in full. The package is pure code; time and randomness are passed in.
--- a/internal/decide/balance/balance_test.go
+++ b/internal/decide/balance/balance_test.go
@@ -167,7 +167,7 @@
 				b50, b95, b99, after := withReports(perMS, change).run()
 				GinkgoWriter.Println(perMS, name, "before", a50, a95, a99, "after", b50, b95, b99, "shared", after.shared)
 				Expect(b50).To(BeNumerically("<=", a50+1), name)
-				// The seeds' own spread at this length is some percent.
+				// Without the reports of others there may be no gain, and the margin is for chance.
 				Expect(float64(b95)).To(BeNumerically("<=", 1.05*float64(a95)), name)
 				Expect(float64(b99)).To(BeNumerically("<=", 1.05*float64(a99)), name)
 				if change == nil {
@@ -226,6 +226,21 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against a gateway that sends all its requests of a moment to the server that was
+	// idle in the last report.
+	It("counts what this gateway has sent since the report", func() {
+		b := balance.New()
+		servers := []balance.Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}}
+		b.Report(at(0), "a", balance.Report{Busy: 0, Contention: 1, At: at(0)})
+		b.Report(at(0), "b", balance.Report{Busy: 4, Contention: 1, At: at(0)})
+		sent := [2]int{}
+		for range 12 {
+			i, _ := b.Choose(at(1), servers, rand.Float64)
+			sent[i]++
+		}
+		Expect(sent).To(Equal([2]int{8, 4}))
+	})
+
 	// Guards against the load of a server that is forgotten while requests run there, and
 	// against a map that grows with each restart of a server.
 	It("forgets servers that are gone once they have no requests", func() {
--- a/internal/decide/contention/contention.go
+++ b/internal/decide/contention/contention.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// fadeTime is the age at which a report has lost its weight. The state of a machine
-	// changes within 600 ms, so that half of the reports of this age are wrong.
+	// fadeTime is the age at which a report has lost its weight: half of the time within
+	// which the state of a machine changes.
 	fadeTime = 300 * time.Millisecond
 	// Min and Max bound the factors that are used, so that a false report neither attracts
 	// all requests to a server nor makes estimates overflow.
