Contention of an engine is relative to its own mean

It was relative to the mean of all engines. With its own mean, what an engine reports all the time is part of its learned speed.

Run: go test ./internal/decide/place ./internal/decide/contention (pass).

--- a/internal/decide/contention/contention.go
+++ b/internal/decide/contention/contention.go
@@ -42,9 +42,8 @@
 	return min(max(factor, Min), Max)
 }
 
-// Usual is the mean of the factors that the servers of a service report. What the models of
-// the service learn from samples without a report includes it, so that the factor of a server
-// is taken relative to it. The zero value is 1.
+// Usual is the mean of reported factors: those of one engine, whose learned speed includes it,
+// or of all plain servers. The factor of a server is taken relative to it. The zero value is 1.
 type Usual struct {
 	excess float64
 	count  int
--- a/internal/decide/place/contention.go
+++ b/internal/decide/place/contention.go
@@ -15,7 +15,7 @@
 func (f *Fleet) ObserveContention(now time.Time, id string, r contention.Report) bool {
 	e, ok := f.engines[id]
 	if ok {
-		e.contention.Add(now, r, f.usualContention)
+		e.contention.Add(now, r, &e.usualContention)
 	}
 	return ok
 }
@@ -24,7 +24,7 @@
 // reported to another gateway.
 func (f *Fleet) ObserveJobContention(now time.Time, id JobID, r contention.Report) {
 	if j, ok := f.jobs[id]; ok && j.prefilling {
-		j.prefillEngine.contention.Add(now, r, f.usualContention)
+		j.prefillEngine.contention.Add(now, r, &j.prefillEngine.usualContention)
 	}
 }
 
--- a/internal/decide/place/contention_test.go
+++ b/internal/decide/place/contention_test.go
@@ -30,9 +30,10 @@
 	prompts  [contentionEngines][]*simPrompt
 	messages map[int][]func(*place.Fleet)
 	// reported is false if engines report no contention, lost the fraction of announcements
-	// that get lost.
+	// that get lost, and falsely, if set, returns what the first engine reports.
 	reported bool
 	lost     float64
+	falsely  func(ms int) float64
 	ttfts    []time.Duration
 }
 
@@ -81,6 +82,9 @@
 func (s *contentionSim) done(ms, engine int, p *simPrompt) {
 	own := s.fleets[p.gateway]
 	r := contention.Report{Factor: s.factors[engine], At: at(ms)}
+	if engine == 0 && s.falsely != nil {
+		r.Factor = s.falsely(ms)
+	}
 	if s.reported {
 		own.ObserveContention(at(ms), "e"+strconv.Itoa(engine), r)
 	}
@@ -161,6 +165,25 @@
 		}
 	})
 
+	// Guards against an engine that attracts or loses all prompts by false reports. What is
+	// false for long is made up for by the speed that is learned.
+	It("does not harm callers much if one engine reports nonsense", func() {
+		without50, without95 := newContentionSim(false, 0).run(60, 50)
+		for name, falsely := range map[string]func(ms int) float64{
+			"low":      func(int) float64 { return 0.001 },
+			"as usual": func(int) float64 { return 1 },
+			"huge":     func(int) float64 { return 1e9 },
+			"swinging": func(ms int) float64 { return []float64{0.001, 1e9}[ms/500%2] },
+		} {
+			s := newContentionSim(true, 0)
+			s.falsely = falsely
+			p50, p95 := s.run(60, 50)
+			GinkgoWriter.Println("first engine", name, p50, p95, "without", without50, without95)
+			Expect(p50).To(BeNumerically("<=", without50), name)
+			Expect(p95).To(BeNumerically("<=", without95), name)
+		}
+	})
+
 	// Guards against engines that are used differently where nothing is reported, or only
 	// what is usual, and against a report that outlives its engine.
 	It("changes nothing where none is reported, or the usual one", func() {
--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -54,8 +54,10 @@
 	decodeSpeed     predict.EngineSpeed
 	// delayCostRate is the cost of delaying all streams, per unit of delay.
 	delayCostRate float64
-	// contention is that of the engine's machine.
-	contention contention.State
+	// contention is that of the engine's machine, relative to usualContention, its mean. The
+	// learned speeds include the mean: they are from samples with and without a report.
+	contention      contention.State
+	usualContention contention.Usual
 	// avoidUntil is until when an engine that failed is avoided.
 	avoidUntil time.Time
 }
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
-	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -130,8 +129,6 @@
 	handoverModel *predict.HandoverModel
 	// interEventModel predicts the time between two events of a stream.
 	interEventModel *predict.DecodeModel
-	// usualContention is the mean contention that the engines report.
-	usualContention *contention.Usual
 	// answerLengths predicts how many events an answer has.
 	answerLengths predict.LengthModel
 	// localLag and remoteLag are by how much the prefills of this gateway and of others
@@ -167,7 +164,6 @@
 		},
 		handoverModel:   predict.NewHandoverModel(priorHandoverTime),
 		interEventModel: predict.NewDecodeModel(),
-		usualContention: &contention.Usual{},
 	}
 }
 
