Contention is no divisor of observed prefill times

Cause: a factor that held for a part of a prefill only made the estimates of all engines too short when the observed time was divided by it, so that queues grew too long after a start.

Change: speeds are learned against expected times that include the factor; observed times are used as they are.

--- a/internal/decide/contention/contention.go
+++ b/internal/decide/contention/contention.go
@@ -6,7 +6,7 @@
 // wait at contended servers while others are free, and each sample of their time is taken
 // for the speed of the server itself: the estimates of all servers drift apart without a
 // cause that lasts. A report is therefore a factor on expected times that fades quickly, and
-// observed times are divided by it. The package is pure code; time is passed in.
+// observed times are compared with the expected ones that include it. The package is pure code; time is passed in.
 package contention
 
 import (
@@ -117,12 +117,6 @@
 	return 1 + mean*(s.Factor-1)
 }
 
-// During returns the mean factor between two samples.
-func During(start, end Sample) float64 {
-	sum := start.Weight*(start.Factor-1) + end.Weight*(end.Factor-1)
-	return 1 + sum/max(1, start.Weight+end.Weight)
-}
-
 // bytesPerUnit is the resolution of a factor in messages.
 const bytesPerUnit = 31
 
--- a/internal/decide/contention/contention_test.go
+++ b/internal/decide/contention/contention_test.go
@@ -73,13 +73,6 @@
 		Expect(free.At(at(1_999)).Now()).To(BeNumerically("~", 0.67, 0.03))
 	})
 
-	It("of a span is the mean of both ends, or the one that is known", func() {
-		two := contention.Sample{Factor: 2, Weight: 1}
-		Expect(contention.During(contention.Sample{}, contention.Sample{})).To(BeEquivalentTo(1))
-		Expect(contention.During(contention.Sample{}, two)).To(BeEquivalentTo(2))
-		Expect(contention.During(contention.Sample{Factor: 1, Weight: 1}, two)).To(BeEquivalentTo(1.5))
-	})
-
 	It("survives a byte in a message", func() {
 		Expect(contention.Decode(contention.Encode(0))).To(BeZero())
 		for _, factor := range []float64{0.5, 1, 2.5, 8} {
--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -152,11 +152,10 @@
 
 // observeInterEventTime learns from the time between two events of a stream.
 func (e *engine) observeInterEventTime(now time.Time, gap time.Duration) {
-	gap = scale(1/e.contention.At(now).Now(), gap)
 	batch := e.decodeBatch(now)
 	slowdown := e.decodeSpeed.Slowdown()
 	if e.interEventModel.Calibrated() {
-		e.decodeSpeed.Observe(e.usualInterEventTime(batch), gap)
+		e.decodeSpeed.Observe(e.interEventTime(now, batch), gap)
 	}
 	e.interEventModel.Observe(batch, slowdown, gap)
 }
@@ -174,8 +173,6 @@
 		fraction := min(1, float64(delay)/float64(total))
 		p.cumulativeWork = e.queue.work.Scale(fraction).Plus(p.work)
 	}
-	p.contention = e.contention.At(now)
-	p.usualTime = scale(1/p.contention.Now(), delay) + e.usualPrefillTime(p.work) + e.prefillModel.FixedLatency()
 	p.expectedTime = delay + e.prefillTime(now, p.work) + e.prefillModel.FixedLatency()
 	if e.queue.empty() {
 		e.prefillingSince = now
@@ -185,6 +182,11 @@
 
 // prefillDone records the end of a prefill and learns from it.
 //
+// Contention is not learned as the engine's speed, because the expected time has it as a
+// factor. The model of all engines learns from the observed times as they are: divided by
+// a factor that held for a part of the prefill only, they made all estimates too short and
+// queues too long.
+//
 // A prefill that waited for something other than the engine's speed is no sample of
 // that speed, but is used until the model is calibrated. Otherwise the engines of a
 // role that are all stalled or full would stay uncalibrated, and since uncalibrated
@@ -195,7 +197,7 @@
 	if p == nil {
 		return
 	}
-	took := e.usualDuration(now, p)
+	took := now.Sub(p.sentAt)
 	if p.unrepresentative || e.slotsFull() {
 		if !e.prefillModel.Calibrated() {
 			e.prefillModel.Observe(p.cumulativeWork, 1, took)
@@ -203,22 +205,11 @@
 		return
 	}
 	if e.prefillModel.Calibrated() {
-		e.prefillSpeed.Observe(p.usualTime, took)
+		e.prefillSpeed.Observe(p.expectedTime, took)
 	}
 	e.prefillModel.Observe(p.cumulativeWork, e.prefillSpeed.Slowdown(), took)
 }
 
-// usualDuration returns how long a prefill that ends now would have taken at the usual
-// contention, which does not affect the network latency.
-func (e *engine) usualDuration(now time.Time, p *prefill) time.Duration {
-	took, latency := now.Sub(p.sentAt), e.prefillModel.FixedLatency()
-	factor := contention.During(p.contention, e.contention.At(now))
-	if factor == 1 || took <= latency {
-		return took
-	}
-	return latency + scale(1/factor, took-latency)
-}
-
 // removePrefill removes a prefill and returns it. The engine started on the next one
 // while the reply was in transit.
 func (e *engine) removePrefill(now time.Time, id JobID) *prefill {
--- a/internal/decide/place/job.go
+++ b/internal/decide/place/job.go
@@ -112,7 +112,7 @@
 		return
 	}
 	if p := j.prefillEngine.queue.find(id); p != nil && !p.interrupted && j.prefillEngine.prefillModel.Calibrated() {
-		lag.Observe(now, p.usualTime, j.prefillEngine.usualDuration(now, p))
+		lag.Observe(now, p.expectedTime, now.Sub(p.sentAt))
 	}
 	j.prefilling = false
 	j.prefilledAt = now
--- a/internal/decide/place/queue.go
+++ b/internal/decide/place/queue.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
 )
 
@@ -13,13 +12,10 @@
 	job  JobID
 	work predict.PrefillWork
 	// cumulativeWork is the work that was queued when it was sent, its own included,
-	// expectedTime how long it was expected to take, and usualTime the same at the usual
-	// contention.
-	cumulativeWork          predict.PrefillWork
-	expectedTime, usualTime time.Duration
-	sentAt                  time.Time
-	// contention is that of the engine when it was sent.
-	contention contention.Sample
+	// and expectedTime how long it was expected to take.
+	cumulativeWork predict.PrefillWork
+	expectedTime   time.Duration
+	sentAt         time.Time
 	// unrepresentative is set if its duration is no sample of the engine's speed: it
 	// waits for a slot, or the engine is stalled.
 	unrepresentative bool
