An engine that reports less contention than usual counts as usual

Cause: after a start all gateways sent their requests to the engine that was last reported below its mean; the busiest engine had 4.1 times the mean, and 45 answers were preempted.

Change: in placement the factor of an engine is at least 1.

--- a/internal/decide/place/answer.go
+++ b/internal/decide/place/answer.go
@@ -58,14 +58,14 @@
 
 // interEventTime returns the expected time between two events of a stream at the moment.
 func (e *engine) interEventTime(now time.Time, b predict.DecodeBatch) time.Duration {
-	return scale(e.contention.At(now).Now(), e.usualInterEventTime(b))
+	return scale(e.contended(now).Now(), e.usualInterEventTime(b))
 }
 
 // answerInterEventTime returns the expected time between two events of an answer, on average
 // over the rest of it: contention rarely lasts as long as an answer.
 func (f *Fleet) answerInterEventTime(now time.Time, e *engine, b predict.DecodeBatch, a predict.Answer) time.Duration {
 	usual := e.usualInterEventTime(b)
-	c := e.contention.At(now)
+	c := e.contended(now)
 	if c.Weight == 0 {
 		return usual
 	}
--- a/internal/decide/place/contention.go
+++ b/internal/decide/place/contention.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// contended returns the contention by which an engine is slower than usual. One that reports
+// less than usual counts as usual: after a start, when little else is known, all gateways
+// would send their requests to the engine that reported it last.
+func (e *engine) contended(now time.Time) contention.Sample {
+	s := e.contention.At(now)
+	s.Factor = max(1, s.Factor)
+	return s
+}
+
 // PrefillContention returns the factor to announce with the end of a job's prefill, 0 if its
 // engine has not just reported one.
 func (f *Fleet) PrefillContention(now time.Time, id JobID) float64 {
--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -71,7 +71,7 @@
 
 // prefillTime returns how long the engine takes for prefill work at the moment.
 func (e *engine) prefillTime(now time.Time, w predict.PrefillWork) time.Duration {
-	return scale(e.contention.At(now).Now(), e.usualPrefillTime(w))
+	return scale(e.contended(now).Now(), e.usualPrefillTime(w))
 }
 
 // usualPrefillTime returns the same at the usual contention.
