--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/kvmemory"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
@@ -54,6 +55,10 @@
 	decodeSpeed     predict.EngineSpeed
 	// delayCostRate is the cost of delaying all streams, per unit of delay.
 	delayCostRate float64
+	// contention is that of the engine's machine, relative to usualContention, its mean. The
+	// learned speeds include the mean: they are from samples with and without a report.
+	contention      contention.State
+	usualContention contention.Usual
 	// avoidUntil is until when an engine that failed is avoided.
 	avoidUntil time.Time
 	// memory has the reservations in its KV memory.
@@ -67,8 +72,13 @@
 	return &engine{Engine: e, hash: xxhash.Sum64String(e.ID), cache: newPrefixCache(e.KVTokens)}
 }
 
-// prefillTime returns how long the engine takes for prefill work.
-func (e *engine) prefillTime(w predict.PrefillWork) time.Duration {
+// prefillTime returns how long the engine takes for prefill work at the moment.
+func (e *engine) prefillTime(now time.Time, w predict.PrefillWork) time.Duration {
+	return scale(e.contended(now).Now(), e.usualPrefillTime(w))
+}
+
+// usualPrefillTime returns the same at the usual contention.
+func (e *engine) usualPrefillTime(w predict.PrefillWork) time.Duration {
 	return time.Duration(e.prefillSpeed.Slowdown() * float64(e.prefillModel.ComputeTime(w)))
 }
 
@@ -88,7 +98,7 @@
 	if e.queue.empty() {
 		return 0
 	}
-	total := e.prefillTime(e.queue.work)
+	total := e.prefillTime(now, e.queue.work)
 	if overdue, stalled := e.overdue(now); stalled {
 		return total + overdue
 	}
@@ -101,7 +111,7 @@
 	if e.queue.empty() {
 		return 0, false
 	}
-	expected := e.prefillTime(e.queue.largest) + e.prefillModel.FixedLatency()
+	expected := e.prefillTime(now, e.queue.largest) + e.prefillModel.FixedLatency()
 	overdue := now.Sub(e.prefillingSince) - expected
 	return overdue, overdue > time.Duration(stallFactor*float64(expected))
 }
@@ -148,7 +158,7 @@
 	batch := e.decodeBatch(now)
 	slowdown := e.decodeSpeed.Slowdown()
 	if e.interEventModel.Calibrated() {
-		e.decodeSpeed.Observe(e.interEventTime(batch), gap)
+		e.decodeSpeed.Observe(e.interEventTime(now, batch), gap)
 	}
 	e.interEventModel.Observe(batch, slowdown, gap)
 }
@@ -162,11 +172,11 @@
 	p.unrepresentative = e.slotsFull() || stalled
 	p.cumulativeWork = p.work
 	delay := e.queueDelay(now)
-	if total := e.prefillTime(e.queue.work); total > 0 {
+	if total := e.prefillTime(now, e.queue.work); total > 0 {
 		fraction := min(1, float64(delay)/float64(total))
 		p.cumulativeWork = e.queue.work.Scale(fraction).Plus(p.work)
 	}
-	p.expectedTime = delay + e.prefillTime(p.work) + e.prefillModel.FixedLatency()
+	p.expectedTime = delay + e.prefillTime(now, p.work) + e.prefillModel.FixedLatency()
 	if e.queue.empty() {
 		e.prefillingSince = now
 	}
@@ -175,6 +185,11 @@
 
 // prefillDone records the end of a prefill and learns from it.
 //
+// Contention is not learned as the engine's speed, because the expected time has it as a
+// factor. The model of all engines learns from the observed times as they are: divided by
+// a factor that held for a part of the prefill only, they made all estimates too short and
+// queues too long.
+//
 // A prefill that waited for something other than the engine's speed is no sample of
 // that speed, but is used until the model is calibrated. Otherwise the engines of a
 // role that are all stalled or full would stay uncalibrated, and since uncalibrated
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -304,7 +304,7 @@
 		DecodeEngine:  prefillEngine.ID,
 		CachedTokens:  cached,
 		QueueDelay:    prefillEngine.queueDelay(now),
-		PrefillTime:   prefillEngine.prefillTime(work),
+		PrefillTime:   prefillEngine.prefillTime(now, work),
 		PrefillLag:    f.prefillLag(now),
 		Overhead:      prefillEngine.prefillModel.FixedLatency(),
 		ShortPrefill:  work.Tokens <= shortPrefillFraction*f.meanPrefillTokens,
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -8,6 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/balance"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -23,12 +25,15 @@
 type Gossip interface {
 	// AnnouncePlacement announces that a request was assigned to engines,
 	// AnnouncePrefillDone that its prompt has been prefilled, and AnnounceFinished
-	// that it finished.
+	// that it finished. contention is the factor that the prefill engine has just reported,
+	// 0 if unknown.
 	AnnouncePlacement(p place.Placement)
-	AnnouncePrefillDone(id place.JobID)
+	AnnouncePrefillDone(id place.JobID, contention float64)
 	AnnounceFinished(id place.JobID)
 	// AnnounceAvoid announces that an engine rejects requests and is to be avoided for d.
 	AnnounceAvoid(service, engine string, d time.Duration)
+	// AnnounceServerReport announces what a server of a plain service has reported.
+	AnnounceServerReport(server string, r balance.Report)
 	// AnnounceTermination announces to all gateways that a server terminated while it ran a
 	// request, or that the request completed; ReannounceTermination repeats that to some.
 	AnnounceTermination(e quarantine.Evidence)
@@ -72,9 +77,10 @@
 type noGossip struct{}
 
 func (noGossip) AnnouncePlacement(place.Placement)             {}
-func (noGossip) AnnouncePrefillDone(place.JobID)               {}
+func (noGossip) AnnouncePrefillDone(place.JobID, float64)      {}
 func (noGossip) AnnounceFinished(place.JobID)                  {}
 func (noGossip) AnnounceAvoid(string, string, time.Duration)   {}
+func (noGossip) AnnounceServerReport(string, balance.Report)   {}
 func (noGossip) AnnounceTermination(quarantine.Evidence)       {}
 func (noGossip) ReannounceTermination(quarantine.Evidence)     {}
 func (noGossip) AnnounceCrash(quarantine.Crash)                {}
@@ -87,8 +93,8 @@
 func (noGossip) RankFor(string, uint64) ratelimit.Rank         { return ratelimit.Rank{Total: 1} }
 func (noGossip) MembershipVersion() uint64                     { return 0 }
 func (noGossip) GatewayCount() int                             { return 1 }
-func (noGossip) AnnounceOutcomes([]serverhealth.Outcome, bool) {}
 func (noGossip) JoinGroup(uint64) place.Group                  { return place.Group{} }
+func (noGossip) AnnounceOutcomes([]serverhealth.Outcome, bool) {}
 
 func (noGossip) AnnounceStreamVersion(streamversion.StreamID, streamversion.Version) {}
 
@@ -213,16 +219,20 @@
 func (e *engines) prefillDone(service string, id place.JobID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.fleet(service).LocalPrefillDone(time.Now(), id)
-	e.gossip.AnnouncePrefillDone(id)
+	now, f := time.Now(), e.fleet(service)
+	contended := f.PrefillContention(now, id)
+	f.LocalPrefillDone(now, id)
+	e.gossip.AnnouncePrefillDone(id, contended)
 }
 
 // firstToken records that the first token of a job has arrived.
 func (e *engines) firstToken(service string, id place.JobID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.fleet(service).FirstToken(time.Now(), id) {
-		e.gossip.AnnouncePrefillDone(id)
+	now, f := time.Now(), e.fleet(service)
+	contended := f.PrefillContention(now, id)
+	if f.FirstToken(now, id) {
+		e.gossip.AnnouncePrefillDone(id, contended)
 	}
 }
 
@@ -240,6 +250,26 @@
 	e.fleet(service).ObserveInterEventTime(time.Now(), id, interval)
 }
 
+// contended records the contention that a server has reported. It returns false if that is
+// no model engine.
+func (e *engines) contended(now time.Time, s backend.Server, factor float64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f, ok := e.fleets[s.Service]
+	return ok && f.ObserveContention(now, s.ID, contention.Report{Factor: factor, At: now})
+}
+
+// contention returns the last report of an engine, with Factor 0 if there is none.
+func (e *engines) contention(s backend.Server) contention.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f, ok := e.fleets[s.Service]
+	if !ok {
+		return contention.Report{}
+	}
+	return f.Contention(s.ID)
+}
+
 // finished removes a job from its engines and announces that it finished.
 func (e *engines) finished(service string, id place.JobID) {
 	e.mu.Lock()
@@ -398,6 +428,16 @@
 	}
 }
 
+// RemoteContention records the contention that the engine which prefills another gateway's
+// job has reported to that gateway.
+func (g *Gateway) RemoteContention(id place.JobID, r contention.Report) {
+	g.engines.mu.Lock()
+	defer g.engines.mu.Unlock()
+	for _, f := range g.engines.fleets {
+		f.ObserveJobContention(time.Now(), id, r)
+	}
+}
+
 // RemoteFinished records that another gateway's job has finished.
 func (g *Gateway) RemoteFinished(id place.JobID) {
 	g.engines.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	statements   *serverStatements
 	// health finds the servers that fail more often than their peers.
 	health *serverhealth.Tracker
+	loads  *loadReports
 
 	retryBudgets *retryBudgets
 
@@ -92,6 +93,7 @@
 // each service's retry budget is divided by the number of gateways that it reports.
 func (g *Gateway) SetGossip(gossip Gossip) {
 	g.engines.gossip = gossip
+	g.plain.gossip = gossip
 	g.terminations.gossip = gossip
 	g.statements.gossip = gossip
 	g.streams.gossip = gossip
@@ -100,20 +102,23 @@
 // New returns a Gateway.
 func New(c Config) *Gateway {
 	s := newServerStatements()
+	e, plain := newEngines(s), newPlainBalancer(s)
 	g := &Gateway{
 		codec:        c.Codec,
 		transport:    direct.New(c.Codec),
 		directory:    c.Directory,
-		engines:      newEngines(s),
-		plain:        newPlainBalancer(s),
+		engines:      e,
+		plain:        plain,
 		terminations: newTerminations(),
 		statements:   s,
+		loads:        newLoadReports(e, plain),
 		streams:      newStreamVersions(c.Directory.View),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
 	g.health = serverhealth.New(func(o []serverhealth.Outcome, urgent bool) { g.engines.gossip.AnnounceOutcomes(o, urgent) })
 	g.transport.OnResponse = func(info direct.ResponseInfo) {
 		g.statements.observe(info)
+		g.loads.observe(info)
 		g.watches.answered(info.Server.Instance(), info.Sent)
 		g.retryBudgets.observe(info)
 	}
@@ -151,7 +156,7 @@
 // ViewChanged updates the gateway to the servers and services of a new view.
 func (g *Gateway) ViewChanged(v *directory.View) {
 	g.engines.update(v)
-	g.plain.prune(v)
+	g.plain.update(v)
 	g.health.Update(v.Servers)
 	g.statements.update(v)
 	g.streams.viewChanged()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -29,6 +29,8 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/balance"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/fairshare"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
@@ -66,10 +68,16 @@
 	// EngineByHash returns the engine with a hash, and its service.
 	EngineByHash(hash uint32) (service, id string, ok bool)
 	RemotePlacement(service string, p place.Placement)
+	// RemoteContention handles the contention that the prefill engine of a job reported to
+	// another gateway. It is called before the end of the prefill.
+	RemoteContention(id place.JobID, r contention.Report)
 	RemotePrefillDone(id place.JobID)
 	RemoteFinished(id place.JobID)
 	RemoteAvoid(service, engine string, d time.Duration)
 	RemoteOutcome(o serverhealth.Outcome)
+	// RemoteServerReport handles what a server of a plain service, given by its hash, has
+	// reported to another gateway.
+	RemoteServerReport(hash uint32, r balance.Report)
 	RemoteTermination(e quarantine.Evidence)
 	RemoteCrash(c quarantine.Crash)
 	// RemoteServerLimit handles the limit that a server stated to another gateway. from is
@@ -330,8 +338,16 @@
 const jobIDBytes = 4
 
 // AnnouncePrefillDone implements gateway.Gossip.
-func (p *Peers) AnnouncePrefillDone(id place.JobID) {
-	p.enqueue(ownGroup, flushDelay, jobIDBytes, func(s *wire.Share) { s.ReadDone = append(s.ReadDone, uint32(id)) })
+func (p *Peers) AnnouncePrefillDone(id place.JobID, factor float64) {
+	b := contention.Encode(factor)
+	p.enqueue(ownGroup, flushDelay, jobIDBytes+1, func(s *wire.Share) {
+		if b > 0 {
+			// Those before it that are not there are unknown.
+			unknown := make([]byte, len(s.ReadDone)-len(s.ReadContention))
+			s.ReadContention = append(append(s.ReadContention, unknown...), b)
+		}
+		s.ReadDone = append(s.ReadDone, uint32(id))
+	})
 }
 
 // AnnounceFinished implements gateway.Gossip.
@@ -547,6 +563,7 @@
 	}
 	delay := p.delays.estimate(uint64(s.Sender), time.Duration(s.SentMs)*time.Millisecond, boottime.Now())
 	p.receiveJobs(s, delay)
+	p.receiveServerReports(s, delay)
 	now := time.Now()
 	for _, m := range s.Entries {
 		p.receiver.RemoteServerChange(now, directory.ServerChange{
@@ -610,11 +627,15 @@
 			p.receivePlacement(m, delay)
 		}
 	}
-	for _, id := range s.ReadDone {
+	sent := time.Now().Add(-delay)
+	for i, id := range s.ReadDone {
 		if late {
 			p.receiver.RemoteFinished(place.JobID(id))
 			continue
 		}
+		if i < len(s.ReadContention) && s.ReadContention[i] > 0 {
+			p.receiver.RemoteContention(place.JobID(id), contention.Report{Factor: contention.Decode(s.ReadContention[i]), At: sent})
+		}
 		p.receiver.RemotePrefillDone(place.JobID(id))
 	}
 	for _, id := range s.Ended {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -18,9 +18,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/balance"
+	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/fairshare"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
@@ -31,6 +34,7 @@
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/serverhealth"
 	"pistachioroad.dev/pistachioroad/internal/usage"
+	"pistachioroad.dev/pistachioroad/internal/wire"
 	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
@@ -48,6 +52,10 @@
 	prefilled  map[place.JobID]bool
 	finished   map[place.JobID]bool
 	avoids     int
+	// contentions are the reports of prefill engines by job.
+	contentions map[place.JobID]contention.Report
+	// serverReports are the reports of plain servers by hash.
+	serverReports map[uint32]balance.Report
 	// blocks makes RemoteAvoid block for the announced time.
 	blocks   bool
 	evidence []quarantine.Evidence
@@ -89,6 +97,7 @@
 func newRecorder() *recorder {
 	return &recorder{
 		placements: map[place.JobID]place.Placement{}, prefilled: map[place.JobID]bool{}, finished: map[place.JobID]bool{},
+		contentions: map[place.JobID]contention.Report{}, serverReports: map[uint32]balance.Report{},
 		streams: streamversion.NewRecords(), unknownAt: map[uint32]streamversion.Served{},
 	}
 }
@@ -109,6 +118,30 @@
 	r.segments += len(p.Prompt.Segments)
 }
 
+func (r *recorder) RemoteContention(id place.JobID, c contention.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.contentions[id] = c
+}
+
+func (r *recorder) contention(id place.JobID) contention.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.contentions[id]
+}
+
+func (r *recorder) RemoteServerReport(hash uint32, report balance.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.serverReports[hash] = report
+}
+
+func (r *recorder) serverReport(hash uint32) balance.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.serverReports[hash]
+}
+
 func (r *recorder) RemotePrefillDone(id place.JobID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -270,7 +303,7 @@
 		for id := range place.JobID(100) {
 			placement.ID = id
 			a.AnnouncePlacement(placement)
-			a.AnnouncePrefillDone(id)
+			a.AnnouncePrefillDone(id, 0)
 			a.AnnounceFinished(id)
 		}
 		Eventually(func() int { placed, _, _ := rec.jobs(); return placed }).Should(Equal(100))
@@ -301,7 +334,7 @@
 		buf := make([]byte, 64<<10)
 		datagramBytes := func() int {
 			p.AnnouncePlacement(placement)
-			p.AnnouncePrefillDone(placement.ID)
+			p.AnnouncePrefillDone(placement.ID, 2.5)
 			p.AnnounceFinished(placement.ID)
 			Expect(listener.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
 			n, err := listener.Read(buf)
@@ -331,7 +364,7 @@
 		p.JoinGroup(1)
 		prefill := func(id place.JobID) {
 			p.AnnouncePlacement(place.Placement{ID: id, Plan: place.Plan{PrefillEngine: "i-p", DecodeEngine: "i-p"}})
-			p.AnnouncePrefillDone(id)
+			p.AnnouncePrefillDone(id, 2)
 			p.AnnounceOutcomes([]serverhealth.Outcome{{Server: uint32(id), Failed: 1}}, true)
 		}
 		p.AnnounceAvoid("llm", "i-1", 1500*time.Millisecond)
@@ -374,6 +407,54 @@
 		Expect(metrics.GetOrRegisterCounter("peers.datagrams_sent", nil).Count() - before).To(BeNumerically("<=", 4))
 	})
 
+	// Guards against factors that are taken for those of other jobs, and against old ones
+	// that a datagram brings back after it was queued.
+	It("announce how contended prefill engines are, with the time of the report", func() {
+		all, recorders, addresses := startGateways(2)
+		all[0].SetPeers(maps.Clone(addresses), true)
+		rec := recorders["f-1"]
+		rec.blocks = true
+		all[0].AnnouncePrefillDone(1, 0)
+		all[0].AnnouncePrefillDone(2, 2.5)
+		all[0].AnnouncePrefillDone(3, 0)
+		all[0].AnnouncePrefillDone(4, 1)
+		all[0].AnnouncePrefillDone(5, 0)
+		Eventually(func() int { _, prefilled, _ := rec.jobs(); return prefilled }).Should(Equal(5))
+		Expect(rec.contention(1)).To(BeZero())
+		Expect(rec.contention(2).Factor).To(BeNumerically("~", 2.5, 0.05))
+		Expect(rec.contention(3)).To(BeZero())
+		Expect(rec.contention(4).Factor).To(BeNumerically("~", 1, 0.05))
+		Expect(rec.contention(5)).To(BeZero())
+
+		const blocked = 400 * time.Millisecond
+		all[0].AnnounceAvoid("llm", "i-1", blocked)
+		all[0].Flush()
+		sent := time.Now()
+		all[0].AnnouncePrefillDone(6, 2.5)
+		all[0].Flush()
+		Eventually(func() int { _, prefilled, _ := rec.jobs(); return prefilled }).Should(Equal(6))
+		Expect(rec.contention(6).At).To(BeTemporally("~", sent, blocked/2))
+	})
+
+	// Guards against reports of plain servers that are taken for newer than they are, and
+	// against their cost: each is sent to all gateways.
+	It("announce the load of plain servers with its age, in few bytes", func() {
+		all, recorders, addresses := startGateways(2)
+		all[0].SetPeers(maps.Clone(addresses), true)
+		reported := time.Now().Add(-120 * time.Millisecond)
+		all[0].AnnounceServerReport("lookup-1", balance.Report{Busy: 4, Contention: 2.5, At: reported})
+		all[0].AnnounceServerReport("lookup-2", balance.Report{Busy: 0, Contention: 1, At: reported})
+		received := func(id string) balance.Report { return recorders["f-1"].serverReport(place.EngineHash(id)) }
+		Eventually(func() time.Time { return received("lookup-2").At }).ShouldNot(BeZero())
+		Expect(received("lookup-1").Busy).To(Equal(4))
+		Expect(received("lookup-1").Contention).To(BeNumerically("~", 2.5, 0.05))
+		Expect(received("lookup-1").At).To(BeTemporally("~", reported, 80*time.Millisecond))
+
+		const maxBytes = 15
+		m := &wire.ServerReport{Server: place.EngineHash("lookup-1"), Busy: 6, Contention: 78, AgeMs: 100}
+		Expect(proto.Size(&wire.Share{ServerReports: []*wire.ServerReport{m}})).To(BeNumerically("<=", maxBytes))
+	})
+
 	// Guards against gateways that miss a termination because a datagram was lost or they
 	// were not running yet: any of the others reannounces it until all know it.
 	It("announce a termination to all gateways, and reannounce it to a few", func() {
