Check of a configuration before it is sent: pistachioroad check-config

Cause: gateways accept configurations with entries that serve nobody (a prefix without its first slash, a route that an earlier one hides, weights of 0), and reject others without the place of the fault.

Change: `pistachioroad check-config FILE [-in-force FILE]` needs no entry. Exit status 6 for errors, with -strict also for warnings. accounts.ValidName is exported for the check.

--- a/cmd/pistachioroad/command.go
+++ b/cmd/pistachioroad/command.go
@@ -30,6 +30,16 @@
 	// flags defines the flags that are specific to this command; may be nil.
 	flags func(*flag.FlagSet, *options)
 	run   func(ctx context.Context, a *app, args []string) error
+	// offline is set if the command calls no entry.
+	offline bool
+}
+
+// prefix returns the beginning of the command line.
+func (c command) prefix(entry, tokenFile string) string {
+	if c.offline {
+		return "pistachioroad"
+	}
+	return "pistachioroad -entry " + entry + " -token-file " + tokenFile
 }
 
 // commands returns all subcommands in the order of the help.
@@ -37,7 +47,7 @@
 	return []command{
 		statusCommand(), defaultsGetCommand(), defaultsSetCommand(), exceptionAddCommand(),
 		exceptionListCommand(), exceptionRemoveCommand(), drainCommand(), undrainCommand(),
-		historyCommand(), dumpCommand(), explainCommand(),
+		historyCommand(), dumpCommand(), explainCommand(), checkConfigCommand(),
 	}
 }
 
@@ -53,6 +63,9 @@
 	reason  string
 	expires string
 	scope   scopeFlags
+
+	inForce string
+	strict  bool
 }
 
 type scopeFlags struct {
@@ -96,8 +109,10 @@
 	if err != nil {
 		return err
 	}
-	if err := a.setUpClient(); err != nil {
-		return err
+	if !cmd.offline {
+		if err := a.setUpClient(); err != nil {
+			return err
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.options.timeout)
 	defer cancel()
@@ -179,6 +194,7 @@
 	editFlags(set, o)
 	reasonFlag(set, o)
 	scopeFlagSet(set, o)
+	checkConfigFlags(set, o)
 }
 
 func (a *app) setUpClient() error {
@@ -204,12 +220,12 @@
 		return
 	}
 	w := a.stdout
-	fmt.Fprintf(w, "usage: pistachioroad -entry IP:PORT -token-file FILE %s\n\n%s.\n",
+	fmt.Fprintf(w, "usage: %s %s\n\n%s.\n", cmd.prefix("IP:PORT", "FILE"),
 		strings.TrimSpace(cmd.name+" "+cmd.args), cmd.summary)
 	if cmd.details != "" {
 		fmt.Fprintf(w, "\n%s\n", cmd.details)
 	}
-	fmt.Fprintf(w, "\nexample:\n  pistachioroad -entry 10.20.1.10:7002 -token-file token %s\n\nflags:\n", cmd.example)
+	fmt.Fprintf(w, "\nexample:\n  %s %s\n\nflags:\n", cmd.prefix("10.20.1.10:7002", "token"), cmd.example)
 	set := flag.NewFlagSet("", flag.ContinueOnError)
 	set.SetOutput(w)
 	a.commonFlags(set)
@@ -237,6 +253,7 @@
   3  another edit came first; nothing was changed, both values are shown
   4  the outcome of the edit is unknown; read "config history" back
   5  the platform's store cannot be reached; nothing was changed
+  6  check-config has findings
 `)
 }
 
--- a/cmd/pistachioroad/main.go
+++ b/cmd/pistachioroad/main.go
@@ -5,8 +5,9 @@
 //	pistachioroad -entry 10.20.1.10:7002 -token-file token status
 //
 // The exit status is 0 (done), 1 (failed, nothing was changed), 2 (wrong command line),
-// 3 (another edit came first, nothing was changed), 4 (the outcome of the edit is unknown)
-// or 5 (the platform's store cannot be reached, nothing was changed).
+// 3 (another edit came first, nothing was changed), 4 (the outcome of the edit is unknown),
+// 5 (the platform's store cannot be reached, nothing was changed) or 6 (check-config has
+// findings).
 package main
 
 import (
@@ -33,6 +34,7 @@
 	exitConflict         exitStatus = 3
 	exitOutcomeUnknown   exitStatus = 4
 	exitStoreUnavailable exitStatus = 5
+	exitFindings         exitStatus = 6
 )
 
 // exitError is an error that determines the exit status. Its message is empty if the
--- a/internal/accounts/accounts.go
+++ b/internal/accounts/accounts.go
@@ -61,7 +61,7 @@
 	names := make(map[string]bool, len(list))
 	for i := range list {
 		a := &list[i]
-		if !validName(a.Name) {
+		if !ValidName(a.Name) {
 			return nil, eris.Errorf("client account %d has no name that a header can carry: %q", i, a.Name)
 		}
 		if names[a.Name] {
@@ -75,8 +75,8 @@
 	return t, nil
 }
 
-// validName reports whether a name is not empty and arrives unchanged in a header.
-func validName(name string) bool {
+// ValidName reports whether a name is not empty and arrives unchanged in a header.
+func ValidName(name string) bool {
 	return name != "" && strings.TrimSpace(name) == name && !strings.ContainsFunc(name, unicode.IsControl)
 }
 
