Check of configurations: tests of repeated keys and of weights that cancel out

Cause: of nine faults put into a scratch copy of the check, two passed the tests: a key repeated within one account counted as an error, and a negative weight taken off the sum.

--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -72,6 +72,10 @@
 		Expect(stored).To(Equal(decode(clean)))
 	})
 
+	It("accepts a key that is repeated within an account, as gateways do", func() {
+		Expect(check(change(`["secret-1"]`, `["secret-1","secret-1"]`))).To(BeEmpty())
+	})
+
 	// Guards against a broken document that is sent because a check missed the fault.
 	DescribeTable("finds a fault at its place, and nothing else",
 		func(want string, pairs ...string) {
@@ -96,7 +100,7 @@
 		Entry("empty prefix", `warning routes[0].pathPrefix is missing`, `"/p/"`, `""`),
 		Entry("prefix with query", `error routes[0].pathPrefix is "/p?x/", which can never match`, `"/p/"`, `"/p?x/"`),
 		Entry("shadowed route", `error routes[1] can never match: routes[0] has the same host`, `"h.example","pathPrefix":"/p/q/"`, `"H.example","pathPrefix":"/p/"`),
-		Entry("negative weight", `error routes[1].weightedServices[0].weight is negative`, `90`, `-90`),
+		Entry("negative weight", `error routes[1].weightedServices[0].weight is negative`, `90`, `-10`),
 		Entry("weights of 0", `error routes[1].weightedServices has weights that add up to 0`, `90`, `0`, `10}`, `0}`),
 		Entry("negative time-out", `error routes[0].timeoutMs is -3s`, `3000`, `-3000`),
 		Entry("no time-out", `warning routes[0].timeoutMs is missing or 0`, `3000`, `0`),
