--- a/cmd/pistachioroad-gateway/main.go
+++ b/cmd/pistachioroad-gateway/main.go
@@ -23,6 +23,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 
+	"pistachioroad.dev/pistachioroad/internal/decide/locality"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/gateway/process"
 	"pistachioroad.dev/pistachioroad/internal/logsink"
@@ -46,12 +47,18 @@
 	metricsPort := flag.Int("metrics", 0, "`port` of the metrics address on the VM's own IP number; 0 for none")
 	path := flag.String("settings", os.Getenv(platform.SettingsVariable), "settings `file` of the platform")
 	check := flag.Bool("check", false, "check the settings and exit")
+	distance := flag.Duration("distance-price", 0, "`wait` that may be added to answers for each megabyte kept within the data centre; 0 makes distance free")
 	flag.Parse()
-	if *path == "" || flag.NArg() > 0 {
+	if *path == "" || flag.NArg() > 0 || *distance < 0 {
 		flag.Usage()
 		return exitUsage
 	}
-	d, err := platform.LoadSettings(*path)
+	load := func() (deployment.Deployment, error) {
+		d, err := platform.LoadSettings(*path)
+		d.DistancePrice = locality.Price(*distance)
+		return d, err
+	}
+	d, err := load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
@@ -60,10 +67,10 @@
 		fmt.Println(*path + ": ok")
 		return exitOK
 	}
-	return serve(d, *path, *metricsPort)
+	return serve(d, load, *metricsPort)
 }
 
-func serve(d deployment.Deployment, path string, metricsPort int) int {
+func serve(d deployment.Deployment, reload func() (deployment.Deployment, error), metricsPort int) int {
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	log.SetHandler(json.New(sink))
@@ -73,7 +80,7 @@
 	defer stop()
 	err := process.Run(ctx, process.Config{
 		Deployment:  d,
-		Reload:      func() (deployment.Deployment, error) { return platform.LoadSettings(path) },
+		Reload:      reload,
 		MetricsPort: metricsPort,
 	})
 	if err != nil {
--- a/internal/decide/place/decode_engine.go
+++ b/internal/decide/place/decode_engine.go
@@ -43,6 +43,15 @@
 	return candidates
 }
 
+// in returns the candidate in a data centre.
+func (c decodeCandidates) in(dataCentre string) decodeCandidates {
+	d, ok := c[dataCentre]
+	if !ok {
+		return nil
+	}
+	return decodeCandidates{dataCentre: d}
+}
+
 // lostAnswerCost is the cost of losing an answer with its engine.
 const lostAnswerCost = 500 * time.Millisecond
 
@@ -57,12 +66,16 @@
 
 // bestFor returns the decode engine with the lowest cost for a prompt that an engine
 // prefills, and the KV transfer time; false if there is none.
-func (c decodeCandidates) bestFor(f *Fleet, j Job, prefillEngine *engine) (decodeCandidate, time.Duration, bool) {
+func (c decodeCandidates) bestFor(f *Fleet, j Job, prefillEngine *engine, l distance) (decodeCandidate, time.Duration, bool) {
 	var best decodeCandidate
 	var transfer, leastCost time.Duration
 	for _, d := range c {
 		t := f.kvTransferTime(j.Prompt, prefillEngine, d.engine)
 		cost := t + d.cost()
+		if l.cost > 0 {
+			crossing, _ := l.ofHandover(prefillEngine, d.engine, t)
+			cost += crossing
+		}
 		if best.engine == nil || cost < leastCost || (cost == leastCost && d.ID < best.ID) {
 			best, transfer, leastCost = d, t, cost
 		}
@@ -96,7 +109,7 @@
 		return p, false
 	}
 	for _, s := range alternateDecodeScopes {
-		if best, _, ok := f.decodeCandidates(now, j, c, s).bestFor(f, j, prefillEngine); ok {
+		if best, _, ok := f.decodeCandidates(now, j, c, s).bestFor(f, j, prefillEngine, f.fullDistance(j)); ok {
 			p.DecodeEngine = best.ID
 			return p, true
 		}
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/locality"
 	"pistachioroad.dev/pistachioroad/internal/decide/predict"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -60,6 +61,8 @@
 	Prompt request.Prompt
 	// DataCentre is the gateway's.
 	DataCentre string
+	// Bytes is the size of the request as it is sent to each engine.
+	Bytes int
 	// Route is the name of its route.
 	Route string
 	// Exclude reports whether an engine has rejected or failed the request.
@@ -90,6 +93,11 @@
 	// token: the probabilities that it and other answers there miss their deadlines, as
 	// a time. Admission does not depend on it.
 	AnswerCost time.Duration
+	// DistanceCost is what it costs to send the request to engines in other data centres
+	// and to transfer its KV cache between data centres, and Crossings how many of its
+	// transfers that are.
+	DistanceCost time.Duration
+	Crossings    int
 	// MissProbability is the probability that the answer misses its deadline at
 	// DecodeEngine.
 	MissProbability float64
@@ -146,7 +154,9 @@
 	restoredEngines map[string]EngineSnapshot
 	// kvTransferPerToken is the transfer time of one token's KV cache.
 	kvTransferPerToken time.Duration
-	jobs               map[JobID]*job
+	// distancePrice is what it is worth to stay within a data centre.
+	distancePrice locality.Price
+	jobs          map[JobID]*job
 	// placementCount is the number of placements so far.
 	placementCount int64
 	// jobsExpiredAt is when overdue jobs were last looked for.
@@ -170,6 +180,9 @@
 // SetKVTransferTime sets the time to transfer one token's KV cache.
 func (f *Fleet) SetKVTransferTime(perToken time.Duration) { f.kvTransferPerToken = perToken }
 
+// SetDistancePrice sets what it is worth to keep requests within their data centre.
+func (f *Fleet) SetDistancePrice(p locality.Price) { f.distancePrice = p }
+
 // SetEngines replaces the engines that requests may be placed on. One that remains
 // keeps its state unless it has been restarted.
 func (f *Fleet) SetEngines(engines []Engine) {
@@ -225,24 +238,42 @@
 }
 
 func (f *Fleet) plan(now time.Time, j Job, c Constraints, s scope) (Plan, bool) {
-	var best Plan
-	bestCost := time.Duration(-1)
 	candidates := f.decodeCandidates(now, j, c, s)
+	free := distance{home: j.DataCentre}
+	if f.distancePrice <= 0 {
+		return f.cheapestPlan(now, j, c, s, candidates, free)
+	}
+	home, ok := f.cheapestPlan(now, j, c, s, candidates.in(j.DataCentre), distance{home: j.DataCentre, only: j.DataCentre})
+	if !ok {
+		return f.cheapestPlan(now, j, c, s, candidates, free)
+	}
+	best, ok := f.cheapestPlan(now, j, c, s, candidates, f.distanceOf(j, c, home))
+	if !ok || best.Crossings == 0 || locality.Leaves(home.cost()-best.cost(), best.PrefillTime, uint64(j.ID)) {
+		return best, ok
+	}
+	return home, true
+}
+
+// cheapestPlan returns the plan with the lowest cost; false if there is none.
+func (f *Fleet) cheapestPlan(now time.Time, j Job, c Constraints, s scope, candidates decodeCandidates, d distance) (Plan, bool) {
+	var best Plan
+	found := false
 	for _, id := range f.engineIDs {
 		e := f.engines[id]
-		if !e.eligible(now, j, s) || !e.fits(j) {
-			continue
-		}
-		p, ok := f.planPrefillOn(now, j, c, e, candidates)
-		if !ok {
+		if !d.allows(e) || !e.eligible(now, j, s) || !e.fits(j) {
 			continue
 		}
-		cost := p.ExpectedTTFT() + prefillWeight*p.PrefillTime + p.AnswerCost
-		if bestCost < 0 || cost < bestCost {
-			best, bestCost = p, cost
+		p, ok := f.planPrefillOn(now, j, c, e, candidates, d)
+		if ok && (!found || p.cost() < best.cost()) {
+			best, found = p, true
 		}
 	}
-	return best, bestCost >= 0
+	return best, found
+}
+
+// cost returns the cost by which plans are compared.
+func (p Plan) cost() time.Duration {
+	return p.ExpectedTTFT() + prefillWeight*p.PrefillTime + p.AnswerCost + p.DistanceCost
 }
 
 func (e *engine) eligible(now time.Time, j Job, s scope) bool {
@@ -263,7 +294,7 @@
 
 // planPrefillOn returns the plan in which prefillEngine prefills the prompt; false if
 // no engine can generate the answer.
-func (f *Fleet) planPrefillOn(now time.Time, j Job, c Constraints, prefillEngine *engine, candidates decodeCandidates) (Plan, bool) {
+func (f *Fleet) planPrefillOn(now time.Time, j Job, c Constraints, prefillEngine *engine, candidates decodeCandidates, l distance) (Plan, bool) {
 	prefillEngine.expirePrefills(now)
 	cached := prefillEngine.cache.cachedPrefix(j.Prompt.Segments)
 	work := predict.NewPrefillWork(f.contextTokens(j.Prompt), cached)
@@ -278,15 +309,19 @@
 		ShortPrefill:  work.Tokens <= shortPrefillFraction*f.meanPrefillTokens,
 		Calibrated:    prefillEngine.prefillModel.Calibrated(),
 	}
+	p.DistanceCost, p.Crossings = l.ofSend(prefillEngine)
 	if prefillEngine.Role != backend.Prefill {
 		p.AnswerCost, p.MissProbability = f.answerCost(now, j, c, prefillEngine)
 		p.AnswerCost += prefillEngine.delayCost(p.PrefillTime) + f.handoverCost(now, prefillEngine, p) + terminationCost(j, prefillEngine)
 		return p, true
 	}
-	d, transfer, ok := candidates.bestFor(f, j, prefillEngine)
+	d, transfer, ok := candidates.bestFor(f, j, prefillEngine, l)
 	if !ok {
 		return p, false
 	}
+	cost, crossings := l.ofHandover(prefillEngine, d.engine, transfer)
+	p.DistanceCost += cost
+	p.Crossings += crossings
 	p.DecodeEngine = d.ID
 	p.Overhead += transfer + d.handoverTime
 	p.AnswerCost, p.MissProbability = d.answerCost, d.missProbability
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -2,7 +2,11 @@
 // and limits, the store, and the bounds set by the operators.
 package deployment
 
-import "time"
+import (
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/locality"
+)
 
 // Deployment has the settings from the settings file, which is read at the start
 // and on reload.
@@ -39,6 +43,8 @@
 	// crash if they hold more than fits. Memory is then reserved for each request and shared
 	// fairly among the accounts.
 	MemoryPressure bool
+	// DistancePrice is what it is worth to keep traffic within a data centre.
+	DistancePrice locality.Price
 }
 
 // Usage says where and how the usage of client accounts is reported. The zero value means
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/decide/locality"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -97,8 +98,10 @@
 	byHash map[uint32]engineKey
 	gossip Gossip
 	// count is the number of engines of all services.
-	count      int
-	statements *serverStatements
+	count int
+	// distancePrice is what it is worth to keep requests within a data centre.
+	distancePrice locality.Price
+	statements    *serverStatements
 }
 
 // engineKey identifies an engine.
@@ -108,6 +111,16 @@
 	return &engines{fleets: make(map[string]*place.Fleet), gossip: noGossip{}, statements: s}
 }
 
+// setDistancePrice sets what it is worth to keep requests within a data centre.
+func (e *engines) setDistancePrice(p locality.Price) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.distancePrice = p
+	for _, f := range e.fleets {
+		f.SetDistancePrice(p)
+	}
+}
+
 // update sets the engines to those of a new view.
 func (e *engines) update(v *directory.View) {
 	if v.Table == nil {
@@ -149,6 +162,7 @@
 	f, ok := e.fleets[service]
 	if !ok {
 		f = place.NewFleet()
+		f.SetDistancePrice(e.distancePrice)
 		e.fleets[service] = f
 	}
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,7 +106,7 @@
 	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
 	g.retryBudgets.gateways = func() int { return g.engines.gossip.GatewaysSharing() }
 	g.retryBudgets.firstProcess = func() bool { return g.engines.gossip.FirstProcess() }
-	g.deployment.Store(&c.Deployment)
+	g.Reload(c.Deployment)
 	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
 	return g
 }
@@ -124,7 +124,10 @@
 }
 
 // Reload replaces the deployment settings.
-func (g *Gateway) Reload(d deployment.Deployment) { g.deployment.Store(&d) }
+func (g *Gateway) Reload(d deployment.Deployment) {
+	g.deployment.Store(&d)
+	g.engines.setDistancePrice(d.DistancePrice)
+}
 
 // ViewChanged updates the gateway to the servers and services of a new view.
 func (g *Gateway) ViewChanged(v *directory.View) {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -25,6 +25,8 @@
 	maxPrefillResponse = 64 << 10
 	// freeKVTimeout limits the request that frees unused KV cache.
 	freeKVTimeout = 500 * time.Millisecond
+	// requestHeadBytes is about what the head of a request and its response take.
+	requestHeadBytes = 1 << 10
 )
 
 // runModel serves a request to a service of model engines. It chooses engines for
@@ -74,6 +76,7 @@
 		Prompt:     c.request.Prompt,
 		Route:      c.route.Name,
 		DataCentre: c.gateway.deployment.Load().DataCentre,
+		Bytes:      len(c.request.Body) + requestHeadBytes,
 		Exclude:    c.excluded,
 		Suspect:    c.suspected(),
 		Version:    c.streamVersion,
