--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -10,6 +10,7 @@
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/balance"
 	"pistachioroad.dev/pistachioroad/internal/decide/contention"
+	"pistachioroad.dev/pistachioroad/internal/decide/locality"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/decide/ratelimit"
@@ -114,6 +115,8 @@
 	// the bounds of that by service.
 	reserveMemory bool
 	reservations  map[string]place.MemoryReservation
+	// distancePrice is what it is worth to keep requests within a data centre.
+	distancePrice locality.Price
 }
 
 // engineKey identifies an engine.
@@ -123,6 +126,16 @@
 	return &engines{fleets: make(map[string]*place.Fleet), gossip: noGossip{}, statements: s}
 }
 
+// setDistancePrice sets what it is worth to keep requests within a data centre.
+func (e *engines) setDistancePrice(p locality.Price) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.distancePrice = p
+	for _, f := range e.fleets {
+		f.SetDistancePrice(p)
+	}
+}
+
 // update sets the engines to those of a new view.
 func (e *engines) update(v *directory.View) {
 	if v.Table == nil {
@@ -169,6 +182,7 @@
 	f, ok := e.fleets[service]
 	if !ok {
 		f = place.NewFleet()
+		f.SetDistancePrice(e.distancePrice)
 		e.fleets[service] = f
 	}
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,8 +125,7 @@
 	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
 	g.retryBudgets.gateways = func() int { return g.engines.gossip.GatewaysSharing() }
 	g.retryBudgets.firstProcess = func() bool { return g.engines.gossip.FirstProcess() }
-	g.deployment.Store(&c.Deployment)
-	g.engines.setMemoryReservation(c.Deployment.MemoryPressure)
+	g.Reload(c.Deployment)
 	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
 	if c.ReadAhead.Total == 0 {
 		c.ReadAhead.Total = int64(readAheadMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
@@ -151,6 +150,7 @@
 func (g *Gateway) Reload(d deployment.Deployment) {
 	g.deployment.Store(&d)
 	g.engines.setMemoryReservation(d.MemoryPressure)
+	g.engines.setDistancePrice(d.DistancePrice)
 }
 
 // ViewChanged updates the gateway to the servers and services of a new view.
