Placement counts the time to connect to an engine

Cause: thirty gateways before 54 engines use each pair once in some seconds, so that most requests open connections, which cost a round trip and work of the engine.

--- a/internal/decide/place/decode_engine.go
+++ b/internal/decide/place/decode_engine.go
@@ -33,7 +33,7 @@
 		if e.Role == backend.Prefill || !e.eligible(now, j, s) || !e.fits(j) || !j.need.fitsDecode(e) {
 			continue
 		}
-		d := decodeCandidate{engine: e, handoverTime: f.handoverTime(now, e)}
+		d := decodeCandidate{engine: e, handoverTime: f.handoverTime(now, e) + connectTime(j, e)}
 		d.answerCost, d.missProbability = f.answerCost(now, j, c, e)
 		d.answerCost += terminationCost(j, e) + failureCost(j, e)
 		if best, ok := candidates[e.DataCentre]; !ok || d.cost() < best.cost() {
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -80,6 +80,9 @@
 	// fail more often than their peers. Repeatable is set if it may then be sent to another.
 	FailureRates map[string]float64
 	Repeatable   bool
+	// Connected has the engines to which this gateway has an idle connection, nil if
+	// connections take no time.
+	Connected map[string]bool
 	// Account is the caller's client account, 0 if accounts have no shares.
 	Account fairshare.AccountID
 	// Priority is the priority of its route; 0 is the most urgent.
@@ -337,7 +340,7 @@
 		QueueDelay:    prefillEngine.queueDelay(now),
 		PrefillTime:   prefillEngine.prefillTime(now, work),
 		PrefillLag:    f.prefillLag(now),
-		Overhead:      prefillEngine.prefillModel.FixedLatency(),
+		Overhead:      prefillEngine.prefillModel.FixedLatency() + connectTime(j, prefillEngine),
 		ShortPrefill:  work.Tokens <= shortPrefillFraction*f.meanPrefillTokens,
 		Calibrated:    prefillEngine.prefillModel.Calibrated(),
 	}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -141,6 +141,9 @@
 	t.pool.closeIf(func(_ string, c *conn) bool { return c.idleSince.Before(before) })
 }
 
+// Connected returns the IDs of the servers to which there is an idle connection.
+func (t *Transport) Connected() map[string]bool { return t.pool.connected(time.Now()) }
+
 // closeIdle is like CloseIdleBefore for the connections to one server.
 func (t *Transport) closeIdle(key string, before time.Time) {
 	t.pool.closeIf(func(k string, c *conn) bool { return k == key && c.idleSince.Before(before) })
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -69,6 +69,19 @@
 	p.idle[key] = append(p.idle[key], c)
 }
 
+// connected returns the servers that have an idle connection.
+func (p *pool) connected(now time.Time) map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	servers := make(map[string]bool, len(p.idle))
+	for key, conns := range p.idle {
+		if len(conns) > 0 && conns[len(conns)-1].withinIdleTimeout(now) {
+			servers[serverID(key)] = true
+		}
+	}
+	return servers
+}
+
 // closeIf closes the idle connections for which match returns true.
 func (p *pool) closeIf(match func(key string, c *conn) bool) {
 	p.mu.Lock()
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -94,6 +94,7 @@
 		Bytes:      len(c.request.Body) + requestHeadBytes,
 		Exclude:    c.excluded,
 		Suspect:    c.suspected(),
+		Connected:  c.gateway.transport.Connected(),
 		Version:    c.streamVersion,
 
 		FailureRates: c.failureRates(),
