--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -34,6 +34,9 @@
 	Quarantine QuarantineDump `json:"quarantine"`
 	// BodyBytes is the memory currently reserved for request bodies.
 	BodyBytes int64 `json:"body_bytes"`
+	// DistancePrice is what it is worth to keep one megabyte within the data centre, absent
+	// if distance is free.
+	DistancePrice string `json:"distance_price,omitempty"`
 	// ReadAhead is what is read ahead for slow callers.
 	ReadAhead ReadAheadDump `json:"read_ahead"`
 }
@@ -129,6 +132,9 @@
 		d.ClientKeys = v.Table.Accounts.Len()
 		d.AccountShares = g.dumpAccountShares(now, v.Table)
 	}
+	if price := g.deployment.Load().DistancePrice; price > 0 {
+		d.DistancePrice = time.Duration(price).String()
+	}
 	if g.usage != nil {
 		d.Usage = dumpUsage(now, g.usage)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,6 +36,9 @@
 	if c.trace.bySize {
 		metrics.GetOrRegisterCounter("gateway.admitted_by_size", nil).Inc(1)
 	}
+	if crossings := c.trace.plan.Crossings; crossings > 0 {
+		metrics.GetOrRegisterCounter("gateway.plans_crossing", nil).Inc(1)
+	}
 	if c.trace.code == verdict.CodeAccountLimit {
 		metrics.GetOrRegisterCounter("gateway.refused_over_share", nil).Inc(1)
 	}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -225,6 +225,9 @@
 		fields["length"], fields["answer_cost_ms"] = c.request.Prompt.ExpectedOutputTokens, p.AnswerCost.Milliseconds()
 		fields["prefill_ms"], fields["learned"] = c.trace.prefill.Milliseconds(), p.Calibrated
 		fields["patience_ms"], fields["events"] = c.deadline.Sub(c.received).Milliseconds(), c.events()
+		if p.Crossings > 0 {
+			fields["crossings"], fields["distance_cost_ms"] = p.Crossings, p.DistanceCost.Milliseconds()
+		}
 		if c.trace.bySize {
 			fields["admitted_by_size"] = true
 		}
