Reading of the change: comments of distance and contention, what was built otherwise

Measured: go test ./internal/decide/place ./internal/decide/contention ./internal/decide/locality pass.

--- a/internal/decide/contention/contention.go
+++ b/internal/decide/contention/contention.go
@@ -6,7 +6,9 @@
 // wait at contended servers while others are free, and each sample of their time is taken
 // for the speed of the server itself: the estimates of all servers drift apart without a
 // cause that lasts. A report is therefore a factor on expected times that fades quickly, and
-// observed times are compared with the expected ones that include it. The package is pure code; time is passed in.
+// observed times are compared with the expected ones that include it. Dividing the observed
+// times by it made all estimates too short, because it holds for a part of a prefill only.
+// The package is pure code; time is passed in.
 package contention
 
 import (
--- a/internal/decide/place/distance.go
+++ b/internal/decide/place/distance.go
@@ -6,7 +6,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/locality"
 )
 
-// distance is what it costs a request to use engines of other data centres.
+// distance is what it costs a request to use engines of other data centres, as a time.
 type distance struct {
 	// home is the data centre of the request, and only the one whose engines may be used,
 	// empty for all.
@@ -26,8 +26,8 @@
 // time, beyond the delay: it occupies the links between them.
 const kvDistanceWeight = 1
 
-// distanceOf returns the distance of a job whose best plan at home is known. It fades while
-// the engines at home are expected to answer late.
+// distanceOf returns the distance of a job whose cheapest plan in its own data centre is
+// known: the later the first token of that plan, the less.
 func (f *Fleet) distanceOf(j Job, c Constraints, home Plan) distance {
 	d := f.fullDistance(j)
 	discount := locality.Discount(home.ExpectedTTFT(), c.Objective)
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -108,9 +108,9 @@
 	// token: the probabilities that it and other answers there miss their deadlines, as
 	// a time. Admission does not depend on it.
 	AnswerCost time.Duration
-	// DistanceCost is what it costs to send the request to engines in other data centres
-	// and to transfer its KV cache between data centres, and Crossings how many of its
-	// transfers that are.
+	// DistanceCost is the cost, as a time, of sending the request to engines in other data
+	// centres and of a KV transfer between data centres. Crossings counts these sends and
+	// transfers, at most three.
 	DistanceCost time.Duration
 	Crossings    int
 	// MissProbability is the probability that the answer misses its deadline at
