Era of the store: read from its answers, logged with each list and configuration

Cause: no log line said which era or revision a list has, so that a store that came back from a copy could only be inferred from where a watch begins. The stand-in store names eras and can be restored from a copy. Nothing decides by it yet.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -61,7 +61,7 @@
 	// storeUnreachable is set while the last read of the store failed.
 	storeUnreachable atomic.Bool
 
-	failures, compactions, earlyEnds metrics.Counter
+	failures, compactions, earlyEnds, wentBack metrics.Counter
 }
 
 // New returns a Directory with an empty View.
@@ -79,6 +79,7 @@
 		failures:    metrics.GetOrRegisterCounter("directory.store_failures", nil),
 		compactions: metrics.GetOrRegisterCounter("directory.histories_dropped", nil),
 		earlyEnds:   metrics.GetOrRegisterCounter("directory.watches_ended_early", nil),
+		wentBack:    metrics.GetOrRegisterCounter("directory.revision_went_back", nil),
 	}
 	dir.view.Store(dir.state.snapshot())
 	return dir
@@ -165,7 +166,7 @@
 	if changed {
 		t := d.state.view.Table
 		log.WithFields(log.Fields{
-			"version": t.Version, "revision": o.Revision, "routes": t.Len(), "services": len(t.Services),
+			"version": t.Version, "revision": o.Revision, "era": int64(o.Era), "routes": t.Len(), "services": len(t.Services),
 		}).Info("configuration applied")
 		d.publish(true)
 	}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -201,6 +201,7 @@
 		return err
 	}
 	d.readSucceeded(f)
+	d.logList(f, l)
 	f.revision = l.Revision
 	d.locked(func() {
 		f.onConfirm(sent)
@@ -209,6 +210,17 @@
 	return nil
 }
 
+// logList logs a list, and whether the store's revision is lower than at the last read.
+func (d *Directory) logList(f *follower, l store.Listing) {
+	line := log.WithFields(log.Fields{"kind": f.kind, "revision": l.Revision, "era": int64(l.Era), "objects": len(l.Objects)})
+	if l.Revision < f.revision {
+		d.wentBack.Inc(1)
+		line.WithField("previous", f.revision).Warn("revision of the store went back")
+		return
+	}
+	line.Info("listed the store")
+}
+
 func (d *Directory) applyBatch(f *follower, b store.Batch, until time.Time) {
 	now := time.Now()
 	for _, e := range b.Events {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -23,24 +23,33 @@
 	// ErrRejected means that the store rejected the call or was not reached. The call had
 	// no effect and may be retried.
 	ErrRejected = errors.New("store: refused")
+	// ErrEraEnded means that the store has come back from a copy since it answered. What it
+	// answered, and a write that it acknowledged, may be lost.
+	ErrEraEnded = errors.New("store: answer of an earlier era")
 )
 
 // Object is one object of the store.
 type Object struct {
 	Name string
 	// Revision is the store's revision at the object's last change. Every change in the
-	// store increases it.
+	// store increases it, within an era.
 	Revision int64
 	// Spec is the object's JSON value.
 	Spec json.RawMessage
 	// Deleting is set while a deleted object waits for its finalizers.
 	Deleting bool
+	// Era is the era of the answer that had the object.
+	Era Era `json:"Era,omitempty"`
 }
 
+// Position returns the position of the object's last change.
+func (o Object) Position() Position { return Position{Era: o.Era, Revision: o.Revision} }
+
 // Listing holds all objects of a kind at one revision of the store.
 type Listing struct {
 	Objects  []Object
 	Revision int64
+	Era      Era
 }
 
 // Event is a change of an object, or its removal.
@@ -53,6 +62,7 @@
 type Batch struct {
 	Events   []Event
 	Revision int64
+	Era      Era
 }
 
 // Freshness is the consistency of a read.
--- a/test/standin/objectstore/objectstore.go
+++ b/test/standin/objectstore/objectstore.go
@@ -66,6 +66,11 @@
 	// changed is closed and replaced at each change, to wake waiting watches.
 	changed chan struct{}
 	calls   Calls
+	// era is named in all answers unless it is 0.
+	era int64
+	// before is the state until the last Restore, which stale lists return for staleLag.
+	before     Copy
+	restoredAt time.Time
 }
 
 // New returns an empty store.
@@ -171,6 +176,7 @@
 	s.mu.Lock()
 	s.calls.count(r)
 	faults := s.faults
+	setEra(w, s.era)
 	s.mu.Unlock()
 	if !faults.admit(w, r) {
 		return
@@ -189,7 +195,8 @@
 		time.AfterFunc(milliseconds(faults.LateWritesMS), func() { s.applyWrite(r, data, kind, name) })
 		panic(http.ErrAbortHandler)
 	}
-	status, answer := s.applyWrite(r, data, kind, name)
+	status, answer, era := s.applyWrite(r, data, kind, name)
+	setEra(w, era)
 	if faults.LoseReplies {
 		panic(http.ErrAbortHandler)
 	}
@@ -221,12 +228,19 @@
 		reply(w, http.StatusOK, o)
 		return
 	}
-	objects := s.kinds[kind]
-	if query.Has("isStale") {
+	objects, revision := s.kinds[kind], s.revision
+	switch {
+	case query.Has("isStale") && time.Since(s.restoredAt) < s.staleLag:
+		objects, revision = s.before.kinds[kind], s.before.revision
+		setEra(w, s.before.era)
+	case query.Has("isStale"):
 		objects = s.objectsAt(kind, time.Now().Add(-s.staleLag))
+	default:
+		// The store may have been restored while the call was delayed.
+		setEra(w, s.era)
 	}
 	items, more := page(objects, query.Get("after"))
-	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "at": s.revision})
+	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "at": revision})
 }
 
 // objectsAt returns the objects of a kind as of a time, as far as the history
@@ -267,13 +281,17 @@
 	from, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
 	deadline := time.After(milliseconds(int(wait)))
+	s.mu.Lock()
+	began := s.era
+	setEra(w, began)
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		events, gone := s.eventsSince(kind, from)
-		at, changed, faults := s.revision, s.changed, s.faults
+		at, changed, faults, era := s.revision, s.changed, s.faults, s.era
 		s.mu.Unlock()
 		switch {
-		case faults.abortsWatches():
+		case faults.abortsWatches() || era != began:
 			panic(http.ErrAbortHandler)
 		case faults.StallWatches:
 			stall(r.Context(), deadline, milliseconds(int(wait)))
@@ -311,7 +329,7 @@
 }
 
 func (s *Store) eventsSince(kind string, from int64) (events []event, gone bool) {
-	if from < s.compacted {
+	if from < s.compacted || from > s.revision {
 		return nil, true
 	}
 	for _, c := range s.history {
@@ -323,12 +341,12 @@
 }
 
 // applyWrite carries out a create, update or delete and returns the status and
-// the body of the response.
-func (s *Store) applyWrite(r *http.Request, data []byte, kind, name string) (int, any) {
+// the body of the response, and the era in which it was carried out.
+func (s *Store) applyWrite(r *http.Request, data []byte, kind, name string) (status int, answer any, era int64) {
 	var body Object
 	if len(data) > 0 {
 		if err := json.Unmarshal(data, &body); err != nil {
-			return http.StatusBadRequest, nil
+			return http.StatusBadRequest, nil, 0
 		}
 	}
 	if name == "" {
@@ -343,15 +361,15 @@
 	old, exists := s.kinds[kind][name]
 	switch {
 	case r.Method == http.MethodPost && exists:
-		return http.StatusConflict, old
+		return http.StatusConflict, old, s.era
 	case r.Method != http.MethodPost && !exists:
-		return http.StatusNotFound, nil
+		return http.StatusNotFound, nil, s.era
 	case expected != 0 && expected != old.Metadata.Revision:
-		return http.StatusConflict, old
+		return http.StatusConflict, old, s.era
 	case r.Method == http.MethodDelete:
 		s.remove(kind, name)
-		return http.StatusOK, old
+		return http.StatusOK, old, s.era
 	default:
-		return http.StatusOK, s.write(kind, name, body.Spec)
+		return http.StatusOK, s.write(kind, name, body.Spec), s.era
 	}
 }
