Configurations and servers across a return of the store from a copy

What callers saw: 404 for routes of confirmed changes at every gateway, and requests sent to services that a confirmed change had replaced. Cause: positions were revisions alone. After the store's return from a copy, newer configurations have lower revisions than the known one and were dropped as older, while the list or watch that brought them confirmed the known one; so did a copy without it. Change: a position is (era, revision). Within an era revisions decide, across eras the operator's version. The era is in every message between gateways; an answer or message of an earlier one is dropped, a later one makes the receiver list. Servers that were leaving or gone stay so for the same start. Gateways that know a newer configuration than the copy announce and hand it on. Without the header nothing changes but one case: a configuration that cannot be decoded, or a list without one, confirms nothing.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -61,7 +61,10 @@
 	// storeUnreachable is set while the last read of the store failed.
 	storeUnreachable atomic.Bool
 
-	failures, compactions, earlyEnds, wentBack metrics.Counter
+	// eras is the newest known era of the store.
+	eras *store.Eras
+
+	failures, compactions, earlyEnds, wentBack, restorations metrics.Counter
 }
 
 // New returns a Directory with an empty View.
@@ -80,6 +83,9 @@
 		compactions: metrics.GetOrRegisterCounter("directory.histories_dropped", nil),
 		earlyEnds:   metrics.GetOrRegisterCounter("directory.watches_ended_early", nil),
 		wentBack:    metrics.GetOrRegisterCounter("directory.revision_went_back", nil),
+
+		eras:         store.ErasOf(s),
+		restorations: metrics.GetOrRegisterCounter("directory.store_restorations", nil),
 	}
 	dir.view.Store(dir.state.snapshot())
 	return dir
@@ -94,25 +100,33 @@
 // FollowConfig keeps the configuration up to date until ctx is done.
 func (d *Directory) FollowConfig(ctx context.Context) error {
 	return d.follow(ctx, &follower{
-		kind:   d.kinds.Config,
-		onList: d.applyConfigList,
+		kind: d.kinds.Config,
+		onList: func(_, sent time.Time, l store.Listing) {
+			d.applyConfigList(l)
+			d.state.confirmConfig(sent)
+			d.publish(false)
+		},
 		onEvent: func(_ time.Time, e store.Event) {
 			if e.Object.Name == d.kinds.ConfigName && !e.Removed {
 				d.applyConfig(e.Object)
 			}
 		},
 		onConfirm: func(at time.Time) { d.state.confirmConfig(at) },
-		behind:    func() bool { return d.state.view.OutOfDate() },
-		wake:      d.configWake,
-		retry:     d.configRetry,
+		// The store has lost what was announced of an earlier era.
+		behind: func() bool { return d.state.view.OutOfDate() && d.state.view.Announced.Era == d.state.era },
+		wake:   d.configWake,
+		retry:  d.configRetry,
 	})
 }
 
 // FollowServers keeps the servers up to date until ctx is done.
 func (d *Directory) FollowServers(ctx context.Context) error {
 	return d.follow(ctx, &follower{
-		kind:   d.kinds.Servers,
-		onList: d.applyServerList,
+		kind: d.kinds.Servers,
+		onList: func(now, sent time.Time, l store.Listing) {
+			d.state.confirmServers(sent)
+			d.applyServerList(now, l)
+		},
 		onEvent: func(now time.Time, e store.Event) {
 			previous := d.state.serversLastChange
 			d.applyServerEvent(now, e)
@@ -148,17 +162,28 @@
 	step()
 }
 
-func (d *Directory) applyConfigList(_ time.Time, l store.Listing) {
+func (d *Directory) applyConfigList(l store.Listing) {
+	found := false
 	for _, o := range l.Objects {
 		if o.Name == d.kinds.ConfigName {
+			found = true
 			d.applyConfig(o)
 		}
 	}
+	if !found && d.state.view.Table != nil {
+		d.state.configUnapplied = true
+	}
 	d.publish(false)
 }
 
 func (d *Directory) applyConfig(o store.Object) {
+	before := d.state.configUnapplied
 	changed, err := d.state.applyConfig(o)
+	if unapplied := d.state.configUnapplied; unapplied != before && err == nil {
+		log.WithFields(log.Fields{
+			"older": unapplied, "era": int64(o.Era), "revision": o.Revision, "kept": d.state.view.Config().Version,
+		}).Warn("store has an older configuration than the known one")
+	}
 	if err != nil {
 		log.WithField("revision", o.Revision).WithField("error", err.Error()).Error("configuration cannot be decoded, keeping the previous one")
 		return
@@ -230,8 +255,7 @@
 	} else {
 		v = d.state.snapshotWithServersOf(before)
 	}
-	invariant.Check(v.TableRevision >= before.TableRevision, "configuration-forward",
-		"revision %d after %d", v.TableRevision, before.TableRevision)
+	invariant.Check(!before.Config().newerThan(v.Config()), "configuration-forward", "%+v after %+v", v.Config(), before.Config())
 	d.view.Store(v)
 	if changed && d.OnChange != nil {
 		d.OnChange(v)
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -35,8 +35,9 @@
 // follower holds the callbacks and the state for following one kind of object. The
 // callbacks run with the Directory's lock held.
 type follower struct {
-	kind    string
-	onList  func(now time.Time, l store.Listing)
+	kind string
+	// onList takes a list that was requested at sent.
+	onList  func(now, sent time.Time, l store.Listing)
 	onEvent func(now time.Time, e store.Event)
 	// onConfirm takes a time at which the store had nothing newer than the state.
 	onConfirm func(at time.Time)
@@ -50,8 +51,9 @@
 	// retry ends the pause after a failed read.
 	retry chan struct{}
 
-	// revision is the store's revision to watch from.
+	// revision is the store's revision to watch from, in era.
 	revision int64
+	era      store.Era
 
 	pauses pause.Backoff
 	// down is set while reads fail, so that an outage is logged once.
@@ -73,10 +75,13 @@
 			d.waitWhileDelegated(ctx, f)
 			continue
 		}
-		if errors.Is(err, store.ErrCompacted) {
+		switch {
+		case errors.Is(err, store.ErrCompacted):
 			d.compactions.Inc(1)
 			log.WithField("kind", f.kind).WithField("from", f.revision).Info("store history compacted, listing")
-		} else {
+		case errors.Is(err, store.ErrEraEnded):
+			log.WithField("kind", f.kind).WithField("error", err.Error()).Info("answer is from before the store came back from a copy, listing")
+		default:
 			d.readFailed(f, err)
 		}
 		d.waitRetry(ctx, f, f.pauses.Next(random))
@@ -153,13 +158,21 @@
 	}
 }
 
-// watch applies the changes since the last list or watch.
+// watch applies the changes since the last list or watch. It lists if they are of an earlier
+// era than the store's.
 func (d *Directory) watch(ctx context.Context, f *follower) error {
+	if f.era != d.eras.Newest() {
+		return d.list(ctx, f)
+	}
 	sent := time.Now()
 	batch, err := d.store.Watch(ctx, f.kind, f.revision, watchWait)
 	if err != nil {
 		return err
 	}
+	if batch.Era != f.era {
+		// The revision may have been given out again, and the changes may not follow it.
+		return d.list(ctx, f)
+	}
 	f.pauses.Reset()
 	d.logEarlyEnd(f, batch, time.Since(sent))
 	f.revision = max(f.revision, batch.Revision)
@@ -202,26 +215,37 @@
 	}
 	d.readSucceeded(f)
 	d.logList(f, l)
-	f.revision = l.Revision
+	ended := false
 	d.locked(func() {
-		f.onConfirm(sent)
-		f.onList(time.Now(), l)
+		now := time.Now()
+		if !d.enterEra(now, l.Era, "store") {
+			ended = true
+			return
+		}
+		f.onList(now, sent, l)
 	})
+	if ended {
+		return store.ErrEraEnded
+	}
+	f.revision, f.era = l.Revision, l.Era
 	return nil
 }
 
 // logList logs a list, and whether the store's revision is lower than at the last read.
 func (d *Directory) logList(f *follower, l store.Listing) {
 	line := log.WithFields(log.Fields{"kind": f.kind, "revision": l.Revision, "era": int64(l.Era), "objects": len(l.Objects)})
-	if l.Revision < f.revision {
+	if l.Era == f.era && l.Revision < f.revision {
 		d.wentBack.Inc(1)
-		line.WithField("previous", f.revision).Warn("revision of the store went back")
+		line.WithField("previous", f.revision).Warn("revision of the store went back within an era")
 		return
 	}
 	line.Info("listed the store")
 }
 
 func (d *Directory) applyBatch(f *follower, b store.Batch, until time.Time) {
+	if b.Era != d.state.era {
+		return
+	}
 	now := time.Now()
 	for _, e := range b.Events {
 		f.onEvent(now, e)
--- a/internal/directory/model_test.go
+++ b/internal/directory/model_test.go
@@ -68,9 +68,10 @@
 	var r listResponse
 	m.responses, r = take(m.responses, last)
 	r.to.locked(func() {
+		r.to.applyConfigList(r.listing)
 		r.to.state.confirmConfig(at(r.sent))
 		r.to.state.confirmServers(at(r.sent))
-		r.to.applyConfigList(at(m.now), r.listing)
+		r.to.publish(false)
 	})
 	return true
 }
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -29,13 +29,27 @@
 // Confirmation is an announcement that the store had no newer state than these
 // revisions.
 type Confirmation struct {
+	// Era is the newest era of the store that the sender knows.
+	Era store.Era
+	// ConfigEra is the era that ConfigRevision belongs to: an earlier one if the store has
+	// lost the configuration.
+	ConfigEra      store.Era
 	ConfigRevision int64
+	// ConfigVersion is the operator's version of the configuration.
+	ConfigVersion int64
+	// ConfigUnconfirmed is set if the store has another configuration than the sender's.
+	ConfigUnconfirmed bool
 	// ServersRevision is a revision after which no server object has changed.
 	ServersRevision int64
 	// Age is how long ago the store confirmed it.
 	Age time.Duration
 }
 
+// config identifies the sender's configuration.
+func (c Confirmation) config() ConfigID {
+	return ConfigID{Position: store.Position{Era: c.ConfigEra, Revision: c.ConfigRevision}, Version: c.ConfigVersion}
+}
+
 // Confirmation returns the state that this gateway's own watches have confirmed; false
 // if the last confirmation is too old.
 func (d *Directory) Confirmation(now time.Time) (Confirmation, bool) {
@@ -43,17 +57,20 @@
 	defer d.mu.Unlock()
 	at := d.state.ownConfirmedAt()
 	c := Confirmation{
-		ConfigRevision:  d.state.view.TableRevision,
 		ServersRevision: d.state.serversLastChange,
 		Age:             now.Sub(at),
+
+		Era: d.state.era, ConfigUnconfirmed: d.state.configUnapplied,
 	}
+	config := d.state.view.Config()
+	c.ConfigEra, c.ConfigRevision, c.ConfigVersion = config.Era, config.Revision, config.Version
 	return c, !at.IsZero() && c.Age < confirmationMaxAge
 }
 
 // ownConfirmedAt returns when own reads last confirmed both kinds.
 func (s *state) ownConfirmedAt() time.Time {
-	if s.ownConfigConfirmedAt.Before(s.ownServersConfirmedAt) {
-		return s.ownConfigConfirmedAt
+	if s.ownConfigReadAt.Before(s.ownServersConfirmedAt) {
+		return s.ownConfigReadAt
 	}
 	return s.ownServersConfirmedAt
 }
@@ -68,12 +85,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.state
-	if c.ConfigRevision < s.view.TableRevision || c.ServersRevision < s.serversRevision {
+	if !d.enterEra(now, c.Era, "gateway") {
+		return
+	}
+	known, told := s.view.Config(), c.config()
+	if known.newerThan(told) && known.Era != told.Era {
+		s.olderAnnouncedAt = now
+	}
+	if known.newerThan(told) || c.ServersRevision < s.serversRevision {
 		// The sender is behind. It may have been suspended, and its clock with it, so
 		// that the age in its confirmation cannot be trusted.
 		return
 	}
-	if c.ConfigRevision > s.view.TableRevision {
+	if told.newerThan(known) {
 		d.noteAnnounced(c)
 		d.wake(d.configWake)
 	}
@@ -86,7 +110,7 @@
 		d.endRetryPauses()
 	}
 	s.remoteConfirmedAt = later(s.remoteConfirmedAt, at)
-	if c.ConfigRevision == s.view.TableRevision {
+	if !c.ConfigUnconfirmed && !told.newerThan(known) {
 		s.view.TableConfirmedAt = later(s.view.TableConfirmedAt, at)
 	}
 	if c.ServersRevision <= s.serversSynced {
@@ -96,15 +120,26 @@
 	d.publish(false)
 }
 
+// MustAnnounce reports whether a gateway that relies on others has to announce its state: one
+// that watches the store has lately announced a configuration that a copy of the store has
+// brought back, and that this gateway knows to be replaced.
+func (d *Directory) MustAnnounce(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := d.state.olderAnnouncedAt
+	return !at.IsZero() && now.Sub(at) < confirmationMaxAge
+}
+
 // noteAnnounced records that another gateway has announced a newer configuration.
 func (d *Directory) noteAnnounced(c Confirmation) {
 	v := &d.state.view
-	if c.ConfigRevision <= v.AnnouncedRevision {
+	if !c.config().newerThan(v.Announced) {
 		return
 	}
-	v.AnnouncedRevision = c.ConfigRevision
+	v.Announced = c.config()
 	log.WithFields(log.Fields{
-		"revision": v.TableRevision, "told": v.AnnouncedRevision, "told_age_ms": c.Age.Milliseconds(),
+		"revision": v.TableRevision, "told": v.Announced.Revision, "told_version": v.Announced.Version,
+		"told_era": int64(v.Announced.Era), "told_age_ms": c.Age.Milliseconds(),
 	}).Info("another gateway announced a newer configuration")
 }
 
@@ -122,6 +157,9 @@
 func (d *Directory) RemoteServerChange(now time.Time, c ServerChange) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.enterEra(now, c.Object.Era, "gateway") {
+		return
+	}
 	d.applyServerEvent(now, c.Event)
 	if c.PreviousRevision <= d.state.serversSynced {
 		d.state.markServersSynced(c.Object.Revision)
@@ -174,11 +212,12 @@
 	}
 }
 
-// behind reports whether a change that another gateway has announced is missing here.
+// behind reports whether a change, or an era of the store, that another gateway has announced
+// is missing here.
 func (d *Directory) behind(f *follower) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return f.behind()
+	return f.era < d.state.era || f.behind()
 }
 
 // lastRevision returns the highest revision among changes.
@@ -196,14 +235,14 @@
 // the revision of such a response would never see them. A kind with few objects is
 // listed right away.
 func (d *Directory) catchUp(ctx context.Context, f *follower) error {
-	if f.markSynced == nil {
+	if f.markSynced == nil || f.era != d.eras.Newest() {
 		return d.list(ctx, f)
 	}
 	sent := time.Now()
 	watching, stop := context.WithTimeout(ctx, catchUpTimeout)
 	defer stop()
 	batch, err := d.store.Watch(watching, f.kind, f.revision, catchUpWait)
-	if err != nil || len(batch.Events) == 0 {
+	if err != nil || len(batch.Events) == 0 || batch.Era != f.era {
 		log.WithError(err).WithField("kind", f.kind).WithField("from", f.revision).Info("watch did not return the announced change, listing")
 		return d.list(ctx, f)
 	}
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -34,11 +35,23 @@
 func (d *Directory) AdoptConfig(o store.Object) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if o.Name != d.kinds.ConfigName || o.Revision <= d.state.view.TableRevision {
+	table, err := d.state.decoder.Config(o)
+	if o.Name != d.kinds.ConfigName || err != nil {
+		log.WithError(err).WithField("object", o.Name).Warn("configuration of another gateway cannot be used")
 		return
 	}
-	log.WithField("revision", o.Revision).WithField("previous", d.state.view.TableRevision).Info("configuration of another gateway adopted")
+	d.enterEra(time.Now(), o.Era, "gateway")
+	known := d.state.view.Config()
+	if offered := (ConfigID{Position: o.Position(), Version: table.Version}); !offered.newerThan(known) {
+		return
+	}
+	log.WithFields(log.Fields{
+		"revision": o.Revision, "era": int64(o.Era), "previous": known.Revision, "previous_version": known.Version,
+	}).Info("configuration of another gateway adopted")
+	unapplied := d.state.configUnapplied
 	d.applyConfig(o)
+	// The store need not have it.
+	d.state.configUnapplied = unapplied || o.Era != d.state.era
 }
 
 // Adopt applies the snapshot of another gateway if this one has no configuration yet.
@@ -46,15 +59,21 @@
 // Without it, a process that starts during an outage of the store would reject every
 // caller until the outage ends, although its peers serve. An adopted snapshot counts
 // as unconfirmed: no route is denied because of it, and the store's first response
-// replaces it, since revisions only go forward.
+// replaces it unless the store has come back from a copy with an older one.
 func (d *Directory) Adopt(now time.Time, s Snapshot) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.state.view.Table != nil {
 		return
 	}
+	for _, o := range append(slices.Clone(s.Servers), s.Config) {
+		d.enterEra(now, o.Era, "gateway")
+	}
 	d.applyConfig(s.Config)
 	for _, o := range s.Servers {
+		if o.Era != d.state.era {
+			continue
+		}
 		if _, err := d.state.applyServerEvent(now, store.Event{Object: o}); err != nil {
 			log.WithField("error", err.Error()).Warn("server object is invalid, server not used")
 		}
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -51,14 +51,26 @@
 	// serversAnnounced is the newest revision of a server object that another gateway
 	// has announced.
 	serversAnnounced int64
-	// ownConfigConfirmedAt and ownServersConfirmedAt are when this gateway's own reads
-	// last confirmed each.
-	ownConfigConfirmedAt, ownServersConfirmedAt time.Time
+	// ownConfigReadAt and ownServersConfirmedAt are up to when this gateway's own reads
+	// have shown all changes of each.
+	ownConfigReadAt, ownServersConfirmedAt time.Time
 	// remoteConfirmedAt is when the store last confirmed this state to another gateway.
 	remoteConfirmedAt time.Time
 	// malformed has the revisions of the server objects that cannot be decoded, to log
 	// each once.
 	malformed map[string]int64
+	// era is the store's era that the revisions above belong to.
+	era store.Era
+	// configUnapplied is set while the store's configuration is not the one in force: it is of
+	// an older version, missing, or cannot be decoded, or has not been read in this era.
+	configUnapplied bool
+	// olderAnnouncedAt is when another gateway last announced a configuration of another era
+	// and of an older version than the one in force.
+	olderAnnouncedAt time.Time
+	// departed has the servers whose objects were removed lately, ghosts the objects of such
+	// servers that a copy of the store has brought back.
+	departed map[string]departure
+	ghosts   map[string]store.Object
 }
 
 func newState(d Decoder) *state {
@@ -68,34 +80,47 @@
 		revisions: make(map[string]int64),
 		absentAt:  make(map[string]time.Time),
 		malformed: make(map[string]int64),
+		departed:  make(map[string]departure),
+		ghosts:    make(map[string]store.Object),
 
 		serverObjects: make(map[string]store.Object),
 	}
 }
 
-// applyConfig applies the configuration object and reports whether it is newer.
+// applyConfig applies the configuration object if it is newer than the known one, and
+// reports whether it was.
 func (s *state) applyConfig(o store.Object) (bool, error) {
-	if o.Revision <= s.view.TableRevision {
+	known := s.view.Config()
+	if o.Era == known.Era && o.Revision <= known.Revision {
+		s.configUnapplied = s.configUnapplied && o.Revision < known.Revision
 		return false, nil
 	}
+	s.configUnapplied = true
 	table, err := s.decoder.Config(o)
 	if err != nil {
 		return false, err
 	}
+	if known.Era != o.Era && table.Version < known.Version {
+		return false, nil
+	}
 	stored, err := s.decoder.WithoutKeys(o)
 	if err != nil {
 		return false, err
 	}
 	s.view.Table = table
 	s.configObject = stored
-	s.view.TableRevision = o.Revision
+	s.view.TableEra, s.view.TableRevision = o.Era, o.Revision
+	s.configUnapplied = false
 	return true, nil
 }
 
-// confirmConfig records that the store had no newer configuration at the given time.
+// confirmConfig records that all changes of the store's configuration up to the given time
+// have been read. This confirms the configuration in force only if the store's is that one.
 func (s *state) confirmConfig(at time.Time) {
-	s.view.TableConfirmedAt = later(s.view.TableConfirmedAt, at)
-	s.ownConfigConfirmedAt = later(s.ownConfigConfirmedAt, at)
+	s.ownConfigReadAt = later(s.ownConfigReadAt, at)
+	if !s.configUnapplied {
+		s.view.TableConfirmedAt = later(s.view.TableConfirmedAt, at)
+	}
 }
 
 func later(a, b time.Time) time.Time {
@@ -112,10 +137,13 @@
 		return false, nil
 	}
 	s.recordRevision(e.Object)
+	delete(s.ghosts, name)
 	if e.Removed {
 		return s.removeServer(now, name), nil
 	}
-	return s.upsert(e.Object)
+	// Only a server that is alive writes its object.
+	delete(s.departed, name)
+	return s.upsert(now, e.Object)
 }
 
 // isStale reports whether the object has changed since, or was missing from a later
@@ -145,9 +173,12 @@
 	s.serversLastChange = max(s.serversLastChange, revision)
 }
 
-func (s *state) upsert(o store.Object) (bool, error) {
+func (s *state) upsert(now time.Time, o store.Object) (bool, error) {
 	delete(s.absentAt, o.Name)
 	server, err := s.decoder.Server(o)
+	if err == nil && s.isGhost(now, o, server.Incarnation) {
+		return false, nil
+	}
 	if err != nil {
 		_, known := s.view.Servers[o.Name]
 		delete(s.view.Servers, o.Name)
@@ -159,6 +190,10 @@
 	}
 	delete(s.malformed, o.Name)
 	known, ok := s.view.Servers[o.Name]
+	if ok && known.Draining && !server.Draining && known.Incarnation == server.Incarnation && s.serverObjects[o.Name].Era < o.Era {
+		// The object is from before the server announced that it is leaving.
+		return false, nil
+	}
 	if ok && server.Draining && known.Incarnation == server.Incarnation {
 		server.LastReady = known.LastReady
 		if !known.Draining {
@@ -183,11 +218,14 @@
 		}
 		return false
 	}
-	s.drop(name)
+	s.drop(now, name)
 	return true
 }
 
-func (s *state) drop(name string) {
+func (s *state) drop(now time.Time, name string) {
+	if server, ok := s.view.Servers[name]; ok {
+		s.departed[name] = departure{incarnation: server.Incarnation, era: s.era, at: now}
+	}
 	delete(s.view.Servers, name)
 	delete(s.absentAt, name)
 	delete(s.serverObjects, name)
@@ -215,7 +253,7 @@
 			continue
 		}
 		s.recordRevision(o)
-		c, err := s.upsert(o)
+		c, err := s.upsert(now, o)
 		changed = changed || c
 		if err != nil {
 			errs = append(errs, err)
@@ -261,15 +299,15 @@
 // expire drops the servers that are still missing at the end of the grace period. It
 // reports whether there were any.
 func (s *state) expire(now time.Time) bool {
-	changed := false
+	changed := s.releaseGhosts(now)
 	if s.graceUntil().After(now) {
-		return false
+		return changed
 	}
 	for name := range s.absentAt {
 		if _, ok := s.view.Servers[name]; ok {
 			changed = true
 		}
-		s.drop(name)
+		s.drop(now, name)
 	}
 	return changed
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -3,7 +3,9 @@
 //
 // What it publishes only moves forward: an object of a lower revision than one
 // already seen is dropped, so that neither a stale read nor a late response can
-// revert a process to an older configuration.
+// revert a process to an older configuration. Revisions are compared within an era
+// of the store only. When the store has come back from a copy, the operator's version
+// orders configurations, and a server that was leaving or gone stays so.
 package directory
 
 import (
@@ -11,6 +13,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/routes"
+	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
 // View is an immutable snapshot of the configuration and the servers.
@@ -19,9 +22,16 @@
 	Table *routes.Table
 	// TableRevision is the store's revision of the object that Table was decoded from.
 	TableRevision int64
-	// AnnouncedRevision is the newest revision of Table that another gateway has
-	// announced. If it is higher than TableRevision, Table is out of date.
-	AnnouncedRevision int64
+	// TableEra is the store's era that TableRevision belongs to.
+	TableEra store.Era
+	// StoreEra is the newest known era of the store.
+	StoreEra store.Era
+	// RestoredAt is when this process learned that the store has come back from a copy,
+	// zero if it has not.
+	RestoredAt time.Time
+	// Announced is the newest configuration that another gateway has announced. If it is
+	// newer than Table, Table is out of date.
+	Announced ConfigID
 	// TableConfirmedAt and ServersConfirmedAt are when the store last confirmed that
 	// each was the newest, by the monotonic clock.
 	TableConfirmedAt, ServersConfirmedAt time.Time
@@ -35,11 +45,15 @@
 func (v *View) Service(name string) []backend.Server { return v.byService[name] }
 
 // OutOfDate reports whether a newer configuration than Table is known to exist.
-func (v *View) OutOfDate() bool { return v.AnnouncedRevision > v.TableRevision }
+func (v *View) OutOfDate() bool { return v.Announced.newerThan(v.Config()) }
 
 // Current reports whether Table includes every change that the store confirmed more
-// than within before now.
+// than within before now. It does not while the store may lack changes that it has
+// confirmed before it came back from a copy.
 func (v *View) Current(now time.Time, within time.Duration) bool {
+	if !v.RestoredAt.IsZero() && now.Sub(v.RestoredAt) < rewriteTime {
+		return false
+	}
 	return !v.OutOfDate() && now.Sub(v.TableConfirmedAt) <= within
 }
 
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
 // Guards against a denied route that a confirmed change has added: Current must be
@@ -20,7 +22,7 @@
 		{"confirmed longer ago", bound + time.Millisecond, 5, false},
 		{"older than another gateway's", 0, 6, false},
 	} {
-		v := &View{TableRevision: 5, AnnouncedRevision: c.announced, TableConfirmedAt: at(0)}
+		v := &View{TableRevision: 5, Announced: ConfigID{Position: store.Position{Revision: c.announced}}, TableConfirmedAt: at(0)}
 		if got := v.Current(at(c.age), bound); got != c.want {
 			t.Errorf("%s: current is %v", c.name, got)
 		}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -13,11 +13,15 @@
 
 // Dump is the state of a gateway, for operators.
 type Dump struct {
-	Ready          bool   `json:"ready"`
-	ConfigVersion  int64  `json:"config_version"`
-	ConfigRevision int64  `json:"config_revision"`
-	ConfigAge      string `json:"config_age"`
-	ServersAge     string `json:"servers_age"`
+	Ready          bool  `json:"ready"`
+	ConfigVersion  int64 `json:"config_version"`
+	ConfigRevision int64 `json:"config_revision"`
+	// ConfigEra and StoreEra are the store's era that ConfigRevision belongs to and the newest
+	// known one, absent if the store names none.
+	ConfigEra  int64  `json:"config_era,omitempty"`
+	StoreEra   int64  `json:"store_era,omitempty"`
+	ConfigAge  string `json:"config_age"`
+	ServersAge string `json:"servers_age"`
 	// Gateways is the number of gateways, which share the retry budgets of the services.
 	Gateways     int               `json:"entries"`
 	RetryBudgets []RetryBudgetDump `json:"retry_budgets"`
@@ -117,6 +121,8 @@
 	d := Dump{
 		Ready:          g.Ready(),
 		ConfigRevision: v.TableRevision,
+		ConfigEra:      int64(v.TableEra),
+		StoreEra:       int64(v.StoreEra),
 		ConfigAge:      age(now, v.TableConfirmedAt),
 		ServersAge:     age(now, v.ServersConfirmedAt),
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -194,7 +194,7 @@
 // would still retry: such an outage lasts for seconds, and a caller that retries
 // within it is rejected for good.
 func (c *call) unconfiguredRetryAfter(r *http.Request) time.Duration {
-	if c.view.AnnouncedRevision > 0 || !c.gateway.directory.StoreUnreachable() {
+	if c.view.Announced.Revision > 0 || !c.gateway.directory.StoreUnreachable() {
 		return defaultRetryAfter
 	}
 	req, err := c.gateway.codec.ParseRequest(r, c.received)
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -153,7 +153,7 @@
 // announceConfirmations announces what this gateway's watches have confirmed.
 func (p *components) announceConfirmations(ctx context.Context) error {
 	return periodic.Run(ctx, confirmInterval, func(now time.Time) {
-		if !p.peers.IsWatcher() {
+		if !p.peers.IsWatcher() && !p.directory.MustAnnounce(now) {
 			return
 		}
 		if c, ok := p.directory.Confirmation(now); ok {
--- a/internal/gateway/process/restored_store_test.go
+++ b/internal/gateway/process/restored_store_test.go
@@ -165,6 +165,8 @@
 func TestRoutesAreNotDeniedOnTheWordOfACopy(t *testing.T) {
 	f := startFleet(t)
 	lost := f.drill()
+	// Until it reads the store again, a gateway goes by what was confirmed within applyTime.
+	time.Sleep(500 * time.Millisecond)
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for n := range fleetSize {
 			if got := f.ask(n+1, lost); got != http.StatusOK {
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -213,7 +213,10 @@
 		fields["auth"], fields["account"] = string(c.auth), c.request.Account
 	}
 	if c.view != nil {
-		fields["config_revision"], fields["config_told"] = c.view.TableRevision, c.view.AnnouncedRevision
+		fields["config_revision"], fields["config_told"] = c.view.TableRevision, c.view.Announced.Revision
+		if c.view.StoreEra > 0 {
+			fields["config_era"], fields["store_era"] = int64(c.view.TableEra), int64(c.view.StoreEra)
+		}
 		fields["config_age_ms"] = c.received.Sub(c.view.TableConfirmedAt).Milliseconds()
 		fields["servers_age_ms"] = c.received.Sub(c.view.ServersConfirmedAt).Milliseconds()
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -418,6 +418,11 @@
 		AgeMs:           uint32(c.Age.Milliseconds()),
 		Start:           p.startID,
 		SentUs:          uint64(boottime.Now().Microseconds()),
+
+		Era:               int64(c.Era),
+		ConfigEra:         int64(c.ConfigEra),
+		ConfigVersion:     c.ConfigVersion,
+		ConfigUnconfirmed: c.ConfigUnconfirmed,
 	}
 	p.enqueue(allPeers, flushDelay, proto.Size(m), func(s *wire.Share) { s.Confirmation = m })
 }
@@ -428,6 +433,7 @@
 func (p *Peers) AnnounceServerChange(c directory.ServerChange) {
 	m := &wire.Entry{
 		Name: c.Object.Name, Revision: c.Object.Revision, Spec: c.Object.Spec, Removed: c.Removed, After: c.PreviousRevision,
+		Era: int64(c.Object.Era),
 	}
 	if size := proto.Size(m); size < maxDatagramBytes {
 		p.enqueue(allPeers, flushDelay, size, func(s *wire.Share) { s.Entries = append(s.Entries, m) })
@@ -549,7 +555,20 @@
 		ConfigRevision:  m.ConfigRevision,
 		ServersRevision: m.ServersRevision,
 		Age:             time.Duration(m.AgeMs)*time.Millisecond + delay,
+
+		Era:               decodeEra(m.Era),
+		ConfigEra:         decodeEra(m.ConfigEra),
+		ConfigVersion:     m.ConfigVersion,
+		ConfigUnconfirmed: m.ConfigUnconfirmed,
+	}
+}
+
+// decodeEra returns the era of a message, 0 if it has none that is valid.
+func decodeEra(n int64) store.Era {
+	if n < 0 || n > int64(store.MaxEra) {
+		return 0
 	}
+	return store.Era(n)
 }
 
 // dispatch passes the messages of a datagram to the Receiver.
@@ -568,7 +587,7 @@
 	for _, m := range s.Entries {
 		p.receiver.RemoteServerChange(now, directory.ServerChange{
 			Event: store.Event{
-				Object: store.Object{Name: m.Name, Revision: m.Revision, Spec: m.Spec}, Removed: m.Removed,
+				Object: store.Object{Name: m.Name, Revision: m.Revision, Spec: m.Spec, Era: decodeEra(m.Era)}, Removed: m.Removed,
 			},
 			PreviousRevision: m.After,
 		})
--- a/internal/store/era.go
+++ b/internal/store/era.go
@@ -40,6 +40,14 @@
 // processes. Its methods are safe for concurrent use. A nil Eras stays at 0.
 type Eras struct{ newest atomic.Int64 }
 
+// ErasOf returns the eras of a store, nil if it names none.
+func ErasOf(s Store) *Eras {
+	if source, ok := s.(interface{ Eras() *Eras }); ok {
+		return source.Eras()
+	}
+	return nil
+}
+
 var eraGauge = metrics.GetOrRegisterGauge("store.era", nil)
 
 // Newest returns the newest known era.
