Usage reports: the holder's right and its reports outlive a return of the store from a copy

Cause: the object's revision was taken to rise only. A lower one was refused, so that the holder lost its right and nobody took it until revisions had passed; a lost object let another gateway take the right while the holder's was valid, with a lower fencing token, and settle from the present window on. Change: positions are (era, revision); the holder writes its record again before it sends anything; others wait until its right has ended and keep the reports that they have read.

--- a/internal/usage/report/model_test.go
+++ b/internal/usage/report/model_test.go
@@ -46,6 +46,8 @@
 	downUntil time.Duration
 	// cut is set while the VM does not reach the store.
 	cut bool
+	// eras is what the process knows of the store's eras.
+	eras *store.Eras
 }
 
 // world is a store, a platform and some nodes in virtual time.
@@ -62,6 +64,9 @@
 
 	object   store.Object
 	revision int64
+	// era is named in all answers unless it is 0. copies are states of the store, oldest first.
+	era    store.Era
+	copies []storeState
 	// late are writes that take effect later, inFlight the reports on their way.
 	late     []func()
 	inFlight []call
@@ -73,6 +78,31 @@
 	accepted map[usage.Window]call
 }
 
+// storeState is what the store holds.
+type storeState struct {
+	object   store.Object
+	revision int64
+}
+
+// copyStore keeps a copy of the store for copiesKept copies.
+func (w *world) copyStore() {
+	w.copies = append(w.copies, storeState{object: w.object, revision: w.revision})
+	w.copies = w.copies[max(0, len(w.copies)-copiesKept):]
+}
+
+// restore makes the store come back from its oldest copy.
+func (w *world) restore() {
+	if len(w.copies) == 0 {
+		return
+	}
+	w.object, w.revision = w.copies[0].object, w.copies[0].revision
+	w.copies = nil
+	w.era++
+}
+
+// copiesKept is how many copies, one each second, are kept.
+const copiesKept = 5
+
 // call is a report that the platform has received.
 type call struct {
 	at     time.Duration
@@ -99,6 +129,7 @@
 func (w *world) start(n *node) {
 	n.starts++
 	n.busy = false
+	n.eras = &store.Eras{}
 	n.reporter = report.New(report.Config{
 		Holder: n.name, Incarnation: fmt.Sprint(n.name, "/", n.starts), Length: length, Alternation: alternation,
 		Rank:     func() int { return n.rank },
@@ -204,23 +235,36 @@
 
 func (s *nodeStore) unreachable() bool { return s.storeDown || s.node.cut }
 
+func (s *nodeStore) Eras() *store.Eras { return s.node.eras }
+
+// answer returns an object as the store answers it in an era, or ErrEraEnded if the process
+// knows a later one.
+func (s *nodeStore) answer(o store.Object, era store.Era, err error) (store.Object, error) {
+	if era < s.node.eras.Newest() {
+		return store.Object{}, store.ErrEraEnded
+	}
+	s.node.eras.Learn(era)
+	o.Era = era
+	return o, err
+}
+
 func (s *nodeStore) Get(context.Context, string, string) (store.Object, error) {
 	s.maybeSuspend(s.node, s.starts)
 	if s.unreachable() {
 		return store.Object{}, store.ErrRejected
 	}
 	if s.object.Revision == 0 {
-		return store.Object{}, store.ErrNotFound
+		return s.answer(store.Object{}, s.era, store.ErrNotFound)
 	}
-	return s.object, nil
+	return s.answer(s.object, s.era, nil)
 }
 
 func (s *nodeStore) List(ctx context.Context, _ string, _ store.Freshness) (store.Listing, error) {
 	o, err := s.Get(ctx, "", "")
 	if errors.Is(err, store.ErrNotFound) {
-		return store.Listing{}, nil
+		return store.Listing{Era: o.Era}, nil
 	}
-	return store.Listing{Objects: []store.Object{o}}, err
+	return store.Listing{Objects: []store.Object{o}, Era: o.Era}, err
 }
 
 func (s *nodeStore) Create(ctx context.Context, kind, name string, spec any) (store.Object, error) {
@@ -246,12 +290,13 @@
 		s.late = append(s.late, func() { _, _ = apply() })
 		return store.Object{}, errLost
 	}
+	era := s.era
 	o, err := apply()
 	s.maybeSuspend(s.node, s.starts)
 	if s.chance(0.05) {
 		return store.Object{}, errLost
 	}
-	return o, err
+	return s.answer(o, era, err)
 }
 
 func (s *nodeStore) Watch(context.Context, string, int64, time.Duration) (store.Batch, error) {
@@ -298,7 +343,7 @@
 		w.accepted[c.window] = c
 	}
 	for _, earlier := range w.calls {
-		Expect(c.fence).To(BeNumerically(">=", earlier.fence), "fence of %s after that of %s", c.holder, earlier.holder)
+		Expect(c.fence).To(BeNumerically(">=", earlier.fence), "fence %d of %s at %v after %d of %s at %v", c.fence, c.holder, c.at, earlier.fence, earlier.holder, earlier.at)
 		if earlier.fence == c.fence {
 			Expect(c.holder).To(Equal(earlier.holder), "fence %d", c.fence)
 		}
@@ -425,6 +470,60 @@
 		}
 	})
 
+	// Guards against the same while the store comes back from copies, which lack the right of
+	// the holder and reports that it may have sent.
+	It("obey the rules while the store comes back from copies, and are complete after it", func() {
+		for seed := range uint64(400) {
+			w := newWorld(seed, 4)
+			w.faults, w.era = float64(seed%2), 1
+			for step := range 300 {
+				w.count()
+				w.run(stepTime)
+				if step%5 == 0 {
+					w.copyStore()
+				}
+				if w.random.IntN(40) == 0 {
+					w.restore()
+				}
+				if w.faults > 0 && w.random.IntN(12) == 0 {
+					w.disturb()
+				}
+			}
+			w.faults, w.storeDown, w.platformDown = 0, false, false
+			for i, n := range w.nodes {
+				n.cut, n.rank = false, i
+			}
+			w.run(20 * time.Second)
+			calm := w.now
+			for range 150 {
+				w.count()
+				w.run(stepTime)
+			}
+			w.expectReported(calm, w.now, fmt.Sprint("seed ", seed))
+		}
+	})
+
+	// Guards against a window that is missing because its report was in no copy of the store.
+	It("are complete although the store comes back from a copy at any moment", func() {
+		for moment := range 60 {
+			w := newWorld(uint64(moment), 3)
+			w.era = 1
+			for w.now < 25*time.Second+time.Duration(moment)*100*time.Millisecond {
+				w.count()
+				w.run(100 * time.Millisecond)
+				if w.now%time.Second == 0 {
+					w.copyStore()
+				}
+			}
+			w.restore()
+			for range 200 {
+				w.count()
+				w.run(stepTime)
+			}
+			w.expectReported(12*time.Second, w.now, fmt.Sprint("moment ", moment))
+		}
+	})
+
 	// Guards against a window that is missing, or reported with two counts, because the
 	// holder ended between two of its steps. The other gateways and a restart of the
 	// holder must each make up for it in time.
--- a/internal/usage/report/record.go
+++ b/internal/usage/report/record.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"cmp"
 	"slices"
 
 	"pistachioroad.dev/pistachioroad/internal/usage"
@@ -90,3 +91,18 @@
 	}
 	r.Recent = r.Recent[max(0, len(r.Recent)-maxRecent):]
 }
+
+// restore adds what an earlier record has and the copy r of the store lacks.
+func (r *record) restore(earlier record) {
+	r.SettledThrough = max(r.SettledThrough, earlier.SettledThrough)
+	for _, s := range earlier.Reports {
+		i := slices.IndexFunc(r.Reports, func(known settled) bool { return known.Window == s.Window })
+		switch {
+		case i < 0:
+			r.Reports = append(r.Reports, s)
+		case s.Sent:
+			r.Reports[i] = s
+		}
+	}
+	slices.SortFunc(r.Reports, func(a, b settled) int { return cmp.Compare(a.Window, b.Window) })
+}
--- a/internal/usage/report/report.go
+++ b/internal/usage/report/report.go
@@ -9,6 +9,10 @@
 // A holder sends only within Valid of its last update, by a clock that includes suspended
 // time. Another gateway takes the right after it has seen the object unchanged for longer
 // than that. The clocks of two gateways are never compared.
+//
+// A store that has come back from a copy may lack reports and a right that it has
+// acknowledged. The holder writes them again before it sends anything; all others wait until
+// its right has ended, and keep what they have read of the reports.
 package report
 
 import (
@@ -92,6 +96,12 @@
 	record     record
 	revision   int64
 	lastChange time.Duration
+	// recordEra is the store's era that revision belongs to. era is the newest known one,
+	// since eraSince.
+	recordEra, era store.Era
+	eraSince       time.Duration
+	// rewrite is set while the holder has not written the object in this era.
+	rewrite bool
 	// holding is set while this process has the right, fence is then its fencing token.
 	holding bool
 	fence   int64
@@ -128,14 +138,30 @@
 	if _, reliable := r.config.TrueTime(); !reliable {
 		return
 	}
+	r.enterEra(store.ErasOf(r.config.Store).Newest())
 	if r.config.Clock() >= r.nextCall {
 		r.keepRight(ctx)
 	}
-	if r.holding {
+	if r.holding && !r.rewrite {
 		r.sendReports(ctx)
 	}
 }
 
+// enterEra records a new era of the store, which may lack what it has acknowledged.
+func (r *Reporter) enterEra(era store.Era) {
+	if era <= r.era {
+		return
+	}
+	if r.era > 0 || r.revision > 0 {
+		log.WithFields(log.Fields{
+			"era": int64(era), "previous": int64(r.era), "holding": r.holding, "settled_through": int64(r.record.SettledThrough),
+		}).Info("usage reports may be missing in the store's copy")
+	}
+	r.era, r.eraSince = era, r.config.Clock()
+	r.rewrite = r.holding
+	r.uncertain = r.uncertain || r.holding
+}
+
 // keepRight takes or renews the right, or gives it up if other gateways are to have it.
 func (r *Reporter) keepRight(ctx context.Context) {
 	candidate := r.config.Rank() < Candidates
@@ -159,7 +185,15 @@
 		r.pause(retryInterval)
 		return
 	}
+	r.enterEra(max(o.Era, store.ErasOf(r.config.Store).Newest()))
 	r.uncertain = false
+	if r.rewrite && r.remaining() > 0 {
+		// The right is valid although the store may lack it: no other gateway takes it yet.
+		r.adoptCopy(o, err == nil)
+		return
+	}
+	r.holding = r.holding && !r.rewrite
+	r.rewrite = false
 	if err != nil {
 		r.holding, r.revision = false, 0
 		return
@@ -176,6 +210,22 @@
 	}
 }
 
+// adoptCopy prepares the holder's next update, which writes its record again, for the object
+// of a new era.
+func (r *Reporter) adoptCopy(o store.Object, found bool) {
+	own, lastChange := r.record, r.lastChange
+	if !found {
+		r.revision, r.recordEra = 0, r.era
+		return
+	}
+	if !r.observe(o) {
+		r.holding, r.rewrite = false, false
+		return
+	}
+	r.record.Holder, r.record.Recent, r.record.Released = own.Holder, own.Recent, false
+	r.lastChange = lastChange
+}
+
 // ownsRecord reports whether this process, in its current incarnation, wrote the object.
 func (r *Reporter) ownsRecord() bool {
 	return r.record.Holder == r.config.Holder && r.record.Incarnation == r.config.Incarnation
@@ -183,15 +233,19 @@
 
 // observe takes over an object that was read. It reports whether it could be decoded.
 func (r *Reporter) observe(o store.Object) bool {
-	if o.Revision <= r.revision {
-		return o.Revision == r.revision
+	r.enterEra(o.Era)
+	if known := (store.Position{Era: r.recordEra, Revision: r.revision}); !known.Before(o.Position()) {
+		return o.Position() == known
 	}
 	var value record
 	if err := json.Unmarshal(o.Spec, &value); err != nil {
 		log.WithField("error", err.Error()).WithField("revision", o.Revision).Error("object with the usage reports cannot be decoded")
 		return false
 	}
-	r.record, r.revision, r.lastChange = value, o.Revision, r.config.Clock()
+	if o.Era != r.recordEra {
+		value.restore(r.record)
+	}
+	r.record, r.revision, r.recordEra, r.lastChange = value, o.Revision, o.Era, r.config.Clock()
 	return true
 }
 
@@ -208,11 +262,20 @@
 		log.WithField("error", err.Error()).Debug("read of the usage reports failed")
 		return
 	}
+	r.enterEra(l.Era)
+	found := false
 	for _, o := range l.Objects {
-		if o.Name == Name && !r.observe(o) {
+		if o.Name != Name {
+			continue
+		}
+		found = true
+		if !r.observe(o) {
 			return
 		}
 	}
+	if !found && l.Era > r.recordEra {
+		r.revision, r.recordEra = 0, l.Era
+	}
 	if r.mayTake() {
 		r.take(ctx)
 	}
@@ -220,6 +283,10 @@
 
 // mayTake reports whether this gateway may take the right.
 func (r *Reporter) mayTake() bool {
+	if r.era > 0 && r.config.Clock()-r.eraSince < r.takeoverDelay() {
+		// A holder that the store no longer has may still send.
+		return false
+	}
 	rank := r.config.Rank()
 	switch {
 	case r.revision == 0:
@@ -243,7 +310,7 @@
 func (r *Reporter) take(ctx context.Context) {
 	next := r.record.clone()
 	switch {
-	case r.revision == 0:
+	case r.revision == 0 && r.record.WriteID == "":
 		next.SettledThrough = max(next.SettledThrough, r.currentWindow()-1)
 	case r.unchangedFor() >= r.config.Alternation+alternationMargin:
 		next.Recent = nil
@@ -254,7 +321,7 @@
 	if !r.write(ctx, next) {
 		return
 	}
-	r.holding, r.fence = true, r.revision
+	r.holding, r.fence = true, store.Position{Era: r.recordEra, Revision: r.revision}.Token()
 	r.logTaken()
 }
 
@@ -270,7 +337,7 @@
 	next := r.record.clone()
 	next.markSent(r.sent)
 	due := r.settleDue(&next)
-	if !due && r.unchangedFor() < renewInterval {
+	if !due && !r.rewrite && r.unchangedFor() < renewInterval {
 		return
 	}
 	dropped := next.prune(r.currentWindow() - usage.MaxDistance)
@@ -331,9 +398,16 @@
 		o, err = r.config.Store.Update(ctx, Kind, Name, r.revision, next)
 	}
 	switch {
+	case err == nil && o.Era != r.era:
+		// The update was decided on the state of an earlier era.
+		r.enterEra(o.Era)
+		r.uncertain = true
+		r.pending[next.WriteID] = sent
+		err = store.ErrEraEnded
 	case err == nil:
 		r.settled.Inc(int64(max(0, next.SettledThrough-r.record.SettledThrough)))
-		r.record, r.revision, r.lastChange = next, o.Revision, sent
+		r.record, r.revision, r.recordEra, r.lastChange = next, o.Revision, o.Era, sent
+		r.rewrite = false
 		clear(r.pending)
 		return true
 	case errors.Is(err, store.ErrRejected):
