Gateways register again in each era of the store

Cause: a gateway registered once. After a return of the store from an older copy it was in no list for ever: those that start later do not know it and use too large shares of budgets and limits. Evidence: the new spec fails before (no object after 5 s), passes now.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -121,6 +121,8 @@
 	startedAt    time.Duration
 	// firstProcess says that this process created the gateway's object.
 	firstProcess bool
+	// registered says that this process has stored its address once.
+	registered bool
 	// recent has the gateways of the last lists and announcements.
 	recent *recentLists
 	// unreadable is the number of gateways whose addresses could not be read.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -621,6 +621,23 @@
 	})
 })
 
+var _ = Describe("the object of a gateway", func() {
+	// Guards against shares of limits that are too large for ever: the store has come back from
+	// a copy without the gateway, and those that start later do not know it.
+	It("is written again when the store has come back from a copy", func() {
+		objects := objectstore.New()
+		objects.NameEra(1)
+		before := objects.Copy()
+		server := httptest.NewServer(objects)
+		DeferCleanup(server.CloseClientConnections)
+		first := start("f-0", platform.NewStore(strings.TrimPrefix(server.URL, "http://")), newRecorder())
+		Eventually(first.FirstProcess).Should(BeTrue())
+		objects.Restore(before)
+		Eventually(func() bool { _, ok := objects.Get(peers.Kind, "f-0"); return ok }, 5).Should(BeTrue())
+		Expect(first.FirstProcess()).To(BeTrue())
+	})
+})
+
 var _ = Describe("the number of gateways that share a limit", func() {
 	// Guards against a part of a limit that the others, who do not know this gateway, use
 	// as well.
--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -35,12 +35,13 @@
 	Address string `json:"address"`
 }
 
-// Register stores this gateway's address and discovers the others until ctx is done.
+// Register stores this gateway's address and discovers the others until ctx is done. It stores
+// the address again in each era of the store, whose copy may lack it.
 func (p *Peers) Register(ctx context.Context, s store.Store) error {
-	registered := false
+	registered, registeredIn := false, store.Era(0)
 	for round := 0; ; round++ {
-		if !registered {
-			registered = p.register(ctx, s)
+		if era := store.ErasOf(s).Newest(); !registered || era > registeredIn {
+			registered, registeredIn = p.register(ctx, s), era
 		}
 		p.listPeers(ctx, s)
 		p.announcePresence(round)
@@ -68,7 +69,9 @@
 		return false
 	}
 	p.mu.Lock()
-	p.firstProcess = !existed
+	if !p.registered {
+		p.firstProcess, p.registered = !existed, true
+	}
 	p.mu.Unlock()
 	log.WithField("address", value.Address).WithField("existed", existed).Info("gateway registered")
 	return true
