Evidence is saved again in each era of the store

Cause: evidence was written only when it changed. What a copy of the store lacked was never written again, and gateways that are all killed after it forget their quarantine. Evidence: the new spec fails before (no object after 2 s), passes now.

--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -60,6 +60,8 @@
 	// value its value.
 	revision int64
 	value    json.RawMessage
+	// era is the store's era in which the object was last read or written.
+	era store.Era
 }
 
 // Run restores the evidence as soon as the store can be read, and then saves what changes until
@@ -76,6 +78,10 @@
 	saved, changedAt := uint64(0), time.Time{}
 	for pause.Sleep(ctx, checkInterval) {
 		version := k.Source.EvidenceVersion()
+		if era := store.ErasOf(k.Store).Newest(); era > k.era {
+			// The store's copy may lack what was saved.
+			k.era, k.revision, k.value, saved = era, 0, nil, 0
+		}
 		if version == saved {
 			continue
 		}
@@ -112,7 +118,7 @@
 	if err := json.Unmarshal(o.Spec, &s); err != nil {
 		log.WithField("revision", o.Revision).WithField("error", err.Error()).Warn("evidence of the store is unreadable and will be replaced")
 	}
-	k.revision, k.value = o.Revision, o.Spec
+	k.revision, k.value, k.era = o.Revision, o.Spec, max(k.era, o.Era)
 	k.Source.RestoreEvidence(s)
 	log.WithField("revision", o.Revision).WithField("requests", len(s.Requests)).WithField("crashes", len(s.Crashes)).Info("restored evidence")
 	return nil
@@ -139,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	k.revision, k.value = o.Revision, value
+	k.revision, k.value, k.era = o.Revision, value, max(k.era, o.Era)
 	log.WithField("revision", o.Revision).WithField("bytes", len(value)).Info("saved evidence")
 	return nil
 }
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -13,6 +13,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
 	"pistachioroad.dev/pistachioroad/internal/evidence"
+	"pistachioroad.dev/pistachioroad/internal/store"
 	"pistachioroad.dev/pistachioroad/platform"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
@@ -129,6 +130,27 @@
 		Eventually(first.lastRestored).WithTimeout(3 * time.Second).Should(Equal([]string{"b"}))
 	})
 
+	// Guards against requests that are sent on after all gateways were killed: the store has come
+	// back from a copy without the evidence.
+	It("is written again when the store has come back from a copy", func() {
+		objects.NameEra(1)
+		before := objects.Copy()
+		server := httptest.NewServer(objects)
+		DeferCleanup(server.CloseClientConnections)
+		client := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		s := &source{}
+		go func() { _ = (&evidence.Keeper{Store: client, Source: s, Rank: func() int { return 0 }}).Run(ctx) }()
+		s.learn("a")
+		exists := func() bool { _, ok := objects.Get("pistachioroad-evidence", "terminations"); return ok }
+		Eventually(exists).Should(BeTrue())
+		objects.Restore(before)
+		// Any call of the process tells it the era.
+		_, _ = client.List(ctx, "config", store.Linearizable)
+		Eventually(exists, 2).Should(BeTrue())
+	})
+
 	// Guards against a gateway that never gets past an object it can't read.
 	It("is replaced if it is unreadable", func() {
 		objects.PutRaw("pistachioroad-evidence", "terminations", []byte(`"text"`))
