Learned state: no conditional update with a revision of an earlier era

Cause: the first save after a return of the store from a copy failed or replaced another state by a revision that was given out again. Evidence: the new spec fails before (conflict), passes now.

--- a/internal/gateway/process/learned.go
+++ b/internal/gateway/process/learned.go
@@ -47,8 +47,9 @@
 // one makes up for a lost one.
 type saver struct {
 	store store.Store
-	// revision is the object's revision after the last write, 0 if unknown.
+	// revision is the object's revision after the last write, 0 if unknown, in era.
 	revision int64
+	era      store.Era
 }
 
 // save writes services to the store.
@@ -66,14 +67,14 @@
 		s.revision = 0
 		return err
 	}
-	s.revision = o.Revision
+	s.revision, s.era = o.Revision, o.Era
 	return nil
 }
 
 // write creates the object, or updates it if it still has the last known revision. If
 // that is unknown, it reads the object first.
 func (s *saver) write(ctx context.Context, value json.RawMessage) (store.Object, error) {
-	if s.revision > 0 {
+	if s.revision > 0 && s.era == store.ErasOf(s.store).Newest() {
 		return s.store.Update(ctx, learnedKind, learnedName, s.revision, value)
 	}
 	o, err := s.store.Get(ctx, learnedKind, learnedName)
--- a/internal/gateway/process/learned_test.go
+++ b/internal/gateway/process/learned_test.go
@@ -85,6 +85,16 @@
 		Expect(save(first, learned())).To(Succeed())
 	})
 
+	It("is saved at once after the store has come back from a copy", func() {
+		objects.NameEra(1)
+		before := objects.Copy()
+		s := &saver{store: client}
+		Expect(save(s, learned())).To(Succeed())
+		objects.Restore(before)
+		_, _ = client.List(context.Background(), "config", store.Linearizable)
+		Expect(save(s, learned())).To(Succeed())
+	})
+
 	It("is not restored from an invalid object", func() {
 		objects.PutRaw(learnedKind, learnedName, []byte(`{"services":{"llm":{"steps":{"normal":[[1]],"right":[1],"count":500}}}}`))
 		objects.PutRaw(learnedKind, "other", []byte(`[]`))
