--- a/internal/directory/era.go
+++ b/internal/directory/era.go
@@ -12,7 +12,8 @@
 const (
 	// rewriteTime is how long after the store's return from a copy the operator's lost changes
 	// may still be missing. Until then, a configuration that the store confirms may lack some
-	// of them, even if this gateway knew none.
+	// of them, even if this gateway knew none. A process that starts cannot know when the era
+	// began.
 	rewriteTime = 5 * time.Second
 	// departureRetention is how long the departure of a server is remembered. Copies are some
 	// seconds old.
@@ -59,11 +60,10 @@
 // It reports whether the store has come back from a copy, as far as this process knows.
 func (s *state) beginEra(now time.Time, era store.Era) bool {
 	empty := s.era == 0 && s.view.Table == nil && len(s.view.Servers) == 0
-	s.era, s.view.StoreEra = era, era
+	s.era, s.view.StoreEra, s.view.EraSince = era, era, now
 	if empty {
 		return false
 	}
-	s.view.RestoredAt = now
 	s.configUnapplied = true
 	clear(s.revisions)
 	clear(s.malformed)
@@ -104,7 +104,7 @@
 	if !ok || left.era >= o.Era || left.incarnation != incarnation {
 		return false
 	}
-	if !now.Before(s.view.RestoredAt.Add(ghostTime)) {
+	if !now.Before(s.view.EraSince.Add(ghostTime)) {
 		delete(s.departed, o.Name)
 		return false
 	}
@@ -119,7 +119,7 @@
 // departures. It reports whether the servers changed.
 func (s *state) releaseGhosts(now time.Time) (changed bool) {
 	maps.DeleteFunc(s.departed, func(_ string, left departure) bool { return now.Sub(left.at) >= departureRetention })
-	if now.Before(s.view.RestoredAt.Add(ghostTime)) {
+	if now.Before(s.view.EraSince.Add(ghostTime)) {
 		return false
 	}
 	for name, o := range s.ghosts {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -26,9 +26,8 @@
 	TableEra store.Era
 	// StoreEra is the newest known era of the store.
 	StoreEra store.Era
-	// RestoredAt is when this process learned that the store has come back from a copy,
-	// zero if it has not.
-	RestoredAt time.Time
+	// EraSince is when this process learned of StoreEra, zero if the store names no era.
+	EraSince time.Time
 	// Announced is the newest configuration that another gateway has announced. If it is
 	// newer than Table, Table is out of date.
 	Announced ConfigID
@@ -51,7 +50,7 @@
 // than within before now. It does not while the store may lack changes that it has
 // confirmed before it came back from a copy.
 func (v *View) Current(now time.Time, within time.Duration) bool {
-	if !v.RestoredAt.IsZero() && now.Sub(v.RestoredAt) < rewriteTime {
+	if !v.EraSince.IsZero() && now.Sub(v.EraSince) < rewriteTime {
 		return false
 	}
 	return !v.OutOfDate() && now.Sub(v.TableConfirmedAt) <= within
