--- a/internal/usage/report/report.go
+++ b/internal/usage/report/report.go
@@ -311,7 +311,7 @@
 	next := r.record.clone()
 	switch {
 	case r.revision == 0 && r.record.WriteID == "":
-		next.SettledThrough = max(next.SettledThrough, r.currentWindow()-1)
+		next.SettledThrough = max(next.SettledThrough, r.firstWindow()-1)
 	case r.unchangedFor() >= r.config.Alternation+alternationMargin:
 		next.Recent = nil
 	default:
@@ -353,6 +353,16 @@
 	}
 }
 
+// firstWindow returns the first window to settle where there are no reports yet: the present
+// one, or that of the time from which this process has waited to take the right.
+func (r *Reporter) firstWindow() usage.Window {
+	now, _ := r.config.TrueTime()
+	if r.era > 0 {
+		now = now.Add(r.eraSince - r.config.Clock())
+	}
+	return usage.WindowAt(now, r.config.Length)
+}
+
 func (r *Reporter) currentWindow() usage.Window {
 	now, _ := r.config.TrueTime()
 	return usage.WindowAt(now, r.config.Length)
