Soak: the store names eras for half of the seeds and comes back from copies

Copies are 0.3 to 3 s old, the store returns several times in a row while the other faults go on, and what the operator and the servers wrote is written again within a second, removals too. After the faults come three lost changes and a fourth, which has to be in force in time at all gateways. The returns have a random sequence of their own: the draws of older seeds stay. A draining server that is ready again is a new start in these seeds.

--- a/test/cmd/soak-processes/main.go
+++ b/test/cmd/soak-processes/main.go
@@ -141,7 +141,7 @@
 	status := 0
 	total := map[string]int{}
 	for _, r := range reports {
-		fmt.Printf("seed %d: answers %v, taken up %v, retry budget used %.2f, %d breaches\n", r.Seed, r.Answers, r.TakeUps, r.RetriesUsed, len(r.Violations))
+		fmt.Printf("seed %d: answers %v, taken up %v, retry budget used %.2f, store came back %d times, %d breaches\n", r.Seed, r.Answers, r.TakeUps, r.RetriesUsed, r.Returns, len(r.Violations))
 		for _, b := range r.Violations {
 			fmt.Println("  " + b)
 			status = 1
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -107,6 +107,9 @@
 	usage     *usageReports
 	// released are the engines of the second version while they are registered.
 	released []*server
+	written  written
+	// namesEras is set if the store names eras, and may come back from copies.
+	namesEras bool
 }
 
 // retryBudget bounds the retries for a service within 10 s to a share of its requests
@@ -154,6 +157,7 @@
 func start(seed uint64, bin, dir string) (*environment, error) {
 	return startWith(seed, bin, dir, options{
 		budget: retryBudgets[seed/2%uint64(len(retryBudgets))], bootstrap: seed%4 < 2, crashKind: crashKindOf(seed), fatalKind: fatalKindOf(seed),
+		namesEras: namesEras(seed),
 	})
 }
 
@@ -166,12 +170,17 @@
 	// firstAlone makes the first gateway lose the store for good before the others start,
 	// after it has run for aloneFor.
 	firstAlone bool
+	namesEras  bool
 	aloneFor   time.Duration
 }
 
 // startWith is like start with the given options.
 func startWith(seed uint64, bin, dir string, o options) (*environment, error) {
-	env := &environment{store: objectstore.New(), bootstrap: o.bootstrap, idleTimeout: maxIdleTimeout, crashKind: o.crashKind, fatalKind: o.fatalKind}
+	env := &environment{store: objectstore.New(), bootstrap: o.bootstrap, idleTimeout: maxIdleTimeout, crashKind: o.crashKind, fatalKind: o.fatalKind, namesEras: o.namesEras}
+	env.written.specs = make(map[[2]string]json.RawMessage)
+	if o.namesEras {
+		env.store.NameEra(1)
+	}
 	env.setBudget(o.budget)
 	env.timeouts.set(callerTimeout)
 	if err := errors.Join(env.serveStore(seed), env.serveReports()); err != nil {
@@ -264,7 +273,7 @@
 }
 
 func (env *environment) register(s *server, state string) {
-	env.store.Put("servers", s.ID, s.Registration(s.service, s.proxy.Address(), "z", state))
+	env.put("servers", s.ID, s.Registration(s.service, s.proxy.Address(), "z", state))
 }
 
 // writeConfig writes the next version of the configuration. Its route /vN/, with
@@ -285,7 +294,7 @@
 		route("summary", "/stream-again/", "streaming", modelService, maxAttempts["again"], true, true),
 		route("version", fmt.Sprintf("/v%d/", env.version), "safe", plainService, maxAttempts["version"], false, false),
 	}
-	env.store.Put("config", "main", map[string]any{
+	env.put("config", "main", map[string]any{
 		"version": env.version, "routes": rules, "tenants": tenants(env.version),
 		"services": []any{
 			map[string]any{"name": plainService, "healthPath": "/health"},
--- a/test/soakproc/fatal.go
+++ b/test/soakproc/fatal.go
@@ -147,7 +147,7 @@
 func (env *environment) beforeCrash(s *server) {
 	switch env.crashKind {
 	case objectFirst:
-		env.store.Remove("servers", s.ID)
+		env.remove("servers", s.ID)
 		time.Sleep(removedBefore)
 	case drainingFirst:
 		env.register(s, "draining")
--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -147,10 +147,19 @@
 		}
 		env.register(s, "draining")
 		s.drainedAt = time.Now()
-		return func() { s.drainedAt = time.Time{}; env.register(s, "ready") }
+		return func() { s.drainedAt = time.Time{}; env.readyAgain(s) }
 	}},
 }
 
+// readyAgain registers a draining server as ready. Where the store may have lost that it was
+// draining, it is a new start: a start that has announced that it leaves never comes back.
+func (env *environment) readyAgain(s *server) {
+	if env.namesEras {
+		s.Restart()
+	}
+	env.register(s, "ready")
+}
+
 func storeFault(f objectstore.Faults) func(*environment, *rand.Rand) func() {
 	return func(env *environment, _ *rand.Rand) func() {
 		env.store.SetFaults(f)
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -38,6 +38,8 @@
 	RetriesUsed float64
 	// TakeUps counts the answers to requests that take up a stream by status.
 	TakeUps map[int]int
+	// Returns is how often the store came back from a copy during the faults.
+	Returns int
 }
 
 // Run runs one seed. The programs are in bin; logs and settings are written to
@@ -59,7 +61,12 @@
 	l := newRequestLog()
 	stopCallers := env.startCallers(ctx, seed, l)
 	stopFatal := env.startFatalCallers(ctx, l)
+	stopReturns := func() int { return 0 }
+	if env.namesEras {
+		stopReturns = env.returnFromCopies(seed)
+	}
 	env.inject(faults, faultsDuration, seed, report.Faults)
+	report.Returns = stopReturns()
 	recovered := time.Now().Add(settleTime)
 	env.checkRecovery(ctx, l)
 	stopFatal()
@@ -147,6 +154,9 @@
 		l.addViolation("a draining server got %d more requests after its drain timeout", after-before)
 	}
 	env.checkStalledChanges(l)
+	if env.namesEras {
+		env.checkReturn(l)
+	}
 	env.checkGracefulStop(l)
 }
 
--- a/test/soakproc/versions.go
+++ b/test/soakproc/versions.go
@@ -50,9 +50,9 @@
 		env.register(drained, "draining")
 	}
 	return func() {
-		env.register(drained, "ready")
+		env.readyAgain(drained)
 		for _, s := range second {
-			env.store.Remove("servers", s.ID)
+			env.remove("servers", s.ID)
 		}
 		env.released = nil
 	}
