--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -47,8 +47,9 @@
 	defer func() { _ = output.Close() }()
 	cmd := exec.Command(p.program, p.args...)
 	cmd.Stdout, cmd.Stderr = output, output
-	// The process is killed if the test process dies.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// The process is killed if the test process dies. It has a process group of its own: the
+	// kernel hangs up a group with stopped members whose starter's shell has ended.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return eris.Wrap(err, "start "+p.Name)
 	}
