A list that shows a server leaving does not confirm that it was ready

Cause: the list's time was taken for a confirmation before the list was applied, so that LastReady, from which streams are still sent to a leaving server, was the time of the list that shows it leaving. Found by looking for other places in which a read confirms what was not applied. Evidence: the new spec fails before, passes now.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -124,8 +124,9 @@
 	return d.follow(ctx, &follower{
 		kind: d.kinds.Servers,
 		onList: func(now, sent time.Time, l store.Listing) {
-			d.state.confirmServers(sent)
 			d.applyServerList(now, l)
+			d.state.confirmServers(sent)
+			d.publish(false)
 		},
 		onEvent: func(now time.Time, e store.Event) {
 			previous := d.state.serversLastChange
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"strconv"
@@ -107,6 +108,21 @@
 		Expect(lastReady()).To(BeZero())
 	})
 
+	// Guards against the same where a list shows that the server leaves, as after an outage.
+	It("has that time also if a list shows that the server is draining", func() {
+		objects := &countingStore{revision: 5, compacted: true}
+		objects.change("a", "x")
+		d := New(objects, plainDecoder{}, Kinds{Config: "config", ConfigName: "main", Servers: "servers"})
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go func() { _ = d.FollowServers(ctx) }()
+		Eventually(func() int { return len(d.View().Servers) }).Should(Equal(1))
+		leaves := time.Now()
+		objects.change("a", "leaving")
+		Eventually(func() bool { return d.View().Servers["a"].Draining }, 3).Should(BeTrue())
+		Expect(d.View().Servers["a"].LastReady).To(BeTemporally("<=", leaves))
+	})
+
 	// Guards against rejected callers after an outage of the store: servers cannot
 	// renew their objects during it, which expire, so that the list is empty at first
 	// although every server is alive.
