Log of a configuration in the store that is not in force: once each, and when it is over

Before, the line came with each change of a flag that also rises with an era, so that a gateway logged that the store had caught up although it had never been behind.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -109,6 +109,7 @@
 		onEvent: func(_ time.Time, e store.Event) {
 			if e.Object.Name == d.kinds.ConfigName && !e.Removed {
 				d.applyConfig(e.Object)
+				d.logUnapplied(e.Object)
 			}
 		},
 		onConfirm: func(at time.Time) { d.state.confirmConfig(at) },
@@ -169,6 +170,7 @@
 		if o.Name == d.kinds.ConfigName {
 			found = true
 			d.applyConfig(o)
+			d.logUnapplied(o)
 		}
 	}
 	if !found && d.state.view.Table != nil {
@@ -178,13 +180,7 @@
 }
 
 func (d *Directory) applyConfig(o store.Object) {
-	before := d.state.configUnapplied
 	changed, err := d.state.applyConfig(o)
-	if unapplied := d.state.configUnapplied; unapplied != before && err == nil {
-		log.WithFields(log.Fields{
-			"older": unapplied, "era": int64(o.Era), "revision": o.Revision, "kept": d.state.view.Config().Version,
-		}).Warn("store has an older configuration than the known one")
-	}
 	if err != nil {
 		log.WithField("revision", o.Revision).WithField("error", err.Error()).Error("configuration cannot be decoded, keeping the previous one")
 		return
@@ -198,6 +194,21 @@
 	}
 }
 
+// logUnapplied logs, once for each, a configuration of the store that is not put in force, and
+// that the store has the one in force again.
+func (d *Directory) logUnapplied(o store.Object) {
+	s := d.state
+	line := log.WithFields(log.Fields{"revision": o.Revision, "era": int64(o.Era), "kept": s.view.Config().Version})
+	switch {
+	case s.configUnapplied && s.unappliedConfig != o.Position():
+		s.unappliedConfig = o.Position()
+		line.Warn("store has another configuration than the one in force")
+	case !s.configUnapplied && s.unappliedConfig != (store.Position{}):
+		s.unappliedConfig = store.Position{}
+		line.Info("store has the configuration in force again")
+	}
+}
+
 func (d *Directory) applyServerList(now time.Time, l store.Listing) {
 	changed, errs := d.state.applyServerList(now, l)
 	for _, err := range errs {
--- a/internal/directory/era_test.go
+++ b/internal/directory/era_test.go
@@ -24,8 +24,9 @@
 		}
 		d.locked(func() {
 			Expect(d.enterEra(at(now), era, "store")).To(BeTrue())
-			d.state.confirmServers(at(now))
 			d.applyServerList(at(now), l)
+			d.state.confirmServers(at(now))
+			d.publish(false)
 		})
 	}
 	listConfig := func(now time.Duration, era store.Era, revision int64, version string) {
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -64,6 +64,9 @@
 	// configUnapplied is set while the store's configuration is not the one in force: it is of
 	// an older version, missing, or cannot be decoded, or has not been read in this era.
 	configUnapplied bool
+	// unappliedConfig is the position of the store's configuration that was last logged as not
+	// put in force.
+	unappliedConfig store.Position
 	// olderAnnouncedAt is when another gateway last announced a configuration of another era
 	// and of an older version than the one in force.
 	olderAnnouncedAt time.Time
