A departed server that a copy has brought back is forgotten once a list lacks it

Cause: only the removal's event made the directory forget it; where a list showed the removal, the server was used 10 s after the return. Found on reading the change. Names of the part put plainly. Evidence: the new spec fails without the line, passes with it.

--- a/internal/directory/era.go
+++ b/internal/directory/era.go
@@ -18,9 +18,9 @@
 	// departureRetention is how long the departure of a server is remembered. Copies are some
 	// seconds old.
 	departureRetention = time.Minute
-	// ghostTime is how long an object of a departed server that a copy has brought back is
+	// reappearedTime is how long an object of a departed server that a copy has brought back is
 	// not used. The object of a server that has ended expires within that time.
-	ghostTime = 10 * time.Second
+	reappearedTime = 10 * time.Second
 )
 
 // ConfigID identifies a configuration.
@@ -97,33 +97,33 @@
 	return true
 }
 
-// isGhost reports whether an object is that of a server that departed in an earlier era, and
+// isReappeared reports whether an object is that of a server that departed in an earlier era, and
 // keeps it in case the server turns out to be alive.
-func (s *state) isGhost(now time.Time, o store.Object, incarnation int64) bool {
+func (s *state) isReappeared(now time.Time, o store.Object, incarnation int64) bool {
 	left, ok := s.departed[o.Name]
 	if !ok || left.era >= o.Era || left.incarnation != incarnation {
 		return false
 	}
-	if !now.Before(s.view.EraSince.Add(ghostTime)) {
+	if !now.Before(s.view.EraSince.Add(reappearedTime)) {
 		delete(s.departed, o.Name)
 		return false
 	}
-	if _, known := s.ghosts[o.Name]; !known {
+	if _, known := s.reappeared[o.Name]; !known {
 		log.WithField("server", o.Name).WithField("revision", o.Revision).Info("server departed before the store's copy, not used")
 	}
-	s.ghosts[o.Name] = o
+	s.reappeared[o.Name] = o
 	return true
 }
 
-// releaseGhosts uses the servers whose objects have outlived ghostTime, and forgets old
+// releaseReappeared uses the servers whose objects have outlived reappearedTime, and forgets old
 // departures. It reports whether the servers changed.
-func (s *state) releaseGhosts(now time.Time) (changed bool) {
+func (s *state) releaseReappeared(now time.Time) (changed bool) {
 	maps.DeleteFunc(s.departed, func(_ string, left departure) bool { return now.Sub(left.at) >= departureRetention })
-	if now.Before(s.view.EraSince.Add(ghostTime)) {
+	if now.Before(s.view.EraSince.Add(reappearedTime)) {
 		return false
 	}
-	for name, o := range s.ghosts {
-		delete(s.ghosts, name)
+	for name, o := range s.reappeared {
+		delete(s.reappeared, name)
 		c, err := s.upsert(now, o)
 		changed = changed || (c && err == nil)
 	}
--- a/internal/directory/era_test.go
+++ b/internal/directory/era_test.go
@@ -105,12 +105,23 @@
 		d.locked(func() { d.publish(true) })
 		Expect(usable()).To(BeEmpty())
 		d.locked(func() {
-			Expect(d.state.expire(at(2*time.Second + ghostTime))).To(BeTrue())
+			Expect(d.state.expire(at(2*time.Second + reappearedTime))).To(BeTrue())
 			d.publish(true)
 		})
 		Expect(usable()).To(ConsistOf("a"))
 	})
 
+	It("does not use a departed server whose object a later list lacks", func() {
+		d.RemoteServerChange(at(time.Second), ServerChange{Event: store.Event{Object: inEra(1, object("a", 123, "x")), Removed: true}, PreviousRevision: 122})
+		listServers(2*time.Second, 2, 110, object("a", 110, "x"))
+		listServers(3*time.Second, 2, 111)
+		d.locked(func() {
+			d.state.expire(at(2*time.Second + reappearedTime))
+			d.publish(true)
+		})
+		Expect(usable()).To(BeEmpty())
+	})
+
 	// Guards against callers that are rejected: servers that came after the copy was taken write
 	// their objects again within two seconds.
 	It("keeps servers that the copy lacks for a while", func() {
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -70,21 +70,21 @@
 	// olderAnnouncedAt is when another gateway last announced a configuration of another era
 	// and of an older version than the one in force.
 	olderAnnouncedAt time.Time
-	// departed has the servers whose objects were removed lately, ghosts the objects of such
+	// departed has the servers whose objects were removed lately, reappeared the objects of such
 	// servers that a copy of the store has brought back.
-	departed map[string]departure
-	ghosts   map[string]store.Object
+	departed   map[string]departure
+	reappeared map[string]store.Object
 }
 
 func newState(d Decoder) *state {
 	return &state{
-		decoder:   d,
-		view:      View{Servers: make(map[string]backend.Server)},
-		revisions: make(map[string]int64),
-		absentAt:  make(map[string]time.Time),
-		malformed: make(map[string]int64),
-		departed:  make(map[string]departure),
-		ghosts:    make(map[string]store.Object),
+		decoder:    d,
+		view:       View{Servers: make(map[string]backend.Server)},
+		revisions:  make(map[string]int64),
+		absentAt:   make(map[string]time.Time),
+		malformed:  make(map[string]int64),
+		departed:   make(map[string]departure),
+		reappeared: make(map[string]store.Object),
 
 		serverObjects: make(map[string]store.Object),
 	}
@@ -140,7 +140,7 @@
 		return false, nil
 	}
 	s.recordRevision(e.Object)
-	delete(s.ghosts, name)
+	delete(s.reappeared, name)
 	if e.Removed {
 		return s.removeServer(now, name), nil
 	}
@@ -179,7 +179,7 @@
 func (s *state) upsert(now time.Time, o store.Object) (bool, error) {
 	delete(s.absentAt, o.Name)
 	server, err := s.decoder.Server(o)
-	if err == nil && s.isGhost(now, o, server.Incarnation) {
+	if err == nil && s.isReappeared(now, o, server.Incarnation) {
 		return false, nil
 	}
 	if err != nil {
@@ -262,6 +262,7 @@
 			errs = append(errs, err)
 		}
 	}
+	maps.DeleteFunc(s.reappeared, func(name string, _ store.Object) bool { return !present[name] })
 	for name := range s.view.Servers {
 		if !present[name] {
 			gone = true
@@ -302,7 +303,7 @@
 // expire drops the servers that are still missing at the end of the grace period. It
 // reports whether there were any.
 func (s *state) expire(now time.Time) bool {
-	changed := s.releaseGhosts(now)
+	changed := s.releaseReappeared(now)
 	if s.graceUntil().After(now) {
 		return changed
 	}
