Model of orders: the store comes back from copies, with late writes and stalls

All runs with up to two faults, of which a return is one: two gateways of rank 0, calls rejected, lost or carried out late at revisions that were given out again.

--- a/internal/reconcile/model_test.go
+++ b/internal/reconcile/model_test.go
@@ -51,6 +51,9 @@
 	shortStall
 	longStall
 	faultCount
+	// storeReturns lets the store come back from a copy before the call, in models with
+	// returns.
+	storeReturns = faultCount
 )
 
 // choices makes the choices of one run: the given ones, then always the first
@@ -110,9 +113,15 @@
 	now         time.Duration
 	lease       store.Object
 	leaseWrites int64
-	delayed     []delayedAction
-	engines     map[string]*modelEngine
-	views       map[string]*directory.View
+	// returns is set if the store may come back from copies, copies has its states of each
+	// step, and era counts its returns from 1 on. eras is what each gateway knows of them.
+	returns bool
+	copies  []storeState
+	era     store.Era
+	eras    [2]store.Eras
+	delayed []delayedAction
+	engines map[string]*modelEngine
+	views   map[string]*directory.View
 	// currentView is the view of both gateways.
 	currentView *directory.View
 	// otherActing is set while one gateway makes steps during a call of the other;
@@ -122,6 +131,25 @@
 	arrivals    []arrival
 }
 
+// storeState is what the store has of the lease.
+type storeState struct {
+	lease       store.Object
+	leaseWrites int64
+}
+
+// copyAge is how many steps old the copies are that the store comes back from.
+const copyAge = 4
+
+// restore makes the store come back from a copy.
+func (m *orderModel) restore() {
+	state := storeState{}
+	if n := len(m.copies); n > copyAge {
+		state = m.copies[n-copyAge]
+	}
+	m.lease, m.leaseWrites, m.copies = state.lease, state.leaseWrites, nil
+	m.era++
+}
+
 type delayedAction struct {
 	at time.Duration
 	do func()
@@ -135,8 +163,11 @@
 
 var errNoAnswer = errors.New("no answer")
 
-func newOrderModel(c *choices, views map[string]*directory.View) *orderModel {
-	m := &orderModel{choices: c, views: views, engines: map[string]*modelEngine{}}
+func newOrderModel(c *choices, views map[string]*directory.View, returns bool) *orderModel {
+	m := &orderModel{choices: c, views: views, engines: map[string]*modelEngine{}, returns: returns}
+	if returns {
+		m.era = 1
+	}
 	for n := range 5 {
 		role := backend.Decode
 		if n == 0 {
@@ -207,6 +238,7 @@
 
 func (m *orderModel) advance(d time.Duration) {
 	m.now += d
+	m.copies = append(m.copies, storeState{lease: m.lease, leaseWrites: m.leaseWrites})
 	due := m.delayed
 	m.delayed = nil
 	for _, p := range due {
@@ -228,6 +260,9 @@
 	if m.otherActing {
 		return noFault
 	}
+	if m.returns && limit == faultCount {
+		limit++
+	}
 	f := fault(m.choose(int(limit)))
 	m.otherActing = true
 	defer func() { m.otherActing = false }()
@@ -238,6 +273,8 @@
 		m.stall(gateway, shortStallSteps)
 	case longStall:
 		m.stall(gateway, longStallSteps)
+	case storeReturns:
+		m.restore()
 	default:
 		return f
 	}
@@ -268,9 +305,19 @@
 		return store.Object{}, errNoAnswer
 	}
 	if m.lease.Revision == 0 {
-		return store.Object{}, store.ErrNotFound
+		return s.answer(store.Object{}, store.ErrNotFound)
 	}
-	return m.lease, nil
+	return s.answer(m.lease, nil)
+}
+
+// Eras returns what the gateway knows of the store's eras.
+func (s modelStore) Eras() *store.Eras { return &s.model.eras[s.gateway] }
+
+// answer returns an object in the present era.
+func (s modelStore) answer(o store.Object, err error) (store.Object, error) {
+	s.Eras().Learn(s.model.era)
+	o.Era = s.model.era
+	return o, err
 }
 
 func (s modelStore) Create(_ context.Context, _, _ string, spec any) (store.Object, error) {
@@ -303,7 +350,8 @@
 		m.later(func() { _ = apply() })
 		return store.Object{}, errNoAnswer
 	}
-	return m.lease, apply()
+	err = apply()
+	return s.answer(m.lease, err)
 }
 
 // modelEngines are the engines, as accessed by one gateway.
@@ -385,21 +433,33 @@
 	// store and of engines are rejected, lose their replies or take effect late;
 	// and one gateway stalls for longer than its grant while the other continues.
 	It("come from one holder at a time, with increasing fencing tokens", func() {
-		log.SetLevel(log.FatalLevel)
-		DeferCleanup(log.SetLevel, log.InfoLevel)
-		const maxDeviations = 3
-		views := map[string]*directory.View{}
-		runs, handovers := 0, 0
-		for c, ok := (&choices{}), true; ok; c, ok = c.next(maxDeviations) {
-			m := newOrderModel(c, views)
-			m.run()
-			runs++
-			Expect(m.check()).To(BeEmpty(), "choices %v, orders %v", c.made, m.arrivals)
-			if len(m.arrivals) > 0 && m.arrivals[0].holder != m.arrivals[len(m.arrivals)-1].holder {
-				handovers++
-			}
-		}
-		Expect(runs).To(BeNumerically(">", 5_000))
-		Expect(handovers).To(BeNumerically(">", 100), "runs in which both gateways sent orders")
+		checkOrders(3, false, 5_000)
+	})
+
+	// Guards against the same while the store comes back from copies that lack the lease, and
+	// writes of before it are carried out at revisions that were given out again.
+	It("do so while the store comes back from copies", func() {
+		checkOrders(2, true, 1_000)
 	})
 })
+
+// checkOrders checks all runs with up to maxDeviations faults, of which there must be more than
+// a number.
+func checkOrders(maxDeviations int, returns bool, leastRuns int) {
+	GinkgoHelper()
+	log.SetLevel(log.FatalLevel)
+	DeferCleanup(log.SetLevel, log.InfoLevel)
+	views := map[string]*directory.View{}
+	runs, handovers := 0, 0
+	for c, ok := (&choices{}), true; ok; c, ok = c.next(maxDeviations) {
+		m := newOrderModel(c, views, returns)
+		m.run()
+		runs++
+		Expect(m.check()).To(BeEmpty(), "choices %v, orders %v", c.made, m.arrivals)
+		if len(m.arrivals) > 0 && m.arrivals[0].holder != m.arrivals[len(m.arrivals)-1].holder {
+			handovers++
+		}
+	}
+	Expect(runs).To(BeNumerically(">", leastRuns))
+	Expect(handovers).To(BeNumerically(">", 100), "runs in which both gateways sent orders")
+}
