--- a/internal/gateway/authenticate_test.go
+++ b/internal/gateway/authenticate_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -38,14 +40,42 @@
 	f.store.PutRaw("config", "main", []byte(accountsConfiguration(version, tenants)))
 }
 
-// logBuffer collects log lines for one test.
-type logBuffer struct{ bytes.Buffer }
+// logBuffer collects log lines for one test. Goroutines of gateways write to it meanwhile.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(line)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
+}
+
+// captured is the handler of captureLog, nil while no test captures the log. The handler of the
+// log itself is set once, before any goroutine logs: a change is not synchronized with them.
+var captured atomic.Pointer[jsonlog.Handler]
+
+func init() {
+	usual := log.Log.(*log.Logger).Handler
+	log.SetHandler(log.HandlerFunc(func(e *log.Entry) error {
+		if h := captured.Load(); h != nil {
+			return h.HandleLog(e)
+		}
+		return usual.HandleLog(e)
+	}))
+}
 
 func captureLog() *logBuffer {
 	b := &logBuffer{}
-	previous := log.Log.(*log.Logger).Handler
-	log.SetHandler(jsonlog.New(b))
-	DeferCleanup(func() { log.SetHandler(previous) })
+	captured.Store(jsonlog.New(b))
+	DeferCleanup(func() { captured.Store(nil) })
 	return b
 }
 
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,18 +26,31 @@
 	return b
 }
 
+// budgetLine is called with the fields of each log line of a retry budget.
+var budgetLine atomic.Pointer[func(log.Fields)]
+
+// The handler is set before any goroutine logs.
+func init() {
+	next := log.Log.(*log.Logger).Handler
+	log.SetHandler(log.HandlerFunc(func(line *log.Entry) error {
+		if f := budgetLine.Load(); f != nil && line.Message == "retry budget" {
+			(*f)(line.Fields)
+		}
+		return next.HandleLog(line)
+	}))
+}
+
 // Guards against a log that a retry storm floods, and against refusals that no line or
 // metric counts.
 func TestDecisionsOfTheRetryBudgetAreLoggedOnceASecond(t *testing.T) {
 	var lines []log.Fields
-	previous := log.Log.(*log.Logger).Handler
-	log.SetHandler(log.HandlerFunc(func(e *log.Entry) error {
-		if e.Message == "retry budget" && e.Fields["service"] == "s" {
-			lines = append(lines, e.Fields)
+	record := func(fields log.Fields) {
+		if fields["service"] == "s" {
+			lines = append(lines, fields)
 		}
-		return nil
-	}))
-	t.Cleanup(func() { log.SetHandler(previous) })
+	}
+	budgetLine.Store(&record)
+	t.Cleanup(func() { budgetLine.Store(nil) })
 
 	b := newTestBudgets(0, 10)
 	for ms := range 2_500 {
