Spec of LastReady: no list may be sent between the time and the change

A list sent within the microseconds between them shows the server as ready: the spec could fail on right code. It still fails on the code before the fix.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -117,10 +117,10 @@
 		DeferCleanup(stop)
 		go func() { _ = d.FollowServers(ctx) }()
 		Eventually(func() int { return len(d.View().Servers) }).Should(Equal(1))
-		leaves := time.Now()
 		objects.change("a", "leaving")
+		left := time.Now()
 		Eventually(func() bool { return d.View().Servers["a"].Draining }, 10).Should(BeTrue())
-		Expect(d.View().Servers["a"].LastReady).To(BeTemporally("<=", leaves))
+		Expect(d.View().Servers["a"].LastReady).To(BeTemporally("<=", left))
 	})
 
 	// Guards against rejected callers after an outage of the store: servers cannot
