--- a/internal/directory/era_model_test.go
+++ b/internal/directory/era_model_test.go
@@ -30,10 +30,10 @@
 
 // modelState is what the store of the model holds.
 type modelState struct {
-	at                time.Duration
-	revision          int64
-	config, server    store.Object
-	version, leavings int
+	at             time.Duration
+	revision       int64
+	config, server store.Object
+	version        int
 }
 
 // eraModel is a store that comes back from copies, and some gateways. The first two watch the
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -251,7 +251,7 @@
 	}
 	s.EventInterval = eventInterval
 	s.PhaseChanged = func() { env.register(s, "ready") }
-	if role == "decode" {
+	if role != "" {
 		env.crashOnFatal(s)
 	}
 	backend := net.JoinHostPort(env.ip(host), strconv.Itoa(portBackend))
