--- a/test/soakproc/fatal.go
+++ b/test/soakproc/fatal.go
@@ -183,7 +183,8 @@
 		req := request{method: "POST", target: "/stream-again/fatal-body", kind: "fatal", id: l.nextIDOf(accountNames[0]), body: fatalBody}
 		switch env.fatalKind {
 		case withoutBody:
-			req.method, req.target, req.body, req.noBody = "GET", fatalTarget, "", true
+			// Without a body, the prompt is what makes it the same request.
+			req.method, req.target, req.body, req.noBody, req.prefix = "GET", fatalTarget, "", true, "aa:1500,5:500"
 		case leavingCaller:
 			req.leaveAfter = leaveTime
 		}
