--- a/review/scripts/usage_test.go
+++ b/review/scripts/usage_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"reflect"
 	"strconv"
 	"strings"
@@ -129,24 +130,32 @@
 	time.Sleep(200 * time.Millisecond)
 	if w.trouble {
 		old := copies.before(time.Now().Add(-copyAge))
-		w.note("the store is away, all gateways are killed")
-		w.store.SetFaults(objectstore.Faults{Unavailable: true})
-		for _, g := range w.gateways {
-			g.kill()
+		// TROUBLE=kill and TROUBLE=drill leave out the other of the two disruptions.
+		drill, kill := os.Getenv("TROUBLE") != "kill", os.Getenv("TROUBLE") != "drill"
+		w.note("the store is away: %v, all gateways are killed: %v", drill, kill)
+		w.store.SetFaults(objectstore.Faults{Unavailable: drill})
+		if kill {
+			for _, g := range w.gateways {
+				g.kill()
+			}
 		}
 		time.Sleep(restartDelay)
-		for _, g := range w.gateways {
-			must(g.start())
+		if kill {
+			for _, g := range w.gateways {
+				must(g.start())
+			}
+			w.note("the gateways are started again")
 		}
-		w.note("the gateways are started again")
 		time.Sleep(storeAway - restartDelay)
-		w.store.Restore(old)
+		if drill {
+			w.store.Restore(old)
+		}
 		w.store.SetFaults(objectstore.Faults{})
 		// What the operator and the servers wrote is written again.
 		writeConfig()
 		w.register(first, 10, "desk", "ready")
 		w.register(second, 11, "desk", "ready")
-		w.note("the store is back from a copy that was %v old", copyAge)
+		w.note("the store is back, from a copy that was %v old: %v", copyAge, drill)
 		for _, g := range w.gateways {
 			must(g.waitReady(10 * time.Second))
 		}
--- a/review/scripts/world_test.go
+++ b/review/scripts/world_test.go
@@ -147,7 +147,9 @@
 
 func (w *world) ip(host int) string { return w.subnet + strconv.Itoa(host) }
 
-func (w *world) address(host, port int) string { return net.JoinHostPort(w.ip(host), strconv.Itoa(port)) }
+func (w *world) address(host, port int) string {
+	return net.JoinHostPort(w.ip(host), strconv.Itoa(port))
+}
 
 func (w *world) serve(address string, h http.Handler) error {
 	l, err := net.Listen("tcp4", address)
