Usage reports: windows that a lost report may have had are left out

Cause: the record in the store is the only trace of a report that outlives the processes. The next holder took what the copy lacks for windows that nobody has reported, and settled them with the counts at hand: none where all processes had ended. The copy looks like any record, so nothing told the two apart. Gateways that had read the record kept what they had read, but a read is up to a second old, and stale.

Change: the record has the era in which it was written. Whoever takes the right with a record of an earlier era leaves out all windows that had ended when it first read that record in this era, and the reports that are not known to be accepted. A holder whose right is still valid knows all reports and writes its own record again. The right named by a record of an earlier era is waited out by all, also by the gateway that it names: a late write of before the return can replace the record of another holder. Logged and counted (usage.windows_left_out).

Test: in the model each gateway has its own counts, which end with its process; before, all shared one collector that nothing was lost from, so that no run could differ. Code of before, new model: 3 of 19 specs fail (window reported with {a:25} and {}; {a:25} and {a:21}): random runs with returns, all gateways end, the holder ends and starts again. Mutations: unsent reports kept fails; right of an earlier era taken at once fails; without the clock margin no run fails (the model's clocks differ by 0.9 s at most).

--- a/internal/usage/report/record.go
+++ b/internal/usage/report/record.go
@@ -1,9 +1,9 @@
 package report
 
 import (
-	"cmp"
 	"slices"
 
+	"pistachioroad.dev/pistachioroad/internal/store"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 )
 
@@ -26,6 +26,8 @@
 	// WriteID distinguishes the writes of a holder, so that it recognizes its own after the
 	// response was lost.
 	WriteID string `json:"write"`
+	// Era is the store's era in which the record was written.
+	Era store.Era `json:"era,omitempty"`
 	// Released is set if the holder has given up the right: it sends nothing any more.
 	Released bool `json:"released,omitempty"`
 	// Recent are the holders that have followed each other without a wait. They must wait
@@ -92,17 +94,9 @@
 	r.Recent = r.Recent[max(0, len(r.Recent)-maxRecent):]
 }
 
-// restore adds what an earlier record has and the copy r of the store lacks.
-func (r *record) restore(earlier record) {
-	r.SettledThrough = max(r.SettledThrough, earlier.SettledThrough)
-	for _, s := range earlier.Reports {
-		i := slices.IndexFunc(r.Reports, func(known settled) bool { return known.Window == s.Window })
-		switch {
-		case i < 0:
-			r.Reports = append(r.Reports, s)
-		case s.Sent:
-			r.Reports[i] = s
-		}
-	}
-	slices.SortFunc(r.Reports, func(a, b settled) int { return cmp.Compare(a.Window, b.Window) })
+// leaveOut gives up all windows up to the given one that are not known to be accepted. They
+// are not reported any more.
+func (r *record) leaveOut(through usage.Window) {
+	r.SettledThrough = max(r.SettledThrough, through)
+	r.Reports = slices.DeleteFunc(r.Reports, func(s settled) bool { return !s.Sent })
 }
--- a/internal/usage/report/report.go
+++ b/internal/usage/report/report.go
@@ -11,8 +11,9 @@
 // than that. The clocks of two gateways are never compared.
 //
 // A store that has come back from a copy may lack reports and a right that it has
-// acknowledged. The holder writes them again before it sends anything; all others wait until
-// its right has ended, and keep what they have read of the reports.
+// acknowledged. The holder writes them again before it sends anything. All others wait until
+// its right has ended, and then leave out the windows that it may have reported: counts that
+// differ from those of a lost report would be a second report of the window.
 package report
 
 import (
@@ -57,6 +58,8 @@
 	// late with its counts.
 	settleDelay    = 300 * time.Millisecond
 	maxSettleDelay = 3 * time.Second
+	// clockMargin is more than the difference between the true times of two gateways.
+	clockMargin = time.Second
 )
 
 // Sender sends reports to the platform.
@@ -100,6 +103,9 @@
 	// since eraSince.
 	recordEra, era store.Era
 	eraSince       time.Duration
+	// doubtful is the last window that may have been reported although record lacks it. It
+	// is used while no gateway has written the record in recordEra.
+	doubtful usage.Window
 	// rewrite is set while the holder has not written the object in this era.
 	rewrite bool
 	// holding is set while this process has the right, fence is then its fencing token.
@@ -117,7 +123,7 @@
 	// sent are the windows whose report was accepted, until the object says so.
 	sent map[usage.Window]bool
 
-	settled, accepted, failed, taken metrics.Counter
+	settled, leftOut, accepted, failed, taken metrics.Counter
 }
 
 // New returns a Reporter.
@@ -127,6 +133,7 @@
 		pending:  make(map[string]time.Duration),
 		sent:     make(map[usage.Window]bool),
 		settled:  metrics.GetOrRegisterCounter("usage.windows_settled", nil),
+		leftOut:  metrics.GetOrRegisterCounter("usage.windows_left_out", nil),
 		accepted: metrics.GetOrRegisterCounter("usage.reports_accepted", nil),
 		failed:   metrics.GetOrRegisterCounter("usage.reports_failed", nil),
 		taken:    metrics.GetOrRegisterCounter("usage.right_taken", nil),
@@ -211,7 +218,7 @@
 }
 
 // adoptCopy prepares the holder's next update, which writes its record again, for the object
-// of a new era.
+// of a new era. Its record has all reports, as its right is still valid.
 func (r *Reporter) adoptCopy(o store.Object, found bool) {
 	own, lastChange := r.record, r.lastChange
 	if !found {
@@ -222,8 +229,7 @@
 		r.holding, r.rewrite = false, false
 		return
 	}
-	r.record.Holder, r.record.Recent, r.record.Released = own.Holder, own.Recent, false
-	r.lastChange = lastChange
+	r.record, r.lastChange = own, lastChange
 }
 
 // ownsRecord reports whether this process, in its current incarnation, wrote the object.
@@ -242,13 +248,24 @@
 		log.WithField("error", err.Error()).WithField("revision", o.Revision).Error("object with the usage reports cannot be decoded")
 		return false
 	}
-	if o.Era != r.recordEra {
-		value.restore(r.record)
-	}
 	r.record, r.revision, r.recordEra, r.lastChange = value, o.Revision, o.Era, r.config.Clock()
+	r.noteDoubtful()
 	return true
 }
 
+// ofEarlierEra reports whether no gateway has written the record in the era in which it was
+// read: it is that of a copy, or of a write that was sent before the store came back and took
+// effect after it.
+func (r *Reporter) ofEarlierEra() bool { return r.record.Era < r.recordEra }
+
+// noteDoubtful records which windows a record of an earlier era may lack: a report that was
+// lost, or overwritten, is of a window that had ended by now.
+func (r *Reporter) noteDoubtful() {
+	if now, _ := r.config.TrueTime(); r.ofEarlierEra() {
+		r.doubtful = usage.WindowAt(now.Add(clockMargin), r.config.Length) - 1
+	}
+}
+
 // poll looks whether the right can be taken, and takes it.
 func (r *Reporter) poll(ctx context.Context) {
 	r.pause(pollInterval)
@@ -274,7 +291,8 @@
 		}
 	}
 	if !found && l.Era > r.recordEra {
-		r.revision, r.recordEra = 0, l.Era
+		r.record, r.revision, r.recordEra = record{}, 0, l.Era
+		r.noteDoubtful()
 	}
 	if r.mayTake() {
 		r.take(ctx)
@@ -291,6 +309,9 @@
 	switch {
 	case r.revision == 0:
 		return r.config.Clock()-r.firstPoll >= time.Duration(rank)*rankDelay
+	case r.ofEarlierEra():
+		// It does not name a gateway that has taken the right since the store came back.
+		return r.unchangedFor() >= r.takeoverDelay()+time.Duration(max(0, rank-1))*rankDelay
 	case r.record.Holder == r.config.Holder:
 		// The previous process of this VM has ended, and its calls with it.
 		return true
@@ -310,17 +331,26 @@
 func (r *Reporter) take(ctx context.Context) {
 	next := r.record.clone()
 	switch {
-	case r.revision == 0 && r.record.WriteID == "":
-		next.SettledThrough = max(next.SettledThrough, r.firstWindow()-1)
+	case r.recordEra == 0 && r.revision == 0:
+		next.SettledThrough = r.currentWindow() - 1
 	case r.unchangedFor() >= r.config.Alternation+alternationMargin:
 		next.Recent = nil
 	default:
 		next.followedBy(r.config.Holder)
 	}
+	if r.ofEarlierEra() {
+		next.leaveOut(r.doubtful)
+	}
+	settledThrough, found := r.record.SettledThrough, r.revision != 0
 	next.Released = false
 	if !r.write(ctx, next) {
 		return
 	}
+	if found && next.SettledThrough > settledThrough {
+		r.leftOut.Inc(int64(next.SettledThrough - settledThrough))
+		log.WithFields(log.Fields{"from": int64(settledThrough + 1), "to": int64(next.SettledThrough), "era": int64(r.recordEra)}).
+			Warn("usage of windows left out, it may have been reported before the store came back from a copy")
+	}
 	r.holding, r.fence = true, store.Position{Era: r.recordEra, Revision: r.revision}.Token()
 	r.logTaken()
 }
@@ -341,9 +371,11 @@
 		return
 	}
 	dropped := next.prune(r.currentWindow() - usage.MaxDistance)
+	settledThrough := r.record.SettledThrough
 	if !r.write(ctx, next) {
 		return
 	}
+	r.settled.Inc(int64(next.SettledThrough - settledThrough))
 	for _, s := range dropped {
 		log.WithField("window", int64(s.Window)).Error("usage of a window was never accepted by the platform, report dropped")
 	}
@@ -353,16 +385,6 @@
 	}
 }
 
-// firstWindow returns the first window to settle where there are no reports yet: the present
-// one, or that of the time from which this process has waited to take the right.
-func (r *Reporter) firstWindow() usage.Window {
-	now, _ := r.config.TrueTime()
-	if r.era > 0 {
-		now = now.Add(r.eraSince - r.config.Clock())
-	}
-	return usage.WindowAt(now, r.config.Length)
-}
-
 func (r *Reporter) currentWindow() usage.Window {
 	now, _ := r.config.TrueTime()
 	return usage.WindowAt(now, r.config.Length)
@@ -398,7 +420,7 @@
 // write makes a conditional update, or creates the object. It reports whether it is known
 // to have taken effect.
 func (r *Reporter) write(ctx context.Context, next record) bool {
-	next.Holder, next.Incarnation, next.WriteID = r.config.Holder, r.config.Incarnation, uuid.NewString()
+	next.Holder, next.Incarnation, next.WriteID, next.Era = r.config.Holder, r.config.Incarnation, uuid.NewString(), r.era
 	sent := r.config.Clock()
 	var o store.Object
 	var err error
@@ -415,7 +437,6 @@
 		r.pending[next.WriteID] = sent
 		err = store.ErrEraEnded
 	case err == nil:
-		r.settled.Inc(int64(max(0, next.SettledThrough-r.record.SettledThrough)))
 		r.record, r.revision, r.recordEra, r.lastChange = next, o.Revision, o.Era, sent
 		r.rewrite = false
 		clear(r.pending)
