Retry budget: where the store names eras, no process takes itself for the first of its VM

A gateway that was added shortly before the copy was taken, and is killed around the return, finds no object of its VM, takes itself for the first process and has its part of the slack after one window: its earlier process may have used it.

FirstProcess is false where the store names an era. Cost: after the very first start on such a store, slack begins two windows after the start in place of one. Without the header nothing changes.

Found by reading; not seen on a run of processes.

--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -70,7 +70,8 @@
 	}
 	p.mu.Lock()
 	if !p.registered {
-		p.firstProcess, p.registered = !existed, true
+		// A store that names eras may have lost the object of an earlier process.
+		p.firstProcess, p.registered = !existed && store.ErasOf(s).Newest() == 0, true
 	}
 	p.mu.Unlock()
 	log.WithField("address", value.Address).WithField("existed", existed).Info("gateway registered")
