Soak: the store comes back while gateways are killed, paused or start; usage right after it

Now the store is away for a moment before each return, and none, half or all of the gateways are killed or paused meanwhile and go on some time after it; at the end of a run with returns, all are killed right after two windows were reported, and usage has to be reported again.

What pauses or ends a gateway now claims it, as two goroutines do so.

--- a/test/soakproc/accounts.go
+++ b/test/soakproc/accounts.go
@@ -141,6 +141,23 @@
 	})
 }
 
+// awaitReports waits for further reports, and reports whether they came within twice the time
+// in which they are due.
+func (u *usageReports) awaitReports(n int) bool {
+	count := func() int {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return len(u.reports)
+	}
+	before := count()
+	for end := time.Now().Add(2 * reportDue); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if count() >= before+n {
+			return true
+		}
+	}
+	return false
+}
+
 // check checks that no window was reported with two counts, that fencing tokens belong to
 // one holder and do not go down, and that holders do not alternate.
 func (u *usageReports) check(l *requestLog) {
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -15,6 +15,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -65,10 +66,15 @@
 	writeSettings func() error
 	// store is the proxy between this gateway and the store.
 	store *faultproxy.Proxy
-	// paused and down report that a signal has paused or ended the process.
-	paused, down bool
+	// busy is set while a signal has paused or ended the process.
+	busy atomic.Bool
 }
 
+// claim reports whether the process can be paused or ended, and sets busy.
+func (g *gateway) claim() bool { return g.busy.CompareAndSwap(false, true) }
+
+func (g *gateway) release() { g.busy.Store(false) }
+
 // server is one backend server behind its proxy.
 type server struct {
 	*runner.BackendServer
--- a/test/soakproc/faults.go
+++ b/test/soakproc/faults.go
@@ -52,50 +52,46 @@
 var disruptions = []fault{
 	{name: "gateway killed", begin: func(env *environment, r *rand.Rand) func() {
 		g := env.randomGateway(r)
-		if g.paused || g.down {
+		if !g.claim() {
 			return nil
 		}
-		g.down = true
 		g.process.Kill()
-		return func() { g.down = false; _ = g.process.Restart() }
+		return func() { _ = g.process.Restart(); g.release() }
 	}},
 	{name: "gateway paused", begin: func(env *environment, r *rand.Rand) func() {
 		g := env.randomGateway(r)
-		if g.paused || g.down {
+		if !g.claim() {
 			return nil
 		}
-		g.paused = true
 		g.process.Pause()
-		return func() { g.process.Resume(); g.paused = false }
+		return func() { g.process.Resume(); g.release() }
 	}},
 	{name: "gateway terminated", begin: func(env *environment, r *rand.Rand) func() {
 		g := env.randomGateway(r)
-		if g.paused || g.down {
+		if !g.claim() {
 			return nil
 		}
-		g.down = true
 		g.process.Terminate()
 		return func() {
 			if g.process.Wait(9*time.Second) == -1 {
 				g.process.Kill()
 			}
-			g.down = false
 			_ = g.process.Restart()
+			g.release()
 		}
 	}},
 	{name: "all gateways killed", begin: func(env *environment, _ *rand.Rand) func() {
 		var killed []*gateway
 		for _, g := range env.gateways {
-			if !g.paused && !g.down {
-				g.down = true
+			if g.claim() {
 				g.process.Kill()
 				killed = append(killed, g)
 			}
 		}
 		return func() {
 			for _, g := range killed {
-				g.down = false
 				_ = g.process.Restart()
+				g.release()
 			}
 		}
 	}},
--- a/test/soakproc/pauses.go
+++ b/test/soakproc/pauses.go
@@ -96,7 +96,7 @@
 func (env *environment) reload(g *gateway) func() {
 	ctx, cancel := context.WithTimeout(context.Background(), readyCheck)
 	defer cancel()
-	if g.paused || g.down || g.process.WaitReady(ctx) != nil {
+	if g.busy.Load() || g.process.WaitReady(ctx) != nil {
 		return nil
 	}
 	env.setBudget(retryBudget{share: env.budget.share, slack: env.budget.slack + 1})
--- a/test/soakproc/returns.go
+++ b/test/soakproc/returns.go
@@ -1,10 +1,14 @@
 package soakproc
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 )
 
 // Copies of the store are from minCopyAge to maxCopyAge old when it comes back from them. What
@@ -13,6 +17,8 @@
 	minCopyAge      = 300 * time.Millisecond
 	maxCopyAge      = 3 * time.Second
 	maxRewriteDelay = time.Second
+	// maxAway is how long the store is away at most before it comes back from a copy.
+	maxAway = 500 * time.Millisecond
 )
 
 // namesEras reports whether the store of a seed names eras and comes back from copies.
@@ -61,7 +67,7 @@
 // returnFromCopies makes the store come back from copies, several times in a row, until the
 // returned function is called. That returns how often it did.
 func (env *environment) returnFromCopies(seed uint64) (stop func() int) {
-	r := rand.New(rand.NewPCG(seed, 9))
+	r, amid := rand.New(rand.NewPCG(seed, 9)), rand.New(rand.NewPCG(seed, 10))
 	done, ended := make(chan struct{}), make(chan int)
 	wait := func(d time.Duration) bool {
 		select {
@@ -78,7 +84,9 @@
 			if !wait(between(r, minCopyAge, maxCopyAge)) {
 				break
 			}
+			restore := env.disturbReturn(amid)
 			env.store.Restore(before)
+			restore()
 			count++
 			wait(between(r, 0, maxRewriteDelay))
 			env.rewrite()
@@ -88,6 +96,63 @@
 	return func() int { close(done); return <-ended }
 }
 
+// disturbReturn takes the store away for up to maxAway and kills or pauses none, some or all
+// of the gateways meanwhile. The returned function ends that, some time after the return.
+func (env *environment) disturbReturn(r *rand.Rand) (end func()) {
+	share := []float64{0, 0.5, 1}[r.IntN(3)]
+	var ends []func()
+	env.store.SetFaults(objectstore.Faults{Unavailable: true})
+	for _, g := range env.gateways {
+		if r.Float64() >= share || !g.claim() {
+			continue
+		}
+		if r.IntN(3) == 0 {
+			g.process.Pause()
+			ends = append(ends, func() { g.process.Resume(); g.release() })
+			continue
+		}
+		g.process.Kill()
+		ends = append(ends, func() { _ = g.process.Restart(); g.release() })
+	}
+	time.Sleep(between(r, 0, maxAway))
+	return func() {
+		env.store.SetFaults(objectstore.Faults{})
+		time.Sleep(between(r, 0, maxAway))
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+// checkReturnAmidKills kills all gateways while the store is away, right after it has lost what
+// they reported, and checks that usage is reported again. That no window is reported with two
+// counts is checked at the end of the run.
+func (env *environment) checkReturnAmidKills(ctx context.Context, l *requestLog) {
+	l.pausesOnly.Store(false)
+	before := env.store.Copy()
+	// The first one may be of a window that the copy has.
+	if !env.usage.awaitReports(2) {
+		l.addViolation("no usage is reported before the return")
+	}
+	env.store.SetFaults(objectstore.Faults{Unavailable: true})
+	for _, g := range env.gateways {
+		g.process.Kill()
+	}
+	time.Sleep(maxAway)
+	env.store.Restore(before)
+	env.store.SetFaults(objectstore.Faults{})
+	env.rewrite()
+	for _, g := range env.gateways {
+		if err := errors.Join(g.process.Restart(), g.process.WaitReady(ctx)); err != nil {
+			l.addViolation("not ready after the return: %v", err)
+		}
+	}
+	// The next holder may first repeat what the copy has.
+	if !env.usage.awaitReports(4) {
+		l.addViolation("no usage is reported after the return")
+	}
+}
+
 // checkReturn makes changes that the store loses without a fault beside, and checks that a
 // change after that is in force in time.
 func (env *environment) checkReturn(l *requestLog) {
--- a/test/soakproc/run.go
+++ b/test/soakproc/run.go
@@ -71,8 +71,12 @@
 	env.checkRecovery(ctx, l)
 	stopFatal()
 	env.checkPauses(ctx, seed, l, report.Faults)
+	undisturbed := time.Now()
+	if env.namesEras {
+		env.checkReturnAmidKills(ctx, l)
+	}
 	stopCallers()
-	env.usage.checkComplete(recovered, time.Now(), l)
+	env.usage.checkComplete(recovered, undisturbed, l)
 	l.check(env)
 	env.checkAttempts(l)
 	env.checkHandedTime(l)
