Stream versions: nothing is concluded from a time in which servers may have been missed

Callers saw (report): during a release, a gateway that was out of step for a few seconds took up streams that had begun at servers of another version through other gateways, and went on with them at a server of the version that it knew: one answer of two versions.

Cause: the history of versions took what it had seen as unbroken since its first observation. After a cut, a standstill, a suspension, a return of the store or a lost watch, the next list shows what is there now, and nothing of what came and went meanwhile. The gateway named the only version it knew as certain, to itself and to gateways that asked it. Observations half a second after a change missed what came and went between them.

Change: the directory knows for which time it has all servers (Coverage): a list and every change since; a gap of over 2 s begins it anew, and so does the removal of a server that was never seen; a return of the store, 5 s after it. Its times are those of the clock that goes on in a suspension. A version is certain only for a covered time. Each server that a list or watch brings is noted at once. A version counts for 10 s more after its last server is out of the list, as that may still run and a gateway that is cut off may use it. A gateway asks with the store's era that it knows; one that knows another states nothing.

Evidence: TestStreamBegunWhileTheGatewayWasOutOfStepIsNotTakenUpAtAnotherVersion: before 200 at the wrong version, now 503.

--- a/internal/decide/streamversion/records.go
+++ b/internal/decide/streamversion/records.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
 // StreamID identifies a stream across the requests of its caller.
@@ -36,11 +38,13 @@
 const maxGeneration = 1 << 16
 
 // Query asks for the version that began a stream of a service, by the hash of its name. Life
-// is the longest life of the stream.
+// is the longest life of the stream. Era is the store's era that the asking gateway knows: the
+// servers of another era may not be in its list yet.
 type Query struct {
 	Stream  StreamID
 	Service uint32
 	Life    time.Duration
+	Era     store.Era
 }
 
 // Records has the versions that began streams, each for at least MaxStreamLife unless
--- a/internal/decide/streamversion/records_test.go
+++ b/internal/decide/streamversion/records_test.go
@@ -7,10 +7,14 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
+	"pistachioroad.dev/pistachioroad/internal/directory"
 )
 
 func at(seconds int) time.Time { return time.Unix(1_000_000+int64(seconds), 0) }
 
+// boot returns the boot-time clock at a time.
+func boot(t time.Time) time.Duration { return t.Sub(at(-1000)) }
+
 const life = int(streamversion.MaxStreamLife / time.Second)
 
 func TestRecordsKeepStreamsForTheirLongestLife(t *testing.T) {
@@ -65,6 +69,8 @@
 	type observation struct {
 		second   int
 		versions []streamversion.Version
+		// missed says that changes before it may have been missed.
+		missed bool
 	}
 	type versions = []streamversion.Version
 	for _, test := range []struct {
@@ -72,37 +78,66 @@
 		// longAgo says that the first versions were there long before.
 		longAgo  bool
 		observed []observation
-		second   int
-		want     streamversion.Version
-		ok       bool
+		// cutOff says that nothing is known after the last observation.
+		cutOff bool
+		second int
+		want   streamversion.Version
+		ok     bool
 	}{
-		{"nothing observed", true, nil, 0, v1, false},
-		{"there long before", true, []observation{{0, versions{v1, other}}}, 0, v1, true},
-		{"start", false, []observation{{0, versions{v1, other}}}, 0, v1, false},
-		{"start within the life of a stream", false, []observation{{0, versions{v1}}}, life, v1, false},
-		{"start long ago", false, []observation{{0, versions{v1}}}, life + 1, v1, true},
-		{"two versions", true, []observation{{0, versions{v1}}, {1, versions{v1, v2}}}, 5, v1, false},
-		{"the other has just left", true, []observation{{0, versions{v1, v2}}, {10, versions{v2}}}, 10 + life, v1, false},
-		{"the other left long ago", true, []observation{{0, versions{v1, v2}}, {10, versions{v2}}}, 11 + life, v2, true},
-		{"the other has come back", true, []observation{{0, versions{v1, v2}}, {10, versions{v2}}, {20, versions{v1, v2}}}, 100, v2, false},
-		{"the only one has left", true, []observation{{0, versions{v1}}, {10, nil}}, 11, v1, true},
-		{"all left long ago", true, []observation{{0, versions{v1}}, {10, nil}}, 100, v1, false},
-		{"there all the time", true, []observation{{0, versions{v1}}, {1000, versions{v2}}}, 1001, v1, false},
+		{"nothing observed", true, nil, false, 0, v1, false},
+		{"there long before", true, []observation{{0, versions{v1, other}, false}}, false, 0, v1, true},
+		{"start", false, []observation{{0, versions{v1, other}, false}}, false, 0, v1, false},
+		{"start within the life of a stream", false, []observation{{0, versions{v1}, false}}, false, life, v1, false},
+		{"start long ago", false, []observation{{0, versions{v1}, false}}, false, life + 1, v1, true},
+		{"two versions", true, []observation{{0, versions{v1}, false}, {1, versions{v1, v2}, false}}, false, 5, v1, false},
+		{"the other has just left", true, []observation{{0, versions{v1, v2}, false}, {10, versions{v2}, false}}, false, 10 + life, v1, false},
+		{"the other may still run", true, []observation{{0, versions{v1, v2}, false}, {10, versions{v2}, false}}, false, 20 + life, v1, false},
+		{"the other left long ago", true, []observation{{0, versions{v1, v2}, false}, {10, versions{v2}, false}}, false, 21 + life, v2, true},
+		{"the other has come back", true, []observation{{0, versions{v1, v2}, false}, {10, versions{v2}, false}, {20, versions{v1, v2}, false}}, false, 100, v2, false},
+		{"the only one has left", true, []observation{{0, versions{v1}, false}, {10, nil, false}}, false, 11, v1, true},
+		{"all left long ago", true, []observation{{0, versions{v1}, false}, {10, nil, false}}, false, 100, v1, false},
+		{"there all the time", true, []observation{{0, versions{v1}, false}, {1000, versions{v2}, false}}, false, 1001, v1, false},
+		{"nothing observed for a while", true, []observation{{0, versions{v1}, false}, {20, versions{v1}, false}, {26, versions{v1}, true}}, false, 27, v1, false},
+		{"nothing observed, long ago", true, []observation{{20, versions{v1}, false}, {26, versions{v1}, true}}, false, 27 + life, v1, true},
+		{"nothing observed since", true, []observation{{0, versions{v1}, false}}, true, 26, v1, false},
 	} {
 		h := streamversion.NewHistory()
+		var coverage directory.Coverage
 		if test.longAgo && len(test.observed) > 0 {
 			h.Observe(at(-life-1), test.observed[0].versions)
+			coverage.Relist(boot(at(-life - 1)))
 		}
-		for _, o := range test.observed {
+		for i, o := range test.observed {
 			h.Observe(at(o.second), o.versions)
+			if o.missed || (i == 0 && !test.longAgo) {
+				coverage.Relist(boot(at(o.second)))
+			}
+			coverage.Extend(boot(at(o.second)))
 		}
-		got := h.Served(at(test.second), v1.Service, streamversion.MaxStreamLife)
+		if !test.cutOff {
+			coverage.Extend(boot(at(test.second)))
+		}
+		covered := coverage.Covers(boot(at(test.second)), streamversion.MaxStreamLife)
+		got := h.Served(at(test.second), v1.Service, streamversion.MaxStreamLife, covered)
 		if got.Certain() != test.ok || (test.ok && got.Version != test.want) {
 			t.Errorf("%s: %+v", test.name, got)
 		}
 	}
 }
 
+// Guards against a version that is not known because its servers came and went between two
+// observations.
+func TestHistoryHasVersionsThatNoObservationHas(t *testing.T) {
+	v1, v2 := version("llm", "v1"), version("llm", "v2")
+	h := streamversion.NewHistory()
+	h.Observe(at(0), []streamversion.Version{v1})
+	h.Saw(at(1), v2)
+	h.Observe(at(2), []streamversion.Version{v1})
+	if s := h.Served(at(2), v1.Service, streamversion.MaxStreamLife, true); s.Certain() {
+		t.Errorf("%+v", s)
+	}
+}
+
 // Guards against the loss of a stream's record when one gateway joins or leaves.
 func TestGatewaysMoveByOneRankWhenOneJoins(t *testing.T) {
 	var names []string
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/periodic"
 	"pistachioroad.dev/pistachioroad/internal/store"
@@ -54,6 +55,10 @@
 	// configRetry and serversRetry end the pause after a failed read.
 	configRetry, serversRetry chan struct{}
 
+	// OnServer, if set, is called with each server that is new or has changed, also if it is
+	// gone again when the next View is published.
+	OnServer func(backend.Server)
+
 	// OnChange, if set, is called after each change of the servers or the
 	// configuration.
 	OnChange func(*View)
@@ -87,6 +92,11 @@
 		eras:         store.ErasOf(s),
 		restorations: metrics.GetOrRegisterCounter("directory.store_restorations", nil),
 	}
+	dir.state.onServer = func(s backend.Server) {
+		if dir.OnServer != nil {
+			dir.OnServer(s)
+		}
+	}
 	dir.view.Store(dir.state.snapshot())
 	return dir
 }
@@ -101,9 +111,9 @@
 func (d *Directory) FollowConfig(ctx context.Context) error {
 	return d.follow(ctx, &follower{
 		kind: d.kinds.Config,
-		onList: func(_, sent time.Time, l store.Listing) {
+		onList: func(_ time.Time, sent moment, l store.Listing) {
 			d.applyConfigList(l)
-			d.state.confirmConfig(sent)
+			d.state.confirmConfig(sent.clock)
 			d.publish(false)
 		},
 		onEvent: func(_ time.Time, e store.Event) {
@@ -112,7 +122,7 @@
 				d.logUnapplied(e.Object)
 			}
 		},
-		onConfirm: func(at time.Time) { d.state.confirmConfig(at) },
+		onConfirm: func(at moment) { d.state.confirmConfig(at.clock) },
 		// The store has lost what was announced of an earlier era.
 		behind: func() bool { return d.state.view.OutOfDate() && d.state.view.Announced.Era == d.state.era },
 		wake:   d.configWake,
@@ -124,7 +134,8 @@
 func (d *Directory) FollowServers(ctx context.Context) error {
 	return d.follow(ctx, &follower{
 		kind: d.kinds.Servers,
-		onList: func(now, sent time.Time, l store.Listing) {
+		onList: func(now time.Time, sent moment, l store.Listing) {
+			d.state.coverList(sent.boot, l)
 			d.applyServerList(now, l)
 			d.state.confirmServers(sent)
 			d.publish(false)
@@ -141,7 +152,7 @@
 		markSynced: func(revision int64) { d.state.markServersSynced(revision) },
 		wake:       d.serversWake,
 		retry:      d.serversRetry,
-		onConfirm:  func(at time.Time) { d.state.confirmServers(at) },
+		onConfirm:  func(at moment) { d.state.confirmServers(at) },
 		onFailure:  func() { d.state.markUnreachable() },
 	})
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -96,11 +96,11 @@
 	It("has the last time at which a draining server was confirmed as ready", func() {
 		lastReady := func() time.Time { return s.snapshot().Servers["a"].LastReady }
 		s.applyServerList(at(0), listing(5, object("a", 1, "x"), object("b", 2, "leaving")))
-		s.confirmServers(at(time.Second))
+		s.confirmServers(moment{clock: at(time.Second)})
 		Expect(lastReady()).To(BeZero())
 		Expect(s.snapshot().Servers["b"].LastReady).To(BeZero())
 		_, _ = s.applyServerEvent(at(2*time.Second), store.Event{Object: object("a", 6, "leaving")})
-		s.confirmServers(at(3 * time.Second))
+		s.confirmServers(moment{clock: at(3 * time.Second)})
 		changed, err := s.applyServerEvent(at(4*time.Second), store.Event{Object: object("a", 7, "leaving")})
 		Expect(changed, err).To(BeFalse())
 		Expect(lastReady()).To(Equal(at(time.Second)))
--- a/internal/directory/era.go
+++ b/internal/directory/era.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
@@ -65,6 +66,8 @@
 		return false
 	}
 	s.configUnapplied = true
+	// Until servers have written their objects again, the store may lack some that serve.
+	s.view.ServersCoverage.Break(boottime.Now() + rewriteTime)
 	clear(s.revisions)
 	clear(s.malformed)
 	s.listedRevision, s.serversRevision, s.serversSynced, s.serversLastChange, s.serversAnnounced = 0, 0, 0, 0, 0
--- a/internal/directory/era_model_test.go
+++ b/internal/directory/era_model_test.go
@@ -129,7 +129,7 @@
 				}
 				d.applyConfigList(config)
 				d.state.confirmConfig(at(sent))
-				d.state.confirmServers(at(sent))
+				d.state.confirmServers(moment{clock: at(sent)})
 				d.applyServerList(at(m.now), servers)
 				d.publish(true)
 			})
--- a/internal/directory/era_test.go
+++ b/internal/directory/era_test.go
@@ -25,7 +25,7 @@
 		d.locked(func() {
 			Expect(d.enterEra(at(now), era, "store")).To(BeTrue())
 			d.applyServerList(at(now), l)
-			d.state.confirmServers(at(now))
+			d.state.confirmServers(moment{clock: at(now)})
 			d.publish(false)
 		})
 	}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
@@ -37,10 +38,10 @@
 type follower struct {
 	kind string
 	// onList takes a list that was requested at sent.
-	onList  func(now, sent time.Time, l store.Listing)
+	onList  func(now time.Time, sent moment, l store.Listing)
 	onEvent func(now time.Time, e store.Event)
 	// onConfirm takes a time at which the store had nothing newer than the state.
-	onConfirm func(at time.Time)
+	onConfirm func(at moment)
 	// markSynced, if set, takes a revision up to which all changes are known.
 	markSynced func(revision int64)
 	onFailure  func()
@@ -60,6 +61,20 @@
 	down bool
 }
 
+// moment is a reading of the monotonic clock and of the boot-time clock.
+type moment struct {
+	clock time.Time
+	boot  time.Duration
+}
+
+func present() moment { return moment{clock: time.Now(), boot: boottime.Now()} }
+
+// until returns the moment at a later reading of the monotonic clock. A suspension since m is
+// not counted.
+func (m moment) until(clock time.Time) moment {
+	return moment{clock: clock, boot: m.boot + clock.Sub(m.clock)}
+}
+
 // follow lists a kind, watches it, and lists again whenever a watch fails, so that
 // changes that a broken watch missed are seen whatever the cause. It also lists when
 // confirmations of other gateways stop, since then watches fail or soon will.
@@ -164,7 +179,7 @@
 	if f.era != d.eras.Newest() {
 		return d.list(ctx, f)
 	}
-	sent := time.Now()
+	sent := present()
 	batch, err := d.store.Watch(ctx, f.kind, f.revision, watchWait)
 	if err != nil {
 		return err
@@ -174,9 +189,9 @@
 		return d.list(ctx, f)
 	}
 	f.pauses.Reset()
-	d.logEarlyEnd(f, batch, time.Since(sent))
+	d.logEarlyEnd(f, batch, time.Since(sent.clock))
 	f.revision = max(f.revision, batch.Revision)
-	d.locked(func() { d.applyBatch(f, batch, confirmedUntil(sent, time.Now(), batch)) })
+	d.locked(func() { d.applyBatch(f, batch, sent.until(confirmedUntil(sent.clock, time.Now(), batch))) })
 	return nil
 }
 
@@ -208,7 +223,7 @@
 
 // list reads and applies all objects of a kind.
 func (d *Directory) list(ctx context.Context, f *follower) error {
-	sent := time.Now()
+	sent := present()
 	l, err := d.store.List(ctx, f.kind, store.Linearizable)
 	if err != nil {
 		return err
@@ -242,7 +257,7 @@
 	line.Info("listed the store")
 }
 
-func (d *Directory) applyBatch(f *follower, b store.Batch, until time.Time) {
+func (d *Directory) applyBatch(f *follower, b store.Batch, until moment) {
 	if b.Era != d.state.era {
 		return
 	}
--- a/internal/directory/model_test.go
+++ b/internal/directory/model_test.go
@@ -70,7 +70,7 @@
 	r.to.locked(func() {
 		r.to.applyConfigList(r.listing)
 		r.to.state.confirmConfig(at(r.sent))
-		r.to.state.confirmServers(at(r.sent))
+		r.to.state.confirmServers(moment{clock: at(r.sent)})
 		r.to.publish(false)
 	})
 	return true
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
@@ -116,6 +117,7 @@
 	if c.ServersRevision <= s.serversSynced {
 		s.recordLastChange(c.ServersRevision)
 		s.view.ServersConfirmedAt = later(s.view.ServersConfirmedAt, at)
+		s.view.ServersCoverage.Extend(boottime.Now() - c.Age)
 	}
 	d.publish(false)
 }
@@ -238,7 +240,7 @@
 	if f.markSynced == nil || f.era != d.eras.Newest() {
 		return d.list(ctx, f)
 	}
-	sent := time.Now()
+	sent := present()
 	watching, stop := context.WithTimeout(ctx, catchUpTimeout)
 	defer stop()
 	batch, err := d.store.Watch(watching, f.kind, f.revision, catchUpWait)
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
@@ -33,6 +34,8 @@
 	// listedRevision is the store's revision at the last list. Events up to it about
 	// objects that were not listed are stale, so that revisions need not keep those.
 	listedRevision int64
+	// onServer is called with each server that is new or has changed.
+	onServer func(backend.Server)
 	// absentAt is when each server was found missing after an outage.
 	absentAt map[string]time.Time
 	// outage is set while the store cannot be read; recoveredAt is when it could
@@ -85,6 +88,7 @@
 		malformed:  make(map[string]int64),
 		departed:   make(map[string]departure),
 		reappeared: make(map[string]store.Object),
+		onServer:   func(backend.Server) {},
 
 		serverObjects: make(map[string]store.Object),
 	}
@@ -139,9 +143,14 @@
 	if s.isStale(e.Object) {
 		return false, nil
 	}
+	_, seen := s.revisions[name]
 	s.recordRevision(e.Object)
 	delete(s.reappeared, name)
 	if e.Removed {
+		if !seen {
+			// The server has come and gone without a trace of its properties.
+			s.view.ServersCoverage.Break(boottime.Now())
+		}
 		return s.removeServer(now, name), nil
 	}
 	// Only a server that is alive writes its object.
@@ -204,6 +213,9 @@
 		}
 	}
 	changed := known != server
+	if changed {
+		s.onServer(server)
+	}
 	s.serverObjects[o.Name] = o
 	s.view.Servers[o.Name] = server
 	return changed, nil
@@ -291,10 +303,19 @@
 	maps.DeleteFunc(s.malformed, gone)
 }
 
-// confirmServers records that the store had no newer server objects at the given time.
-func (s *state) confirmServers(at time.Time) {
-	s.view.ServersConfirmedAt = later(s.view.ServersConfirmedAt, at)
-	s.ownServersConfirmedAt = later(s.ownServersConfirmedAt, at)
+// confirmServers records that the store had no newer server objects at the given moment.
+func (s *state) confirmServers(at moment) {
+	s.view.ServersConfirmedAt = later(s.view.ServersConfirmedAt, at.clock)
+	s.ownServersConfirmedAt = later(s.ownServersConfirmedAt, at.clock)
+	s.view.ServersCoverage.Extend(at.boot)
+}
+
+// coverList records a list that was requested at a time, before it is applied. Servers that
+// have come and gone since the last change that is known are not in it.
+func (s *state) coverList(sent time.Duration, l store.Listing) {
+	if s.serversSynced == 0 || l.Revision != s.serversSynced {
+		s.view.ServersCoverage.Relist(sent)
+	}
 }
 
 // markUnreachable records that the store cannot be read.
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -34,6 +34,8 @@
 	// TableConfirmedAt and ServersConfirmedAt are when the store last confirmed that
 	// each was the newest, by the monotonic clock.
 	TableConfirmedAt, ServersConfirmedAt time.Time
+	// ServersCoverage is when every server that the store has had is known.
+	ServersCoverage Coverage
 	// Servers are all servers with a valid object, by ID.
 	Servers map[string]backend.Server
 
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -220,7 +220,7 @@
 		},
 		Codec: platform.Codec{}, Directory: g.dir,
 	})
-	g.dir.OnChange = g.ViewChanged
+	g.dir.OnChange, g.dir.OnServer = g.ViewChanged, g.ServerSeen
 	p, err := peers.New(peers.Config{Name: "f-" + strconv.Itoa(n), StartID: rand.Uint64(), Address: "127.0.0.1:0"}, g.Gateway)
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -85,7 +85,7 @@
 		StartedAt: boottime.Now() - time.Minute,
 		ReadAhead: l,
 	})
-	f.dir.OnChange = f.gateway.ViewChanged
+	f.dir.OnChange, f.dir.OnServer = f.gateway.ViewChanged, f.gateway.ServerSeen
 	f.server = httptest.NewUnstartedServer(f.gateway)
 	f.server.Config.ConnContext = closeframed.ConnContext
 	f.server.Start()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/direct"
@@ -166,6 +167,9 @@
 	})
 }
 
+// ServerSeen records a server that is new or has changed.
+func (g *Gateway) ServerSeen(s backend.Server) { g.streams.sawServer(s) }
+
 // gatewayCount returns the number of gateways, including this one.
 func (g *Gateway) gatewayCount() int { return g.engines.gossip.GatewayCount() }
 
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -62,7 +62,7 @@
 		Codec:      codec,
 		Directory:  dir,
 	})
-	dir.OnChange = g.ViewChanged
+	dir.OnChange, dir.OnServer = g.ViewChanged, g.ServerSeen
 	startID := rand.Uint64()
 	trueTime := truetime.New(boottime.Now(), time.Now())
 	gateways, err := peers.New(peers.Config{
--- a/internal/gateway/stream_records.go
+++ b/internal/gateway/stream_records.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 )
@@ -86,6 +87,13 @@
 	s.history.Observe(time.Now(), versions)
 }
 
+// sawServer records that a server is there, also one that is gone at the next observation.
+func (s *streamVersions) sawServer(server backend.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Saw(time.Now(), streamversion.Of(server))
+}
+
 // add records the version that began a stream.
 func (s *streamVersions) add(id streamversion.StreamID, v streamversion.Version) {
 	s.mu.Lock()
@@ -122,9 +130,10 @@
 
 // served returns which versions of a service have served within the life of a stream.
 func (s *streamVersions) served(service uint32, life time.Duration) streamversion.Served {
+	covered := s.view().ServersCoverage.Covers(boottime.Now(), life)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.history.Served(time.Now(), service, life)
+	return s.history.Served(time.Now(), service, life, covered)
 }
 
 // query asks other gateways for the version of a stream, until one has a record of it, all
@@ -213,6 +222,9 @@
 }
 
 // ServedVersions returns which versions have served, for another gateway.
-func (g *Gateway) ServedVersions(service uint32, life time.Duration) streamversion.Served {
-	return g.streams.served(service, life)
+func (g *Gateway) ServedVersions(q streamversion.Query) streamversion.Served {
+	if q.Era != g.directory.View().StoreEra {
+		return streamversion.Served{}
+	}
+	return g.streams.served(q.Service, q.Life)
 }
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/pause"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
@@ -71,6 +72,7 @@
 	s := c.gateway.streams
 	query := streamversion.Query{
 		Stream: c.streamID(), Service: streamversion.HashOf(c.service.Name), Life: streamversion.StreamLife(c.route.Timeout),
+		Era: s.view().StoreEra,
 	}
 	if v, ok := s.known(query.Stream); ok {
 		return v, versionRecorded
@@ -78,6 +80,7 @@
 	s.observe()
 	served := s.served(query.Service, query.Life)
 	var certain map[streamversion.Version]bool
+	asked := boottime.Now()
 	if c.request.BegunBy != "" || !served.Complete {
 		began := time.Now()
 		certain = s.query(c.ctx, query).certain
@@ -90,7 +93,9 @@
 		return streamversion.Version{}, versionUnknown
 	}
 	served = s.served(query.Service, query.Life)
-	served.Complete = served.Complete || certain[served.Version]
+	// What another gateway is certain of ends with its answer.
+	continued := s.view().ServersCoverage.Since <= asked
+	served.Complete = served.Complete || (certain[served.Version] && continued)
 	if !served.Certain() {
 		return streamversion.Version{}, versionUnknown
 	}
@@ -188,9 +193,12 @@
 
 // logStreamVersion adds what is known of the stream to the log line of the request.
 func (c *call) logStreamVersion(fields log.Fields) {
-	if c.trace.versionSource != "" {
+	if c.takesUp() {
 		fields["resumed_after"], fields["begun_by"] = c.request.LastEventID, c.request.BegunBy
+	}
+	if c.trace.versionSource != "" {
 		fields["stream_version"], fields["version_source"] = c.versionName(), string(c.trace.versionSource)
+		fields["servers_covered_ms"] = c.gateway.directory.View().ServersCoverage.Span(boottime.Now()).Milliseconds()
 	}
 }
 
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -228,6 +228,29 @@
 	Expect(runCount(other)).To(BeZero())
 }
 
+// Guards against a stream of two versions at a gateway that was out of step: while it did not
+// reach the store, a server of another version came, began the stream through another gateway
+// and left.
+func TestStreamBegunWhileTheGatewayWasOutOfStepIsNotTakenUpAtAnotherVersion(t *testing.T) {
+	f, decode, _ := newSilenceFixture(t, enoughSlack, 1, 0)
+	takeUp := func(id string) int {
+		return f.send(http.MethodPost, "/stream-again/x", id, append(silencePrompt, "Last-Event-Id", "1", "Resumes", "begun-"+id)...).status
+	}
+	// No other version can have begun a stream within its longest life.
+	Eventually(func() int { return takeUp("before-" + strconv.FormatInt(time.Now().UnixNano(), 10)) }, 15*time.Second, 500*time.Millisecond).Should(Equal(http.StatusOK))
+	runs := runCount(decode[0])
+	f.store.SetFaults(objectstore.Faults{Unavailable: true})
+	other := runner.New("d-other", "decode")
+	other.Version = "v2"
+	f.store.Put("servers", other.ID, other.Registration("llm", "127.0.0.1:9", "z", "ready"))
+	time.Sleep(3 * time.Second)
+	f.store.Remove("servers", other.ID)
+	f.store.SetFaults(objectstore.Faults{})
+	Eventually(f.dir.StoreUnreachable).Should(BeFalse())
+	Expect(takeUp("after")).To(Equal(http.StatusServiceUnavailable))
+	Expect(runCount(decode[0])).To(Equal(runs))
+}
+
 // Guards against streams of two versions from plain services, whose routes may be resumed too.
 func TestStreamOfAPlainServiceIsTakenUpAtTheVersionThatBeganIt(t *testing.T) {
 	f, _, desk := newSilenceFixture(t, enoughSlack, 0, 1)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -95,7 +95,7 @@
 	RecordedStreamVersion(id streamversion.StreamID) (streamversion.Version, bool)
 	// ServedVersions returns which versions of a service have served within the life of a
 	// stream.
-	ServedVersions(service uint32, life time.Duration) streamversion.Served
+	ServedVersions(q streamversion.Query) streamversion.Served
 }
 
 // Peers exchanges announcements with the other gateways.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -211,7 +211,7 @@
 	r.served = s
 }
 
-func (r *recorder) ServedVersions(uint32, time.Duration) streamversion.Served {
+func (r *recorder) ServedVersions(streamversion.Query) streamversion.Served {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.served
--- a/internal/peers/streams.go
+++ b/internal/peers/streams.go
@@ -29,7 +29,7 @@
 // QueryStreamVersion implements gateway.Gossip.
 func (p *Peers) QueryStreamVersion(q streamversion.Query) (asked int) {
 	to := p.gatewaysFor(q.Stream, queriedReplicas)
-	m := &wire.StreamQuery{Stream: uint64(q.Stream), Service: q.Service, LifeMs: uint32(max(0, q.Life.Milliseconds()))}
+	m := &wire.StreamQuery{Stream: uint64(q.Stream), Service: q.Service, LifeMs: uint32(max(0, q.Life.Milliseconds())), Era: int64(q.Era)}
 	p.sendNow(&wire.Share{StreamQueries: []*wire.StreamQuery{m}}, to)
 	return len(to)
 }
@@ -99,7 +99,8 @@
 			continue
 		}
 		unknown := &wire.UnknownStream{Stream: m.Stream, Service: m.Service}
-		if served := p.receiver.ServedVersions(m.Service, time.Duration(m.LifeMs)*time.Millisecond); served.Certain() {
+		query := streamversion.Query{Stream: id, Service: m.Service, Life: time.Duration(m.LifeMs) * time.Millisecond, Era: decodeEra(m.Era)}
+		if served := p.receiver.ServedVersions(query); served.Certain() {
 			unknown.Single = &served.Version.Software
 		}
 		answer.UnknownStreams = append(answer.UnknownStreams, unknown)
