Server objects: one that cannot be read costs that object only

Callers saw (report): another writer left one odd entry among those of the servers, nested very deeply, with a number too large or a port out of range; gateways no longer followed the list.

Cause: package encoding/json decoded a whole list or watch of the store at once. A value that is nested more than 10,000 deep, or has bytes that are no text, made it reject the answer: no sound server beside it was known, at any gateway, for as long as the entry stood, and a new gateway was never ready. Numbers were not checked: a capacity of 1e300 became a number that depends on the processor, -5 stayed -5, a port of 99999 or none counted as an address. The name of an object went into a header of requests as it was.

Objects that cannot be decoded are logged once for each revision (also those of gateways and of usage reports), counted and named in the dump.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -70,6 +70,8 @@
 	eras *store.Eras
 
 	failures, compactions, earlyEnds, wentBack, restorations metrics.Counter
+	// invalid is the number of server objects that cannot be decoded.
+	invalid metrics.Gauge
 }
 
 // New returns a Directory with an empty View.
@@ -91,6 +93,7 @@
 
 		eras:         store.ErasOf(s),
 		restorations: metrics.GetOrRegisterCounter("directory.store_restorations", nil),
+		invalid:      metrics.GetOrRegisterGauge("directory.server_objects_invalid", nil),
 	}
 	dir.state.onServer = func(s backend.Server) {
 		if dir.OnServer != nil {
@@ -280,6 +283,7 @@
 	}
 	invariant.Check(!before.Config().newerThan(v.Config()), "configuration-forward", "%+v after %+v", v.Config(), before.Config())
 	d.view.Store(v)
+	d.invalid.Update(int64(len(v.Invalid)))
 	if changed && d.OnChange != nil {
 		d.OnChange(v)
 	}
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -2,8 +2,11 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/routes"
@@ -147,6 +150,7 @@
 	s.recordRevision(e.Object)
 	delete(s.reappeared, name)
 	if e.Removed {
+		delete(s.malformed, name)
 		if !seen {
 			// The server has come and gone without a trace of its properties.
 			s.view.ServersCoverage.Break(boottime.Now())
@@ -194,6 +198,7 @@
 	if err != nil {
 		_, known := s.view.Servers[o.Name]
 		delete(s.view.Servers, o.Name)
+		err = eris.Wrapf(err, "revision %d", o.Revision)
 		if s.malformed[o.Name] == o.Revision {
 			err = nil
 		}
@@ -342,6 +347,7 @@
 func (s *state) snapshotWithServersOf(before *View) *View {
 	v := s.view
 	v.Servers, v.byService = before.Servers, before.byService
+	v.Invalid = slices.Sorted(maps.Keys(s.malformed))
 	return &v
 }
 
@@ -349,6 +355,7 @@
 func (s *state) snapshot() *View {
 	v := s.view
 	v.Servers = maps.Clone(s.view.Servers)
+	v.Invalid = slices.Sorted(maps.Keys(s.malformed))
 	v.index()
 	return &v
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -38,6 +38,8 @@
 	ServersCoverage Coverage
 	// Servers are all servers with a valid object, by ID.
 	Servers map[string]backend.Server
+	// Invalid are the names of the server objects that cannot be decoded, in order.
+	Invalid []string
 
 	byService map[string][]backend.Server
 }
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -26,6 +26,9 @@
 	Gateways     int               `json:"entries"`
 	RetryBudgets []RetryBudgetDump `json:"retry_budgets"`
 	Servers      []ServerDump      `json:"servers"`
+	// InvalidServers are names of objects of servers that cannot be decoded and are not used,
+	// maxInvalidDumped at most.
+	InvalidServers []string `json:"invalid_servers,omitempty"`
 	// ClientKeys is the number of API keys that the configuration has.
 	ClientKeys int `json:"client_keys"`
 	// AccountShares is the usage of client accounts by service, absent if they have no shares.
@@ -115,6 +118,9 @@
 	Share float64 `json:"part"`
 }
 
+// maxInvalidDumped limits Dump.InvalidServers.
+const maxInvalidDumped = 32
+
 // Dump returns the state of the gateway.
 func (g *Gateway) Dump(now time.Time) Dump {
 	v := g.directory.View()
@@ -144,6 +150,7 @@
 	if g.usage != nil {
 		d.Usage = dumpUsage(now, g.usage)
 	}
+	d.InvalidServers = v.Invalid[:min(len(v.Invalid), maxInvalidDumped)]
 	for _, s := range v.Servers {
 		d.Servers = append(d.Servers, g.dumpServer(now, s))
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -119,6 +119,9 @@
 	// startedAt, when the process started, or handed over by a gateway whose list is complete.
 	listComplete bool
 	startedAt    time.Duration
+	// invalid has the positions of the objects of gateways that cannot be decoded. Only
+	// Register uses it.
+	invalid map[string]store.Position
 	// firstProcess says that this process created the gateway's object.
 	firstProcess bool
 	// registered says that this process has stored its address once.
@@ -177,6 +180,7 @@
 		receiver:  r,
 		delays:    newDelayEstimator(),
 		others:    make(map[string]netip.AddrPort),
+		invalid:   make(map[string]store.Position),
 		recent:    newRecentLists(),
 		sent:      metrics.GetOrRegisterCounter("peers.datagrams_sent", nil),
 		received:  metrics.GetOrRegisterCounter("peers.datagrams_received", nil),
--- a/internal/peers/register.go
+++ b/internal/peers/register.go
@@ -102,7 +102,7 @@
 	for _, o := range l.Objects {
 		address, err := decodeRegistration(o)
 		if err != nil {
-			log.WithField("object", o.Name).WithField("error", err.Error()).Warn("gateway object is invalid, ignored")
+			p.logInvalid(o, err)
 			continue
 		}
 		gateways[o.Name] = address
@@ -114,6 +114,15 @@
 	p.setPeers(p.recent.add(now, gateways), now-p.startedAt >= listSettleTime)
 }
 
+// logInvalid logs an object that cannot be decoded, once for each of its revisions.
+func (p *Peers) logInvalid(o store.Object, err error) {
+	if p.invalid[o.Name] == o.Position() {
+		return
+	}
+	p.invalid[o.Name] = o.Position()
+	log.WithFields(log.Fields{"object": o.Name, "revision": o.Revision, "error": err.Error()}).Warn("gateway object is invalid, ignored")
+}
+
 func decodeRegistration(o store.Object) (netip.AddrPort, error) {
 	var r registration
 	if err := json.Unmarshal(o.Spec, &r); err != nil {
--- a/internal/usage/report/report.go
+++ b/internal/usage/report/report.go
@@ -103,6 +103,8 @@
 	// since eraSince.
 	recordEra, era store.Era
 	eraSince       time.Duration
+	// undecodable is the position of an object that could not be decoded.
+	undecodable store.Position
 	// doubtful is the last window that may have been reported although record lacks it. It
 	// is used while no gateway has written the record in recordEra.
 	doubtful usage.Window
@@ -245,7 +247,10 @@
 	}
 	var value record
 	if err := json.Unmarshal(o.Spec, &value); err != nil {
-		log.WithField("error", err.Error()).WithField("revision", o.Revision).Error("object with the usage reports cannot be decoded")
+		if r.undecodable != o.Position() {
+			r.undecodable = o.Position()
+			log.WithField("error", err.Error()).WithField("revision", o.Revision).Error("object with the usage reports cannot be decoded")
+		}
 		return false
 	}
 	r.record, r.revision, r.recordEra, r.lastChange = value, o.Revision, o.Era, r.config.Clock()
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -287,6 +287,7 @@
 // which version a gateway has applied.
 func (env *environment) writeConfig() {
 	env.version++
+	env.writeMalformedServers()
 	route := func(name, prefix, kind, service string, attempts int, model, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "hostname": "h.example", "pathPrefix": prefix, "routeType": kind, "timeoutMs": env.timeouts.newest().Milliseconds(),
--- a/test/soakproc/returns.go
+++ b/test/soakproc/returns.go
@@ -37,6 +37,11 @@
 	if err != nil {
 		panic(err)
 	}
+	env.putRaw(kind, name, data)
+}
+
+// putRaw is like put for a value that need not be valid.
+func (env *environment) putRaw(kind, name string, data []byte) {
 	env.written.mu.Lock()
 	defer env.written.mu.Unlock()
 	env.written.specs[[2]string{kind, name}] = data
--- a/test/standin/objectstore/objectstore.go
+++ b/test/standin/objectstore/objectstore.go
@@ -207,7 +207,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if answer != nil {
-		_ = json.NewEncoder(w).Encode(answer)
+		_, _ = w.Write(encode(answer))
 	}
 }
 
