--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
 	"pistachioroad.dev/pistachioroad/test/standin/runner"
 )
@@ -251,6 +252,16 @@
 	Expect(runCount(decode[0])).To(Equal(runs))
 }
 
+// Guards against a gateway that vouches for a time in which the store came back without servers
+// that the asking gateway does not know.
+func TestGatewayStatesNoVersionToOneThatKnowsAnotherEra(t *testing.T) {
+	f, _, _ := newSilenceFixture(t, enoughSlack, 1, 0)
+	query := streamversion.Query{Service: streamversion.HashOf("llm")}
+	Eventually(func() bool { return f.gateway.ServedVersions(query).Certain() }).Should(BeTrue())
+	query.Era = 1
+	Expect(f.gateway.ServedVersions(query)).To(Equal(streamversion.Served{}))
+}
+
 // Guards against streams of two versions from plain services, whose routes may be resumed too.
 func TestStreamOfAPlainServiceIsTakenUpAtTheVersionThatBeganIt(t *testing.T) {
 	f, _, desk := newSilenceFixture(t, enoughSlack, 0, 1)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -67,6 +67,7 @@
 	// unknownAt are the gateways that had no record of a stream, with what they knew of its
 	// service, and served is what this one knows.
 	unknownAt map[uint32]streamversion.Served
+	query     streamversion.Query
 	served    streamversion.Served
 }
 
@@ -211,9 +212,10 @@
 	r.served = s
 }
 
-func (r *recorder) ServedVersions(streamversion.Query) streamversion.Served {
+func (r *recorder) ServedVersions(q streamversion.Query) streamversion.Served {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.query = q
 	return r.served
 }
 
--- a/internal/peers/streams_test.go
+++ b/internal/peers/streams_test.go
@@ -4,9 +4,11 @@
 	"maps"
 	"net/netip"
 	"strconv"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/peers"
@@ -60,6 +62,18 @@
 		}
 	})
 
+	It("are asked for with the life of the stream and the store's era", func() {
+		q := streamversion.Query{Stream: 5, Service: 1, Life: 12 * time.Second, Era: 3}
+		Expect(all[0].QueryStreamVersion(q)).To(BeNumerically(">", 0))
+		Eventually(func() []streamversion.Query {
+			return lo.Map(lo.Values(recorders), func(r *recorder, _ int) streamversion.Query {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return r.query
+			})
+		}).Should(ContainElement(q))
+	})
+
 	// Guards against records that are not found because their gateways no longer have the
 	// first ranks.
 	It("are found after a gateway has joined", func() {
