--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -262,6 +263,44 @@
 	Expect(f.gateway.ServedVersions(query)).To(Equal(streamversion.Served{}))
 }
 
+// Guards against streams of two versions after all gateways were killed at once during a
+// release: nobody knows where the streams began, and both versions serve or the old one has left.
+func TestStreamsAreNotJoinedFromTwoVersionsAfterAllGatewaysWereKilled(t *testing.T) {
+	for name, oldLeaves := range map[string]bool{"both versions serve": false, "the old version has left": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newVersionFixture(t)
+			const streams = 12
+			begun, old := make([]string, streams), ""
+			for n := range streams {
+				begun[n] = f.begin(f.gateways[n%4], "b"+strconv.Itoa(n))
+				old = begun[0]
+			}
+			for n := range f.gateways {
+				f.gateways[n].kill()
+			}
+			for _, e := range f.engines {
+				if oldLeaves && e.Version == old {
+					f.store.Remove("servers", e.ID)
+				}
+			}
+			for n := range f.gateways {
+				f.gateways[n] = f.startGateway(n)
+			}
+			f.waitFor("gateways know each other and the engines", func() bool {
+				return !slices.ContainsFunc(f.gateways, func(g *testGateway) bool {
+					return len(g.dir.View().Servers) == 0 || g.peers.GatewayCount() != 4
+				})
+			})
+			for n, version := range begun {
+				status, _, got := f.takeUp(f.gateways[(n+1)%4], fmt.Sprintf("t%d", n), "b"+strconv.Itoa(n))
+				if got != "" && got != version {
+					t.Errorf("b%d: status %d, begun at %s, taken up at %q", n, status, version, got)
+				}
+			}
+		})
+	}
+}
+
 // Guards against streams of two versions from plain services, whose routes may be resumed too.
 func TestStreamOfAPlainServiceIsTakenUpAtTheVersionThatBeganIt(t *testing.T) {
 	f, _, desk := newSilenceFixture(t, enoughSlack, 0, 1)
