--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -67,7 +67,7 @@
 	boot  time.Duration
 }
 
-func present() moment { return moment{clock: time.Now(), boot: boottime.Now()} }
+func currentMoment() moment { return moment{clock: time.Now(), boot: boottime.Now()} }
 
 // until returns the moment at a later reading of the monotonic clock. A suspension since m is
 // not counted.
@@ -179,7 +179,7 @@
 	if f.era != d.eras.Newest() {
 		return d.list(ctx, f)
 	}
-	sent := present()
+	sent := currentMoment()
 	batch, err := d.store.Watch(ctx, f.kind, f.revision, watchWait)
 	if err != nil {
 		return err
@@ -223,7 +223,7 @@
 
 // list reads and applies all objects of a kind.
 func (d *Directory) list(ctx context.Context, f *follower) error {
-	sent := present()
+	sent := currentMoment()
 	l, err := d.store.List(ctx, f.kind, store.Linearizable)
 	if err != nil {
 		return err
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -240,7 +240,7 @@
 	if f.markSynced == nil || f.era != d.eras.Newest() {
 		return d.list(ctx, f)
 	}
-	sent := present()
+	sent := currentMoment()
 	watching, stop := context.WithTimeout(ctx, catchUpTimeout)
 	defer stop()
 	batch, err := d.store.Watch(watching, f.kind, f.revision, catchUpWait)
