Usage reports: windows that are left out although the copy has their report are logged and counted too

Cause: leaveOut also drops reports of the copy that are not known to be accepted, but only the windows after the copy's last one were in the log line and the counter: an operator could not see the others. Both have them now. Two reasons that stood in comments are back: other versions may have served before a process started; without reports, the present window is the first one.

--- a/internal/decide/streamversion/history.go
+++ b/internal/decide/streamversion/history.go
@@ -17,7 +17,8 @@
 	left    map[Version]time.Time
 }
 
-// NewHistory returns an empty History.
+// NewHistory returns the empty History of a process that starts. Other versions may have
+// served before.
 func NewHistory() *History {
 	return &History{left: make(map[Version]time.Time)}
 }
--- a/internal/usage/report/record.go
+++ b/internal/usage/report/record.go
@@ -94,9 +94,18 @@
 	r.Recent = r.Recent[max(0, len(r.Recent)-maxRecent):]
 }
 
-// leaveOut gives up all windows up to the given one that are not known to be accepted. They
-// are not reported any more.
-func (r *record) leaveOut(through usage.Window) {
+// leaveOut gives up all windows up to the given one that are not known to be accepted, and
+// returns the first of them and how many they are. They are not reported any more.
+func (r *record) leaveOut(through usage.Window) (first usage.Window, count int64) {
+	first = r.SettledThrough + 1
+	count = max(0, int64(through-r.SettledThrough))
+	for _, s := range r.Reports {
+		if !s.Sent {
+			first = min(first, s.Window)
+			count++
+		}
+	}
 	r.SettledThrough = max(r.SettledThrough, through)
 	r.Reports = slices.DeleteFunc(r.Reports, func(s settled) bool { return !s.Sent })
+	return first, count
 }
--- a/internal/usage/report/report.go
+++ b/internal/usage/report/report.go
@@ -337,23 +337,28 @@
 	next := r.record.clone()
 	switch {
 	case r.recordEra == 0 && r.revision == 0:
+		// There are no reports yet: the present window is the first one.
 		next.SettledThrough = r.currentWindow() - 1
 	case r.unchangedFor() >= r.config.Alternation+alternationMargin:
 		next.Recent = nil
 	default:
 		next.followedBy(r.config.Holder)
 	}
-	if r.ofEarlierEra() {
-		next.leaveOut(r.doubtful)
+	var firstLeftOut usage.Window
+	var leftOut int64
+	switch {
+	case r.ofEarlierEra() && r.revision == 0:
+		next.SettledThrough = r.doubtful
+	case r.ofEarlierEra():
+		firstLeftOut, leftOut = next.leaveOut(r.doubtful)
 	}
-	settledThrough, found := r.record.SettledThrough, r.revision != 0
 	next.Released = false
 	if !r.write(ctx, next) {
 		return
 	}
-	if found && next.SettledThrough > settledThrough {
-		r.leftOut.Inc(int64(next.SettledThrough - settledThrough))
-		log.WithFields(log.Fields{"from": int64(settledThrough + 1), "to": int64(next.SettledThrough), "era": int64(r.recordEra)}).
+	if leftOut > 0 {
+		r.leftOut.Inc(leftOut)
+		log.WithFields(log.Fields{"from": int64(firstLeftOut), "to": int64(next.SettledThrough), "windows": leftOut, "era": int64(r.recordEra)}).
 			Warn("usage of windows left out, it may have been reported before the store came back from a copy")
 	}
 	r.holding, r.fence = true, store.Position{Era: r.recordEra, Revision: r.revision}.Token()
