Log and count each request that ends without a whole answer, by its reason

A request cut by the end of the process had no line, "shut down complete=false" said neither how many nor which requests, and all aborted requests shared one counter. Change: the gateway lists its open requests; those that the end of the process cuts have a line each, and "shut down" their number. Lines of aborted requests say the ending, with a counter for each (caller_too_slow becomes ending=caller_slow). No decision is changed. The test of HTTP/1.0 resets passed through a nil pointer in place of the interrupted answer; it now has a forwarder.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,6 +71,7 @@
 	o.Server = server
 	o.Remaining = c.remaining()
 	c.trace.server = server.ID
+	c.listSend(server)
 	c.beginOpen(server, request.FullRequest)
 	if !c.usesEngines() {
 		c.countRun(time.Now())
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pistachioroad.dev/pistachioroad/internal/limitlistener"
+	"pistachioroad.dev/pistachioroad/internal/readahead"
 )
 
 const callerRequest = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
@@ -498,10 +499,13 @@
 		t.Fatal(err)
 	}
 	server := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		c := &call{writer: &callerWriter{ResponseWriter: w, stopping: &atomic.Bool{}}}
+		c := &call{
+			gateway: &Gateway{answers: readahead.New(readahead.Limits{Total: 1 << 20})}, callerCtx: context.Background(),
+			writer: &callerWriter{ResponseWriter: w, stopping: &atomic.Bool{}},
+		}
 		source := iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("id: 1\n\n")))
 		if err := c.copyBody(source); err != nil {
-			c.abort(err.Error())
+			c.abort(serverBroke, err.Error())
 		}
 	}))
 	go func() { _ = server.Serve(newCallerConns().listen(l)) }()
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -58,6 +58,12 @@
 	delete(c.open, conn)
 }
 
+func (c *callerConns) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 // closeExpired closes the connections that have been idle for longer than their idle
 // timeout. configured is the configured timeout. Callers may rely on the previous one
 // until it has been out of force for noticeTime.
--- a/internal/gateway/failed_answer.go
+++ b/internal/gateway/failed_answer.go
@@ -68,7 +68,7 @@
 	c.headSent = true
 	if err := c.copyBody(reply.Body); err != nil {
 		c.breakAnswer(engine)
-		c.abort("response from the engine interrupted: " + err.Error())
+		c.abort(c.interruption(), "response from the engine interrupted: "+err.Error())
 	}
 	c.finishAnswer(engine, reply)
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	// usage counts the requests of client accounts, nil if they are not counted.
 	usage *usage.Counter
 
+	calls    *openCalls
 	stopping atomic.Bool
 }
 
@@ -114,6 +115,7 @@
 		statements:   s,
 		loads:        newLoadReports(e, plain),
 		streams:      newStreamVersions(c.Directory.View),
+		calls:        newOpenCalls(),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
 	g.health = serverhealth.New(func(o []serverhealth.Outcome, urgent bool) { g.engines.gossip.AnnounceOutcomes(o, urgent) })
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,6 +51,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	c := &call{gateway: g, writer: &callerWriter{ResponseWriter: w, stopping: &g.stopping}, received: now, id: g.codec.RequestID(r.Header)}
+	c.listed = g.calls.add(c.id, now)
+	defer g.calls.remove(c.listed)
 	defer c.logRequest()
 	defer c.settleRetries()
 	defer c.leaveOpenAttempts()
@@ -95,11 +97,13 @@
 	id       string
 	received time.Time
 	deadline time.Time
-	view     *directory.View
-	route    routes.Route
-	service  routes.Service
-	request  request.Request
-	auth     authResult
+	// listed is the call's entry in the list of open calls.
+	listed  *openCall
+	view    *directory.View
+	route   routes.Route
+	service routes.Service
+	request request.Request
+	auth    authResult
 	// counted is set while the request is counted for its client account, as usageMark.
 	counted           bool
 	usageMark         usage.Mark
@@ -175,6 +179,7 @@
 		return false
 	}
 	c.route = route
+	g.calls.update(func() { c.listed.route = route.Name })
 	req, err := g.codec.ParseRequest(r, c.received)
 	if err != nil {
 		c.respondError(http.StatusBadRequest, verdict.New(verdict.NotRun, verdict.CodeBadRequest, err.Error()))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,8 +12,9 @@
 // recordMetrics updates the metrics for a finished request.
 func (g *Gateway) recordMetrics(c *call) {
 	metrics.GetOrRegisterCounter("gateway.requests.status_"+strconv.Itoa(c.trace.status), nil).Inc(1)
-	if c.trace.aborted {
+	if c.trace.ending != "" {
 		metrics.GetOrRegisterCounter("gateway.requests.aborted", nil).Inc(1)
+		c.trace.ending.count()
 	}
 	if c.trace.code != "" {
 		metrics.GetOrRegisterCounter("gateway.errors."+string(c.trace.code), nil).Inc(1)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -64,7 +64,7 @@
 		}
 	}
 	if c.headSent {
-		c.abort(last.Message)
+		c.abort(notContinued, last.Message)
 	}
 	c.fail(last)
 }
@@ -226,6 +226,7 @@
 		return "", nil, c.retryBudgetError()
 	}
 	c.prefillAttempts++
+	c.listSend(prefillEngine)
 	c.arrivals.Begin(retry.Prefill)
 	c.beginOpen(prefillEngine, request.PrefillOnly)
 	o := request.Options{Server: prefillEngine, Remaining: c.remaining(), Stage: request.PrefillOnly, Priority: c.priority}
@@ -403,7 +404,7 @@
 	if !c.route.Resumable {
 		if err := c.copyBody(source); err != nil {
 			c.breakAnswer(decodeEngine)
-			c.abort("stream from the engine interrupted: " + err.Error())
+			c.abort(c.interruption(), "stream from the engine interrupted: "+err.Error())
 		}
 		return nil
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -263,7 +263,7 @@
 			outcome = nil
 		}
 		c.breakAnswer(server)
-		c.abort("response from the backend server interrupted: " + err.Error())
+		c.abort(c.interruption(), "response from the backend server interrupted: "+err.Error())
 	}
 	c.finishAnswer(server, reply)
 }
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -48,13 +48,12 @@
 	// plannedAfter is the time from the receipt of the request to the last plan.
 	plannedAfter time.Duration
 	// events counts the stream events that were forwarded.
-	events  int
-	bytes   int64
-	aborted bool
-	// readAhead is the most memory that was reserved because the caller read slowly, and
-	// tooSlow is set if the answer was aborted because there was no more.
+	events int
+	bytes  int64
+	// ending is why the request ended without a whole answer, if it did.
+	ending ending
+	// readAhead is the most memory that was reserved because the caller read slowly.
 	readAhead int64
-	tooSlow   bool
 	// unframed is set if a response of a server had neither a length nor chunks.
 	unframed bool
 	// silent are the servers that sent no data for silenceTimeout.
@@ -86,7 +85,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	c.writer.WriteHeader(status)
 	if _, err := c.writer.Write(body); err != nil {
-		c.trace.aborted = true
+		c.trace.ending = callerUnreachable
 	}
 }
 
@@ -102,9 +101,8 @@
 // and 504 promise nothing.
 func (c *call) fail(e *verdict.Error) {
 	if c.callerCtx.Err() != nil {
-		c.trace.code, c.trace.message = verdict.CodeCancelled, "caller disconnected"
-		c.trace.aborted = true
-		panic(http.ErrAbortHandler)
+		c.trace.code = verdict.CodeCancelled
+		c.abort(callerLeft, "caller disconnected")
 	}
 	if c.verdict == verdict.NotRun {
 		c.respondError(http.StatusServiceUnavailable, verdict.NewRejection(e.Code, e.Message, max(minRetryAfter, e.RetryAfter)))
@@ -132,6 +130,7 @@
 		h.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
 	c.trace.status = reply.Status
+	c.gateway.calls.update(func() { c.listed.headSent = true })
 	c.writer.WriteHeader(reply.Status)
 }
 
@@ -145,10 +144,9 @@
 	case errors.Is(err, readahead.ErrTooSlow):
 		// A reset also frees what the kernel holds for the caller.
 		closeframed.Reset(c.callerCtx)
-		c.trace.tooSlow = true
-		c.abort(err.Error())
+		c.abort(callerSlow, err.Error())
 	case errors.Is(err, readahead.ErrWrite):
-		c.abort(err.Error())
+		c.abort(callerUnreachable, err.Error())
 	}
 	return err
 }
@@ -189,9 +187,8 @@
 
 // abort closes the caller's connection, so that a truncated response is not taken
 // for a complete one.
-func (c *call) abort(why string) {
-	c.trace.aborted = true
-	c.trace.message = why
+func (c *call) abort(e ending, why string) {
+	c.trace.ending, c.trace.message = e, why
 	panic(http.ErrAbortHandler)
 }
 
@@ -264,9 +261,6 @@
 	if c.trace.readAhead > 0 {
 		fields["read_ahead_bytes"] = c.trace.readAhead
 	}
-	if c.trace.tooSlow {
-		fields["caller_too_slow"] = true
-	}
 	if c.trace.unframed {
 		fields["unframed"] = true
 	}
@@ -283,8 +277,8 @@
 	if c.trace.message != "" {
 		fields["error"] = c.trace.message
 	}
-	if c.trace.aborted {
-		fields["aborted"] = true
+	if c.trace.ending != "" {
+		fields["aborted"], fields["ending"] = true, string(c.trace.ending)
 	}
 	log.WithFields(fields).Info("request")
 	c.gateway.recordMetrics(c)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -84,13 +84,15 @@
 func (g *Gateway) shutDown(listener net.Listener, served <-chan error, conns *callerConns) error {
 	began := time.Now()
 	g.stopping.Store(true)
-	log.Info("shutting down, readiness is off")
+	log.WithFields(log.Fields{"open_requests": g.calls.count(), "connections": conns.count()}).Info("shutting down, readiness is off")
 	time.Sleep(balancerLag)
 	grace := g.deployment.Load().Bounds.GracePeriod - graceMargin - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, grace))
 	defer cancel()
 	complete, err := conns.shutDown(ctx, listener, served)
-	log.WithField("complete", complete).Info("shut down")
+	log.WithFields(log.Fields{
+		"complete": complete, "cut_requests": g.calls.logCut(time.Now()), "connections": conns.count(),
+	}).Info("shut down")
 	return err
 }
 
