Failing test: a request late in a graceful stop is cut by the end of the process

What callers see: on a connection whose answer began before the stop, the next request is passed on to a server 4.4 s after SIGTERM, and the process ends 3.2 s later with the request open.

--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,116 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"pistachioroad.dev/pistachioroad/internal/deployment"
+	"pistachioroad.dev/pistachioroad/internal/readahead"
+	"pistachioroad.dev/pistachioroad/test/standin/runner"
+)
+
+// stopFixture is a gateway that serves callers at an address of its own until it is stopped.
+type stopFixture struct {
+	*fixture
+	address string
+	// stop begins the graceful shutdown, and stopped is closed when the process would end.
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+// newStopFixture returns a gateway with one plain server and one engine.
+func newStopFixture(t *testing.T) (f *stopFixture, server, engine *runner.BackendServer) {
+	t.Helper()
+	RegisterTestingT(t)
+	free, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f = &stopFixture{
+		fixture: startFixtureWith(100, t.Cleanup, readahead.Limits{}), address: free.Addr().String(), stopped: make(chan struct{}),
+	}
+	Expect(free.Close()).To(Succeed())
+	f.gateway.Reload(deployment.Deployment{
+		Name: "f-1", DataCentre: "z", CallerAddress: f.address, MaxFileDescriptors: 2000, MaxMemoryBytes: 64 << 20,
+		Bounds: deployment.Bounds{RetryShare: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, GracePeriod: 8 * time.Second},
+	})
+	f.store.PutRaw("config", "main", []byte(strings.NewReplacer("%VERSION%", "1", `"timeoutMs":2000`, `"timeoutMs":6000`).Replace(configuration)))
+	server, engine = f.add("plain", runner.New("i-plain", "")), f.add("llm", runner.New("i-engine", "decode"))
+	f.followUntilKnown(2)
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	t.Cleanup(func() { stop(); <-f.stopped })
+	go func() {
+		defer close(f.stopped)
+		_ = f.gateway.Serve(ctx)
+	}()
+	Eventually(func() error {
+		c, err := net.Dial("tcp4", f.address)
+		if err == nil {
+			err = c.Close()
+		}
+		return err
+	}).Should(Succeed())
+	return f, server, engine
+}
+
+// connection is one kept connection of a caller.
+func (f *stopFixture) connection() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}}
+}
+
+// request sends a request on a kept connection. It returns an error if there is no whole answer.
+func (f *stopFixture) request(c *http.Client, target, id string) response {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.address+target, strings.NewReader("b"))
+	Expect(err).NotTo(HaveOccurred())
+	// Without GetBody, net/http does not send the request again.
+	req.GetBody, req.Host = nil, "h.example"
+	for name, value := range map[string]string{
+		"Request-Id": id, "Deadline-Ms": "6000", "Token-Count": "2000,20", "Prefix-Hash": "aa:1500,bb:500",
+	} {
+		req.Header.Set(name, value)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return response{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// Guards against a request that arrives late in a graceful stop, is passed on to a server and is
+// cut when the process ends.
+func TestRequestLateInAStopIsAnswered(t *testing.T) {
+	f, _, engine := newStopFixture(t)
+	engine.Events, engine.EventInterval = 4, 1500*time.Millisecond
+	kept := f.connection()
+	first := make(chan response, 1)
+	go func() { first <- f.request(kept, "/stream-once/1", "before") }()
+	// The head of its answer is sent before the stop, and so does not say that the
+	// connection is to be closed.
+	Eventually(engine.Runs).ShouldNot(BeEmpty())
+	time.Sleep(100 * time.Millisecond)
+	f.stop()
+	got := <-first
+	Expect(got.err).NotTo(HaveOccurred())
+	Expect(got.body).To(Equal(streamEvents("before", 1, 4)))
+	late := make(chan response, 1)
+	go func() { late <- f.request(kept, "/stream-once/1", "late") }()
+	select {
+	case got = <-late:
+	case <-f.stopped:
+		t.Fatalf("the gateway ended with a request open that a server ran %d times", runsOf(engine, "late"))
+	}
+	Expect(got.err).NotTo(HaveOccurred())
+	if got.status != http.StatusOK {
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Connection")).To(Equal("close"))
+		Expect(runsOf(engine, "late")).To(BeZero())
+	}
+}
