A stopping gateway passes on only requests that end before it does

What callers saw: a request on a connection kept over the stop was passed on late in the grace period and cut when the process ended. Cause: the time that a request may take was never compared with what is left of the grace period, and at its end the process left with its requests open. Change: internal/decide/shutdown decides from the schedule of the stop. Once the balancer has noticed the stop, a request is passed on only if its deadline lies before the end; the others get 503 not_run and Connection: close at once, as another VM serves them. While a rejected request could come back here, one that is expected to end in time (95 of 100 of its route) is passed on. Requests that are open 0.7 s before the grace period ends are ended: 502, 504 or 503 by their verdict, streams that have begun are aborted; a body that is still coming is interrupted.

--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -38,6 +38,12 @@
 	c.closeExpired(time.Now().Add(time.Hour), testIdleTimeout, testNoticeTime)
 }
 
+// shutDown stops listening and closes each connection as soon as it is not in use.
+func (c *callerConns) shutDown(ctx context.Context, l net.Listener, served <-chan error) (complete bool, err error) {
+	err = c.stopListening(l, served)
+	return c.drain(ctx), err
+}
+
 // callerServer is a server for callers that responds 204 to every request.
 type callerServer struct {
 	conns    *callerConns
@@ -231,7 +237,7 @@
 	var stopping atomic.Bool
 	for _, want := range []string{"", "close"} {
 		recorder := httptest.NewRecorder()
-		w := &callerWriter{ResponseWriter: recorder, stopping: &stopping}
+		w := &callerWriter{ResponseWriter: recorder, closing: stopping.Load}
 		stopping.Store(want != "")
 		w.WriteHeader(http.StatusNoContent)
 		if got := recorder.Result().Header.Get("Connection"); got != want {
@@ -501,7 +507,7 @@
 	server := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		c := &call{
 			gateway: &Gateway{answers: readahead.New(readahead.Limits{Total: 1 << 20})}, callerCtx: context.Background(),
-			writer: &callerWriter{ResponseWriter: w, stopping: &atomic.Bool{}},
+			writer: &callerWriter{ResponseWriter: w, closing: func() bool { return false }},
 		}
 		source := iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("id: 1\n\n")))
 		if err := c.copyBody(source); err != nil {
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -95,13 +95,12 @@
 	return len(c.open)
 }
 
-// shutDown closes the listener, whose server reports its end to served, and waits until
-// all requests have been answered. It reports whether that was before ctx was done.
-func (c *callerConns) shutDown(ctx context.Context, l net.Listener, served <-chan error) (complete bool, err error) {
-	err = l.Close()
+// stopListening closes the listener, whose server reports its end to served.
+func (c *callerConns) stopListening(l net.Listener, served <-chan error) error {
+	err := l.Close()
 	// The server has accepted its last connection once it returns.
 	<-served
-	return c.drain(ctx), err
+	return err
 }
 
 // drain closes each connection as soon as it is not in use. It reports whether all were
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -40,9 +40,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := &readDeadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
-			g := &Gateway{}
+			g := &Gateway{calls: newOpenCalls()}
 			g.bodies.limit = defaultBodyLimit
-			c := &call{gateway: g, writer: w, deadline: deadline, view: &directory.View{Table: &routes.Table{}}}
+			c := &call{gateway: g, listed: &openCall{}, writer: w, deadline: deadline, view: &directory.View{Table: &routes.Table{}}}
 			r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(tc.body))
 			if !c.setIODeadlines(r) || !c.readBody(r) {
 				t.Fatalf("responded %d", w.Code)
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -37,6 +37,8 @@
 	switch {
 	case c.callerCtx.Err() != nil:
 		return callerLeft
+	case c.endedByShutdown():
+		return processEnd
 	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
 		return deadlinePassed
 	default:
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -130,6 +130,8 @@
 	header http.Header
 	body   string
 	err    error
+	// closes is set if the response says that its connection will be closed.
+	closes bool
 }
 
 // send sends one request on a new connection. header holds names and values in turn.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
@@ -66,8 +67,10 @@
 	// usage counts the requests of client accounts, nil if they are not counted.
 	usage *usage.Counter
 
-	calls    *openCalls
-	stopping atomic.Bool
+	calls     *openCalls
+	durations *routeDurations
+	// schedule is that of the shutdown, nil before it.
+	schedule atomic.Pointer[shutdown.Schedule]
 }
 
 // Config configures a Gateway.
@@ -116,6 +119,7 @@
 		loads:        newLoadReports(e, plain),
 		streams:      newStreamVersions(c.Directory.View),
 		calls:        newOpenCalls(),
+		durations:    newRouteDurations(),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
 	g.health = serverhealth.New(func(o []serverhealth.Outcome, urgent bool) { g.engines.gossip.AnnounceOutcomes(o, urgent) })
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
@@ -50,7 +49,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	c := &call{gateway: g, writer: &callerWriter{ResponseWriter: w, stopping: &g.stopping}, received: now, id: g.codec.RequestID(r.Header)}
+	c := &call{gateway: g, writer: &callerWriter{ResponseWriter: w, closing: g.shuttingDown}, received: now, id: g.codec.RequestID(r.Header)}
 	c.listed = g.calls.add(c.id, now)
 	defer g.calls.remove(c.listed)
 	defer c.logRequest()
@@ -64,6 +63,9 @@
 	defer cancel()
 	c.ctx, c.cancel = ctx, cancel
 	c.callerCtx = r.Context()
+	if !g.calls.setEnd(c.listed, cancel) {
+		cancel()
+	}
 	c.run()
 }
 
@@ -71,12 +73,13 @@
 // down when the head of the response is sent.
 type callerWriter struct {
 	http.ResponseWriter
-	stopping *atomic.Bool
+	// closing reports whether the gateway is shutting down.
+	closing func() bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *callerWriter) WriteHeader(status int) {
-	if w.stopping.Load() {
+	if w.closing() {
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
@@ -299,6 +302,9 @@
 	if r.ContentLength == 0 {
 		return true
 	}
+	if !c.gateway.calls.setEnd(c.listed, func() { interruptRead(c.writer) }) {
+		interruptRead(c.writer)
+	}
 	var buf bytes.Buffer
 	if r.ContentLength > 0 {
 		buf.Grow(int(r.ContentLength) + bytes.MinRead)
@@ -313,6 +319,10 @@
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.endedByShutdown() {
+			c.respondError(http.StatusServiceUnavailable, verdict.NewRejection(verdict.CodeDraining, "the gateway ends before the body has come", minRetryAfter))
+			return false
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.respondError(http.StatusRequestTimeout, verdict.New(verdict.NotRun, verdict.CodeSlowBody, "the body did not come in time"))
 			return false
@@ -357,7 +367,11 @@
 
 // run serves a prepared request, unless it is quarantined.
 func (c *call) run() {
-	if rejection := c.checkQuarantine(); rejection != nil {
+	rejection := c.acceptedByShutdown()
+	if rejection == nil {
+		rejection = c.checkQuarantine()
+	}
+	if rejection != nil {
 		c.fail(rejection)
 		return
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,9 @@
 	if c.trace.code != "" {
 		metrics.GetOrRegisterCounter("gateway.errors."+string(c.trace.code), nil).Inc(1)
 	}
+	if c.attempts > 0 && c.trace.ending != callerLeft {
+		g.durations.observe(c.route.Name, time.Since(c.received))
+	}
 	kind := c.route.Kind.String()
 	metrics.GetOrRegisterTimer("gateway.total."+kind, nil).Update(time.Since(c.received))
 	if c.trace.firstByte > 0 {
--- a/internal/gateway/open_calls.go
+++ b/internal/gateway/open_calls.go
@@ -20,6 +20,8 @@
 	mu    sync.Mutex
 	calls map[*openCall]struct{}
 	gauge metrics.Gauge
+	// ending is set once all open requests have been asked to end.
+	ending bool
 }
 
 // openCall is what is known of a request while it is handled. The fields that change are
@@ -33,6 +35,9 @@
 	server string
 	// headSent is set once the head of the response has been sent.
 	headSent bool
+	// end makes the request end, and ended is set once it has been called.
+	end   func()
+	ended bool
 }
 
 func newOpenCalls() *openCalls {
@@ -43,9 +48,9 @@
 }
 
 func (o *openCalls) add(id string, received time.Time) *openCall {
-	added := &openCall{id: id, received: received}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	added := &openCall{id: id, received: received, ended: o.ending}
 	o.calls[added] = struct{}{}
 	o.gauge.Update(int64(len(o.calls)))
 	return added
@@ -73,6 +78,34 @@
 	change()
 }
 
+// setEnd sets what makes a request end. It returns false if that has been asked for already.
+func (o *openCalls) setEnd(c *openCall, end func()) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c.end = end
+	return !c.ended
+}
+
+// endAll makes all open requests end, also those that have just begun. It returns their number.
+func (o *openCalls) endAll() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ending = true
+	for c := range o.calls {
+		c.ended = true
+		if c.end != nil {
+			c.end()
+		}
+	}
+	return len(o.calls)
+}
+
+func (o *openCalls) isEnded(c *openCall) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return c.ended
+}
+
 func (o *openCalls) count() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -54,6 +54,9 @@
 	ending ending
 	// readAhead is the most memory that was reserved because the caller read slowly.
 	readAhead int64
+	// shutdownLeft is how long the process had left when the shutdown rejected the request, and
+	// expectedDuration how long requests of its route take, 0 if unknown.
+	shutdownLeft, expectedDuration time.Duration
 	// unframed is set if a response of a server had neither a length nor chunks.
 	unframed bool
 	// silent are the servers that sent no data for silenceTimeout.
@@ -104,6 +107,9 @@
 		c.trace.code = verdict.CodeCancelled
 		c.abort(callerLeft, "caller disconnected")
 	}
+	if c.endedByShutdown() {
+		e = verdict.NewRejection(verdict.CodeDraining, "ended by the shutdown of the gateway: "+e.Message, minRetryAfter)
+	}
 	if c.verdict == verdict.NotRun {
 		c.respondError(http.StatusServiceUnavailable, verdict.NewRejection(e.Code, e.Message, max(minRetryAfter, e.RetryAfter)))
 		return
@@ -270,6 +276,9 @@
 	if len(c.trace.unanswered) > 0 {
 		fields["unanswered"] = strings.Join(c.trace.unanswered, " ")
 	}
+	if c.trace.shutdownLeft != 0 {
+		fields["shutdown_left_ms"], fields["duration_ms"] = c.trace.shutdownLeft.Milliseconds(), c.trace.expectedDuration.Milliseconds()
+	}
 	c.logSkipped(fields)
 	if c.trace.code != "" {
 		fields["code"] = string(c.trace.code)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/closeframed"
@@ -17,11 +15,6 @@
 	// reservedDescriptors is the number of file descriptors set aside for files,
 	// the store and backend servers. The rest are for callers' connections.
 	reservedDescriptors = 700
-	// balancerLag is how long the load balancer may still send new connections
-	// after readiness turns false: two health checks, one a second, and a margin.
-	balancerLag = 3 * time.Second
-	// graceMargin is the part of the grace period reserved for the process to exit.
-	graceMargin = 400 * time.Millisecond
 	// idleTimeoutFactor extends the configured idle timeout of callers'
 	// connections, because a caller may use a connection until the timeout ends.
 	idleTimeoutFactor = 1.5
@@ -78,27 +71,9 @@
 	}
 }
 
-// shutDown turns readiness off, keeps the listener open for balancerLag and then
-// waits for requests in flight until the grace period ends. It does not use
-// http.Server.Shutdown, which drops requests that it has just read.
-func (g *Gateway) shutDown(listener net.Listener, served <-chan error, conns *callerConns) error {
-	began := time.Now()
-	g.stopping.Store(true)
-	log.WithFields(log.Fields{"open_requests": g.calls.count(), "connections": conns.count()}).Info("shutting down, readiness is off")
-	time.Sleep(balancerLag)
-	grace := g.deployment.Load().Bounds.GracePeriod - graceMargin - time.Since(began)
-	ctx, cancel := context.WithTimeout(context.Background(), max(0, grace))
-	defer cancel()
-	complete, err := conns.shutDown(ctx, listener, served)
-	log.WithFields(log.Fields{
-		"complete": complete, "cut_requests": g.calls.logCut(time.Now()), "connections": conns.count(),
-	}).Info("shut down")
-	return err
-}
-
 // Ready reports whether the gateway should receive requests: it is not shutting
 // down and knows the configuration and the servers.
 func (g *Gateway) Ready() bool {
 	v := g.directory.View()
-	return !g.stopping.Load() && v.Table != nil && (!v.ServersConfirmedAt.IsZero() || len(v.Servers) > 0)
+	return !g.shuttingDown() && v.Table != nil && (!v.ServersConfirmedAt.IsZero() || len(v.Servers) > 0)
 }
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
+)
+
+const (
+	// balancerLag is how long the load balancer may still send new connections
+	// after readiness turns false: two health checks, one a second, and a margin.
+	balancerLag = 3 * time.Second
+	// exitMargin is the part of the grace period reserved for the process to exit.
+	exitMargin = 400 * time.Millisecond
+	// endMargin is the time before that in which requests that are still open are ended and
+	// their callers get the answers.
+	endMargin = 300 * time.Millisecond
+)
+
+// shutDown turns readiness off, keeps the listener open while the load balancer may send
+// new connections, and then waits for requests in flight. Those that are open at the end
+// of the schedule are ended. It does not use http.Server.Shutdown, which drops requests
+// that it has just read.
+func (g *Gateway) shutDown(listener net.Listener, served <-chan error, conns *callerConns) error {
+	began := time.Now()
+	exit := began.Add(g.deployment.Load().Bounds.GracePeriod - exitMargin)
+	schedule := shutdown.New(began, exit.Add(-endMargin), balancerLag)
+	g.schedule.Store(&schedule)
+	log.WithFields(log.Fields{"open_requests": g.calls.count(), "connections": conns.count()}).Info("shutting down, readiness is off")
+	time.Sleep(time.Until(schedule.BalancedUntil))
+	err := conns.stopListening(listener, served)
+	complete := g.finishRequests(conns, schedule.End, exit)
+	log.WithFields(log.Fields{
+		"complete": complete, "cut_requests": g.calls.logCut(time.Now()), "connections": conns.count(),
+	}).Info("shut down")
+	return err
+}
+
+// finishRequests waits for open requests until end, then ends them and waits until exit. It
+// reports whether all connections were closed by then.
+func (g *Gateway) finishRequests(conns *callerConns, end, exit time.Time) bool {
+	if conns.drainUntil(end) {
+		return true
+	}
+	if ended := g.calls.endAll(); ended > 0 {
+		log.WithField("requests", ended).Warn("requests ended by the shutdown")
+	}
+	return conns.drainUntil(exit)
+}
+
+// drainUntil closes each connection as soon as it is not in use. It reports whether all were
+// closed before the given time.
+func (c *callerConns) drainUntil(t time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), t)
+	defer cancel()
+	return c.drain(ctx)
+}
+
+// shuttingDown reports whether the gateway is shutting down.
+func (g *Gateway) shuttingDown() bool { return g.schedule.Load() != nil }
+
+// acceptedByShutdown returns an error if the gateway is shutting down and the request may
+// outlast the process.
+func (c *call) acceptedByShutdown() *verdict.Error {
+	schedule := c.gateway.schedule.Load()
+	if schedule == nil {
+		return nil
+	}
+	now := time.Now()
+	expected := c.gateway.durations.long(c.route.Name)
+	if schedule.Accepts(now, shutdown.Request{Deadline: c.deadline, Expected: expected}) {
+		return nil
+	}
+	c.trace.shutdownLeft, c.trace.expectedDuration = schedule.End.Sub(now), expected
+	metrics.GetOrRegisterCounter("gateway.rejected_by_shutdown", nil).Inc(1)
+	return verdict.NewRejection(verdict.CodeDraining, "the gateway is shutting down", minRetryAfter)
+}
+
+// endedByShutdown reports whether the call has been ended because the process is about to end.
+func (c *call) endedByShutdown() bool { return c.gateway.calls.isEnded(c.listed) }
+
+// interruptRead makes a read of the request's body fail.
+func interruptRead(w http.ResponseWriter) {
+	if err := http.NewResponseController(w).SetReadDeadline(interruptDeadline); err != nil {
+		log.WithField("error", err.Error()).Debug("interrupt of a read from a caller failed")
+	}
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -26,7 +27,7 @@
 }
 
 // newStopFixture returns a gateway with one plain server and one engine.
-func newStopFixture(t *testing.T) (f *stopFixture, server, engine *runner.BackendServer) {
+func newStopFixture(t *testing.T, grace time.Duration) (f *stopFixture, server, engine *runner.BackendServer) {
 	t.Helper()
 	RegisterTestingT(t)
 	free, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -37,7 +38,7 @@
 	Expect(free.Close()).To(Succeed())
 	f.gateway.Reload(deployment.Deployment{
 		Name: "f-1", DataCentre: "z", CallerAddress: f.address, MaxFileDescriptors: 2000, MaxMemoryBytes: 64 << 20,
-		Bounds: deployment.Bounds{RetryShare: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, GracePeriod: 8 * time.Second},
+		Bounds: deployment.Bounds{RetryShare: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, GracePeriod: grace},
 	})
 	f.store.PutRaw("config", "main", []byte(strings.NewReplacer("%VERSION%", "1", `"timeoutMs":2000`, `"timeoutMs":6000`).Replace(configuration)))
 	server, engine = f.add("plain", runner.New("i-plain", "")), f.add("llm", runner.New("i-engine", "decode"))
@@ -81,13 +82,13 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	return response{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, closes: resp.Close}
 }
 
 // Guards against a request that arrives late in a graceful stop, is passed on to a server and is
 // cut when the process ends.
 func TestRequestLateInAStopIsAnswered(t *testing.T) {
-	f, _, engine := newStopFixture(t)
+	f, _, engine := newStopFixture(t, 8*time.Second)
 	engine.Events, engine.EventInterval = 4, 1500*time.Millisecond
 	kept := f.connection()
 	first := make(chan response, 1)
@@ -110,7 +111,44 @@
 	Expect(got.err).NotTo(HaveOccurred())
 	if got.status != http.StatusOK {
 		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
-		Expect(got.header.Get("Connection")).To(Equal("close"))
+		Expect(got.closes).To(BeTrue())
 		Expect(runsOf(engine, "late")).To(BeZero())
 	}
 }
+
+// Guards against a request whose connection is closed without an answer because its server is
+// silent when the grace period ends.
+func TestRequestOpenAtTheEndOfAStopIsAnswered(t *testing.T) {
+	f, server, _ := newStopFixture(t, 3*time.Second)
+	server.Silence()
+	open := make(chan response, 1)
+	go func() { open <- f.request(f.connection(), "/hold/1", "open") }()
+	Eventually(server.Held).Should(Equal(1))
+	f.stop()
+	<-f.stopped
+	var got response
+	Expect(open).To(Receive(&got))
+	Expect(got.err).NotTo(HaveOccurred())
+	Expect(got.status).To(Equal(http.StatusBadGateway))
+	Expect(got.header.Get("Pistachioroad-Verdict")).To(Equal("may_have_run"))
+	Expect(got.closes).To(BeTrue())
+}
+
+// Guards against a request whose connection is closed without an answer because its body is
+// still coming when the grace period ends.
+func TestRequestWhoseBodyComesDuringAStopIsAnswered(t *testing.T) {
+	f, server, _ := newStopFixture(t, 3*time.Second)
+	c, err := net.Dial("tcp4", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /hold/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: body\r\nDeadline-Ms: 6000\r\nContent-Length: 10\r\n\r\nhalf")
+	Expect(err).NotTo(HaveOccurred())
+	time.Sleep(100 * time.Millisecond)
+	f.stop()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	Expect(resp.Close).To(BeTrue())
+	<-f.stopped
+	Expect(server.Runs()).To(BeEmpty())
+}
