Stop: connections without a request are closed at its end; an interrupted body is no caller that left

What operators saw: complete=false though no request was open, as a connection accepted just before the listener closed waits 5 s for its first request. Cause: such connections were kept to the end of the grace period. Also, the read deadline that ends a body can reach net/http's background read if the body has just come, which looks like a caller that has left: the request would have ended without an answer. Change: they are closed when open requests are ended; a request ended by the stop is answered whatever the caller's connection looks like. Evidence: TestShutdownClosesNewConnectionsAtItsEnd failed before ('a connection without a request was left open'). The second has no test: found by reading.

--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -528,3 +528,23 @@
 		t.Errorf("%q, error %v, want a reset", data, err)
 	}
 }
+
+// Guards against a shutdown that is reported incomplete because of a connection without a request.
+func TestShutdownClosesNewConnectionsAtItsEnd(t *testing.T) {
+	s := newCallerServerFixture()
+	s.serve(t)
+	c := s.dial(t)
+	for s.conns.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := s.conns.stopListening(s.listener, s.served); err != nil {
+		t.Fatal(err)
+	}
+	g := &Gateway{calls: newOpenCalls()}
+	if !g.finishRequests(s.conns, time.Now(), time.Now().Add(time.Second)) {
+		t.Error("a connection without a request was left open")
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("error %v, want the end of the connection", err)
+	}
+}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -103,7 +103,8 @@
 // depends on whether the request may have run: 503 promises that it has not, 502
 // and 504 promise nothing.
 func (c *call) fail(e *verdict.Error) {
-	if c.callerCtx.Err() != nil {
+	// An interrupted read of the body looks like a caller that has left.
+	if c.callerCtx.Err() != nil && !c.endedByShutdown() {
 		c.trace.code = verdict.CodeCancelled
 		c.abort(callerLeft, "caller disconnected")
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -52,6 +52,8 @@
 	if ended := g.calls.endAll(); ended > 0 {
 		log.WithField("requests", ended).Warn("requests ended by the shutdown")
 	}
+	// Also those that wait for their first request.
+	conns.closeIdle(time.Now().Add(2 * newConnTimeout))
 	return conns.drainUntil(exit)
 }
 
