A request whose handling panics is answered, logged and counted

Callers saw their connection closed without an answer: net/http recovers from the panic of a handler, closes that connection and writes the stack to standard error, outside the structured log. The line of the request said nothing of it, and no counter rose. The requests of a plain service that panicked while they were sent stayed counted as open at their server, which then got fewer requests for ever.

ServeHTTP now recovers. Without a head it answers: 503 and 'not run' only if the request was sent to no server, else 502 (attempts may not have been recorded when the panic came). With a head it aborts the connection as before. The request's line has ending 'panic', an error line the bounded stack, also of a panic in the search of a hedge or in the goroutine that reads ahead, and gateway.requests.panics rises. The bookkeeping is released before the line is written. A panic of the goroutine that waits for the first server ends the search of its hedge first, which uses the call too (the race detector shows the use after the end without that).

http.ErrAbortHandler is unchanged. An invariant.Violation, which panics in tests only, is logged and passed on, so that it still cuts the request and fails its test.

The test of readahead compared the value of the panic; it now compares that and the stack.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -23,6 +23,8 @@
 	serverBroke ending = "server_broke"
 	// notContinued: a stream was broken off and no other engine could go on with it.
 	notContinued ending = "not_continued"
+	// panicked: handling the request panicked.
+	panicked ending = "panic"
 	// processEnd: the process ended before the request did.
 	processEnd ending = "process_end"
 )
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -49,14 +49,19 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	c := &call{gateway: g, writer: &callerWriter{ResponseWriter: w, closing: g.shuttingDown}, received: now, id: g.codec.RequestID(r.Header)}
+	caller := &callerWriter{ResponseWriter: w, closing: g.shuttingDown}
+	c := &call{gateway: g, writer: caller, received: now, id: g.codec.RequestID(r.Header)}
 	c.listed = g.calls.add(c.id, now)
+	// For a panic of logRequest.
+	defer c.recoverPanic(caller)
 	defer g.calls.remove(c.listed)
 	defer c.logRequest()
+	defer c.recoverPanic(caller)
 	defer c.settleRetries()
 	defer c.leaveOpenAttempts()
 	defer func() { g.bodies.release(c.reservedBodyBytes) }()
 	if !c.prepare(r) {
+		c.answered = true
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -67,6 +72,7 @@
 		cancel()
 	}
 	c.run()
+	c.answered = true
 }
 
 // callerWriter tells the caller not to reuse its connection if the gateway is shutting
@@ -75,6 +81,8 @@
 	http.ResponseWriter
 	// closing reports whether the gateway is shutting down.
 	closing func() bool
+	// headSent is set once the head of the response has been sent.
+	headSent bool
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -83,6 +91,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
+	w.headSent = true
 }
 
 // Unwrap returns the writer for http.ResponseController.
@@ -150,6 +159,8 @@
 	// the ID of the last stream event sent to the caller.
 	headSent    bool
 	lastEventID string
+	// answered is set once the whole answer has been written.
+	answered bool
 	// streamVersion is the software version that began the stream, once its first event
 	// has been forwarded.
 	streamVersion streamversion.Constraint
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -12,6 +12,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/pause"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 )
 
 const (
@@ -88,7 +89,7 @@
 	} else {
 		h.race.arm()
 	}
-	received := await()
+	received := h.awaitFirst(await)
 	if h.race.timer.Stop() {
 		return nil
 	}
@@ -103,6 +104,19 @@
 	return winner
 }
 
+// awaitFirst calls await. If that panics, it ends the search, which uses the call, first.
+func (h *hedge) awaitFirst(await func() (received bool)) (received bool) {
+	returned := false
+	defer func() {
+		if !returned {
+			h.race.abandon()
+		}
+	}()
+	received = await()
+	returned = true
+	return received
+}
+
 // silent returns how often the first server has been silent.
 func (h *hedge) silent() int {
 	if h == nil {
@@ -159,7 +173,7 @@
 // the first server or for the end of run.
 func (r *race) run() {
 	defer close(r.done)
-	defer func() { r.panicked = recover() }()
+	defer func() { r.panicked = safego.Capture(recover()) }()
 	if r.silent = r.confirmSilence(); !r.silent {
 		return
 	}
@@ -220,9 +234,7 @@
 // finish ends the race after the first server has sent data or its attempt has failed.
 // It returns the other attempt if that one has won.
 func (r *race) finish(received bool) *hedgedAttempt {
-	r.mu.Lock()
-	r.firstWon = received && r.winner == nil
-	r.mu.Unlock()
+	r.decide(received)
 	switch {
 	case r.firstWon:
 		r.cancel()
@@ -237,6 +249,27 @@
 	return r.winner
 }
 
+// decide makes the first server win if it has sent data and no other attempt has won.
+func (r *race) decide(received bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.firstWon = received && r.winner == nil
+}
+
+// abandon ends the race without an outcome.
+func (r *race) abandon() {
+	if r.timer.Stop() {
+		return
+	}
+	r.decide(true)
+	r.cancel()
+	<-r.done
+	if r.winner != nil {
+		r.winner.cancel()
+		r.hedge.discard(r.winner)
+	}
+}
+
 // logSilence logs that a server was silent, for how long and which server's data ended
 // the wait.
 func (c *call) logSilence(first backend.Server, waited time.Duration, received bool, winner *hedgedAttempt) {
--- a/internal/gateway/hedge_model.go
+++ b/internal/gateway/hedge_model.go
@@ -99,11 +99,15 @@
 	c.priority = admission.Priority
 	ctx, cancel := context.WithCancel(search)
 	a := &hedgedAttempt{search: search, cancel: cancel, plan: plan, job: job.ID}
-	began := begin(ctx, a)
-	if began != a {
-		cancel()
-		engines.finished(c.service.Name, job.ID)
-	}
+	var began *hedgedAttempt
+	defer func() {
+		// Also after a panic.
+		if began != a {
+			cancel()
+			engines.finished(c.service.Name, job.ID)
+		}
+	}()
+	began = begin(ctx, a)
 	return began
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -85,15 +85,19 @@
 // servers report contention.
 func (p *plainBalancer) reported(now time.Time, id string, l backend.Load) {
 	r := balance.Report{Busy: l.Running + l.Waiting, Contention: l.Contention, At: now}
-	p.mu.Lock()
-	share := p.balancer.Report(now, id, r)
-	p.mu.Unlock()
-	if share {
+	if p.record(now, id, r) {
 		p.announced.Inc(1)
 		p.gossip.AnnounceServerReport(id, r)
 	}
 }
 
+// record records a report of a server. It reports whether other gateways should know it.
+func (p *plainBalancer) record(now time.Time, id string, r balance.Report) (share bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.Report(now, id, r)
+}
+
 // done records the outcome of a request at a server.
 func (p *plainBalancer) done(id string, reply *direct.Reply, v verdict.Verdict) {
 	p.mu.Lock()
@@ -164,7 +168,7 @@
 	g := c.gateway
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	reply, other, err := c.send(ctx, server, plainOptions, c.hedgePlain(c.ctx, server, cancel))
+	reply, other, err := c.sendPlain(ctx, server, c.hedgePlain(c.ctx, server, cancel))
 	if other != nil {
 		g.plain.done(server.ID, nil, verdict.MayHaveRun)
 		defer other.cancel()
@@ -184,6 +188,20 @@
 	return nil
 }
 
+// sendPlain is send for a server that choosePlain has chosen. After a panic, the request does
+// not count as open there any more.
+func (c *call) sendPlain(ctx context.Context, server backend.Server, h *hedge) (*direct.Reply, *hedgedAttempt, *verdict.Error) {
+	returned := false
+	defer func() {
+		if !returned {
+			c.gateway.plain.done(server.ID, nil, verdict.NotRun)
+		}
+	}()
+	reply, other, err := c.send(ctx, server, plainOptions, h)
+	returned = true
+	return reply, other, err
+}
+
 // plainOptions are the options of requests to plain services.
 var plainOptions = request.Options{Priority: request.DefaultPriority}
 
@@ -215,7 +233,7 @@
 		return nil, true
 	}
 	ctx, cancel := context.WithCancel(search)
-	reply, other, err := c.send(ctx, server, plainOptions, c.hedgePlain(search, server, cancel))
+	reply, other, err := c.sendPlain(ctx, server, c.hedgePlain(search, server, cancel))
 	if err == nil && other == nil && reply.Status < http.StatusInternalServerError {
 		return &hedgedAttempt{server: server, reply: reply, cancel: cancel}, false
 	}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -52,6 +52,8 @@
 	bytes  int64
 	// ending is why the request ended without a whole answer, if it did.
 	ending ending
+	// panicked is set if handling the request panicked, also if it was answered.
+	panicked bool
 	// readAhead is the most memory that was reserved because the caller read slowly.
 	readAhead int64
 	// shutdownLeft is how long the process had left when the shutdown rejected the request, and
@@ -287,6 +289,9 @@
 	if c.trace.message != "" {
 		fields["error"] = c.trace.message
 	}
+	if c.trace.panicked {
+		fields["ending"] = string(panicked)
+	}
 	if c.trace.ending != "" {
 		fields["aborted"], fields["ending"] = true, string(c.trace.ending)
 	}
--- a/internal/readahead/copier.go
+++ b/internal/readahead/copier.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/decide/backlog"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 )
 
 var (
@@ -201,7 +202,7 @@
 	defer close(c.done)
 	defer func() {
 		f.active.Add(-1)
-		if p := recover(); p != nil {
+		if p := safego.Capture(recover()); p != nil {
 			c.end(nil, p)
 		}
 	}()
--- a/internal/readahead/readahead_test.go
+++ b/internal/readahead/readahead_test.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/readahead"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 )
 
 const (
@@ -248,12 +250,14 @@
 	return len(b), nil
 }
 
-// Guards against a panic in a goroutine of its own, which would end the process.
+// Guards against a panic in a goroutine of its own, which would end the process, and against one
+// whose cause cannot be found.
 func TestPanicOfTheSourceIsPassedOn(t *testing.T) {
 	f := newForwarder(1<<20, 1<<20, longStall)
 	defer func() {
-		if recover() != "read" {
-			t.Error("no panic")
+		p, ok := recover().(*safego.Panic)
+		if !ok || p.Value != "read" || !strings.Contains(string(p.Stack), "(*panicking).Read") {
+			t.Errorf("panic %v, want that of the source with its stack", p)
 		}
 		expectUnused(t, f)
 	}()
