Errors of the HTTP servers are in the structured log

net/http wrote the panics of handlers, failed accepts and faults of connections to standard error, outside the log that operators search.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -12,6 +12,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/closeframed"
 	"pistachioroad.dev/pistachioroad/internal/entry/api"
+	"pistachioroad.dev/pistachioroad/internal/serverlog"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 )
 
@@ -32,6 +33,7 @@
 			ReadHeaderTimeout: s.Limits.HeaderTimeout,
 			IdleTimeout:       s.Limits.IdleTimeout,
 			MaxHeaderBytes:    s.Limits.HeaderBytes,
+			ErrorLog:          serverlog.New("callers"),
 		},
 	}
 }
--- a/internal/gateway/process/bootstrap.go
+++ b/internal/gateway/process/bootstrap.go
@@ -45,7 +45,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+bootstrapPath, p.serveState)
 	mux.HandleFunc("GET "+configPath, p.serveConfig)
-	return serveHTTP(ctx, p.config.Deployment.StateAddress, mux)
+	return serveHTTP(ctx, "state", p.config.Deployment.StateAddress, mux)
 }
 
 func (p *components) serveState(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -33,6 +33,7 @@
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/periodic"
 	"pistachioroad.dev/pistachioroad/internal/reconcile"
+	"pistachioroad.dev/pistachioroad/internal/serverlog"
 	"pistachioroad.dev/pistachioroad/internal/store"
 	"pistachioroad.dev/pistachioroad/internal/truetime"
 	"pistachioroad.dev/pistachioroad/platform"
@@ -276,7 +277,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return serveHTTP(ctx, d.ReadinessAddress, mux)
+	return serveHTTP(ctx, "readiness", d.ReadinessAddress, mux)
 }
 
 func serveMetrics(ctx context.Context, c Config, g *gateway.Gateway) error {
@@ -288,14 +289,14 @@
 			log.WithField("error", err.Error()).Info("write dump failed")
 		}
 	})
-	return serveHTTP(ctx, net.JoinHostPort(c.Deployment.IP, strconv.Itoa(c.MetricsPort)), mux)
+	return serveHTTP(ctx, "metrics", net.JoinHostPort(c.Deployment.IP, strconv.Itoa(c.MetricsPort)), mux)
 }
 
 // readHeaderTimeout limits how long reading a request's header may take.
 const readHeaderTimeout = 5 * time.Second
 
-func serveHTTP(ctx context.Context, address string, h http.Handler) error {
-	server := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+func serveHTTP(ctx context.Context, name, address string, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: serverlog.New(name)}
 	defer context.AfterFunc(ctx, func() { server.Close() })()
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/closeframed"
 	"pistachioroad.dev/pistachioroad/internal/limitlistener"
+	"pistachioroad.dev/pistachioroad/internal/serverlog"
 )
 
 const (
@@ -68,6 +69,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         connStateChanged,
 		ConnContext:       closeframed.ConnContext,
+		ErrorLog:          serverlog.New("callers"),
 	}
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/internal/serverlog"
 	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
 
@@ -134,6 +135,7 @@
 		WriteTimeout:      requestTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          serverlog.New("operator"),
 	}
 	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
