A failed accept no longer ends the gateway with all its open requests

net/http ends Serve for every accept error but EMFILE and ENFILE, then Gateway.Serve returned an error and the process exited: every open request was cut, without a line. On Linux accept(2) also passes on pending errors of the new connection (EPROTO, EHOSTUNREACH and others) and a lack of memory (ENOBUFS, ENOMEM). limitlistener, which the gateway and the entry use, now tries again after a pause of 1 to 100 ms; a warning at most once a second, counter listener.accepts_failed. Errors of the listener itself (EBADF, EINVAL) still end it.

--- a/internal/limitlistener/limitlistener.go
+++ b/internal/limitlistener/limitlistener.go
@@ -7,10 +7,15 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
+
+	"pistachioroad.dev/pistachioroad/internal/pause"
 )
 
 // maxUnsentBytes limits what the kernel holds for a peer that does not read, per connection.
@@ -18,6 +23,13 @@
 // not count, so the throughput is the same.
 const maxUnsentBytes = 256 << 10
 
+// minRetryWait is the pause after a failed accept, which doubles up to maxRetryWait with each
+// further one.
+const (
+	minRetryWait = time.Millisecond
+	maxRetryWait = 100 * time.Millisecond
+)
+
 // Listener accepts connections while fewer than its limit are open.
 type Listener struct {
 	*net.TCPListener
@@ -25,6 +37,10 @@
 	// closed is done once the listener is closed.
 	closed context.Context
 	close  context.CancelFunc
+	// accept is that of the TCPListener.
+	accept func() (*net.TCPConn, error)
+	// failures limits the lines about failed accepts.
+	failures rate.Sometimes
 }
 
 // Listen listens on a TCP address, an IP and a port, and accepts at most limit connections
@@ -34,7 +50,11 @@
 	if err != nil {
 		return nil, err
 	}
-	limited := &Listener{TCPListener: l.(*net.TCPListener), slots: semaphore.NewWeighted(int64(limit))}
+	tcp := l.(*net.TCPListener)
+	limited := &Listener{
+		TCPListener: tcp, slots: semaphore.NewWeighted(int64(limit)), accept: tcp.AcceptTCP,
+		failures: rate.Sometimes{First: 1, Interval: time.Second},
+	}
 	limited.closed, limited.close = context.WithCancel(context.Background())
 	return limited, nil
 }
@@ -44,7 +64,7 @@
 	if l.slots.Acquire(l.closed, 1) != nil {
 		return nil, &net.OpError{Op: "accept", Net: l.Addr().Network(), Addr: l.Addr(), Err: net.ErrClosed}
 	}
-	c, err := l.AcceptTCP()
+	c, err := l.acceptNext()
 	if err != nil {
 		l.slots.Release(1)
 		return nil, err
@@ -55,6 +75,39 @@
 	return &conn{TCPConn: c, release: sync.OnceFunc(func() { l.slots.Release(1) })}, nil
 }
 
+// acceptNext accepts a connection. After an error that the next one need not have, it tries
+// again, since an http.Server ends with most errors of its listener.
+func (l *Listener) acceptNext() (*net.TCPConn, error) {
+	for wait := minRetryWait; ; wait = min(2*wait, maxRetryWait) {
+		c, err := l.accept()
+		if err == nil || !isTransient(err) {
+			return c, err
+		}
+		metrics.GetOrRegisterCounter("listener.accepts_failed", nil).Inc(1)
+		l.failures.Do(func() {
+			log.WithFields(log.Fields{"address": l.Addr().String(), "error": err.Error()}).Warn("accept failed, trying again")
+		})
+		pause.Sleep(l.closed, wait)
+	}
+}
+
+// isTransient reports whether an error of accept(2) is that of one new connection, or of
+// resources that may become available.
+func isTransient(err error) bool {
+	var errno unix.Errno
+	if !errors.As(err, &errno) {
+		return false
+	}
+	switch errno {
+	case unix.ENETDOWN, unix.EPROTO, unix.ENOPROTOOPT, unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH,
+		unix.EOPNOTSUPP, unix.ENETUNREACH, unix.ECONNABORTED, unix.ECONNRESET, unix.ETIMEDOUT, unix.EPERM,
+		unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC:
+		return true
+	default:
+		return false
+	}
+}
+
 // limitUnsent limits what may be written beyond what has been sent.
 func limitUnsent(c *net.TCPConn) error {
 	raw, err := c.SyscallConn()
