A gateway whose listener fails for good answers its open requests before it ends

Gateway.Serve returned at once when its server could accept no more connections, and the end of the process cut all open requests without a line. It now shuts down as after a SIGTERM: readiness turns false, open requests are answered until the end of the grace period, and Serve returns the error after that.

Failing before: TestOpenRequestsAreAnsweredAfterTheListenerHasFailed: the gateway ended with a request open Now: go test ./internal/gateway -run 'TestOpenRequestsAre|TestRequest.*Stop' -count=2 -race: ok.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/closeframed"
@@ -32,8 +33,8 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// Serve serves callers until ctx is done, and then waits up to the grace period
-// for requests in flight to finish.
+// Serve serves callers until ctx is done or no more connections can be accepted, which is an
+// error. It then waits up to the grace period for requests in flight to finish.
 func (g *Gateway) Serve(ctx context.Context) error {
 	d := g.deployment.Load()
 	listener, err := limitlistener.Listen(d.CallerAddress, max(1, d.MaxFileDescriptors-reservedDescriptors))
@@ -49,6 +50,10 @@
 	for {
 		select {
 		case err := <-serveErr:
+			log.WithField("error", err.Error()).Error("no more connections are accepted")
+			// shutDown waits for the end of the server, too.
+			serveErr <- err
+			_ = g.shutDown(listener, serveErr, conns)
 			return eris.Wrap(err, "serve callers")
 		case now := <-sweep.C:
 			g.transport.CloseExpired(now)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/readahead"
@@ -24,6 +26,8 @@
 	// stop begins the graceful shutdown, and stopped is closed when the process would end.
 	stop    context.CancelFunc
 	stopped chan struct{}
+	// serveErr is the error of Serve, set before stopped is closed.
+	serveErr error
 }
 
 // newStopFixture returns a gateway with one plain server and one engine.
@@ -48,7 +52,7 @@
 	t.Cleanup(func() { stop(); <-f.stopped })
 	go func() {
 		defer close(f.stopped)
-		_ = f.gateway.Serve(ctx)
+		f.serveErr = f.gateway.Serve(ctx)
 	}()
 	Eventually(func() error {
 		c, err := net.Dial("tcp4", f.address)
@@ -152,3 +156,40 @@
 	<-f.stopped
 	Expect(server.Runs()).To(BeEmpty())
 }
+
+// breakListener makes accepts of the listener at an address of this process fail for good.
+func breakListener(address string) {
+	for fd := range 1000 {
+		listening, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
+		if err != nil || listening == 0 {
+			continue
+		}
+		name, err := unix.Getsockname(fd)
+		Expect(err).NotTo(HaveOccurred())
+		if a, ok := name.(*unix.SockaddrInet4); ok && netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)).String() == address {
+			Expect(unix.Shutdown(fd, unix.SHUT_RDWR)).To(Succeed())
+			return
+		}
+	}
+	panic("no listener at " + address)
+}
+
+// Guards against requests that are cut because the gateway can accept no more connections.
+func TestOpenRequestsAreAnsweredAfterTheListenerHasFailed(t *testing.T) {
+	f, _, engine := newStopFixture(t, 8*time.Second)
+	engine.Events, engine.EventInterval = 4, 500*time.Millisecond
+	open := make(chan response, 1)
+	go func() { open <- f.request(f.connection(), "/stream-once/1", "open") }()
+	Eventually(engine.Runs).ShouldNot(BeEmpty())
+	breakListener(f.address)
+	select {
+	case <-f.stopped:
+		t.Fatal("the gateway ended with a request open")
+	case got := <-open:
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(streamEvents("open", 1, 4)))
+	}
+	Expect(f.gateway.Ready()).To(BeFalse())
+	Eventually(f.stopped, "8s").Should(BeClosed())
+	Expect(f.serveErr).To(HaveOccurred())
+}
