A response cut within its head is told from rubbish

What operators saw: where a server's connection ended within the head of its response, the request's line said "malformed HTTP response" or "malformed MIME header", and the server's health counted it at once as the server's fault (garbled), like a server that sends rubbish. A deadline that passed within a head looked the same.

Cause: bufio.Reader.ReadLine returns the beginning of a line and drops the error that ended it, so that net/http reports that beginning as malformed.

Change: the reader of the connection keeps the error that ended a head and the last byte before it. If the connection ended within a line, or after a whole line without fault, the error is "the connection ended within the head of the response" with its cause, counted by direct.responses_cut_in_head, and not garbled. A whole line that is malformed, and text that does not begin like a response, stay garbled, also if the connection ends with them. A deadline within a head is a timeout.

--- a/internal/direct/bounds.go
+++ b/internal/direct/bounds.go
@@ -49,10 +49,14 @@
 	io.Reader
 	bounded   bool
 	remaining int
+	// err is the error that ended the reading of a head. The parser may drop it and report
+	// the beginning of a line as malformed. last is the last byte before it.
+	err  error
+	last byte
 }
 
 // bound limits the bytes that may be read from here on.
-func (r *boundedReader) bound(n int) { r.bounded, r.remaining = true, n }
+func (r *boundedReader) bound(n int) { r.bounded, r.remaining, r.err = true, n, nil }
 
 // unbound ends the limit.
 func (r *boundedReader) unbound() { r.bounded = false }
@@ -63,10 +67,17 @@
 		return r.Reader.Read(p)
 	}
 	if r.remaining <= 0 {
+		r.err = errLongHead
 		return 0, errLongHead
 	}
 	n, err := r.Reader.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	if n > 0 {
+		r.last = p[n-1]
+	}
+	if err != nil {
+		r.err = err
+	}
 	return n, err
 }
 
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -50,7 +50,7 @@
 	// must be set before the first Send and must not block.
 	OnResponse func(ResponseInfo)
 
-	opened, reused, unframed, endless metrics.Counter
+	opened, reused, unframed, endless, cutInHead metrics.Counter
 }
 
 // New returns a Transport that uses codec.
@@ -63,6 +63,7 @@
 		reused:     metrics.GetOrRegisterCounter("direct.connections_reused", nil),
 		unframed:   metrics.GetOrRegisterCounter("direct.responses_unframed", nil),
 		endless:    metrics.GetOrRegisterCounter("direct.responses_endless", nil),
+		cutInHead:  metrics.GetOrRegisterCounter("direct.responses_cut_in_head", nil),
 	}
 }
 
@@ -248,7 +249,7 @@
 // readResponse reads the head of the next final response, skipping 1xx responses.
 func (x *exchange) readResponse() (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		resp, err := x.conn.readHead(x.request.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -294,6 +295,9 @@
 func (x *exchange) fail(v verdict.Verdict, step string, err error) error {
 	x.end(false)
 	x.countEndless(err)
+	if errors.Is(err, errCutInHead) {
+		x.transport.cutInHead.Inc(1)
+	}
 	e := verdict.New(v, verdict.CodeBackendFailed, step+": "+err.Error())
 	// Also if the connection was closed by the other side: that may be a middlebox, which can
 	// deliver the request later.
