The programs receive their signals from the first statement of main on

A SIGHUP or SIGTERM ended the process, by its default action, until something was registered for it: SIGTERM after the settings had been read, SIGHUP once a supervised duty of the gateway ran; signal.Stop at the end of that duty, before a restart of it, brought the default action of SIGHUP back. The daemon registered nothing for SIGHUP at all, so that one cut all open requests.

Both programs now register all signals first and for ever, and hand them down. A SIGHUP before the reload duty runs is kept for it; the daemon, which cannot reread its settings, logs that it ignores one. A process that is stopped while it reads its settings ends with status 0 and does not serve.

--- a/cmd/pistachioroad-gateway/main.go
+++ b/cmd/pistachioroad-gateway/main.go
@@ -11,14 +11,11 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	_ "runtime/cgo" // links the C library, as on all VMs
 	"runtime/debug"
-	"syscall"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -27,6 +24,7 @@
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/gateway/process"
 	"pistachioroad.dev/pistachioroad/internal/logsink"
+	"pistachioroad.dev/pistachioroad/internal/signals"
 	"pistachioroad.dev/pistachioroad/platform"
 )
 
@@ -44,6 +42,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	received := signals.Receive()
 	metricsPort := flag.Int("metrics", 0, "`port` of the metrics address on the VM's own IP number; 0 for none")
 	path := flag.String("settings", os.Getenv(platform.SettingsVariable), "settings `file` of the platform")
 	check := flag.Bool("check", false, "check the settings and exit")
@@ -67,20 +66,23 @@
 		fmt.Println(*path + ": ok")
 		return exitOK
 	}
-	return serve(d, load, *metricsPort)
+	return serve(received, d, load, *metricsPort)
 }
 
-func serve(d deployment.Deployment, reload func() (deployment.Deployment, error), metricsPort int) int {
+func serve(received signals.Signals, d deployment.Deployment, reload func() (deployment.Deployment, error), metricsPort int) int {
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	log.SetHandler(json.New(sink))
 	log.Log = log.Log.WithField("process", d.Name)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(d.MaxMemoryBytes)))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	err := process.Run(ctx, process.Config{
+	if received.Stop.Err() != nil {
+		log.Info("stopped before it served")
+		return exitOK
+	}
+	err := process.Run(received.Stop, process.Config{
 		Deployment:  d,
 		Reload:      reload,
+		Reloads:     received.Reload,
 		MetricsPort: metricsPort,
 	})
 	if err != nil {
--- a/cmd/pistachioroadd/main.go
+++ b/cmd/pistachioroadd/main.go
@@ -13,10 +13,8 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime"
 	_ "runtime/cgo" // links the C library, as on all VMs
-	"syscall"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -26,6 +24,7 @@
 	"pistachioroad.dev/pistachioroad/internal/entry"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
+	"pistachioroad.dev/pistachioroad/internal/signals"
 )
 
 // The exit statuses.
@@ -38,6 +37,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	received := signals.Receive()
 	path := flag.String("settings", "", "settings `file` in YAML")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
@@ -56,7 +56,8 @@
 	}
 	setUpLog(s)
 	limitProcessors(s)
-	return serve(s)
+	received.IgnoreReload()
+	return serve(received.Stop, s)
 }
 
 // limitProcessors limits GOMAXPROCS to the configured number of processors, unless the
@@ -69,10 +70,8 @@
 	}
 }
 
-// serve runs the configured role until SIGTERM or SIGINT. It returns the exit status.
-func serve(s settings.Settings) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+// serve runs the configured role until ctx is done. It returns the exit status.
+func serve(ctx context.Context, s settings.Settings) int {
 	if err := runRole(ctx, s); err != nil {
 		log.WithError(err).Error("process failed")
 		return exitFailed
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -9,10 +9,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"reflect"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -44,6 +42,8 @@
 	Deployment deployment.Deployment
 	// Reload rereads the settings.
 	Reload func() (deployment.Deployment, error)
+	// Reloads has an element when the settings must be reread.
+	Reloads <-chan os.Signal
 	// MetricsPort is the port on the VM's own IP address for metrics, 0 for none.
 	MetricsPort int
 }
@@ -309,12 +309,9 @@
 // without a signal.
 const settingsPollInterval = 5 * time.Second
 
-// reload rereads the settings on SIGHUP and every settingsPollInterval, and applies
+// reload rereads the settings when that is requested and every settingsPollInterval, and applies
 // changes.
 func reload(ctx context.Context, c Config, g *gateway.Gateway) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	current := c.Deployment
@@ -322,7 +319,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-signals:
+		case <-c.Reloads:
 		case <-tick.C:
 		}
 		d, err := c.Reload()
