A process ends although its log is full or is not read

Close put an end mark into a queue that rejects what does not fit: with a full queue the mark was lost, and Close waited for ever. The process then ended only by a kill. It also waited for ever if nobody read the output. A write that failed, for example on a full disk, ended the log for good, without a trace.

Close now signals the end beside the queue and waits up to 300 ms, within what the grace period leaves for the exit. A failed write drops what it held and is counted (log.writes_failed).

Failing before: TestCloseWritesAFullQueueAndReturns and TestCloseReturnsIfNothingCanBeWritten: Close does not return; TestLinesAfterAFailedWriteAreWritten: written: [""] Now: go test ./internal/logsink -count=5 -race: ok.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -8,6 +8,9 @@
 import (
 	"bufio"
 	"io"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
 
 	"pistachioroad.dev/pistachioroad/internal/ring"
 )
@@ -16,15 +19,23 @@
 // busy process.
 const maxQueuedLines = 2_048
 
+var failures = metrics.GetOrRegisterCounter("log.writes_failed", nil)
+
+// closeTimeout limits the time to write what is queued when the process ends.
+const closeTimeout = 300 * time.Millisecond
+
 // Writer is an io.Writer that takes one whole line per call of Write.
 type Writer struct {
 	lines *ring.Ring[[]byte]
-	done  chan struct{}
+	// closing is closed when the queued lines are to be written, and done after that.
+	closing, done chan struct{}
 }
 
 // New returns a Writer that writes to w in its own goroutine, which Close ends.
 func New(w io.Writer) *Writer {
-	s := &Writer{lines: ring.New[[]byte]("log", maxQueuedLines, ring.Reject), done: make(chan struct{})}
+	s := &Writer{
+		lines: ring.New[[]byte]("log", maxQueuedLines, ring.Reject), closing: make(chan struct{}), done: make(chan struct{}),
+	}
 	go s.drain(w)
 	return s
 }
@@ -36,26 +47,41 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and stops the goroutine.
+// Close writes the queued lines and stops the goroutine. If that takes longer than closeTimeout,
+// because nobody reads the output, it leaves the rest.
 func (s *Writer) Close() {
-	s.lines.Put(nil)
-	<-s.done
+	close(s.closing)
+	select {
+	case <-s.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (s *Writer) drain(w io.Writer) {
 	defer close(s.done)
 	out := bufio.NewWriter(w)
-	for line := range s.lines.C() {
-		if line == nil {
-			break
-		}
-		if _, err := out.Write(line); err != nil {
-			return
-		}
-		if s.lines.Len() == 0 && out.Flush() != nil {
+	for {
+		select {
+		case line := <-s.lines.C():
+			s.write(out, w, line)
+		case <-s.closing:
+			for s.lines.Len() > 0 {
+				s.write(out, w, <-s.lines.C())
+			}
 			return
 		}
 	}
-	// An error is ignored: there is nowhere to report a failure of the log itself.
-	_ = out.Flush()
+}
+
+// write writes a line, at the latest once no further one is queued. What cannot be written is
+// dropped and counted, since the next write may succeed.
+func (s *Writer) write(out *bufio.Writer, w io.Writer, line []byte) {
+	_, err := out.Write(line)
+	if err == nil && s.lines.Len() == 0 {
+		err = out.Flush()
+	}
+	if err != nil {
+		failures.Inc(1)
+		out.Reset(w)
+	}
 }
