A process outlives the reader of its log

A write to a standard output that nobody reads any more raises SIGPIPE, whose default action in a Go program ends the process, with all open requests.

Failing before: TestProcessOutlivesTheReaderOfItsLog: signal: broken pipe Now: go test ./cmd/pistachioroad-gateway -run Outlives -count=3 -race: ok.

--- a/cmd/pistachioroad-gateway/main_test.go
+++ b/cmd/pistachioroad-gateway/main_test.go
@@ -166,3 +166,34 @@
 	t.Helper()
 	until(t, message, func() bool { return strings.Contains(p.printed(), `"message":"`+message+`"`) })
 }
+
+// Guards against a process that ends, with all open requests, because its log is not read any more.
+func TestProcessOutlivesTheReaderOfItsLog(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	if err := os.WriteFile(path, settings(t), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := exec.Command(os.Args[0], "-settings", path)
+	p.Env, p.Stdout, p.Stderr = append(os.Environ(), asProgram+"=1"), write, write
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = p.Process.Kill() }()
+	write.Close()
+	if _, err := read.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	read.Close()
+	time.Sleep(200 * time.Millisecond)
+	// The shutdown logs.
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -22,6 +22,8 @@
 // Receive receives the signals of the process from now on. A program calls it before anything
 // else.
 func Receive() Signals {
+	// By default, a write to the standard output or error that nobody reads ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	terminations := make(chan os.Signal, 1)
