A panic outside a request's own goroutine no longer ends the process

Goroutines and timers that free KV cache, watch a server, observe versions, send datagrams, publish changed servers or watch the store had nobody to recover from their panics: one ended the process, and with it all open requests. They now run through internal/safego, which logs the panic with its bounded stack and counts it (goroutines.panics). What such work left behind no longer blocks its successor: a watch is removed, a pending datagram dropped, a pending publication forgotten. A panic while connections are accepted ends the gateway as a failed listener does, after its open requests; one in the watch of the store is an error of that duty, which is restarted.

The supervisors of both programs recover from panics of duties already.

An invariant.Violation, which panics in tests only, is passed on, so that it still ends the test.

Failing before: TestPanicWhileMemoryIsFreedEndsNoRequest ended the test process: panic: at FreeHandle, (*Gateway).freeKV. Now: go test ./internal/gateway -run TestPanic -count=3 -race: ok; internal/safego -count=5 -race: ok.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,12 +8,12 @@
 	"errors"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 	"github.com/thejerf/suture/v4"
 
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/platform"
@@ -41,16 +41,12 @@
 // panics, only that duty is restarted.
 func NewSupervisor(name string) *suture.Supervisor {
 	return suture.New(name, suture.Spec{
-		EventHook:      logSupervisorEvent,
+		EventHook:      safego.LogSupervisorEvent,
 		Timeout:        stopTimeout,
 		FailureBackoff: restartBackoff,
 	})
 }
 
-func logSupervisorEvent(event suture.Event) {
-	log.WithField("event", event.String()).Warn("supervisor event")
-}
-
 // NewClient returns a client of the platform configured by the settings in i.
 func NewClient(i do.Injector) (*sharedstate.Client, error) {
 	s := do.MustInvoke[settings.Settings](i)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/periodic"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
@@ -259,9 +260,10 @@
 		return
 	}
 	d.publishPending = true
-	time.AfterFunc(wait, func() {
+	safego.AfterFunc(wait, "publish changed servers", func() {
 		d.locked(func() {
 			if d.publishPending {
+				d.publishPending = false
 				d.publish(true)
 			}
 		})
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -10,6 +10,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/pause"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/store"
 )
 
@@ -151,7 +152,9 @@
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
 	ended := make(chan error, 1)
-	go func() { ended <- d.watch(watching, f) }()
+	go func() {
+		ended <- safego.RunWithError("watch of the store", func() error { return d.watch(watching, f) })
+	}()
 	var graceOver <-chan time.Time
 	for {
 		select {
--- a/internal/gateway/hedge_model.go
+++ b/internal/gateway/hedge_model.go
@@ -127,7 +127,7 @@
 	winner, failed := c.generateHedged(ctx, a, o)
 	// Nobody fetches the KV cache for an attempt that lost.
 	if winner != a && (failed == nil || failed.Verdict == verdict.NotRun || ctx.Err() != nil) {
-		go c.gateway.freeKV(prefillEngine, handle)
+		c.gateway.freeLater(prefillEngine, handle)
 	}
 	return winner
 }
@@ -180,7 +180,7 @@
 		call: c, ctx: c.ctx, first: prefillEngine, cancelFirst: cancel, next: c.tryOtherPrefill,
 		discard: func(a *hedgedAttempt) {
 			g.engines.finished(c.service.Name, a.job)
-			go g.freeKV(a.server, a.handle)
+			g.freeLater(a.server, a.handle)
 		},
 		onSilence: func() { g.engines.silent(c.service.Name, prefillEngine.ID, id) },
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -17,6 +17,7 @@
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/eventstream"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -182,7 +183,7 @@
 	failed := c.generateWithFallback(plan, job, options)
 	// An engine that failed may not have fetched the KV cache.
 	if failed != nil && (failed.Verdict == verdict.NotRun || failed.Verdict == verdict.Ran) {
-		go g.freeKV(prefillEngine, handle)
+		g.freeLater(prefillEngine, handle)
 	}
 	return failed
 }
@@ -239,7 +240,7 @@
 	c.endArrival(prefillEngine, retry.Prefill, err, err == nil && reply.Status == http.StatusOK)
 	if other != nil {
 		if reply != nil {
-			go c.gateway.freeReply(prefillEngine, reply)
+			safego.Go(freeingKV, func() { c.gateway.freeReply(prefillEngine, reply) })
 		}
 		c.leaveAttempt(prefillEngine, canceled)
 		return "", other, nil
@@ -317,7 +318,7 @@
 	reply, other, err := c.send(ctx, decodeEngine, o, h)
 	if other != nil {
 		if o.KVSource != "" {
-			go c.freePrefilled()
+			safego.Go(freeingKV, c.freePrefilled)
 		}
 		return c.forwardHedged(other)
 	}
@@ -453,6 +454,14 @@
 	}
 }
 
+// freeingKV names the work of goroutines that free KV cache.
+const freeingKV = "free KV cache"
+
+// freeLater is freeKV in another goroutine.
+func (g *Gateway) freeLater(s backend.Server, handle string) {
+	safego.Go(freeingKV, func() { g.freeKV(s, handle) })
+}
+
 // freeReply frees the KV cache of a prefill that is not used any more.
 func (g *Gateway) freeReply(s backend.Server, reply *direct.Reply) {
 	body, err := reply.ReadAll(maxPrefillResponse)
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -43,6 +43,8 @@
 	return head
 }
 
+func (faultyCodec) FreeHandle(string) (method, path string) { panic("at FreeHandle") }
+
 func panicAt(place, id string) {
 	if strings.HasPrefix(id, place) {
 		panic("at " + place)
@@ -83,9 +85,6 @@
 	captured.Store(jsonlog.New(lines))
 	t.Cleanup(func() { captured.Store(nil) })
 	f := startFixtureWith(100, t.Cleanup, readahead.Limits{})
-	server := f.add("plain", runner.New("i-plain", ""))
-	f.configure("1")
-	f.followUntilKnown(1)
 	f.gateway = gateway.New(gateway.Config{
 		Deployment: deployment.Deployment{
 			Name: "f-1", DataCentre: "z", MaxMemoryBytes: 64 << 20,
@@ -95,6 +94,10 @@
 		Directory: f.dir,
 		StartedAt: boottime.Now() - time.Minute,
 	})
+	f.dir.OnChange, f.dir.OnServer = f.gateway.ViewChanged, f.gateway.ServerSeen
+	server := f.add("plain", runner.New("i-plain", ""))
+	f.configure("1")
+	f.followUntilKnown(1)
 	f.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.Header.Get("Write-Panic") {
 		case "fault":
@@ -213,3 +216,19 @@
 	}
 	expectReleased(f, first)
 }
+
+// Guards against a panic of work that nobody waits for, which would end the process with all open
+// requests.
+func TestPanicWhileMemoryIsFreedEndsNoRequest(t *testing.T) {
+	f, server, _ := newFaultyFixture(t)
+	f.add("llm", runner.New("i-prefill", "prefill"))
+	f.add("llm", runner.New("i-decode", "decode")).SetFault(runner.Shedding)
+	Eventually(func() int { return len(f.dir.View().Servers) }).Should(Equal(3))
+	counted := metrics.GetOrRegisterCounter("goroutines.panics", nil)
+	before := counted.Count()
+	Eventually(func() int64 {
+		f.send(http.MethodPost, "/stream-once/1", "unfetched", "Token-Count", "2000,20", "Prefix-Hash", "aa:2000")
+		return counted.Count() - before
+	}).Should(BeNumerically(">", 0))
+	expectReleased(f, server)
+}
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -31,6 +31,7 @@
 	"pistachioroad.dev/pistachioroad/internal/peers"
 	"pistachioroad.dev/pistachioroad/internal/periodic"
 	"pistachioroad.dev/pistachioroad/internal/reconcile"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/serverlog"
 	"pistachioroad.dev/pistachioroad/internal/store"
 	"pistachioroad.dev/pistachioroad/internal/truetime"
@@ -108,36 +109,34 @@
 	c, g, dir := p.config, p.gateway, p.directory
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	root := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
-		log.WithField("event", e.String()).Warn("supervisor")
-	}})
-	root.Add(duty(dir.FollowConfig))
-	root.Add(duty(dir.FollowServers))
-	root.Add(duty(dir.Expire))
-	root.Add(duty(p.peers.Receive))
-	root.Add(duty(p.reconciler().Run))
-	root.Add(duty(p.announceConfirmations))
-	root.Add(duty(p.reannounceTerminations))
-	root.Add(duty(p.reannounceServerLimits))
-	root.Add(duty(func(ctx context.Context) error { return periodic.Run(ctx, gateway.ClockInterval, g.ObserveClock) }))
-	root.Add(duty(p.loadCacheContents))
-	root.Add(duty(p.restoreLearned))
-	root.Add(duty(p.saveLearned))
-	root.Add(duty((&evidence.Keeper{Store: p.store, Source: g, Rank: p.peers.Rank}).Run))
-	root.Add(duty(func(ctx context.Context) error { return p.peers.Register(ctx, p.store) }))
-	root.Add(duty(func(ctx context.Context) error { return serveReadiness(ctx, c.Deployment, g) }))
-	root.Add(duty(func(ctx context.Context) error { return reload(ctx, c, g) }))
+	root := suture.New("gateway", suture.Spec{EventHook: safego.LogSupervisorEvent})
+	root.Add(duty{"configuration", dir.FollowConfig})
+	root.Add(duty{"servers", dir.FollowServers})
+	root.Add(duty{"expiry of servers", dir.Expire})
+	root.Add(duty{"messages of gateways", p.peers.Receive})
+	root.Add(duty{"orders", p.reconciler().Run})
+	root.Add(duty{"announce confirmations", p.announceConfirmations})
+	root.Add(duty{"announce terminations", p.reannounceTerminations})
+	root.Add(duty{"announce limits", p.reannounceServerLimits})
+	root.Add(duty{"clock", func(ctx context.Context) error { return periodic.Run(ctx, gateway.ClockInterval, g.ObserveClock) }})
+	root.Add(duty{"cache contents", p.loadCacheContents})
+	root.Add(duty{"restore learned", p.restoreLearned})
+	root.Add(duty{"save learned", p.saveLearned})
+	root.Add(duty{"evidence", (&evidence.Keeper{Store: p.store, Source: g, Rank: p.peers.Rank}).Run})
+	root.Add(duty{"registration", func(ctx context.Context) error { return p.peers.Register(ctx, p.store) }})
+	root.Add(duty{"readiness", func(ctx context.Context) error { return serveReadiness(ctx, c.Deployment, g) }})
+	root.Add(duty{"reload of settings", func(ctx context.Context) error { return reload(ctx, c, g) }})
 	if p.usage != nil {
-		root.Add(duty(p.usage.send))
-		root.Add(duty(p.usage.report))
+		root.Add(duty{"send usage", p.usage.send})
+		root.Add(duty{"report usage", p.usage.report})
 	}
 	if c.Deployment.StateAddress != "" {
-		root.Add(duty(p.serveBootstrap))
-		root.Add(duty(p.bootstrapFromPeers))
-		root.Add(duty(p.adoptNewerConfig))
+		root.Add(duty{"serve state", p.serveBootstrap})
+		root.Add(duty{"state of other gateways", p.bootstrapFromPeers})
+		root.Add(duty{"newer configurations", p.adoptNewerConfig})
 	}
 	if c.MetricsPort > 0 {
-		root.Add(duty(func(ctx context.Context) error { return serveMetrics(ctx, c, g) }))
+		root.Add(duty{"metrics", func(ctx context.Context) error { return serveMetrics(ctx, c, g) }})
 	}
 	root.ServeBackground(duties)
 	err := g.Serve(ctx)
@@ -264,11 +263,17 @@
 	})
 }
 
-// duty adapts a function to suture.Service.
-type duty func(context.Context) error
+// duty is a function as a suture.Service.
+type duty struct {
+	name string
+	run  func(context.Context) error
+}
 
 // Serve implements suture.Service.
-func (d duty) Serve(ctx context.Context) error { return d(ctx) }
+func (d duty) Serve(ctx context.Context) error { return d.run(ctx) }
+
+// String returns the name of the duty in the log.
+func (d duty) String() string { return d.name }
 
 func serveReadiness(ctx context.Context, d deployment.Deployment, g *gateway.Gateway) error {
 	mux := http.NewServeMux()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/closeframed"
 	"pistachioroad.dev/pistachioroad/internal/limitlistener"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/serverlog"
 )
 
@@ -44,7 +45,9 @@
 	conns := newCallerConns()
 	server := newCallerServer(g)
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(conns.listen(listener)) }()
+	go func() {
+		serveErr <- safego.RunWithError("accept connections", func() error { return server.Serve(conns.listen(listener)) })
+	}()
 	sweep := time.NewTicker(idleSweepInterval)
 	defer sweep.Stop()
 	for {
@@ -56,16 +59,21 @@
 			_ = g.shutDown(listener, serveErr, conns)
 			return eris.Wrap(err, "serve callers")
 		case now := <-sweep.C:
-			g.transport.CloseExpired(now)
-			if t := g.directory.View().Table; t != nil && t.Limits.IdleTimeout > 0 {
-				conns.closeExpired(now, t.Limits.IdleTimeout, g.configApplyTime())
-			}
+			safego.Run("close expired connections", func() { g.closeExpired(now, conns) })
 		case <-ctx.Done():
 			return g.shutDown(listener, serveErr, conns)
 		}
 	}
 }
 
+// closeExpired closes the idle connections that have expired.
+func (g *Gateway) closeExpired(now time.Time, conns *callerConns) {
+	g.transport.CloseExpired(now)
+	if t := g.directory.View().Table; t != nil && t.Limits.IdleTimeout > 0 {
+		conns.closeExpired(now, t.Limits.IdleTimeout, g.configApplyTime())
+	}
+}
+
 // newCallerServer returns a server for the connections of a callerConns.
 func newCallerServer(h http.Handler) *http.Server {
 	return &http.Server{
--- a/internal/gateway/stream_records.go
+++ b/internal/gateway/stream_records.go
@@ -13,6 +13,7 @@
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 )
 
 const (
@@ -69,7 +70,7 @@
 	if s.observing.Swap(true) {
 		return
 	}
-	time.AfterFunc(observeDelay, func() {
+	safego.AfterFunc(observeDelay, "observation of software versions", func() {
 		s.observing.Store(false)
 		s.observe()
 	})
--- a/internal/gateway/unfinished.go
+++ b/internal/gateway/unfinished.go
@@ -8,6 +8,7 @@
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 )
 
 // attemptEnd is how an attempt ended whose server may have been running the request.
@@ -88,7 +89,7 @@
 		ended.segments = c.sharedSegments()
 	}
 	if watch := c.gateway.watches.add(server, ended); watch != nil {
-		go c.gateway.watchServer(watch)
+		safego.Go("watch of a server", func() { c.gateway.watchServer(watch) })
 	}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -272,13 +272,28 @@
 	if len(watch.attempts) > 0 {
 		return o, false
 	}
-	delete(w.byServer, watch.server.Instance())
-	w.count.Add(-1)
+	w.removeLocked(watch)
 	return o, true
 }
 
+// remove ends a watch unless it has ended.
+func (w *watches) remove(watch *serverWatch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.removeLocked(watch)
+}
+
+func (w *watches) removeLocked(watch *serverWatch) {
+	if w.byServer[watch.server.Instance()] == watch {
+		delete(w.byServer, watch.server.Instance())
+		w.count.Add(-1)
+	}
+}
+
 // watchServer looks at a server until the outcome of all attempts that ended there is known.
 func (g *Gateway) watchServer(watch *serverWatch) {
+	// Also after a panic: the server could not be watched again otherwise.
+	defer g.watches.remove(watch)
 	for {
 		o, done := g.watches.observe(watch, g.lookAt(watch))
 		g.terminations.resolve(watch.server, o)
--- a/internal/peers/outbox.go
+++ b/internal/peers/outbox.go
@@ -9,6 +9,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/boottime"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -100,7 +101,7 @@
 		box.pending = &wire.Share{Sender: uint32(p.startID)}
 		box.size = 0
 		box.due = due
-		box.timer = time.AfterFunc(within, func() { p.flushDue(to) })
+		box.timer = safego.AfterFunc(within, "send to gateways", func() { p.flushDue(to) })
 	case due.Before(box.due):
 		box.due = due
 		box.timer.Reset(within)
@@ -147,10 +148,11 @@
 		return
 	}
 	box.timer.Stop()
+	// Also after a panic: nothing would be sent any more otherwise.
+	defer func() { box.pending = nil }()
 	p.stamp(box.pending)
 	box.stampReports(time.Now())
 	data, err := proto.Marshal(box.pending)
-	box.pending = nil
 	if err != nil {
 		p.dropped.Inc(1)
 		return
--- a/internal/safego/safego.go
+++ b/internal/safego/safego.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 )
@@ -68,6 +69,13 @@
 	f()
 }
 
+// RunWithError is Run for a function that returns an error. A panic is an error, too.
+func RunWithError(work string, f func() error) (err error) {
+	err = eris.New("panic: " + work)
+	Run(work, func() { err = f() })
+	return err
+}
+
 // Go is Run in a new goroutine.
 func Go(work string, f func()) { go Run(work, f) }
 
