A response of an engine counts only if it is whole

What could happen: the client of engines took an order or a cancellation for accepted though the response's body had ended early, and a report of state, load or cache events for whole as soon as its first JSON value was complete, whatever followed. An order whose outcome is unknown would count as accepted; a report that is followed by rubbish would count as one.

Cause: Order and Cancel did not read the body, and the decoder of a report stops after the first value.

Change: all of them read the body to its end, up to the limit of a report, and return ErrInterrupted if it ends early. Its connection can then also be used again.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -108,7 +108,8 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return classifyStatus(resp)
 	}
-	return nil
+	_, err = readWhole(resp)
+	return err
 }
 
 // Order implements Engine.
@@ -124,7 +125,8 @@
 	case resp.StatusCode >= http.StatusMultipleChoices:
 		return classifyStatus(resp)
 	}
-	return nil
+	_, err = readWhole(resp)
+	return err
 }
 
 // State implements Engine.
@@ -224,9 +226,25 @@
 	if resp.StatusCode != http.StatusOK {
 		return report, classifyStatus(resp)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report)
+	data, err := readWhole(resp)
 	if err != nil {
+		return report, err
+	}
+	if err := json.Unmarshal(data, &report); err != nil {
 		return report, eris.Wrap(ErrInterrupted, err.Error())
 	}
 	return report, nil
 }
+
+// readWhole reads the body of a response. It returns ErrInterrupted if that ends early: the
+// engine may have failed.
+func readWhole(resp *http.Response) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes+1))
+	switch {
+	case err != nil:
+		return nil, eris.Wrap(ErrInterrupted, err.Error())
+	case len(data) > maxReportBytes:
+		return nil, eris.Wrapf(ErrInterrupted, "body over %d bytes", maxReportBytes)
+	}
+	return data, nil
+}
