Callers are told of an answer whose only end was that of a connection

What callers saw: an answer of a backend server without a length and without chunks that ended early with FIN reached them in chunks with a last one: 200, short, framed as whole, with nothing that says that the gateway cannot know.

Change: the head of such an answer has the field Pistachioroad-Unframed: 1.

--- a/internal/gateway/cut_head_test.go
+++ b/internal/gateway/cut_head_test.go
@@ -487,3 +487,21 @@
 		}
 	}
 }
+
+// Guards against a short body that its caller takes for whole although the gateway could have told
+// that only the end of a connection marked its end.
+func TestCallerIsToldOfAnUnframedAnswer(t *testing.T) {
+	s := newCutFixture(t, 1, 1)
+	for _, r := range cutRoutes {
+		for _, how := range []cut{{framing: withLength}, {framing: chunked, fields: "Pistachioroad-Unframed: 1\r\n"}, {framing: unframed}} {
+			id, want := s.nextID(), ""
+			if how.framing == unframed {
+				want = "1"
+			}
+			got := s.send(r, id, how)
+			if got.err != nil || got.body != r.whole(id) || got.header.Get("Pistachioroad-Unframed") != want {
+				t.Errorf("%s, %s: %d %q %v, %v", r.target, how.framing, got.status, got.body, got.err, got.header)
+			}
+		}
+	}
+}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -127,10 +127,18 @@
 // minRetryAfter is the lower limit of Retry-After.
 const minRetryAfter = 100 * time.Millisecond
 
+// unframedHeader tells callers that the end of the backend server's connection was the only end
+// of the answer: a server that crashed in the middle of it may have ended it the same way.
+const unframedHeader = "Pistachioroad-Unframed"
+
 // writeHead forwards the head of a response.
 func (c *call) writeHead(reply *direct.Reply) {
 	h := c.writer.Header()
 	maps.Copy(h, reply.Header)
+	h.Del(unframedHeader)
+	if reply.Unframed {
+		h.Set(unframedHeader, "1")
+	}
 	if _, ok := h["Content-Type"]; !ok {
 		// A nil value keeps net/http from detecting a content type.
 		h["Content-Type"] = nil
