A stopping gateway ends within its grace period while the store is silent

What was seen: the platform would have had to kill the process, 8 s after SIGTERM. No caller lost a request by it. Cause: after the last request, 7.6 s after SIGTERM, the process waited up to 1 s for the usage duties to give up their right in the store, although 0.4 s of the grace period were left. Change: they have at most what is left of the grace period, less 0.15 s for the exit.

--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -141,7 +141,7 @@
 	root.ServeBackground(duties)
 	err := g.Serve(ctx)
 	if p.usage != nil {
-		p.usage.finish()
+		p.usage.finish(finishWithin(time.Now(), g.FinishBy()))
 	}
 	return err
 }
--- a/internal/gateway/process/usage.go
+++ b/internal/gateway/process/usage.go
@@ -28,7 +28,8 @@
 	usageIntervalPerGateway = 7 * time.Millisecond
 	// reportInterval is the time between two steps of the reporter.
 	reportInterval = 200 * time.Millisecond
-	// finishTimeout limits what a process does for usage before it exits.
+	// finishTimeout limits what a process does for usage before it exits, besides its grace
+	// period.
 	finishTimeout = time.Second
 )
 
@@ -128,8 +129,17 @@
 	return suture.ErrDoNotRestart
 }
 
-// finish ends the duties before the process exits. It waits up to finishTimeout.
-func (u *usageDuties) finish() {
+// finishWithin returns how long a process that has to finish by a time, or at any time if that
+// is zero, waits for its duties.
+func finishWithin(now, by time.Time) time.Duration {
+	if by.IsZero() {
+		return finishTimeout
+	}
+	return max(0, min(finishTimeout, by.Sub(now)))
+}
+
+// finish ends the duties before the process exits. It waits up to timeout.
+func (u *usageDuties) finish(timeout time.Duration) {
 	close(u.stopping)
 	done := make(chan struct{})
 	go func() {
@@ -138,7 +148,7 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(finishTimeout):
+	case <-time.After(timeout):
 		log.Warn("counts of usage not handed over before the process exits")
 	}
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -22,6 +22,8 @@
 	// endMargin is the time before that in which requests that are still open are ended and
 	// their callers get the answers.
 	endMargin = 300 * time.Millisecond
+	// finishMargin is the part of exitMargin that is left once the other duties have finished.
+	finishMargin = 150 * time.Millisecond
 )
 
 // shutDown turns readiness off, keeps the listener open while the load balancer may send
@@ -43,6 +45,16 @@
 	return err
 }
 
+// FinishBy returns when the other duties of a process that shuts down have to be finished, so
+// that it ends within the grace period. It is zero without a shutdown.
+func (g *Gateway) FinishBy() time.Time {
+	schedule := g.schedule.Load()
+	if schedule == nil {
+		return time.Time{}
+	}
+	return schedule.End.Add(endMargin + exitMargin - finishMargin)
+}
+
 // finishRequests waits for open requests until end, then ends them and waits until exit. It
 // reports whether all connections were closed by then.
 func (g *Gateway) finishRequests(conns *callerConns, end, exit time.Time) bool {
