Soak of stops: planned work only, with requests that outlast the grace period

Why the soak missed requests that a late stop cuts: its streams take milliseconds, one gateway is stopped once, and a connection that is closed before the head of an answer was not counted although its request had been passed on. Change: soak-processes -stops (make soak-stops) plays stops of all gateways in turn, together or at random, twice, with further SIGTERMs and SIGHUPs within, changes of the configuration and the store away. Requests take 5 ms to 9 s on slow engines, routes allow 1 to 12 s, bodies come slowly, and callers use their connections until the process is gone. What callers got is compared with what servers were sent; the stand-in takes its time and records when it worked on a request. Excused is only what the rule excuses; "sent no later than 3 s after SIGTERM" is taken of the last byte. The table counts endings by the second of the stop.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,10 @@
 soak-processes: build ## seeded runs of real gateway processes under injected faults (SEED=n RUNS=m)
 	$(BIN)/soak-processes -bin $(BIN) -seed $(SEED) -runs $(RUNS)
 
+.PHONY: soak-stops
+soak-stops: build ## seeded runs of stops, reloads and changes with long requests (SEED=n RUNS=m)
+	$(BIN)/soak-processes -bin $(BIN) -stops -seed $(SEED) -runs $(RUNS) -jobs 2
+
 .PHONY: storms
 storms: build ## retry storms of real gateway processes (STORM=text in the name, SEED=n)
 	$(BIN)/soak-processes -bin $(BIN) -storms "$(STORM)" -seed $(SEED) -runs 1
--- a/test/cmd/soak-processes/main.go
+++ b/test/cmd/soak-processes/main.go
@@ -23,7 +23,11 @@
 	jobs := flag.Int("jobs", 4, "how many runs at once")
 	storms := flag.String("storms", "", "play the retry storms whose names contain `text`, \"all\" for each, in place of the soak")
 	concentration := flag.Float64("concentration", 0, "play `requests` a second of which most go to one gateway after a while, in place of the soak")
+	stops := flag.Bool("stops", false, "play planned work only, with long requests, in place of the soak")
 	flag.Parse()
+	if *stops {
+		os.Exit(playStops(*bin, *seed, *runs, *jobs))
+	}
 	if *storms != "" {
 		os.Exit(playStorms(*storms, *bin, *seed, *runs, *jobs))
 	}
--- a/test/soakproc/environment.go
+++ b/test/soakproc/environment.go
@@ -116,6 +116,8 @@
 	written  written
 	// namesEras is set if the store names eras, and may come back from copies.
 	namesEras bool
+	// moreRoutes are routes of the configuration besides the usual ones.
+	moreRoutes []map[string]any
 }
 
 // retryBudget bounds the retries for a service within 10 s to a share of its requests
@@ -301,6 +303,9 @@
 		route("summary", "/stream-again/", "streaming", modelService, maxAttempts["again"], true, true),
 		route("version", fmt.Sprintf("/v%d/", env.version), "safe", plainService, maxAttempts["version"], false, false),
 	}
+	for _, r := range env.moreRoutes {
+		rules = append(rules, r)
+	}
 	env.put("config", "main", map[string]any{
 		"version": env.version, "routes": rules, "tenants": tenants(env.version),
 		"services": []any{
--- a/test/soakproc/pauses.go
+++ b/test/soakproc/pauses.go
@@ -203,11 +203,17 @@
 // shortest returns the shortest timeout that a request sent at a time may have got. A
 // gateway may apply a change up to configApply late.
 func (t *routeTimeouts) shortest(sent time.Time) time.Duration {
+	return t.within(callerTimeout, sent, configApply)
+}
+
+// within is like shortest for a caller's timeout and the longest time in which gateways apply
+// a change.
+func (t *routeTimeouts) within(callerTimeout time.Duration, sent time.Time, apply time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	shortest := callerTimeout
 	for i, c := range t.changes {
-		replaced := i+1 < len(t.changes) && t.changes[i+1].at.Add(configApply).Before(sent)
+		replaced := i+1 < len(t.changes) && t.changes[i+1].at.Add(apply).Before(sent)
 		if !replaced && c.at.Before(sent.Add(sendSlack)) {
 			shortest = min(shortest, c.timeout)
 		}
--- a/test/standin/runner/runner.go
+++ b/test/standin/runner/runner.go
@@ -120,6 +120,8 @@
 	acceptedOrders []Order
 	startedAtMS    int64
 	notices        notices
+	work           func(Run) Work
+	spells         []Spell
 }
 
 // Order is the body of an order to an engine.
@@ -443,6 +445,7 @@
 func (s *BackendServer) answer(w http.ResponseWriter, req *http.Request, run Run, fault Fault) {
 	s.addInFlight(1)
 	defer s.addInFlight(-1)
+	defer s.beginSpell(run.ID)()
 	if !s.silence.await(req.Context()) {
 		panic(http.ErrAbortHandler)
 	}
@@ -481,6 +484,9 @@
 		s.stream(req.Context(), w, run, fault)
 		return
 	}
+	if !spend(req.Context(), s.workOf(run).Delay) {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(Body(run.ID))))
 	_, _ = io.WriteString(w, Body(run.ID))
 }
@@ -536,8 +542,10 @@
 		return
 	}
 	flush := w.(http.Flusher).Flush
-	for n := firstEvent(run); n <= s.Events; n++ {
-		if !s.silence.await(ctx) {
+	todo := s.workOf(run)
+	pause := todo.Delay
+	for n := firstEvent(run); n <= todo.Events; n++ {
+		if !spend(ctx, pause) || !s.silence.await(ctx) {
 			panic(http.ErrAbortHandler)
 		}
 		event := Event(run.ID, n)
@@ -551,9 +559,7 @@
 		}
 		_, _ = io.WriteString(w, event)
 		flush()
-		if n < s.Events {
-			time.Sleep(s.EventInterval)
-		}
+		pause = todo.Interval
 	}
 }
 
