Move the gateway's caller connections into a package of their own

The entry and the operator API are to stop as the gateway does. A pure move to internal/callerconn with the tests that belong to it: Conns and its Conn, the writer that says Connection: close, and the interruption of a body. The header timeout and the counter of closed connections are now configured by the user of the package. Evidence: go test ./internal/callerconn passes; go test ./internal/gateway -run 'HTTP10|Stop|Deadline|Serve' passes.

--- a/internal/gateway/caller_conn.go
+++ b/internal/callerconn/conn.go
@@ -1,22 +1,23 @@
-package gateway
+package callerconn
 
 import (
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 )
 
-// callerConn is a caller's connection. Between requests it can be closed without
+// Conn is a caller's connection. Between requests it can be closed without
 // cutting a request: closing it only interrupts the read that waits for the next
 // request, and that read returns either bytes or an error, never both.
-type callerConn struct {
+type Conn struct {
 	net.Conn
-	conns *callerConns
+	conns *Conns
 
 	mu    sync.Mutex
 	phase connPhase
@@ -45,7 +46,7 @@
 )
 
 // Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	if !c.startWaiting() {
 		return c.Conn.Read(p)
 	}
@@ -54,7 +55,7 @@
 }
 
 // startWaiting reports whether the read that begins waits for the next request.
-func (c *callerConn) startWaiting() bool {
+func (c *Conn) startWaiting() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != phaseIdle {
@@ -66,12 +67,12 @@
 
 // endWaiting handles the result of a read that waited for the next request. If the
 // read was interrupted before any bytes arrived, it closes the connection.
-func (c *callerConn) endWaiting(n int, err error) (int, error) {
+func (c *Conn) endWaiting(n int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	interrupted := c.phase == phaseInterrupted
 	if interrupted && errors.Is(err, os.ErrDeadlineExceeded) {
-		metrics.GetOrRegisterCounter("gateway.idle_connections_closed", nil).Inc(1)
+		c.conns.config.Closed.Inc(1)
 		c.Conn.Close()
 		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Err: net.ErrClosed}
 	}
@@ -80,14 +81,14 @@
 		// net/http limits the time for the head of a second request only after four
 		// bytes. This limit also replaces the deadline of an interruption that came
 		// too late.
-		err = c.SetReadDeadline(time.Now().Add(headerTimeout))
+		err = c.SetReadDeadline(time.Now().Add(c.conns.config.HeaderTimeout))
 	}
 	return n, err
 }
 
 // becomeIdle records that the last request has been answered while the given idle
 // timeout was in force.
-func (c *callerConn) becomeIdle(now time.Time, timeout time.Duration) {
+func (c *Conn) becomeIdle(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.used = phaseIdle, true
@@ -95,7 +96,7 @@
 }
 
 // becomeActive records that a complete request has been read.
-func (c *callerConn) becomeActive() {
+func (c *Conn) becomeActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseServing
@@ -104,7 +105,7 @@
 // closeExpired closes the connection if it still waits for the next request and has
 // been idle for longer than its idle timeout. A longer configured timeout extends it; a
 // shorter one does not apply, because the caller may not know of it yet.
-func (c *callerConn) closeExpired(now time.Time, configured time.Duration) {
+func (c *Conn) closeExpired(now time.Time, configured time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	timeout := max(configured, c.idleTimeout)
@@ -115,7 +116,7 @@
 
 // closeIdle closes the connection if it waits for a request, unless it is new and its
 // first request may be on its way.
-func (c *callerConn) closeIdle(now time.Time) {
+func (c *Conn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseWaiting && (c.used || now.Sub(c.idleSince) > newConnTimeout) {
@@ -124,7 +125,7 @@
 }
 
 // interrupt makes the waiting read return. c.mu must be held.
-func (c *callerConn) interrupt() {
+func (c *Conn) interrupt() {
 	if c.SetReadDeadline(interruptDeadline) == nil {
 		c.phase = phaseInterrupted
 	}
@@ -133,9 +134,16 @@
 // interruptDeadline is a read deadline in the past.
 var interruptDeadline = time.Unix(1, 0)
 
+// InterruptRead makes a read of a request's body fail.
+func InterruptRead(w http.ResponseWriter) {
+	if err := http.NewResponseController(w).SetReadDeadline(interruptDeadline); err != nil {
+		log.WithField("error", err.Error()).Debug("interrupt of a read from a caller failed")
+	}
+}
+
 // SetLinger sets what happens to unsent data when the connection is closed, as for a
 // net.TCPConn. It returns an error if the connection is of another type.
-func (c *callerConn) SetLinger(seconds int) error {
+func (c *Conn) SetLinger(seconds int) error {
 	tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return eris.Errorf("a connection of type %T has no linger time", c.Conn)
@@ -144,7 +152,7 @@
 }
 
 // Close implements net.Conn.
-func (c *callerConn) Close() error {
+func (c *Conn) Close() error {
 	c.conns.remove(c)
 	return c.Conn.Close()
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
 	"pistachioroad.dev/pistachioroad/internal/decide/quarantine"
@@ -49,7 +50,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	caller := &callerWriter{ResponseWriter: w, closing: g.shuttingDown}
+	caller := &callerconn.Writer{ResponseWriter: w, Closing: g.shuttingDown}
 	c := &call{gateway: g, writer: caller, received: now, id: g.codec.RequestID(r.Header)}
 	c.listed = g.calls.add(c.id, now)
 	// For a panic of logRequest.
@@ -75,28 +76,6 @@
 	c.answered = true
 }
 
-// callerWriter tells the caller not to reuse its connection if the gateway is shutting
-// down when the head of the response is sent.
-type callerWriter struct {
-	http.ResponseWriter
-	// closing reports whether the gateway is shutting down.
-	closing func() bool
-	// headSent is set once the head of the response has been sent.
-	headSent bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *callerWriter) WriteHeader(status int) {
-	if w.closing() {
-		w.Header().Set("Connection", "close")
-	}
-	w.ResponseWriter.WriteHeader(status)
-	w.headSent = true
-}
-
-// Unwrap returns the writer for http.ResponseController.
-func (w *callerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
 // call is the state of one caller's request while it is handled.
 type call struct {
 	gateway *Gateway
@@ -313,8 +292,8 @@
 	if r.ContentLength == 0 {
 		return true
 	}
-	if !c.gateway.calls.setEnd(c.listed, func() { interruptRead(c.writer) }) {
-		interruptRead(c.writer)
+	if !c.gateway.calls.setEnd(c.listed, func() { callerconn.InterruptRead(c.writer) }) {
+		callerconn.InterruptRead(c.writer)
 	}
 	var buf bytes.Buffer
 	if r.ContentLength > 0 {
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -6,13 +6,14 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
 // recoverPanic answers a request whose handling panicked. If the answer has begun, it aborts
 // the caller's connection. It must be deferred.
-func (c *call) recoverPanic(caller *callerWriter) {
+func (c *call) recoverPanic(caller *callerconn.Writer) {
 	p := recover()
 	if p == nil {
 		return
@@ -26,7 +27,7 @@
 	if c.answered {
 		return
 	}
-	if caller.headSent {
+	if caller.HeadSent() {
 		c.abort(panicked, "panic while the request was answered")
 	}
 	c.respondPanic()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/closeframed"
 	"pistachioroad.dev/pistachioroad/internal/limitlistener"
 	"pistachioroad.dev/pistachioroad/internal/safego"
@@ -18,16 +20,8 @@
 	// reservedDescriptors is the number of file descriptors set aside for files,
 	// the store and backend servers. The rest are for callers' connections.
 	reservedDescriptors = 700
-	// idleTimeoutFactor extends the configured idle timeout of callers'
-	// connections, because a caller may use a connection until the timeout ends.
-	idleTimeoutFactor = 1.5
 	// idleSweepInterval is the interval between checks for expired idle connections.
 	idleSweepInterval = 500 * time.Millisecond
-	// newConnTimeout is how long a new connection stays open for its first request
-	// during shutdown.
-	newConnTimeout = 5 * time.Second
-	// drainInterval is the interval between checks for idle connections during shutdown.
-	drainInterval = 10 * time.Millisecond
 	// headerTimeout limits how long reading a request's head may take.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes limits the size of a request's head.
@@ -46,7 +40,7 @@
 	server := newCallerServer(g)
 	serveErr := make(chan error, 1)
 	go func() {
-		serveErr <- safego.RunWithError("accept connections", func() error { return server.Serve(conns.listen(listener)) })
+		serveErr <- safego.RunWithError("accept connections", func() error { return server.Serve(conns.Listen(listener)) })
 	}()
 	sweep := time.NewTicker(idleSweepInterval)
 	defer sweep.Stop()
@@ -67,20 +61,27 @@
 }
 
 // closeExpired closes the idle connections that have expired.
-func (g *Gateway) closeExpired(now time.Time, conns *callerConns) {
+func (g *Gateway) closeExpired(now time.Time, conns *callerconn.Conns) {
 	g.transport.CloseExpired(now)
 	if t := g.directory.View().Table; t != nil && t.Limits.IdleTimeout > 0 {
-		conns.closeExpired(now, t.Limits.IdleTimeout, g.configApplyTime())
+		conns.CloseExpired(now, t.Limits.IdleTimeout, g.configApplyTime())
 	}
 }
 
-// newCallerServer returns a server for the connections of a callerConns.
+func newCallerConns() *callerconn.Conns {
+	return callerconn.New(callerconn.Config{
+		HeaderTimeout: headerTimeout,
+		Closed:        metrics.GetOrRegisterCounter("gateway.idle_connections_closed", nil),
+	})
+}
+
+// newCallerServer returns a server for the connections of newCallerConns.
 func newCallerServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           closeframed.Handler(h),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         connStateChanged,
+		ConnState:         callerconn.ConnStateChanged,
 		ConnContext:       closeframed.ConnContext,
 		ErrorLog:          serverlog.New("callers"),
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -1,14 +1,13 @@
 package gateway
 
 import (
-	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
@@ -30,17 +29,17 @@
 // new connections, and then waits for requests in flight. Those that are open at the end
 // of the schedule are ended. It does not use http.Server.Shutdown, which drops requests
 // that it has just read.
-func (g *Gateway) shutDown(listener net.Listener, served <-chan error, conns *callerConns) error {
+func (g *Gateway) shutDown(listener net.Listener, served <-chan error, conns *callerconn.Conns) error {
 	began := time.Now()
 	exit := began.Add(g.deployment.Load().Bounds.GracePeriod - exitMargin)
 	schedule := shutdown.New(began, exit.Add(-endMargin), balancerLag)
 	g.schedule.Store(&schedule)
-	log.WithFields(log.Fields{"open_requests": g.calls.count(), "connections": conns.count()}).Info("shutting down, readiness is off")
+	log.WithFields(log.Fields{"open_requests": g.calls.count(), "connections": conns.Count()}).Info("shutting down, readiness is off")
 	time.Sleep(time.Until(schedule.BalancedUntil))
-	err := conns.stopListening(listener, served)
+	err := conns.StopListening(listener, served)
 	complete := g.finishRequests(conns, schedule.End, exit)
 	log.WithFields(log.Fields{
-		"complete": complete, "cut_requests": g.calls.logCut(time.Now()), "connections": conns.count(),
+		"complete": complete, "cut_requests": g.calls.logCut(time.Now()), "connections": conns.Count(),
 	}).Info("shut down")
 	return err
 }
@@ -57,24 +56,15 @@
 
 // finishRequests waits for open requests until end, then ends them and waits until exit. It
 // reports whether all connections were closed by then.
-func (g *Gateway) finishRequests(conns *callerConns, end, exit time.Time) bool {
-	if conns.drainUntil(end) {
+func (g *Gateway) finishRequests(conns *callerconn.Conns, end, exit time.Time) bool {
+	if conns.DrainUntil(end) {
 		return true
 	}
 	if ended := g.calls.endAll(); ended > 0 {
 		log.WithField("requests", ended).Warn("requests ended by the shutdown")
 	}
-	// Also those that wait for their first request.
-	conns.closeIdle(time.Now().Add(2 * newConnTimeout))
-	return conns.drainUntil(exit)
-}
-
-// drainUntil closes each connection as soon as it is not in use. It reports whether all were
-// closed before the given time.
-func (c *callerConns) drainUntil(t time.Time) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), t)
-	defer cancel()
-	return c.drain(ctx)
+	conns.CloseWaiting()
+	return conns.DrainUntil(exit)
 }
 
 // shuttingDown reports whether the gateway is shutting down.
@@ -99,10 +89,3 @@
 
 // endedByShutdown reports whether the call has been ended because the process is about to end.
 func (c *call) endedByShutdown() bool { return c.gateway.calls.isEnded(c.listed) }
-
-// interruptRead makes a read of the request's body fail.
-func interruptRead(w http.ResponseWriter) {
-	if err := http.NewResponseController(w).SetReadDeadline(interruptDeadline); err != nil {
-		log.WithField("error", err.Error()).Debug("interrupt of a read from a caller failed")
-	}
-}
