Move the lists of open requests and the durations of routes out of the gateway

The entry's callers are to be served by the same rules while it stops. A pure move to internal/openrequests and internal/durations; the prefix of the metrics' names is a parameter.

--- a/internal/gateway/durations.go
+++ b/internal/durations/durations.go
@@ -1,4 +1,5 @@
-package gateway
+// Package durations has samples of how long requests took.
+package durations
 
 import (
 	"sync"
@@ -16,18 +17,19 @@
 	longQuantile = 0.95
 )
 
-// routeDurations has samples of how long requests took, by route.
-type routeDurations struct {
+// Durations has samples of how long requests took, by route. It is safe for concurrent use.
+type Durations struct {
 	mu      sync.Mutex
 	samples map[string]metrics.Sample
 }
 
-func newRouteDurations() *routeDurations {
-	return &routeDurations{samples: make(map[string]metrics.Sample)}
+// New returns a Durations without samples.
+func New() *Durations {
+	return &Durations{samples: make(map[string]metrics.Sample)}
 }
 
-// observe records how long a request took that a backend server has answered.
-func (r *routeDurations) observe(route string, d time.Duration) {
+// Observe records how long a request took that a backend server has answered.
+func (r *Durations) Observe(route string, d time.Duration) {
 	r.mu.Lock()
 	sample, ok := r.samples[route]
 	if !ok {
@@ -38,8 +40,8 @@
 	sample.Update(int64(d))
 }
 
-// long returns how long requests of a route take at most, but for a few; 0 if that is unknown.
-func (r *routeDurations) long(route string) time.Duration {
+// Long returns how long requests of a route take at most, but for a few; 0 if that is unknown.
+func (r *Durations) Long(route string) time.Duration {
 	r.mu.Lock()
 	sample, ok := r.samples[route]
 	r.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -181,3 +181,11 @@
 	}
 	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts
 }
+
+// listSend records an attempt at a server in the list of open requests.
+func (c *call) listSend(server backend.Server) {
+	c.gateway.calls.Update(func() {
+		c.listed.Sends++
+		c.listed.Server = server.ID
+	})
+}
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -14,6 +14,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/limitlistener"
+	"pistachioroad.dev/pistachioroad/internal/openrequests"
 	"pistachioroad.dev/pistachioroad/internal/readahead"
 )
 
@@ -68,7 +69,7 @@
 	if err := conns.StopListening(l, served); err != nil {
 		t.Fatal(err)
 	}
-	g := &Gateway{calls: newOpenCalls()}
+	g := &Gateway{calls: openrequests.New("gateway")}
 	if !g.finishRequests(conns, time.Now(), time.Now().Add(time.Second)) {
 		t.Error("a connection without a request was left open")
 	}
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/openrequests"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 )
 
@@ -40,9 +41,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := &readDeadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
-			g := &Gateway{calls: newOpenCalls()}
+			g := &Gateway{calls: openrequests.New("gateway")}
 			g.bodies.limit = defaultBodyLimit
-			c := &call{gateway: g, listed: &openCall{}, writer: w, deadline: deadline, view: &directory.View{Table: &routes.Table{}}}
+			c := &call{gateway: g, listed: &openrequests.Request{}, writer: w, deadline: deadline, view: &directory.View{Table: &routes.Table{}}}
 			r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(tc.body))
 			if !c.setIODeadlines(r) || !c.readBody(r) {
 				t.Fatalf("responded %d", w.Code)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,8 @@
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/durations"
+	"pistachioroad.dev/pistachioroad/internal/openrequests"
 	"pistachioroad.dev/pistachioroad/internal/readahead"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/serverhealth"
@@ -67,8 +69,8 @@
 	// usage counts the requests of client accounts, nil if they are not counted.
 	usage *usage.Counter
 
-	calls     *openCalls
-	durations *routeDurations
+	calls     *openrequests.List
+	durations *durations.Durations
 	// schedule is that of the shutdown, nil before it.
 	schedule atomic.Pointer[shutdown.Schedule]
 }
@@ -118,8 +120,8 @@
 		statements:   s,
 		loads:        newLoadReports(e, plain),
 		streams:      newStreamVersions(c.Directory.View),
-		calls:        newOpenCalls(),
-		durations:    newRouteDurations(),
+		calls:        openrequests.New("gateway"),
+		durations:    durations.New(),
 		retryBudgets: newRetryBudgets(cmp.Or(c.StartedAt, boottime.Now())),
 	}
 	g.health = serverhealth.New(func(o []serverhealth.Outcome, urgent bool) { g.engines.gossip.AnnounceOutcomes(o, urgent) })
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -18,6 +18,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/retry"
 	"pistachioroad.dev/pistachioroad/internal/decide/streamversion"
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/openrequests"
 	"pistachioroad.dev/pistachioroad/internal/request"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 	"pistachioroad.dev/pistachioroad/internal/usage"
@@ -52,10 +53,10 @@
 	now := time.Now()
 	caller := &callerconn.Writer{ResponseWriter: w, Closing: g.shuttingDown}
 	c := &call{gateway: g, writer: caller, received: now, id: g.codec.RequestID(r.Header)}
-	c.listed = g.calls.add(c.id, now)
+	c.listed = g.calls.Add(c.id, now)
 	// For a panic of logRequest.
 	defer c.recoverPanic(caller)
-	defer g.calls.remove(c.listed)
+	defer g.calls.Remove(c.listed)
 	defer c.logRequest()
 	defer c.recoverPanic(caller)
 	defer c.settleRetries()
@@ -69,7 +70,7 @@
 	defer cancel()
 	c.ctx, c.cancel = ctx, cancel
 	c.callerCtx = r.Context()
-	if !g.calls.setEnd(c.listed, cancel) {
+	if !g.calls.SetEnd(c.listed, cancel) {
 		cancel()
 	}
 	c.run()
@@ -89,7 +90,7 @@
 	received time.Time
 	deadline time.Time
 	// listed is the call's entry in the list of open calls.
-	listed  *openCall
+	listed  *openrequests.Request
 	view    *directory.View
 	route   routes.Route
 	service routes.Service
@@ -172,7 +173,7 @@
 		return false
 	}
 	c.route = route
-	g.calls.update(func() { c.listed.route = route.Name })
+	g.calls.Update(func() { c.listed.Route = route.Name })
 	req, err := g.codec.ParseRequest(r, c.received)
 	if err != nil {
 		c.respondError(http.StatusBadRequest, verdict.New(verdict.NotRun, verdict.CodeBadRequest, err.Error()))
@@ -292,7 +293,7 @@
 	if r.ContentLength == 0 {
 		return true
 	}
-	if !c.gateway.calls.setEnd(c.listed, func() { callerconn.InterruptRead(c.writer) }) {
+	if !c.gateway.calls.SetEnd(c.listed, func() { callerconn.InterruptRead(c.writer) }) {
 		callerconn.InterruptRead(c.writer)
 	}
 	var buf bytes.Buffer
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,7 +20,7 @@
 		metrics.GetOrRegisterCounter("gateway.errors."+string(c.trace.code), nil).Inc(1)
 	}
 	if c.attempts > 0 && c.trace.ending != callerLeft {
-		g.durations.observe(c.route.Name, time.Since(c.received))
+		g.durations.Observe(c.route.Name, time.Since(c.received))
 	}
 	kind := c.route.Kind.String()
 	metrics.GetOrRegisterTimer("gateway.total."+kind, nil).Update(time.Since(c.received))
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -147,7 +147,7 @@
 		h.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
 	c.trace.status = reply.Status
-	c.gateway.calls.update(func() { c.listed.headSent = true })
+	c.gateway.calls.Update(func() { c.listed.HeadSent = true })
 	c.writer.WriteHeader(reply.Status)
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -34,12 +34,12 @@
 	exit := began.Add(g.deployment.Load().Bounds.GracePeriod - exitMargin)
 	schedule := shutdown.New(began, exit.Add(-endMargin), balancerLag)
 	g.schedule.Store(&schedule)
-	log.WithFields(log.Fields{"open_requests": g.calls.count(), "connections": conns.Count()}).Info("shutting down, readiness is off")
+	log.WithFields(log.Fields{"open_requests": g.calls.Count(), "connections": conns.Count()}).Info("shutting down, readiness is off")
 	time.Sleep(time.Until(schedule.BalancedUntil))
 	err := conns.StopListening(listener, served)
 	complete := g.finishRequests(conns, schedule.End, exit)
 	log.WithFields(log.Fields{
-		"complete": complete, "cut_requests": g.calls.logCut(time.Now()), "connections": conns.Count(),
+		"complete": complete, "cut_requests": g.calls.LogCut(time.Now()), "connections": conns.Count(),
 	}).Info("shut down")
 	return err
 }
@@ -60,7 +60,7 @@
 	if conns.DrainUntil(end) {
 		return true
 	}
-	if ended := g.calls.endAll(); ended > 0 {
+	if ended := g.calls.EndAll(); ended > 0 {
 		log.WithField("requests", ended).Warn("requests ended by the shutdown")
 	}
 	conns.CloseWaiting()
@@ -78,7 +78,7 @@
 		return nil
 	}
 	now := time.Now()
-	expected := c.gateway.durations.long(c.route.Name)
+	expected := c.gateway.durations.Long(c.route.Name)
 	if schedule.Accepts(now, shutdown.Request{Deadline: c.deadline, Expected: expected}) {
 		return nil
 	}
@@ -88,4 +88,4 @@
 }
 
 // endedByShutdown reports whether the call has been ended because the process is about to end.
-func (c *call) endedByShutdown() bool { return c.gateway.calls.isEnded(c.listed) }
+func (c *call) endedByShutdown() bool { return c.gateway.calls.Ended(c.listed) }
