Move the stop of the gateway's server into a package of its own

The entry is to stop in the same way. A pure move to internal/graceful. Evidence: go test ./internal/gateway -run 'Stop|ReadDeadline' passes.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,11 +4,11 @@
 	"net"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
 	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
+	"pistachioroad.dev/pistachioroad/internal/graceful"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -18,30 +18,19 @@
 	balancerLag = 3 * time.Second
 	// exitMargin is the part of the grace period reserved for the process to exit.
 	exitMargin = 400 * time.Millisecond
-	// endMargin is the time before that in which requests that are still open are ended and
-	// their callers get the answers.
-	endMargin = 300 * time.Millisecond
 	// finishMargin is the part of exitMargin that is left once the other duties have finished.
 	finishMargin = 150 * time.Millisecond
 )
 
-// shutDown turns readiness off, keeps the listener open while the load balancer may send
-// new connections, and then waits for requests in flight. Those that are open at the end
-// of the schedule are ended. It does not use http.Server.Shutdown, which drops requests
-// that it has just read.
+// shutDown turns readiness off and finishes the requests within the grace period.
 func (g *Gateway) shutDown(listener net.Listener, served <-chan error, conns *callerconn.Conns) error {
 	began := time.Now()
 	exit := began.Add(g.deployment.Load().Bounds.GracePeriod - exitMargin)
-	schedule := shutdown.New(began, exit.Add(-endMargin), balancerLag)
+	schedule := shutdown.New(began, exit.Add(-graceful.EndMargin), balancerLag)
 	g.schedule.Store(&schedule)
-	log.WithFields(log.Fields{"open_requests": g.calls.Count(), "connections": conns.Count()}).Info("shutting down, readiness is off")
-	time.Sleep(time.Until(schedule.BalancedUntil))
-	err := conns.StopListening(listener, served)
-	complete := g.finishRequests(conns, schedule.End, exit)
-	log.WithFields(log.Fields{
-		"complete": complete, "cut_requests": g.calls.LogCut(time.Now()), "connections": conns.Count(),
-	}).Info("shut down")
-	return err
+	server := graceful.Server{Listener: listener, Served: served, Conns: conns, Requests: g.calls}
+	server.LogStart()
+	return server.ShutDown(schedule, exit)
 }
 
 // FinishBy returns when the other duties of a process that shuts down have to be finished, so
@@ -51,20 +40,7 @@
 	if schedule == nil {
 		return time.Time{}
 	}
-	return schedule.End.Add(endMargin + exitMargin - finishMargin)
-}
-
-// finishRequests waits for open requests until end, then ends them and waits until exit. It
-// reports whether all connections were closed by then.
-func (g *Gateway) finishRequests(conns *callerconn.Conns, end, exit time.Time) bool {
-	if conns.DrainUntil(end) {
-		return true
-	}
-	if ended := g.calls.EndAll(); ended > 0 {
-		log.WithField("requests", ended).Warn("requests ended by the shutdown")
-	}
-	conns.CloseWaiting()
-	return conns.DrainUntil(exit)
+	return schedule.End.Add(graceful.EndMargin + exitMargin - finishMargin)
 }
 
 // shuttingDown reports whether the gateway is shutting down.
