A stopping entry runs only requests that end before it does, and ends the others with a verdict

What callers saw: a request that had just been read when http.Server.Shutdown closed idle connections got no answer, and one that took longer than shutdown_timeout lost its connection without a status or an error event, without a line that names it. Cause: Shutdown takes a connection for idle until net/http has parsed the head, and the time that a request may take was never compared with what is left. Change: the entry stops as the gateway does, with internal/graceful and internal/decide/shutdown. A body that is still coming is interrupted. Requests that are cut nevertheless are named and counted.

--- a/internal/callerconn/writer.go
+++ b/internal/callerconn/writer.go
@@ -8,6 +8,8 @@
 	http.ResponseWriter
 	// Closing reports whether the process is shutting down.
 	Closing func() bool
+	// OnHead, if set, is called when the head of the response is sent.
+	OnHead func()
 
 	headSent bool
 }
@@ -21,7 +23,20 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
-	w.headSent = true
+	if !w.headSent && status >= http.StatusOK {
+		w.headSent = true
+		if w.OnHead != nil {
+			w.OnHead()
+		}
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *Writer) Write(p []byte) (int, error) {
+	if !w.headSent {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
 }
 
 // Unwrap returns the writer for http.ResponseController.
--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -11,9 +11,13 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
+	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
+	"pistachioroad.dev/pistachioroad/internal/durations"
 	"pistachioroad.dev/pistachioroad/internal/entry/serve"
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+	"pistachioroad.dev/pistachioroad/internal/openrequests"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
@@ -50,8 +54,11 @@
 	// writeTimeout is the constant, except in tests.
 	writeTimeout time.Duration
 
-	inFlight atomic.Int64
-	draining atomic.Bool
+	inFlight  atomic.Int64
+	open      *openrequests.List
+	durations *durations.Durations
+	// schedule is that of the shutdown; nil before it.
+	schedule atomic.Pointer[shutdown.Schedule]
 }
 
 var (
@@ -70,13 +77,12 @@
 		chats:       newValidator[chatRequest](),
 
 		writeTimeout: writeTimeout,
+
+		open:      openrequests.New("api"),
+		durations: durations.New(),
 	}
 }
 
-// Drain adds "Connection: close" to all further responses, so that the balancer's
-// connections move to other entries.
-func (a *API) Drain() { a.draining.Store(true) }
-
 // InFlight returns the number of requests in flight.
 func (a *API) InFlight() int { return int(a.inFlight.Load()) }
 
@@ -101,10 +107,14 @@
 func (a *API) handle(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := uuid.Must(uuid.NewV7())
-		w.Header().Set(RequestIDHeader, id.String())
-		if a.draining.Load() {
-			w.Header().Set("Connection", "close")
+		open := a.open.Add(id.String(), time.Now())
+		defer a.open.Remove(open)
+		w = &callerconn.Writer{
+			ResponseWriter: w, Closing: a.shuttingDown,
+			OnHead: func() { a.open.Update(func() { open.HeadSent = true }) },
 		}
+		w.Header().Set(RequestIDHeader, id.String())
+		r = r.WithContext(withOpenRequest(r.Context(), open))
 		defer a.inFlight.Add(-1)
 		if a.inFlight.Add(1) > int64(a.settings.Limits.InFlight) {
 			inFlightRejections.Inc(1)
@@ -126,7 +136,9 @@
 
 // rejectRequest responds to a request that is invalid or was not fully received.
 func rejectRequest(w http.ResponseWriter, id uuid.UUID, err *verdict.Error) {
-	badRequests.Inc(1)
+	if err.Code != verdict.CodeDraining {
+		badRequests.Inc(1)
+	}
 	if err.Code == verdict.CodeSlowBody || err.Code == verdict.CodeTooLarge {
 		// The unread rest of the body would be parsed as the next request.
 		w.Header().Set("Connection", "close")
--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
 	"pistachioroad.dev/pistachioroad/internal/entry/api"
 	"pistachioroad.dev/pistachioroad/internal/entry/call"
 	"pistachioroad.dev/pistachioroad/internal/entry/serve"
@@ -301,10 +302,48 @@
 	})
 
 	It("asks callers to close their connections while it drains", func() {
-		a.Drain()
+		a.ShutDown(shutdown.New(time.Now(), time.Now().Add(time.Hour), time.Second))
 		resp, _ := do(http.MethodGet, "/services/lookup/x", nil, "")
 		Expect(resp.Close).To(BeTrue())
 	})
+
+	// Guards against running a request that the shutdown must cut, although another entry
+	// has the time for it.
+	It("rejects requests that may outlast its shutdown", func() {
+		a.ShutDown(shutdown.New(time.Now(), time.Now().Add(10*time.Second), 0))
+		resp, answer := do(http.MethodGet, "/services/lookup/x", nil, "")
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(rejection(resp, answer)).To(BeEquivalentTo(verdict.CodeDraining))
+		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(resp.Close).To(BeTrue())
+		Expect(d.request()).To(BeNil())
+		resp, _ = do(http.MethodGet, "/services/lookup/x", http.Header{api.TimeoutHeader: {"5s"}}, "")
+		Expect(resp.StatusCode).To(Equal(http.StatusCreated))
+	})
+
+	// Guards against a connection that is closed without an answer because the body of its
+	// request is still coming at the end of the shutdown.
+	It("rejects a request whose body is still coming at the end of its shutdown", func() {
+		slow := testSettings()
+		slow.Limits.BodyTimeout = time.Minute
+		a := api.New(slow, d, noFleet{})
+		server := httptest.NewServer(a.Handler())
+		DeferCleanup(server.Close)
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /services/lookup/x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(a.Open().Count).Should(Equal(1))
+		a.ShutDown(shutdown.New(time.Now(), time.Now(), 0))
+		a.Open().EndAll()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(resp.Header.Get(verdict.Header)).To(Equal("not_run"))
+		Expect(resp.Close).To(BeTrue())
+	})
 })
 
 // FuzzRequest checks that for any input the API either passes on a request within
--- a/internal/entry/api/completions.go
+++ b/internal/entry/api/completions.go
@@ -83,7 +83,11 @@
 
 func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
 	limits := a.settings.Limits
-	return readBody(w, r, limits.BodyBytes, limits.BodyTimeout)
+	body, err := readBody(w, r, limits.BodyBytes, limits.BodyTimeout, a.endReadAtShutdown)
+	if err != nil && err.Code == verdict.CodeSlowBody && a.open.Ended(openRequest(r.Context())) {
+		return nil, shutdownRejection()
+	}
+	return body, err
 }
 
 func (a *API) generate(w http.ResponseWriter, r *http.Request, id uuid.UUID, g generationParams) {
@@ -141,7 +145,7 @@
 func (a *API) respond(w http.ResponseWriter, r *http.Request, request *serve.Request, g generationParams) {
 	responses := newResponseBuilder(request, g)
 	if !g.stream {
-		a.executor.Do(r.Context(), request, &bufferedSink{
+		a.execute(w, r, request, &bufferedSink{
 			w: w, responses: responses, id: request.ID.String(), writeTimeout: a.writeTimeout,
 		})
 		return
@@ -149,7 +153,7 @@
 	sink := &streamSink{
 		w: w, responses: responses, id: request.ID.String(), includeUsage: g.includeUsage, writeTimeout: a.writeTimeout,
 	}
-	a.executor.Do(r.Context(), request, sink)
+	a.execute(w, r, request, sink)
 	if sink.mustAbort {
 		brokenStreams.Inc(1)
 		// Aborting the connection shows the caller that the response is incomplete.
--- a/internal/entry/api/parse.go
+++ b/internal/entry/api/parse.go
@@ -201,10 +201,13 @@
 }
 
 // readBody reads the body, which must not exceed the size limit and must arrive
-// within timeout.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, *verdict.Error) {
+// within timeout. It calls begin before it reads.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration,
+	begin func(http.ResponseWriter, *http.Request),
+) ([]byte, *verdict.Error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
+	begin(w, r)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
 		// net/http continues to read, to detect that the caller disconnects.
--- a/internal/entry/api/services.go
+++ b/internal/entry/api/services.go
@@ -37,7 +37,7 @@
 		rejectRequest(w, id, err)
 		return
 	}
-	a.executor.Do(r.Context(), request, &callSink{w: w, id: id.String(), writeTimeout: a.writeTimeout})
+	a.execute(w, r, request, &callSink{w: w, id: id.String(), writeTimeout: a.writeTimeout})
 }
 
 // newCallRequest validates the headers and returns the request to run.
--- a/internal/entry/call/call.go
+++ b/internal/entry/call/call.go
@@ -180,6 +180,8 @@
 		m.unroutable(now, e)
 	case CallerDisconnected:
 		m.callerDisconnected()
+	case ShutDown:
+		m.shutDown()
 	case Timer:
 		m.timer(now)
 	default:
--- a/internal/entry/call/call_test.go
+++ b/internal/entry/call/call_test.go
@@ -308,6 +308,21 @@
 		Expect(f.failure().Verdict).To(Equal(verdict.MayHaveRun))
 	})
 
+	// Guards against a false verdict, or a Retry-After that repeats a call, when the entry
+	// stops before the answer has come.
+	It("reports what is known of its attempts when the process shuts down", func() {
+		waiting := newFixture(call.Spec{})
+		waiting.step(call.ShutDown{})
+		Expect(waiting.failure().Verdict).To(Equal(verdict.NotRun))
+		Expect(waiting.failure().Code).To(Equal(verdict.CodeDraining))
+		Expect(waiting.failure().RetryAfter).NotTo(BeZero())
+		running := newFixture(call.Spec{})
+		running.sendTo("a")
+		running.step(call.ShutDown{})
+		Expect(running.failure().Verdict).To(Equal(verdict.MayHaveRun))
+		Expect(running.failure().RetryAfter).To(BeZero())
+	})
+
 	// Guards against a request that fails because its prefill engine is
 	// unreachable: the decode engine prefills the prompt itself.
 	It("lets the decode engine prefill when the prefill engine fails", func() {
--- a/internal/entry/call/event.go
+++ b/internal/entry/call/event.go
@@ -83,6 +83,9 @@
 
 	// CallerDisconnected reports that the caller has disconnected.
 	CallerDisconnected struct{}
+
+	// ShutDown reports that the process is about to end.
+	ShutDown struct{}
 )
 
 func (Begin) isEvent()              {}
@@ -99,6 +102,7 @@
 func (ResolveFailed) isEvent()      {}
 func (Timer) isEvent()              {}
 func (CallerDisconnected) isEvent() {}
+func (ShutDown) isEvent()           {}
 
 // attemptEvent is an event of an attempt that is in flight.
 type attemptEvent interface {
--- a/internal/entry/call/fail.go
+++ b/internal/entry/call/fail.go
@@ -15,6 +15,18 @@
 	m.fail(verdict.New(verdict.NotRun, verdict.CodeCancelled, "the caller went away"))
 }
 
+// shutDown cancels the request with what is known of its attempts.
+func (m *Machine) shutDown() {
+	if m.inFlight() {
+		m.cancel()
+	}
+	code := verdict.CodeDraining
+	if m.Verdict() != verdict.NotRun {
+		code = verdict.CodeOutcomeUnknown
+	}
+	m.fail(verdict.New(verdict.NotRun, code, "the entry is shutting down"))
+}
+
 func (m *Machine) cancel() {
 	m.emit(Cancel{Attempt: m.current.number, Server: m.current.server})
 }
--- a/internal/entry/call/random_test.go
+++ b/internal/entry/call/random_test.go
@@ -355,6 +355,11 @@
 				sim.step(t, call.CallerDisconnected{})
 			}
 		},
+		"shut down": func(t *rapid.T) {
+			if rarely(t, 30) {
+				sim.step(t, call.ShutDown{})
+			}
+		},
 	}
 }
 
@@ -431,7 +436,7 @@
 		AddReportEntry("events, effects and faults covered", fmt.Sprint(coverage))
 		Expect(slices.Collect(maps.Keys(coverage))).To(ContainElements(
 			"call.Finish", "call.Fail", "call.Resolve", "call.Cancel", "lost", "restart",
-			"call.StreamLost", "call.LinkSilent", "call.Resolution", "call.ResolveFailed", "call.CallerDisconnected",
+			"call.StreamLost", "call.LinkSilent", "call.Resolution", "call.ResolveFailed", "call.CallerDisconnected", "call.ShutDown",
 			"told not_run", "told may_have_run", "told ran",
 			"route later", "taken over", "kept answer incomplete", "kept answer of another",
 		))
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/closeframed"
+	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
 	"pistachioroad.dev/pistachioroad/internal/entry/api"
+	"pistachioroad.dev/pistachioroad/internal/graceful"
 	"pistachioroad.dev/pistachioroad/internal/serverlog"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 )
@@ -21,6 +24,11 @@
 	listener net.Listener
 	api      *api.API
 	server   *http.Server
+	conns    *callerconn.Conns
+	// stopping is closed when the shutdown begins. served receives the result of server.Serve
+	// after that.
+	stopping chan struct{}
+	served   chan error
 }
 
 func newCallerServer(listener net.Listener, s *settings.Entry, a *api.API) *callerServer {
@@ -30,11 +38,18 @@
 		server: &http.Server{
 			Handler:           closeframed.Handler(a.Handler()),
 			ConnContext:       closeframed.ConnContext,
+			ConnState:         callerconn.ConnStateChanged,
 			ReadHeaderTimeout: s.Limits.HeaderTimeout,
 			IdleTimeout:       s.Limits.IdleTimeout,
 			MaxHeaderBytes:    s.Limits.HeaderBytes,
 			ErrorLog:          serverlog.New("callers"),
 		},
+		conns: callerconn.New(callerconn.Config{
+			HeaderTimeout: s.Limits.HeaderTimeout,
+			Closed:        metrics.GetOrRegisterCounter("api.idle_connections_closed", nil),
+		}),
+		stopping: make(chan struct{}),
+		served:   make(chan error, 1),
 	}
 }
 
@@ -44,24 +59,31 @@
 // Serve accepts connections until the server is shut down, then waits for the end
 // of ctx.
 func (c *callerServer) Serve(ctx context.Context) error {
-	err := c.server.Serve(c.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	err := c.server.Serve(c.conns.Listen(c.listener))
+	select {
+	case <-c.stopping:
+		c.served <- err
 		<-ctx.Done()
 		return ctx.Err()
+	default:
+		return eris.Wrap(err, "serve callers")
 	}
-	return eris.Wrap(err, "serve callers")
 }
 
-// shutDown stops listening and waits for the requests in flight. After the timeout
-// it closes their connections.
-func (c *callerServer) shutDown(timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	if err := c.server.Shutdown(ctx); err != nil {
-		log.WithField("in_flight", c.api.InFlight()).
-			Errorf("requests still in flight after the shutdown timeout of %s; closing their connections", timeout)
-		_ = c.server.Close()
+// shutDown finishes the requests. The load balancer keeps sending new ones for lag, and timeout
+// limits the time after that. It is called once.
+func (c *callerServer) shutDown(lag, timeout time.Duration) {
+	began := time.Now()
+	exit := began.Add(lag + timeout)
+	schedule := shutdown.New(began, exit.Add(-graceful.EndMargin), lag)
+	c.api.ShutDown(schedule)
+	close(c.stopping)
+	server := graceful.Server{Listener: c.listener, Served: c.served, Conns: c.conns, Requests: c.api.Open()}
+	server.LogStart()
+	if err := server.ShutDown(schedule, exit); err != nil {
+		log.WithError(err).Warn("cannot close the listener for callers")
 	}
+	_ = c.server.Close()
 }
 
 // Dump returns the state of the duty for the operator API.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
@@ -245,14 +244,8 @@
 	return daemon.Serve(ctx, p.supervisor, func(context.Context) { p.shutDown() })
 }
 
-// shutDown takes the process out of service without interrupting a request: the
-// load balancer keeps sending new ones for BalancerLag after readiness fails.
+// shutDown takes the process out of service without interrupting a request.
 func (p *process) shutDown() {
-	entry := p.settings.Entry
-	log.WithField("balancer_lag", entry.BalancerLag.String()).Info("draining")
 	p.draining.Store(true)
-	p.callers.api.Drain()
-	time.Sleep(entry.BalancerLag)
-	p.callers.shutDown(entry.ShutdownTimeout)
-	log.Info("drained")
+	p.callers.shutDown(p.settings.Entry.BalancerLag, p.settings.Entry.ShutdownTimeout)
 }
--- a/internal/entry/serve/request.go
+++ b/internal/entry/serve/request.go
@@ -29,6 +29,10 @@
 	BodyDigest uint64
 	Generate   *wire.Generate
 	Call       *wire.Call
+	// End, when closed, ends the request with what is known of its attempts. It may be nil.
+	End <-chan struct{}
+	// Sent, if set, is called for each attempt with the name of its backend server.
+	Sent func(server string)
 }
 
 // Sink receives the answer. Its methods are called from a single goroutine.
--- a/internal/entry/serve/run.go
+++ b/internal/entry/serve/run.go
@@ -182,6 +182,9 @@
 	r.sentAt = time.Now()
 	r.firstChunkReceived = false
 	r.linkSilent = nil
+	if r.request.Sent != nil {
+		r.request.Sent(e.Server)
+	}
 	go r.runAttempt(ctx, e)
 }
 
--- a/internal/entry/serve/serve.go
+++ b/internal/entry/serve/serve.go
@@ -104,6 +104,8 @@
 			r.step(ctx, call.Timer{})
 		case <-ctx.Done():
 			r.step(ctx, call.CallerDisconnected{})
+		case <-r.request.End:
+			r.step(ctx, call.ShutDown{})
 		}
 	}
 }
