The operator API answers requests that have just been read when it stops

What callers saw: a scrape or a dump on a kept connection that was read as the process stopped got no answer. Change: it stops with internal/callerconn, and heads sent during the stop say Connection: close.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -5,18 +5,19 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"os"
 	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/explain"
 	"pistachioroad.dev/pistachioroad/internal/serverlog"
 	"pistachioroad.dev/pistachioroad/internal/sharedstate"
@@ -128,8 +129,18 @@
 	if err != nil {
 		return eris.Wrap(err, "listen on the operator address")
 	}
+	return s.serve(ctx, listener)
+}
+
+// serve does not use http.Server.Shutdown, which drops requests that it has just read.
+func (s *Server) serve(ctx context.Context, listener net.Listener) error {
+	conns := callerconn.New(callerconn.Config{
+		HeaderTimeout: headerTimeout,
+		Closed:        metrics.GetOrRegisterCounter("operator.idle_connections_closed", nil),
+	})
 	server := &http.Server{
-		Handler:           s.handler,
+		Handler:           closeWhenDone(ctx, s.handler),
+		ConnState:         callerconn.ConnStateChanged,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       requestTimeout,
 		WriteTimeout:      requestTimeout,
@@ -137,29 +148,30 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          serverlog.New("operator"),
 	}
-	done := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(done)
-		shutDownServer(server)
-	})
-	defer stop()
-	err = server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-done
-		return ctx.Err()
+	defer server.Close()
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(conns.Listen(listener)) }()
+	select {
+	case err := <-served:
+		return eris.Wrap(err, "serve the operator API")
+	case <-ctx.Done():
 	}
-	return eris.Wrap(err, "serve the operator API")
+	// Requests in flight may finish: a dump taken now is often the last information that an
+	// operator gets about the process.
+	if err := conns.StopListening(listener, served); err != nil {
+		log.WithError(err).Warn("cannot close the operator listener")
+	}
+	if !conns.DrainUntil(time.Now().Add(shutdownTimeout)) {
+		log.WithField("connections", conns.Count()).Warn("operator connections closed at the end of the process")
+	}
+	return ctx.Err()
 }
 
-// shutDownServer shuts the server down and lets requests in flight finish within
-// shutdownTimeout: a dump taken then is often the last information that an
-// operator gets about the process.
-func shutDownServer(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
-		_ = server.Close()
-	}
+// closeWhenDone returns a handler whose responses close their connections once ctx is done.
+func closeWhenDone(ctx context.Context, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&callerconn.Writer{ResponseWriter: w, Closing: func() bool { return ctx.Err() != nil }}, r)
+	})
 }
 
 func (s *Server) routes() http.Handler {
