A stopping sidecar ends the calls that outlast it and tells their entries

What callers saw: a call that ran when the sidecar's shutdown_timeout ended lost its stream; its entry asked for the outcome of a process that was gone until it gave up, and only then told the caller. The key slots were not released, since the same time-out had passed. Cause: the process left with its runs, and nothing was compared with the time that it had. Change: 0.3 s before the end the runs are cancelled, their entries are told may_have_run, claims are settled with that and key slots released. At half of the time only those idempotent runs are handed over that may outlast the process by their deadline. What is cut nevertheless is named and counted, and the line at the end has the numbers. Evidence: the spec 'tells the entry of a call that outlasts it that it may have run' failed before with EOF and 'cannot release key slots'; go test ./internal/sidecar/... passes.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -41,7 +41,9 @@
 	// once the event for the request table is queued.
 	shutdownStarted struct {
 		handOverAfter time.Duration
-		done          chan struct{}
+		// end is when the process ends the runs.
+		end  time.Time
+		done chan struct{}
 	}
 	admissionQuery struct{ reply chan admissionDump }
 )
@@ -56,6 +58,8 @@
 	// handOverAt is when running work is handed over during a drain or shutdown;
 	// zero if none is due.
 	handOverAt time.Time
+	// end is when a shutdown ends the runs; zero without one.
+	end time.Time
 }
 
 // tableEvent returns the event that brings the request table to this state.
@@ -140,11 +144,11 @@
 // post queues a message and waits for space in the inbox.
 func (d *admissionDuty) post(ctx context.Context, m any) { _ = d.inbox.PutWait(ctx, m) }
 
-// shutDown stops admission and schedules the handover of running work. New
-// requests are rejected once it returns.
-func (d *admissionDuty) shutDown(ctx context.Context, handOverAfter time.Duration) {
+// shutDown stops admission and schedules the handover of running work that may
+// last beyond end. New requests are rejected once it returns.
+func (d *admissionDuty) shutDown(ctx context.Context, handOverAfter time.Duration, end time.Time) {
 	done := make(chan struct{})
-	d.post(ctx, shutdownStarted{handOverAfter: handOverAfter, done: done})
+	d.post(ctx, shutdownStarted{handOverAfter: handOverAfter, end: end, done: done})
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -162,7 +166,7 @@
 			d.handle(ctx, time.Now(), m)
 		case now := <-ticker.C:
 			if d.state.handOverDue(now) {
-				d.handOver(ctx)
+				d.handOver(ctx, d.state.end)
 			}
 		case <-ctx.Done():
 			return ctx.Err()
@@ -181,9 +185,9 @@
 	case shutdownStarted:
 		defer close(m.done)
 		d.state.shuttingDown = true
-		d.state.handOverAt = now.Add(m.handOverAfter)
+		d.state.handOverAt, d.state.end = now.Add(m.handOverAfter), m.end
 	case engineHandOver:
-		d.handOver(ctx)
+		d.handOver(ctx, time.Time{})
 		return
 	case admissionQuery:
 		m.reply <- d.dump()
@@ -208,9 +212,10 @@
 	d.explain.Add(time.Now(), d.server, decision, reason)
 }
 
-func (d *admissionDuty) handOver(ctx context.Context) {
+// handOver hands running work over, unless its deadline is not after end.
+func (d *admissionDuty) handOver(ctx context.Context, end time.Time) {
 	d.explain.Add(time.Now(), d.server, "hands running work over", "the time to finish it is over")
-	d.requests.post(ctx, requests.HandOver{})
+	d.requests.post(ctx, requests.HandOver{End: end})
 }
 
 // admissionDump is the state of the duty for operators.
--- a/internal/sidecar/fixture_test.go
+++ b/internal/sidecar/fixture_test.go
@@ -53,13 +53,16 @@
 	return startSidecar("booking", plainservice.New(plainservice.Config{}).Handler())
 }
 
-func startSidecar(service string, backend http.Handler) *fixture {
+func startSidecar(service string, backend http.Handler, modify ...func(*settings.Sidecar)) *fixture {
 	GinkgoHelper()
 	f := &fixture{backend: httptest.NewServer(backend), stopped: make(chan error, 1)}
 	DeferCleanup(f.backend.Close)
 	store := httptest.NewServer(objectstore.New())
 	DeferCleanup(store.Close)
 	f.settings = testSettings(service, address(f.backend), address(store))
+	for _, m := range modify {
+		m(f.settings.Sidecar)
+	}
 
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/samber/do/v2"
 
 	"pistachioroad.dev/pistachioroad/internal/claims"
@@ -22,8 +24,12 @@
 	// the last one by the requests that they have sent since.
 	loadInterval     = 200 * time.Millisecond
 	idlePollInterval = 10 * time.Millisecond
+	// cutDumpTimeout limits the wait for the list of requests that the end of the process cuts.
+	cutDumpTimeout = 50 * time.Millisecond
 )
 
+var cutRequests = metrics.GetOrRegisterCounter("requests.unanswered.process_end", nil)
+
 // Messages to the requests duty.
 type (
 	// streamOpened is the first frame of a stream.
@@ -312,14 +318,38 @@
 
 // awaitIdle waits until every request has an outcome. The query goes through the
 // inbox, so after a change of admission it counts all requests admitted before.
-func (d *requestsDuty) awaitIdle(ctx context.Context) {
+// It returns false if ctx is done before.
+func (d *requestsDuty) awaitIdle(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		active := query(ctx, d.inbox, func(reply chan int) any { return activeQuery{reply: reply} })
 		if active == 0 {
-			return
+			return true
 		}
 		time.Sleep(idlePollInterval)
 	}
+	return false
+}
+
+// endRuns ends the runs, because the process is about to end.
+func (d *requestsDuty) endRuns(ctx context.Context) {
+	if dump, ok := d.Dump(ctx).(requests.Dump); ok {
+		log.WithField("requests", dump.Running).Warn("requests ended by the shutdown")
+	}
+	d.post(ctx, requests.EndRuns{})
+}
+
+// logCut logs and counts the requests that the end of the process cuts. It returns their number.
+func (d *requestsDuty) logCut() int {
+	ctx, cancel := context.WithTimeout(context.Background(), cutDumpTimeout)
+	defer cancel()
+	dump, _ := d.Dump(ctx).(requests.Dump)
+	cutRequests.Inc(int64(len(dump.Requests)))
+	for _, r := range dump.Requests {
+		log.WithFields(log.Fields{
+			"request": r.ID, "attempt": r.Attempt, "phase": r.Phase, "left": r.Remaining, "orphan": r.Orphan,
+		}).Warn("request cut by the end of the process")
+	}
+	return len(dump.Requests)
 }
 
 func (d *requestsDuty) stopRuns() {
--- a/internal/sidecar/requests/cancel.go
+++ b/internal/sidecar/requests/cancel.go
@@ -81,10 +81,30 @@
 
 // handOver cancels the idempotent runs. Their entries resume them elsewhere from
 // the output received so far.
-func (t *Table) handOver(now time.Time) {
+func (t *Table) handOver(now time.Time, e HandOver) {
 	for _, r := range t.activeBySerial() {
-		if r.phase == running && r.idempotent() {
+		inTime := !e.End.IsZero() && !r.deadline.After(e.End)
+		if r.phase == running && r.idempotent() && !inTime {
 			t.abandon(now, r, verdict.CodeDraining, "the backend server changes or leaves: resume elsewhere")
 		}
 	}
 }
+
+// endRuns cancels all runs. Their entries are told so, which otherwise would ask for the
+// outcomes until they give up, and claims are settled.
+func (t *Table) endRuns(now time.Time) {
+	for _, r := range t.activeBySerial() {
+		if r.phase != running {
+			continue
+		}
+		code := verdict.CodeOutcomeUnknown
+		if r.idempotent() {
+			code = verdict.CodeDraining
+		}
+		t.logDecision(r, "ended", "the sidecar is shutting down")
+		t.detach(now, r, verdict.New(verdict.MayHaveRun, code, "the sidecar is shutting down"))
+		if !r.cancelling {
+			t.cancelRun(r)
+		}
+	}
+}
--- a/internal/sidecar/requests/event.go
+++ b/internal/sidecar/requests/event.go
@@ -87,8 +87,12 @@
 	Admit struct{}
 
 	// HandOver cancels idempotent runs, so that their entries resume them on
-	// another backend server. Other runs continue to completion.
-	HandOver struct{}
+	// another backend server. Other runs continue to completion, and so do those
+	// whose deadline is not after End, unless it is zero.
+	HandOver struct{ End time.Time }
+
+	// EndRuns cancels all runs, because the process is about to end.
+	EndRuns struct{}
 
 	// EngineReport is the engine's latest load and state.
 	EngineReport struct {
@@ -113,5 +117,6 @@
 func (StopAdmitting) isEvent()   {}
 func (Admit) isEvent()           {}
 func (HandOver) isEvent()        {}
+func (EndRuns) isEvent()         {}
 func (EngineReport) isEvent()    {}
 func (Tick) isEvent()            {}
--- a/internal/sidecar/requests/random_test.go
+++ b/internal/sidecar/requests/random_test.go
@@ -359,11 +359,13 @@
 }
 
 func (w *world) admission(t *rapid.T) {
-	switch rapid.IntRange(0, 4).Draw(t, "admission") {
+	switch rapid.IntRange(0, 5).Draw(t, "admission") {
 	case 0:
 		w.step(requests.StopAdmitting{Code: verdict.CodeDraining, Reason: "drained"})
 	case 1:
 		w.step(requests.HandOver{})
+	case 2:
+		w.step(requests.EndRuns{})
 	default:
 		w.step(requests.Admit{})
 	}
--- a/internal/sidecar/requests/requests.go
+++ b/internal/sidecar/requests/requests.go
@@ -155,7 +155,9 @@
 	case Admit:
 		t.closedReason, t.suspect = nil, false
 	case HandOver:
-		t.handOver(now)
+		t.handOver(now, e)
+	case EndRuns:
+		t.endRuns(now)
 	case EngineReport:
 		t.engineReport(e)
 	case Tick:
--- a/internal/sidecar/requests/requests_test.go
+++ b/internal/sidecar/requests/requests_test.go
@@ -333,6 +333,30 @@
 			Expect(d.cancelled(running)).To(BeTrue())
 		})
 
+		// Guards against reading a prompt again elsewhere although its run ends before the
+		// process does.
+		It("lets runs continue that end in time", func() {
+			id := newID()
+			d.arrive(generation(id))
+			d.step(requests.HandOver{End: d.now.Add(10 * time.Second)})
+			Expect(d.cancelled(id)).To(BeFalse())
+			d.step(requests.HandOver{End: d.now.Add(9 * time.Second)})
+			Expect(d.cancelled(id)).To(BeTrue())
+		})
+
+		// Guards against a key whose call is taken for one that did not run, because the
+		// process ended during it.
+		It("ends a call with a key as one that may have run", func() {
+			id := newID()
+			stream := d.arrive(keyedCall(id))
+			d.grantClaim()
+			d.step(requests.EndRuns{})
+			Expect(d.refusal(stream).GetVerdict()).To(Equal(wire.Verdict_VERDICT_MAY_HAVE_RUN))
+			Expect(d.cancelled(id)).To(BeTrue())
+			d.end(id, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "cancelled"))
+			Expect(d.settled().Verdict).To(Equal(verdict.MayHaveRun))
+		})
+
 		It("never cancels a call that may not be repeated", func() {
 			id := newID()
 			d.arrive(call(id))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -46,6 +46,9 @@
 	// the announcement may arrive late. It covers one heartbeat interval and the
 	// network latency.
 	shutdownQuietPeriod = link.HeartbeatInterval + 200*time.Millisecond
+	// shutdownEndMargin is the time before the end of the shutdown timeout in which
+	// calls that still run are ended and key slots are released.
+	shutdownEndMargin = 300 * time.Millisecond
 )
 
 // clockOrigin is the zero of the process clock that Hello and Heartbeat carry and
@@ -210,22 +213,32 @@
 }
 
 // shutDown drains the backend server without losing a request. Draining is
-// announced to entries immediately, and waiting requests are rejected so that
-// entries send them elsewhere. Running requests may finish; after half of the
-// shutdown timeout the idempotent ones are handed over.
+// announced to entries immediately, and waiting and new requests are rejected so
+// that entries send them elsewhere. Running requests may finish; after half of the
+// shutdown timeout the idempotent ones that may last longer than it are handed over.
+// Calls that still run shortly before the end are ended: their entries are told that
+// they may have run.
 func (p *process) shutDown(ctx context.Context) {
-	timeout := p.settings.Sidecar.ShutdownTimeout
-	log.WithField("timeout", timeout.String()).Info("draining")
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	began, timeout := time.Now(), p.settings.Sidecar.ShutdownTimeout
+	exit := began.Add(timeout)
+	end := exit.Add(-shutdownEndMargin)
+	log.WithField("timeout", timeout.String()).Info("shutting down, draining is announced")
+	ctx, cancel := context.WithDeadline(ctx, exit)
 	defer cancel()
-	p.admission.shutDown(ctx, timeout/2)
-	p.links.awaitNoArrivals(ctx, shutdownQuietPeriod)
-	p.requests.awaitIdle(ctx)
+	finish, stopWaiting := context.WithDeadline(ctx, end)
+	defer stopWaiting()
+	p.admission.shutDown(finish, timeout/2, end)
+	p.links.awaitNoArrivals(finish, shutdownQuietPeriod)
+	complete := p.requests.awaitIdle(finish)
+	if !complete {
+		p.requests.endRuns(ctx)
+		complete = p.requests.awaitIdle(ctx)
+	}
 	p.links.awaitSent(ctx)
 	if err := p.claims.Release(ctx); err != nil {
 		log.WithError(err).Warn("cannot release key slots; their next owner takes over after a delay")
 	}
-	log.Info("drained")
+	log.WithFields(log.Fields{"complete": complete, "cut_requests": p.requests.logCut()}).Info("shut down")
 }
 
 // newRandom returns a randomly seeded source for retry jitter.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -15,6 +15,7 @@
 	"pistachioroad.dev/pistachioroad/internal/invariant"
 	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/internal/plan"
+	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
@@ -202,6 +203,27 @@
 	})
 })
 
+var _ = Describe("A shutdown", func() {
+	// Guards against a call that is cut without a word because it takes longer than the
+	// sidecar has left when it stops: its entry would ask for the outcome until it gives up.
+	It("tells the entry of a call that outlasts it that it may have run", func() {
+		release := make(chan struct{})
+		defer close(release)
+		placing := make(chan struct{}, 1)
+		s := startSidecar("booking", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			placing <- struct{}{}
+			<-release
+		}), func(s *settings.Sidecar) { s.ShutdownTimeout = 2 * time.Second })
+		call := s.link().send(bookingCall("seo-yeon"))
+		Eventually(placing).Should(Receive())
+		s.stop()
+		refusal := receiveRefusal(call)
+		Expect(refusal.GetVerdict()).To(Equal(wire.Verdict_VERDICT_MAY_HAVE_RUN))
+		Expect(refusal.GetCode()).To(BeEquivalentTo(verdict.CodeOutcomeUnknown))
+		Eventually(s.stopped).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+	})
+})
+
 var _ = Describe("Run without a caller", func() {
 	// Guards against an outcome that stays unknown forever: a call's entry crashes
 	// and the sidecar shuts down while the call is running.
