The callers' API answers a request whose handling panics outside its execution

What callers saw: a panic while a request was parsed or its answer built closed the connection without an answer, a counter or a line of the structured log; only those while it was executed were answered. Change: 500 with the verdict (not_run if nothing was sent), a line with the stack and api.panics; if the head has been sent the connection is aborted as before. Evidence: the spec 'answers a request whose handling panics' failed before with EOF; go test ./internal/entry/... passes.

--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -109,10 +109,12 @@
 		id := uuid.Must(uuid.NewV7())
 		open := a.open.Add(id.String(), time.Now())
 		defer a.open.Remove(open)
-		w = &callerconn.Writer{
+		caller := &callerconn.Writer{
 			ResponseWriter: w, Closing: a.shuttingDown,
 			OnHead: func() { a.open.Update(func() { open.HeadSent = true }) },
 		}
+		defer a.recoverPanic(caller, open)
+		w = caller
 		w.Header().Set(RequestIDHeader, id.String())
 		r = r.WithContext(withOpenRequest(r.Context(), open))
 		defer a.inFlight.Add(-1)
--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -321,6 +321,15 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusCreated))
 	})
 
+	// Guards against a connection that is closed without an answer, and without a line in the
+	// log, because of a panic outside the execution of a request.
+	It("answers a request whose handling panics", func() {
+		d.answer = func(serve.Sink) { panic("fault") }
+		resp, body := do(http.MethodGet, "/services/lookup/x", nil, "")
+		Expect(resp.StatusCode).To(Equal(http.StatusInternalServerError))
+		Expect(rejection(resp, body)).To(BeEquivalentTo(verdict.CodeInternal))
+	})
+
 	// Guards against a connection that is closed without an answer because the body of its
 	// request is still coming at the end of the shutdown.
 	It("rejects a request whose body is still coming at the end of its shutdown", func() {
