An answer is delivered before its connection is closed, also with unread bytes behind the request

What callers saw: the connection was reset in the middle of an answer to which nothing was wrong. It needs an answer with Connection: close (each answer of a stopping gateway, HTTP/1.0, or a caller that asks for it), a caller that has sent more than the request (an empty line after the body, as old clients do, or its next request), and more of the answer than the caller has taken by then.

Cause: Linux resets a connection that is closed with unread bytes and drops what it has not yet delivered. net/http delays that close only after bodies that were not read.

Change: a caller's connection is closed once the caller has acknowledged what was written, after 1 s or at the end of a drain at the latest. A connection that is to be reset (broken answers to HTTP/1.0, callers that are too slow) or that the caller has reset is closed at once. Until then it counts as open, so that the end of the process does not cut the answer either. A caller that takes longer than 1 s for the rest, with bytes unread, is still reset.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -6,10 +6,20 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// deliveryTimeout limits how long a connection stays open for an answer that its caller has
+	// not received, and deliveryPoll is the interval between checks.
+	deliveryTimeout = time.Second
+	deliveryPoll    = 2 * time.Millisecond
 )
 
 // Conn is a caller's connection. Between requests it can be closed without
@@ -27,6 +37,8 @@
 	used bool
 	// idleTimeout is the one that was in force when the connection became idle.
 	idleTimeout time.Duration
+	// reset is set if what is unsent is to be dropped when the connection is closed.
+	reset atomic.Bool
 }
 
 // connPhase is what a caller's connection is used for.
@@ -148,11 +160,39 @@
 	if !ok {
 		return eris.Errorf("a connection of type %T has no linger time", c.Conn)
 	}
+	c.reset.Store(seconds == 0)
 	return tcp.SetLinger(seconds)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. The kernel resets a connection that is closed with unread bytes, such
+// as a pipelined request, and then drops what it has not delivered of the answer. Close therefore
+// waits until the caller has received it, up to deliveryTimeout and the end of a drain.
 func (c *Conn) Close() error {
-	c.conns.remove(c)
+	defer c.conns.remove(c)
+	if !c.reset.Load() {
+		for until := c.conns.deliverUntil(time.Now()); c.hasUndelivered() && time.Now().Before(until); {
+			time.Sleep(deliveryPoll)
+		}
+	}
 	return c.Conn.Close()
 }
+
+// hasUndelivered reports whether the caller is still to receive some of what was written.
+func (c *Conn) hasUndelivered() bool {
+	tcp, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if errors.Join(controlErr, err) != nil || info.State == unix.BPF_TCP_CLOSE {
+		return false
+	}
+	return info.Unacked > 0 || info.Notsent_bytes > 0
+}
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -479,3 +479,74 @@
 		t.Error("still there")
 	}
 }
+
+// answerSize is the size of an answer of which a caller's kernel takes a part only.
+const answerSize = 200 << 10
+
+// serveAnswers serves answers that close their connections. written is sent to after each.
+func serveAnswers(t *testing.T) (conns *Conns, address string, written chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns, written = New(testConfig()), make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// The caller may send more meanwhile.
+		time.Sleep(50 * time.Millisecond)
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(make([]byte, answerSize))
+		written <- struct{}{}
+	})}
+	go func() { _ = server.Serve(conns.Listen(l)) }()
+	t.Cleanup(func() { server.Close() })
+	return conns, l.Addr().String(), written
+}
+
+// Guards against an answer that is cut by the reset of its connection, because the caller has sent
+// more than the request: an empty line, or its next request.
+func TestAnswerBeforeUnreadBytesIsDelivered(t *testing.T) {
+	_, address, written := serveAnswers(t)
+	for _, unread := range []string{"\r\n", callerRequest} {
+		c, err := net.Dial("tcp4", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, sent := range []string{callerRequest, unread} {
+			if _, err := io.WriteString(c, sent); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		<-written
+		time.Sleep(20 * time.Millisecond)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); n != answerSize || err != nil {
+			t.Errorf("after %q: %d bytes of %d, error %v", unread, n, answerSize, err)
+		}
+		c.Close()
+	}
+}
+
+// Guards against a process that outlasts its grace period because of callers that do not read.
+func TestCloseAfterADrainDoesNotWaitForTheCaller(t *testing.T) {
+	conns, address, written := serveAnswers(t)
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, callerRequest); err != nil {
+		t.Fatal(err)
+	}
+	<-written
+	if conns.DrainUntil(time.Now().Add(50 * time.Millisecond)) {
+		t.Fatal("closed before the caller had read the answer")
+	}
+	if until := conns.deliverUntil(time.Now()); until.After(time.Now()) {
+		t.Errorf("connections wait until %v", until)
+	}
+}
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -43,6 +43,8 @@
 	open map[*Conn]struct{}
 	// inForceAt is when idleTimeout was last the configured one.
 	inForceAt time.Time
+	// drainEnd is when the drain ends that has begun, zero before it.
+	drainEnd time.Time
 }
 
 // New returns an empty Conns.
@@ -151,11 +153,29 @@
 // DrainUntil closes each connection as soon as it is not in use. It reports whether all were
 // closed before the given time.
 func (c *Conns) DrainUntil(t time.Time) bool {
+	c.setDrainEnd(t)
 	ctx, cancel := context.WithDeadline(context.Background(), t)
 	defer cancel()
 	return c.drain(ctx)
 }
 
+func (c *Conns) setDrainEnd(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drainEnd = t
+}
+
+// deliverUntil returns until when a connection that is closed now may stay open for its answer.
+func (c *Conns) deliverUntil(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := now.Add(deliveryTimeout)
+	if !c.drainEnd.IsZero() && c.drainEnd.Before(until) {
+		return c.drainEnd
+	}
+	return until
+}
+
 // ConnStateChanged is the ConnState hook of a server for caller connections.
 func ConnStateChanged(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*Conn)
