Failures and rejections do not shorten the expected duration of requests

What callers saw: while the load balancer still sends to a stopping gateway, it takes the requests that are expected to end in time. Beside a server that fails or rejects at once it took requests that it could not finish, and cut them at its end.

Cause: the sample of durations by route had every request that was sent, so that a few milliseconds of a failure, of a server's rejection or of an answer that broke off counted as how long such a request takes.

Change: only requests that a server has answered without an error, and those that took all of their time, are in the sample.

Evidence: TestFailuresDoNotShortenTheExpectedDuration, before: expected to take 1.000934ms, want 3s. Now, -race -count=3: ok.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
@@ -19,7 +20,7 @@
 	if c.trace.code != "" {
 		metrics.GetOrRegisterCounter("gateway.errors."+string(c.trace.code), nil).Inc(1)
 	}
-	if c.attempts > 0 && c.trace.ending != callerLeft {
+	if c.showsDuration() {
 		g.durations.Observe(c.route.Name, time.Since(c.received))
 	}
 	kind := c.route.Kind.String()
@@ -50,3 +51,14 @@
 		metrics.GetOrRegisterCounter("gateway.repeated_sends", nil).Inc(int64(c.attempts - 1))
 	}
 }
+
+// showsDuration reports whether the time until the request ended shows how long requests of its
+// route take: a server has answered it, or it took all of its time. Failures and rejections come
+// sooner than answers.
+func (c *call) showsDuration() bool {
+	if c.attempts == 0 || c.trace.ending == callerLeft {
+		return false
+	}
+	answered := c.verdict == verdict.Ran && c.trace.ending == "" && c.trace.status < http.StatusInternalServerError
+	return answered || c.remaining() <= 0
+}
