Test: the listener is found among any number of descriptors

TestOpenRequestsAreAnsweredAfterTheListenerHasFailed looked for the listener of its gateway among the descriptors below 1,000. In a run of the whole package the process has more open: panic: no listener at 127.0.0.1:42097. It now looks at those in /proc/self/fd.

Shown with 1,100 open files: no listener before, ok now.

--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -159,7 +161,11 @@
 
 // breakListener makes accepts of the listener at an address of this process fail for good.
 func breakListener(address string) {
-	for fd := range 1000 {
+	descriptors, err := os.ReadDir("/proc/self/fd")
+	Expect(err).NotTo(HaveOccurred())
+	for _, descriptor := range descriptors {
+		fd, err := strconv.Atoi(descriptor.Name())
+		Expect(err).NotTo(HaveOccurred())
 		listening, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
 		if err != nil || listening == 0 {
 			continue
