--- a/test/e2e/planned_test.go
+++ b/test/e2e/planned_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,6 +16,7 @@
 	"pistachioroad.dev/pistachioroad/test/faultproxy"
 	"pistachioroad.dev/pistachioroad/test/fleet"
 	"pistachioroad.dev/pistachioroad/test/standin/objectstore"
+	"pistachioroad.dev/pistachioroad/test/standin/plainservice"
 )
 
 const (
@@ -25,6 +27,8 @@
 	// leaving must stop getting new work.
 	noNewWorkAfter = 5 * time.Second
 	stopTimeout    = 60 * time.Second
+	// shortShutdown is a shutdown timeout shorter than some calls take.
+	shortShutdown = time.Second
 )
 
 // expectNothingInterrupted checks that every call either succeeded or was rejected
@@ -72,6 +76,32 @@
 		expectGuarantees(f, results)
 	})
 
+	// Guards against calls that are cut without an answer because they take longer than
+	// their entry or sidecar has left when it stops.
+	It("answers every call although processes that restart have no time for all", func() {
+		o := smallFleet()
+		o.ModifySettings = func(s *settings.Settings) {
+			if s.Entry != nil {
+				s.Entry.BalancerLag, s.Entry.ShutdownTimeout = balancerLag, shortShutdown
+			} else {
+				s.Sidecar.ShutdownTimeout = shortShutdown
+			}
+		}
+		f := start(o)
+		for _, name := range f.Services["holds"] {
+			Expect(f.SetServiceFaults(context.Background(), name, plainservice.Faults{DelayMS: int(4 * shortShutdown / time.Millisecond)})).To(Succeed())
+		}
+		l := f.StartLoad()
+		for _, name := range append(slices.Clone(f.Entries), f.Services["holds"]...) {
+			time.Sleep(shortShutdown)
+			restart(f, l, name)
+		}
+		results := l.Stop()
+		unanswered := lo.Filter(results, func(r fleet.Result, _ int) bool { return r.TransferErr != nil && r.Kind != fleet.Stream })
+		Expect(unanswered).To(BeEmpty(), "%d of %d calls have no answer, for example:\n%s", len(unanswered), len(results), describeFirst(unanswered))
+		expectGuarantees(f, results)
+	})
+
 	It("gives a drained backend server no new work until it is undrained", func() {
 		f := start(smallFleet())
 		l := f.StartLoad()
