Test: the servers that cut answers close their connections at the end

The connections that gateways keep to them stayed open until the end of the process: after the tests of cut answers it had 459 descriptors, now 319. With those of the other tests of the package it had over 1,000, where TestOpenRequestsAreAnsweredAfterTheListenerHasFailed did not find its listener.

--- a/internal/gateway/cut_head_test.go
+++ b/internal/gateway/cut_head_test.go
@@ -53,6 +53,8 @@
 	f *fixture
 	// longPrompts makes send send prompts that are worth a prefill by another engine.
 	longPrompts bool
+	// open has the connections.
+	open sync.Map
 
 	mu       sync.Mutex
 	cuts     map[string][]cut
@@ -72,13 +74,20 @@
 func (s *cutServers) add(service, id, phase string) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	s.f.atEnd(func() { l.Close() })
+	s.f.atEnd(func() {
+		l.Close()
+		s.open.Range(func(c, _ any) bool {
+			c.(net.Conn).Close()
+			return true
+		})
+	})
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			s.open.Store(c, nil)
 			go s.serve(c)
 		}
 	}()
@@ -86,6 +95,7 @@
 }
 
 func (s *cutServers) serve(c net.Conn) {
+	defer s.open.Delete(c)
 	defer c.Close()
 	r := bufio.NewReader(c)
 	for reused := false; ; reused = true {
