Soak: a connection closed without an answer by a graceful stop counts if the request had been passed on

Cause: the check of the one graceful stop looked only at answers cut after their head. Change: requests without an answer are compared with what servers got, rejections of other instances included; the soak of stops counts these too, and says when SIGTERM was sent.

--- a/test/soakproc/callers.go
+++ b/test/soakproc/callers.go
@@ -157,6 +157,9 @@
 	statuses   map[int]int
 	takeUps    map[int]int
 	violations []string
+	// closedInStop are the requests without an answer while a graceful stop was the only
+	// disturbance.
+	closedInStop []string
 }
 
 func newRequestLog() *requestLog {
@@ -172,12 +175,16 @@
 }
 
 // record stores an outcome. A response that was truncated after its head is a
-// violation if a graceful stop was the only disturbance during the request.
+// violation if a graceful stop was the only disturbance during the request, and so is a
+// connection closed without one if the request had been passed on.
 func (l *requestLog) record(req request, got outcome, gracefulStopOnly bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent[req.id], l.outcomes[req.id] = req, got
 	l.statuses[got.status]++
+	if gracefulStopOnly && got.status == 0 && got.took < callerTimeout {
+		l.closedInStop = append(l.closedInStop, req.id)
+	}
 	if gracefulStopOnly && got.status != 0 && got.err != nil {
 		l.violations = append(l.violations, fmt.Sprintf("%s %s was interrupted by a graceful stop: %v", req.kind, req.id, got.err))
 	}
@@ -220,6 +227,7 @@
 			l.addViolation("%s %s ran %d times, at most 1 is allowed", req.kind, id, n)
 		}
 	}
+	l.checkClosedInStop(env)
 	l.checkAccounts(env)
 	l.checkVersions(env)
 	env.usage.check(l)
@@ -237,3 +245,14 @@
 		}
 	}
 }
+
+// checkClosedInStop checks that no request had been passed on whose connection a graceful stop
+// closed without an answer.
+func (l *requestLog) checkClosedInStop(env *environment) {
+	passedOn := env.passedOn()
+	for _, id := range l.closedInStop {
+		if got := l.outcomes[id]; passedOn[id] && got.took < env.timeouts.shortest(got.sent) {
+			l.addViolation("%s %s was passed on and closed by a graceful stop without an answer: %v", l.sent[id].kind, id, got.err)
+		}
+	}
+}
--- a/test/soakproc/stop_check.go
+++ b/test/soakproc/stop_check.go
@@ -56,7 +56,7 @@
 // endings counts the endings of all requests.
 func (s *stops) endings(calls []*stopCall) StopEndings {
 	counts := StopEndings{}
-	arrived := s.arrivals()
+	passedOn := s.env.passedOn()
 	for _, c := range calls {
 		second := -1
 		if d, ok := s.stopAt(c.gateway, c.began); ok {
@@ -65,7 +65,7 @@
 		if counts[second] == nil {
 			counts[second] = map[string]int{}
 		}
-		counts[second][c.ending(arrived[c.id])]++
+		counts[second][c.ending(passedOn[c.id])]++
 	}
 	return counts
 }
@@ -88,12 +88,12 @@
 	}
 }
 
-// arrivals returns the requests that were passed on to a server, also for their prompt only.
-func (s *stops) arrivals() map[string]bool {
+// passedOn returns the requests that were passed on to a server, also for their prompt only.
+func (env *environment) passedOn() map[string]bool {
 	ids := map[string]bool{}
-	for _, b := range s.env.servers {
-		for _, a := range b.Arrivals() {
-			ids[a.ID] = true
+	for _, service := range []string{plainService, modelService} {
+		for _, a := range env.arrivals(service) {
+			ids[a.id] = true
 		}
 	}
 	return ids
@@ -120,12 +120,12 @@
 			runs[run.ID]++
 		}
 	}
-	arrived, spells := s.arrivals(), s.spells()
+	passedOn, spells := s.env.passedOn(), s.spells()
 	for _, c := range calls {
 		if c.route.once() && runs[c.id] > 1 {
 			s.addViolation("%s ran %d times, at most 1 is allowed%s", s.describe(c), runs[c.id], s.logLines(c))
 		}
-		if rejected := c.ending(arrived[c.id]) == endingRejected; rejected && c.route.once() && runs[c.id] > 0 {
+		if rejected := c.ending(passedOn[c.id]) == endingRejected; rejected && c.route.once() && runs[c.id] > 0 {
 			s.addViolation("%s was rejected as not run, but ran%s", s.describe(c), s.logLines(c))
 		}
 		if c.whole() && c.status == http.StatusOK && c.body != c.expected() {
@@ -134,7 +134,7 @@
 		if c.whole() || c.refused {
 			continue
 		}
-		violation, excuse := s.judge(c, arrived[c.id], spells[c.id])
+		violation, excuse := s.judge(c, passedOn[c.id], spells[c.id])
 		if violation != "" {
 			s.addViolation("%s %s%s", s.describe(c), violation, s.logLines(c))
 			continue
--- a/test/soakproc/stops.go
+++ b/test/soakproc/stops.go
@@ -166,7 +166,7 @@
 	switch code := g.process.Wait(time.Until(began.Add(gracePeriod))); code {
 	case 0:
 	case running:
-		s.addViolation("%s still runs at the end of its grace period", g.process.Name)
+		s.addViolation("%s still runs at the end of its grace period, SIGTERM was sent at %s", g.process.Name, began.UTC().Format(time.RFC3339Nano))
 		g.process.Kill()
 	default:
 		s.addViolation("%s exited with %d after SIGTERM, want 0", g.process.Name, code)
