A panic in an attempt of the entry, or on a link of the sidecar, ends that alone

What callers saw: a panic in the goroutine of an attempt, of a question for an outcome, or of a stream that a sidecar reads ended the process, and with it every request. Change: these goroutines run in internal/safego. An attempt that panics is reported to the state machine of its request as not sent, or if it was sent as lost, so that its outcome is asked for. Evidence: the spec 'reports a request whose attempt panics, and goes on' ended the test process before (nil pointer dereference); go test ./internal/entry/serve ./internal/sidecar/... ./internal/entry passes.

--- a/internal/entry/serve/run.go
+++ b/internal/entry/serve/run.go
@@ -6,6 +6,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/entry/call"
 	"pistachioroad.dev/pistachioroad/internal/entry/router"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -147,7 +148,7 @@
 	case call.SendStart:
 		r.sendStart(ctx, e)
 	case call.Resolve:
-		go r.resolve(ctx, e, r.startClock(e.Attempt))
+		r.startResolve(ctx, e)
 	case call.Cancel:
 		r.cancel(e)
 	case call.Deliver:
@@ -185,7 +186,32 @@
 	if r.request.Sent != nil {
 		r.request.Sent(e.Server)
 	}
-	go r.runAttempt(ctx, e)
+	go func() {
+		if !completes("attempt", func() { r.runAttempt(ctx, e) }) {
+			// The machine ignores NotSent if the attempt was sent.
+			r.post(attemptEvent{event: call.NotSent{Attempt: e.Attempt}})
+			r.post(attemptEvent{event: call.StreamLost{Attempt: e.Attempt}})
+		}
+	}()
+}
+
+func (r *run) startResolve(ctx context.Context, e call.Resolve) {
+	clock := r.startClock(e.Attempt)
+	go func() {
+		if !completes("resolve", func() { r.resolve(ctx, e, clock) }) {
+			r.post(attemptEvent{event: call.ResolveFailed{Attempt: e.Attempt}})
+		}
+	}()
+}
+
+// completes calls f and reports whether it returned without a panic.
+func completes(work string, f func()) bool {
+	returned := false
+	safego.Run(work, func() {
+		f()
+		returned = true
+	})
+	return returned
 }
 
 // startClock returns the ClockUs of the Start frame of an attempt, or 0 if none
--- a/internal/entry/serve/serve_test.go
+++ b/internal/entry/serve/serve_test.go
@@ -334,6 +334,14 @@
 		Expect(caller.err.Verdict).To(Equal(verdict.MayHaveRun))
 	})
 
+	// Guards against a panic in an attempt that ends the process, and with it all requests.
+	It("reports a request whose attempt panics, and goes on", func() {
+		caller := newSink()
+		serve.Faulty(startServer(newSidecar("a", "holds"))).Do(context.Background(), callRequest(), caller)
+		Expect(caller.err.Verdict).To(Equal(verdict.NotRun))
+		Expect(caller.err.Code).To(Equal(verdict.CodeNoBackend))
+	})
+
 	It("reports the refusal of a sidecar, with its verdict", func() {
 		a := newSidecar("a", "holds")
 		a.start = func(conn *wire.Conn, start *wire.Start) {
--- a/internal/entry/serve/stream.go
+++ b/internal/entry/serve/stream.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/entry/links"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
 
@@ -30,10 +31,10 @@
 		return
 	}
 	s.cancelled = make(chan struct{})
-	go func() {
+	safego.Go("cancel", func() {
 		defer close(s.cancelled)
 		_ = s.frames.Send(&wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{RequestId: id}}})
-	}()
+	})
 }
 
 // close closes the stream once its Cancel frame, if any, was written or
@@ -57,7 +58,7 @@
 // resolve sends a Resolve and waits for the Resolution.
 func (s *stream) resolve(ctx context.Context, r *wire.Resolve) (*wire.Resolution, error) {
 	answers := make(chan *wire.Resolution, 1)
-	go func() {
+	safego.Go("resolve", func() {
 		defer close(answers)
 		if s.frames.Send(&wire.Frame{Body: &wire.Frame_Resolve{Resolve: r}}) != nil {
 			return
@@ -66,7 +67,7 @@
 		if err == nil && frame.GetResolution() != nil {
 			answers <- frame.GetResolution()
 		}
-	}()
+	})
 	select {
 	case answer, ok := <-answers:
 		if !ok {
--- a/internal/sidecar/links.go
+++ b/internal/sidecar/links.go
@@ -15,6 +15,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/link"
 	"pistachioroad.dev/pistachioroad/internal/pause"
+	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/sidecar/requests"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -99,10 +100,10 @@
 		return
 	}
 	d.sessions.Add(1)
-	go func() {
+	safego.Go("link", func() {
 		defer d.sessions.Add(-1)
 		d.serveSession(ctx, session)
-	}()
+	})
 }
 
 // session is one connection.
@@ -131,7 +132,7 @@
 		d.streams.Add(1)
 		streams.Go(func() {
 			defer d.streams.Add(-1)
-			d.serveStream(ctx, s, conn)
+			safego.Run("stream", func() { d.serveStream(ctx, s, conn) })
 		})
 	}
 }
@@ -199,10 +200,10 @@
 		return
 	}
 	d.unfinished.Add(1)
-	go func() {
+	safego.Go("stream", func() {
 		defer d.unfinished.Add(-1)
 		st.write(s.Done())
-	}()
+	})
 	for {
 		frame, err := s.receive(st.conn)
 		if err != nil {
