Failures do not shorten the expected duration of an entry's requests

Change: only requests that were answered without a server error, and those that took all of their time, are in the sample.

--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -330,6 +330,29 @@
 		Expect(rejection(resp, body)).To(BeEquivalentTo(verdict.CodeInternal))
 	})
 
+	// Guards against a stopping entry that runs requests which it cannot finish, because it
+	// expects them to take no longer than those that failed.
+	It("expects requests to take as long as those that were answered", func() {
+		const taken = 20 * time.Millisecond
+		d.answer = func(sink serve.Sink) {
+			time.Sleep(taken)
+			complete("a")(sink)
+		}
+		for range 3 {
+			do(http.MethodGet, "/services/lookup/x", nil, "")
+		}
+		for _, failure := range []func(serve.Sink){
+			func(sink serve.Sink) { sink.Fail(verdict.New(verdict.NotRun, verdict.CodeNoBackend, "none")) },
+			func(sink serve.Sink) { sink.Finish(call.Finish{Final: &wire.Final{Status: http.StatusBadGateway}}) },
+		} {
+			d.answer = failure
+			for range 50 {
+				do(http.MethodGet, "/services/lookup/x", nil, "")
+			}
+		}
+		Expect(api.ExpectedDuration(a, "lookup")).To(BeNumerically(">=", taken))
+	})
+
 	// Guards against a connection that is closed without an answer because the body of its
 	// request is still coming at the end of the shutdown.
 	It("rejects a request whose body is still coming at the end of its shutdown", func() {
--- a/internal/entry/api/shutdown.go
+++ b/internal/entry/api/shutdown.go
@@ -11,6 +11,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
+	"pistachioroad.dev/pistachioroad/internal/entry/call"
 	"pistachioroad.dev/pistachioroad/internal/entry/serve"
 	"pistachioroad.dev/pistachioroad/internal/openrequests"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
@@ -55,12 +56,26 @@
 			open.Server = server
 		})
 	}
-	a.executor.Do(r.Context(), request, sink)
-	if r.Context().Err() == nil {
+	observed := &outcomeSink{Sink: sink}
+	a.executor.Do(r.Context(), request, observed)
+	if observed.answered || !time.Now().Before(request.Deadline) {
 		a.durations.Observe(route, time.Since(began))
 	}
 }
 
+// outcomeSink records whether the request has been answered. Failures come sooner than answers
+// and do not show how long requests take.
+type outcomeSink struct {
+	serve.Sink
+	answered bool
+}
+
+// Finish implements serve.Sink.
+func (s *outcomeSink) Finish(f call.Finish) {
+	s.answered = f.Final.GetStatus() < http.StatusInternalServerError
+	s.Sink.Finish(f)
+}
+
 // acceptedByShutdown reports whether the request may run: the process is not shutting down, or
 // the request ends before it does.
 func (a *API) acceptedByShutdown(now time.Time, request *serve.Request, route string) bool {
