A resumable stream that the shutdown, its deadline or its caller ended is counted as such

What operators saw: a resumable stream that a stopping gateway ended had the ending not_continued, as if no other engine could go on with it, and the counter of that; so had those whose deadline passed or whose caller left. Requests cut by a stop could not be counted by process_end.

Evidence: TestStreamCutByAStopIsCountedAsSuch, before: counters of process_end and not_continued rose by 0 and 1. Now, -race -count=2: ok.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -47,3 +47,11 @@
 		return serverBroke
 	}
 }
+
+// streamInterruption returns why a stream that other engines may continue was not continued.
+func (c *call) streamInterruption() ending {
+	if e := c.interruption(); e != serverBroke {
+		return e
+	}
+	return notContinued
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -65,7 +65,7 @@
 		}
 	}
 	if c.headSent {
-		c.abort(notContinued, last.Message)
+		c.abort(c.streamInterruption(), last.Message)
 	}
 	c.fail(last)
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
 
 	"pistachioroad.dev/pistachioroad/internal/deployment"
@@ -199,3 +200,27 @@
 	Eventually(f.stopped, "8s").Should(BeClosed())
 	Expect(f.serveErr).To(HaveOccurred())
 }
+
+// unanswered returns how many requests ended without a whole answer, by their endings.
+func unanswered(endings ...string) (counts []int64) {
+	for _, e := range endings {
+		counts = append(counts, metrics.GetOrRegisterCounter("gateway.requests.unanswered."+e, nil).Count())
+	}
+	return counts
+}
+
+// Guards against a stream that the end of the process cuts and that is counted as one that no other
+// engine could go on with.
+func TestStreamCutByAStopIsCountedAsSuch(t *testing.T) {
+	f, _, engine := newStopFixture(t, 3*time.Second)
+	engine.Events, engine.EventInterval = 100, 100*time.Millisecond
+	before := unanswered("process_end", "not_continued")
+	cut := make(chan response, 1)
+	go func() { cut <- f.request(f.connection(), "/stream-again/1", "cut") }()
+	Eventually(engine.Runs).ShouldNot(BeEmpty())
+	time.Sleep(100 * time.Millisecond)
+	f.stop()
+	Expect((<-cut).err).To(HaveOccurred())
+	<-f.stopped
+	Expect(unanswered("process_end", "not_continued")).To(Equal([]int64{before[0] + 1, before[1]}))
+}
