A caller that closes its sending side only gets an answer with a verdict

What callers saw: the end of their connection, without an answer, if they close the sending side of the connection after the request. The request was read and may have been sent to a server.

Cause: such a caller cannot be told from one that has left, so that its request is canceled; it was then ended without an answer.

Change: it is still canceled, but unless the answer has begun it is answered with 502, or 503 if it has not run, and Connection: close. A caller that has left does not notice. The line of the request keeps the ending caller_left, with that status in place of 0.

Evidence: TestHalfClosedCallerIsAnswered, before: unexpected EOF. Now, -race -count=2: ok.

--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -89,7 +89,7 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	c.writer.WriteHeader(status)
-	if _, err := c.writer.Write(body); err != nil {
+	if _, err := c.writer.Write(body); err != nil && c.trace.ending == "" {
 		c.trace.ending = callerUnreachable
 	}
 }
@@ -107,8 +107,10 @@
 func (c *call) fail(e *verdict.Error) {
 	// An interrupted read of the body looks like a caller that has left.
 	if c.callerCtx.Err() != nil && !c.endedByShutdown() {
-		c.trace.code = verdict.CodeCancelled
-		c.abort(callerLeft, "caller disconnected")
+		// The caller may have closed its sending side only, and wait for an answer.
+		c.trace.ending = callerLeft
+		c.writer.Header().Set("Connection", "close")
+		e = verdict.NewRejection(verdict.CodeCancelled, "caller disconnected", minRetryAfter)
 	}
 	if c.endedByShutdown() {
 		e = verdict.NewRejection(verdict.CodeDraining, "ended by the shutdown of the gateway: "+e.Message, minRetryAfter)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -224,3 +224,23 @@
 	<-f.stopped
 	Expect(unanswered("process_end", "not_continued")).To(Equal([]int64{before[0] + 1, before[1]}))
 }
+
+// Guards against a request without an answer or verdict because its caller has closed the sending
+// side of its connection, which looks like a caller that has left.
+func TestHalfClosedCallerIsAnswered(t *testing.T) {
+	f, server, _ := newStopFixture(t, time.Second)
+	server.Silence()
+	c, err := net.Dial("tcp4", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /hold/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: half\r\nDeadline-Ms: 6000\r\nContent-Length: 1\r\n\r\nb")
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(server.Held).Should(Equal(1))
+	Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+	Expect(resp.Header.Get("Pistachioroad-Verdict")).To(Equal("may_have_run"))
+	Expect(resp.Close).To(BeTrue())
+}
