A panic after a whole answer does not cut it

What callers saw: an answer in chunks without its last chunk, if a panic of what is recorded after it (server health, quarantine, balancing) ended the request.

Cause: a request counted as answered only once all of its handling had returned.

Evidence: TestPanicAfterAnAnswerDoesNotCutIt, before: "id: 1\n\n", error unexpected EOF. Now, -race: ok.

--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -47,3 +48,26 @@
 		t.Errorf("%q, error %v, want a reset", data, err)
 	}
 }
+
+// Guards against a whole answer that is cut because what follows it panics.
+func TestPanicAfterAnAnswerDoesNotCutIt(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		writer := &callerconn.Writer{ResponseWriter: w, Closing: func() bool { return false }}
+		c := &call{gateway: &Gateway{answers: readahead.New(readahead.Limits{})}, writer: writer, callerCtx: context.Background()}
+		defer c.recoverPanic(writer)
+		writer.WriteHeader(http.StatusOK)
+		if err := c.copyBody(strings.NewReader("id: 1\n\n")); err != nil {
+			c.abort(serverBroke, err.Error())
+		}
+		panic("after the answer")
+	}))
+	defer server.Close()
+	resp, err := http.Get(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if data, err := io.ReadAll(resp.Body); string(data) != "id: 1\n\n" || err != nil {
+		t.Errorf("%q, error %v", data, err)
+	}
+}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -167,6 +167,7 @@
 	case errors.Is(err, readahead.ErrWrite):
 		c.abort(callerUnreachable, err.Error())
 	}
+	c.answered = err == nil
 	return err
 }
 
