A stopping gateway rejects a request before it reads its body

What callers saw: a request that a stopping gateway was to reject was rejected only once its body had come, or at the end of the stop; a caller that asked with Expect: 100-continue was told to send it.

Cause: the check came after the body. A request that is rejected at its head would also be rejected later, since only less time is left.

Change: the check is made before the body as well. If the body never comes, net/http keeps the connection until the deadline of the request or the end of the process, as after other early answers.

Evidence: TestRequestIsRejectedByAStopBeforeItsBodyComes, before: status 100, want 503. Now, -race -count=2: ok.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -181,7 +181,7 @@
 	}
 	c.request = req
 	c.deadline = c.received.Add(c.timeout())
-	if !c.checkHeadSize(r) || !c.authenticate(r) || !c.setIODeadlines(r) || !c.readBody(r) {
+	if !c.checkHeadSize(r) || !c.authenticate(r) || !c.setIODeadlines(r) || !c.checkShutdown() || !c.readBody(r) {
 		return false
 	}
 	c.chooseService()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -63,5 +64,15 @@
 	return verdict.NewRejection(verdict.CodeDraining, "the gateway is shutting down", minRetryAfter)
 }
 
+// checkShutdown rejects a request that the shutdown does not accept before its body is read, which
+// takes time.
+func (c *call) checkShutdown() bool {
+	rejection := c.acceptedByShutdown()
+	if rejection != nil {
+		c.respondError(http.StatusServiceUnavailable, rejection)
+	}
+	return rejection == nil
+}
+
 // endedByShutdown reports whether the call has been ended because the process is about to end.
 func (c *call) endedByShutdown() bool { return c.gateway.calls.Ended(c.listed) }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -244,3 +244,29 @@
 	Expect(resp.Header.Get("Pistachioroad-Verdict")).To(Equal("may_have_run"))
 	Expect(resp.Close).To(BeTrue())
 }
+
+// Guards against a caller that is kept from another VM while a stopping gateway reads the body of a
+// request that it will reject.
+func TestRequestIsRejectedByAStopBeforeItsBodyComes(t *testing.T) {
+	f, _, _ := newStopFixture(t, 3*time.Second)
+	c, err := net.Dial("tcp4", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	f.stop()
+	// Until it no longer listens, the gateway takes requests that may outlast it.
+	Eventually(func() error {
+		other, err := net.Dial("tcp4", f.address)
+		if err == nil {
+			err = other.Close()
+		}
+		return err
+	}, "3s").ShouldNot(Succeed())
+	_, err = io.WriteString(c, "POST /hold/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: early\r\nDeadline-Ms: 6000\r\nExpect: 100-continue\r\nContent-Length: 10\r\n\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	Expect(resp.Header.Get("Pistachioroad-Verdict")).To(Equal("not_run"))
+	Expect(resp.Close).To(BeTrue())
+}
