Test: engines that restart have an address of which no connection takes the port

TestRequestThatEndsEnginesAfterItsCallerLeftIsNotSentOn failed once in a whole run of the package beside other work (load 16 to 22): 'listen tcp4 127.0.0.1:33481: bind: address already in use' for 2 s, alone 5 of 5 passed. A trial shows what that takes: a connection, of any process, whose local port is that of the former listener at 127.0.0.1; the same port at 127.0.0.2 can be listened on. Connections over loopback begin at 127.0.0.1, the engines of these tests now listen at 127.0.0.2.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -96,7 +96,8 @@
 		if n < f.prefillEngines {
 			role = "prefill"
 		}
-		f.startEngine("127.0.0.1:0", role)
+		// Connections begin at 127.0.0.1, so that none takes the port of an engine that restarts.
+		f.startEngine("127.0.0.2:0", role)
 	}
 	for n := range gateways {
 		f.gateways = append(f.gateways, f.startGateway(n))
