A drain is not reported complete if connections were closed at its end

What was seen: TestCloseAfterADrainDoesNotWaitForTheCaller failed in 1 of 1 and then 4 of 20 runs with -race ('closed before the caller had read the answer'). Cause: a connection whose caller has not received its answer is closed when the drain ends. If the drain looked once more after that, it found no connection left and reported that all were closed in time, so that 'shut down' could say complete although an answer was cut. Change: what is closed at the end of the drain was not closed before it. Evidence: the test, -race -count=100: ok; go test -race ./internal/callerconn ./internal/graceful -count=3: ok.

--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -154,9 +154,13 @@
 // closed before the given time.
 func (c *Conns) DrainUntil(t time.Time) bool {
 	c.setDrainEnd(t)
+	if c.Count() == 0 {
+		return true
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), t)
 	defer cancel()
-	return c.drain(ctx)
+	// Connections whose answers have not been received are closed at t.
+	return c.drain(ctx) && time.Now().Before(t)
 }
 
 func (c *Conns) setDrainEnd(t time.Time) {
