Test: the request late in a stop is sent before the answer before it ends

TestRequestLateInAStopIsAnswered failed in 2 of 5 runs beside other tests: 'dial tcp: connection refused'. The gateway had closed the kept connection, idle for up to 10 ms, before the test used it, which is allowed, and the client then dialled anew. The late request is now sent while the answer before it is still coming, on a connection of the test's own, so that it always reaches the gateway.

--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -97,21 +97,34 @@
 func TestRequestLateInAStopIsAnswered(t *testing.T) {
 	f, _, engine := newStopFixture(t, 8*time.Second)
 	engine.Events, engine.EventInterval = 4, 1500*time.Millisecond
-	kept := f.connection()
-	first := make(chan response, 1)
-	go func() { first <- f.request(kept, "/stream-once/1", "before") }()
-	// The head of its answer is sent before the stop, and so does not say that the
-	// connection is to be closed.
-	Eventually(engine.Runs).ShouldNot(BeEmpty())
-	time.Sleep(100 * time.Millisecond)
+	c, err := net.Dial("tcp4", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	send := func(id string) {
+		_, err := io.WriteString(c, "POST /stream-once/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "+id+
+			"\r\nDeadline-Ms: 6000\r\nToken-Count: 2000,20\r\nPrefix-Hash: aa:1500,bb:500\r\nContent-Length: 1\r\n\r\nb")
+		Expect(err).NotTo(HaveOccurred())
+	}
+	send("before")
+	first, err := http.ReadResponse(reader, nil)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(first.Close).To(BeFalse())
 	f.stop()
-	got := <-first
-	Expect(got.err).NotTo(HaveOccurred())
-	Expect(got.body).To(Equal(streamEvents("before", 1, 4)))
-	late := make(chan response, 1)
-	go func() { late <- f.request(kept, "/stream-once/1", "late") }()
+	body := make([]byte, len(streamEvents("before", 1, 4)))
+	_, err = io.ReadFull(first.Body, body[:len(streamEvents("before", 1, 3))])
+	Expect(err).NotTo(HaveOccurred())
+	// Sent before the answer ends, so that its connection is not closed as idle.
+	send("late")
+	_, err = io.ReadFull(first.Body, body[len(streamEvents("before", 1, 3)):])
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(body)).To(Equal(streamEvents("before", 1, 4)))
+	Expect(io.Copy(io.Discard, first.Body)).To(BeZero())
+	answered := make(chan response, 1)
+	go func() { answered <- readResponse(reader) }()
+	var got response
 	select {
-	case got = <-late:
+	case got = <-answered:
 	case <-f.stopped:
 		t.Fatalf("the gateway ended with a request open that a server ran %d times", runsOf(engine, "late"))
 	}
@@ -123,6 +136,17 @@
 	}
 }
 
+// readResponse reads a response to its end. It returns an error if that is not whole.
+func readResponse(reader *bufio.Reader) response {
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return response{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, closes: resp.Close}
+}
+
 // Guards against a request whose connection is closed without an answer because its server is
 // silent when the grace period ends.
 func TestRequestOpenAtTheEndOfAStopIsAnswered(t *testing.T) {
