--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -89,7 +89,7 @@
 	id       string
 	received time.Time
 	deadline time.Time
-	// listed is the call's entry in the list of open calls.
+	// listed is the call's entry in the list of open requests.
 	listed  *openrequests.Request
 	view    *directory.View
 	route   routes.Route
