A request is sent to a backend server without a copy of its body

Callers of a gateway under many large bodies saw it end for want of memory: each attempt encoded head and body into one buffer, so a body of 4 MB took 8 MB with one attempt, and the copy was in no limit.

The codec encodes the head only.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -38,7 +38,8 @@
 
 // Codec encodes requests to backend servers and parses the heads of their responses.
 type Codec interface {
-	AppendRequest(dst []byte, r *request.Request, o request.Options) []byte
+	// AppendHead appends the encoding of a request but for its body.
+	AppendHead(dst []byte, r *request.Request, o request.Options) []byte
 	ParseResponse(status int, h http.Header) request.ResponseHead
 }
 
@@ -110,7 +111,7 @@
 	if err := errors.Join(deadlineErr, c.setAckTimeout(ackTimeoutOf(o.Stage))); err != nil {
 		return nil, x.fail(verdict.NotRun, "set timeouts", err)
 	}
-	if err := x.write(t.codec.AppendRequest(nil, r, o)); err != nil {
+	if err := x.write(t.codec.AppendHead(nil, r, o), r.Body); err != nil {
 		return nil, err
 	}
 	return x.readHead()
@@ -196,10 +197,11 @@
 	reusable bool
 }
 
-// write sends the request. One above syncWriteLimit is written in the background.
-func (x *exchange) write(data []byte) error {
-	if len(data) <= syncWriteLimit {
-		n, err := x.conn.Write(data)
+// write sends the request. One above syncWriteLimit is written in the background, without a copy
+// of its body.
+func (x *exchange) write(head, body []byte) error {
+	if len(head)+len(body) <= syncWriteLimit {
+		n, err := x.conn.Write(append(head, body...))
 		if err != nil {
 			v := verdict.MayHaveRun
 			if n == 0 {
@@ -214,7 +216,8 @@
 	c := x.conn
 	go func() {
 		defer close(x.written)
-		_, x.writeErr = c.Write(data)
+		parts := net.Buffers{head, body}
+		_, x.writeErr = parts.WriteTo(c.Conn)
 	}()
 	return nil
 }
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -31,10 +31,10 @@
 	return c.Codec.ParseRequest(r, received)
 }
 
-func (c faultyCodec) AppendRequest(buf []byte, r *request.Request, o request.Options) []byte {
+func (c faultyCodec) AppendHead(buf []byte, r *request.Request, o request.Options) []byte {
 	panicAt("send", r.ID)
 	panicAt(o.Server.ID, r.ID)
-	return c.Codec.AppendRequest(buf, r, o)
+	return c.Codec.AppendHead(buf, r, o)
 }
 
 func (c faultyCodec) ParseResponse(status int, h http.Header) request.ResponseHead {
