Connections to addresses that are not for callers are limited

What clients could do: 2000 connections to readiness, state, metrics, the operator API or the links of an entry used up a process's descriptors; heads of up to 1 MB on each of them its memory.

Cause: these addresses had plain listeners and net/http's defaults.

Now readiness, state and metrics have one server (internal/sideserver: 128 connections, heads of 8 KB, small receive buffers, time-outs for the whole request), the operator API 256 connections and the links between entries 1024. At its limit a listener accepts one more connection and asks its owner to close another one: callerconn picks a connection of a rejected request first, then the one that has been without a whole request for longest, then idle ones. A read that waits for a request, or for the rest of a head, is interrupted, which returns either bytes or an error: no request that has been read is cut.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +21,10 @@
 	// not received, and deliveryPoll is the interval between checks.
 	deliveryTimeout = time.Second
 	deliveryPoll    = 2 * time.Millisecond
+	// maxDiscarded limits what is read of a rejected body after the answer.
+	maxDiscarded = 8 << 20
+	// rejectionTime is the least time in which the answer to a rejected body is delivered.
+	rejectionTime = 100 * time.Millisecond
 )
 
 // Conn is a caller's connection. Between requests it can be closed without
@@ -37,6 +42,14 @@
 	used bool
 	// idleTimeout is the one that was in force when the connection became idle.
 	idleTimeout time.Duration
+	// headSince is when the first bytes of the head that is being read arrived.
+	headSince time.Time
+	// headBlocked is set while a read waits for the rest of a head, and evicted once it has been
+	// interrupted in favour of another connection.
+	headBlocked, evicted bool
+	// rejectedAt is when a request was rejected whose body had not been read, zero without one.
+	rejectedAt time.Time
+	head       headCost
 	// reset is set if what is unsent is to be dropped when the connection is closed.
 	reset atomic.Bool
 }
@@ -53,28 +66,44 @@
 	phaseWaiting
 	// phaseInterrupted: the waiting read has been interrupted.
 	phaseInterrupted
-	// phaseServing: a request is being read or answered.
+	// phaseHead: the head of a request is being read.
+	phaseHead
+	// phaseServing: a request is being answered, or its body is being read.
 	phaseServing
 )
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	if !c.startWaiting() {
+	switch c.startRead() {
+	case phaseWaiting:
+		n, err := c.Conn.Read(p)
+		if n, err = c.endWaiting(n, err); n == 0 {
+			return n, err
+		}
+		return c.addHead(p[:n], err)
+	case phaseHead:
+		n, err := c.Conn.Read(p)
+		if n, err = c.endHeadRead(n, err); n == 0 {
+			return n, err
+		}
+		return c.addHead(p[:n], err)
+	default:
 		return c.Conn.Read(p)
 	}
-	n, err := c.Conn.Read(p)
-	return c.endWaiting(n, err)
 }
 
-// startWaiting reports whether the read that begins waits for the next request.
-func (c *Conn) startWaiting() bool {
+// startRead returns the phase of the connection in the read that begins.
+func (c *Conn) startRead() connPhase {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseIdle {
-		return false
+	switch c.phase {
+	case phaseIdle:
+		c.phase = phaseWaiting
+	case phaseHead:
+		c.headBlocked = true
+	default:
 	}
-	c.phase = phaseWaiting
-	return true
+	return c.phase
 }
 
 // endWaiting handles the result of a read that waited for the next request. If the
@@ -85,10 +114,12 @@
 	interrupted := c.phase == phaseInterrupted
 	if interrupted && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.conns.config.Closed.Inc(1)
-		c.Conn.Close()
-		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Err: net.ErrClosed}
+		return 0, c.closeUnread()
 	}
 	c.phase = phaseServing
+	if n > 0 {
+		c.phase, c.headSince = phaseHead, time.Now()
+	}
 	if n > 0 && err == nil && (c.used || interrupted) {
 		// net/http limits the time for the head of a second request only after four
 		// bytes. This limit also replaces the deadline of an interruption that came
@@ -98,6 +129,33 @@
 	return n, err
 }
 
+// endHeadRead handles the result of a read that waited for the rest of a head. If the read was
+// interrupted before any bytes arrived, it closes the connection.
+func (c *Conn) endHeadRead(n int, err error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headBlocked = false
+	if !c.evicted {
+		return n, err
+	}
+	c.evicted = false
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, c.closeUnread()
+	}
+	if err == nil {
+		// The interruption came too late.
+		err = c.SetReadDeadline(time.Now().Add(c.conns.config.HeaderTimeout))
+	}
+	return n, err
+}
+
+// closeUnread closes the connection of which no request has been read, and returns the error of
+// the read that waited for one.
+func (c *Conn) closeUnread() error {
+	c.Conn.Close()
+	return &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Err: net.ErrClosed}
+}
+
 // becomeIdle records that the last request has been answered while the given idle
 // timeout was in force.
 func (c *Conn) becomeIdle(now time.Time, timeout time.Duration) {
@@ -105,15 +163,77 @@
 	defer c.mu.Unlock()
 	c.phase, c.used = phaseIdle, true
 	c.idleSince, c.idleTimeout = now, timeout
+	c.rejectedAt = time.Time{}
+	c.head.release(c.conns.config.Heads)
 }
 
-// becomeActive records that a complete request has been read.
+// becomeActive records that the head of a request has been read.
 func (c *Conn) becomeActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseServing
 }
 
+// evictionRank returns whether the connection can be closed in favour of another one, and when.
+func (c *Conn) evictionRank(now time.Time) (evictionRank, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rank := evictionRank{class: evictWithoutRequest}
+	switch {
+	case !c.rejectedAt.IsZero():
+		rank.class, rank.since = evictRejected, c.rejectedAt
+		return rank, now.Sub(c.rejectedAt) > rejectionTime
+	case c.phase == phaseHead && c.headBlocked && !c.evicted:
+		rank.since = c.headSince
+	case c.phase == phaseWaiting && !c.used:
+		rank.since = c.idleSince
+	case c.phase == phaseWaiting:
+		rank.class, rank.since = evictIdle, c.idleSince
+	default:
+		return rank, false
+	}
+	if rank.class == evictWithoutRequest && now.Sub(rank.since) < minIdle {
+		rank.class = evictNew
+	}
+	return rank, true
+}
+
+// evict closes the connection in favour of another one. It returns false if a request has come in
+// the meantime.
+func (c *Conn) evict() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.rejectedAt.IsZero():
+		c.rejectedAt = time.Time{}
+		c.Conn.Close()
+	case c.phase == phaseHead && c.headBlocked:
+		if c.SetReadDeadline(interruptDeadline) != nil {
+			return false
+		}
+		c.evicted = true
+	case c.phase == phaseWaiting:
+		c.interrupt()
+	default:
+		return false
+	}
+	c.conns.config.Evicted.Inc(1)
+	return true
+}
+
+// rejectBody records that the request is rejected though its body has not been read.
+func (c *Conn) rejectBody(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rejectedAt = now
+}
+
+func (c *Conn) bodyRejected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.rejectedAt.IsZero()
+}
+
 // closeExpired closes the connection if it still waits for the next request and has
 // been idle for longer than its idle timeout. A longer configured timeout extends it; a
 // shorter one does not apply, because the caller may not know of it yet.
@@ -173,10 +293,31 @@
 		for until := c.conns.deliverUntil(time.Now()); c.hasUndelivered() && time.Now().Before(until); {
 			time.Sleep(deliveryPoll)
 		}
+		if c.bodyRejected() {
+			c.discardRest(c.conns.deliverUntil(time.Now()))
+		}
 	}
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the answers, so that the caller knows that none follows.
+func (c *Conn) CloseWrite() error {
+	tcp, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return eris.Errorf("a connection of type %T cannot be closed in one direction", c.Conn)
+	}
+	return tcp.CloseWrite()
+}
+
+// discardRest reads what the caller still sends of a rejected body, up to maxDiscarded bytes and
+// the given time. Else the close resets the connection, and the caller may lose the answer.
+func (c *Conn) discardRest(until time.Time) {
+	if c.CloseWrite() != nil || c.SetReadDeadline(until) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, maxDiscarded)
+}
+
 // hasUndelivered reports whether the caller is still to receive some of what was written.
 func (c *Conn) hasUndelivered() bool {
 	tcp, ok := c.Conn.(syscall.Conn)
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -143,7 +143,7 @@
 	c := New(testConfig()).add(server)
 	t.Cleanup(func() { c.Close(); client.Close() })
 	c.becomeIdle(now, testIdleTimeout)
-	if !c.startWaiting() {
+	if c.startRead() != phaseWaiting {
 		t.Fatal("an idle connection does not wait for a request")
 	}
 	return c, client
@@ -238,7 +238,7 @@
 	defer client.Close()
 	c := New(testConfig()).add(server)
 	defer c.Close()
-	c.startWaiting()
+	c.startRead()
 	c.closeIdle(c.idleSince.Add(newConnTimeout))
 	if c.phase != phaseWaiting {
 		t.Error("closed at once")
@@ -335,7 +335,7 @@
 	c, client := newPipeConn(t, now)
 	c.becomeIdle(now, testIdleTimeout)
 	c.becomeActive()
-	if c.startWaiting() {
+	if c.startRead() == phaseWaiting {
 		t.Error("the read is taken for one that waits for a request")
 	}
 	c.closeExpired(now.Add(expiry+1), testIdleTimeout)
@@ -376,7 +376,7 @@
 	idle, _ := newPipeConn(t, now)
 	idle.closeExpired(now.Add(expiry), testIdleTimeout)
 	fresh := New(testConfig()).add(idle.Conn)
-	fresh.startWaiting()
+	fresh.startRead()
 	fresh.closeExpired(now.Add(time.Hour), testIdleTimeout)
 	for _, c := range []*Conn{idle, fresh} {
 		if c.phase != phaseWaiting {
--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 )
 
 const (
@@ -30,6 +32,12 @@
 	HeaderTimeout time.Duration
 	// Closed counts the idle connections that are closed.
 	Closed metrics.Counter
+	// Evicted counts the connections that are closed in favour of new ones.
+	Evicted metrics.Counter
+	// Heads is the memory for heads beyond membudget.FreeHead each, and HeadsRejected counts the
+	// connections for whose heads it did not suffice. Without Heads there is no limit.
+	Heads         *membudget.Budget
+	HeadsRejected metrics.Counter
 }
 
 // Conns are the open connections from callers.
@@ -80,6 +88,7 @@
 }
 
 func (c *Conns) remove(conn *Conn) {
+	conn.releaseHead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.open, conn)
@@ -123,6 +132,50 @@
 	return len(c.open)
 }
 
+// minIdle is how long a connection that has not sent its first request, or not all of the head of
+// one, is spared while there are idle ones to close.
+const minIdle = time.Second
+
+// Evict closes a connection in favour of a new one: one that is only kept open for a caller that
+// still sends a rejected body; else the one that has been without a request for longest, those
+// that have never sent one, or only a part, before those that are idle. It returns false if there
+// is none.
+func (c *Conns) Evict(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var victim *Conn
+	var best evictionRank
+	for conn := range c.open {
+		if rank, ok := conn.evictionRank(now); ok && (victim == nil || rank.before(best)) {
+			victim, best = conn, rank
+		}
+	}
+	return victim != nil && victim.evict()
+}
+
+// evictionRank orders the connections that can be closed. Those of the lowest class go first, and
+// of each class the oldest.
+type evictionRank struct {
+	class evictionClass
+	since time.Time
+}
+
+type evictionClass int
+
+const (
+	evictRejected evictionClass = iota
+	evictWithoutRequest
+	evictIdle
+	evictNew
+)
+
+func (r evictionRank) before(o evictionRank) bool {
+	if r.class != o.class {
+		return r.class < o.class
+	}
+	return r.since.Before(o.since)
+}
+
 // CloseWaiting closes the connections that are not in use, also those that wait for their first
 // request.
 func (c *Conns) CloseWaiting() { c.closeIdle(time.Now().Add(2 * newConnTimeout)) }
--- /dev/null
+++ b/internal/callerconn/head.go
@@ -0,0 +1,99 @@
+package callerconn
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/membudget"
+	"pistachioroad.dev/pistachioroad/internal/verdict"
+)
+
+// What a head takes, parsed and copied: its bytes twice, and for each field the entries of two
+// maps, the strings and their headers.
+const (
+	headByteCost  = 2
+	headFieldCost = 256
+	// headStep is the unit in which memory for heads is reserved.
+	headStep = 4 << 10
+)
+
+// headCost is the memory of the head that a connection has last sent.
+type headCost struct {
+	bytes, fields int
+	reserved      int64
+}
+
+// add adds what has been read of the head. It returns false if there is no memory for it.
+func (h *headCost) add(p []byte, budget *membudget.Budget) bool {
+	h.bytes += len(p)
+	h.fields += bytes.Count(p, []byte{'\n'})
+	if budget == nil {
+		return true
+	}
+	missing := int64(h.bytes*headByteCost+h.fields*headFieldCost) - membudget.FreeHead - h.reserved
+	if missing <= 0 {
+		return true
+	}
+	missing = (missing + headStep - 1) / headStep * headStep
+	if !budget.Acquire(missing) {
+		return false
+	}
+	h.reserved += missing
+	return true
+}
+
+// release ends the reservation of the head's memory.
+func (h *headCost) release(budget *membudget.Budget) {
+	if h.reserved > 0 {
+		budget.Release(h.reserved)
+	}
+	*h = headCost{}
+}
+
+// rejectionTimeout limits the write of headRejection.
+const rejectionTimeout = 100 * time.Millisecond
+
+// headRejection is the answer to a request whose head there is no memory for.
+const headRejection = "HTTP/1.1 503 Service Unavailable\r\n" + verdict.Header + ": not_run\r\n" +
+	"Retry-After: 1.00\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// addHead adds what has been read of the head. If there is no memory for it, it answers and closes
+// the connection. No other answer is being written, since the request has not been read.
+func (c *Conn) addHead(p []byte, readErr error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.add(p, c.conns.config.Heads) {
+		return len(p), readErr
+	}
+	c.conns.config.HeadsRejected.Inc(1)
+	if c.SetWriteDeadline(time.Now().Add(rejectionTimeout)) == nil {
+		_, _ = io.WriteString(c.Conn, headRejection)
+	}
+	return 0, c.closeUnread()
+}
+
+func (c *Conn) releaseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.release(c.conns.config.Heads)
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// ConnContext is the ConnContext hook of a server for caller connections.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// RejectBody records that a request is rejected before its body has been read. What the caller
+// still sends of it is discarded for a while after the answer when the connection is closed, which
+// may happen at any time. The server must use ConnContext.
+func RejectBody(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		c.rejectBody(time.Now())
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -79,7 +78,7 @@
 func newMember(i do.Injector) (*member.Member, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	client := do.MustInvoke[*sharedstate.Client](i)
-	peers, err := net.Listen("tcp", s.Listen.Links)
+	peers, err := limitlistener.Listen(s.Listen.Links, maxPeerConnections, 0)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
@@ -152,9 +151,12 @@
 	return api.New(s.Entry, do.MustInvoke[*serve.Server](i), do.MustInvoke[*fleet](i)), nil
 }
 
+// maxPeerConnections limits the links from other entries, which close when they stay silent.
+const maxPeerConnections = 1024
+
 func listenForCallers(i do.Injector) (*callerServer, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	listener, err := limitlistener.Listen(s.Listen.Callers, s.Entry.Limits.Connections)
+	listener, err := limitlistener.Listen(s.Listen.Callers, s.Entry.Limits.Connections, 0)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -20,7 +20,7 @@
 // Guards against an interrupted answer that looks complete to a caller of HTTP/1.0, whose
 // answer ends with its connection.
 func TestInterruptedAnswerToHTTP10EndsWithAReset(t *testing.T) {
-	l, err := limitlistener.Listen("127.0.0.1:0", 1)
+	l, err := limitlistener.Listen("127.0.0.1:0", 1, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/process/bootstrap.go
+++ b/internal/gateway/process/bootstrap.go
@@ -13,6 +13,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/pause"
+	"pistachioroad.dev/pistachioroad/internal/sideserver"
 )
 
 const (
@@ -45,7 +46,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+bootstrapPath, p.serveState)
 	mux.HandleFunc("GET "+configPath, p.serveConfig)
-	return serveHTTP(ctx, "state", p.config.Deployment.StateAddress, mux)
+	return sideserver.Serve(ctx, "state", p.config.Deployment.StateAddress, mux)
 }
 
 func (p *components) serveState(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -15,7 +15,6 @@
 
 	"github.com/apex/log"
 	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
 	"github.com/thejerf/suture/v4"
 
@@ -32,7 +31,7 @@
 	"pistachioroad.dev/pistachioroad/internal/periodic"
 	"pistachioroad.dev/pistachioroad/internal/reconcile"
 	"pistachioroad.dev/pistachioroad/internal/safego"
-	"pistachioroad.dev/pistachioroad/internal/serverlog"
+	"pistachioroad.dev/pistachioroad/internal/sideserver"
 	"pistachioroad.dev/pistachioroad/internal/store"
 	"pistachioroad.dev/pistachioroad/internal/truetime"
 	"pistachioroad.dev/pistachioroad/platform"
@@ -282,7 +281,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return serveHTTP(ctx, "readiness", d.ReadinessAddress, mux)
+	return sideserver.Serve(ctx, "readiness", d.ReadinessAddress, mux)
 }
 
 func serveMetrics(ctx context.Context, c Config, g *gateway.Gateway) error {
@@ -294,20 +293,7 @@
 			log.WithField("error", err.Error()).Info("write dump failed")
 		}
 	})
-	return serveHTTP(ctx, "metrics", net.JoinHostPort(c.Deployment.IP, strconv.Itoa(c.MetricsPort)), mux)
-}
-
-// readHeaderTimeout limits how long reading a request's header may take.
-const readHeaderTimeout = 5 * time.Second
-
-func serveHTTP(ctx context.Context, name, address string, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: serverlog.New(name)}
-	defer context.AfterFunc(ctx, func() { server.Close() })()
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
-	}
-	return server.Serve(listener)
+	return sideserver.Serve(ctx, "metrics", net.JoinHostPort(c.Deployment.IP, strconv.Itoa(c.MetricsPort)), mux)
 }
 
 // settingsPollInterval is how often the settings are reread, since they may change
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -32,7 +32,7 @@
 // error. It then waits up to the grace period for requests in flight to finish.
 func (g *Gateway) Serve(ctx context.Context) error {
 	d := g.deployment.Load()
-	listener, err := limitlistener.Listen(d.CallerAddress, max(1, d.MaxFileDescriptors-reservedDescriptors))
+	listener, err := limitlistener.Listen(d.CallerAddress, max(1, d.MaxFileDescriptors-reservedDescriptors), 0)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
--- a/internal/limitlistener/accept_test.go
+++ b/internal/limitlistener/accept_test.go
@@ -36,7 +36,7 @@
 		unix.ENETUNREACH, unix.ECONNABORTED, unix.ENOBUFS, unix.ENOMEM, unix.EMFILE, unix.ENFILE, unix.EPERM,
 	}
 	for _, failure := range failures {
-		l, err := Listen("127.0.0.1:0", 1)
+		l, err := Listen("127.0.0.1:0", 1, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -63,7 +63,7 @@
 
 // Guards against an accept that is tried again for ever on a listener that is broken or closed.
 func TestAcceptEndsWithItsListener(t *testing.T) {
-	l, err := Listen("127.0.0.1:0", 1)
+	l, err := Listen("127.0.0.1:0", 1, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/limitlistener/limitlistener.go
+++ b/internal/limitlistener/limitlistener.go
@@ -6,7 +6,9 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -30,51 +32,94 @@
 	maxRetryWait = 100 * time.Millisecond
 )
 
-// Listener accepts connections while fewer than its limit are open.
+// fullInterval is how often Listener.Full is called while a connection waits.
+const fullInterval = 5 * time.Millisecond
+
+// Listener accepts connections while fewer than its limit are open. One more waits until another
+// one is closed.
 type Listener struct {
 	*net.TCPListener
+	// Full, if set, is called while the limit is reached and a connection waits. It may close
+	// others.
+	Full  func()
 	slots *semaphore.Weighted
 	// closed is done once the listener is closed.
 	closed context.Context
 	close  context.CancelFunc
 	// accept is that of the TCPListener.
 	accept func() (*net.TCPConn, error)
-	// failures limits the lines about failed accepts.
-	failures rate.Sometimes
+	// failures limits the lines about failed accepts, fulls those about the limit.
+	failures, fulls rate.Sometimes
 }
 
 // Listen listens on a TCP address, an IP and a port, and accepts at most limit connections
-// at a time.
-func Listen(address string, limit int) (*Listener, error) {
-	l, err := net.Listen("tcp4", address)
+// at a time. The kernel holds about receiveBuffer bytes that each of them has received and that
+// have not been read; 0 means its default.
+func Listen(address string, limit, receiveBuffer int) (*Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return setReceiveBuffer(raw, receiveBuffer)
+	}}
+	l, err := config.Listen(context.Background(), networkOf(address), address)
 	if err != nil {
 		return nil, err
 	}
 	tcp := l.(*net.TCPListener)
 	limited := &Listener{
 		TCPListener: tcp, slots: semaphore.NewWeighted(int64(limit)), accept: tcp.AcceptTCP,
-		failures: rate.Sometimes{First: 1, Interval: time.Second},
+		failures: rate.Sometimes{First: 1, Interval: time.Second}, fulls: rate.Sometimes{First: 1, Interval: time.Second},
 	}
 	limited.closed, limited.close = context.WithCancel(context.Background())
 	return limited, nil
 }
 
+// networkOf returns the network of an address. IPv4 addresses must not accept IPv6.
+func networkOf(address string) string {
+	if parsed, err := netip.ParseAddrPort(address); err == nil && !parsed.Addr().Is4() {
+		return "tcp"
+	}
+	return "tcp4"
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	if l.slots.Acquire(l.closed, 1) != nil {
-		return nil, &net.OpError{Op: "accept", Net: l.Addr().Network(), Addr: l.Addr(), Err: net.ErrClosed}
-	}
 	c, err := l.acceptNext()
 	if err != nil {
-		l.slots.Release(1)
 		return nil, err
 	}
+	if !l.slots.TryAcquire(1) && !l.awaitSlot() {
+		c.Close()
+		return nil, &net.OpError{Op: "accept", Net: l.Addr().Network(), Addr: l.Addr(), Err: net.ErrClosed}
+	}
 	if err := limitUnsent(c); err != nil {
 		log.WithField("error", err.Error()).Debug("limit of unsent data not set")
 	}
 	return &conn{TCPConn: c, release: sync.OnceFunc(func() { l.slots.Release(1) })}, nil
 }
 
+// awaitSlot waits until fewer connections than the limit are open. It returns false if the listener
+// is closed before.
+func (l *Listener) awaitSlot() bool {
+	metrics.GetOrRegisterCounter("listener.connections_waited", nil).Inc(1)
+	l.fulls.Do(func() {
+		log.WithField("address", l.Addr().String()).Warn("the limit of connections is reached")
+	})
+	for l.closed.Err() == nil {
+		if l.Full != nil {
+			l.Full()
+		}
+		if l.acquireWithin(fullInterval) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Listener) acquireWithin(d time.Duration) bool {
+	ctx, cancel := context.WithTimeout(l.closed, d)
+	defer cancel()
+	return l.slots.Acquire(ctx, 1) == nil
+}
+
 // acceptNext accepts a connection. After an error that the next one need not have, it tries
 // again, since an http.Server ends with most errors of its listener.
 func (l *Listener) acceptNext() (*net.TCPConn, error) {
@@ -108,6 +153,18 @@
 	}
 }
 
+// setReceiveBuffer sets the receive buffer of the connections that a listening socket accepts.
+func setReceiveBuffer(raw syscall.RawConn, size int) error {
+	if size == 0 {
+		return nil
+	}
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+	})
+	return errors.Join(controlErr, err)
+}
+
 // limitUnsent limits what may be written beyond what has been sent.
 func limitUnsent(c *net.TCPConn) error {
 	raw, err := c.SyscallConn()
--- a/internal/limitlistener/limitlistener_test.go
+++ b/internal/limitlistener/limitlistener_test.go
@@ -11,7 +11,7 @@
 
 func listen(t *testing.T, limit int) *limitlistener.Listener {
 	t.Helper()
-	l, err := limitlistener.Listen("127.0.0.1:0", limit)
+	l, err := limitlistener.Listen("127.0.0.1:0", limit, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -19,6 +19,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/internal/limitlistener"
 	"pistachioroad.dev/pistachioroad/internal/serverlog"
 	"pistachioroad.dev/pistachioroad/internal/sharedstate"
 )
@@ -30,7 +31,11 @@
 	idleTimeout     = 60 * time.Second
 	shutdownTimeout = 2 * time.Second
 	maxHeaderBytes  = 16 << 10
-	minTokenLength  = 16
+	// maxConnections limits the connections of operators, programs that collect metrics and
+	// processes that ask for others' dumps.
+	maxConnections = 256
+	receiveBuffer  = 16 << 10
+	minTokenLength = 16
 
 	defaultEditTimeout = 10 * time.Second
 )
@@ -125,7 +130,7 @@
 
 // Serve serves the API until ctx is done.
 func (s *Server) Serve(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.config.Address)
+	listener, err := limitlistener.Listen(s.config.Address, maxConnections, receiveBuffer)
 	if err != nil {
 		return eris.Wrap(err, "listen on the operator address")
 	}
@@ -137,7 +142,11 @@
 	conns := callerconn.New(callerconn.Config{
 		HeaderTimeout: headerTimeout,
 		Closed:        metrics.GetOrRegisterCounter("operator.idle_connections_closed", nil),
+		Evicted:       metrics.GetOrRegisterCounter("operator.connections.evicted", nil),
 	})
+	if limited, ok := listener.(*limitlistener.Listener); ok {
+		limited.Full = func() { conns.Evict(time.Now()) }
+	}
 	server := &http.Server{
 		Handler:           closeWhenDone(ctx, s.handler),
 		ConnState:         callerconn.ConnStateChanged,
