A crowd of connections leaves room for other callers and for the memory

What callers saw: while other clients held all connections, idle, with part of a head or after a request, ordinary requests were not read until those timed out, and then the next of the crowd came first. What the kernel had received for pipelining clients was in no limit.

Cause: one limit for all connections, counted by descriptors only, at which accepting stopped; no limit of receive buffers; heads limited one by one (64 KB of short fields parse to a hundred times an ordinary head).

The memory of a process is now divided (membudget): heap, connections, heads, bodies, answers, receive buffers, remembered segments. A gateway has as many connections as descriptors and a quarter of its memory allow; at the limit the connection that is least in use makes room for the new one. Receive buffers are set so that all of them stay within their share. A head beyond 12 KB of parsed memory is counted while it is read; without memory the caller gets 503 as not run.

--- a/cmd/pistachioroad-gateway/main.go
+++ b/cmd/pistachioroad-gateway/main.go
@@ -22,6 +22,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/decide/locality"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
+	"pistachioroad.dev/pistachioroad/internal/gateway"
 	"pistachioroad.dev/pistachioroad/internal/gateway/process"
 	"pistachioroad.dev/pistachioroad/internal/logsink"
 	"pistachioroad.dev/pistachioroad/internal/signals"
@@ -35,10 +36,6 @@
 	exitUsage  = 2
 )
 
-// memoryLimitFraction is the Go memory limit as a fraction of the VM's memory. Near the
-// limit, the garbage collector runs more often.
-const memoryLimitFraction = 0.6
-
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -74,7 +71,7 @@
 	defer sink.Close()
 	log.SetHandler(json.New(sink))
 	log.Log = log.Log.WithField("process", d.Name)
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(d.MaxMemoryBytes)))
+	debug.SetMemoryLimit(gateway.MemoryPlan(d).Heap)
 	if received.Stop.Err() != nil {
 		log.Info("stopped before it served")
 		return exitOK
--- a/internal/gateway/caller_conn_test.go
+++ b/internal/gateway/caller_conn_test.go
@@ -14,6 +14,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/limitlistener"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/readahead"
 )
 
@@ -34,7 +35,7 @@
 			c.abort(serverBroke, err.Error())
 		}
 	}))
-	go func() { _ = server.Serve(newCallerConns().Listen(l)) }()
+	go func() { _ = server.Serve(newCallerConns(membudget.PlanFor(64<<20, 1)).Listen(l)) }()
 	t.Cleanup(func() { server.Close() })
 	c, err := net.Dial("tcp4", l.Addr().String())
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"pistachioroad.dev/pistachioroad/internal/direct"
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/durations"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/openrequests"
 	"pistachioroad.dev/pistachioroad/internal/readahead"
 	"pistachioroad.dev/pistachioroad/internal/request"
@@ -49,6 +51,8 @@
 	transport  *direct.Transport
 	directory  *directory.Directory
 
+	// memory is how the memory of the process is divided among what callers can make it hold.
+	memory membudget.Plan
 	// bodies limits the memory of all request bodies in flight.
 	bodies bodyBudget
 	// answers forwards the bodies of responses.
@@ -134,6 +138,7 @@
 	g.retryBudgets.bounds = func() deployment.Bounds { return g.deployment.Load().Bounds }
 	g.retryBudgets.gateways = func() int { return g.engines.gossip.GatewaysSharing() }
 	g.retryBudgets.firstProcess = func() bool { return g.engines.gossip.FirstProcess() }
+	g.memory = MemoryPlan(c.Deployment)
 	g.Reload(c.Deployment)
 	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
 	if c.ReadAhead.Total == 0 {
@@ -143,6 +148,19 @@
 	return g
 }
 
+// reservedDescriptors is the number of file descriptors set aside for files, the store and backend
+// servers. The rest are for callers' connections.
+const reservedDescriptors = 700
+
+// MemoryPlan divides the memory of a gateway process.
+func MemoryPlan(d deployment.Deployment) membudget.Plan {
+	connections := math.MaxInt
+	if d.MaxFileDescriptors > 0 {
+		connections = max(1, d.MaxFileDescriptors-reservedDescriptors)
+	}
+	return membudget.PlanFor(d.MaxMemoryBytes, connections)
+}
+
 // RemoteConfirmation forwards another gateway's confirmation of the store's state to
 // the directory.
 func (g *Gateway) RemoteConfirmation(now time.Time, c directory.Confirmation) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -12,14 +13,12 @@
 	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/closeframed"
 	"pistachioroad.dev/pistachioroad/internal/limitlistener"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/safego"
 	"pistachioroad.dev/pistachioroad/internal/serverlog"
 )
 
 const (
-	// reservedDescriptors is the number of file descriptors set aside for files,
-	// the store and backend servers. The rest are for callers' connections.
-	reservedDescriptors = 700
 	// idleSweepInterval is the interval between checks for expired idle connections.
 	idleSweepInterval = 500 * time.Millisecond
 	// headerTimeout limits how long reading a request's head may take.
@@ -32,11 +31,12 @@
 // error. It then waits up to the grace period for requests in flight to finish.
 func (g *Gateway) Serve(ctx context.Context) error {
 	d := g.deployment.Load()
-	listener, err := limitlistener.Listen(d.CallerAddress, max(1, d.MaxFileDescriptors-reservedDescriptors), 0)
+	listener, err := limitlistener.Listen(d.CallerAddress, g.memory.Connections, g.memory.ReceiveBuffer)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	conns := newCallerConns()
+	conns := newCallerConns(g.memory)
+	listener.Full = func() { conns.Evict(time.Now()) }
 	server := newCallerServer(g)
 	serveErr := make(chan error, 1)
 	go func() {
@@ -68,10 +68,13 @@
 	}
 }
 
-func newCallerConns() *callerconn.Conns {
+func newCallerConns(p membudget.Plan) *callerconn.Conns {
 	return callerconn.New(callerconn.Config{
 		HeaderTimeout: headerTimeout,
 		Closed:        metrics.GetOrRegisterCounter("gateway.idle_connections_closed", nil),
+		Evicted:       metrics.GetOrRegisterCounter("gateway.connections.evicted", nil),
+		Heads:         membudget.New("gateway.heads.bytes", p.Heads),
+		HeadsRejected: metrics.GetOrRegisterCounter("gateway.heads.out_of_memory", nil),
 	})
 }
 
@@ -82,8 +85,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         callerconn.ConnStateChanged,
-		ConnContext:       closeframed.ConnContext,
-		ErrorLog:          serverlog.New("callers"),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return callerconn.ConnContext(closeframed.ConnContext(ctx, c), c)
+		},
+		ErrorLog: serverlog.New("callers"),
 	}
 }
 
