Memory for request bodies is reserved before it is allocated

What callers saw: a gateway ended for want of memory when clients announced bodies of 4 MB, or sent bodies far over the limit; requests that were rejected before their bodies came got no answer and held their connections without end.

Cause: the buffer grew to the announced length before anything was reserved, and for chunks doubled beside the reserved bytes; the share of bodies was one pool that slow bodies could hold until their own deadlines. net/http reads up to 256 KB of an unread body before it sends the head of the answer, and no read deadline was set for that; the close of a connection with unread bytes is a reset.

Bodies are now read in three sizes (2 KB, 64 KB, all), each reserved when the one before is full (callerbody). Large bodies cannot take the share of small ones. A body waits up to 2 s for memory, and meanwhile the slowest of those that have come for a second is given up with 408. While connections wait, the slowest body is given up as well. A rejected body may take 1 s; after a long one the answer is sent at once, and what still comes is discarded, up to 8 MB and 1 s, before the close.

--- a/internal/gateway/copy_benchmark_test.go
+++ b/internal/gateway/copy_benchmark_test.go
@@ -9,6 +9,7 @@
 	"testing/iotest"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/readahead"
 )
 
@@ -39,7 +40,7 @@
 			b.Run(name+"/"+where, func(b *testing.B) {
 				b.ReportAllocs()
 				for range b.N {
-					benchmarkCall = &call{gateway: benchmarkGateway, writer: fastCaller{conn}, received: time.Now()}
+					benchmarkCall = &call{gateway: benchmarkGateway, writer: &callerconn.Writer{ResponseWriter: fastCaller{conn}, Closing: func() bool { return false }}, received: time.Now()}
 					if err := benchmarkCall.copyBody(body()); err != nil {
 						b.Fatal(err)
 					}
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/callerbody"
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/directory"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/openrequests"
 	"pistachioroad.dev/pistachioroad/internal/routes"
 )
@@ -41,9 +44,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := &readDeadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
-			g := &Gateway{calls: openrequests.New("gateway")}
-			g.bodies.limit = defaultBodyLimit
-			c := &call{gateway: g, listed: &openrequests.Request{}, writer: w, deadline: deadline, view: &directory.View{Table: &routes.Table{}}}
+			g := &Gateway{calls: openrequests.New("gateway"), bodies: callerbody.New("gateway", membudget.PlanFor(64<<20, 1), 1)}
+			c := &call{gateway: g, listed: &openrequests.Request{}, writer: &callerconn.Writer{ResponseWriter: w, Closing: func() bool { return false }}, deadline: deadline, view: &directory.View{Table: &routes.Table{}}}
 			r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(tc.body))
 			if !c.setIODeadlines(r) || !c.readBody(r) {
 				t.Fatalf("responded %d", w.Code)
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -136,7 +136,7 @@
 		Gateways:        g.gatewayCount(),
 		RetryBudgets:    g.retryBudgets.dump(),
 		Quarantine:      g.dumpQuarantine(now),
-		BodyBytes:       g.bodies.reserved.Load(),
+		BodyBytes:       g.bodies.Held(),
 		ReadAhead:       dumpReadAhead(g.answers.Usage()),
 	}
 	if v.Table != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/boottime"
+	"pistachioroad.dev/pistachioroad/internal/callerbody"
 	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
 	"pistachioroad.dev/pistachioroad/internal/deployment"
 	"pistachioroad.dev/pistachioroad/internal/direct"
@@ -54,7 +55,7 @@
 	// memory is how the memory of the process is divided among what callers can make it hold.
 	memory membudget.Plan
 	// bodies limits the memory of all request bodies in flight.
-	bodies bodyBudget
+	bodies *callerbody.Memory
 	// answers forwards the bodies of responses.
 	answers *readahead.Forwarder
 
@@ -91,14 +92,6 @@
 	ReadAhead readahead.Limits
 }
 
-// Fractions of the process's memory. The rest is for connections and the runtime.
-const (
-	// bodyMemoryFraction is available to request bodies.
-	bodyMemoryFraction = 0.25
-	// readAheadMemoryFraction is available to answers that are read ahead for slow callers.
-	readAheadMemoryFraction = 0.125
-)
-
 // SetGossip sets the gossip by which this gateway announces its requests to the
 // other gateways. It must be called before the gateway serves. The fixed part of
 // each service's retry budget is divided by the number of gateways that it reports.
@@ -140,9 +133,9 @@
 	g.retryBudgets.firstProcess = func() bool { return g.engines.gossip.FirstProcess() }
 	g.memory = MemoryPlan(c.Deployment)
 	g.Reload(c.Deployment)
-	g.bodies.limit = int64(bodyMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
+	g.bodies = callerbody.New("gateway", g.memory, 1)
 	if c.ReadAhead.Total == 0 {
-		c.ReadAhead.Total = int64(readAheadMemoryFraction * float64(c.Deployment.MaxMemoryBytes))
+		c.ReadAhead.Total = g.memory.Answers
 	}
 	g.answers = readahead.New(c.ReadAhead)
 	return g
@@ -198,21 +191,3 @@
 
 // gatewayCount returns the number of gateways, including this one.
 func (g *Gateway) gatewayCount() int { return g.engines.gossip.GatewayCount() }
-
-// bodyBudget limits the number of bytes that are reserved at a time.
-type bodyBudget struct {
-	limit    int64
-	reserved atomic.Int64
-}
-
-// acquire reserves n bytes. It returns false, and reserves nothing, if that would
-// exceed the limit.
-func (b *bodyBudget) acquire(n int64) bool {
-	if b.reserved.Add(n) > b.limit {
-		b.reserved.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *bodyBudget) release(n int64) { b.reserved.Add(-n) }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -1,16 +1,15 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
 	"time"
 
+	"pistachioroad.dev/pistachioroad/internal/callerbody"
 	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/decide/availability"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
@@ -37,8 +36,6 @@
 	defaultConfigApplyTime = 2 * time.Second
 	// defaultTimeout applies to requests that state no timeout.
 	defaultTimeout = 30 * time.Second
-	// bodyChunk is the unit in which memory for a request body is reserved.
-	bodyChunk = 64 << 10
 	// headerFieldOverhead is the size of the separator and line end of a header field.
 	headerFieldOverhead = 4
 	// responseWriteSlack is how long after its deadline a request's response may
@@ -51,8 +48,8 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	caller := &callerconn.Writer{ResponseWriter: w, Closing: g.shuttingDown}
-	c := &call{gateway: g, writer: caller, received: now, id: g.codec.RequestID(r.Header)}
+	caller := &callerconn.Writer{ResponseWriter: w, Closing: g.shuttingDown, Request: r}
+	c := &call{gateway: g, writer: caller, received: now, id: g.codec.RequestID(r.Header), body: &callerbody.Body{}}
 	c.listed = g.calls.Add(c.id, now)
 	// For a panic of logRequest.
 	defer c.recoverPanic(caller)
@@ -61,7 +58,7 @@
 	defer c.recoverPanic(caller)
 	defer c.settleRetries()
 	defer c.leaveOpenAttempts()
-	defer func() { g.bodies.release(c.reservedBodyBytes) }()
+	defer func() { c.body.Release() }()
 	if !c.prepare(r) {
 		c.answered = true
 		return
@@ -80,7 +77,7 @@
 // call is the state of one caller's request while it is handled.
 type call struct {
 	gateway *Gateway
-	writer  http.ResponseWriter
+	writer  *callerconn.Writer
 	// callerCtx is done when the caller disconnects, ctx also at the deadline.
 	ctx, callerCtx context.Context
 	// cancel ends all attempts.
@@ -97,9 +94,9 @@
 	request request.Request
 	auth    authResult
 	// counted is set while the request is counted for its client account, as usageMark.
-	counted           bool
-	usageMark         usage.Mark
-	reservedBodyBytes int64
+	counted   bool
+	usageMark usage.Mark
+	body      *callerbody.Body
 	// cachedFingerprint is the request's fingerprint, 0 until it is first needed.
 	cachedFingerprint request.Fingerprint
 	// quarantineStatus is the result of the last quarantine check. It lists the
@@ -286,51 +283,56 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	if r.ContentLength > limit {
-		c.respondError(http.StatusRequestEntityTooLarge, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body over the limit"))
-		return false
-	}
 	if r.ContentLength == 0 {
 		return true
 	}
-	if !c.gateway.calls.SetEnd(c.listed, func() { callerconn.InterruptRead(c.writer) }) {
-		callerconn.InterruptRead(c.writer)
-	}
-	var buf bytes.Buffer
-	if r.ContentLength > 0 {
-		buf.Grow(int(r.ContentLength) + bytes.MinRead)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	interrupt := func() { callerconn.InterruptRead(c.writer) }
+	endRead := func() {
+		cancel()
+		interrupt()
 	}
-	reader := io.LimitReader(r.Body, limit+1)
-	for {
-		if !c.reserveBody(bodyChunk) {
-			c.respondError(http.StatusServiceUnavailable, verdict.NewRejection(verdict.CodeOverloaded, "out of memory for bodies", defaultRetryAfter))
-			return false
-		}
-		_, err := io.CopyN(&buf, reader, bodyChunk)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.endedByShutdown() {
-			c.respondError(http.StatusServiceUnavailable, verdict.NewRejection(verdict.CodeDraining, "the gateway ends before the body has come", minRetryAfter))
-			return false
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.respondError(http.StatusRequestTimeout, verdict.New(verdict.NotRun, verdict.CodeSlowBody, "the body did not come in time"))
-			return false
-		}
-		if err != nil {
-			c.respondError(http.StatusBadRequest, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "body not read: "+err.Error()))
-			return false
-		}
+	if !c.gateway.calls.SetEnd(c.listed, endRead) {
+		endRead()
 	}
-	if int64(buf.Len()) > limit {
-		c.respondError(http.StatusRequestEntityTooLarge, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body over the limit"))
+	body, err := c.gateway.bodies.Read(ctx, r.Body, r.ContentLength, limit, interrupt)
+	c.body = body
+	if err != nil {
+		c.rejectUnreadBody(err)
 		return false
 	}
-	c.request.Body = buf.Bytes()
+	c.writer.BodyRead()
+	c.request.Body = body.Bytes
 	return c.clearReadDeadline()
 }
 
+// rejectUnreadBody responds to a request whose body was not read because of err.
+func (c *call) rejectUnreadBody(err error) {
+	// The memory is not needed for the response.
+	c.body.Release()
+	c.writer.Header().Set("Connection", "close")
+	reject := func(status int, code verdict.Code, message string) {
+		c.respondError(status, verdict.New(verdict.NotRun, code, message))
+	}
+	switch {
+	case errors.Is(err, callerbody.ErrTooLarge):
+		reject(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, err.Error())
+	case errors.Is(err, callerbody.ErrAborted):
+		c.abort(callerSlow, err.Error())
+	case c.endedByShutdown() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, callerbody.ErrNoMemory)):
+		c.respondError(http.StatusServiceUnavailable, verdict.NewRejection(verdict.CodeDraining, "the gateway ends before the body has come", minRetryAfter))
+	case errors.Is(err, callerbody.ErrNoMemory):
+		c.respondError(http.StatusServiceUnavailable, verdict.NewRejection(verdict.CodeOverloaded, err.Error(), defaultRetryAfter))
+	case errors.Is(err, callerbody.ErrEvicted):
+		c.respondError(http.StatusRequestTimeout, verdict.NewRejection(verdict.CodeSlowBody, err.Error(), defaultRetryAfter))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		reject(http.StatusRequestTimeout, verdict.CodeSlowBody, "the body did not come in time")
+	default:
+		reject(http.StatusBadRequest, verdict.CodeBadRequest, "body not read: "+err.Error())
+	}
+}
+
 // clearReadDeadline removes the read deadline, so that from here on a failed read
 // means that the caller has disconnected.
 func (c *call) clearReadDeadline() bool {
@@ -341,18 +343,6 @@
 	return true
 }
 
-// reserveBody reserves memory for n more bytes of the body. If that fails, it
-// releases all memory reserved for the body.
-func (c *call) reserveBody(n int64) bool {
-	if !c.gateway.bodies.acquire(n) {
-		c.gateway.bodies.release(c.reservedBodyBytes)
-		c.reservedBodyBytes = 0
-		return false
-	}
-	c.reservedBodyBytes += n
-	return true
-}
-
 // remaining returns the time until the deadline.
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,7 +36,11 @@
 		return eris.Wrap(err, "listen for callers")
 	}
 	conns := newCallerConns(g.memory)
-	listener.Full = func() { conns.Evict(time.Now()) }
+	listener.Full = func() {
+		if now := time.Now(); !conns.Evict(now) {
+			g.bodies.EvictSlowest(now)
+		}
+	}
 	server := newCallerServer(g)
 	serveErr := make(chan error, 1)
 	go func() {
