What is remembered of cached prompt segments is limited in number

What a crowd could do: prompts with thousands of segments of one token each made a gateway remember a million of them for one engine, 183 MB of 67.

Cause: the estimate of an engine's cache was limited by tokens only.

The share of memory for segments is divided among the engines; beyond it the least recently used segment is forgotten, which costs at most a prefill that was not expected. 206 MB and 12 engines have room for 8,475 segments each, 136 MB and 54 engines for 1,204.

--- a/internal/decide/place/cache.go
+++ b/internal/decide/place/cache.go
@@ -10,7 +10,9 @@
 // sent there, evicted least recently used first.
 type prefixCache struct {
 	tokens, limit int
-	segments      map[uint64]*list.Element
+	// maxSegments limits the number of segments, 0 for no limit.
+	maxSegments int
+	segments    map[uint64]*list.Element
 	// lru has the segments in order of use, most recent first.
 	lru *list.List
 }
@@ -49,12 +51,18 @@
 		c.tokens += s.Tokens
 		added = append(added, s)
 	}
-	for c.tokens > c.limit && c.lru.Len() > 0 {
+	for c.exceeded() {
 		c.remove(c.lru.Back())
 	}
 	return added
 }
 
+// exceeded reports whether a segment has to be removed.
+func (c *prefixCache) exceeded() bool {
+	n := c.lru.Len()
+	return n > 0 && (c.tokens > c.limit || (c.maxSegments > 0 && n > c.maxSegments))
+}
+
 // drop records that the engine has not cached the segments.
 func (c *prefixCache) drop(segments []request.Segment) {
 	for _, s := range segments {
--- a/internal/decide/place/engine.go
+++ b/internal/decide/place/engine.go
@@ -21,6 +21,9 @@
 	Version    streamversion.Version
 	// KVTokens is the capacity of its KV cache.
 	KVTokens int
+	// MaxSegments limits the prompt segments that are remembered as cached by the engine, 0 for
+	// no limit.
+	MaxSegments int
 	// Slots is how many requests it runs concurrently.
 	Slots int
 	// Incarnation distinguishes the starts of an engine: after a restart its cache is
--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -224,7 +224,7 @@
 		}
 		tracked.Engine = e
 		tracked.prefillModel = f.prefillModelFor(e.Role)
-		tracked.cache.limit = e.KVTokens
+		tracked.cache.limit, tracked.cache.maxSegments = e.KVTokens, e.MaxSegments
 		f.engines[e.ID] = tracked
 	}
 	f.updateMemory()
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
 	"pistachioroad.dev/pistachioroad/internal/decide/balance"
@@ -107,7 +108,9 @@
 	fleets map[string]*place.Fleet
 	// byHash maps the hashes of engines in announcements to the engines.
 	byHash map[uint32]engineKey
-	gossip Gossip
+	// maxSegments limits the prompt segments that are remembered as cached by all engines together.
+	maxSegments int
+	gossip      Gossip
 	// count is the number of engines of all services.
 	count      int
 	statements *serverStatements
@@ -146,6 +149,7 @@
 	e.count = 0
 	e.byHash = make(map[uint32]engineKey)
 	e.reservations = make(map[string]place.MemoryReservation)
+	maxSegments := e.maxSegments / max(1, lo.CountBy(lo.Values(v.Servers), func(s backend.Server) bool { return s.Role != backend.NoRole }))
 	for name, service := range v.Table.Services {
 		if service.Engine == nil {
 			continue
@@ -160,7 +164,7 @@
 			e.byHash[place.EngineHash(s.ID)] = engineKey{service: name, id: s.ID}
 			list = append(list, place.Engine{
 				ID: s.ID, DataCentre: s.DataCentre, Role: s.Role, Version: streamversion.Of(s),
-				KVTokens: service.Engine.KVTokens, Slots: service.Engine.Slots, Incarnation: s.Incarnation,
+				KVTokens: service.Engine.KVTokens, MaxSegments: maxSegments, Slots: service.Engine.Slots, Incarnation: s.Incarnation,
 			})
 		}
 		e.count += len(list)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,7 @@
 	g.retryBudgets.gateways = func() int { return g.engines.gossip.GatewaysSharing() }
 	g.retryBudgets.firstProcess = func() bool { return g.engines.gossip.FirstProcess() }
 	g.memory = MemoryPlan(c.Deployment)
+	e.maxSegments = g.memory.CachedSegments
 	g.Reload(c.Deployment)
 	g.bodies = callerbody.New("gateway", g.memory, 1)
 	if c.ReadAhead.Total == 0 {
