An entry limits what its callers can make it hold

What callers saw: an entry that ran out of memory under large, chunked or deeply structured bodies, and connections of rejected or idle clients that left none to others.

Cause: the limit of a body was that of one request, with 4,096 connections; a document of a million empty messages was decoded before it was validated; no limit for all connections but their number.

The entry divides its memory as a gateway does (process.memory_bytes, built in 206 MB): connections, heads, receive buffers, bodies. A body counts four times, for its text, the request and its frame on the link; what a gateway has for answers read ahead is for bodies here. A document with more than 65,536 values is rejected before it is decoded; the largest valid conversation has fewer.

--- a/cmd/pistachioroadd/main.go
+++ b/cmd/pistachioroadd/main.go
@@ -15,6 +15,7 @@
 	"os"
 	"runtime"
 	_ "runtime/cgo" // links the C library, as on all VMs
+	"runtime/debug"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -22,6 +23,7 @@
 	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/entry"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/sidecar"
 	"pistachioroad.dev/pistachioroad/internal/signals"
@@ -56,6 +58,7 @@
 	}
 	setUpLog(s)
 	limitProcessors(s)
+	debug.SetMemoryLimit(membudget.PlanFor(s.Process.MemoryBytes, 1).Heap)
 	received.IgnoreReload()
 	return serve(received.Stop, s)
 }
--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -11,12 +11,14 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
+	"pistachioroad.dev/pistachioroad/internal/callerbody"
 	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
 	"pistachioroad.dev/pistachioroad/internal/durations"
 	"pistachioroad.dev/pistachioroad/internal/entry/serve"
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
 	"pistachioroad.dev/pistachioroad/internal/fleetconfig"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/openrequests"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
@@ -57,6 +59,7 @@
 	inFlight  atomic.Int64
 	open      *openrequests.List
 	durations *durations.Durations
+	bodies    *callerbody.Memory
 	// schedule is that of the shutdown; nil before it.
 	schedule atomic.Pointer[shutdown.Schedule]
 }
@@ -67,9 +70,16 @@
 	brokenStreams      = metrics.GetOrRegisterCounter("api.streams.broken", nil)
 )
 
-// New returns the API.
-func New(s *settings.Entry, executor Executor, views view.Source) *API {
+// bodyCopies is how many copies of a body there are: its bytes, its text, the request and its
+// frame on the link.
+const bodyCopies = 4
+
+// New returns the API. The memory of a plan limits what callers can make it hold.
+func New(s *settings.Entry, executor Executor, views view.Source, memory membudget.Plan) *API {
+	// No answers are read ahead here.
+	memory.LargeBodies += memory.Answers
 	return &API{
+		bodies:      callerbody.New("api", memory, bodyCopies),
 		settings:    s,
 		executor:    executor,
 		views:       views,
@@ -111,7 +121,8 @@
 		defer a.open.Remove(open)
 		caller := &callerconn.Writer{
 			ResponseWriter: w, Closing: a.shuttingDown,
-			OnHead: func() { a.open.Update(func() { open.HeadSent = true }) },
+			OnHead:  func() { a.open.Update(func() { open.HeadSent = true }) },
+			Request: r,
 		}
 		defer a.recoverPanic(caller, open)
 		w = caller
@@ -127,6 +138,9 @@
 	}
 }
 
+// EvictSlowest gives up the body that comes most slowly, so that its connection becomes free.
+func (a *API) EvictSlowest(now time.Time) { a.bodies.EvictSlowest(now) }
+
 func methodNotAllowed(w http.ResponseWriter, _ *http.Request, id uuid.UUID) {
 	w.Header().Set("Allow", http.MethodPost)
 	writeErrorStatus(w, id.String(), badRequest("want POST"), http.StatusMethodNotAllowed)
@@ -141,7 +155,7 @@
 	if err.Code != verdict.CodeDraining {
 		badRequests.Inc(1)
 	}
-	if err.Code == verdict.CodeSlowBody || err.Code == verdict.CodeTooLarge {
+	if err.Code == verdict.CodeSlowBody || err.Code == verdict.CodeTooLarge || err.Code == verdict.CodeOverloaded {
 		// The unread rest of the body would be parsed as the next request.
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/entry/api/api_test.go
+++ b/internal/entry/api/api_test.go
@@ -23,6 +23,7 @@
 	"pistachioroad.dev/pistachioroad/internal/entry/call"
 	"pistachioroad.dev/pistachioroad/internal/entry/serve"
 	"pistachioroad.dev/pistachioroad/internal/entry/view"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
@@ -98,7 +99,7 @@
 
 	BeforeEach(func() {
 		d = &fakeExecutor{answer: complete("a", "b")}
-		a = api.New(testSettings(), d, noFleet{})
+		a = api.New(testSettings(), d, noFleet{}, membudget.PlanFor(0, 1))
 		server = httptest.NewServer(a.Handler())
 		DeferCleanup(server.Close)
 	})
@@ -358,7 +359,7 @@
 	It("rejects a request whose body is still coming at the end of its shutdown", func() {
 		slow := testSettings()
 		slow.Limits.BodyTimeout = time.Minute
-		a := api.New(slow, d, noFleet{})
+		a := api.New(slow, d, noFleet{}, membudget.PlanFor(0, 1))
 		server := httptest.NewServer(a.Handler())
 		DeferCleanup(server.Close)
 		conn, err := net.Dial("tcp", server.Listener.Addr().String())
@@ -389,7 +390,7 @@
 	f.Add("POST", "/v1/chat/completions", "9223372036854775808", "", "", []byte(`{"model":"draft","messages":[null]}`))
 	f.Fuzz(func(t *testing.T, method, path, timeout, key, account string, body []byte) {
 		d := &fakeExecutor{answer: complete("a")}
-		handler := api.New(testSettings(), d, noFleet{}).Handler()
+		handler := api.New(testSettings(), d, noFleet{}, membudget.PlanFor(0, 1)).Handler()
 		r, err := http.NewRequest(method, "http://x"+path, bytes.NewReader(body))
 		if err != nil || r.URL.Path == "" {
 			t.Skip()
--- a/internal/entry/api/completions.go
+++ b/internal/entry/api/completions.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"pistachioroad.dev/pistachioroad/internal/callerbody"
 	"pistachioroad.dev/pistachioroad/internal/decide/route"
 	"pistachioroad.dev/pistachioroad/internal/entry/serve"
 	"pistachioroad.dev/pistachioroad/internal/sharedstate"
@@ -32,11 +33,12 @@
 
 func (a *API) completion(w http.ResponseWriter, r *http.Request, id uuid.UUID) {
 	body, err := a.readBody(w, r)
+	defer body.Release()
 	if err != nil {
 		rejectRequest(w, id, err)
 		return
 	}
-	parsed, err := a.completions.parse(body)
+	parsed, err := a.completions.parse(body.Bytes)
 	if err != nil {
 		rejectRequest(w, id, err)
 		return
@@ -52,11 +54,12 @@
 
 func (a *API) chat(w http.ResponseWriter, r *http.Request, id uuid.UUID) {
 	body, err := a.readBody(w, r)
+	defer body.Release()
 	if err != nil {
 		rejectRequest(w, id, err)
 		return
 	}
-	parsed, err := a.chats.parse(body)
+	parsed, err := a.chats.parse(body.Bytes)
 	if err != nil {
 		rejectRequest(w, id, err)
 		return
@@ -81,11 +84,13 @@
 	return defaultMaxTokens
 }
 
-func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
+// readBody reads the body of a request. The result is to be released when the request has ended,
+// also after an error.
+func (a *API) readBody(w http.ResponseWriter, r *http.Request) (*callerbody.Body, *verdict.Error) {
 	limits := a.settings.Limits
-	body, err := readBody(w, r, limits.BodyBytes, limits.BodyTimeout, a.endReadAtShutdown)
+	body, err := readBody(w, r, a.bodies, limits.BodyBytes, limits.BodyTimeout, a.endReadAtShutdown)
 	if err != nil && err.Code == verdict.CodeSlowBody && a.open.Ended(openRequest(r.Context())) {
-		return nil, shutdownRejection()
+		return body, shutdownRejection()
 	}
 	return body, err
 }
--- a/internal/entry/api/parse.go
+++ b/internal/entry/api/parse.go
@@ -1,10 +1,8 @@
 package api
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -16,6 +14,8 @@
 
 	"github.com/danielgtaylor/huma/v2"
 
+	"pistachioroad.dev/pistachioroad/internal/callerbody"
+	"pistachioroad.dev/pistachioroad/internal/callerconn"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -24,6 +24,9 @@
 	maxAccountLength = 128
 	// maxListedErrors bounds the validation errors listed in a response.
 	maxListedErrors = 5
+	// maxValues limits the values of a body, which take far more memory than their text. The
+	// largest valid conversation has fewer.
+	maxValues = 1 << 16
 )
 
 // completionRequest is the body of POST /v1/completions.
@@ -93,6 +96,9 @@
 // would get an answer that it did not ask for.
 func (v *validator[T]) parse(data []byte) (T, *verdict.Error) {
 	var parsed T
+	if countValues(data) > maxValues {
+		return parsed, badRequest("body has more than " + strconv.Itoa(maxValues) + " values")
+	}
 	var generic any
 	if err := decodeSingle(data, &generic); err != nil {
 		return parsed, badRequest("body is not JSON: " + err.Error())
@@ -108,16 +114,26 @@
 	return parsed, nil
 }
 
+// countValues returns about how many values a JSON document has: an upper limit of the elements
+// and members that it decodes to.
+func countValues(data []byte) int {
+	n, quoted := 1, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case !quoted && (c == ',' || c == '{' || c == '['):
+			n++
+		}
+	}
+	return n
+}
+
 // decodeSingle decodes data, which must contain exactly one JSON value.
 func decodeSingle(data []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	if err := decoder.Decode(into); err != nil {
-		return err
-	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return errors.New("there is more after the first value")
-	}
-	return nil
+	return json.Unmarshal(data, into)
 }
 
 func listErrors(faults []error) string {
@@ -202,27 +218,37 @@
 
 // readBody reads the body, which must not exceed the size limit and must arrive
 // within timeout. It calls begin before it reads.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration,
+func readBody(w http.ResponseWriter, r *http.Request, memory *callerbody.Memory, limit int64, timeout time.Duration,
 	begin func(http.ResponseWriter, *http.Request),
-) ([]byte, *verdict.Error) {
+) (*callerbody.Body, *verdict.Error) {
+	if r.ContentLength == 0 {
+		return &callerbody.Body{}, nil
+	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
 	begin(w, r)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
+	body, err := memory.Read(r.Context(), r.Body, r.ContentLength, limit, func() { callerconn.InterruptRead(w) })
+	switch {
+	case err == nil:
 		// net/http continues to read, to detect that the caller disconnects.
 		_ = controller.SetReadDeadline(time.Time{})
+		if caller, ok := w.(*callerconn.Writer); ok {
+			caller.BodyRead()
+		}
 		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, verdict.New(verdict.NotRun, verdict.CodeTooLarge,
+	case errors.Is(err, callerbody.ErrTooLarge):
+		return body, verdict.New(verdict.NotRun, verdict.CodeTooLarge,
 			"body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, callerbody.ErrAborted):
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, callerbody.ErrNoMemory):
+		return body, verdict.NewRejection(verdict.CodeOverloaded, err.Error(), overloadRetryAfter)
+	case errors.Is(err, callerbody.ErrEvicted):
+		return body, verdict.NewRejection(verdict.CodeSlowBody, err.Error(), overloadRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, verdict.New(verdict.NotRun, verdict.CodeSlowBody,
+		return body, verdict.New(verdict.NotRun, verdict.CodeSlowBody,
 			"body did not arrive within "+timeout.String())
 	default:
-		return nil, badRequest("body: " + err.Error())
+		return body, badRequest("body: " + err.Error())
 	}
 }
--- a/internal/entry/api/services.go
+++ b/internal/entry/api/services.go
@@ -28,11 +28,12 @@
 		return
 	}
 	body, err := a.readBody(w, r)
+	defer body.Release()
 	if err != nil {
 		rejectRequest(w, id, err)
 		return
 	}
-	request, err := a.newCallRequest(r, id, name, service, body)
+	request, err := a.newCallRequest(r, id, name, service, body.Bytes)
 	if err != nil {
 		rejectRequest(w, id, err)
 		return
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -15,6 +15,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/shutdown"
 	"pistachioroad.dev/pistachioroad/internal/entry/api"
 	"pistachioroad.dev/pistachioroad/internal/graceful"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/serverlog"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 )
@@ -31,13 +32,15 @@
 	served   chan error
 }
 
-func newCallerServer(listener net.Listener, s *settings.Entry, a *api.API) *callerServer {
+func newCallerServer(listener net.Listener, s *settings.Entry, a *api.API, memory membudget.Plan) *callerServer {
 	return &callerServer{
 		listener: listener,
 		api:      a,
 		server: &http.Server{
-			Handler:           closeframed.Handler(a.Handler()),
-			ConnContext:       closeframed.ConnContext,
+			Handler: closeframed.Handler(a.Handler()),
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+				return callerconn.ConnContext(closeframed.ConnContext(ctx, c), c)
+			},
 			ConnState:         callerconn.ConnStateChanged,
 			ReadHeaderTimeout: s.Limits.HeaderTimeout,
 			IdleTimeout:       s.Limits.IdleTimeout,
@@ -47,12 +50,22 @@
 		conns: callerconn.New(callerconn.Config{
 			HeaderTimeout: s.Limits.HeaderTimeout,
 			Closed:        metrics.GetOrRegisterCounter("api.idle_connections_closed", nil),
+			Evicted:       metrics.GetOrRegisterCounter("api.connections.evicted", nil),
+			Heads:         membudget.New("api.heads.bytes", memory.Heads),
+			HeadsRejected: metrics.GetOrRegisterCounter("api.heads.out_of_memory", nil),
 		}),
 		stopping: make(chan struct{}),
 		served:   make(chan error, 1),
 	}
 }
 
+// makeRoom closes a connection in favour of one that waits for the limit of connections.
+func (c *callerServer) makeRoom() {
+	if now := time.Now(); !c.conns.Evict(now) {
+		c.api.EvictSlowest(now)
+	}
+}
+
 // String returns the name of the duty.
 func (c *callerServer) String() string { return "callers" }
 
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -7,6 +7,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/callerconn/callerconntest"
 	"pistachioroad.dev/pistachioroad/internal/entry/api"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/settings"
 )
 
@@ -18,8 +19,9 @@
 		t.Fatal(err)
 	}
 	s := &settings.Entry{Limits: settings.Limits{InFlight: 1, HeaderTimeout: time.Second, HeaderBytes: 4096}}
+	memory := membudget.PlanFor(0, 1)
 	stopping := &callerconntest.Listener{Listener: l}
-	callers := newCallerServer(stopping, s, api.New(s, nil, nil))
+	callers := newCallerServer(stopping, s, api.New(s, nil, nil, memory), memory)
 	stopping.Stop = func() { callers.shutDown(0, 5*time.Second) }
 	go func() { _ = callers.Serve(t.Context()) }()
 	if err := callerconntest.SendTwo(l.Addr().String(), "/v1/models"); err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"pistachioroad.dev/pistachioroad/internal/explain"
 	"pistachioroad.dev/pistachioroad/internal/limitlistener"
 	"pistachioroad.dev/pistachioroad/internal/member"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/operator"
 	"pistachioroad.dev/pistachioroad/internal/planner"
 	"pistachioroad.dev/pistachioroad/internal/settings"
@@ -148,19 +149,27 @@
 
 func newAPI(i do.Injector) (*api.API, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	return api.New(s.Entry, do.MustInvoke[*serve.Server](i), do.MustInvoke[*fleet](i)), nil
+	return api.New(s.Entry, do.MustInvoke[*serve.Server](i), do.MustInvoke[*fleet](i), memoryPlan(s)), nil
 }
 
 // maxPeerConnections limits the links from other entries, which close when they stay silent.
 const maxPeerConnections = 1024
 
+// memoryPlan divides the memory of the entry among what its callers can make it hold.
+func memoryPlan(s settings.Settings) membudget.Plan {
+	return membudget.PlanFor(s.Process.MemoryBytes, s.Entry.Limits.Connections)
+}
+
 func listenForCallers(i do.Injector) (*callerServer, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	listener, err := limitlistener.Listen(s.Listen.Callers, s.Entry.Limits.Connections, 0)
+	memory := memoryPlan(s)
+	listener, err := limitlistener.Listen(s.Listen.Callers, memory.Connections, memory.ReceiveBuffer)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
-	return newCallerServer(listener, s.Entry, do.MustInvoke[*api.API](i)), nil
+	server := newCallerServer(listener, s.Entry, do.MustInvoke[*api.API](i), memory)
+	listener.Full = server.makeRoom
+	return server, nil
 }
 
 // process is a running entry.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,6 +34,8 @@
 // limit in the wrong unit, from using up all memory of a VM.
 const (
 	maxBodyBytes    = 64 << 20
+	minMemoryBytes  = 32 << 20
+	maxMemoryBytes  = 64 << 30
 	maxHeaderBytes  = 1 << 20
 	maxConnections  = 100_000
 	maxInFlight     = 100_000
@@ -65,6 +67,7 @@
 	r.name("process.region", p.Region)
 	r.name("process.data_centre", p.DataCentre)
 	inRange(r, "process.processors", p.Processors, 1, 256)
+	inRange(r, "process.memory_bytes", p.MemoryBytes, minMemoryBytes, maxMemoryBytes)
 }
 
 func checkListen(s Settings, r *reader) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,7 +29,7 @@
 	Sidecar *Sidecar `yaml:"sidecar"`
 }
 
-// Process identifies the process and bounds its processors.
+// Process identifies the process and bounds its processors and memory.
 type Process struct {
 	// Name is the name of the process's VM in the VM list.
 	Name       string `yaml:"name"`
@@ -38,6 +38,9 @@
 	DataCentre string `yaml:"data_centre"`
 	// Processors is the number of processors that the process may use at a time.
 	Processors int `yaml:"processors"`
+	// MemoryBytes is the memory that the process may use. What callers can make it hold is limited
+	// to parts of it.
+	MemoryBytes int64 `yaml:"memory_bytes"`
 }
 
 // Log configures logging.
@@ -184,7 +187,7 @@
 // defaults returns the default values for both roles.
 func defaults() Settings {
 	return Settings{
-		Process: Process{Processors: 2},
+		Process: Process{Processors: 2, MemoryBytes: 206 << 20},
 		Log:     Log{Format: "json", Level: "info"},
 		Platform: Platform{
 			CallsPerSecond: 20,
