Limits of callers' memory: shown to operators, and fewer connections closed than before

At its limit a listener asked every 5 ms for a connection to be closed, also while the last one was still closing; the pause now doubles up to 100 ms, so that a gateway with little processor time does not close idle connections that need not go. The division of the memory is a line at the start and in the dump; heads without memory have a line, once a second at most.

--- a/internal/callerconn/conns.go
+++ b/internal/callerconn/conns.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"pistachioroad.dev/pistachioroad/internal/membudget"
 )
@@ -40,9 +41,14 @@
 	HeadsRejected metrics.Counter
 }
 
+// logInterval is the least interval between lines about heads without memory.
+const logInterval = time.Second
+
 // Conns are the open connections from callers.
 type Conns struct {
 	config Config
+	// headLines limits the lines about heads without memory.
+	headLines rate.Sometimes
 	// idleTimeout is the idle timeout of connections that become idle now, a
 	// time.Duration. 0 if none is known.
 	idleTimeout atomic.Int64
@@ -57,7 +63,7 @@
 
 // New returns an empty Conns.
 func New(config Config) *Conns {
-	return &Conns{config: config, open: make(map[*Conn]struct{})}
+	return &Conns{config: config, open: make(map[*Conn]struct{}), headLines: rate.Sometimes{First: 1, Interval: logInterval}}
 }
 
 // Listen returns a listener that adds the connections that l accepts.
--- a/internal/callerconn/head.go
+++ b/internal/callerconn/head.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"github.com/apex/log"
+
 	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
@@ -69,6 +71,9 @@
 		return len(p), readErr
 	}
 	c.conns.config.HeadsRejected.Inc(1)
+	c.conns.headLines.Do(func() {
+		log.WithFields(log.Fields{"caller": c.RemoteAddr().String(), "bytes": c.head.bytes, "fields": c.head.fields}).Warn("heads are rejected for want of memory")
+	})
 	if c.SetWriteDeadline(time.Now().Add(rejectionTimeout)) == nil {
 		_, _ = io.WriteString(c.Conn, headRejection)
 	}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -7,6 +7,7 @@
 	"pistachioroad.dev/pistachioroad/internal/decide/contention"
 	"pistachioroad.dev/pistachioroad/internal/decide/outlier"
 	"pistachioroad.dev/pistachioroad/internal/decide/place"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/readahead"
 	"pistachioroad.dev/pistachioroad/internal/usage"
 )
@@ -39,6 +40,9 @@
 	RecordedStreams int `json:"recorded_streams"`
 	// Quarantine is what is known of requests and prompts that crash servers.
 	Quarantine QuarantineDump `json:"quarantine"`
+	// Memory is how the memory of the process is divided, in bytes but for connections and
+	// segments.
+	Memory membudget.Plan `json:"memory"`
 	// BodyBytes is the memory currently reserved for request bodies.
 	BodyBytes int64 `json:"body_bytes"`
 	// DistancePrice is what it is worth to keep one megabyte within the data centre, absent
@@ -136,6 +140,7 @@
 		Gateways:        g.gatewayCount(),
 		RetryBudgets:    g.retryBudgets.dump(),
 		Quarantine:      g.dumpQuarantine(now),
+		Memory:          g.memory,
 		BodyBytes:       g.bodies.Held(),
 		ReadAhead:       dumpReadAhead(g.answers.Usage()),
 	}
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -55,6 +55,11 @@
 	log.WithFields(log.Fields{
 		"data_centre": d.DataCentre, "callers": d.CallerAddress, "store": d.StoreAddress, "memory_bytes": d.MaxMemoryBytes,
 	}).Info("started")
+	m := gateway.MemoryPlan(d)
+	log.WithFields(log.Fields{
+		"connections": m.Connections, "receive_buffer_bytes": m.ReceiveBuffer, "head_bytes": m.Heads, "small_body_bytes": m.SmallBodies,
+		"large_body_bytes": m.LargeBodies, "answer_bytes": m.Answers, "cached_segments": m.CachedSegments,
+	}).Info("memory divided")
 	codec := platform.Codec{}
 	storeClient := platform.NewStore(d.StoreAddress)
 	dir := directory.New(storeClient, codec, platform.ObjectKinds)
--- a/internal/limitlistener/limitlistener.go
+++ b/internal/limitlistener/limitlistener.go
@@ -32,8 +32,12 @@
 	maxRetryWait = 100 * time.Millisecond
 )
 
-// fullInterval is how often Listener.Full is called while a connection waits.
-const fullInterval = 5 * time.Millisecond
+// minFullWait is the pause after a call of Listener.Full, in which the connection that it closes
+// becomes free. It doubles up to maxFullWait while a connection waits.
+const (
+	minFullWait = 5 * time.Millisecond
+	maxFullWait = 100 * time.Millisecond
+)
 
 // Listener accepts connections while fewer than its limit are open. One more waits until another
 // one is closed.
@@ -103,11 +107,11 @@
 	l.fulls.Do(func() {
 		log.WithField("address", l.Addr().String()).Warn("the limit of connections is reached")
 	})
-	for l.closed.Err() == nil {
+	for wait := minFullWait; l.closed.Err() == nil; wait = min(2*wait, maxFullWait) {
 		if l.Full != nil {
 			l.Full()
 		}
-		if l.acquireWithin(fullInterval) {
+		if l.acquireWithin(wait) {
 			return true
 		}
 	}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -60,16 +60,20 @@
 // Plan is how the memory of a process is divided, in bytes.
 type Plan struct {
 	// Heap is the limit of the Go heap.
-	Heap int64
+	Heap int64 `json:"heap"`
 	// Connections is the most connections of callers.
-	Connections int
+	Connections int `json:"connections"`
 	// ReceiveBuffer is the size of the receive buffer of each of them.
-	ReceiveBuffer int
-	// Heads is for heads beyond ordinary ones, SmallBodies and LargeBodies for request bodies, and
-	// Answers for answers that are read ahead.
-	Heads, SmallBodies, LargeBodies, Answers int64
+	ReceiveBuffer int `json:"receive_buffer"`
+	// Heads is for heads beyond ordinary ones.
+	Heads int64 `json:"heads"`
+	// SmallBodies and LargeBodies are for request bodies.
+	SmallBodies int64 `json:"small_bodies"`
+	LargeBodies int64 `json:"large_bodies"`
+	// Answers is for answers that are read ahead.
+	Answers int64 `json:"answers"`
 	// CachedSegments is the most prompt segments that are remembered as cached by engines.
-	CachedSegments int
+	CachedSegments int `json:"cached_segments"`
 }
 
 // PlanFor divides the memory of a process, 0 if it is not known, whose descriptors suffice for a
