--- a/internal/limitlistener/limitlistener.go
+++ b/internal/limitlistener/limitlistener.go
@@ -1,4 +1,5 @@
-// Package limitlistener limits the number of open connections of a TCP listener. Unlike
+// Package limitlistener limits the number of open connections of a TCP listener, and what the
+// kernel holds for each of them. At the limit, its owner may close one for a new one. Unlike
 // those of golang.org/x/net/netutil, its connections keep the methods of TCP connections.
 package limitlistener
 
