--- a/review/standin2/env.go
+++ b/review/standin2/env_test.go
@@ -1,8 +1,8 @@
 //go:build review
 
-// Command standin2 plays the scripts of the second review: it starts gateways as processes, with
+// Package standin2 plays the scripts of the second review: it starts gateways as processes, with
 // a store, backend servers and callers as stand-ins, and checks what callers and servers see.
-package main
+package standin2
 
 import (
 	"encoding/json"
--- a/review/standin2/main.go
+++ b/review/standin2/main_test.go
@@ -1,11 +1,12 @@
 //go:build review
 
-package main
+package standin2
 
 import (
 	"flag"
 	"fmt"
 	"os"
+	"testing"
 )
 
 // The exit statuses of a case.
@@ -25,7 +26,9 @@
 	"8": playAsterisk,
 }
 
-func main() { os.Exit(run()) }
+// TestMain makes the test binary the program of the scripts: names of the platform may stand in
+// test files only.
+func TestMain(*testing.M) { os.Exit(run()) }
 
 func run() int {
 	name := flag.String("case", "", "number of the case")
--- a/review/standin2/server.go
+++ b/review/standin2/server_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standin2
 
 import (
 	"bufio"
