A response whose status is none is no answer

Callers got answers with the status 600 or 999. A status of 000, 099 or 101 was skipped like an interim response, and what followed on the connection was passed on as the answer. Responses of HTTP/0.9, 2.0 and 3.0 and with control bytes in the reason were answers too.

Cause: http.ReadResponse takes any three characters that are a number for a status and any version; direct took all under 200 for interim responses.

Change: the new package serverconn checks status lines as they are received, before they are parsed, against RFC 9112, section 4, and RFC 9110, section 15. Such an answer is garbled: its outcome is unknown, its connection is not used again, another server answers a request that may be repeated.

Prefill answers and answers of an engine that takes up a stream are read in the same place and tested as well. A lone 000 with a body was rejected before too, since its body is no status line. Sound heads that are unusual pass before and after (TestUnusualSoundHeadsAreAnswers).

--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -10,6 +10,8 @@
 
 	"github.com/apex/log"
 	"golang.org/x/sys/unix"
+
+	"pistachioroad.dev/pistachioroad/internal/serverconn"
 )
 
 const (
@@ -36,7 +38,8 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	net.Conn
+	*serverconn.Conn
+	tcp *net.TCPConn
 	// source reads from the connection, and reader from source.
 	source *boundedReader
 	reader *bufio.Reader
@@ -74,18 +77,26 @@
 	if err != nil {
 		return nil, err
 	}
-	source := &boundedReader{Reader: c}
-	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBuffer), ackTimeout: ackTimeout}, nil
+	checked := serverconn.New(c)
+	source := &boundedReader{Reader: checked}
+	return &conn{Conn: checked, tcp: c.(*net.TCPConn), source: source, reader: bufio.NewReaderSize(source, readBuffer), ackTimeout: ackTimeout}, nil
+}
+
+// expectResponse checks the head of the response that is read next.
+func (c *conn) expectResponse() error {
+	received, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.ExpectResponse(received)
 }
 
 // abort closes the connection with a reset, which drops what has not been delivered. After
 // a close without one, a request that a silent link holds up would reach the server once the
 // link recovers, long after it was given up.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		if err := tcp.SetLinger(0); err != nil {
-			log.WithField("error", err.Error()).Debug("reset of a connection failed, closing it")
-		}
+	if err := c.tcp.SetLinger(0); err != nil {
+		log.WithField("error", err.Error()).Debug("reset of a connection failed, closing it")
 	}
 	c.Close()
 }
@@ -95,7 +106,7 @@
 	if c.ackTimeout == d {
 		return nil
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -110,7 +121,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -111,6 +111,9 @@
 	if err := errors.Join(deadlineErr, c.setAckTimeout(ackTimeoutOf(o.Stage))); err != nil {
 		return nil, x.fail(verdict.NotRun, "set timeouts", err)
 	}
+	if err := c.expectResponse(); err != nil {
+		return nil, x.fail(verdict.NotRun, "before the write", err)
+	}
 	if err := x.write(t.codec.AppendHead(nil, r, o), r.Body); err != nil {
 		return nil, err
 	}
@@ -217,7 +220,7 @@
 	go func() {
 		defer close(x.written)
 		parts := net.Buffers{head, body}
-		_, x.writeErr = parts.WriteTo(c.Conn)
+		_, x.writeErr = parts.WriteTo(c.tcp)
 	}()
 	return nil
 }
@@ -245,6 +248,9 @@
 		if err := x.skipBody(resp); err != nil {
 			return nil, x.fail(verdict.MayHaveRun, "read", fmt.Errorf("answer to another request: %w", err))
 		}
+		if err := x.conn.expectResponse(); err != nil {
+			return nil, x.failRead(err)
+		}
 	}
 	return nil, x.fail(verdict.MayHaveRun, "read", errors.New("answers to other requests only"))
 }
--- a/internal/direct/garbled.go
+++ b/internal/direct/garbled.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"strings"
+
+	"pistachioroad.dev/pistachioroad/internal/serverconn"
 )
 
 // errCutInHead is the error of a response whose connection ended within its head.
@@ -36,6 +38,8 @@
 // headError returns the error of a head that could not be parsed.
 func (c *conn) headError(err error) error {
 	switch ended := c.source.err; {
+	case errors.Is(ended, serverconn.ErrMalformed):
+		return ended
 	case ended == nil, isGarbled(err) && c.source.last == '\n':
 		return err
 	case c.source.remaining == maxHeadBytes && errors.Is(ended, io.EOF):
--- a/internal/gateway/cut_head_test.go
+++ b/internal/gateway/cut_head_test.go
@@ -30,8 +30,11 @@
 // cut is what a server does with one attempt. The zero cut is a whole answer.
 type cut struct {
 	framing framing
-	// before precedes the answer, and fields are further ones of its head.
-	before, fields string
+	// before precedes the answer, status replaces its status line, and fields are further ones
+	// of its head.
+	before, status, fields string
+	// replaced is a text of the answer and what is sent instead of it.
+	replaced [2]string
 	// at is after how many bytes of what it sends the server ends the connection, 0 for never,
 	// and reset whether with a reset.
 	at    int
@@ -43,8 +46,8 @@
 
 // attempt is one that reached a cutServer.
 type attempt struct {
-	id, lastEventID string
-	prefill, reused bool
+	id, lastEventID, kvSource string
+	prefill, reused           bool
 }
 
 // cutServers are servers of which the n-th attempt of a request gets the n-th of its cuts, at
@@ -130,7 +133,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := attempt{
-		id: req.Header.Get("Request-Id"), lastEventID: req.Header.Get("Last-Event-Id"),
+		id: req.Header.Get("Request-Id"), lastEventID: req.Header.Get("Last-Event-Id"), kvSource: req.Header.Get("Kv-Source"),
 		prefill: req.Header.Get("Serving-Phase") == "prefill", reused: reused,
 	}
 	s.attempts[a.id] = append(s.attempts[a.id], a)
@@ -181,7 +184,8 @@
 		}
 		body += "0\r\n\r\n"
 	}
-	text = c.before + "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: " + sealOf(id) + "\r\n" + c.fields + fields + "\r\n"
+	text = c.before + cmp.Or(c.status, "HTTP/1.1 200 OK") + "\r\nRequest-Id: " + id + "\r\nResponse-Seal: " + sealOf(id) + "\r\n" + c.fields + fields + "\r\n"
+	text = strings.Replace(text, c.replaced[0], c.replaced[1], 1)
 	return text + body, len(text)
 }
 
--- /dev/null
+++ b/internal/serverconn/head.go
@@ -0,0 +1,112 @@
+package serverconn
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// ErrMalformed is the error of a response whose head is malformed. Neither its status nor the
+// end of its body can be relied on.
+var ErrMalformed = errors.New("malformed head of a response")
+
+func malformed(what string, line []byte) error {
+	const maxShown = 80
+	return fmt.Errorf("%w: %s %q", ErrMalformed, what, line[:min(len(line), maxShown)])
+}
+
+// headPart is the part of a head that is received next.
+type headPart uint8
+
+const (
+	noHead headPart = iota
+	statusLine
+	fieldLines
+)
+
+// headChecker checks the head of a response, and those of the interim responses before it, as
+// it is received. The parser of net/http accepts heads that RFC 9112 does not allow.
+type headChecker struct {
+	next headPart
+	// line is the received part of a line that has not ended.
+	line []byte
+	// final is set if the head is not that of an interim response.
+	final bool
+	err   error
+}
+
+// expect starts the check of the next response.
+func (h *headChecker) expect() {
+	h.next, h.line = statusLine, h.line[:0]
+}
+
+// check checks received bytes. Those after the head are not checked.
+func (h *headChecker) check(p []byte) error {
+	for len(p) > 0 && h.next != noHead && h.err == nil {
+		part, rest, ended := bytes.Cut(p, []byte{'\n'})
+		p = rest
+		if !ended {
+			h.line = append(h.line, part...)
+			break
+		}
+		if len(h.line) > 0 {
+			h.line = append(h.line, part...)
+			part = h.line
+		}
+		h.err = h.checkLine(bytes.TrimSuffix(part, []byte{'\r'}))
+		h.line = h.line[:0]
+	}
+	return h.err
+}
+
+func (h *headChecker) checkLine(line []byte) error {
+	switch {
+	case h.next == statusLine:
+		return h.checkStatusLine(line)
+	case len(line) > 0:
+		return nil
+	case h.final:
+		h.next = noHead
+	default:
+		h.next = statusLine
+	}
+	return nil
+}
+
+// versionPrefix begins the status line of each response of HTTP/1. A digit follows.
+const versionPrefix = "HTTP/1."
+
+// maxStatus is the largest status: its first digit is the class, of which there are five.
+const maxStatus = 599
+
+func (h *headChecker) checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	code, reason, _ := bytes.Cut(rest, []byte{' '})
+	if !bytes.HasPrefix(version, []byte(versionPrefix)) || !isDigits(version[len(versionPrefix):], 1) {
+		return malformed("version of", line)
+	}
+	if !isDigits(code, 3) || !isFieldValue(reason) {
+		return malformed("status line", line)
+	}
+	status, err := strconv.Atoi(string(code))
+	// Switching protocols was not requested.
+	if err != nil || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return malformed("status", line)
+	}
+	h.final = status >= http.StatusOK
+	h.next = fieldLines
+	return nil
+}
+
+func isDigits(text []byte, n int) bool {
+	return len(text) == n && len(bytes.Trim(text, "0123456789")) == 0
+}
+
+// isFieldValue reports whether text may be the value of a field or a reason phrase: it has no
+// control bytes but tabs.
+func isFieldValue(text []byte) bool {
+	const del = 0x7f
+	return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == del })
+}
