A response with a malformed field is no answer

Callers got answers in whose head the name of a field held a blank, without that line, and with bodies that were not the server's: "Content-Length : 5" and "Transfer-Encoding : chunked" framed nothing, so that chunk lines were passed on as the body. A line that begins with a blank was added to the value before, such as a seal. HTTP/1.0 with chunks passed the chunk lines on too.

Cause: textproto accepts blanks in names, and net/http ignores Transfer-Encoding of HTTP/1.0 and the length beside an encoding.

Change: serverconn checks names and values of all heads, interim ones included (RFC 9112, section 5), and the framing (section 6). Folded lines are rejected, which section 5.2 allows: they cannot be told from names with blanks. A trailer with a malformed name makes the answer incomplete.

--- a/internal/direct/body.go
+++ b/internal/direct/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"pistachioroad.dev/pistachioroad/internal/eventstream"
+	"pistachioroad.dev/pistachioroad/internal/serverconn"
 )
 
 // Errors of streams that have been broken off. What the server may have run is not
@@ -18,16 +19,22 @@
 // replyBody is a response body that releases its connection at the end.
 type replyBody struct {
 	io.ReadCloser
+	response *http.Response
 	exchange *exchange
 }
 
 // Read implements io.Reader.
 func (b *replyBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.exchange.end(true)
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if err := serverconn.CheckTrailer(b.response.Trailer); err != nil {
+		b.exchange.end(false)
+		return n, err
+	}
+	b.exchange.end(true)
+	return n, io.EOF
 }
 
 // Close closes the connection unless the body has been read to its end.
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -277,7 +277,7 @@
 	}
 	x.reusable = !resp.Close && !x.sawStale && resp.ContentLength >= -1 && !unframed
 	x.conn.idleTimeout = head.IdleTimeout
-	return &Reply{ResponseHead: head, Length: resp.ContentLength, Unframed: unframed, Body: &replyBody{ReadCloser: newBody(resp), exchange: x}}
+	return &Reply{ResponseHead: head, Length: resp.ContentLength, Unframed: unframed, Body: &replyBody{ReadCloser: newBody(resp), response: resp, exchange: x}}
 }
 
 // suspectTime is how long a reused connection may stay without a response before the
--- a/internal/serverconn/head.go
+++ b/internal/serverconn/head.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is the error of a response whose head is malformed. Neither its status nor the
@@ -34,7 +36,11 @@
 	line []byte
 	// final is set if the head is not that of an interim response.
 	final bool
-	err   error
+	// version is the minor version of HTTP/1, a digit. hasLength and hasEncoding tell which
+	// fields the head has.
+	version                byte
+	hasLength, hasEncoding bool
+	err                    error
 }
 
 // expect starts the check of the next response.
@@ -66,7 +72,11 @@
 	case h.next == statusLine:
 		return h.checkStatusLine(line)
 	case len(line) > 0:
-		return nil
+		return h.checkField(line)
+	case h.hasEncoding && h.hasLength:
+		return malformed("framing:", []byte("both a length and a transfer encoding"))
+	case h.hasEncoding && h.version == '0':
+		return malformed("framing:", []byte("a transfer encoding of HTTP/1.0"))
 	case h.final:
 		h.next = noHead
 	default:
@@ -95,11 +105,32 @@
 	if err != nil || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return malformed("status", line)
 	}
-	h.final = status >= http.StatusOK
+	h.final, h.version = status >= http.StatusOK, version[len(versionPrefix)]
+	h.hasLength, h.hasEncoding = false, false
 	h.next = fieldLines
 	return nil
 }
 
+// checkField checks a line with a field. A line that begins with a blank is none: a folded value
+// cannot be told from a name with a blank, and RFC 9112, section 5.2, allows to reject both.
+func (h *headChecker) checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte{':'})
+	if !ok || !isToken(name) {
+		return malformed("field name", line)
+	}
+	if !isFieldValue(value) {
+		return malformed("field value", line)
+	}
+	h.hasLength = h.hasLength || bytes.EqualFold(name, []byte("Content-Length"))
+	h.hasEncoding = h.hasEncoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	return nil
+}
+
+// isToken reports whether text may be the name of a field.
+func isToken(text []byte) bool {
+	return len(text) > 0 && !bytes.ContainsFunc(text, func(r rune) bool { return !httpguts.IsTokenRune(r) })
+}
+
 func isDigits(text []byte, n int) bool {
 	return len(text) == n && len(bytes.Trim(text, "0123456789")) == 0
 }
@@ -110,3 +141,13 @@
 	const del = 0x7f
 	return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == del })
 }
+
+// CheckTrailer returns an ErrMalformed if a parsed trailer has a malformed name.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !isToken([]byte(name)) {
+			return malformed("field name in a trailer", []byte(name))
+		}
+	}
+	return nil
+}
--- a/internal/serverconn/head_test.go
+++ b/internal/serverconn/head_test.go
@@ -13,6 +13,9 @@
 	"HTTP/1.9 200 \xfc\t\r\n\r\n",
 	"HTTP/1.1 200 OK\n\n",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 204 X\r\n\r\nHTTP/1.1 000 X\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nA:\r\n!#$%&'*+-.^_`|~09az: \xe9\tb\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\n",
+	"HTTP/1.1 100 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 	"",
 	"HTTP/1.1 000",
 }
@@ -34,6 +37,21 @@
 	"http/1.1 200 OK\r\n",
 	"\r\nHTTP/1.1 200 OK\r\n",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 099 X\r\n",
+	"HTTP/1.1 200 OK\r\nA : b\r\n",
+	"HTTP/1.1 200 OK\r\nA\t: b\r\n",
+	"HTTP/1.1 200 OK\r\nA B: c\r\n",
+	"HTTP/1.1 200 OK\r\nA\x00: b\r\n",
+	"HTTP/1.1 200 OK\r\n A: b\r\n",
+	"HTTP/1.1 200 OK\r\n: b\r\n",
+	"HTTP/1.1 200 OK\r\nA\xc3\xa9: b\r\n",
+	"HTTP/1.1 200 OK\r\nA\r\n",
+	"HTTP/1.1 200 OK\r\nA: b\x00\r\n",
+	"HTTP/1.1 200 OK\r\nA: b\r\r\n",
+	"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n",
+	"HTTP/1.1 200 OK\r\nA: b\r\n\tC: d\r\n",
+	"HTTP/1.1 103 X\r\nA : b\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\ntransfer-encoding: chunked\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 }
 
 // checkInParts returns the result of a check of a text that is received in two parts.
