A reset during the upload is not the end of an answer

Callers got a part of an answer as a complete one: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the request was still being written. The same happened to streams of events without a length.

Cause: the kernel reports the error of a socket once. The write in the background took the reset, and the read that followed got the end of the stream, which ends such a body.

Change: at the end of the stream, serverconn ends a pending write and looks at its error. A reset or a time-out makes the answer incomplete. There is no race left: a write that was told returns the error whatever its deadline is, and one that was not leaves it to the read.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -219,8 +219,7 @@
 	c := x.conn
 	go func() {
 		defer close(x.written)
-		parts := net.Buffers{head, body}
-		_, x.writeErr = parts.WriteTo(c.tcp)
+		_, x.writeErr = c.WriteBuffers(net.Buffers{head, body})
 	}()
 	return nil
 }
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -3,8 +3,13 @@
 package serverconn
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // Conn is a connection to a server on which responses are read.
@@ -13,6 +18,10 @@
 
 	mu   sync.Mutex
 	head headChecker
+
+	// writing is held during writes, and writeErr the error of the last one.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // New returns a Conn that uses c.
@@ -29,15 +38,58 @@
 }
 
 // Read implements io.Reader. It returns an ErrMalformed once the head of a response turns out
-// to be malformed.
+// to be malformed, and io.EOF only if the server has ended its side of the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if headErr := c.check(p[:n]); headErr != nil {
 		return 0, headErr
 	}
+	if err == io.EOF {
+		if failure := c.failure(); failure != nil {
+			return n, failure
+		}
+	}
 	return n, err
 }
 
+// Write implements io.Writer.
+func (c *Conn) Write(p []byte) (n int, err error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, c.writeErr = c.Conn.Write(p)
+	return n, c.writeErr
+}
+
+// WriteBuffers writes b with as few system calls as Buffers.WriteTo needs.
+func (c *Conn) WriteBuffers(b net.Buffers) (n int64, err error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, c.writeErr = b.WriteTo(c.Conn)
+	return n, c.writeErr
+}
+
+// failure returns the error of the connection at the end of what has been received, nil if the
+// server has ended its side. The kernel reports the error of a socket once. If a write was told
+// of a reset, reads are told of the end of the stream.
+func (c *Conn) failure() error {
+	// A pending write returns the error if it was told, and otherwise that of the deadline. The
+	// server sends nothing more, so that nothing depends on the rest of the request.
+	if err := c.Conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	switch {
+	case errors.Is(c.writeErr, os.ErrDeadlineExceeded):
+		return nil
+	case errors.Is(c.writeErr, syscall.EPIPE):
+		// The server ended its side before it reset the connection.
+		return nil
+	default:
+		return c.writeErr
+	}
+}
+
 func (c *Conn) check(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
