What servers send without end is limited over all connections

250 callers of a faulty server that sent without end took a gateway to 527 MB on a machine of 67 MB: what the kernel had received of bodies that callers read slowly or stopped to read, up to 483 MB. Heads of many short fields took 277 MB of its own memory.

Cause: what servers send was limited for each response, in heads, and not at all in the kernel, where a window grows with a reader that is fast at first. A crowd has as many responses as connections.

Change: connections to servers have a receive buffer from a share of the process's memory; after 16 KB of a body they get 64 KB as long as there is memory for that. Heads beyond ordinary ones are reserved from a share before they are parsed, as those of callers are (the count of a head's memory moves from callerconn to membudget); without memory the attempt fails, its outcome is unknown and the server is not blamed. Counter direct_heads_out_of_memory, gauges direct_heads_bytes and direct_receive_buffers_bytes.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -14,6 +14,8 @@
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 )
 
 const (
@@ -49,7 +51,7 @@
 	headBlocked, evicted bool
 	// rejectedAt is when a request was rejected whose body had not been read, zero without one.
 	rejectedAt time.Time
-	head       headCost
+	head       membudget.Head
 	// reset is set if what is unsent is to be dropped when the connection is closed.
 	reset atomic.Bool
 }
@@ -164,7 +166,7 @@
 	c.phase, c.used = phaseIdle, true
 	c.idleSince, c.idleTimeout = now, timeout
 	c.rejectedAt = time.Time{}
-	c.head.release(c.conns.config.Heads)
+	c.head.Release(c.conns.config.Heads)
 }
 
 // becomeActive records that the head of a request has been read.
--- a/internal/callerconn/head.go
+++ b/internal/callerconn/head.go
@@ -9,52 +9,9 @@
 
 	"github.com/apex/log"
 
-	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
-// What a head takes, parsed and copied: its bytes twice, and for each field the entries of two
-// maps, the strings and their headers.
-const (
-	headByteCost  = 2
-	headFieldCost = 256
-	// headStep is the unit in which memory for heads is reserved.
-	headStep = 4 << 10
-)
-
-// headCost is the memory of the head that a connection has last sent.
-type headCost struct {
-	bytes, fields int
-	reserved      int64
-}
-
-// add adds what has been read of the head. It returns false if there is no memory for it.
-func (h *headCost) add(p []byte, budget *membudget.Budget) bool {
-	h.bytes += len(p)
-	h.fields += bytes.Count(p, []byte{'\n'})
-	if budget == nil {
-		return true
-	}
-	missing := int64(h.bytes*headByteCost+h.fields*headFieldCost) - membudget.FreeHead - h.reserved
-	if missing <= 0 {
-		return true
-	}
-	missing = (missing + headStep - 1) / headStep * headStep
-	if !budget.Acquire(missing) {
-		return false
-	}
-	h.reserved += missing
-	return true
-}
-
-// release ends the reservation of the head's memory.
-func (h *headCost) release(budget *membudget.Budget) {
-	if h.reserved > 0 {
-		budget.Release(h.reserved)
-	}
-	*h = headCost{}
-}
-
 // rejectionTimeout limits the write of headRejection.
 const rejectionTimeout = 100 * time.Millisecond
 
@@ -67,12 +24,12 @@
 func (c *Conn) addHead(p []byte, readErr error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head.add(p, c.conns.config.Heads) {
+	if c.head.Add(len(p), bytes.Count(p, []byte{'\n'}), c.conns.config.Heads) {
 		return len(p), readErr
 	}
 	c.conns.config.HeadsRejected.Inc(1)
 	c.conns.headLines.Do(func() {
-		log.WithFields(log.Fields{"caller": c.RemoteAddr().String(), "bytes": c.head.bytes, "fields": c.head.fields}).Warn("heads are rejected for want of memory")
+		log.WithFields(log.Fields{"caller": c.RemoteAddr().String(), "bytes": c.head.Bytes, "fields": c.head.Fields}).Warn("heads are rejected for want of memory")
 	})
 	if c.SetWriteDeadline(time.Now().Add(rejectionTimeout)) == nil {
 		_, _ = io.WriteString(c.Conn, headRejection)
@@ -83,7 +40,7 @@
 func (c *Conn) releaseHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head.release(c.conns.config.Heads)
+	c.head.Release(c.conns.config.Heads)
 }
 
 // connKey is the context key of a request's connection.
--- a/internal/direct/body.go
+++ b/internal/direct/body.go
@@ -21,11 +21,15 @@
 	io.ReadCloser
 	response *http.Response
 	exchange *exchange
+	received int64
 }
 
 // Read implements io.Reader.
 func (b *replyBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.received += int64(n); b.received > largeBody && err == nil {
+		b.exchange.expectLargeBody()
+	}
 	if err != io.EOF {
 		return n, err
 	}
@@ -37,6 +41,13 @@
 	return n, io.EOF
 }
 
+// expectLargeBody prepares the connection for more of a large body.
+func (x *exchange) expectLargeBody() {
+	if x.conn != nil {
+		x.transport.receive.grow(x.conn)
+	}
+}
+
 // Close closes the connection unless the body has been read to its end.
 func (b *replyBody) Close() error {
 	b.exchange.end(false)
--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sys/unix"
 
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/serverconn"
 )
 
@@ -51,33 +52,50 @@
 	reused bool
 	// ackTimeout is the TCP_USER_TIMEOUT of the connection.
 	ackTimeout time.Duration
+	// largeBuffer is set while the connection has a receive buffer of largeReceiveBuffer.
+	largeBuffer bool
 }
 
-var dialer = net.Dialer{
-	Timeout: dialTimeout,
-	KeepAliveConfig: net.KeepAliveConfig{
-		Enable:   true,
-		Idle:     keepAliveIdle,
-		Interval: keepAliveInterval,
-		Count:    keepAliveCount,
-	},
-	Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, ackTimeout) },
+// newDialer returns a dialer of connections with a receive buffer of the given size, 0 for the
+// kernel's default.
+func newDialer(receiveBuffer int) *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return errors.Join(setUserTimeout(raw, ackTimeout), setReceiveBuffer(raw, receiveBuffer))
+		},
+	}
 }
 
 func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	return setOption(raw, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
+func setReceiveBuffer(raw syscall.RawConn, size int) error {
+	if size == 0 {
+		return nil
+	}
+	return setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+}
+
+func setOption(raw syscall.RawConn, level, option, value int) error {
 	var err error
-	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-	})
+	controlErr := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), level, option, value) })
 	return errors.Join(controlErr, err)
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
+func dial(ctx context.Context, dialer *net.Dialer, address string, heads *membudget.Budget) (*conn, error) {
 	c, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	checked := serverconn.New(c)
+	checked := serverconn.New(c, heads)
 	source := &boundedReader{Reader: checked}
 	return &conn{Conn: checked, tcp: c.(*net.TCPConn), source: source, reader: bufio.NewReaderSize(source, readBuffer), ackTimeout: ackTimeout}, nil
 }
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -20,7 +20,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pistachioroad.dev/pistachioroad/internal/backend"
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 	"pistachioroad.dev/pistachioroad/internal/request"
+	"pistachioroad.dev/pistachioroad/internal/serverconn"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 )
 
@@ -50,8 +52,13 @@
 	// OnResponse is called with the head of each response before Send returns it. It
 	// must be set before the first Send and must not block.
 	OnResponse func(ResponseInfo)
+	dialer     *net.Dialer
+	// heads is the memory for heads beyond ordinary ones. Nil means that it is not limited.
+	heads *membudget.Budget
+	// receive limits the receive buffers. Nil means that they are the kernel's default.
+	receive *receiveLimit
 
-	opened, reused, unframed, endless, cutInHead metrics.Counter
+	opened, reused, unframed, endless, cutInHead, headsOutOfMemory metrics.Counter
 }
 
 // New returns a Transport that uses codec.
@@ -59,15 +66,27 @@
 	return &Transport{
 		codec:      codec,
 		pool:       newPool(),
+		dialer:     newDialer(0),
 		OnResponse: func(ResponseInfo) {},
 		opened:     metrics.GetOrRegisterCounter("direct.connections_opened", nil),
 		reused:     metrics.GetOrRegisterCounter("direct.connections_reused", nil),
 		unframed:   metrics.GetOrRegisterCounter("direct.responses_unframed", nil),
 		endless:    metrics.GetOrRegisterCounter("direct.responses_endless", nil),
 		cutInHead:  metrics.GetOrRegisterCounter("direct.responses_cut_in_head", nil),
+
+		headsOutOfMemory: metrics.GetOrRegisterCounter("direct.heads_out_of_memory", nil),
 	}
 }
 
+// LimitMemory limits what servers can make the process hold: what the kernel has received of
+// responses that are not read, and heads beyond ordinary ones. It must be called before the first
+// Send.
+func (t *Transport) LimitMemory(p membudget.Plan) {
+	t.dialer = newDialer(p.ServerReceiveBuffer)
+	t.heads = membudget.New("direct.heads.bytes", p.ServerHeads)
+	t.receive = &receiveLimit{size: p.ServerReceiveBuffer, large: membudget.New("direct.receive_buffers.bytes", p.LargeReceiveBuffers)}
+}
+
 // ResponseInfo is the head of a response together with the request's data.
 type ResponseInfo struct {
 	request.ResponseHead
@@ -162,7 +181,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout, o.Remaining))
 	defer cancel()
-	c, err := dial(ctx, o.Server.Address)
+	c, err := dial(ctx, t.dialer, o.Server.Address, t.heads)
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoBackend, "connect: "+err.Error())
 	}
@@ -303,8 +322,11 @@
 func (x *exchange) fail(v verdict.Verdict, step string, err error) error {
 	x.end(false)
 	x.countEndless(err)
-	if errors.Is(err, errCutInHead) {
+	switch {
+	case errors.Is(err, errCutInHead):
 		x.transport.cutInHead.Inc(1)
+	case errors.Is(err, serverconn.ErrNoMemory):
+		x.transport.headsOutOfMemory.Inc(1)
 	}
 	e := verdict.New(v, verdict.CodeBackendFailed, step+": "+err.Error())
 	// Also if the connection was closed by the other side: that may be a middlebox, which can
@@ -322,6 +344,8 @@
 	}
 	c := x.conn
 	x.conn = nil
+	c.ReleaseHead()
+	x.transport.receive.shrink(c)
 	canceled := !x.stopWatch()
 	if !complete || canceled {
 		c.abort()
--- a/internal/direct/garbled.go
+++ b/internal/direct/garbled.go
@@ -38,7 +38,7 @@
 // headError returns the error of a head that could not be parsed.
 func (c *conn) headError(err error) error {
 	switch ended := c.source.err; {
-	case errors.Is(ended, serverconn.ErrMalformed):
+	case errors.Is(ended, serverconn.ErrMalformed), errors.Is(ended, serverconn.ErrNoMemory):
 		return ended
 	case ended == nil, isGarbled(err) && c.source.last == '\n':
 		return err
@@ -57,5 +57,5 @@
 // received, and not to the connection.
 func isGarbled(err error) bool {
 	var network net.Error
-	return !errors.As(err, &network) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, net.ErrClosed)
+	return !errors.Is(err, serverconn.ErrNoMemory) && !errors.As(err, &network) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, net.ErrClosed)
 }
--- a/internal/direct/probe.go
+++ b/internal/direct/probe.go
@@ -20,9 +20,11 @@
 	Absent
 )
 
+var probeDialer = newDialer(0)
+
 // Probe opens a connection to a server and closes it. No request is sent.
 func Probe(ctx context.Context, s backend.Server) Presence {
-	c, err := dial(ctx, s.Address)
+	c, err := probeDialer.DialContext(ctx, "tcp4", s.Address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return Absent
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,7 @@
 	g.retryBudgets.firstProcess = func() bool { return g.engines.gossip.FirstProcess() }
 	g.memory = MemoryPlan(c.Deployment)
 	e.maxSegments = g.memory.CachedSegments
+	g.transport.LimitMemory(g.memory)
 	g.Reload(c.Deployment)
 	g.bodies = callerbody.New("gateway", g.memory, 1)
 	if c.ReadAhead.Total == 0 {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -18,6 +18,8 @@
 	connectionShare = 0.25
 	// headShare is for what heads take beyond an ordinary one.
 	headShare = 0.05
+	// serverHeadShare is the same for heads of backend servers' responses.
+	serverHeadShare = 0.03
 	// smallBodyShare is for request bodies up to SmallBody, and for the beginnings of larger ones.
 	// largeBodyShare is for the rest of these.
 	smallBodyShare = 0.05
@@ -29,6 +31,11 @@
 	// receiveShare is for what the kernel has received on callers' connections and the process
 	// has not read. It is no part of the heap.
 	receiveShare = 0.15
+	// serverReceiveShare is the same for connections to backend servers. There are about as many
+	// with a request as there are callers' connections. largeReceiveShare is for those that have
+	// larger buffers.
+	serverReceiveShare = 0.06
+	largeReceiveShare  = 0.04
 )
 
 const (
@@ -44,9 +51,9 @@
 	SmallBody = 64 << 10
 	// segmentBytes is the heap of a segment that is remembered.
 	segmentBytes = 160
-	// receiveOverhead is what the kernel allows in a receive buffer for each byte that is asked
+	// ReceiveOverhead is what the kernel allows in a receive buffer for each byte that is asked
 	// for: it doubles the size for its own structures.
-	receiveOverhead = 2
+	ReceiveOverhead = 2
 	// The limits of the size that is asked for.
 	minReceiveBuffer = 4 << 10
 	maxReceiveBuffer = 64 << 10
@@ -65,8 +72,14 @@
 	Connections int `json:"connections"`
 	// ReceiveBuffer is the size of the receive buffer of each of them.
 	ReceiveBuffer int `json:"receive_buffer"`
+	// ServerReceiveBuffer is the same for each connection to a backend server.
+	ServerReceiveBuffer int `json:"server_receive_buffer"`
+	// LargeReceiveBuffers is for what larger ones have more.
+	LargeReceiveBuffers int64 `json:"large_receive_buffers"`
 	// Heads is for heads beyond ordinary ones.
 	Heads int64 `json:"heads"`
+	// ServerHeads is the same for heads of backend servers' responses.
+	ServerHeads int64 `json:"server_heads"`
 	// SmallBodies and LargeBodies are for request bodies.
 	SmallBodies int64 `json:"small_bodies"`
 	LargeBodies int64 `json:"large_bodies"`
@@ -84,16 +97,22 @@
 	}
 	share := func(s float64) int64 { return int64(s * float64(max(programBytes, memory-programBytes))) }
 	most := max(1, min(connections, int(share(connectionShare)/connectionBytes)))
-	buffer := share(receiveShare) / receiveOverhead / int64(most)
+	buffer := func(s float64) int {
+		return int(min(maxReceiveBuffer, max(minReceiveBuffer, share(s)/ReceiveOverhead/int64(most))))
+	}
 	return Plan{
 		Heap:          share(heapShare),
 		Connections:   most,
-		ReceiveBuffer: int(min(maxReceiveBuffer, max(minReceiveBuffer, buffer))),
+		ReceiveBuffer: buffer(receiveShare),
 		Heads:         share(headShare),
+		ServerHeads:   share(serverHeadShare),
 		SmallBodies:   share(smallBodyShare),
 		LargeBodies:   share(largeBodyShare),
 		Answers:       share(answerShare),
 
+		ServerReceiveBuffer: buffer(serverReceiveShare),
+		LargeReceiveBuffers: share(largeReceiveShare),
+
 		CachedSegments: int(share(segmentShare) / segmentBytes),
 	}
 }
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -9,11 +9,11 @@
 	for _, memory := range []int64{64 << 20, 136 << 20, 206 << 20, 8 << 30} {
 		for _, connections := range []int{1, 300, 2170, 100_000} {
 			p := PlanFor(memory, connections)
-			heap := int64(p.Connections)*connectionBytes + p.Heads + p.SmallBodies + p.LargeBodies + p.Answers + int64(p.CachedSegments)*segmentBytes
+			heap := int64(p.Connections)*connectionBytes + p.Heads + p.ServerHeads + p.SmallBodies + p.LargeBodies + p.Answers + int64(p.CachedSegments)*segmentBytes
 			if heap > p.Heap {
 				t.Errorf("%d bytes, %d connections: the parts of the heap have %d bytes, the heap %d", memory, connections, heap, p.Heap)
 			}
-			unread := int64(p.Connections) * int64(p.ReceiveBuffer) * receiveOverhead
+			unread := int64(p.Connections)*int64(p.ReceiveBuffer+p.ServerReceiveBuffer)*ReceiveOverhead + p.LargeReceiveBuffers
 			if programBytes+p.Heap+unread > memory {
 				t.Errorf("%d bytes, %d connections: the heap has %d bytes, receive buffers %d", memory, connections, p.Heap, unread)
 			}
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 )
 
 // Conn is a connection to a server on which responses are read.
@@ -24,12 +26,21 @@
 	writeErr error
 }
 
-// New returns a Conn that uses c.
-func New(c net.Conn) *Conn { return &Conn{Conn: c} }
+// New returns a Conn that uses c. The memory of heads is limited by heads, unless that is nil.
+func New(c net.Conn, heads *membudget.Budget) *Conn {
+	return &Conn{Conn: c, head: headChecker{budget: heads}}
+}
+
+// ReleaseHead ends the reservation of the memory of the heads that have been received.
+func (c *Conn) ReleaseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.memory.Release(c.head.budget)
+}
 
 // ExpectResponse makes Read check the head of the response that is received next, and those of
-// interim responses before it. received is what has been read of it already. It returns an
-// ErrMalformed if that is malformed.
+// interim responses before it. received is what has been read of it already. It returns the
+// error of Read for that.
 func (c *Conn) ExpectResponse(received []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -38,7 +49,7 @@
 }
 
 // Read implements io.Reader. It returns an ErrMalformed once the head of a response turns out
-// to be malformed, and io.EOF only if the server has ended its side of the connection.
+// to be malformed, an ErrNoMemory if there is none for it, and io.EOF only if the server has ended its side of the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if headErr := c.check(p[:n]); headErr != nil {
--- a/internal/serverconn/head.go
+++ b/internal/serverconn/head.go
@@ -7,13 +7,20 @@
 	"net/http"
 	"strconv"
 
+	"github.com/samber/lo"
 	"golang.org/x/net/http/httpguts"
+
+	"pistachioroad.dev/pistachioroad/internal/membudget"
 )
 
 // ErrMalformed is the error of a response whose head is malformed. Neither its status nor the
 // end of its body can be relied on.
 var ErrMalformed = errors.New("malformed head of a response")
 
+// ErrNoMemory is the error of a response for whose head, and those of interim responses before it,
+// there is no memory.
+var ErrNoMemory = errors.New("no memory for the head of a response")
+
 func malformed(what string, line []byte) error {
 	const maxShown = 80
 	return fmt.Errorf("%w: %s %q", ErrMalformed, what, line[:min(len(line), maxShown)])
@@ -40,7 +47,10 @@
 	// fields the head has.
 	version                byte
 	hasLength, hasEncoding bool
-	err                    error
+	// memory is reserved from budget, unless that is nil.
+	memory membudget.Head
+	budget *membudget.Budget
+	err    error
 }
 
 // expect starts the check of the next response.
@@ -48,11 +58,18 @@
 	h.next, h.line = statusLine, h.line[:0]
 }
 
+// keptLine is the largest buffer for the beginning of a line that is kept for the next one.
+const keptLine = 1 << 10
+
 // check checks received bytes. Those after the head are not checked.
 func (h *headChecker) check(p []byte) error {
 	for len(p) > 0 && h.next != noHead && h.err == nil {
 		part, rest, ended := bytes.Cut(p, []byte{'\n'})
 		p = rest
+		if !h.memory.Add(len(part), lo.Ternary(ended, 1, 0), h.budget) {
+			h.err = ErrNoMemory
+			break
+		}
 		if !ended {
 			h.line = append(h.line, part...)
 			break
@@ -63,6 +80,9 @@
 		}
 		h.err = h.checkLine(bytes.TrimSuffix(part, []byte{'\r'}))
 		h.line = h.line[:0]
+		if cap(h.line) > keptLine {
+			h.line = nil
+		}
 	}
 	return h.err
 }
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -133,12 +133,9 @@
 // shortFields returns the behaviour of clients whose heads have size bytes of fields as short as
 // possible, and then rest.
 func shortFields(size int, rest string) behaviour {
-	var fields strings.Builder
-	for n := 0; fields.Len() < size; n++ {
-		fmt.Fprintf(&fields, "%c%c%c:\r\n", 'A'+n%26, 'A'+n/26%26, 'A'+n/676%26)
-	}
+	fields := distinctFields(size)
 	return func(c net.Conn, sent func()) {
-		_ = write(c, head("/hold/1", fields.String()+rest))
+		_ = write(c, head("/hold/1", fields+rest))
 		sent()
 		stay(c)
 	}
--- a/test/crowd/machine_test.go
+++ b/test/crowd/machine_test.go
@@ -97,7 +97,8 @@
 // gateway is a gateway process on a machine of its own, with a store and backend servers.
 type gateway struct {
 	*machine
-	ip string
+	ip    string
+	store *objectstore.Store
 }
 
 func (g *gateway) callers() string { return net.JoinHostPort(g.ip, strconv.Itoa(portCallers)) }
@@ -117,7 +118,7 @@
 	store.Put("servers", engine.ID, engine.Registration("llm", engineAddress, "z", "ready"))
 	store.Put("config", "main", configuration())
 
-	g := &gateway{ip: ip(100)}
+	g := &gateway{ip: ip(100), store: store}
 	address := func(port int) string { return net.JoinHostPort(g.ip, strconv.Itoa(port)) }
 	settings, err := json.Marshal(map[string]any{
 		"node": "f-1", "zone": "z", "ipAddress": g.ip,
@@ -143,7 +144,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Kill)
-	g.machine = newMachine(t, p, g.ip, memoryMB<<20, maxDescriptors)
+	g.machine = newMachine(t, p, g.ip, memoryMB<<20, maxDescriptors, ip(1), ip(10), ip(11), faultyIP())
 	g.ordinary = g.ordinaryRequest
 	g.expectAnswer(t, "before the crowd")
 	return g
@@ -158,11 +159,14 @@
 	}
 	stream := route("draft", "llm", true)
 	stream["routeType"] = "streaming"
+	resumable := route("faulty-stream", "faulty", false)
+	resumable["routeType"], resumable["resumable"] = "streaming", true
 	return map[string]any{
 		"version": 1,
-		"routes":  []any{route("hold", "desk", false), route("big", "desk", false), route("slow", "desk", false), stream},
+		"routes":  []any{route("hold", "desk", false), route("big", "desk", false), route("slow", "desk", false), stream, route("faulty", "faulty", false), resumable},
 		"services": []any{
 			map[string]any{"name": "desk", "healthPath": "/health"},
+			map[string]any{"name": "faulty", "healthPath": "/health"},
 			map[string]any{"name": "llm", "healthPath": "/health", "engine": map[string]any{
 				"capacity": 16, "kvCapacity": 1_000_000, "kvTokenBytes": 1000, "linkMbps": 1000, "handleTtlS": 5, "stageSwitchS": 0.1,
 			}},
@@ -202,6 +206,8 @@
 type machine struct {
 	process *fleet.Process
 	ip      string
+	// servers are the IPs of the servers that the process connects to.
+	servers []string
 	memory  int64
 	files   int
 	// ordinary returns a request of an ordinary caller.
@@ -217,9 +223,9 @@
 
 // newMachine returns the machine of a process, once that is ready, and samples its resources until
 // the end of the test.
-func newMachine(t *testing.T, p *fleet.Process, ip string, memory int64, files int) *machine {
+func newMachine(t *testing.T, p *fleet.Process, ip string, memory int64, files int, servers ...string) *machine {
 	t.Helper()
-	m := &machine{process: p, ip: ip, memory: memory, files: files, ended: make(chan struct{})}
+	m := &machine{process: p, ip: ip, servers: servers, memory: memory, files: files, ended: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	sampled := make(chan struct{})
 	go func() {
@@ -257,7 +263,7 @@
 			close(m.ended)
 			return
 		}
-		unread := unreadBytes(m.ip)
+		unread := unreadBytes(m.ip, m.servers)
 		files := countFiles(m.process.PID())
 		m.mu.Lock()
 		m.most = max(m.most, usage.PeakResidentBytes, usage.ResidentBytes+unread)
@@ -279,20 +285,26 @@
 	return len(entries)
 }
 
-// unreadBytes returns how many bytes connections at an address have received that its process
-// has not read.
-func unreadBytes(ip string) int64 {
+// unreadBytes returns how many bytes the connections of a process at an address, and those to its
+// servers, have received that the process has not read.
+func unreadBytes(ip string, servers []string) int64 {
 	data, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
 	}
-	octets := net.ParseIP(ip).To4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:", octets[3], octets[2], octets[1], octets[0])
+	local := socketAddress(ip)
+	remote := make(map[string]bool)
+	for _, server := range servers {
+		remote[socketAddress(server)] = true
+	}
 	const listening = "0A"
 	sum := int64(0)
 	for line := range strings.Lines(string(data)) {
 		fields := strings.Fields(line)
-		if len(fields) < 5 || !strings.HasPrefix(fields[1], local) || fields[3] == listening {
+		if len(fields) < 5 || fields[3] == listening {
+			continue
+		}
+		if !strings.HasPrefix(fields[1], local) && !remote[fields[2][:len(local)]] {
 			continue
 		}
 		_, queue, _ := strings.Cut(fields[4], ":")
@@ -302,6 +314,12 @@
 	return sum
 }
 
+// socketAddress returns an IP as it stands in /proc/net/tcp, with the colon before the port.
+func socketAddress(ip string) string {
+	octets := net.ParseIP(ip).To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:", octets[3], octets[2], octets[1], octets[0])
+}
+
 func (m *machine) hasEnded() bool {
 	select {
 	case <-m.ended:
@@ -330,8 +348,10 @@
 }
 
 // ordinaryRequest returns the request of an ordinary caller.
-func (g *gateway) ordinaryRequest() (*http.Request, error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+g.callers()+"/hold/1", strings.NewReader(strings.Repeat("x", ordinaryBody)))
+func (g *gateway) ordinaryRequest() (*http.Request, error) { return g.request("/hold/1") }
+
+func (g *gateway) request(path string) (*http.Request, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+g.callers()+path, strings.NewReader(strings.Repeat("x", ordinaryBody)))
 	if err != nil {
 		return nil, err
 	}
