Test: requests throughout a stop are answered whole or as not run

Other operators saw requests that came late in the grace of a planned stop taken, passed on and cut.

--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -294,3 +297,83 @@
 	Expect(resp.Header.Get("Pistachioroad-Verdict")).To(Equal("not_run"))
 	Expect(resp.Close).To(BeTrue())
 }
+
+// Guards against requests that arrive at any time of a stop, on kept and on new connections, and are
+// passed on without the time to end: servers are as slow as they were before the stop.
+func TestRequestsThroughoutAStopAreAnsweredWholeOrNotRun(t *testing.T) {
+	f, server, engine := newStopFixture(t, 8*time.Second)
+	const slow = 2 * time.Second
+	server.SetWork(func(runner.Run) runner.Work { return runner.Work{Delay: slow} })
+	engine.SetWork(func(runner.Run) runner.Work {
+		return runner.Work{Delay: slow / 2, Events: 3, Interval: slow / 4}
+	})
+	var callers sync.WaitGroup
+	var answered, rejected atomic.Int64
+	judge := func(id string, got response) {
+		runs := runsOf(server, id) + runsOf(engine, id)
+		switch {
+		case got.err == nil && got.status == http.StatusOK && runs == 1:
+			answered.Add(1)
+		case got.err == nil && got.status == http.StatusServiceUnavailable && runs == 0:
+			rejected.Add(1)
+		case got.err == nil || runs != 0:
+			t.Errorf("%s: %d %q %v, ran %d times", id, got.status, got.body, got.err, runs)
+		}
+	}
+	call := func(kept bool, target, prefix string) {
+		c := f.connection()
+		for n := 0; ; n++ {
+			if !kept {
+				c = f.connection()
+			}
+			id := fmt.Sprintf("%s-%d", prefix, n)
+			judge(id, f.request(c, target, id))
+			if !kept {
+				c.CloseIdleConnections()
+			}
+			select {
+			case <-f.stopped:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	for _, kept := range []bool{true, false} {
+		for _, target := range []string{"/read/", "/hold/", "/stream-once/", "/stream-again/"} {
+			// Their requests begin at different times of the stop.
+			for n := range 3 {
+				callers.Go(func() {
+					time.Sleep(slow * time.Duration(n) / 3)
+					call(kept, target, fmt.Sprintf("%v%s%d", kept, target[1:len(target)-1], n))
+				})
+			}
+		}
+	}
+	// Until the gateway knows how long requests take.
+	time.Sleep(3 * slow)
+	before := answered.Load()
+	f.stop()
+	// Connections from the time in which the balancer has not noticed the stop, with a first request
+	// some time later.
+	for n := range 16 {
+		callers.Go(func() {
+			c, err := net.Dial("tcp4", f.address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			time.Sleep(time.Duration(n) * time.Second / 2)
+			target, id := []string{"/hold/", "/stream-once/"}[n%2], fmt.Sprintf("first-%d", n)
+			_, _ = io.WriteString(c, "POST "+target+" HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "+id+
+				"\r\nDeadline-Ms: 6000\r\nToken-Count: 2000,20\r\nPrefix-Hash: aa:1500,bb:500\r\nContent-Length: 1\r\n\r\nb")
+			got := readResponse(bufio.NewReader(c))
+			judge(id, got)
+		})
+	}
+	callers.Wait()
+	t.Logf("%d answered before the stop, %d during it, %d rejected as not run", before, answered.Load()-before, rejected.Load())
+	if answered.Load() == before || rejected.Load() == 0 {
+		t.Error("no request was answered during the stop, or none arrived late in it")
+	}
+}
