Clients of net/http reject malformed answers and lost resets too

Heads were read up to 10 MB.

Change: serverconn.Transport is an http.Transport on connections of serverconn. Heads are limited to 64 KB, as two of them were. A malformed trailer of a service's answer breaks it.

Handled before, kept as tests: answers whose heads hold control bytes, an empty name, a line without a colon; JSON documents cut by a reset, which do not parse.

--- a/cmd/pistachioroad/client.go
+++ b/cmd/pistachioroad/client.go
@@ -15,6 +15,7 @@
 	"github.com/samber/lo"
 
 	"pistachioroad.dev/pistachioroad/internal/operator"
+	"pistachioroad.dev/pistachioroad/internal/serverconn"
 )
 
 // maxResponseBytes limits the body of a response; dumps are the largest.
@@ -34,7 +35,7 @@
 func newClient(entries []string, token string) *client {
 	return &client{
 		http: &http.Client{
-			Transport: &http.Transport{DisableKeepAlives: true},
+			Transport: serverconn.NewTransport(&http.Transport{DisableKeepAlives: true}),
 			// Following a redirect would send the token to another address.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"pistachioroad.dev/pistachioroad/internal/serverconn"
 )
 
 const (
@@ -40,14 +42,14 @@
 
 // newTransport returns a transport that ignores the proxy of the environment, because
 // the engine is on the same VM.
-func newTransport() *http.Transport {
+func newTransport() http.RoundTripper {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return serverconn.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}
+	})
 }
 
 // responseLine is one line of a response. Exactly one field is set.
--- a/internal/gateway/process/bootstrap.go
+++ b/internal/gateway/process/bootstrap.go
@@ -13,6 +13,7 @@
 
 	"pistachioroad.dev/pistachioroad/internal/directory"
 	"pistachioroad.dev/pistachioroad/internal/pause"
+	"pistachioroad.dev/pistachioroad/internal/serverconn"
 	"pistachioroad.dev/pistachioroad/internal/sideserver"
 )
 
@@ -70,7 +71,7 @@
 }
 
 func newBootstrapClient() *http.Client {
-	return &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{Timeout: bootstrapTimeout, Transport: serverconn.NewTransport(&http.Transport{DisableKeepAlives: true})}
 }
 
 // bootstrapFromPeers asks the seed gateways until the configuration is known, from
--- a/internal/operator/peers.go
+++ b/internal/operator/peers.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"pistachioroad.dev/pistachioroad/internal/explain"
+	"pistachioroad.dev/pistachioroad/internal/serverconn"
 )
 
 // Limits of requests to other processes.
@@ -60,7 +61,7 @@
 }
 
 func newPeerClient(token string) *peerClient {
-	transport := &http.Transport{MaxIdleConns: maxConcurrentPeers, IdleConnTimeout: idleTimeout}
+	transport := serverconn.NewTransport(&http.Transport{MaxIdleConns: maxConcurrentPeers, IdleConnTimeout: idleTimeout})
 	return &peerClient{
 		http: &http.Client{
 			Transport: transport,
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"pistachioroad.dev/pistachioroad/internal/engine"
+	"pistachioroad.dev/pistachioroad/internal/serverconn"
 	"pistachioroad.dev/pistachioroad/internal/verdict"
 	"pistachioroad.dev/pistachioroad/internal/wire"
 )
@@ -179,12 +180,12 @@
 func newServiceClient(noRetry bool) *http.Client {
 	dialer := net.Dialer{Timeout: time.Second}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: serverconn.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			DisableKeepAlives:   noRetry,
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableCompression:  true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -209,6 +210,9 @@
 	if err := copyAnswer(resp.Body, emit); err != nil {
 		return nil, err
 	}
+	if err := serverconn.CheckTrailer(resp.Trailer); err != nil {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerBroken, err.Error())
+	}
 	return &wire.Final{Status: uint32(resp.StatusCode), Headers: wireHeaders(resp.Header)}, nil
 }
 
