A rejection that does not say whose it is rejects nothing on a kept connection

Cause: such a rejection was taken for the present request's whatever the connection had carried before. What it stated about the server's load, limit and leaving was believed too.

Change: on a connection that has carried another request it is skipped like an answer to another request, and nothing is learned from it. The answer may follow within 100 ms; otherwise the outcome is unknown, and the connection is not used again. On a new connection it still is the answer.

Weighed: to end the attempt at once would fail requests whose answers follow; to wait until the deadline would hold those of servers that reject without an ID, as the protocol's examples do.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -36,6 +36,9 @@
 	// maxResponsesRead limits the responses read for one request, including stale
 	// ones to earlier requests.
 	maxResponsesRead = 2
+	// unidentifiedTimeout is how long an answer may take after a response that does not say whose
+	// it is.
+	unidentifiedTimeout = 100 * time.Millisecond
 )
 
 // Codec encodes requests to backend servers and parses the heads of their responses.
@@ -254,9 +257,12 @@
 			return nil, x.failRead(err)
 		}
 		head := x.transport.codec.ParseResponse(resp.StatusCode, resp.Header)
-		if head.RequestID == x.request.ID || (head.RequestID == "" && head.NotRun && !x.sawStale) {
+		if head.RequestID == x.request.ID || (head.RequestID == "" && head.NotRun && !x.sawStale && !x.conn.reused) {
 			x.transport.OnResponse(ResponseInfo{ResponseHead: head, Server: x.options.Server, Stage: x.options.Stage, SentID: x.request.ID, Sent: x.sent})
 			x.conn.source.unbound()
+			if err := x.conn.SetReadDeadline(x.deadline); err != nil {
+				return nil, x.fail(verdict.MayHaveRun, "set timeouts", err)
+			}
 			return x.reply(resp, head), nil
 		}
 		x.sawStale = true
@@ -269,6 +275,12 @@
 		if err := x.conn.expectResponse(); err != nil {
 			return nil, x.failRead(err)
 		}
+		if head.RequestID == "" {
+			// It may as well be the answer, with none after it.
+			if err := x.expectEnd(unidentifiedTimeout); err != nil {
+				return nil, x.fail(verdict.MayHaveRun, "set timeouts", err)
+			}
+		}
 	}
 	return nil, x.fail(verdict.MayHaveRun, "read", errors.New("answers to other requests only"))
 }
