--- a/test/crowd/entry_test.go
+++ b/test/crowd/entry_test.go
@@ -27,15 +27,29 @@
 // startEntry starts a fleet with one entry and returns the machines of the entry and of one
 // sidecar.
 func startEntry(t *testing.T) (entry, sidecar *machine) {
+	entry, sidecar, _ = startEntryBefore(t, "")
+	return entry, sidecar
+}
+
+// startEntryBefore also returns the machine of the sidecar of the service "faulty", whose server
+// is at the given address, unless that is empty.
+func startEntryBefore(t *testing.T, faultyAddress string) (entry, sidecar, faulty *machine) {
 	t.Helper()
+	services := map[string]int{"holds": 1}
+	if faultyAddress != "" {
+		services["faulty"] = 1
+	}
 	f, err := fleet.Start(context.Background(), fleet.Options{
 		Bin: bin, Dir: t.TempDir(), Entries: 1,
 		Engines:  []fleet.Engine{{Role: "decode", Model: "draft"}},
-		Services: map[string]int{"holds": 1},
+		Services: services,
 		ModifySettings: func(s *settings.Settings) {
 			if s.Entry != nil {
 				s.Entry.Limits.Connections = entryConnections
 			}
+			if s.Sidecar != nil && s.Sidecar.BackendServer.Service == "faulty" {
+				s.Sidecar.BackendServer.Address = faultyAddress
+			}
 		},
 	})
 	if err != nil {
@@ -47,15 +61,18 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		m := newMachine(t, f.Processes[vm], ip, vmMemory, vmDescriptors)
+		m := newMachine(t, f.Processes[vm], ip, vmMemory, vmDescriptors, faultyIP())
 		m.ordinary = func() (*http.Request, error) {
 			return http.NewRequest(http.MethodGet, f.URL(f.Entries[0])+"/services/holds/calendar?model=1", nil)
 		}
 		return m
 	}
 	entry, sidecar = machineOf(f.Entries[0]), machineOf(f.Services["holds"][0])
+	if faultyAddress != "" {
+		faulty = machineOf(f.Services["faulty"][0])
+	}
 	entry.expectAnswer(t, "before the crowd")
-	return entry, sidecar
+	return entry, sidecar, faulty
 }
 
 func (m *machine) address(port int) string { return net.JoinHostPort(m.ip, strconv.Itoa(port)) }
@@ -143,3 +160,30 @@
 	entry, _ := startEntry(t)
 	entry.endure(t, mostConnections, entry.address(portOperators), shortFields(900<<10, ""))
 }
+
+// Guards against memory of entries and sidecars for heads and trailers that a faulty service sends
+// without end.
+func TestEntryEndlessHeads(t *testing.T) {
+	endureFaultyService(t, "field", "fields", "many-fields", "interim", "trailers")
+}
+
+// Guards against memory of entries and sidecars for bodies that a faulty service sends without end.
+func TestEntryEndlessBodies(t *testing.T) {
+	endureFaultyService(t, "chunks", "unframed", "length", "error", "comments", "empty-lines")
+}
+
+// endureFaultyService exposes an entry and a sidecar to callers of a service with endless answers.
+func endureFaultyService(t *testing.T, answers ...string) {
+	t.Helper()
+	for _, name := range answers {
+		t.Run(name, func(t *testing.T) {
+			entry, _, sidecar := startEntryBefore(t, serveFaulty(t))
+			entry.endure(t, mostConnections, entry.address(portCallers), func(c net.Conn, sent func()) {
+				_ = write(c, "GET /services/faulty/"+name+" HTTP/1.1\r\nHost: h\r\n\r\n")
+				sent()
+				stay(c)
+			})
+			sidecar.expectWithinLimits(t)
+		})
+	}
+}
--- a/test/crowd/faulty_server_test.go
+++ b/test/crowd/faulty_server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"reflect"
 	"runtime"
 	"strings"
@@ -59,7 +60,19 @@
 // the endless answer NAME, and returns once the gateway knows it.
 func (g *gateway) startFaulty(t *testing.T) {
 	t.Helper()
-	address := net.JoinHostPort(faultyIP(), "9000")
+	address := serveFaulty(t)
+	faulty := runner.New("i-faulty", "")
+	g.store.Put("servers", faulty.ID, faulty.Registration("faulty", address, "z", "ready"))
+	asking := &machine{ended: g.ended}
+	asking.ordinary = func() (*http.Request, error) { return g.request("/faulty/sound") }
+	asking.expectAnswer(t, "from the faulty server")
+}
+
+// serveFaulty starts a server that answers a request whose path ends with NAME with the endless
+// answer NAME.
+func serveFaulty(t *testing.T) (address string) {
+	t.Helper()
+	address = net.JoinHostPort(faultyIP(), "9000")
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		t.Fatal(err)
@@ -77,11 +90,7 @@
 			}()
 		}
 	}()
-	faulty := runner.New("i-faulty", "")
-	g.store.Put("servers", faulty.ID, faulty.Registration("faulty", address, "z", "ready"))
-	asking := &machine{ended: g.ended}
-	asking.ordinary = func() (*http.Request, error) { return g.request("/faulty/sound") }
-	asking.expectAnswer(t, "from the faulty server")
+	return address
 }
 
 func answerWithoutEnd(c net.Conn) {
@@ -89,8 +98,7 @@
 	if err != nil {
 		return
 	}
-	_, name, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
-	answer, faulty := endlessAnswers[name]
+	answer, faulty := endlessAnswers[path.Base(req.URL.Path)]
 	if !faulty {
 		answer.begin = success + "Content-Length: 0\r\n\r\n"
 	}
