--- a/internal/direct/cut_head_test.go
+++ b/internal/direct/cut_head_test.go
@@ -108,3 +108,22 @@
 		t.Errorf("error %v, garbled %v, %d counted", err, e.Garbled, cutInHead()-before)
 	}
 }
+
+// Guards against a malformed head that is taken for a crash, and that no counter shows.
+func TestMalformedHeadIsGarbled(t *testing.T) {
+	malformed := metrics.GetOrRegisterCounter("direct.responses_malformed", nil)
+	for _, text := range []string{
+		strings.Replace(completeResponse, "200", "000", 1),
+		strings.Replace(completeResponse, "Content-Length:", "Content-Length :", 1),
+		staleHead + "Content-Length: 0\r\n\r\n" + strings.Replace(completeResponse, "200", "999", 1),
+	} {
+		before, cut := malformed.Count(), cutInHead()
+		_, err := sendTo(t, serveCut(t, text, false), time.Second)
+		if e := verdict.Of(err); err == nil || e.Verdict != verdict.MayHaveRun || !e.Garbled {
+			t.Errorf("%q: error %v, garbled %v", text, err, e.Garbled)
+		}
+		if malformed.Count() != before+1 || cutInHead() != cut {
+			t.Errorf("%q: %d counted as malformed, %d as cut", text, malformed.Count()-before, cutInHead()-cut)
+		}
+	}
+}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -61,7 +61,7 @@
 	// receive limits the receive buffers. Nil means that they are the kernel's default.
 	receive *receiveLimit
 
-	opened, reused, unframed, endless, cutInHead, headsOutOfMemory metrics.Counter
+	opened, reused, unframed, endless, cutInHead, malformed, headsOutOfMemory metrics.Counter
 }
 
 // New returns a Transport that uses codec.
@@ -76,6 +76,7 @@
 		unframed:   metrics.GetOrRegisterCounter("direct.responses_unframed", nil),
 		endless:    metrics.GetOrRegisterCounter("direct.responses_endless", nil),
 		cutInHead:  metrics.GetOrRegisterCounter("direct.responses_cut_in_head", nil),
+		malformed:  metrics.GetOrRegisterCounter("direct.responses_malformed", nil),
 
 		headsOutOfMemory: metrics.GetOrRegisterCounter("direct.heads_out_of_memory", nil),
 	}
@@ -337,6 +338,8 @@
 	switch {
 	case errors.Is(err, errCutInHead):
 		x.transport.cutInHead.Inc(1)
+	case errors.Is(err, serverconn.ErrMalformed):
+		x.transport.malformed.Inc(1)
 	case errors.Is(err, serverconn.ErrNoMemory):
 		x.transport.headsOutOfMemory.Inc(1)
 	}
--- a/internal/gateway/process/process.go
+++ b/internal/gateway/process/process.go
@@ -59,6 +59,7 @@
 	log.WithFields(log.Fields{
 		"connections": m.Connections, "receive_buffer_bytes": m.ReceiveBuffer, "head_bytes": m.Heads, "small_body_bytes": m.SmallBodies,
 		"large_body_bytes": m.LargeBodies, "answer_bytes": m.Answers, "cached_segments": m.CachedSegments,
+		"server_receive_buffer_bytes": m.ServerReceiveBuffer, "large_receive_buffers_bytes": m.LargeReceiveBuffers, "server_head_bytes": m.ServerHeads,
 	}).Info("memory divided")
 	codec := platform.Codec{}
 	storeClient := platform.NewStore(d.StoreAddress)
