--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -257,13 +257,15 @@
 		if err != nil {
 			return nil, x.failRead(err)
 		}
+		if x.sawStale {
+			if err := x.conn.SetReadDeadline(x.deadline); err != nil {
+				return nil, x.fail(verdict.MayHaveRun, "set timeouts", err)
+			}
+		}
 		head := x.transport.codec.ParseResponse(resp.StatusCode, resp.Header)
 		if head.RequestID == x.request.ID || (head.RequestID == "" && head.NotRun && !x.sawStale && !x.conn.reused) {
 			x.transport.OnResponse(ResponseInfo{ResponseHead: head, Server: x.options.Server, Stage: x.options.Stage, SentID: x.request.ID, Sent: x.sent})
 			x.conn.source.unbound()
-			if err := x.conn.SetReadDeadline(x.deadline); err != nil {
-				return nil, x.fail(verdict.MayHaveRun, "set timeouts", err)
-			}
 			return x.reply(resp, head), nil
 		}
 		x.sawStale = true
--- a/internal/direct/unidentified_test.go
+++ b/internal/direct/unidentified_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -82,6 +83,36 @@
 	}
 }
 
+// Guards against an answer that is cut because it takes longer than the wait for it after a rejection
+// that does not say whose it is.
+func TestAnswerAfterAnUnidentifiedRejectionMayTakeItsTime(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r := bufio.NewReader(c)
+		_ = respond(c, r, completeResponse)
+		const bodyBytes = len("hello")
+		_ = respond(c, r, refusalHead+"Content-Length: 0\r\n\r\n"+strings.ReplaceAll(completeResponse[:len(completeResponse)-bodyBytes], "ID", "b"))
+		time.Sleep(300 * time.Millisecond)
+		_, _ = io.WriteString(c, "hello")
+	}()
+	transport := direct.New(platform.Codec{})
+	if _, err := send(transport, l.Addr().String(), "a", nil); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := send(transport, l.Addr().String(), "b", nil); got != "hello" || err != nil {
+		t.Errorf("%q, error %v", got, err)
+	}
+}
+
 // Guards against a rejection that is taken for none: on a new connection it belongs to the only
 // request.
 func TestUnidentifiedRejectionOnANewConnectionIsTheAnswer(t *testing.T) {
--- a/internal/serverconn/conn.go
+++ b/internal/serverconn/conn.go
@@ -39,8 +39,8 @@
 }
 
 // ExpectResponse makes Read check the head of the response that is received next, and those of
-// interim responses before it. received is what has been read of it already. It returns the
-// error of Read for that.
+// interim responses before it. received is what has been read of it already; the error is the one
+// that Read returns for it.
 func (c *Conn) ExpectResponse(received []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -48,8 +48,9 @@
 	return c.head.check(received)
 }
 
-// Read implements io.Reader. It returns an ErrMalformed once the head of a response turns out
-// to be malformed, an ErrNoMemory if there is none for it, and io.EOF only if the server has ended its side of the connection.
+// Read implements io.Reader. It returns an ErrMalformed once the head of a response turns out to
+// be malformed, an ErrNoMemory if there is no memory for it, and io.EOF only if the server has
+// ended its side of the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if headErr := c.check(p[:n]); headErr != nil {
